feat: workspace with domain types, wire forms and checks

Cause: the repository was empty; every later part needs shared types to agree on. Ruled out: one crate for everything, which would let decisions reach for I/O. Conclusion: the borders of the crates stand; the parts can be built side by side.

--- /dev/null
+++ b/crates/sardineshore-core/src/change.rs
@@ -0,0 +1,314 @@
+//! Typed changes of the configuration and the rules that accept or refuse them.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{
+    BackendServer, Customer, CustomerId, Deployment, Objective, Pipeline, PipelineId, ServerId,
+    ServerState,
+};
+
+/// One change that an operator asks for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "change")]
+pub enum Change {
+    /// Declares a new pipeline.
+    CreatePipeline {
+        /// The pipeline.
+        pipeline: Pipeline,
+    },
+    /// Removes a pipeline.
+    RemovePipeline {
+        /// Its name.
+        name: PipelineId,
+    },
+    /// Changes a pipeline's deadline.
+    SetDeadline {
+        /// Its name.
+        name: PipelineId,
+        /// New deadline.
+        deadline: Duration,
+    },
+    /// Marks one stage idempotent or non-idempotent.
+    MarkStage {
+        /// Pipeline's name.
+        pipeline: PipelineId,
+        /// Stage's name.
+        stage: std::sync::Arc<str>,
+        /// Whether the stage may run more than once for the same request.
+        idempotent: bool,
+    },
+    /// Declares a new backend server.
+    AddServer {
+        /// The backend server.
+        server: BackendServer,
+    },
+    /// Replaces the declaration of a backend server.
+    ReconfigureServer {
+        /// The backend server.
+        server: BackendServer,
+    },
+    /// Stops new work for a backend server.
+    DrainServer {
+        /// Its name.
+        name: ServerId,
+    },
+    /// Allows new work for a draining backend server.
+    ResumeServer {
+        /// Its name.
+        name: ServerId,
+    },
+    /// Removes a draining backend server.
+    RemoveServer {
+        /// Its name.
+        name: ServerId,
+    },
+    /// Changes a customer's weight.
+    SetWeight {
+        /// Customer's name.
+        name: CustomerId,
+        /// Share of capacity relative to other customers.
+        weight: f64,
+    },
+    /// Changes the objective.
+    SetObjective {
+        /// New objective.
+        objective: Objective,
+    },
+}
+
+/// Why a change does not fit the configuration that it meets.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "refusal")]
+pub enum Refusal {
+    /// The name is taken.
+    #[error("{kind} {name:?} exists already")]
+    Exists {
+        /// What kind of thing.
+        kind: String,
+        /// Its name.
+        name: String,
+    },
+    /// The name is not declared.
+    #[error("{kind} {name:?} does not exist")]
+    Missing {
+        /// What kind of thing.
+        kind: String,
+        /// Its name.
+        name: String,
+    },
+    /// The change is not valid in the present state.
+    #[error("{kind} {name:?}: {reason}")]
+    Invalid {
+        /// What kind of thing.
+        kind: String,
+        /// Its name.
+        name: String,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+impl Refusal {
+    fn exists(kind: &str, name: &str) -> Self {
+        Self::Exists {
+            kind: kind.into(),
+            name: name.into(),
+        }
+    }
+
+    fn missing(kind: &str, name: &str) -> Self {
+        Self::Missing {
+            kind: kind.into(),
+            name: name.into(),
+        }
+    }
+
+    fn invalid(kind: &str, name: &str, reason: &str) -> Self {
+        Self::Invalid {
+            kind: kind.into(),
+            name: name.into(),
+            reason: reason.into(),
+        }
+    }
+}
+
+impl Deployment {
+    /// Applies a change; the version is the caller's to raise.
+    pub fn apply(&mut self, change: &Change) -> Result<(), Refusal> {
+        match change {
+            Change::CreatePipeline { pipeline } => self.create_pipeline(pipeline),
+            Change::RemovePipeline { name } => self
+                .pipelines
+                .remove(name)
+                .map(|_| ())
+                .ok_or_else(|| Refusal::missing("pipeline", name)),
+            Change::SetDeadline { name, deadline } => self.set_deadline(name, *deadline),
+            Change::MarkStage {
+                pipeline,
+                stage,
+                idempotent,
+            } => self.mark_stage(pipeline, stage, *idempotent),
+            Change::AddServer { server } => self.add_server(server),
+            Change::ReconfigureServer { server } => self.reconfigure_server(server),
+            Change::DrainServer { name } => self.set_state(name, ServerState::Draining),
+            Change::ResumeServer { name } => self.set_state(name, ServerState::Active),
+            Change::RemoveServer { name } => self.remove_server(name),
+            Change::SetWeight { name, weight } => self.set_weight(name, *weight),
+            Change::SetObjective { objective } => {
+                self.objective = *objective;
+                Ok(())
+            }
+        }
+    }
+
+    fn create_pipeline(&mut self, pipeline: &Pipeline) -> Result<(), Refusal> {
+        if self.pipelines.contains_key(&pipeline.name) {
+            return Err(Refusal::exists("pipeline", &pipeline.name));
+        }
+        if pipeline.stages.is_empty() {
+            return Err(Refusal::invalid(
+                "pipeline",
+                &pipeline.name,
+                "it has no stages",
+            ));
+        }
+        if pipeline.deadline.is_zero() {
+            return Err(Refusal::invalid(
+                "pipeline",
+                &pipeline.name,
+                "its deadline is zero",
+            ));
+        }
+        let mut names: Vec<_> = pipeline.stages.iter().map(|stage| &stage.name).collect();
+        names.sort();
+        names.dedup();
+        if names.len() != pipeline.stages.len() {
+            return Err(Refusal::invalid(
+                "pipeline",
+                &pipeline.name,
+                "two stages share a name",
+            ));
+        }
+        self.pipelines
+            .insert(pipeline.name.clone(), pipeline.clone());
+        Ok(())
+    }
+
+    fn set_deadline(&mut self, name: &PipelineId, deadline: Duration) -> Result<(), Refusal> {
+        let Some(pipeline) = self.pipelines.get_mut(name) else {
+            return Err(Refusal::missing("pipeline", name));
+        };
+        if deadline.is_zero() {
+            return Err(Refusal::invalid("pipeline", name, "its deadline is zero"));
+        }
+        pipeline.deadline = deadline;
+        Ok(())
+    }
+
+    fn mark_stage(
+        &mut self,
+        name: &PipelineId,
+        stage: &str,
+        idempotent: bool,
+    ) -> Result<(), Refusal> {
+        let Some(pipeline) = self.pipelines.get_mut(name) else {
+            return Err(Refusal::missing("pipeline", name));
+        };
+        let Some(found) = pipeline
+            .stages
+            .iter_mut()
+            .find(|known| &*known.name == stage)
+        else {
+            return Err(Refusal::missing("stage", stage));
+        };
+        found.idempotent = idempotent;
+        Ok(())
+    }
+
+    fn add_server(&mut self, server: &BackendServer) -> Result<(), Refusal> {
+        if self.servers.contains_key(&server.name) {
+            return Err(Refusal::exists("server", &server.name));
+        }
+        check_server(server)?;
+        self.servers.insert(server.name.clone(), server.clone());
+        Ok(())
+    }
+
+    fn reconfigure_server(&mut self, server: &BackendServer) -> Result<(), Refusal> {
+        if !self.servers.contains_key(&server.name) {
+            return Err(Refusal::missing("server", &server.name));
+        }
+        check_server(server)?;
+        self.servers.insert(server.name.clone(), server.clone());
+        Ok(())
+    }
+
+    fn set_state(&mut self, name: &ServerId, state: ServerState) -> Result<(), Refusal> {
+        let Some(server) = self.servers.get_mut(name) else {
+            return Err(Refusal::missing("server", name));
+        };
+        server.state = state;
+        Ok(())
+    }
+
+    fn remove_server(&mut self, name: &ServerId) -> Result<(), Refusal> {
+        let Some(server) = self.servers.get(name) else {
+            return Err(Refusal::missing("server", name));
+        };
+        if server.state == ServerState::Active {
+            return Err(Refusal::invalid(
+                "server",
+                name,
+                "drain it before it is removed",
+            ));
+        }
+        self.servers.remove(name);
+        Ok(())
+    }
+
+    fn set_weight(&mut self, name: &CustomerId, weight: f64) -> Result<(), Refusal> {
+        if !(weight.is_finite() && weight > 0.0) {
+            return Err(Refusal::invalid(
+                "customer",
+                name,
+                "its weight is not positive",
+            ));
+        }
+        self.customers.insert(
+            name.clone(),
+            Customer {
+                name: name.clone(),
+                weight,
+            },
+        );
+        Ok(())
+    }
+}
+
+fn check_server(server: &BackendServer) -> Result<(), Refusal> {
+    if server.addr.parse::<std::net::SocketAddr>().is_err() {
+        return Err(Refusal::invalid(
+            "server",
+            &server.name,
+            "its address is not IP:PORT",
+        ));
+    }
+    if server.capacity == 0 {
+        return Err(Refusal::invalid(
+            "server",
+            &server.name,
+            "its capacity is zero",
+        ));
+    }
+    if !(server.cost.is_finite() && server.cost >= 0.0) {
+        return Err(Refusal::invalid(
+            "server",
+            &server.name,
+            "its cost is negative",
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sardineshore-core/src/lib.rs
@@ -0,0 +1,46 @@
+//! Domain types and every decision of sardineshore as plain state machines.
+//!
+//! Nothing in this crate performs I/O, reads a clock of its own or starts a task: a decision takes
+//! events and the current time and returns actions. The programs, the golden sessions and the
+//! model checker all drive the same code.
+//!
+//! ```
+//! use sardineshore_core::{Change, Deployment, Pipeline, Stage};
+//!
+//! let mut deployment = Deployment::default();
+//! let pipeline = Pipeline {
+//!     name: "reports".into(),
+//!     stages: vec![Stage { name: "encode".into(), pool: "encoders".into(), ..Stage::default() }],
+//!     ..Pipeline::default()
+//! };
+//! deployment.apply(&Change::CreatePipeline { pipeline }).unwrap();
+//! assert!(deployment.pipelines.contains_key("reports"));
+//! ```
+
+pub mod change;
+pub mod clock;
+pub mod deployment;
+pub mod finding;
+pub mod id;
+pub mod order;
+pub mod outcome;
+pub mod query;
+pub mod store;
+
+pub use change::{Change, Refusal};
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use deployment::{
+    BackendServer, Customer, Deployment, Objective, Pipeline, ServerState, Stage, StageKind,
+};
+pub use finding::{Finding, Place};
+pub use id::{
+    AttemptId, CommandId, CustomerId, DomainId, Fingerprint, InstanceId, PipelineId, PoolId,
+    RequestId, Revision, ServerId, Version,
+};
+pub use order::{EngineAction, EngineOrder, Fence};
+pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use query::{
+    Answer, CostBy, CostRow, CustomerRow, EventRow, InstanceRow, QuarantineRow, Query, ServerRow,
+    VersionRow,
+};
+pub use store::{Check, Commit, Put, Row, StoreError, Txn};
--- /dev/null
+++ b/crates/sardineshore-core/src/order.rs
@@ -0,0 +1,44 @@
+//! Orders to model engines.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{CommandId, ServerId};
+
+/// Fencing number of a lease; grows with each new holder.
+pub type Fence = u64;
+
+/// One order to one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// Identifier of the command that asked for it.
+    pub command: CommandId,
+    /// Engine.
+    pub server: ServerId,
+    /// What to do.
+    pub action: EngineAction,
+}
+
+/// What an engine is told to do.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "action")]
+pub enum EngineAction {
+    /// Load a version of a model.
+    LoadModel {
+        /// Model.
+        model: Arc<str>,
+        /// Version.
+        version: Arc<str>,
+    },
+    /// Load an adapter of a model.
+    LoadAdapter {
+        /// Adapter.
+        adapter: Arc<str>,
+    },
+    /// Change role.
+    SetRole {
+        /// Role, such as `prefill` or `decode`.
+        role: Arc<str>,
+    },
+}
--- /dev/null
+++ b/crates/sardineshore-ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/sardineshore-wire/src/peer.rs
@@ -0,0 +1,1 @@
+//! JSON-RPC between entry instances.
--- /dev/null
+++ b/crates/sardineshore-wire/src/platform.rs
@@ -0,0 +1,189 @@
+//! The platform's services behind traits, and their HTTP clients.
+//!
+//! Published protocol, JSON over HTTP/1.1:
+//!
+//! * `POST /v1/txn`: a [`Txn`]; answers 200 with a [`Commit`];
+//! * `GET /v1/rows?prefix=P&after=K&limit=N`: rows in key order, after `K` if given;
+//! * `GET /v1/row?key=K`: the row, or 404;
+//! * `PUT /v1/objects/NAME`, `GET /v1/objects/NAME`: whole objects;
+//! * `GET /v1/instances`: a list of [`Listed`];
+//! * 429: over the rate limit, no effect; 503: refused before any effect.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http_types::{Method, Request, Url};
+use sardineshore_core::{Commit, DomainId, Row, StoreError, Txn};
+use serde::{Deserialize, Serialize};
+
+use crate::http::{Client, ClientError};
+
+/// The transactional table service.
+#[async_trait]
+pub trait Table: fmt::Debug + Send + Sync {
+    /// Commits a transaction.
+    async fn commit(&self, txn: &Txn) -> Result<Commit, StoreError>;
+    /// Reads one row.
+    async fn read(&self, key: &str) -> Result<Option<Row>, StoreError>;
+    /// Reads rows whose key begins with `prefix` and is greater than `after`, in key order.
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, StoreError>;
+}
+
+/// The object store.
+#[async_trait]
+pub trait Objects: fmt::Debug + Send + Sync {
+    /// Writes a whole object.
+    async fn put(&self, name: &str, body: &str) -> Result<(), StoreError>;
+    /// Reads a whole object.
+    async fn get(&self, name: &str) -> Result<Option<String>, StoreError>;
+}
+
+/// The lagging list of instances and backend servers.
+#[async_trait]
+pub trait InstanceList: fmt::Debug + Send + Sync {
+    /// All that are listed.
+    async fn list(&self) -> Result<Vec<Listed>, StoreError>;
+}
+
+/// One line of the instance list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Name of the entry instance or backend server.
+    pub name: Arc<str>,
+    /// `IP:PORT`: the peer address of an entry instance, the HTTP address of a backend server.
+    pub addr: String,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// What it is.
+    pub role: ListedRole,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// What a listed process is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ListedRole {
+    /// An entry instance.
+    Entry,
+    /// A backend server.
+    Backend,
+}
+
+/// HTTP client of all platform services at one address.
+#[derive(Debug)]
+pub struct HttpPlatform {
+    client: Client,
+    addr: String,
+    timeout: Duration,
+}
+
+impl HttpPlatform {
+    /// Creates a client for the platform at `addr` (`IP:PORT`).
+    #[must_use]
+    pub fn new(addr: impl Into<String>, timeout: Duration) -> Self {
+        Self {
+            client: Client::default(),
+            addr: addr.into(),
+            timeout,
+        }
+    }
+
+    fn url(&self, path: &str) -> Url {
+        Url::parse(&format!("http://{}{path}", self.addr)).expect("a checked address forms a URL")
+    }
+
+    async fn call(&self, req: Request) -> Result<(u16, Vec<u8>), StoreError> {
+        let sent = self.client.send(&self.addr, req, self.timeout).await;
+        let reply = sent.map_err(|err| match err {
+            ClientError::NotSent(_) => StoreError::Unavailable,
+            ClientError::Lost(_) | ClientError::TimedOut => StoreError::Unconfirmed,
+        })?;
+        match reply.status {
+            429 => Err(StoreError::Throttled),
+            503 => Err(StoreError::Unavailable),
+            status if status >= 500 => Err(StoreError::Unconfirmed),
+            status => Ok((status, reply.body)),
+        }
+    }
+
+    async fn get_json<T: serde::de::DeserializeOwned>(
+        &self,
+        url: Url,
+    ) -> Result<Option<T>, StoreError> {
+        let (status, body) = self.call(Request::new(Method::Get, url)).await?;
+        match status {
+            200 => serde_json::from_slice(&body)
+                .map(Some)
+                .map_err(|_| StoreError::Unconfirmed),
+            404 => Ok(None),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+}
+
+#[async_trait]
+impl Table for HttpPlatform {
+    async fn commit(&self, txn: &Txn) -> Result<Commit, StoreError> {
+        let mut req = Request::new(Method::Post, self.url("/v1/txn"));
+        req.set_body(serde_json::to_vec(txn).expect("a transaction serializes"));
+        let (status, body) = self.call(req).await?;
+        if status != 200 {
+            return Err(StoreError::Unavailable);
+        }
+        serde_json::from_slice(&body).map_err(|_| StoreError::Unconfirmed)
+    }
+
+    async fn read(&self, key: &str) -> Result<Option<Row>, StoreError> {
+        let mut url = self.url("/v1/row");
+        url.query_pairs_mut().append_pair("key", key);
+        self.get_json(url).await
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, StoreError> {
+        let mut url = self.url("/v1/rows");
+        url.query_pairs_mut()
+            .append_pair("prefix", prefix)
+            .append_pair("after", after)
+            .append_pair("limit", &limit.to_string());
+        Ok(self.get_json(url).await?.unwrap_or_default())
+    }
+}
+
+#[async_trait]
+impl Objects for HttpPlatform {
+    async fn put(&self, name: &str, body: &str) -> Result<(), StoreError> {
+        let mut req = Request::new(Method::Put, self.url(&format!("/v1/objects/{name}")));
+        req.set_body(body);
+        let (status, _) = self.call(req).await?;
+        if status == 200 {
+            Ok(())
+        } else {
+            Err(StoreError::Unavailable)
+        }
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<String>, StoreError> {
+        let req = Request::new(Method::Get, self.url(&format!("/v1/objects/{name}")));
+        let (status, body) = self.call(req).await?;
+        match status {
+            200 => String::from_utf8(body)
+                .map(Some)
+                .map_err(|_| StoreError::Unavailable),
+            404 => Ok(None),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+}
+
+#[async_trait]
+impl InstanceList for HttpPlatform {
+    async fn list(&self) -> Result<Vec<Listed>, StoreError> {
+        Ok(self
+            .get_json(self.url("/v1/instances"))
+            .await?
+            .unwrap_or_default())
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-wire/src/settings.rs
@@ -0,0 +1,126 @@
+//! Checked settings of all programs: every fault is found and reported together.
+//!
+//! Settings are texts from flags and environment variables, read by `clap`; [`Checker`] parses
+//! them and collects a [`Finding`] for each fault.
+
+use std::fmt::Display;
+use std::str::FromStr;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches};
+use sardineshore_core::{Finding, Place};
+
+/// Exit code of a program whose settings are faulty.
+pub const EXIT_FAULTY_SETTINGS: i32 = 2;
+
+/// Declares a setting with its flag, environment variable, default and help.
+#[must_use]
+pub fn setting(
+    flag: &'static str,
+    env: &'static str,
+    default: &'static str,
+    help: &'static str,
+) -> Arg {
+    let arg = Arg::new(flag).long(flag).env(env).help(help).num_args(1);
+    if default.is_empty() {
+        arg
+    } else {
+        arg.default_value(default)
+    }
+}
+
+/// Parses settings and collects their faults.
+#[derive(Debug)]
+pub struct Checker<'a> {
+    matches: &'a ArgMatches,
+    findings: Vec<Finding>,
+}
+
+impl<'a> Checker<'a> {
+    /// Starts with no faults.
+    #[must_use]
+    pub fn new(matches: &'a ArgMatches) -> Self {
+        Self {
+            matches,
+            findings: Vec::new(),
+        }
+    }
+
+    /// A text; a missing one is a fault.
+    pub fn text(&mut self, flag: &str) -> String {
+        let text = self.optional(flag).unwrap_or_default();
+        if text.is_empty() {
+            self.fault(flag, "a value is needed");
+        }
+        text
+    }
+
+    /// A text that may be missing.
+    #[must_use]
+    pub fn optional(&self, flag: &str) -> Option<String> {
+        self.matches.get_one::<String>(flag).cloned()
+    }
+
+    /// Any parsed value; its default stands in for a faulty one.
+    pub fn parse<T>(&mut self, flag: &str) -> T
+    where
+        T: FromStr + Default,
+        T::Err: Display,
+    {
+        let text = self.text(flag);
+        if text.is_empty() {
+            return T::default();
+        }
+        text.parse().unwrap_or_else(|err| {
+            self.fault(flag, &format!("{text:?}: {err}"));
+            T::default()
+        })
+    }
+
+    /// A duration such as `250ms` or `4s`.
+    pub fn duration(&mut self, flag: &str) -> Duration {
+        let text = self.text(flag);
+        if text.is_empty() {
+            return Duration::ZERO;
+        }
+        humantime::parse_duration(&text).unwrap_or_else(|err| {
+            self.fault(flag, &format!("{text:?}: {err}"));
+            Duration::ZERO
+        })
+    }
+
+    /// An address `IP:PORT`, kept as text.
+    pub fn addr(&mut self, flag: &str) -> String {
+        let text = self.text(flag);
+        if !text.is_empty() && text.parse::<std::net::SocketAddr>().is_err() {
+            self.fault(flag, &format!("{text:?} is not IP:PORT"));
+        }
+        text
+    }
+
+    /// Records a fault of a setting.
+    pub fn fault(&mut self, flag: &str, message: &str) {
+        let place = Place::Setting(format!("--{flag}").into());
+        self.findings.push(Finding {
+            place,
+            message: message.into(),
+        });
+    }
+
+    /// All faults, in the order in which they were found.
+    pub fn finish<T>(self, settings: T) -> Result<T, Vec<Finding>> {
+        if self.findings.is_empty() {
+            Ok(settings)
+        } else {
+            Err(self.findings)
+        }
+    }
+}
+
+/// Prints the faults and ends the program with [`EXIT_FAULTY_SETTINGS`].
+pub fn exit_with(findings: &[Finding]) -> ! {
+    for finding in findings {
+        eprintln!("{finding}");
+    }
+    std::process::exit(EXIT_FAULTY_SETTINGS);
+}
