fix(xtask): name the parts of a step

Cause: the linter refused the nested tuple that described a step. Ruled out: allowing the lint. Change: a struct with named fields; warnings of the documentation fail in every step.

--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -31,11 +31,11 @@
 
 /// Runs all steps; stops at the first that fails.
 pub fn run() -> anyhow::Result<()> {
-    for (name, args, env) in STEPS {
+    for Step { name, args } in STEPS {
         println!("ci: {name}");
         let status = Command::new("cargo")
             .args(*args)
-            .envs(env.iter().copied())
+            .env("RUSTDOCFLAGS", "-D warnings")
             .status()
             .with_context(|| format!("step {name} did not start"))?;
         if !status.success() {
