feat(wire): connections are checked out before a call is sent

Cause: the last check before a send must come after the connection is open, and a stale pooled connection would make a non-idempotent call's outcome unknown. Ruled out: one call that connects and sends; retrying a lost reply. Change: checkout and exchange are apart; non-idempotent calls ask for a new connection. Conclusion: dispatch can check drain and configuration at the last moment.

--- a/crates/sardineshore-wire/src/http.rs
+++ b/crates/sardineshore-wire/src/http.rs
@@ -4,11 +4,12 @@
 //! a cancellation or an error it is closed. Errors tell whether the request may have been sent.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
+use futures::FutureExt;
 use http_types::{Request, Response};
 use thiserror::Error;
 
@@ -67,21 +68,62 @@
     since: Instant,
 }
 
+/// An open connection, checked out of the pool or new.
+#[derive(Debug)]
+pub struct Conn {
+    addr: Arc<str>,
+    stream: TcpStream,
+}
+
+/// Which connections a call may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// An idle one, if there is any.
+    Idle,
+    /// Only a new one, so that a stale connection can't make the outcome of a call unknown.
+    Never,
+}
+
 impl Client {
-    /// Sends a request to `addr` (`IP:PORT`) and reads the whole reply within `timeout`.
-    pub async fn send(
+    /// Opens a connection to `addr` (`IP:PORT`) or takes an idle one; nothing is sent.
+    pub async fn checkout(
         &self,
         addr: &str,
+        reuse: Reuse,
+        timeout: Duration,
+    ) -> Result<Conn, ClientError> {
+        while reuse == Reuse::Idle
+            && let Some(stream) = self.take(addr)
+        {
+            if is_open(&stream) {
+                return Ok(Conn {
+                    addr: addr.into(),
+                    stream,
+                });
+            }
+        }
+        let stream = open(addr, timeout).await?;
+        Ok(Conn {
+            addr: addr.into(),
+            stream,
+        })
+    }
+
+    /// Sends a request on a connection and reads the whole reply within `timeout`. The
+    /// connection returns to the pool only after a whole reply that `accept` approves.
+    pub async fn exchange(
+        &self,
+        conn: Conn,
         req: Request,
         timeout: Duration,
+        accept: impl FnOnce(&Reply) -> bool,
     ) -> Result<Reply, ClientError> {
-        let started = Instant::now();
-        let stream = self.connect(addr, timeout).await?;
-        let left = timeout.saturating_sub(started.elapsed());
-        let exchange = exchange(stream.clone(), req);
-        match async_std::future::timeout(left, exchange).await {
+        let exchange = exchange(conn.stream.clone(), req);
+        match async_std::future::timeout(timeout, exchange).await {
             Ok(Ok(reply)) => {
-                self.keep(addr, stream, &reply.head);
+                if accept(&reply) {
+                    self.keep(conn, &reply.head);
+                }
                 Ok(reply)
             }
             Ok(Err(err)) => Err(err),
@@ -89,32 +131,34 @@
         }
     }
 
+    /// Sends a request to `addr` (`IP:PORT`) and reads the whole reply within `timeout`.
+    pub async fn send(
+        &self,
+        addr: &str,
+        req: Request,
+        timeout: Duration,
+    ) -> Result<Reply, ClientError> {
+        let started = Instant::now();
+        let conn = self.checkout(addr, Reuse::Idle, timeout).await?;
+        let left = timeout.saturating_sub(started.elapsed());
+        self.exchange(conn, req, left, |_| true).await
+    }
+
     /// Sends a request and returns the head as soon as it is read; the body streams. The
     /// connection is not reused.
     pub async fn stream(
         &self,
-        addr: &str,
+        conn: Conn,
         req: Request,
         timeout: Duration,
     ) -> Result<Response, ClientError> {
-        let started = Instant::now();
-        let stream = open(addr, timeout).await?;
-        let left = timeout.saturating_sub(started.elapsed());
-        match async_std::future::timeout(left, async_h1::connect(stream, req)).await {
+        let head = async_h1::connect(conn.stream, req);
+        match async_std::future::timeout(timeout, head).await {
             Ok(head) => head.map_err(|err| ClientError::Lost(err.to_string())),
             Err(_) => Err(ClientError::TimedOut),
         }
     }
 
-    async fn connect(&self, addr: &str, timeout: Duration) -> Result<TcpStream, ClientError> {
-        while let Some(stream) = self.take(addr) {
-            if is_open(&stream).await {
-                return Ok(stream);
-            }
-        }
-        open(addr, timeout).await
-    }
-
     fn take(&self, addr: &str) -> Option<TcpStream> {
         let mut idle = self.idle.lock().expect("pool lock poisoned");
         let conns = idle.get_mut(addr)?;
@@ -126,15 +170,15 @@
         None
     }
 
-    fn keep(&self, addr: &str, stream: TcpStream, head: &Response) {
+    fn keep(&self, conn: Conn, head: &Response) {
         if header(head, "connection").eq_ignore_ascii_case("close") {
             return;
         }
         let mut idle = self.idle.lock().expect("pool lock poisoned");
-        let conns = idle.entry(addr.to_owned()).or_default();
+        let conns = idle.entry(conn.addr.to_string()).or_default();
         if conns.len() < MAX_IDLE_PER_ADDR {
             conns.push(Idle {
-                stream,
+                stream: conn.stream,
                 since: Instant::now(),
             });
         }
@@ -153,11 +197,9 @@
 }
 
 /// Whether an idle connection has neither been closed by its server nor holds stray bytes.
-async fn is_open(stream: &TcpStream) -> bool {
+fn is_open(stream: &TcpStream) -> bool {
     let mut buf = [0_u8; 1];
-    let peek = stream.peek(&mut buf);
-    futures::pin_mut!(peek);
-    futures::poll!(peek).is_pending()
+    stream.peek(&mut buf).now_or_never().is_none()
 }
 
 async fn exchange(stream: TcpStream, req: Request) -> Result<Reply, ClientError> {
