--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -23,9 +23,12 @@
 pub mod event;
 pub mod finding;
 pub mod id;
+pub mod limits;
 pub mod order;
 pub mod outcome;
 pub mod query;
+pub mod retry;
+pub mod routing;
 pub mod store;
 
 pub use change::{Change, Refusal};
@@ -39,10 +42,17 @@
     AttemptId, CommandId, CustomerId, DomainId, Fingerprint, InstanceId, PipelineId, PoolId,
     RequestId, Revision, ServerId, Version,
 };
+pub use limits::{
+    Admission, AdmissionConfig, Completion, Offer, Offered, Release, Released, Ticket, Verdict,
+};
 pub use order::{EngineAction, EngineOrder, Fence};
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use query::{
     Answer, CostBy, CostRow, CustomerRow, EventRow, InstanceRow, QuarantineRow, Query, ServerRow,
     VersionRow,
 };
+pub use retry::{GiveUp, Retries, RetryBudget, RetryConfig, RetryDecision};
+pub use routing::{
+    Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice, Policy, Router, RoutingConfig,
+};
 pub use store::{Check, Commit, Put, Row, StoreError, Txn};
