feat(entry): thin path from caller to backend server

Cause: nothing served a request yet. Ruled out: cancelling a task that a caller abandoned from outside it (its attempts are cancelled when it is dropped); a timer per idle connection (one channel that closes serves all); the HTTP library's own bound of a head, which only counts at line ends. A JSON array was first taken for an object; it is refused.

--- /dev/null
+++ b/crates/sardineshore-entry/src/admission.rs
@@ -0,0 +1,106 @@
+//! Waits for a request's turn: I/O around [`sardineshore_core::Admission`].
+
+use std::time::{Duration, Instant};
+
+use futures::channel::oneshot;
+use sardineshore_core::{Completion, NotRunReason, Offer, Release, Ticket, Verdict};
+
+use crate::instance::Instance;
+use crate::job::Job;
+
+const EXPIRY_PERIOD: Duration = Duration::from_millis(50);
+
+/// A request's turn to run; ends when it is finished or dropped.
+#[derive(Debug)]
+pub struct Turn<'a> {
+    instance: &'a Instance,
+    ticket: Ticket,
+    began: Instant,
+    completion: Completion,
+}
+
+impl Turn<'_> {
+    /// Notes how the request ended.
+    pub fn finish(mut self, in_time: bool, service: Duration) {
+        let latency = self.instance.clock.now().duration_since(self.began);
+        self.completion = Completion {
+            in_time,
+            latency,
+            service,
+        };
+    }
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        let now = self.instance.clock.now();
+        let mut table = self.instance.tables.admission();
+        table.waiters.remove(self.ticket);
+        let released = table.admission.finished(self.ticket, &self.completion, now);
+        table.wake(released);
+    }
+}
+
+/// Waits until the request may run.
+pub async fn admit<'a>(instance: &'a Instance, job: &Job) -> Result<Turn<'a>, NotRunReason> {
+    let now = instance.clock.now();
+    let offer = offer(instance, job);
+    let (tx, rx) = oneshot::channel();
+    let verdict = {
+        let mut table = instance.tables.admission();
+        let offered = table.admission.offer(offer, now);
+        if let Verdict::Queued(ticket) = offered.verdict {
+            table.waiters.insert(ticket, tx);
+        }
+        table.wake(offered.releases);
+        offered.verdict
+    };
+    let turn = |ticket| Turn {
+        instance,
+        ticket,
+        began: now,
+        completion: Completion::default(),
+    };
+    match verdict {
+        Verdict::Run(ticket) => Ok(turn(ticket)),
+        Verdict::Refused(reason) => Err(reason),
+        Verdict::Queued(ticket) => {
+            let mut waiting = turn(ticket);
+            match rx.await {
+                Ok(Release::Run) => {
+                    waiting.began = instance.clock.now();
+                    Ok(waiting)
+                }
+                Ok(Release::Refused(reason)) => Err(reason),
+                Err(_) => Err(NotRunReason::Overloaded),
+            }
+        }
+    }
+}
+
+/// Refuses requests that waited too long, periodically.
+pub async fn expire(instance: &Instance) {
+    loop {
+        async_std::task::sleep(EXPIRY_PERIOD).await;
+        let now = instance.clock.now();
+        let mut table = instance.tables.admission();
+        let released = table.admission.expired(now);
+        table.wake(released);
+    }
+}
+
+fn offer(instance: &Instance, job: &Job) -> Offer {
+    let deployment = instance.tables.deployment();
+    let weight = deployment
+        .customers
+        .get(&job.customer)
+        .map_or(1.0, |known| known.weight);
+    Offer {
+        request: job.request.clone(),
+        customer: job.customer.clone(),
+        pipeline: job.pipeline.name.clone(),
+        weight,
+        deadline: job.deadline,
+        cost_estimate: Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-entry/src/api.rs
@@ -0,0 +1,210 @@
+//! The callers' HTTP form: from an HTTP request to a checked [`Arrival`].
+
+use std::borrow::Cow;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::io::ReadExt;
+use http_types::{Method, Request};
+use sardineshore_core::{CustomerId, NotRunReason, Pipeline};
+use sardineshore_wire::headers;
+use serde::Deserialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Settings;
+
+const MAX_NAME_BYTES: usize = 128;
+const PREFIX_CHARS: usize = 64;
+
+/// What a caller's HTTP request asks for.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Target {
+    /// `GET /healthz`.
+    Health,
+    /// `GET /readyz`.
+    Ready,
+    /// `GET /metrics`.
+    Metrics,
+    /// `POST /v1/pipelines/NAME/requests`.
+    Submit {
+        /// The pipeline's name.
+        pipeline: Arc<str>,
+    },
+    /// Nothing that exists.
+    Unknown,
+}
+
+/// A caller's request, checked as far as that needs no configuration.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Customer.
+    pub customer: CustomerId,
+    /// `Idempotency-Key`, unchecked.
+    pub key: Option<Arc<str>>,
+    /// Deadline that the caller asks for.
+    pub deadline: Option<Duration>,
+    /// Whether the answer shall be streamed.
+    pub streamed: bool,
+    /// JSON document.
+    pub body: Arc<[u8]>,
+    /// Hash of the beginning of the prompt, for prefix caches.
+    pub prefix: u64,
+    /// When its first byte was handled.
+    pub arrived: Instant,
+}
+
+/// A refusal with text for people.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refused {
+    /// Reason.
+    pub reason: NotRunReason,
+    /// Text.
+    pub detail: String,
+}
+
+impl Refused {
+    /// Creates a refusal.
+    pub fn new(reason: NotRunReason, detail: impl Into<String>) -> Self {
+        Self {
+            reason,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// Finds what a request asks for by its method and path.
+#[must_use]
+pub fn target(req: &Request) -> Target {
+    let path: Vec<&str> = req.url().path().trim_matches('/').split('/').collect();
+    match (req.method(), path.as_slice()) {
+        (Method::Get, ["healthz"]) => Target::Health,
+        (Method::Get, ["readyz"]) => Target::Ready,
+        (Method::Get, ["metrics"]) => Target::Metrics,
+        (Method::Post, ["v1", "pipelines", name, "requests"]) if name.len() <= MAX_NAME_BYTES => {
+            Target::Submit {
+                pipeline: (*name).into(),
+            }
+        }
+        _ => Target::Unknown,
+    }
+}
+
+/// Reads and checks a caller's request; reads at most the largest body allowed.
+pub async fn receive(
+    req: &mut Request,
+    settings: &Settings,
+    arrived: Instant,
+) -> Result<Arrival, Refused> {
+    let customer = customer(req)?;
+    let deadline = deadline(req, settings.max_deadline)?;
+    let key = req
+        .header(headers::IDEMPOTENCY_KEY)
+        .map(|values| values.last().as_str().into());
+    let accept = req
+        .header("accept")
+        .map_or("", |values| values.last().as_str());
+    let streamed = accept.contains("text/event-stream");
+    let read = read_body(req, settings.max_body);
+    let body = async_std::future::timeout(settings.receive_timeout, read)
+        .await
+        .map_err(|_| Refused::new(NotRunReason::SlowSender, "the body did not arrive in time"))??;
+    let prefix = prefix(&body)?;
+    Ok(Arrival {
+        customer,
+        key,
+        deadline,
+        streamed,
+        body: body.into(),
+        prefix,
+        arrived,
+    })
+}
+
+/// Deadline of a request: the pipeline's, or the caller's where that is shorter.
+#[must_use]
+pub fn effective_deadline(arrival: &Arrival, pipeline: &Pipeline) -> Instant {
+    let wanted = arrival.deadline.unwrap_or(pipeline.deadline);
+    arrival.arrived + wanted.min(pipeline.deadline)
+}
+
+fn customer(req: &Request) -> Result<CustomerId, Refused> {
+    let bad = |detail: &str| Refused::new(NotRunReason::BadRequest, detail);
+    let Some(values) = req.header(headers::CUSTOMER) else {
+        return Err(bad("the header x-sardine-customer is missing"));
+    };
+    let name = values.last().as_str();
+    let known = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.chars().all(known) {
+        return Err(bad(
+            "the customer's name must be 1 to 128 letters, digits, '-', '_' or '.'",
+        ));
+    }
+    Ok(name.into())
+}
+
+fn deadline(req: &Request, max: Duration) -> Result<Option<Duration>, Refused> {
+    let Some(values) = req.header(headers::DEADLINE_MS) else {
+        return Ok(None);
+    };
+    let bad = |detail: String| Refused::new(NotRunReason::BadDeadline, detail);
+    let text = values.last().as_str();
+    let ms: u64 = text
+        .parse()
+        .map_err(|_| bad(format!("{text:?} is not a number")))?;
+    let wanted = Duration::from_millis(ms);
+    if wanted.is_zero() || wanted > max {
+        return Err(bad(format!(
+            "the deadline must be 1 to {} ms",
+            max.as_millis()
+        )));
+    }
+    Ok(Some(wanted))
+}
+
+async fn read_body(req: &mut Request, max: usize) -> Result<Vec<u8>, Refused> {
+    let too_large = || Refused::new(NotRunReason::TooLarge, format!("the limit is {max} bytes"));
+    let declared = req.len();
+    if declared.is_some_and(|len| len > max) {
+        return Err(too_large());
+    }
+    let mut body = Vec::new();
+    let limit = u64::try_from(max).unwrap_or(u64::MAX).saturating_add(1);
+    req.take_body()
+        .take(limit)
+        .read_to_end(&mut body)
+        .await
+        .map_err(|err| Refused::new(NotRunReason::BadRequest, format!("body: {err}")))?;
+    if body.len() > max {
+        return Err(too_large());
+    }
+    if declared.is_some_and(|len| len != body.len()) {
+        return Err(Refused::new(
+            NotRunReason::BadRequest,
+            "the body was cut short",
+        ));
+    }
+    Ok(body)
+}
+
+/// The parts of an input that routing looks at.
+#[derive(Deserialize)]
+struct Input<'a> {
+    #[serde(borrow)]
+    prompt: Option<Cow<'a, str>>,
+}
+
+/// Checks that the body is a JSON object and hashes the beginning of its prompt.
+fn prefix(body: &[u8]) -> Result<u64, Refused> {
+    let bad = |detail: String| Refused::new(NotRunReason::BadRequest, detail);
+    if body.trim_ascii_start().first() != Some(&b'{') {
+        return Err(bad("the body is not a JSON object".into()));
+    }
+    let input: Input<'_> =
+        serde_json::from_slice(body).map_err(|err| bad(format!("the body: {err}")))?;
+    let prompt = input.prompt.unwrap_or_default();
+    let end = prompt
+        .char_indices()
+        .nth(PREFIX_CHARS)
+        .map_or(prompt.len(), |(at, _)| at);
+    Ok(xxh3_64(&prompt.as_bytes()[..end]))
+}
--- /dev/null
+++ b/crates/sardineshore-entry/src/instance.rs
@@ -0,0 +1,106 @@
+//! Everything that the parts of one entry instance share.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use sardineshore_core::clock::unix_ms;
+use sardineshore_core::{
+    AdmissionConfig, AttemptId, Clock, RequestId, RetryConfig, Router, RoutingConfig,
+};
+use sardineshore_wire::http::Client;
+use slog::Logger;
+
+use crate::journal::Journal;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::stop::Stop;
+use crate::tables::Tables;
+
+/// Tells at the last moment before a send whether the configuration is known to be current.
+pub trait Gate: fmt::Debug + Send + Sync {
+    /// Whether an attempt may be sent now.
+    fn may_dispatch(&self) -> bool;
+}
+
+/// A gate that is always open.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OpenGate;
+
+impl Gate for OpenGate {
+    fn may_dispatch(&self) -> bool {
+        true
+    }
+}
+
+/// One entry instance.
+#[derive(Debug)]
+pub struct Instance {
+    /// Settings.
+    pub settings: Settings,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+    /// HTTP client for backend servers.
+    pub client: Client,
+    /// Log and recent events.
+    pub journal: Journal,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Last check before a send.
+    pub gate: Arc<dyn Gate>,
+    /// Shared tables.
+    pub tables: Tables,
+    /// State of a graceful stop.
+    pub stop: Stop,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    started_ms: u64,
+    next_id: AtomicU64,
+}
+
+impl Instance {
+    /// Creates an instance that does nothing until its parts are started.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        clock: Arc<dyn Clock>,
+        gate: Arc<dyn Gate>,
+        log: Logger,
+    ) -> Self {
+        let routing = RoutingConfig {
+            home: settings.domain.clone(),
+            ..RoutingConfig::default()
+        };
+        let admission = AdmissionConfig {
+            running_max: settings.max_in_flight,
+            ..AdmissionConfig::default()
+        };
+        Self {
+            journal: Journal::new(log, settings.name.clone(), clock.clone()),
+            metrics: Metrics::default(),
+            client: Client::default(),
+            tables: Tables::new(Router::new(routing), admission, RetryConfig::default()),
+            stop: Stop::default(),
+            started_ms: unix_ms(clock.wall()),
+            next_id: AtomicU64::new(1),
+            settings,
+            clock,
+            gate,
+        }
+    }
+
+    /// A new request identifier.
+    pub fn new_request(&self) -> RequestId {
+        self.new_id("r").into()
+    }
+
+    /// A new attempt identifier.
+    pub fn new_attempt(&self) -> AttemptId {
+        self.new_id("a").into()
+    }
+
+    /// Identifiers carry the start of the process, so that a restarted one repeats none.
+    fn new_id(&self, kind: &str) -> String {
+        let n = self.next_id.fetch_add(1, Ordering::Relaxed);
+        format!("{kind}-{}-{:x}-{n:x}", self.settings.name, self.started_ms)
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-entry/src/job.rs
@@ -0,0 +1,76 @@
+//! One admitted request and the ways it can end.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use sardineshore_core::{CustomerId, NotRunReason, Pipeline, RequestId, UnknownReason};
+
+/// One admitted request.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Identifier.
+    pub request: RequestId,
+    /// Customer.
+    pub customer: CustomerId,
+    /// Pipeline as declared when the request was admitted.
+    pub pipeline: Arc<Pipeline>,
+    /// `Idempotency-Key`, checked for non-idempotent pipelines.
+    pub key: Option<Arc<str>>,
+    /// Whether the answer shall be streamed.
+    pub streamed: bool,
+    /// JSON document of the caller.
+    pub body: Arc<[u8]>,
+    /// Hash of the beginning of the prompt.
+    pub prefix: u64,
+    /// When the request arrived.
+    pub arrived: Instant,
+    /// When the whole answer is due.
+    pub deadline: Instant,
+}
+
+impl Job {
+    /// Time that remains until the deadline.
+    #[must_use]
+    pub fn remaining(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Finished {
+    /// With its whole answer.
+    Answered(Arc<[u8]>),
+    /// Without having run.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// Text for people.
+        detail: String,
+    },
+    /// It may have run.
+    Unknown {
+        /// Why.
+        reason: UnknownReason,
+        /// Text for people.
+        detail: String,
+    },
+}
+
+impl Finished {
+    /// Ends a request as not run.
+    pub fn not_run(reason: NotRunReason, detail: impl Into<String>) -> Self {
+        Self::NotRun {
+            reason,
+            detail: detail.into(),
+        }
+    }
+
+    /// Ends a request with unknown outcome.
+    pub fn unknown(reason: UnknownReason, detail: impl Into<String>) -> Self {
+        Self::Unknown {
+            reason,
+            detail: detail.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-entry/src/journal.rs
@@ -0,0 +1,90 @@
+//! Numbered events: written to the log and kept, for a bounded number of requests, for `explain`.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+
+use sardineshore_core::clock::unix_ms;
+use sardineshore_core::{Clock, EventKind, EventRow, InstanceId, RequestId};
+use slog::{Logger, debug, info, warn};
+
+const MAX_REQUESTS: usize = 4_096;
+const MAX_EVENTS_PER_REQUEST: usize = 64;
+
+/// Log and recent events of one instance.
+#[derive(Debug)]
+pub struct Journal {
+    log: Logger,
+    instance: InstanceId,
+    clock: Arc<dyn Clock>,
+    recent: Mutex<Recent>,
+}
+
+#[derive(Debug, Default)]
+struct Recent {
+    events: HashMap<RequestId, Vec<EventRow>>,
+    order: VecDeque<RequestId>,
+}
+
+impl Journal {
+    /// Creates a journal that logs to `log`.
+    #[must_use]
+    pub fn new(log: Logger, instance: InstanceId, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            log,
+            instance,
+            clock,
+            recent: Mutex::default(),
+        }
+    }
+
+    /// Records an event of one request; logged at debug level.
+    pub fn request(&self, request: &RequestId, kind: &EventKind, text: impl Into<String>) {
+        let text = text.into();
+        debug!(self.log, "{}", kind.name; "event" => kind.number, "request" => &**request, "text" => &text);
+        let row = EventRow {
+            at_ms: unix_ms(self.clock.wall()),
+            instance: self.instance.clone(),
+            event: kind.number,
+            text: format!("{}: {text}", kind.name),
+        };
+        self.recent
+            .lock()
+            .expect("journal lock poisoned")
+            .push(request, row);
+    }
+
+    /// Logs an event of the instance at info level.
+    pub fn note(&self, kind: &EventKind, text: impl AsRef<str>) {
+        info!(self.log, "{}", kind.name; "event" => kind.number, "text" => text.as_ref());
+    }
+
+    /// Logs an event that an operator may have to act upon, at warning level.
+    pub fn alarm(&self, kind: &EventKind, text: impl AsRef<str>) {
+        warn!(self.log, "{}", kind.name; "event" => kind.number, "text" => text.as_ref());
+    }
+
+    /// Events of one request, oldest first; empty if it is not known here.
+    #[must_use]
+    pub fn explain(&self, request: &str) -> Vec<EventRow> {
+        let recent = self.recent.lock().expect("journal lock poisoned");
+        recent.events.get(request).cloned().unwrap_or_default()
+    }
+}
+
+impl Recent {
+    fn push(&mut self, request: &RequestId, row: EventRow) {
+        if let Some(rows) = self.events.get_mut(request) {
+            if rows.len() < MAX_EVENTS_PER_REQUEST {
+                rows.push(row);
+            }
+            return;
+        }
+        self.events.insert(request.clone(), vec![row]);
+        self.order.push_back(request.clone());
+        if self.order.len() > MAX_REQUESTS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.events.remove(&oldest);
+        }
+    }
+}
--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder.
+//! The entry instance: I/O around the decisions of `sardineshore-core`.
+//!
+//! A request flows through these modules in this order: [`listener`] → [`api`] → [`admission`] →
+//! [`runner`] → [`dispatch`] (or [`stream`]) → backend server → [`runner`] → [`reply`]. All
+//! instances are alike and keep nothing on disk.
+
+pub mod admission;
+pub mod api;
+pub mod conn;
+pub mod dispatch;
+pub mod instance;
+pub mod job;
+pub mod journal;
+pub mod listener;
+pub mod metrics;
+pub mod reply;
+pub mod runner;
+pub mod settings;
+pub mod stop;
+pub mod stream;
+pub mod tables;
+pub mod totals;
+
+mod program;
+
+pub use instance::{Gate, Instance, OpenGate};
+pub use job::{Finished, Job};
+pub use program::run;
+pub use settings::{Settings, command};
--- /dev/null
+++ b/crates/sardineshore-entry/src/listener.rs
@@ -0,0 +1,246 @@
+//! Accepts callers' connections and answers their requests.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_h1::server::{ConnectionStatus, Server};
+use async_std::channel::bounded;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::{AsyncWriteExt, FutureExt};
+use http_types::{Request, Response, StatusCode};
+use sardineshore_core::NotRunReason;
+use sardineshore_core::event::entry as events;
+
+use crate::api::{Arrival, Refused, Target, effective_deadline, receive, target};
+use crate::conn::CallerStream;
+use crate::instance::Instance;
+use crate::job::{Finished, Job};
+use crate::stop::InFlight;
+use crate::stream::{Progress, Sink};
+use crate::{admission, reply, runner};
+
+const STREAM_BUFFER_TOKENS: usize = 256;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections until the listener is dropped.
+pub async fn accept(instance: Arc<Instance>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => spawn_connection(&instance, stream),
+            Err(_) => task::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+fn spawn_connection(instance: &Arc<Instance>, stream: TcpStream) {
+    let Some(open) = instance.stop.connect(instance.settings.max_connections) else {
+        instance
+            .journal
+            .alarm(&events::CONNECTIONS_FULL, "connection closed");
+        return;
+    };
+    let _ = stream.set_nodelay(true);
+    let instance = instance.clone();
+    task::spawn(async move {
+        instance.metrics.connections(1);
+        serve(&instance, CallerStream::new(stream)).await;
+        instance.metrics.connections(-1);
+        drop(open);
+    });
+}
+
+/// Serves the requests of one connection, one after the other.
+async fn serve(instance: &Arc<Instance>, stream: CallerStream) {
+    let in_flight: Arc<Mutex<Option<InFlight>>> = Arc::default();
+    loop {
+        stream.reads().expect_head();
+        let endpoint = |req| {
+            stream.reads().expect_body();
+            let entered = instance.stop.enter();
+            *in_flight.lock().expect("slot lock poisoned") = Some(entered);
+            answer(instance.clone(), stream.clone(), req)
+        };
+        let mut server = Server::new(stream.clone(), endpoint);
+        let served = {
+            let one = server.accept_one().fuse();
+            let stopped = idle_stop(instance, &stream).fuse();
+            futures::pin_mut!(one, stopped);
+            futures::select_biased! { served = one => Some(served), () = stopped => None }
+        };
+        let was_in_flight = in_flight
+            .lock()
+            .expect("slot lock poisoned")
+            .take()
+            .is_some();
+        match served {
+            Some(Ok(ConnectionStatus::KeepAlive)) if !instance.stop.is_stopping() => (),
+            Some(Err(_)) if !was_in_flight => {
+                let _ = stream.tcp().write_all(&reply::malformed()).await;
+                return;
+            }
+            _ => return,
+        }
+    }
+}
+
+/// Returns when the instance closes connections on which no request has begun.
+async fn idle_stop(instance: &Instance, stream: &CallerStream) {
+    instance.stop.idle_closed().await;
+    if stream.reads().has_begun() {
+        futures::future::pending::<()>().await;
+    }
+}
+
+async fn answer(
+    instance: Arc<Instance>,
+    stream: CallerStream,
+    mut req: Request,
+) -> http_types::Result<Response> {
+    let mut res = match target(&req) {
+        Target::Health => Response::new(StatusCode::Ok),
+        Target::Ready if instance.stop.is_ready() => Response::new(StatusCode::Ok),
+        Target::Ready => Response::new(StatusCode::ServiceUnavailable),
+        Target::Metrics => metrics(&instance),
+        Target::Submit { pipeline } => submit(&instance, &stream, &mut req, &pipeline).await,
+        Target::Unknown => reply::not_run(NotRunReason::BadRequest, "no such path or method", ""),
+    };
+    if instance.stop.is_stopping() {
+        res.insert_header("connection", "close");
+    }
+    Ok(res)
+}
+
+fn metrics(instance: &Instance) -> Response {
+    instance.metrics.set_in_flight(instance.stop.in_flight());
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(instance.metrics.text());
+    res.insert_header("content-type", "text/plain; version=0.0.4");
+    res
+}
+
+async fn submit(
+    instance: &Arc<Instance>,
+    stream: &CallerStream,
+    req: &mut Request,
+    pipeline: &str,
+) -> Response {
+    let arrived = instance.clock.now();
+    let checked = match receive(req, &instance.settings, arrived).await {
+        Ok(arrival) => job(instance, &arrival, pipeline),
+        Err(refused) => {
+            stream.reads().cut();
+            Err(refused)
+        }
+    };
+    match checked {
+        Ok(job) if job.streamed => run_streamed(instance, job).await,
+        Ok(job) => run_whole(instance, stream, job).await,
+        Err(Refused { reason, detail }) => {
+            let mut res = reply::not_run(reason, &detail, "");
+            res.insert_header("connection", "close");
+            res
+        }
+    }
+}
+
+/// Checks an arrival against the configuration in force.
+fn job(instance: &Instance, arrival: &Arrival, pipeline: &str) -> Result<Job, Refused> {
+    let deployment = instance.tables.deployment();
+    let Some(pipeline) = deployment.pipelines.get(pipeline) else {
+        let detail = format!("pipeline {pipeline:?} is not declared");
+        return Err(Refused::new(NotRunReason::UnknownPipeline, detail));
+    };
+    if !pipeline.idempotent() && arrival.key.is_none() {
+        let detail = "a non-idempotent pipeline needs the header idempotency-key";
+        return Err(Refused::new(NotRunReason::KeyMissing, detail));
+    }
+    let job = Job {
+        request: instance.new_request(),
+        customer: arrival.customer.clone(),
+        pipeline: Arc::new(pipeline.clone()),
+        key: arrival.key.clone(),
+        streamed: arrival.streamed,
+        body: arrival.body.clone(),
+        prefix: arrival.prefix,
+        arrived: arrival.arrived,
+        deadline: effective_deadline(arrival, pipeline),
+    };
+    let text = format!("customer {} pipeline {}", job.customer, job.pipeline.name);
+    instance
+        .journal
+        .request(&job.request, &events::ADMITTED, text);
+    Ok(job)
+}
+
+/// Runs a request; if its caller goes away, idempotent work is cancelled.
+async fn run_whole(instance: &Arc<Instance>, stream: &CallerStream, job: Job) -> Response {
+    let repeatable = job.pipeline.idempotent();
+    let request = job.request.clone();
+    let work = run(instance.clone(), job, None);
+    if !repeatable {
+        return reply::finished(&work.await, &request, repeatable);
+    }
+    let work = work.fuse();
+    let closed = stream.closed().fuse();
+    futures::pin_mut!(work, closed);
+    futures::select_biased! {
+        finished = work => reply::finished(&finished, &request, repeatable),
+        () = closed => {
+            instance.journal.request(&request, &events::ABANDONED, "the caller closed");
+            Response::new(StatusCode::RequestTimeout)
+        }
+    }
+}
+
+/// Runs a request and streams its answer; refusals before the first token are plain replies.
+async fn run_streamed(instance: &Arc<Instance>, job: Job) -> Response {
+    let (tx, rx) = bounded(STREAM_BUFFER_TOKENS);
+    let (request, repeatable) = (job.request.clone(), job.pipeline.idempotent());
+    let head = job.clone();
+    let instance = instance.clone();
+    task::spawn(async move {
+        let finished = run(instance, job, Some(Sink::new(tx.clone()))).await;
+        let _ = tx.send(Progress::Ended(finished)).await;
+    });
+    match rx.recv().await {
+        Ok(Progress::Ended(finished)) if !matches!(finished, Finished::Answered(_)) => {
+            reply::finished(&finished, &request, repeatable)
+        }
+        Ok(first) => reply::streamed(first, rx, &head),
+        Err(_) => Response::new(StatusCode::InternalServerError),
+    }
+}
+
+/// Waits for the request's turn, runs it and accounts for its end.
+async fn run(instance: Arc<Instance>, job: Job, sink: Option<Sink>) -> Finished {
+    let finished = match admission::admit(&instance, &job).await {
+        Ok(turn) => {
+            let finished = runner::run(&instance, &job, sink).await;
+            let in_time = !job.remaining(instance.clock.now()).is_zero();
+            turn.finish(
+                in_time && matches!(finished, Finished::Answered(_)),
+                Duration::ZERO,
+            );
+            finished
+        }
+        Err(reason) => Finished::not_run(reason, "refused at admission"),
+    };
+    account(&instance, &job, &finished);
+    finished
+}
+
+fn account(instance: &Instance, job: &Job, finished: &Finished) {
+    let latency = instance.clock.now().duration_since(job.arrived);
+    instance.metrics.finished(job, finished, latency);
+    instance.tables.totals().finished(&job.customer, finished);
+    let (kind, text) = match finished {
+        Finished::Answered(_) => (
+            &events::ANSWERED,
+            format!("after {} us", latency.as_micros()),
+        ),
+        Finished::NotRun { reason, detail } => (&events::REFUSED, format!("{reason:?}: {detail}")),
+        Finished::Unknown { reason, detail } => (&events::UNKNOWN, format!("{reason:?}: {detail}")),
+    };
+    instance.journal.request(&job.request, kind, text);
+}
--- /dev/null
+++ b/crates/sardineshore-entry/src/program.rs
@@ -0,0 +1,56 @@
+//! The program: starts the parts of an instance and stops them gracefully.
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use async_std::net::TcpListener;
+use async_std::stream::StreamExt;
+use async_std::task;
+use sardineshore_core::event::entry as events;
+use sardineshore_core::{Clock, SystemClock};
+use sardineshore_wire::logging;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_async_std::Signals;
+
+use crate::instance::{Instance, OpenGate};
+use crate::settings::Settings;
+use crate::{admission, listener};
+
+/// Runs an entry instance until it is told to stop; returns after a graceful stop.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let log = logging::root("sardine-entry", &settings.name, &settings.log_level);
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let instance = Arc::new(Instance::new(settings, clock, Arc::new(OpenGate), log));
+    let listen = &instance.settings.listen;
+    let socket = TcpListener::bind(listen)
+        .await
+        .with_context(|| format!("listen {listen}"))?;
+    let accepting = task::spawn(listener::accept(instance.clone(), socket));
+    let expiring = task::spawn({
+        let instance = instance.clone();
+        async move { admission::expire(&instance).await }
+    });
+    instance
+        .journal
+        .note(&events::STARTED, format!("callers at {listen}"));
+    instance.stop.set_ready();
+    wait_for_stop(&instance).await?;
+    task::sleep(instance.settings.stop_delay).await;
+    accepting.cancel().await;
+    instance.stop.close_idle();
+    let left = instance.stop.drained(instance.settings.stop_limit).await;
+    expiring.cancel().await;
+    instance
+        .journal
+        .note(&events::STOPPED, format!("{left} requests in flight"));
+    Ok(())
+}
+
+/// Waits for the first SIGTERM or SIGINT; later ones change nothing.
+async fn wait_for_stop(instance: &Instance) -> anyhow::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("signal handler")?;
+    signals.next().await;
+    instance.stop.begin();
+    instance.journal.note(&events::STOPPING, "signal received");
+    Ok(())
+}
--- /dev/null
+++ b/crates/sardineshore-entry/src/reply.rs
@@ -0,0 +1,167 @@
+//! Replies to callers: status codes, headers and bodies of the three outcomes.
+
+use std::sync::Arc;
+
+use async_std::channel::Receiver;
+use futures::{StreamExt, TryStreamExt};
+use http_types::{Body, Response, StatusCode};
+use sardineshore_core::{NotRunReason, UnknownReason};
+use sardineshore_wire::caller::Refusal;
+use sardineshore_wire::headers;
+use serde::Serialize;
+
+use crate::job::{Finished, Job};
+use crate::stream::Progress;
+
+const JSON: &str = "application/json";
+const EVENT_STREAM: &str = "text/event-stream";
+const RETRY_AFTER_SECONDS: &str = "1";
+
+/// Reply to a request that ended before an answer was streamed.
+#[must_use]
+pub fn finished(finished: &Finished, request: &str, repeatable: bool) -> Response {
+    match finished {
+        Finished::Answered(body) => answered(body, request),
+        Finished::NotRun { reason, detail } => not_run(*reason, detail, request),
+        Finished::Unknown { reason, detail } => unknown(*reason, detail, request, repeatable),
+    }
+}
+
+/// Reply to a request that was not run.
+#[must_use]
+pub fn not_run(reason: NotRunReason, detail: &str, request: &str) -> Response {
+    let refusal = Refusal {
+        outcome: "not-run".into(),
+        reason: name(&reason),
+        request: request.into(),
+        detail: detail.to_owned(),
+        retryable: reason.retryable(),
+    };
+    let mut res = refused(reason.status(), &refusal);
+    if reason.retryable() {
+        res.insert_header("retry-after", RETRY_AFTER_SECONDS);
+    }
+    res
+}
+
+/// Whole reply, as sent, to bytes that are not an HTTP request.
+#[must_use]
+pub fn malformed() -> Vec<u8> {
+    let refusal = Refusal {
+        outcome: "not-run".into(),
+        reason: name(&NotRunReason::BadRequest),
+        request: "".into(),
+        detail: "the bytes are not an HTTP/1.1 request".into(),
+        retryable: false,
+    };
+    let body = serde_json::to_string(&refusal).expect("a refusal serializes");
+    format!(
+        "HTTP/1.1 400 Bad Request\r\ncontent-type: {JSON}\r\n{}: not-run\r\n{}: {}\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n{body}",
+        headers::OUTCOME,
+        headers::REASON,
+        refusal.reason,
+        body.len(),
+    )
+    .into_bytes()
+}
+
+/// Reply whose body streams the answer as it is made.
+#[must_use]
+pub fn streamed(first: Progress, rest: Receiver<Progress>, job: &Job) -> Response {
+    let request = job.request.clone();
+    let repeatable = job.pipeline.idempotent();
+    let events = futures::stream::once(async { first })
+        .chain(rest)
+        .map(move |progress| Ok::<_, std::io::Error>(event(&progress, &request, repeatable)));
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(Body::from_reader(Box::pin(events).into_async_read(), None));
+    res.insert_header("content-type", EVENT_STREAM);
+    res.insert_header(headers::REQUEST, &*job.request);
+    res
+}
+
+/// Kebab-case name of a reason.
+#[must_use]
+pub fn name<T: Serialize>(reason: &T) -> Arc<str> {
+    match serde_json::to_value(reason) {
+        Ok(serde_json::Value::String(name)) => name.into(),
+        _ => "".into(),
+    }
+}
+
+fn answered(body: &Arc<[u8]>, request: &str) -> Response {
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(&body[..]);
+    res.insert_header("content-type", JSON);
+    res.insert_header(headers::OUTCOME, "answered");
+    res.insert_header(headers::REQUEST, request);
+    res
+}
+
+fn unknown(reason: UnknownReason, detail: &str, request: &str, repeatable: bool) -> Response {
+    refused(
+        reason.status(),
+        &unknown_refusal(reason, detail, request, repeatable),
+    )
+}
+
+fn unknown_refusal(
+    reason: UnknownReason,
+    detail: &str,
+    request: &str,
+    repeatable: bool,
+) -> Refusal {
+    Refusal {
+        outcome: "unknown".into(),
+        reason: name(&reason),
+        request: request.into(),
+        detail: detail.to_owned(),
+        retryable: repeatable,
+    }
+}
+
+fn refused(status: u16, refusal: &Refusal) -> Response {
+    let status = StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError);
+    let mut res = Response::new(status);
+    res.set_body(serde_json::to_vec(refusal).expect("a refusal serializes"));
+    res.insert_header("content-type", JSON);
+    res.insert_header(headers::OUTCOME, &*refusal.outcome);
+    res.insert_header(headers::REASON, &*refusal.reason);
+    if !refusal.request.is_empty() {
+        res.insert_header(headers::REQUEST, &*refusal.request);
+    }
+    res
+}
+
+/// Text of one server-sent event.
+fn event(progress: &Progress, request: &str, repeatable: bool) -> Vec<u8> {
+    match progress {
+        Progress::Token { seq, text } => {
+            let data = serde_json::json!({ "seq": seq, "text": text });
+            format!("id: {seq}\nevent: token\ndata: {data}\n\n").into_bytes()
+        }
+        Progress::Ended(Finished::Answered(body)) => {
+            let data = String::from_utf8_lossy(body);
+            format!("event: done\ndata: {data}\n\n").into_bytes()
+        }
+        Progress::Ended(Finished::NotRun { reason, detail }) => {
+            let refusal = Refusal {
+                outcome: "not-run".into(),
+                reason: name(reason),
+                request: request.into(),
+                detail: detail.clone(),
+                retryable: reason.retryable(),
+            };
+            failed(&refusal)
+        }
+        Progress::Ended(Finished::Unknown { reason, detail }) => {
+            failed(&unknown_refusal(*reason, detail, request, repeatable))
+        }
+    }
+}
+
+fn failed(refusal: &Refusal) -> Vec<u8> {
+    let data = serde_json::to_string(refusal).expect("a refusal serializes");
+    format!("event: failed\ndata: {data}\n\n").into_bytes()
+}
--- /dev/null
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -0,0 +1,208 @@
+//! Runs the stages of one request under its deadline.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sardineshore_core::{
+    Ask, AttemptResult, Choice, NoChoice, NotRunReason, RetryDecision, ServerId, Stage, StageKind,
+    UnknownReason,
+};
+
+use crate::dispatch::{Attempted, Call, dispatch};
+use crate::instance::Instance;
+use crate::job::{Finished, Job};
+use crate::stream::{Sink, dispatch_streamed};
+
+const SATURATED_WAIT_MAX: Duration = Duration::from_millis(50);
+
+/// Runs a request to its end; tokens of a streamed answer go to `sink`.
+pub async fn run(instance: &Arc<Instance>, job: &Job, sink: Option<Sink>) -> Finished {
+    let mut run = Run {
+        instance,
+        job,
+        sink,
+        document: job.body.clone(),
+        not_run_denied: false,
+    };
+    for stage in &job.pipeline.stages {
+        match run.stage(stage).await {
+            Ok(output) => run.document = output,
+            Err(failure) => return run.failed(failure),
+        }
+    }
+    Finished::Answered(run.document)
+}
+
+/// A request on its way through its stages.
+struct Run<'a> {
+    instance: &'a Arc<Instance>,
+    job: &'a Job,
+    sink: Option<Sink>,
+    document: Arc<[u8]>,
+    /// Whether "not run" would be false, because something of the request may have run.
+    not_run_denied: bool,
+}
+
+/// Why a stage gave no output.
+enum Failure {
+    /// Nothing was sent for this stage, or nothing that ran.
+    NotRun(NotRunReason, String),
+    /// An attempt may have run.
+    MayHaveRun(UnknownReason, String),
+}
+
+/// Attempts of one stage so far.
+#[derive(Default)]
+struct Tried {
+    servers: Vec<ServerId>,
+    last: Option<Attempted>,
+}
+
+impl Run<'_> {
+    async fn stage(&mut self, stage: &Stage) -> Result<Arc<[u8]>, Failure> {
+        let mut tried = Tried::default();
+        self.instance.tables.retries().sent(&stage.pool);
+        loop {
+            let choice = match self.choose(stage, &tried).await {
+                Ok(choice) => choice,
+                Err(failure) => return Err(tried.last.take().map_or(failure, Failure::from)),
+            };
+            tried.servers.push(choice.server.clone());
+            let attempted = self.attempt(stage, &choice, tried.servers.len() > 1).await;
+            self.note(stage, &attempted);
+            if let Attempted::Answered(output) = attempted {
+                return Ok(output);
+            }
+            let result = attempted.result();
+            tried.last = Some(attempted);
+            if !self.again(stage, result, tried.servers.len()).await {
+                return Err(tried
+                    .last
+                    .take()
+                    .map_or_else(Failure::no_server, Failure::from));
+            }
+        }
+    }
+
+    /// Chooses a backend server, waiting while all are at their limit.
+    async fn choose(&self, stage: &Stage, tried: &Tried) -> Result<Choice, Failure> {
+        loop {
+            let now = self.instance.clock.now();
+            let ask = Ask {
+                pool: &stage.pool,
+                request: &self.job.request,
+                customer: &self.job.customer,
+                prefix: self.job.prefix,
+                idempotent: stage.idempotent,
+                tried: &tried.servers,
+                deadline: self.job.deadline,
+            };
+            let chosen = self.instance.tables.router().choose(&ask, now);
+            match chosen {
+                Ok(choice) => return Ok(choice),
+                Err(NoChoice::NoServer) => return Err(Failure::no_server()),
+                Err(NoChoice::TooLate) => return Err(Failure::too_late()),
+                Err(NoChoice::Saturated { .. }) if self.job.remaining(now).is_zero() => {
+                    return Err(Failure::too_late());
+                }
+                Err(NoChoice::Saturated { retry_after }) => {
+                    let wait = retry_after
+                        .min(SATURATED_WAIT_MAX)
+                        .min(self.job.remaining(now));
+                    async_std::task::sleep(wait).await;
+                }
+            }
+        }
+    }
+
+    async fn attempt(&mut self, stage: &Stage, choice: &Choice, extra: bool) -> Attempted {
+        let input = self.document.clone();
+        let call = Call {
+            job: self.job,
+            stage,
+            input,
+            extra,
+        };
+        let streams = stage.kind == StageKind::Generate && self.is_last(stage);
+        match &mut self.sink {
+            Some(sink) if streams => dispatch_streamed(self.instance, &call, choice, sink).await,
+            _ => dispatch(self.instance, &call, choice).await,
+        }
+    }
+
+    fn is_last(&self, stage: &Stage) -> bool {
+        self.job
+            .pipeline
+            .stages
+            .last()
+            .is_some_and(|last| last.name == stage.name)
+    }
+
+    /// Notes whether "not run" can still be said of the request.
+    fn note(&mut self, stage: &Stage, attempted: &Attempted) {
+        let ran = !matches!(attempted, Attempted::NotRun { .. });
+        let counts = self.job.pipeline.idempotent() || !stage.idempotent;
+        self.not_run_denied |= ran && counts;
+    }
+
+    /// Whether another attempt follows, after its pause.
+    async fn again(&self, stage: &Stage, result: AttemptResult, tried: usize) -> bool {
+        let remaining = self.job.remaining(self.instance.clock.now());
+        let decision = self.instance.tables.retries().after(
+            &stage.pool,
+            result,
+            tried,
+            remaining,
+            stage.idempotent,
+        );
+        match decision {
+            RetryDecision::Retry { after } => {
+                async_std::task::sleep(after).await;
+                true
+            }
+            RetryDecision::GiveUp(_) => false,
+        }
+    }
+
+    fn failed(&self, failure: Failure) -> Finished {
+        match failure {
+            Failure::NotRun(reason, detail) if !self.not_run_denied => {
+                Finished::NotRun { reason, detail }
+            }
+            Failure::NotRun(NotRunReason::DeadlineUnreachable, detail) => {
+                Finished::unknown(UnknownReason::DeadlineExceeded, detail)
+            }
+            Failure::NotRun(_, detail) => Finished::unknown(UnknownReason::ServerFailed, detail),
+            Failure::MayHaveRun(_, detail) if !self.not_run_denied => {
+                Finished::not_run(NotRunReason::NoServer, detail)
+            }
+            Failure::MayHaveRun(reason, detail) => Finished::Unknown { reason, detail },
+        }
+    }
+}
+
+impl Failure {
+    fn no_server() -> Self {
+        Self::NotRun(
+            NotRunReason::NoServer,
+            "no backend server may receive work".into(),
+        )
+    }
+
+    fn too_late() -> Self {
+        Self::NotRun(
+            NotRunReason::DeadlineUnreachable,
+            "the deadline can't be met".into(),
+        )
+    }
+}
+
+impl From<Attempted> for Failure {
+    fn from(attempted: Attempted) -> Self {
+        match attempted {
+            Attempted::MayHaveRun { reason, detail, .. } => Self::MayHaveRun(reason, detail),
+            Attempted::NotRun { detail } => Self::NotRun(NotRunReason::NoServer, detail),
+            Attempted::Answered(_) => Self::no_server(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-entry/src/stop.rs
@@ -0,0 +1,124 @@
+//! State of a graceful stop: readiness, connections, requests in flight.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::channel::{Receiver, Sender, bounded};
+
+const POLL: Duration = Duration::from_millis(20);
+
+/// State of a graceful stop.
+#[derive(Debug)]
+pub struct Stop {
+    ready: AtomicBool,
+    stopping: AtomicBool,
+    /// Closed when connections without a request shall end.
+    idle: (Sender<()>, Receiver<()>),
+    in_flight: Arc<AtomicUsize>,
+    connections: Arc<AtomicUsize>,
+}
+
+/// Counts one request in flight, from its head until its reply is written.
+#[derive(Debug)]
+pub struct InFlight {
+    count: Arc<AtomicUsize>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Counts one open connection.
+#[derive(Debug)]
+pub struct Connection {
+    count: Arc<AtomicUsize>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self {
+            ready: AtomicBool::default(),
+            stopping: AtomicBool::default(),
+            idle: bounded(1),
+            in_flight: Arc::default(),
+            connections: Arc::default(),
+        }
+    }
+}
+
+impl Stop {
+    /// Marks the instance ready for callers.
+    pub fn set_ready(&self) {
+        self.ready.store(true, Ordering::Release);
+    }
+
+    /// Begins a stop; returns whether this was the first call.
+    pub fn begin(&self) -> bool {
+        !self.stopping.swap(true, Ordering::AcqRel)
+    }
+
+    /// Closes connections on which no request has begun, from now on.
+    pub fn close_idle(&self) {
+        self.idle.0.close();
+    }
+
+    /// Waits for [`Stop::close_idle`].
+    pub async fn idle_closed(&self) {
+        let _ = self.idle.1.recv().await;
+    }
+
+    /// Whether the platform's balancer may send callers here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire) && !self.is_stopping()
+    }
+
+    /// Whether a stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Counts a request in flight until the guard is dropped.
+    #[must_use]
+    pub fn enter(&self) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlight {
+            count: self.in_flight.clone(),
+        }
+    }
+
+    /// Counts a connection until the guard is dropped; none if `max` are open.
+    #[must_use]
+    pub fn connect(&self, max: usize) -> Option<Connection> {
+        let open = Connection {
+            count: self.connections.clone(),
+        };
+        let before = self.connections.fetch_add(1, Ordering::AcqRel);
+        (before < max).then_some(open)
+    }
+
+    /// Requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Waits until nothing is in flight, at most for `limit`; returns what is left.
+    pub async fn drained(&self, limit: Duration) -> usize {
+        let end = Instant::now() + limit;
+        while self.in_flight() > 0 && Instant::now() < end {
+            async_std::task::sleep(POLL).await;
+        }
+        self.in_flight()
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-entry/src/tables.rs
@@ -0,0 +1,102 @@
+//! Tables that all workers share.
+//!
+//! Lock order: deployment, admission, router, retries, totals. No lock is held across an `await`.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+
+use futures::channel::oneshot;
+use sardineshore_core::{
+    Admission, AdmissionConfig, Deployment, Release, Released, Retries, RetryConfig, Router,
+    ServerId, Ticket,
+};
+use slotmap::SecondaryMap;
+
+use crate::totals::Totals;
+
+/// Admission and those who wait for it.
+#[derive(Debug)]
+pub struct AdmissionTable {
+    /// Decisions.
+    pub admission: Admission,
+    /// Requests that wait, each for its release.
+    pub waiters: SecondaryMap<Ticket, oneshot::Sender<Release>>,
+}
+
+impl AdmissionTable {
+    /// Wakes the requests whose wait has ended.
+    pub fn wake(&mut self, released: Vec<Released>) {
+        for Released {
+            ticket, release, ..
+        } in released
+        {
+            if let Some(tx) = self.waiters.remove(ticket) {
+                let _ = tx.send(release);
+            }
+        }
+    }
+}
+
+/// Shared tables of one instance.
+#[derive(Debug)]
+pub struct Tables {
+    deployment: RwLock<Arc<Deployment>>,
+    admission: Mutex<AdmissionTable>,
+    router: Mutex<Router>,
+    retries: Mutex<Retries>,
+    totals: Mutex<Totals>,
+}
+
+impl Tables {
+    /// Creates tables around a router, with an empty deployment.
+    #[must_use]
+    pub fn new(router: Router, admission: AdmissionConfig, retries: RetryConfig) -> Self {
+        let admission = Admission::new(admission);
+        Self {
+            deployment: RwLock::default(),
+            admission: Mutex::new(AdmissionTable {
+                admission,
+                waiters: SecondaryMap::new(),
+            }),
+            retries: Mutex::new(Retries::new(retries)),
+            router: Mutex::new(router),
+            totals: Mutex::default(),
+        }
+    }
+
+    /// The deployment in force.
+    #[must_use]
+    pub fn deployment(&self) -> Arc<Deployment> {
+        self.deployment
+            .read()
+            .expect("deployment lock poisoned")
+            .clone()
+    }
+
+    /// Puts a deployment in force, with the backend servers that are listed as leaving.
+    pub fn adopt(&self, deployment: Arc<Deployment>, leaving: &BTreeSet<ServerId>) {
+        let mut current = self.deployment.write().expect("deployment lock poisoned");
+        self.router().adopt(&deployment, leaving);
+        *current = deployment;
+    }
+
+    /// Admission.
+    pub fn admission(&self) -> MutexGuard<'_, AdmissionTable> {
+        self.admission.lock().expect("admission lock poisoned")
+    }
+
+    /// Retry budgets.
+    pub fn retries(&self) -> MutexGuard<'_, Retries> {
+        self.retries.lock().expect("retries lock poisoned")
+    }
+
+    /// The router.
+    pub fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().expect("router lock poisoned")
+    }
+
+    /// The totals.
+    pub fn totals(&self) -> MutexGuard<'_, Totals> {
+        self.totals.lock().expect("totals lock poisoned")
+    }
+}
