--- a/crates/sardineshore-entry/tests/caller_input.rs
+++ b/crates/sardineshore-entry/tests/caller_input.rs
@@ -68,9 +68,9 @@
     )
 }
 
-#[test]
-fn submit_faulty_input() {
-    let cases: Vec<(&str, Vec<u8>)> = vec![
+/// Names and bytes of the faulty requests.
+fn cases() -> Vec<(&'static str, Vec<u8>)> {
+    vec![
         ("no http", b"hello\r\n\r\n".to_vec()),
         (
             "unknown path",
@@ -128,7 +128,11 @@
                 .replace("reports", "other")
                 .into(),
         ),
-    ];
+    ]
+}
+
+#[test]
+fn submit_faulty_input() {
     let text = task::block_on(async {
         let backend = TcpListener::bind("127.0.0.1:0").await.expect("binds");
         let socket = TcpListener::bind("127.0.0.1:0").await.expect("binds");
@@ -147,7 +151,7 @@
             .adopt(Arc::new(deployment(backend_addr)), &BTreeSet::new());
         let accepting = task::spawn(listener::accept(instance, socket));
         let mut text = String::new();
-        for (name, bytes) in cases {
+        for (name, bytes) in cases() {
             let reply = exchange(&addr, &bytes).await;
             writeln!(text, "{name}: {reply}").expect("a text grows");
         }
