feat(fakes): platform and backend server stand-ins

The path from caller to answer needs a platform and backend servers that can fail on request. Both are one process each, take a typed set of faults at POST /v1/faults and keep their own counters or execution log.

An execution log survives a restart of its server: seals and begun run identifiers are restored, so that a status query after a crash never says that a run did not begin.

--- /dev/null
+++ b/crates/sardineshore-fakes/src/bin/sardine-fake-server.rs
@@ -0,0 +1,139 @@
+//! Stand-in of a backend server: a model engine, a member of a stage pool or a plain service.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use anyhow::Context;
+use async_std::net::TcpListener;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use sardineshore_core::{Finding, SystemClock};
+use sardineshore_fakes::serve::serve;
+use sardineshore_fakes::server::FakeServer;
+use sardineshore_fakes::server::settings::ServerSettings;
+use sardineshore_wire::settings::{Checker, exit_with, setting};
+
+#[derive(Debug)]
+struct Settings {
+    listen: String,
+    log: String,
+    server: ServerSettings,
+}
+
+fn flag(name: &'static str, env: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .env(env)
+        .action(ArgAction::SetTrue)
+        .help(help)
+}
+
+fn command() -> Command {
+    Command::new("sardine-fake-server")
+        .about("Stand-in of a backend server, with an execution log")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(setting(
+            "listen",
+            "SARDINE_FAKE_LISTEN",
+            "",
+            "Address to listen on, IP:PORT",
+        ))
+        .arg(setting(
+            "name",
+            "SARDINE_FAKE_NAME",
+            "",
+            "Name of the server",
+        ))
+        .arg(setting(
+            "log",
+            "SARDINE_FAKE_LOG",
+            "",
+            "File of the execution log, appended to",
+        ))
+        .arg(setting(
+            "kind",
+            "SARDINE_FAKE_KIND",
+            "pool",
+            "engine, pool or service",
+        ))
+        .arg(setting(
+            "service-time",
+            "SARDINE_FAKE_SERVICE_TIME",
+            "20ms",
+            "Mean time of one attempt",
+        ))
+        .arg(setting(
+            "jitter",
+            "SARDINE_FAKE_JITTER",
+            "0.3",
+            "Spread of the time around its mean, 0 to 1",
+        ))
+        .arg(setting(
+            "capacity",
+            "SARDINE_FAKE_CAPACITY",
+            "8",
+            "Attempts that run at the same time",
+        ))
+        .arg(setting(
+            "max-queue",
+            "SARDINE_FAKE_MAX_QUEUE",
+            "64",
+            "Attempts that wait at the same time",
+        ))
+        .arg(setting(
+            "load-lag",
+            "SARDINE_FAKE_LOAD_LAG",
+            "100ms",
+            "Greatest age of a load report",
+        ))
+        .arg(setting(
+            "seed",
+            "SARDINE_FAKE_SEED",
+            "1",
+            "Seed of times and faults",
+        ))
+        .arg(flag(
+            "answers-status",
+            "SARDINE_FAKE_ANSWERS_STATUS",
+            "Answer what became of a run identifier",
+        ))
+        .arg(flag(
+            "fencing",
+            "SARDINE_FAKE_FENCING",
+            "Refuse orders with an old fencing number",
+        ))
+}
+
+fn check(matches: &ArgMatches) -> Result<Settings, Vec<Finding>> {
+    let mut checker = Checker::new(matches);
+    let settings = Settings {
+        listen: checker.addr("listen"),
+        log: checker.text("log"),
+        server: ServerSettings {
+            name: checker.text("name").into(),
+            kind: checker.parse("kind"),
+            service_time: checker.duration("service-time"),
+            jitter: checker.parse("jitter"),
+            capacity: checker.parse("capacity"),
+            max_queue: checker.parse("max-queue"),
+            load_lag: checker.duration("load-lag"),
+            seed: checker.parse("seed"),
+            answers_status: matches.get_flag("answers-status"),
+            fencing: matches.get_flag("fencing"),
+        },
+    };
+    checker.finish(settings)
+}
+
+#[async_std::main]
+async fn main() -> anyhow::Result<()> {
+    let settings = check(&command().get_matches()).unwrap_or_else(|findings| exit_with(&findings));
+    let listener = TcpListener::bind(&settings.listen)
+        .await
+        .with_context(|| format!("listen on {}", settings.listen))?;
+    let clock = Arc::new(SystemClock);
+    let server = FakeServer::start(settings.server, Path::new(&settings.log), clock)
+        .with_context(|| format!("open the execution log {}", settings.log))?;
+    println!("listening on {}", listener.local_addr()?);
+    serve(listener, Arc::new(server)).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/sardineshore-fakes/src/server.rs
@@ -0,0 +1,172 @@
+//! Stand-in of a backend server: a model engine, a member of a stage pool or a plain service.
+//!
+//! It speaks the protocol of [`sardineshore_wire::backend`] and writes an execution log, the
+//! witness of audits. A run identifier that arrives twice runs twice, unless a status query
+//! sealed it: the stand-in must not hide a fault of its caller. A `true` under `"poison"` in the
+//! input crashes the process. Faults are set at `POST /v1/faults` ([`faults::ServerFaults`]).
+
+pub mod answer;
+pub mod attempt;
+pub mod cancel;
+pub mod faults;
+pub mod load;
+pub mod log;
+mod run;
+pub mod settings;
+pub mod slots;
+pub mod status;
+
+use std::io;
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http_types::{Method, Request, Response, StatusCode};
+use sardineshore_core::Clock;
+use sardineshore_core::clock::unix_ms;
+use sardineshore_wire::backend::{Cancel, LoadReport, RunStatus};
+use sardineshore_wire::witness::ExecutionEvent;
+
+use self::answer::Answer;
+use self::attempt::Attempt;
+use self::cancel::Cancels;
+use self::faults::ServerFaults;
+use self::load::LaggingLoad;
+use self::log::ExecutionLog;
+use self::settings::ServerSettings;
+use self::slots::Slots;
+use self::status::Statuses;
+use crate::dice::Dice;
+use crate::reply;
+use crate::serve::{Handler, Served};
+
+/// One backend server.
+#[derive(Debug)]
+pub struct FakeServer {
+    settings: ServerSettings,
+    incarnation: u64,
+    clock: Arc<dyn Clock>,
+    dice: Dice,
+    log: ExecutionLog,
+    slots: Arc<Slots>,
+    cancels: Arc<Cancels>,
+    statuses: Mutex<Statuses>,
+    load: Mutex<LaggingLoad>,
+    faults: Mutex<ServerFaults>,
+    previous: Mutex<Option<Answer>>,
+}
+
+impl FakeServer {
+    /// Starts a server that continues the execution log at `path`.
+    pub fn start(settings: ServerSettings, path: &Path, clock: Arc<dyn Clock>) -> io::Result<Self> {
+        let log = ExecutionLog::open(path, settings.name.clone(), clock.clone())?;
+        let statuses = Statuses::restore(&log::read(path)?);
+        log.write(ExecutionEvent::Started, &Attempt::default());
+        Ok(Self {
+            incarnation: unix_ms(clock.wall()),
+            dice: Dice::new(settings.seed),
+            slots: Slots::new(settings.capacity, settings.max_queue),
+            cancels: Arc::default(),
+            statuses: Mutex::new(statuses),
+            load: Mutex::new(LaggingLoad::new(settings.load_lag, clock.now())),
+            faults: Mutex::default(),
+            previous: Mutex::default(),
+            settings,
+            clock,
+            log,
+        })
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: ServerFaults) {
+        *self.faults() = faults;
+    }
+
+    fn faults(&self) -> MutexGuard<'_, ServerFaults> {
+        self.faults.lock().expect("faults lock poisoned")
+    }
+
+    fn statuses(&self) -> MutexGuard<'_, Statuses> {
+        self.statuses.lock().expect("statuses lock poisoned")
+    }
+
+    fn load_report(&self) -> LoadReport {
+        let present = self.slots.occupancy();
+        let mut load = self.load.lock().expect("load lock poisoned");
+        let (sample, age) = load.report(present, self.clock.now());
+        LoadReport {
+            server: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            running: count(sample.running),
+            queued: count(sample.queued),
+            capacity: count(self.settings.capacity),
+            age_ms: millis(age),
+            ..LoadReport::default()
+        }
+    }
+
+    async fn cancel(&self, mut req: Request) -> Response {
+        match reply::parse::<Cancel>(&mut req).await {
+            Ok(cancel) if self.cancels.cancel(&cancel) => reply::empty(StatusCode::Ok),
+            Ok(_) => reply::empty(StatusCode::NotFound),
+            Err(res) => res,
+        }
+    }
+
+    fn status(&self, run_id: &str, req: &Request) -> Response {
+        if !self.settings.answers_status {
+            return reply::empty(StatusCode::NotFound);
+        }
+        let run_id = Arc::from(run_id);
+        if reply::query(req, "seal") != "true" {
+            return reply::json(&self.statuses().get(&run_id));
+        }
+        let mut statuses = self.statuses();
+        if statuses.seal(&run_id) {
+            let seal = Attempt {
+                run_id,
+                ..Attempt::default()
+            };
+            self.log.write(ExecutionEvent::Refused, &seal);
+            return reply::json(&RunStatus::Sealed);
+        }
+        reply::json(&statuses.get(&run_id))
+    }
+
+    async fn replace_faults(&self, mut req: Request) -> Response {
+        match reply::parse(&mut req).await {
+            Ok(faults) => {
+                self.set_faults(faults);
+                reply::empty(StatusCode::Ok)
+            }
+            Err(res) => res,
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for FakeServer {
+    async fn handle(self: Arc<Self>, req: Request) -> Served {
+        let (method, path) = reply::route(&req);
+        match (method, path.as_str()) {
+            (Method::Post, "/v1/run") => self.run(req).await,
+            (Method::Post, "/v1/cancel") => self.cancel(req).await.into(),
+            (Method::Get, "/v1/load") => reply::json(&self.load_report()).into(),
+            (Method::Post, "/v1/faults") => self.replace_faults(req).await.into(),
+            (Method::Get, path) if path.starts_with("/v1/requests/") => {
+                let run_id = path.trim_start_matches("/v1/requests/");
+                self.status(run_id, &req).into()
+            }
+            _ => reply::empty(StatusCode::NotFound).into(),
+        }
+    }
+}
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
