feat(core): claims that run a non-idempotent request at most once

A non-idempotent request needs a decision in one place on who may send it, and when a second send is safe. ClaimMachine takes events and returns actions, without I/O.

Only the attempt that wrote the claim row dispatches. A row is replaced only when its attempt provably never runs: it released the row, its own instance says so, or every backend server that the row names sealed the run in the process incarnation that the row names. The row therefore names the servers and incarnations that the claimant may use. Ruled out: taking a claim over after a timeout (a paused claimant would send), trusting an empty read (the write may still land), and trusting a seal of a restarted server (its memory may be gone).

A runner that gives up before the claim is confirmed waits for the row, so that a repeat of a request that ran is not told not-run.

--- /dev/null
+++ b/crates/sardineshore-core/src/claim/key.rs
@@ -0,0 +1,118 @@
+//! Idempotency keys, fingerprints and the retention window.
+
+use std::fmt;
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use uuid::{Uuid, Version as UuidVersion};
+
+use crate::clock::unix_ms;
+use crate::{CustomerId, Fingerprint, NotRunReason, PipelineId};
+
+/// A caller's idempotency key: a version 7 UUID, which carries the time of its own creation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct IdempotencyKey(Uuid);
+
+impl IdempotencyKey {
+    /// Reads a key from a header's text; anything but a version 7 UUID is malformed.
+    pub fn parse(text: &str) -> Result<Self, NotRunReason> {
+        let id = Uuid::try_parse(text.trim()).map_err(|_| NotRunReason::KeyMalformed)?;
+        match id.get_version() {
+            Some(UuidVersion::SortRand) => Ok(Self(id)),
+            _ => Err(NotRunReason::KeyMalformed),
+        }
+    }
+
+    /// Milliseconds since the Unix epoch at which the caller made the key.
+    #[must_use]
+    pub fn created_ms(self) -> u64 {
+        let bytes = self.0.as_bytes();
+        bytes[..6]
+            .iter()
+            .fold(0, |ms, byte| (ms << 8) | u64::from(*byte))
+    }
+}
+
+impl fmt::Display for IdempotencyKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.hyphenated().fmt(f)
+    }
+}
+
+/// How long keys are remembered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Retention {
+    /// Age up to which a key is accepted.
+    pub window: Duration,
+    /// Allowance for clocks that differ between machines and for the longest deadline; rows
+    /// outlive the window by it.
+    pub margin: Duration,
+    /// Length of one bucket of rows, which are deleted together.
+    pub bucket: Duration,
+}
+
+impl Default for Retention {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(24 * 60 * 60),
+            margin: Duration::from_secs(10 * 60),
+            bucket: Duration::from_secs(60 * 60),
+        }
+    }
+}
+
+impl Retention {
+    /// Refuses a key that is older than the window or further in the future than the margin.
+    pub fn check(&self, key: IdempotencyKey, wall: SystemTime) -> Result<(), NotRunReason> {
+        let now_ms = unix_ms(wall);
+        let created_ms = key.created_ms();
+        let too_old = created_ms + millis(self.window) < now_ms;
+        let too_new = created_ms > now_ms + millis(self.margin);
+        if too_old || too_new {
+            return Err(NotRunReason::KeyExpired);
+        }
+        Ok(())
+    }
+
+    /// Bucket of a key.
+    #[must_use]
+    pub fn bucket_of(&self, key: IdempotencyKey) -> u64 {
+        key.created_ms() / millis(self.bucket).max(1)
+    }
+
+    /// First bucket whose rows must still be kept; all earlier ones may be deleted.
+    #[must_use]
+    pub fn first_kept(&self, wall: SystemTime) -> u64 {
+        let kept_ms = millis(self.window) + 2 * millis(self.margin);
+        unix_ms(wall).saturating_sub(kept_ms) / millis(self.bucket).max(1)
+    }
+
+    /// Table key of the claim row of a customer's key.
+    #[must_use]
+    pub fn row_key(&self, customer: &CustomerId, key: IdempotencyKey) -> Arc<str> {
+        let bucket = self.bucket_of(key);
+        format!("claim/{bucket:010}/{customer}/{key}").into()
+    }
+}
+
+/// Fingerprint of a request: SHA-256 over the pipeline's name and the body.
+#[must_use]
+pub fn fingerprint(pipeline: &PipelineId, body: &[u8]) -> Fingerprint {
+    let mut hash = Sha256::new();
+    hash.update(pipeline.len().to_be_bytes());
+    hash.update(pipeline.as_bytes());
+    hash.update(body);
+    let mut text = String::with_capacity(64);
+    for byte in hash.finalize() {
+        write!(text, "{byte:02x}").expect("writing to a string succeeds");
+    }
+    text.into()
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 pub mod change;
+pub mod claim;
 pub mod clock;
 pub mod deployment;
 pub mod event;
--- a/crates/sardineshore-core/src/outcome.rs
+++ b/crates/sardineshore-core/src/outcome.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The three outcomes of a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "outcome")]
 pub enum Outcome {
     /// The whole answer follows.
--- /dev/null
+++ b/crates/sardineshore-core/tests/claim_session.rs
@@ -0,0 +1,449 @@
+//! Golden sessions of claims: what each instance writes, sends and tells its caller.
+
+#[path = "claim_session/support.rs"]
+mod support;
+
+use expect_test::{Expect, expect};
+use sardineshore_core::claim::{ClaimEvent, DispatchResult, RunEnd, RunReport};
+use sardineshore_core::{NotRunReason, UnknownReason};
+use support::{Fault, Session};
+
+fn check(session: &Session, expected: &Expect) {
+    expected.assert_eq(&session.log);
+}
+
+fn answer(s: &mut Session, name: &'static str) {
+    s.step(name, ClaimEvent::Dispatched(DispatchResult::Answered));
+    s.step(
+        name,
+        ClaimEvent::Ended(RunEnd::Answered("{\"ok\":1}".into())),
+    );
+}
+
+fn lose(s: &mut Session, name: &'static str) {
+    let lost = DispatchResult::Lost(UnknownReason::ConnectionLost);
+    s.step(name, ClaimEvent::Dispatched(lost));
+}
+
+fn status(s: &mut Session, name: &'static str, incarnation: u64, report: RunReport) {
+    let server = "orders-1".into();
+    let event = ClaimEvent::Status {
+        server,
+        incarnation,
+        report,
+    };
+    s.step(name, event);
+}
+
+#[test]
+fn session_plain_run() {
+    let mut s = Session::default();
+    s.admit("e1", "one");
+    s.advance(5);
+    s.dispatch("e1");
+    s.advance(20);
+    answer(&mut s, "e1");
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 1
+            0 e1:   -> Held
+            5 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            5 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+           25 e1: Dispatched(Answered)
+           25 e1: Ended(Answered("{\"ok\":1}"))
+           25 e1:   -> reply answered {"ok":1}
+           25 e1:   -> write answered over revision 1
+           25 e1: applied at 2
+           25 e1:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_confirmations_lost() {
+    let mut s = Session::default();
+    s.faults = vec![Fault::AnswerLost];
+    s.admit("e1", "one");
+    s.advance(40);
+    s.step("e1", ClaimEvent::Tick);
+    s.dispatch("e1");
+    s.faults = vec![Fault::AnswerLost];
+    answer(&mut s, "e1");
+    s.advance(40);
+    s.step("e1", ClaimEvent::Tick);
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: Committed(Err(Unconfirmed))
+           40 e1: Tick
+           40 e1:   -> write claimed over revision 0
+           40 e1: conflict: claimed by e1-a
+           40 e1:   -> Held
+           40 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+           40 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+           40 e1: Dispatched(Answered)
+           40 e1: Ended(Answered("{\"ok\":1}"))
+           40 e1:   -> reply answered {"ok":1}
+           40 e1:   -> write answered over revision 1
+           40 e1: Committed(Err(Unconfirmed))
+           80 e1: Tick
+           80 e1:   -> write answered over revision 1
+           80 e1: conflict: answered by e1-a
+           80 e1:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_store_outage() {
+    let mut s = Session::default();
+    s.faults = vec![Fault::Refused, Fault::Refused];
+    s.admit("e1", "one");
+    s.advance(40);
+    s.step("e1", ClaimEvent::Tick);
+    s.advance(3000);
+    s.step("e1", ClaimEvent::Tick);
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: Committed(Err(Unavailable))
+           40 e1: Tick
+           40 e1:   -> write claimed over revision 0
+           40 e1: Committed(Err(Unavailable))
+         3040 e1: Tick
+         3040 e1:   -> reply NotRun { reason: StoreUnavailable }
+         3040 e1:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_late_write_after_giving_up() {
+    let mut s = Session::default();
+    s.faults = vec![Fault::LandsLate, Fault::Refused];
+    s.admit("e1", "one");
+    s.advance(3000);
+    s.step("e1", ClaimEvent::Tick);
+    s.land();
+    s.admit("e2", "one");
+    s.peer("e2", "e1");
+    s.advance(40);
+    s.step("e1", ClaimEvent::Tick);
+    s.dispatch("e2");
+    answer(&mut s, "e2");
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: Committed(Err(Unconfirmed))
+         3000 e1: Tick
+         3000 e1:   -> reply NotRun { reason: StoreUnavailable }
+         3000 e1:   -> write released over revision 0
+         3000 e1: Committed(Err(Unavailable))
+         3000 table: late write, applied at 1
+         3000 e2: admitted
+         3000 e2:   -> write claimed over revision 0
+         3000 e2: conflict: claimed by e1-a
+         3000 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+         3000 e2: Peer(NeverRuns)
+         3000 e2:   -> write claimed over revision 1
+         3000 e2: applied at 2
+         3000 e2:   -> Held
+         3040 e1: Tick
+         3040 e1:   -> write released over revision 0
+         3040 e1: conflict: claimed by e2-a
+         3040 e1:   -> Done
+         3040 e2: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+         3040 e2:   -> Dispatch { server: "orders-1", run_id: "e2-a.2" }
+         3040 e2: Dispatched(Answered)
+         3040 e2: Ended(Answered("{\"ok\":1}"))
+         3040 e2:   -> reply answered {"ok":1}
+         3040 e2:   -> write answered over revision 2
+         3040 e2: applied at 3
+         3040 e2:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_claimant_paused_past_deadline() {
+    let mut s = Session::default();
+    s.admit("e1", "one");
+    s.advance(7000);
+    s.dispatch("e1");
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 1
+            0 e1:   -> Held
+         7000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+         7000 e1:   -> reply NotRun { reason: DeadlineUnreachable }
+         7000 e1:   -> write released over revision 1
+         7000 e1: applied at 2
+         7000 e1:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_repeat_while_running() {
+    let mut s = Session::default();
+    s.admit("e1", "one");
+    s.dispatch("e1");
+    s.admit("e2", "one");
+    s.peer("e2", "e1");
+    s.advance(100);
+    answer(&mut s, "e1");
+    s.step("e2", ClaimEvent::Tick);
+    s.peer("e2", "e1");
+    s.admit("e3", "one");
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 1
+            0 e1:   -> Held
+            0 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            0 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            0 e2: admitted
+            0 e2:   -> write claimed over revision 0
+            0 e2: conflict: claimed by e1-a
+            0 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+            0 e2: Peer(InFlight)
+          100 e1: Dispatched(Answered)
+          100 e1: Ended(Answered("{\"ok\":1}"))
+          100 e1:   -> reply answered {"ok":1}
+          100 e1:   -> write answered over revision 1
+          100 e1: applied at 2
+          100 e1:   -> Done
+          100 e2: Tick
+          100 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+          100 e2: Peer(Answered { answer: "{\"ok\":1}" })
+          100 e2:   -> reply answered {"ok":1}
+          100 e2:   -> Done
+          100 e3: admitted
+          100 e3:   -> write claimed over revision 0
+          100 e3: conflict: answered by e1-a
+          100 e3:   -> reply answered {"ok":1}
+          100 e3:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_repeat_after_claimant_died() {
+    let mut s = Session::default();
+    s.admit("e1", "one");
+    s.dispatch("e1");
+    s.machines.remove("e1");
+    s.admit("e2", "one");
+    s.peer("e2", "e1");
+    status(&mut s, "e2", 5, RunReport::Ran("{\"ok\":1}".into()));
+    s.admit("e3", "one");
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 1
+            0 e1:   -> Held
+            0 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            0 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            0 e2: admitted
+            0 e2:   -> write claimed over revision 0
+            0 e2: conflict: claimed by e1-a
+            0 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+            0 e2: Peer(Unreachable)
+            0 e2:   -> read row
+            0 e2: row at 1
+            0 e2:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+            0 e2: Status { server: "orders-1", incarnation: 5, report: Ran("{\"ok\":1}") }
+            0 e2:   -> reply answered {"ok":1}
+            0 e2:   -> write answered over revision 1
+            0 e2: applied at 2
+            0 e2:   -> Done
+            0 e3: admitted
+            0 e3:   -> write claimed over revision 0
+            0 e3: conflict: answered by e1-a
+            0 e3:   -> reply answered {"ok":1}
+            0 e3:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_repeat_after_claimant_died_before_sending() {
+    let mut s = Session::default();
+    s.admit("e1", "one");
+    s.machines.remove("e1");
+    s.admit("e2", "one");
+    s.peer("e2", "e1");
+    status(&mut s, "e2", 5, RunReport::Sealed);
+    s.dispatch("e2");
+    answer(&mut s, "e2");
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 1
+            0 e1:   -> Held
+            0 e2: admitted
+            0 e2:   -> write claimed over revision 0
+            0 e2: conflict: claimed by e1-a
+            0 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+            0 e2: Peer(Unreachable)
+            0 e2:   -> read row
+            0 e2: row at 1
+            0 e2:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+            0 e2: Status { server: "orders-1", incarnation: 5, report: Sealed }
+            0 e2:   -> write claimed over revision 1
+            0 e2: applied at 2
+            0 e2:   -> Held
+            0 e2: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            0 e2:   -> Dispatch { server: "orders-1", run_id: "e2-a.2" }
+            0 e2: Dispatched(Answered)
+            0 e2: Ended(Answered("{\"ok\":1}"))
+            0 e2:   -> reply answered {"ok":1}
+            0 e2:   -> write answered over revision 2
+            0 e2: applied at 3
+            0 e2:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_repeat_cannot_learn_the_outcome() {
+    let mut s = Session::default();
+    s.admit("e1", "one");
+    s.dispatch("e1");
+    s.machines.remove("e1");
+    s.admit("e2", "one");
+    s.peer("e2", "e1");
+    status(&mut s, "e2", 6, RunReport::Sealed);
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 1
+            0 e1:   -> Held
+            0 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            0 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            0 e2: admitted
+            0 e2:   -> write claimed over revision 0
+            0 e2: conflict: claimed by e1-a
+            0 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+            0 e2: Peer(Unreachable)
+            0 e2:   -> read row
+            0 e2: row at 1
+            0 e2:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+            0 e2: Status { server: "orders-1", incarnation: 6, report: Sealed }
+            0 e2:   -> reply Unknown { reason: ClaimantUnreachable }
+            0 e2:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_connection_lost_and_sent_again() {
+    let mut s = Session::default();
+    s.admit("e1", "one");
+    s.dispatch("e1");
+    lose(&mut s, "e1");
+    status(&mut s, "e1", 5, RunReport::Running);
+    s.advance(100);
+    s.step("e1", ClaimEvent::Tick);
+    status(&mut s, "e1", 5, RunReport::Sealed);
+    s.dispatch("e1");
+    lose(&mut s, "e1");
+    status(&mut s, "e1", 6, RunReport::Sealed);
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 1
+            0 e1:   -> Held
+            0 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            0 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            0 e1: Dispatched(Lost(ConnectionLost))
+            0 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+            0 e1: Status { server: "orders-1", incarnation: 5, report: Running }
+          100 e1: Tick
+          100 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+          100 e1: Status { server: "orders-1", incarnation: 5, report: Sealed }
+          100 e1:   -> Resolved(None)
+          100 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+          100 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+          100 e1: Dispatched(Lost(ConnectionLost))
+          100 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+          100 e1: Status { server: "orders-1", incarnation: 6, report: Sealed }
+          100 e1:   -> reply Unknown { reason: ConnectionLost }
+    "#]]);
+}
+
+#[test]
+fn session_given_up_before_confirmation() {
+    let mut s = Session::default();
+    s.admit("e1", "one");
+    s.dispatch("e1");
+    answer(&mut s, "e1");
+    s.faults = vec![Fault::Refused];
+    s.admit("e2", "one");
+    s.step(
+        "e2",
+        ClaimEvent::Ended(RunEnd::GaveUp(NotRunReason::NoServer)),
+    );
+    s.advance(40);
+    s.step("e2", ClaimEvent::Tick);
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 1
+            0 e1:   -> Held
+            0 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            0 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            0 e1: Dispatched(Answered)
+            0 e1: Ended(Answered("{\"ok\":1}"))
+            0 e1:   -> reply answered {"ok":1}
+            0 e1:   -> write answered over revision 1
+            0 e1: applied at 2
+            0 e1:   -> Done
+            0 e2: admitted
+            0 e2:   -> write claimed over revision 0
+            0 e2: Committed(Err(Unavailable))
+            0 e2: Ended(GaveUp(NoServer))
+           40 e2: Tick
+           40 e2:   -> write claimed over revision 0
+           40 e2: conflict: answered by e1-a
+           40 e2:   -> reply answered {"ok":1}
+           40 e2:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_key_reused() {
+    let mut s = Session::default();
+    s.admit("e1", "one");
+    s.admit("e2", "two");
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 1
+            0 e1:   -> Held
+            0 e2: admitted
+            0 e2:   -> write claimed over revision 0
+            0 e2: conflict: claimed by e1-a
+            0 e2:   -> reply NotRun { reason: KeyReused }
+            0 e2:   -> Done
+    "#]]);
+}
+
+#[test]
+fn session_key_expired() {
+    let mut s = Session::default();
+    s.admit_key("e1", "one", "01a31335-f400-7000-8000-000000000001");
+    s.admit_key("e1", "one", "01a31865-77c0-7000-8000-000000000001");
+    s.advance(1);
+    s.admit_key("e1", "one", "01a31335-f400-7000-8000-000000000001");
+    s.admit_key("e1", "one", "01a31865-77c2-7000-8000-000000000001");
+    check(&s, &expect![[r#"
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 1
+            0 e1:   -> Held
+            0 e1: admitted
+            0 e1:   -> write claimed over revision 0
+            0 e1: applied at 2
+            0 e1:   -> Held
+            1 e1: admitted
+            1 e1:   -> reply NotRun { reason: KeyExpired }
+            1 e1:   -> Done
+            1 e1: admitted
+            1 e1:   -> reply NotRun { reason: KeyExpired }
+            1 e1:   -> Done
+    "#]]);
+}
--- /dev/null
+++ b/crates/sardineshore-core/tests/claim_session/support.rs
@@ -0,0 +1,201 @@
+//! A written session: claim machines of several instances against one table, under manual time.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sardineshore_core::claim::{
+    ClaimAction, ClaimConfig, ClaimEvent, ClaimMachine, ClaimRequest, ClaimRow, ClaimRun,
+    ClaimServer, ClaimState, IdempotencyKey, PeerReply, fingerprint,
+};
+use sardineshore_core::{Clock, Commit, ManualClock, Outcome, Row, StoreError, Txn};
+
+const KEY_ON_THE_CLOCK: &str = "01a3185c-5000-7000-8000-000000000001";
+
+/// How the table treats the next commit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    Refused,
+    AnswerLost,
+    LandsLate,
+}
+
+#[derive(Default)]
+pub struct Session {
+    pub clock: ManualClock,
+    pub log: String,
+    pub machines: BTreeMap<&'static str, ClaimMachine>,
+    pub faults: Vec<Fault>,
+    late: Vec<Txn>,
+    rows: BTreeMap<Arc<str>, Row>,
+    revision: u64,
+}
+
+impl Session {
+    /// Admits a request on an instance and carries its store calls out.
+    pub fn admit(&mut self, name: &'static str, body: &str) {
+        self.admit_key(name, body, KEY_ON_THE_CLOCK);
+    }
+
+    pub fn admit_key(&mut self, name: &'static str, body: &str, key: &str) {
+        let key = IdempotencyKey::parse(key).unwrap();
+        let now = self.clock.now();
+        let server = ClaimServer {
+            name: "orders-1".into(),
+            incarnation: 5,
+            answers_status: true,
+        };
+        let req = ClaimRequest {
+            fingerprint: fingerprint(&"order".into(), body.as_bytes()),
+            instance: name.into(),
+            attempt: format!("{name}-a").into(),
+            run: ClaimRun {
+                stage: 2,
+                last: true,
+                servers: vec![server],
+            },
+            ..ClaimRequest::new("coop".into(), key, now + Duration::from_secs(6))
+        };
+        let mut machine = ClaimMachine::new(req, ClaimConfig::default(), now);
+        self.say(&format!("{name}: admitted"));
+        let actions = machine.start(now, self.clock.wall());
+        self.machines.insert(name, machine);
+        self.carry_out(name, actions);
+    }
+
+    pub fn step(&mut self, name: &'static str, event: ClaimEvent) {
+        self.say(&format!("{name}: {}", show_event(&event)));
+        let now = self.clock.now();
+        let actions = self.machines.get_mut(name).unwrap().step(event, now);
+        self.carry_out(name, actions);
+    }
+
+    pub fn dispatch(&mut self, name: &'static str) {
+        let event = ClaimEvent::DispatchWanted {
+            stage: 2,
+            server: "orders-1".into(),
+            may_dispatch: true,
+        };
+        self.step(name, event);
+    }
+
+    /// Asks the named instance and hands its reply on.
+    pub fn peer(&mut self, name: &'static str, asked: &str) {
+        let known = self.machines.get(asked);
+        let reply = known.map_or(PeerReply::Unreachable, ClaimMachine::peer_reply);
+        self.step(name, ClaimEvent::Peer(reply));
+    }
+
+    pub fn advance(&mut self, millis: u64) {
+        self.clock.advance(Duration::from_millis(millis));
+    }
+
+    /// Lets all late writes land.
+    pub fn land(&mut self) {
+        for txn in std::mem::take(&mut self.late) {
+            let commit = self.apply(&txn);
+            self.say(&format!("table: late write, {}", show_commit(&commit)));
+        }
+    }
+
+    fn carry_out(&mut self, name: &'static str, actions: Vec<ClaimAction>) {
+        for action in actions {
+            match action {
+                ClaimAction::Commit(txn) => self.commit(name, &txn),
+                ClaimAction::ReadRow(key) => {
+                    let row = self.rows.get(&key).cloned();
+                    self.say(&format!("{name}:   -> read row"));
+                    self.step(name, ClaimEvent::RowRead(Ok(row)));
+                }
+                ClaimAction::WakeAt(_) => {}
+                other => self.say(&format!("{name}:   -> {}", show_action(&other))),
+            }
+        }
+    }
+
+    fn commit(&mut self, name: &'static str, txn: &Txn) {
+        let row = ClaimRow::from_text(&txn.puts[0].value).unwrap();
+        let state = show_state(&row.state);
+        let base = txn.checks[0].revision;
+        self.say(&format!("{name}:   -> write {state} over revision {base}"));
+        let fault = (!self.faults.is_empty()).then(|| self.faults.remove(0));
+        let answer = match fault {
+            None => Ok(self.apply(txn)),
+            Some(Fault::Refused) => Err(StoreError::Unavailable),
+            Some(Fault::AnswerLost) => {
+                self.apply(txn);
+                Err(StoreError::Unconfirmed)
+            }
+            Some(Fault::LandsLate) => {
+                self.late.push(txn.clone());
+                Err(StoreError::Unconfirmed)
+            }
+        };
+        self.step(name, ClaimEvent::Committed(answer));
+    }
+
+    fn apply(&mut self, txn: &Txn) -> Commit {
+        let check = &txn.checks[0];
+        let present = self.rows.get(&check.key);
+        if present.map_or(0, |row| row.revision) != check.revision {
+            let rows = present.cloned().into_iter().collect();
+            return Commit::Conflict { rows };
+        }
+        self.revision += 1;
+        let put = txn.puts[0].clone();
+        let row = Row {
+            key: put.key.clone(),
+            value: put.value,
+            revision: self.revision,
+        };
+        self.rows.insert(put.key, row);
+        Commit::Applied {
+            revision: self.revision,
+        }
+    }
+
+    fn say(&mut self, line: &str) {
+        let since = self.clock.wall().duration_since(std::time::UNIX_EPOCH);
+        let millis = since.unwrap().as_millis() - 1_800_000_000_000;
+        writeln!(self.log, "{millis:>5} {line}").unwrap();
+    }
+}
+
+fn show_commit(commit: &Commit) -> String {
+    match commit {
+        Commit::Applied { revision } => format!("applied at {revision}"),
+        Commit::Conflict { rows } => {
+            let row = ClaimRow::from_text(&rows[0].value).unwrap();
+            let state = show_state(&row.state);
+            format!("conflict: {} by {}", state, row.attempt)
+        }
+    }
+}
+
+fn show_state(state: &ClaimState) -> &'static str {
+    match state {
+        ClaimState::Claimed => "claimed",
+        ClaimState::Released => "released",
+        ClaimState::Answered { .. } => "answered",
+    }
+}
+
+fn show_event(event: &ClaimEvent) -> String {
+    match event {
+        ClaimEvent::Committed(Ok(commit)) => show_commit(commit),
+        ClaimEvent::RowRead(Ok(Some(row))) => format!("row at {}", row.revision),
+        other => format!("{other:?}"),
+    }
+}
+
+fn show_action(action: &ClaimAction) -> String {
+    match action {
+        ClaimAction::Reply {
+            outcome: Outcome::Answered,
+            answer,
+        } => format!("reply answered {}", answer.as_ref().unwrap()),
+        ClaimAction::Reply { outcome, .. } => format!("reply {outcome:?}"),
+        other => format!("{other:?}"),
+    }
+}
