--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod limits;
 pub mod order;
 pub mod outcome;
+pub mod quarantine;
 pub mod query;
 pub mod retry;
 pub mod routing;
--- a/crates/sardineshore-core/tests/claim_session.rs
+++ b/crates/sardineshore-core/tests/claim_session.rs
@@ -1,5 +1,7 @@
 //! Golden sessions of claims: what each instance writes, sends and tells its caller.
 
+#![allow(clippy::needless_raw_string_hashes, reason = "expect-test writes them")]
+
 #[path = "claim_session/support.rs"]
 mod support;
 
@@ -43,7 +45,9 @@
     s.dispatch("e1");
     s.advance(20);
     answer(&mut s, "e1");
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: applied at 1
@@ -56,7 +60,8 @@
            25 e1:   -> write answered over revision 1
            25 e1: applied at 2
            25 e1:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -71,7 +76,9 @@
     answer(&mut s, "e1");
     s.advance(40);
     s.step("e1", ClaimEvent::Tick);
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: Committed(Err(Unconfirmed))
@@ -90,7 +97,8 @@
            80 e1:   -> write answered over revision 1
            80 e1: conflict: answered by e1-a
            80 e1:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -102,7 +110,9 @@
     s.step("e1", ClaimEvent::Tick);
     s.advance(3000);
     s.step("e1", ClaimEvent::Tick);
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: Committed(Err(Unavailable))
@@ -112,7 +122,8 @@
          3040 e1: Tick
          3040 e1:   -> reply NotRun { reason: StoreUnavailable }
          3040 e1:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -129,7 +140,9 @@
     s.step("e1", ClaimEvent::Tick);
     s.dispatch("e2");
     answer(&mut s, "e2");
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: Committed(Err(Unconfirmed))
@@ -158,7 +171,8 @@
          3040 e2:   -> write answered over revision 2
          3040 e2: applied at 3
          3040 e2:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -167,7 +181,9 @@
     s.admit("e1", "one");
     s.advance(7000);
     s.dispatch("e1");
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: applied at 1
@@ -177,7 +193,8 @@
          7000 e1:   -> write released over revision 1
          7000 e1: applied at 2
          7000 e1:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -192,7 +209,9 @@
     s.step("e2", ClaimEvent::Tick);
     s.peer("e2", "e1");
     s.admit("e3", "one");
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: applied at 1
@@ -220,7 +239,8 @@
           100 e3: conflict: answered by e1-a
           100 e3:   -> reply answered {"ok":1}
           100 e3:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -233,7 +253,9 @@
     s.peer("e2", "e1");
     status(&mut s, "e2", 5, RunReport::Ran("{\"ok\":1}".into()));
     s.admit("e3", "one");
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: applied at 1
@@ -258,7 +280,8 @@
             0 e3: conflict: answered by e1-a
             0 e3:   -> reply answered {"ok":1}
             0 e3:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -271,7 +294,9 @@
     status(&mut s, "e2", 5, RunReport::Sealed);
     s.dispatch("e2");
     answer(&mut s, "e2");
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: applied at 1
@@ -296,7 +321,8 @@
             0 e2:   -> write answered over revision 2
             0 e2: applied at 3
             0 e2:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -308,7 +334,9 @@
     s.admit("e2", "one");
     s.peer("e2", "e1");
     status(&mut s, "e2", 6, RunReport::Sealed);
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: applied at 1
@@ -326,7 +354,8 @@
             0 e2: Status { server: "orders-1", incarnation: 6, report: Sealed }
             0 e2:   -> reply Unknown { reason: ClaimantUnreachable }
             0 e2:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -342,7 +371,9 @@
     s.dispatch("e1");
     lose(&mut s, "e1");
     status(&mut s, "e1", 6, RunReport::Sealed);
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: applied at 1
@@ -362,7 +393,8 @@
           100 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
           100 e1: Status { server: "orders-1", incarnation: 6, report: Sealed }
           100 e1:   -> reply Unknown { reason: ConnectionLost }
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -379,7 +411,9 @@
     );
     s.advance(40);
     s.step("e2", ClaimEvent::Tick);
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: applied at 1
@@ -401,7 +435,8 @@
            40 e2: conflict: answered by e1-a
            40 e2:   -> reply answered {"ok":1}
            40 e2:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -409,7 +444,9 @@
     let mut s = Session::default();
     s.admit("e1", "one");
     s.admit("e2", "two");
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: applied at 1
@@ -419,7 +456,8 @@
             0 e2: conflict: claimed by e1-a
             0 e2:   -> reply NotRun { reason: KeyReused }
             0 e2:   -> Done
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -430,7 +468,9 @@
     s.advance(1);
     s.admit_key("e1", "one", "01a31335-f400-7000-8000-000000000001");
     s.admit_key("e1", "one", "01a31865-77c2-7000-8000-000000000001");
-    check(&s, &expect![[r#"
+    check(
+        &s,
+        &expect![[r#"
             0 e1: admitted
             0 e1:   -> write claimed over revision 0
             0 e1: applied at 1
@@ -445,5 +485,6 @@
             1 e1: admitted
             1 e1:   -> reply NotRun { reason: KeyExpired }
             1 e1:   -> Done
-    "#]]);
+    "#]],
+    );
 }
