fix(core): golden claim sessions compare as written

The times were padded with blanks, which expect-test strips as indentation, so the sessions of the first claim commit passed only while they were being written. They are padded with zeros now.

cargo test -p sardineshore-core, a run without UPDATE_EXPECT: all pass.

--- a/crates/sardineshore-core/tests/claim_session.rs
+++ b/crates/sardineshore-core/tests/claim_session.rs
@@ -48,19 +48,19 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 1
-            0 e1:   -> Held
-            5 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-            5 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
-           25 e1: Dispatched(Answered)
-           25 e1: Ended(Answered("{\"ok\":1}"))
-           25 e1:   -> reply answered {"ok":1}
-           25 e1:   -> write answered over revision 1
-           25 e1: applied at 2
-           25 e1:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 1
+            00000 e1:   -> Held
+            00005 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00005 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            00025 e1: Dispatched(Answered)
+            00025 e1: Ended(Answered("{\"ok\":1}"))
+            00025 e1:   -> reply answered {"ok":1}
+            00025 e1:   -> write answered over revision 1
+            00025 e1: applied at 2
+            00025 e1:   -> Done
+        "#]],
     );
 }
 
@@ -79,25 +79,25 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: Committed(Err(Unconfirmed))
-           40 e1: Tick
-           40 e1:   -> write claimed over revision 0
-           40 e1: conflict: claimed by e1-a
-           40 e1:   -> Held
-           40 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-           40 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
-           40 e1: Dispatched(Answered)
-           40 e1: Ended(Answered("{\"ok\":1}"))
-           40 e1:   -> reply answered {"ok":1}
-           40 e1:   -> write answered over revision 1
-           40 e1: Committed(Err(Unconfirmed))
-           80 e1: Tick
-           80 e1:   -> write answered over revision 1
-           80 e1: conflict: answered by e1-a
-           80 e1:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: Committed(Err(Unconfirmed))
+            00040 e1: Tick
+            00040 e1:   -> write claimed over revision 0
+            00040 e1: conflict: claimed by e1-a
+            00040 e1:   -> Held
+            00040 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00040 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            00040 e1: Dispatched(Answered)
+            00040 e1: Ended(Answered("{\"ok\":1}"))
+            00040 e1:   -> reply answered {"ok":1}
+            00040 e1:   -> write answered over revision 1
+            00040 e1: Committed(Err(Unconfirmed))
+            00080 e1: Tick
+            00080 e1:   -> write answered over revision 1
+            00080 e1: conflict: answered by e1-a
+            00080 e1:   -> Done
+        "#]],
     );
 }
 
@@ -113,16 +113,16 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: Committed(Err(Unavailable))
-           40 e1: Tick
-           40 e1:   -> write claimed over revision 0
-           40 e1: Committed(Err(Unavailable))
-         3040 e1: Tick
-         3040 e1:   -> reply NotRun { reason: StoreUnavailable }
-         3040 e1:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: Committed(Err(Unavailable))
+            00040 e1: Tick
+            00040 e1:   -> write claimed over revision 0
+            00040 e1: Committed(Err(Unavailable))
+            03040 e1: Tick
+            03040 e1:   -> reply NotRun { reason: StoreUnavailable }
+            03040 e1:   -> Done
+        "#]],
     );
 }
 
@@ -143,35 +143,35 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: Committed(Err(Unconfirmed))
-         3000 e1: Tick
-         3000 e1:   -> reply NotRun { reason: StoreUnavailable }
-         3000 e1:   -> write released over revision 0
-         3000 e1: Committed(Err(Unavailable))
-         3000 table: late write, applied at 1
-         3000 e2: admitted
-         3000 e2:   -> write claimed over revision 0
-         3000 e2: conflict: claimed by e1-a
-         3000 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
-         3000 e2: Peer(NeverRuns)
-         3000 e2:   -> write claimed over revision 1
-         3000 e2: applied at 2
-         3000 e2:   -> Held
-         3040 e1: Tick
-         3040 e1:   -> write released over revision 0
-         3040 e1: conflict: claimed by e2-a
-         3040 e1:   -> Done
-         3040 e2: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-         3040 e2:   -> Dispatch { server: "orders-1", run_id: "e2-a.2" }
-         3040 e2: Dispatched(Answered)
-         3040 e2: Ended(Answered("{\"ok\":1}"))
-         3040 e2:   -> reply answered {"ok":1}
-         3040 e2:   -> write answered over revision 2
-         3040 e2: applied at 3
-         3040 e2:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: Committed(Err(Unconfirmed))
+            03000 e1: Tick
+            03000 e1:   -> reply NotRun { reason: StoreUnavailable }
+            03000 e1:   -> write released over revision 0
+            03000 e1: Committed(Err(Unavailable))
+            03000 table: late write, applied at 1
+            03000 e2: admitted
+            03000 e2:   -> write claimed over revision 0
+            03000 e2: conflict: claimed by e1-a
+            03000 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+            03000 e2: Peer(NeverRuns)
+            03000 e2:   -> write claimed over revision 1
+            03000 e2: applied at 2
+            03000 e2:   -> Held
+            03040 e1: Tick
+            03040 e1:   -> write released over revision 0
+            03040 e1: conflict: claimed by e2-a
+            03040 e1:   -> Done
+            03040 e2: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            03040 e2:   -> Dispatch { server: "orders-1", run_id: "e2-a.2" }
+            03040 e2: Dispatched(Answered)
+            03040 e2: Ended(Answered("{\"ok\":1}"))
+            03040 e2:   -> reply answered {"ok":1}
+            03040 e2:   -> write answered over revision 2
+            03040 e2: applied at 3
+            03040 e2:   -> Done
+        "#]],
     );
 }
 
@@ -184,16 +184,16 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 1
-            0 e1:   -> Held
-         7000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-         7000 e1:   -> reply NotRun { reason: DeadlineUnreachable }
-         7000 e1:   -> write released over revision 1
-         7000 e1: applied at 2
-         7000 e1:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 1
+            00000 e1:   -> Held
+            07000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            07000 e1:   -> reply NotRun { reason: DeadlineUnreachable }
+            07000 e1:   -> write released over revision 1
+            07000 e1: applied at 2
+            07000 e1:   -> Done
+        "#]],
     );
 }
 
@@ -212,34 +212,34 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 1
-            0 e1:   -> Held
-            0 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-            0 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
-            0 e2: admitted
-            0 e2:   -> write claimed over revision 0
-            0 e2: conflict: claimed by e1-a
-            0 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
-            0 e2: Peer(InFlight)
-          100 e1: Dispatched(Answered)
-          100 e1: Ended(Answered("{\"ok\":1}"))
-          100 e1:   -> reply answered {"ok":1}
-          100 e1:   -> write answered over revision 1
-          100 e1: applied at 2
-          100 e1:   -> Done
-          100 e2: Tick
-          100 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
-          100 e2: Peer(Answered { answer: "{\"ok\":1}" })
-          100 e2:   -> reply answered {"ok":1}
-          100 e2:   -> Done
-          100 e3: admitted
-          100 e3:   -> write claimed over revision 0
-          100 e3: conflict: answered by e1-a
-          100 e3:   -> reply answered {"ok":1}
-          100 e3:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 1
+            00000 e1:   -> Held
+            00000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            00000 e2: admitted
+            00000 e2:   -> write claimed over revision 0
+            00000 e2: conflict: claimed by e1-a
+            00000 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+            00000 e2: Peer(InFlight)
+            00100 e1: Dispatched(Answered)
+            00100 e1: Ended(Answered("{\"ok\":1}"))
+            00100 e1:   -> reply answered {"ok":1}
+            00100 e1:   -> write answered over revision 1
+            00100 e1: applied at 2
+            00100 e1:   -> Done
+            00100 e2: Tick
+            00100 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+            00100 e2: Peer(Answered { answer: "{\"ok\":1}" })
+            00100 e2:   -> reply answered {"ok":1}
+            00100 e2:   -> Done
+            00100 e3: admitted
+            00100 e3:   -> write claimed over revision 0
+            00100 e3: conflict: answered by e1-a
+            00100 e3:   -> reply answered {"ok":1}
+            00100 e3:   -> Done
+        "#]],
     );
 }
 
@@ -256,31 +256,31 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 1
-            0 e1:   -> Held
-            0 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-            0 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
-            0 e2: admitted
-            0 e2:   -> write claimed over revision 0
-            0 e2: conflict: claimed by e1-a
-            0 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
-            0 e2: Peer(Unreachable)
-            0 e2:   -> read row
-            0 e2: row at 1
-            0 e2:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
-            0 e2: Status { server: "orders-1", incarnation: 5, report: Ran("{\"ok\":1}") }
-            0 e2:   -> reply answered {"ok":1}
-            0 e2:   -> write answered over revision 1
-            0 e2: applied at 2
-            0 e2:   -> Done
-            0 e3: admitted
-            0 e3:   -> write claimed over revision 0
-            0 e3: conflict: answered by e1-a
-            0 e3:   -> reply answered {"ok":1}
-            0 e3:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 1
+            00000 e1:   -> Held
+            00000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            00000 e2: admitted
+            00000 e2:   -> write claimed over revision 0
+            00000 e2: conflict: claimed by e1-a
+            00000 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+            00000 e2: Peer(Unreachable)
+            00000 e2:   -> read row
+            00000 e2: row at 1
+            00000 e2:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+            00000 e2: Status { server: "orders-1", incarnation: 5, report: Ran("{\"ok\":1}") }
+            00000 e2:   -> reply answered {"ok":1}
+            00000 e2:   -> write answered over revision 1
+            00000 e2: applied at 2
+            00000 e2:   -> Done
+            00000 e3: admitted
+            00000 e3:   -> write claimed over revision 0
+            00000 e3: conflict: answered by e1-a
+            00000 e3:   -> reply answered {"ok":1}
+            00000 e3:   -> Done
+        "#]],
     );
 }
 
@@ -297,31 +297,31 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 1
-            0 e1:   -> Held
-            0 e2: admitted
-            0 e2:   -> write claimed over revision 0
-            0 e2: conflict: claimed by e1-a
-            0 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
-            0 e2: Peer(Unreachable)
-            0 e2:   -> read row
-            0 e2: row at 1
-            0 e2:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
-            0 e2: Status { server: "orders-1", incarnation: 5, report: Sealed }
-            0 e2:   -> write claimed over revision 1
-            0 e2: applied at 2
-            0 e2:   -> Held
-            0 e2: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-            0 e2:   -> Dispatch { server: "orders-1", run_id: "e2-a.2" }
-            0 e2: Dispatched(Answered)
-            0 e2: Ended(Answered("{\"ok\":1}"))
-            0 e2:   -> reply answered {"ok":1}
-            0 e2:   -> write answered over revision 2
-            0 e2: applied at 3
-            0 e2:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 1
+            00000 e1:   -> Held
+            00000 e2: admitted
+            00000 e2:   -> write claimed over revision 0
+            00000 e2: conflict: claimed by e1-a
+            00000 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+            00000 e2: Peer(Unreachable)
+            00000 e2:   -> read row
+            00000 e2: row at 1
+            00000 e2:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+            00000 e2: Status { server: "orders-1", incarnation: 5, report: Sealed }
+            00000 e2:   -> write claimed over revision 1
+            00000 e2: applied at 2
+            00000 e2:   -> Held
+            00000 e2: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e2:   -> Dispatch { server: "orders-1", run_id: "e2-a.2" }
+            00000 e2: Dispatched(Answered)
+            00000 e2: Ended(Answered("{\"ok\":1}"))
+            00000 e2:   -> reply answered {"ok":1}
+            00000 e2:   -> write answered over revision 2
+            00000 e2: applied at 3
+            00000 e2:   -> Done
+        "#]],
     );
 }
 
@@ -337,24 +337,24 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 1
-            0 e1:   -> Held
-            0 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-            0 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
-            0 e2: admitted
-            0 e2:   -> write claimed over revision 0
-            0 e2: conflict: claimed by e1-a
-            0 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
-            0 e2: Peer(Unreachable)
-            0 e2:   -> read row
-            0 e2: row at 1
-            0 e2:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
-            0 e2: Status { server: "orders-1", incarnation: 6, report: Sealed }
-            0 e2:   -> reply Unknown { reason: ClaimantUnreachable }
-            0 e2:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 1
+            00000 e1:   -> Held
+            00000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            00000 e2: admitted
+            00000 e2:   -> write claimed over revision 0
+            00000 e2: conflict: claimed by e1-a
+            00000 e2:   -> AskPeer { instance: "e1", attempt: "e1-a" }
+            00000 e2: Peer(Unreachable)
+            00000 e2:   -> read row
+            00000 e2: row at 1
+            00000 e2:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+            00000 e2: Status { server: "orders-1", incarnation: 6, report: Sealed }
+            00000 e2:   -> reply Unknown { reason: ClaimantUnreachable }
+            00000 e2:   -> Done
+        "#]],
     );
 }
 
@@ -374,26 +374,26 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 1
-            0 e1:   -> Held
-            0 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-            0 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
-            0 e1: Dispatched(Lost(ConnectionLost))
-            0 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
-            0 e1: Status { server: "orders-1", incarnation: 5, report: Running }
-          100 e1: Tick
-          100 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
-          100 e1: Status { server: "orders-1", incarnation: 5, report: Sealed }
-          100 e1:   -> Resolved(None)
-          100 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-          100 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
-          100 e1: Dispatched(Lost(ConnectionLost))
-          100 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
-          100 e1: Status { server: "orders-1", incarnation: 6, report: Sealed }
-          100 e1:   -> reply Unknown { reason: ConnectionLost }
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 1
+            00000 e1:   -> Held
+            00000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            00000 e1: Dispatched(Lost(ConnectionLost))
+            00000 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+            00000 e1: Status { server: "orders-1", incarnation: 5, report: Running }
+            00100 e1: Tick
+            00100 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+            00100 e1: Status { server: "orders-1", incarnation: 5, report: Sealed }
+            00100 e1:   -> Resolved(None)
+            00100 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00100 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            00100 e1: Dispatched(Lost(ConnectionLost))
+            00100 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
+            00100 e1: Status { server: "orders-1", incarnation: 6, report: Sealed }
+            00100 e1:   -> reply Unknown { reason: ConnectionLost }
+        "#]],
     );
 }
 
@@ -414,28 +414,28 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 1
-            0 e1:   -> Held
-            0 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
-            0 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
-            0 e1: Dispatched(Answered)
-            0 e1: Ended(Answered("{\"ok\":1}"))
-            0 e1:   -> reply answered {"ok":1}
-            0 e1:   -> write answered over revision 1
-            0 e1: applied at 2
-            0 e1:   -> Done
-            0 e2: admitted
-            0 e2:   -> write claimed over revision 0
-            0 e2: Committed(Err(Unavailable))
-            0 e2: Ended(GaveUp(NoServer))
-           40 e2: Tick
-           40 e2:   -> write claimed over revision 0
-           40 e2: conflict: answered by e1-a
-           40 e2:   -> reply answered {"ok":1}
-           40 e2:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 1
+            00000 e1:   -> Held
+            00000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
+            00000 e1: Dispatched(Answered)
+            00000 e1: Ended(Answered("{\"ok\":1}"))
+            00000 e1:   -> reply answered {"ok":1}
+            00000 e1:   -> write answered over revision 1
+            00000 e1: applied at 2
+            00000 e1:   -> Done
+            00000 e2: admitted
+            00000 e2:   -> write claimed over revision 0
+            00000 e2: Committed(Err(Unavailable))
+            00000 e2: Ended(GaveUp(NoServer))
+            00040 e2: Tick
+            00040 e2:   -> write claimed over revision 0
+            00040 e2: conflict: answered by e1-a
+            00040 e2:   -> reply answered {"ok":1}
+            00040 e2:   -> Done
+        "#]],
     );
 }
 
@@ -447,16 +447,16 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 1
-            0 e1:   -> Held
-            0 e2: admitted
-            0 e2:   -> write claimed over revision 0
-            0 e2: conflict: claimed by e1-a
-            0 e2:   -> reply NotRun { reason: KeyReused }
-            0 e2:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 1
+            00000 e1:   -> Held
+            00000 e2: admitted
+            00000 e2:   -> write claimed over revision 0
+            00000 e2: conflict: claimed by e1-a
+            00000 e2:   -> reply NotRun { reason: KeyReused }
+            00000 e2:   -> Done
+        "#]],
     );
 }
 
@@ -471,20 +471,20 @@
     check(
         &s,
         &expect![[r#"
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 1
-            0 e1:   -> Held
-            0 e1: admitted
-            0 e1:   -> write claimed over revision 0
-            0 e1: applied at 2
-            0 e1:   -> Held
-            1 e1: admitted
-            1 e1:   -> reply NotRun { reason: KeyExpired }
-            1 e1:   -> Done
-            1 e1: admitted
-            1 e1:   -> reply NotRun { reason: KeyExpired }
-            1 e1:   -> Done
-    "#]],
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 1
+            00000 e1:   -> Held
+            00000 e1: admitted
+            00000 e1:   -> write claimed over revision 0
+            00000 e1: applied at 2
+            00000 e1:   -> Held
+            00001 e1: admitted
+            00001 e1:   -> reply NotRun { reason: KeyExpired }
+            00001 e1:   -> Done
+            00001 e1: admitted
+            00001 e1:   -> reply NotRun { reason: KeyExpired }
+            00001 e1:   -> Done
+        "#]],
     );
 }
--- a/crates/sardineshore-core/tests/claim_session/support.rs
+++ b/crates/sardineshore-core/tests/claim_session/support.rs
@@ -158,7 +158,7 @@
     fn say(&mut self, line: &str) {
         let since = self.clock.wall().duration_since(std::time::UNIX_EPOCH);
         let millis = since.unwrap().as_millis() - 1_800_000_000_000;
-        writeln!(self.log, "{millis:>5} {line}").unwrap();
+        writeln!(self.log, "{millis:05} {line}").unwrap();
     }
 }
 
