feat(core): choose backend servers by predicted completion

The choice compares the prefix's two rendezvous homes and four random members of the instance's subset by predicted completion: own attempts in flight, other instances' attempts by load reports weighted by their age, smoothed service, network, and cost as the objective weighs it. Attempts in flight on one server are bounded by an adaptive limit, failing servers are ejected and return gradually, and ejection leaves half of a pool.

Decisions that the router takes by itself are handed out as notices with their numbered events. Not measured yet.

--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -43,7 +43,8 @@
     RequestId, Revision, ServerId, Version,
 };
 pub use limits::{
-    Admission, AdmissionConfig, Completion, Offer, Offered, Release, Released, Ticket, Verdict,
+    Admission, AdmissionConfig, Completion, ConcurrencyLimit, Offer, Offered, Release, Released,
+    Ticket, Verdict,
 };
 pub use order::{EngineAction, EngineOrder, Fence};
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
@@ -53,6 +54,7 @@
 };
 pub use retry::{GiveUp, Retries, RetryBudget, RetryConfig, RetryDecision};
 pub use routing::{
-    Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice, Policy, Router, RoutingConfig,
+    Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice, Policy, Polled, Router,
+    RoutingConfig, RoutingDecision, RoutingNotice,
 };
 pub use store::{Check, Commit, Put, Row, StoreError, Txn};
--- a/crates/sardineshore-core/src/limits.rs
+++ b/crates/sardineshore-core/src/limits.rs
@@ -23,7 +23,9 @@
 //! ```
 
 mod admission;
+mod concurrency;
 
 pub use admission::{
     Admission, AdmissionConfig, Completion, Offer, Offered, Release, Released, Ticket, Verdict,
 };
+pub use concurrency::{ConcurrencyLimit, QueueSample};
--- a/crates/sardineshore-core/src/routing.rs
+++ b/crates/sardineshore-core/src/routing.rs
@@ -39,52 +39,51 @@
 //! ```
 
 mod ask;
+mod baseline;
+mod choose;
 mod config;
+mod estimate;
+mod health;
+mod notice;
+mod pool;
+mod score;
+mod server;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
+use rand::rngs::SmallRng;
+use rand::{RngCore, SeedableRng};
 use slotmap::{SlotMap, new_key_type};
 
 pub use ask::{Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice};
 pub use config::{Policy, RoutingConfig};
+pub use notice::{RoutingDecision, RoutingNotice};
 
-use crate::{BackendServer, Deployment, PoolId, ServerId, ServerRow, ServerState};
+use crate::{BackendServer, Deployment, PoolId, ServerId, ServerRow};
+use choose::Chooser;
+use health::Health;
+use pool::Pool;
+use score::{Scales, duration};
+use server::Server;
 
 new_key_type! {
     /// Key of a backend server in the router.
     struct ServerKey;
 }
 
-#[derive(Debug)]
-struct Server {
-    declared: BackendServer,
-    addr: Arc<str>,
-    leaving: bool,
-    in_flight: u32,
-    report: Option<Report>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Report {
-    figures: LoadFigures,
-    at: Instant,
-}
-
 /// Chooses backend servers for one entry instance.
 #[derive(Debug)]
 pub struct Router {
     cfg: RoutingConfig,
     servers: SlotMap<ServerKey, Server>,
     names: BTreeMap<ServerId, ServerKey>,
-    pools: BTreeMap<PoolId, Vec<ServerKey>>,
-}
-
-impl Server {
-    fn may_send(&self) -> bool {
-        self.declared.state == ServerState::Active && !self.leaving
-    }
+    pools: BTreeMap<PoolId, Pool>,
+    rng: SmallRng,
+    notices: Vec<RoutingNotice>,
+    /// Time of the last event; unknown before the first.
+    seen: Option<Instant>,
 }
 
 impl Router {
@@ -92,68 +91,112 @@
     #[must_use]
     pub fn new(cfg: RoutingConfig) -> Self {
         Self {
+            rng: SmallRng::seed_from_u64(cfg.seed),
             cfg,
             servers: SlotMap::with_key(),
             names: BTreeMap::new(),
             pools: BTreeMap::new(),
+            notices: Vec::new(),
+            seen: None,
         }
     }
 
     /// Takes over a new configuration or a new set of leaving backend servers.
     ///
-    /// What was observed of a backend server is kept as long as it stays declared.
+    /// What was observed of a backend server is kept as long as it stays declared. A server that
+    /// joins a pool with others takes up its share gradually.
     pub fn adopt(&mut self, deployment: &Deployment, leaving: &BTreeSet<ServerId>) {
         self.cfg.objective = deployment.objective;
         self.forget_undeclared(deployment);
-        self.pools.clear();
+        let mut members: BTreeMap<PoolId, Vec<ServerKey>> = BTreeMap::new();
         for (name, declared) in &deployment.servers {
             let key = self.declare(declared, leaving.contains(name));
-            self.pools
-                .entry(declared.pool.clone())
-                .or_default()
-                .push(key);
+            let pool = members.entry(declared.pool.clone()).or_default();
+            if self.servers[key].may_send() {
+                pool.push(key);
+            }
+        }
+        self.pools.retain(|name, _| members.contains_key(name));
+        for (name, members) in members {
+            let pool = self.pools.entry(name).or_default();
+            pool.adopt(members, &self.servers, self.cfg.seed, self.cfg.subset_max);
         }
     }
 
     /// Chooses a backend server for one attempt.
+    ///
+    /// A server in [`Ask::tried`] or an ejected one is chosen only if no other may receive work.
     pub fn choose(&mut self, ask: &Ask<'_>, now: Instant) -> Result<Choice, NoChoice> {
+        self.seen = Some(now);
         if ask.deadline <= now {
             return Err(NoChoice::TooLate);
         }
-        let pool = self.pools.get(ask.pool).ok_or(NoChoice::NoServer)?;
-        pool.iter()
-            .map(|key| &self.servers[*key])
-            .filter(|server| server.may_send())
-            .min_by_key(|server| (ask.tried.contains(&server.declared.name), server.in_flight))
-            .map(|server| Choice {
-                server: server.declared.name.clone(),
-                addr: server.addr.clone(),
-                predicted: Duration::ZERO,
-            })
-            .ok_or(NoChoice::NoServer)
+        let pool = self.pools.get_mut(ask.pool).ok_or(NoChoice::NoServer)?;
+        if pool.members.is_empty() {
+            return Err(NoChoice::NoServer);
+        }
+        if self.cfg.policy != Policy::Predicted {
+            let draw = self.rng.next_u64();
+            let key = baseline::choose(self.cfg.policy, pool, &self.servers, draw);
+            return Ok(self.choice(key));
+        }
+        let scales = Scales {
+            cfg: &self.cfg,
+            pool,
+            remaining: ask.deadline.duration_since(now).as_secs_f64(),
+            now,
+        };
+        let chooser = Chooser {
+            servers: &self.servers,
+            pool,
+            ask,
+            scales,
+            now,
+        };
+        chooser.choose(|| self.rng.next_u64())
     }
 
     /// Notes that an attempt was sent.
-    pub fn started(&mut self, server: &ServerId, _now: Instant) {
-        if let Some(server) = self.find_mut(server) {
-            server.in_flight += 1;
+    pub fn started(&mut self, server: &ServerId, now: Instant) {
+        let Some(server) = find(&mut self.servers, &self.names, server) else {
+            return;
+        };
+        server.started(now);
+        if server.health.take_return(now) {
+            self.notices.push(server.notice(RoutingDecision::Returned));
         }
     }
 
     /// Notes that an attempt ended; call it once for each [`started`](Self::started).
-    pub fn finished(&mut self, server: &ServerId, _feedback: &Feedback, _now: Instant) {
-        if let Some(server) = self.find_mut(server) {
-            server.in_flight = server.in_flight.saturating_sub(1);
+    pub fn finished(&mut self, server: &ServerId, feedback: &Feedback, now: Instant) {
+        let Some(server) = find(&mut self.servers, &self.names, server) else {
+            return;
+        };
+        let pool = self.pools.get_mut(&server.declared.pool);
+        let usual = pool.as_ref().and_then(|pool| pool.service());
+        let should_eject = server.finished(feedback, usual, now);
+        if let Some(pool) = pool
+            && feedback.result == AttemptResult::Answered
+        {
+            pool.answered(feedback, now);
+        }
+        if should_eject {
+            let name = server.declared.name.clone();
+            self.eject(&name, now);
         }
     }
 
-    /// Takes in a load report.
+    /// Takes in a load report; one older than the last is ignored.
     pub fn reported(&mut self, server: &ServerId, report: &LoadFigures, now: Instant) {
-        if let Some(server) = self.find_mut(server) {
-            server.report = Some(Report {
-                figures: *report,
-                at: now.checked_sub(report.age).unwrap_or(now),
-            });
+        let Some(server) = find(&mut self.servers, &self.names, server) else {
+            return;
+        };
+        let restarted = server.reported(report, now);
+        if let Some(pool) = self.pools.get_mut(&server.declared.pool) {
+            pool.reported(server.others(pool.others(), now));
+        }
+        if restarted {
+            self.notices.push(server.notice(RoutingDecision::Restarted));
         }
     }
 
@@ -178,9 +221,53 @@
             .collect()
     }
 
-    fn find_mut(&mut self, server: &ServerId) -> Option<&mut Server> {
-        let key = self.names.get(server)?;
-        self.servers.get_mut(*key)
+    /// Names and addresses of the backend servers whose load this instance should poll.
+    #[must_use]
+    pub fn polled(&self) -> Vec<Polled> {
+        self.pools
+            .values()
+            .flat_map(|pool| &pool.members[..pool.subset])
+            .map(|key| &self.servers[*key])
+            .map(|server| Polled {
+                server: server.declared.name.clone(),
+                addr: server.addr.clone(),
+            })
+            .collect()
+    }
+
+    /// Decisions about backend servers since the last call, oldest first.
+    pub fn take_notices(&mut self) -> Vec<RoutingNotice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    fn choice(&self, key: ServerKey) -> Choice {
+        let server = &self.servers[key];
+        Choice {
+            server: server.declared.name.clone(),
+            addr: server.addr.clone(),
+            predicted: duration(0.0),
+        }
+    }
+
+    /// Ejects a server unless too few sound ones of its pool would remain.
+    fn eject(&mut self, name: &ServerId, now: Instant) {
+        let key = self.names[name];
+        let pool = &self.pools.get(&self.servers[key].declared.pool);
+        let members = pool.map_or(&[][..], |pool| &pool.members);
+        let sound = members
+            .iter()
+            .filter(|member| !self.servers[**member].health.ejected(now))
+            .count();
+        let least = (members.len() as f64 * self.cfg.sound_min).max(1.0);
+        let server = &mut self.servers[key];
+        let decision = if sound as f64 - 1.0 >= least {
+            RoutingDecision::Ejected {
+                length: server.health.eject(now),
+            }
+        } else {
+            RoutingDecision::Withheld
+        };
+        self.notices.push(server.notice(decision));
     }
 
     fn forget_undeclared(&mut self, deployment: &Deployment) {
@@ -196,40 +283,38 @@
 
     fn declare(&mut self, declared: &BackendServer, leaving: bool) -> ServerKey {
         if let Some(key) = self.names.get(&declared.name) {
-            let server = &mut self.servers[*key];
-            server.addr = declared.addr.as_str().into();
-            server.declared = declared.clone();
-            server.leaving = leaving;
+            self.servers[*key].declare(declared, leaving);
             return *key;
         }
-        let key = self.servers.insert(Server {
-            declared: declared.clone(),
-            addr: declared.addr.as_str().into(),
-            leaving,
-            in_flight: 0,
-            report: None,
-        });
+        let joins = self
+            .pools
+            .get(&declared.pool)
+            .is_some_and(|pool| !pool.members.is_empty());
+        let health = match self.seen {
+            Some(now) if joins => Health::starting(now),
+            _ => Health::default(),
+        };
+        let server = Server::new(declared, leaving, health);
+        let key = self.servers.insert(server);
         self.names.insert(declared.name.clone(), key);
         key
     }
 }
 
-impl Server {
-    fn row(&self, now: Instant) -> ServerRow {
-        let figures = self.report.map(|report| report.figures).unwrap_or_default();
-        ServerRow {
-            server: self.declared.clone(),
-            in_flight: self.in_flight,
-            running: figures.running,
-            queued: figures.queued,
-            report_age_ms: self.report.map(|report| age_ms(report.at, now)),
-            ejected: false,
-            leaving: self.leaving,
-        }
-    }
+/// A backend server whose load is polled.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Polled {
+    /// Name.
+    pub server: ServerId,
+    /// `IP:PORT` of its HTTP listener.
+    pub addr: Arc<str>,
 }
 
-fn age_ms(at: Instant, now: Instant) -> u64 {
-    let age = now.saturating_duration_since(at);
-    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+fn find<'a>(
+    servers: &'a mut SlotMap<ServerKey, Server>,
+    names: &BTreeMap<ServerId, ServerKey>,
+    name: &ServerId,
+) -> Option<&'a mut Server> {
+    let key = names.get(name)?;
+    servers.get_mut(*key)
 }
--- a/crates/sardineshore-core/src/routing/config.rs
+++ b/crates/sardineshore-core/src/routing/config.rs
@@ -15,6 +15,12 @@
     pub policy: Policy,
     /// Seed of random choices and of this instance's subset; different on each instance.
     pub seed: u64,
+    /// Random members of the pool that are compared for each choice.
+    pub choices: usize,
+    /// Most backend servers of one pool that this instance spreads its work over by itself.
+    pub subset_max: usize,
+    /// Least share of a pool that ejections leave.
+    pub sound_min: f64,
 }
 
 impl Default for RoutingConfig {
@@ -24,6 +30,9 @@
             objective: Objective::default(),
             policy: Policy::default(),
             seed: 0,
+            choices: 4,
+            subset_max: 48,
+            sound_min: 0.5,
         }
     }
 }
