feat(core): retry budgets, hedges and the split of a deadline

Retries and hedges of a pool spend tokens that first attempts earn, 8 in 100 where attainment goes first and 4 in 100 where cost does; a stage that is non-idempotent is repeated only after a refusal. Hedges wait for 1.5 times the observed 95th percentile, or under the cost objective for the last moment at which a second attempt fits. A stage may use all but the medians of the stages after it.

Not measured yet.

--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -52,7 +52,10 @@
     Answer, CostBy, CostRow, CustomerRow, EventRow, InstanceRow, QuarantineRow, Query, ServerRow,
     VersionRow,
 };
-pub use retry::{GiveUp, Retries, RetryBudget, RetryConfig, RetryDecision};
+pub use retry::{
+    EndedAttempt, GiveUp, HedgePolicy, Retries, RetryBudget, RetryConfig, RetryDecision,
+    StageBudget, StageLatencies, StageQuantiles,
+};
 pub use routing::{
     Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice, Policy, Polled, Router,
     RoutingConfig, RoutingDecision, RoutingNotice,
--- a/crates/sardineshore-core/src/retry.rs
+++ b/crates/sardineshore-core/src/retry.rs
@@ -2,15 +2,31 @@
 //!
 //! ```
 //! use std::time::Duration;
-//! use sardineshore_core::{AttemptResult, Retries, RetryDecision, RetryConfig};
+//! use sardineshore_core::{
+//!     AttemptResult, EndedAttempt, Objective, Retries, RetryConfig, RetryDecision,
+//! };
 //!
-//! let mut retries = Retries::new(RetryConfig::default());
-//! let pool = "encoders".into();
+//! let mut retries = Retries::new(RetryConfig::default(), Objective::Attainment);
+//! let pool = "orders".into();
 //! retries.sent(&pool);
-//! let decision = retries.after(&pool, AttemptResult::Refused, 1, Duration::from_secs(5), false);
-//! assert!(matches!(decision, RetryDecision::Retry { .. }));
+//! let refused = EndedAttempt {
+//!     result: AttemptResult::Refused,
+//!     tried: 1,
+//!     remaining: Duration::from_secs(5),
+//!     idempotent: false,
+//! };
+//! let decision = retries.after(&pool, refused);
+//! assert_eq!(decision, RetryDecision::Retry { after: Duration::ZERO });
 //! ```
 
 mod budget;
+mod hedge;
+mod latency;
+mod policy;
+mod stage_budget;
 
-pub use budget::{GiveUp, Retries, RetryBudget, RetryConfig, RetryDecision};
+pub use budget::RetryBudget;
+pub use hedge::HedgePolicy;
+pub use latency::{StageLatencies, StageQuantiles};
+pub use policy::{EndedAttempt, GiveUp, Retries, RetryConfig, RetryDecision};
+pub use stage_budget::StageBudget;
--- /dev/null
+++ b/crates/sardineshore-core/src/retry/hedge.rs
@@ -0,0 +1,47 @@
+//! When a slow attempt gets a second one beside it.
+
+use std::time::Duration;
+
+use super::StageQuantiles;
+use crate::Objective;
+
+/// Settings of hedges.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HedgePolicy {
+    /// Multiple of the stage's 95th percentile after which an attempt counts as slow.
+    pub slow: f64,
+    /// Multiple of the stage's 95th percentile that is left for the second attempt.
+    pub reserve: f64,
+}
+
+impl Default for HedgePolicy {
+    fn default() -> Self {
+        Self {
+            slow: 1.5,
+            reserve: 2.0,
+        }
+    }
+}
+
+impl HedgePolicy {
+    /// Delay after which a second attempt of an idempotent stage is sent.
+    ///
+    /// Where attainment goes first, as soon as the attempt is slow; where cost goes first, at the
+    /// last moment at which a second attempt still fits into `remaining`. `None` means no hedge:
+    /// nothing was observed of the stage, or too little time remains.
+    #[must_use]
+    pub fn delay(
+        &self,
+        observed: Option<StageQuantiles>,
+        objective: Objective,
+        remaining: Duration,
+    ) -> Option<Duration> {
+        let p95 = observed?.p95;
+        let latest = remaining.checked_sub(p95.mul_f64(self.reserve))?;
+        let slow = p95.mul_f64(self.slow);
+        match objective {
+            Objective::Attainment => Some(slow.min(latest)),
+            Objective::Cost => (latest >= slow).then_some(latest),
+        }
+    }
+}
--- a/crates/sardineshore-core/src/routing.rs
+++ b/crates/sardineshore-core/src/routing.rs
@@ -175,10 +175,11 @@
         let pool = self.pools.get_mut(&server.declared.pool);
         let usual = pool.as_ref().and_then(|pool| pool.service());
         let should_eject = server.finished(feedback, usual, now);
-        if let Some(pool) = pool
-            && feedback.result == AttemptResult::Answered
-        {
-            pool.answered(feedback, now);
+        match pool {
+            Some(pool) if feedback.result == AttemptResult::Answered => {
+                pool.answered(feedback, now);
+            }
+            _ => {}
         }
         if should_eject {
             let name = server.declared.name.clone();
