feat(core): fair admission with an adaptive limit for each pipeline

Requests of a pipeline run up to a limit that grows while runs take little longer than the work in them and shrinks when they don't or when deadlines are missed. The rest waits in start-time fair queueing by customer and weight; a request is refused at once if its expected wait would use up half of its spare time, and a full queue sheds the newest request of the customer with the longest line for its weight.

Not measured yet.

--- a/crates/sardineshore-core/src/limits.rs
+++ b/crates/sardineshore-core/src/limits.rs
@@ -24,8 +24,10 @@
 
 mod admission;
 mod concurrency;
+mod fair_queue;
+mod gate;
+mod offer;
 
-pub use admission::{
-    Admission, AdmissionConfig, Completion, Offer, Offered, Release, Released, Ticket, Verdict,
-};
+pub use admission::{Admission, AdmissionConfig};
 pub use concurrency::{ConcurrencyLimit, QueueSample};
+pub use offer::{Completion, Offer, Offered, Release, Released, Ticket, Verdict};
