feat(entry): retries follow the pool's budget and the deployment's objective

Cause: the retry policy took its objective and one value for an ended attempt. Ruled out: keeping the narrower interface beside the new one. Change: the stage runner passes the ended attempt; a new configuration sets the objective. Conclusion: the policy's settings reach the path.

--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use sardineshore_core::{
-    Ask, AttemptResult, Choice, NoChoice, NotRunReason, RetryDecision, ServerId, Stage, StageKind,
-    UnknownReason,
+    Ask, AttemptResult, Choice, EndedAttempt, NoChoice, NotRunReason, RetryDecision, ServerId,
+    Stage, StageKind, UnknownReason,
 };
 
 use crate::dispatch::{Attempted, Call, dispatch};
@@ -148,13 +148,13 @@
     /// Whether another attempt follows, after its pause.
     async fn again(&self, stage: &Stage, result: AttemptResult, tried: usize) -> bool {
         let remaining = self.job.remaining(self.instance.clock.now());
-        let decision = self.instance.tables.retries().after(
-            &stage.pool,
+        let ended = EndedAttempt {
             result,
             tried,
             remaining,
-            stage.idempotent,
-        );
+            idempotent: stage.idempotent,
+        };
+        let decision = self.instance.tables.retries().after(&stage.pool, ended);
         match decision {
             RetryDecision::Retry { after } => {
                 async_std::task::sleep(after).await;
--- a/crates/sardineshore-entry/src/tables.rs
+++ b/crates/sardineshore-entry/src/tables.rs
@@ -7,8 +7,8 @@
 
 use futures::channel::oneshot;
 use sardineshore_core::{
-    Admission, AdmissionConfig, Deployment, Release, Released, Retries, RetryConfig, Router,
-    ServerId, Ticket,
+    Admission, AdmissionConfig, Deployment, Objective, Release, Released, Retries, RetryConfig,
+    Router, ServerId, Ticket,
 };
 use slotmap::SecondaryMap;
 
@@ -58,7 +58,7 @@
                 admission,
                 waiters: SecondaryMap::new(),
             }),
-            retries: Mutex::new(Retries::new(retries)),
+            retries: Mutex::new(Retries::new(retries, Objective::default())),
             router: Mutex::new(router),
             totals: Mutex::default(),
         }
@@ -77,6 +77,7 @@
     pub fn adopt(&self, deployment: Arc<Deployment>, leaving: &BTreeSet<ServerId>) {
         let mut current = self.deployment.write().expect("deployment lock poisoned");
         self.router().adopt(&deployment, leaving);
+        self.retries().adopt(deployment.objective);
         *current = deployment;
     }
 
