feat(core): configuration log, contact between instances, membership

Cause: an accepted configuration must be in force everywhere within seconds and never revert, also when the store fails, without a consensus group of our own.

Ruled out: calling a command accepted once it is written. A store outage and the loss of the writer just after that left every other instance on the older version for the whole outage, each confirmed by a majority that did not know. Ruled out: taking ages from questions. A question that waits in the socket of a paused process looked fresh when it was read.

Change: Submitting takes a command through reads and one conditional transaction; Contact answers who may dispatch and accept; a command counts as accepted once a majority holds its version. A starting instance counts as a member only after it was confirmed without its own vote. The relay tells of each member in one character. Peer trait with exchange, log and roster.

Proof: cargo test -p sardineshore-core (config_log 9, contact 10, membership 4).

--- /dev/null
+++ b/crates/sardineshore-core/src/contact.rs
@@ -0,0 +1,441 @@
+//! Whether an instance may act on its configuration: what it knows of the store and its peers.
+//!
+//! [`Contact`] takes events (the store's head was read, an exchange was answered, the instance list
+//! changed) and answers three questions about the present moment:
+//!
+//! * [`Contact::may_dispatch`]: within the last [`ContactSettings::fence_after`], the instance knew
+//!   that no newer version was accepted, from the store or from a majority of the members;
+//! * [`Contact::may_accept`]: it hears a majority, so that a command can be accepted;
+//! * [`Contact::holds_majority`]: a majority is known to hold a version, so that it is accepted.
+//!
+//! A command is accepted only when a majority of the members holds its version. Two majorities have
+//! a member in common, so an instance that goes on without the store learns of the version from
+//! that member, or stops dispatching `fence_after` later.
+//!
+//! Freshness is taken only from answers, counted from when the question was sent: a message that
+//! waited in a queue, or in a paused process, never makes its contents look newer than they are.
+
+pub mod relay;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::{InstanceId, Version};
+use relay::{Relay, RelayedState};
+
+/// Versions whose spread to a majority is remembered.
+const KEPT_SPREADS: usize = 64;
+
+/// Times of [`Contact`].
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ContactSettings {
+    /// Age of the last confirmation above which nothing is dispatched.
+    pub fence_after: Duration,
+    /// Added to `fence_after` before a silent instance counts as fenced, for clocks that drift.
+    pub drift_margin: Duration,
+    /// Time for which a member that vanished from the list without a stop still counts.
+    pub vanish_grace: Duration,
+    /// Age of the instance list above which a majority of it confirms nothing.
+    pub list_trust: Duration,
+}
+
+impl Default for ContactSettings {
+    fn default() -> Self {
+        Self {
+            fence_after: Duration::from_secs(3),
+            drift_margin: Duration::from_millis(100),
+            vanish_grace: Duration::from_secs(30),
+            list_trust: Duration::from_secs(600),
+        }
+    }
+}
+
+/// What the answer to an exchange says.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Hearing {
+    /// Member that answered.
+    pub member: InstanceId,
+    /// Version in force there; nothing while it starts.
+    pub version: Option<Version>,
+    /// Age of its store confirmation when it answered.
+    pub confirmed_age: Option<Duration>,
+    /// Whether it has ended its last work and will never dispatch again.
+    pub stopped: bool,
+    /// What it knows of other members.
+    pub relay: Relay,
+}
+
+/// How many members are heard, and how many make a majority.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("{heard} of {members} members are heard, {needed} are needed")]
+pub struct Quorum {
+    /// Members heard within `fence_after`, this instance included.
+    pub heard: usize,
+    /// Members that count.
+    pub members: usize,
+    /// Members that make a majority.
+    pub needed: usize,
+}
+
+/// Where a version is known to be in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Spread {
+    /// Whether every instance either holds it or is fenced.
+    pub in_force: bool,
+    /// Members that hold it.
+    pub applied: Vec<InstanceId>,
+    /// Members not known to hold it.
+    pub pending: Vec<InstanceId>,
+}
+
+/// Knowledge that at some time no version above `version` had been written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Confirmation {
+    at: Instant,
+    version: Version,
+}
+
+/// One member as this instance knows it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Voter {
+    /// When it vanished from the list; nothing while it is listed.
+    vanished: Option<Instant>,
+    /// Latest time at which it is known to have held at most `at_most`.
+    heard: Option<Confirmation>,
+    /// Version that it held at some time.
+    holds: Option<Version>,
+    stopped: bool,
+}
+
+/// What one instance knows of the store and its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Contact {
+    me: InstanceId,
+    settings: ContactSettings,
+    version: Option<Version>,
+    /// Whether this instance has been confirmed once and counts as a member itself.
+    joined: bool,
+    confirmed: Option<Confirmation>,
+    /// A confirmation of a version that is not in force here yet.
+    ahead: Option<Confirmation>,
+    voters: BTreeMap<InstanceId, Voter>,
+    listed_at: Option<Instant>,
+    spreads: BTreeMap<Version, Instant>,
+    dispatch_until: Option<Instant>,
+}
+
+impl Contact {
+    /// An instance that knows nothing yet.
+    #[must_use]
+    pub fn new(me: InstanceId, settings: ContactSettings) -> Self {
+        Self {
+            me,
+            settings,
+            version: None,
+            joined: false,
+            confirmed: None,
+            ahead: None,
+            voters: BTreeMap::new(),
+            listed_at: None,
+            spreads: BTreeMap::new(),
+            dispatch_until: None,
+        }
+    }
+
+    /// The instance list was read, by a call that began at `began`.
+    pub fn list_read(&mut self, names: &[InstanceId], began: Instant, now: Instant) {
+        for name in names {
+            self.voters.entry(name.clone()).or_default().vanished = None;
+        }
+        for (name, voter) in &mut self.voters {
+            if !names.contains(name) {
+                voter.vanished.get_or_insert(now);
+            }
+        }
+        let grace = self.settings.vanish_grace;
+        self.voters.retain(|_, voter| match voter.vanished {
+            Some(at) => !voter.stopped && now.duration_since(at) < grace,
+            None => true,
+        });
+        self.listed_at = self.listed_at.max(Some(began));
+        self.update(now);
+    }
+
+    /// The store's head was read, by a call that began at `began`; 0: there is no head.
+    pub fn head_read(&mut self, head: Version, began: Instant, now: Instant) {
+        // A head below the version in force was read from a store that is behind.
+        if self.version.is_none_or(|version| head >= version) {
+            self.confirm(Confirmation {
+                at: began,
+                version: head,
+            });
+        }
+        self.update(now);
+    }
+
+    /// A version came into force here.
+    pub fn adopted(&mut self, version: Version, now: Instant) {
+        self.version = self.version.max(Some(version));
+        if let Some(ahead) = self.ahead.take() {
+            self.confirm(ahead);
+        }
+        self.update(now);
+    }
+
+    /// A peer answered an exchange that was sent at `sent`.
+    pub fn exchanged(&mut self, hearing: &Hearing, sent: Instant, now: Instant) {
+        if hearing.stopped {
+            self.stopped(&hearing.member);
+        } else if let Some(version) = hearing.version {
+            self.heard_directly(hearing, version, sent);
+            self.heard_relayed(&hearing.relay, version, sent);
+        }
+        self.update(now);
+    }
+
+    /// A member has ended its last work.
+    pub fn stopped(&mut self, member: &InstanceId) {
+        if let Some(voter) = self.voters.get_mut(member) {
+            voter.stopped = true;
+        }
+    }
+
+    /// Whether work may be dispatched under the version in force. Cheap: ask before each send.
+    #[must_use]
+    pub fn may_dispatch(&self, now: Instant) -> bool {
+        self.dispatch_until.is_some_and(|until| now <= until)
+    }
+
+    /// Whether a command may be written: a majority is heard.
+    pub fn may_accept(&self, now: Instant) -> Result<Quorum, Quorum> {
+        let quorum = self.quorum(now);
+        if quorum.members > 0 && quorum.heard >= quorum.needed {
+            Ok(quorum)
+        } else {
+            Err(quorum)
+        }
+    }
+
+    /// How many members are heard.
+    #[must_use]
+    pub fn quorum(&self, now: Instant) -> Quorum {
+        let members = self.counted(now).count();
+        let fence = self.settings.fence_after;
+        let fresh = |voter: &Voter| {
+            let age = voter
+                .heard
+                .map(|heard| now.saturating_duration_since(heard.at));
+            age.is_some_and(|age| age <= fence)
+        };
+        let heard = self
+            .counted(now)
+            .filter(|(name, voter)| self.counts_itself(name) || fresh(voter))
+            .count();
+        Quorum {
+            heard,
+            members,
+            needed: majority(members),
+        }
+    }
+
+    /// Whether a majority of the members is known to hold a version.
+    #[must_use]
+    pub fn holds_majority(&self, version: Version, now: Instant) -> bool {
+        let members = self.counted(now).count();
+        let holding = self
+            .counted(now)
+            .filter(|(name, voter)| self.holder(name, voter) >= Some(version))
+            .count();
+        members > 0 && holding >= majority(members)
+    }
+
+    /// Where a version is in force.
+    #[must_use]
+    pub fn spread(&self, version: Version, now: Instant) -> Spread {
+        let (applied, pending): (Vec<_>, Vec<_>) = self
+            .counted(now)
+            .map(|(name, voter)| (name.clone(), self.holder(name, voter)))
+            .partition(|(_, holds)| *holds >= Some(version));
+        let names = |members: Vec<(InstanceId, _)>| members.into_iter().map(|(name, _)| name);
+        let fence = self.settings.fence_after + self.settings.drift_margin;
+        let spread_at = self.spreads.range(version..).map(|(_, at)| *at).min();
+        let fenced = spread_at.is_some_and(|at| now.saturating_duration_since(at) > fence);
+        Spread {
+            in_force: fenced || (pending.is_empty() && !applied.is_empty()),
+            applied: names(applied).collect(),
+            pending: names(pending).collect(),
+        }
+    }
+
+    /// Age of the knowledge that the version in force is the newest, from the store.
+    #[must_use]
+    pub fn confirmation_age(&self, now: Instant) -> Option<Duration> {
+        let at = self.confirmed?.at;
+        Some(now.saturating_duration_since(at))
+    }
+
+    /// Time since a member was last heard, directly or through others.
+    #[must_use]
+    pub fn heard_age(&self, member: &str, now: Instant) -> Option<Duration> {
+        let heard = self.voters.get(member)?.heard?;
+        Some(now.saturating_duration_since(heard.at))
+    }
+
+    /// Highest version that a member is known to have held.
+    #[must_use]
+    pub fn held_by(&self, member: &str) -> Option<Version> {
+        let (name, voter) = self.voters.get_key_value(member)?;
+        self.holder(name, voter)
+    }
+
+    /// Whether a member has ended its last work.
+    #[must_use]
+    pub fn has_stopped(&self, member: &str) -> bool {
+        self.voters.get(member).is_some_and(|voter| voter.stopped)
+    }
+
+    /// Version in force here, told to peers only once it has been confirmed.
+    #[must_use]
+    pub fn told_version(&self) -> Option<Version> {
+        self.version.filter(|_| self.joined)
+    }
+
+    /// Times of this instance.
+    #[must_use]
+    pub fn settings(&self) -> &ContactSettings {
+        &self.settings
+    }
+
+    fn heard_directly(&mut self, hearing: &Hearing, version: Version, sent: Instant) {
+        self.heard(&hearing.member, Confirmation { at: sent, version });
+        self.holds(&hearing.member, version);
+        let at = hearing.confirmed_age.and_then(|age| sent.checked_sub(age));
+        if let Some(at) = at {
+            self.confirm(Confirmation { at, version });
+        }
+    }
+
+    fn heard_relayed(&mut self, relay: &Relay, version: Version, sent: Instant) {
+        for known in relay.iter() {
+            match known.state {
+                RelayedState::Stopped => self.stopped(&known.member),
+                RelayedState::Heard { age, holds } => {
+                    if let Some(at) = sent.checked_sub(age) {
+                        self.heard(&known.member, Confirmation { at, version });
+                    }
+                    if holds {
+                        self.holds(&known.member, version);
+                    }
+                }
+                RelayedState::Silent => {}
+            }
+        }
+    }
+
+    fn heard(&mut self, member: &InstanceId, heard: Confirmation) {
+        if let Some(voter) = self.voters.get_mut(member) {
+            let newer = voter.heard.is_none_or(|known| heard.at > known.at);
+            if newer {
+                voter.heard = Some(heard);
+            }
+        }
+    }
+
+    fn holds(&mut self, member: &InstanceId, version: Version) {
+        if let Some(voter) = self.voters.get_mut(member) {
+            voter.holds = voter.holds.max(Some(version));
+        }
+    }
+
+    /// Keeps the latest confirmation that covers the version in force, and the latest that does
+    /// not yet.
+    fn confirm(&mut self, new: Confirmation) {
+        let covered = self.version.is_some_and(|version| new.version <= version);
+        let slot = if covered {
+            &mut self.confirmed
+        } else {
+            &mut self.ahead
+        };
+        if slot.is_none_or(|known| new.at > known.at) {
+            *slot = Some(new);
+        }
+    }
+
+    fn update(&mut self, now: Instant) {
+        self.dispatch_until = self.until(now);
+        if !self.joined && self.may_dispatch(now) {
+            self.joined = true;
+            self.dispatch_until = self.until(now);
+        }
+        self.note_spread(now);
+    }
+
+    fn until(&self, now: Instant) -> Option<Instant> {
+        self.version?;
+        let fence = self.settings.fence_after;
+        let store = self.confirmed.map(|confirmed| confirmed.at + fence);
+        store.max(self.majority_until(now))
+    }
+
+    /// End of the time for which a majority that knows no newer version was heard.
+    fn majority_until(&self, now: Instant) -> Option<Instant> {
+        let list = self.listed_at? + self.settings.list_trust;
+        let members = self.counted(now).count();
+        let mut heard: Vec<Instant> = self
+            .counted(now)
+            .filter_map(|(name, voter)| self.heard_at(name, voter, now))
+            .collect();
+        heard.sort_unstable_by(|a, b| b.cmp(a));
+        let oldest = heard.get(majority(members) - 1)?;
+        let alone = members == 1 && self.joined;
+        let until = *oldest + self.settings.fence_after;
+        Some(if alone { list } else { until.min(list) })
+    }
+
+    /// When a member was last known to hold no version newer than the one in force here.
+    fn heard_at(&self, name: &InstanceId, voter: &Voter, now: Instant) -> Option<Instant> {
+        if self.counts_itself(name) {
+            return Some(now);
+        }
+        let heard = voter.heard?;
+        (Some(heard.version) <= self.version).then_some(heard.at)
+    }
+
+    fn note_spread(&mut self, now: Instant) {
+        let Some(version) = self.version else { return };
+        if self.spreads.contains_key(&version) || !self.holds_majority(version, now) {
+            return;
+        }
+        self.spreads.insert(version, now);
+        if self.spreads.len() > KEPT_SPREADS {
+            self.spreads.pop_first();
+        }
+    }
+
+    fn holder(&self, name: &InstanceId, voter: &Voter) -> Option<Version> {
+        if *name == self.me {
+            self.told_version()
+        } else {
+            voter.holds
+        }
+    }
+
+    fn counts_itself(&self, name: &InstanceId) -> bool {
+        self.joined && *name == self.me
+    }
+
+    /// Members that count towards a majority.
+    fn counted(&self, now: Instant) -> impl Iterator<Item = (&InstanceId, &Voter)> {
+        let grace = self.settings.vanish_grace;
+        self.voters.iter().filter(move |(_, voter)| {
+            let gone = voter
+                .vanished
+                .is_some_and(|at| now.saturating_duration_since(at) >= grace);
+            !gone && !voter.stopped
+        })
+    }
+}
+
+fn majority(members: usize) -> usize {
+    members / 2 + 1
+}
--- a/crates/sardineshore-core/src/event/config.rs
+++ b/crates/sardineshore-core/src/event/config.rs
@@ -2,5 +2,107 @@
 
 use super::EventKind;
 
+/// A version of the configuration came into force.
+pub const VERSION_ADOPTED: EventKind = EventKind {
+    number: 3001,
+    name: "version-adopted",
+    meaning: "A version of the configuration came into force on this instance.",
+    action: "None.",
+};
+
+/// A command was accepted.
+pub const COMMAND_ACCEPTED: EventKind = EventKind {
+    number: 3002,
+    name: "command-accepted",
+    meaning: "A command was written to the log and a majority of the instances holds its version.",
+    action: "None.",
+};
+
+/// A command was refused.
+pub const COMMAND_REFUSED: EventKind = EventKind {
+    number: 3003,
+    name: "command-refused",
+    meaning: "A command does not fit the configuration; nothing was changed.",
+    action: "Correct the command. If a winner is named, its operator was first.",
+};
+
+/// A command was not accepted.
+pub const COMMAND_NOT_ACCEPTED: EventKind = EventKind {
+    number: 3004,
+    name: "command-not-accepted",
+    meaning: "A command was not written: the store or a majority of the instances is out of reach.",
+    action: "Submit it again once the store and the instances can be reached.",
+};
+
+/// A command's fate is not confirmed.
+pub const COMMAND_UNCONFIRMED: EventKind = EventKind {
+    number: 3005,
+    name: "command-unconfirmed",
+    meaning: "A command may have been written, but its confirmation was lost or no majority of \
+              the instances has told that it holds its version.",
+    action: "Submit the same command again; it takes effect once.",
+};
+
+/// The instance can't confirm its configuration and dispatches nothing.
+pub const FENCED: EventKind = EventKind {
+    number: 3010,
+    name: "fenced",
+    meaning: "Neither the store nor a majority of the instances confirms the configuration; \
+              this instance dispatches nothing.",
+    action: "Check the network and the store. The instance goes on by itself once either answers.",
+};
+
+/// The instance confirms its configuration again.
+pub const UNFENCED: EventKind = EventKind {
+    number: 3011,
+    name: "unfenced",
+    meaning: "The configuration is confirmed; this instance dispatches.",
+    action: "None.",
+};
+
+/// The store's head is older than the version in force.
+pub const STORE_BEHIND: EventKind = EventKind {
+    number: 3012,
+    name: "store-behind",
+    meaning: "The store answered with an older version than the one in force; it is ignored.",
+    action: "Check the store for lost writes. Commands are not accepted until it has caught up.",
+};
+
+/// An entry of the log can't be adopted.
+pub const ENTRY_UNFIT: EventKind = EventKind {
+    number: 3013,
+    name: "entry-unfit",
+    meaning: "An entry of the log can't be decoded or does not fit the version before it.",
+    action: "Compare the versions of the programs: an older one may not know a newer change.",
+};
+
+/// The list of members has changed.
+pub const MEMBERS_CHANGED: EventKind = EventKind {
+    number: 3020,
+    name: "members-changed",
+    meaning: "The instance list names other entry instances than before.",
+    action: "None.",
+};
+
+/// The set of leaving backend servers has changed.
+pub const LEAVING_CHANGED: EventKind = EventKind {
+    number: 3021,
+    name: "leaving-changed",
+    meaning: "The instance list marks other backend servers as leaving than before.",
+    action: "None.",
+};
+
 /// All events of this module.
-pub const ALL: &[EventKind] = &[];
+pub const ALL: &[EventKind] = &[
+    VERSION_ADOPTED,
+    COMMAND_ACCEPTED,
+    COMMAND_REFUSED,
+    COMMAND_NOT_ACCEPTED,
+    COMMAND_UNCONFIRMED,
+    FENCED,
+    UNFENCED,
+    STORE_BEHIND,
+    ENTRY_UNFIT,
+    MEMBERS_CHANGED,
+    LEAVING_CHANGED,
+];
--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -19,10 +19,13 @@
 
 pub mod change;
 pub mod clock;
+pub mod config_log;
+pub mod contact;
 pub mod deployment;
 pub mod event;
 pub mod finding;
 pub mod id;
+pub mod membership;
 pub mod order;
 pub mod outcome;
 pub mod query;
--- /dev/null
+++ b/crates/sardineshore-core/tests/config_log.rs
@@ -0,0 +1,285 @@
+//! Submissions against a table that loses confirmations and lands writes late.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use sardineshore_core::config_log::submit::{NotWritten, Proposal, Step, Submitting, Verdict};
+use sardineshore_core::config_log::{Adoption, ConfigLog, HEAD_KEY, LogEntry, log_key};
+use sardineshore_core::{BackendServer, Change, Commit, Objective, Revision, Row, StoreError, Txn};
+
+/// What the table does with the next transaction.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    LostAfter,
+    LostBefore,
+    LandsLate,
+    Refused,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    rows: BTreeMap<Arc<str>, Row>,
+    revision: Revision,
+    faults: Vec<Fault>,
+    late: Option<Txn>,
+}
+
+impl Table {
+    fn read(&self, key: &str) -> Result<Option<Row>, StoreError> {
+        Ok(self.rows.get(key).cloned())
+    }
+
+    fn apply(&mut self, txn: &Txn) -> Commit {
+        let revision = |key| self.rows.get(key).map_or(0, |row| row.revision);
+        let failed = |key: &Arc<str>| self.rows.get(key).cloned();
+        if txn
+            .checks
+            .iter()
+            .any(|check| revision(&check.key) != check.revision)
+        {
+            let failed_checks = txn.checks.iter().filter(|c| revision(&c.key) != c.revision);
+            let rows = failed_checks
+                .filter_map(|check| failed(&check.key))
+                .collect();
+            return Commit::Conflict { rows };
+        }
+        self.revision += 1;
+        for put in &txn.puts {
+            let row = Row {
+                key: put.key.clone(),
+                value: put.value.clone(),
+                revision: self.revision,
+            };
+            self.rows.insert(put.key.clone(), row);
+        }
+        Commit::Applied {
+            revision: self.revision,
+        }
+    }
+
+    fn commit(&mut self, txn: &Txn) -> Result<Commit, StoreError> {
+        match self.faults.pop() {
+            None => Ok(self.apply(txn)),
+            Some(Fault::Refused) => Err(StoreError::Unavailable),
+            Some(Fault::LostBefore) => Err(StoreError::Unconfirmed),
+            Some(Fault::LostAfter) => {
+                self.apply(txn);
+                Err(StoreError::Unconfirmed)
+            }
+            Some(Fault::LandsLate) => {
+                self.late = Some(txn.clone());
+                Err(StoreError::Unconfirmed)
+            }
+        }
+    }
+
+    fn catch_up(&self, log: &mut ConfigLog) {
+        while let Some(row) = self.rows.get(&log_key(log.version() + 1)) {
+            let entry: LogEntry = serde_json::from_str(&row.value).unwrap();
+            assert_eq!(log.adopt(&entry), Adoption::Adopted);
+        }
+    }
+}
+
+fn add(name: &str) -> Change {
+    let server = BackendServer {
+        name: name.into(),
+        addr: "127.0.0.1:9000".into(),
+        ..BackendServer::default()
+    };
+    Change::AddServer { server }
+}
+
+fn proposal(command: &str, changes: Vec<Change>) -> Proposal {
+    Proposal {
+        command: command.into(),
+        operator: "ana".into(),
+        changes,
+        at_ms: 7,
+    }
+}
+
+/// One step; returns the next.
+fn step(submitting: &mut Submitting, step: &Step, table: &mut Table, log: &mut ConfigLog) -> Step {
+    match step {
+        Step::ReadCommand => submitting.command_read(&table.read("config/command/c-1")),
+        Step::ReadHead => submitting.head_read(&table.read(HEAD_KEY), log),
+        Step::CatchUp(_) => {
+            table.catch_up(log);
+            submitting.caught_up(log)
+        }
+        Step::Commit(txn) => {
+            let result = table.commit(txn);
+            submitting.committed(&result)
+        }
+        Step::Done(_) => unreachable!("the submission has ended"),
+    }
+}
+
+fn run(table: &mut Table, log: &mut ConfigLog, changes: Vec<Change>) -> Verdict {
+    let (mut submitting, mut next) = Submitting::new(proposal("c-1", changes));
+    loop {
+        if let Step::Done(verdict) = next {
+            return verdict;
+        }
+        next = step(&mut submitting, &next, table, log);
+    }
+}
+
+/// Another operator's command, accepted through another instance.
+fn other(table: &mut Table, command: &str, changes: Vec<Change>) {
+    let mut log = ConfigLog::default();
+    table.catch_up(&mut log);
+    let (mut submitting, _) = Submitting::new(proposal(command, changes));
+    let Step::Commit(txn) = submitting.head_read(&table.read(HEAD_KEY), &log) else {
+        panic!("the command fits");
+    };
+    assert!(matches!(table.apply(&txn), Commit::Applied { .. }));
+}
+
+#[test]
+fn submission_writes_three_rows() {
+    let mut table = Table::default();
+    let verdict = run(&mut table, &mut ConfigLog::default(), vec![add("a")]);
+    assert_eq!(verdict, Verdict::Written { version: 1 });
+    let rows: Vec<_> = table
+        .rows
+        .values()
+        .map(|row| format!("{} {}", row.key, row.value))
+        .collect();
+    expect_test::expect![[r#"
+        config/command/c-1 {"version":1}
+        config/head {"version":1,"command":"c-1"}
+        config/log/0000000000000001 {"version":1,"command":"c-1","operator":"ana","changes":[{"change":"add-server","server":{"name":"a","addr":"127.0.0.1:9000","domain":"","pool":"","state":"active","capacity":8,"cost":1.0,"answers_status":false,"fencing":false}}],"at_ms":7}"#]].assert_eq(&rows.join("\n"));
+}
+
+#[test]
+fn submission_lost_confirmation() {
+    for (fault, reads) in [
+        (Fault::LostAfter, 1),
+        (Fault::LostBefore, 1),
+        (Fault::LandsLate, 1),
+    ] {
+        let mut table = Table::default();
+        table.faults = vec![fault];
+        let mut log = ConfigLog::default();
+        let verdict = run(&mut table, &mut log, vec![add("a")]);
+        assert_eq!(verdict, Verdict::Written { version: reads }, "{fault:?}");
+        if let Some(late) = table.late.take() {
+            assert!(matches!(table.apply(&late), Commit::Conflict { .. }));
+        }
+        table.catch_up(&mut log);
+        assert_eq!(log.version(), 1, "{fault:?}");
+    }
+}
+
+#[test]
+fn submission_repeated_is_written_once() {
+    let mut table = Table::default();
+    let mut log = ConfigLog::default();
+    run(&mut table, &mut log, vec![add("a")]);
+    other(&mut table, "c-2", vec![add("b")]);
+    let verdict = run(&mut table, &mut log, vec![add("a")]);
+    assert_eq!(verdict, Verdict::Written { version: 1 });
+}
+
+#[test]
+fn submission_race_lost_is_applied_on_top() {
+    let mut table = Table::default();
+    let mut log = ConfigLog::default();
+    let (mut submitting, _) = Submitting::new(proposal("c-1", vec![add("a")]));
+    let mut next = submitting.head_read(&table.read(HEAD_KEY), &log);
+    other(&mut table, "c-2", vec![add("b")]);
+    while !matches!(next, Step::Done(_)) {
+        next = step(&mut submitting, &next, &mut table, &mut log);
+    }
+    assert_eq!(next, Step::Done(Verdict::Written { version: 2 }));
+}
+
+#[test]
+fn submission_race_lost_names_winner() {
+    let mut table = Table::default();
+    let mut log = ConfigLog::default();
+    let objective = Change::SetObjective {
+        objective: Objective::Cost,
+    };
+    let (mut submitting, _) = Submitting::new(proposal("c-1", vec![objective.clone(), add("a")]));
+    let mut next = submitting.head_read(&table.read(HEAD_KEY), &log);
+    other(&mut table, "c-2", vec![objective]);
+    other(&mut table, "c-3", vec![add("a")]);
+    while !matches!(next, Step::Done(_)) {
+        next = step(&mut submitting, &next, &mut table, &mut log);
+    }
+    let Step::Done(Verdict::Refused { unfit, winner }) = next else {
+        panic!("refused, not {next:?}");
+    };
+    assert_eq!((unfit.change, winner.as_deref()), (1, Some("c-3")));
+    table.catch_up(&mut log);
+    assert_eq!(log.version(), 2);
+}
+
+#[test]
+fn submission_written_elsewhere_is_not_refused() {
+    let mut table = Table::default();
+    let mut log = ConfigLog::default();
+    let (mut submitting, _) = Submitting::new(proposal("c-1", vec![add("a")]));
+    let mut next = submitting.command_read(&table.read("config/command/c-1"));
+    other(&mut table, "c-1", vec![add("a")]);
+    while !matches!(next, Step::Done(_)) {
+        next = step(&mut submitting, &next, &mut table, &mut log);
+    }
+    assert_eq!(next, Step::Done(Verdict::Written { version: 1 }));
+}
+
+#[test]
+fn submission_store_refuses() {
+    let mut table = Table::default();
+    table.faults = vec![Fault::Refused];
+    let verdict = run(&mut table, &mut ConfigLog::default(), vec![add("a")]);
+    let refused = Verdict::NotWritten(NotWritten::Store(StoreError::Unavailable));
+    assert_eq!(verdict, refused);
+    table.faults = vec![Fault::Refused, Fault::LandsLate];
+    let verdict = run(&mut table, &mut ConfigLog::default(), vec![add("a")]);
+    assert_eq!(verdict, Verdict::Unconfirmed);
+}
+
+#[test]
+fn submission_store_behind() {
+    let mut table = Table::default();
+    let mut log = ConfigLog::default();
+    let entry = LogEntry {
+        version: 1,
+        changes: vec![add("a")],
+        ..LogEntry::default()
+    };
+    log.adopt(&entry);
+    let verdict = run(&mut table, &mut log, vec![add("b")]);
+    assert_eq!(verdict, Verdict::NotWritten(NotWritten::StoreBehind));
+    assert_eq!(log.version(), 1);
+}
+
+#[test]
+fn adoption_in_order_once_and_never_lower() {
+    let entry = |version, name| LogEntry {
+        version,
+        changes: vec![add(name)],
+        ..LogEntry::default()
+    };
+    let mut log = ConfigLog::default();
+    assert_eq!(log.adopt(&entry(2, "b")), Adoption::Gap);
+    assert_eq!(log.adopt(&entry(1, "a")), Adoption::Adopted);
+    assert_eq!(log.adopt(&entry(1, "x")), Adoption::Known);
+    assert_eq!(log.adopt(&entry(2, "a")), Adoption::Unfit);
+    assert_eq!(log.adopt(&entry(2, "b")), Adoption::Adopted);
+    let older = sardineshore_core::Deployment::default();
+    assert!(!log.restore(older));
+    assert_eq!(log.version(), 2);
+    let versions = |after| log.after(after).map(|entries| entries.len());
+    assert_eq!(
+        (versions(0), versions(1), versions(2)),
+        (Some(2), Some(1), Some(0))
+    );
+    let mut late = ConfigLog::default();
+    assert!(late.restore(log.deployment().as_ref().clone()));
+    assert_eq!((late.after(1), late.after(2)), (None, Some(Vec::new())));
+}
--- /dev/null
+++ b/crates/sardineshore-core/tests/contact.rs
@@ -0,0 +1,271 @@
+//! Who may dispatch and accept, under a manual clock.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use sardineshore_core::contact::relay::{Relay, Roster};
+use sardineshore_core::contact::{Contact, ContactSettings, Hearing};
+use sardineshore_core::{Clock, InstanceId, ManualClock, Version};
+
+const PERIOD: Duration = Duration::from_millis(500);
+const FENCE: Duration = Duration::from_secs(3);
+
+/// Instances that exchange over links that can be cut.
+struct Fleet {
+    clock: ManualClock,
+    roster: Roster,
+    contacts: BTreeMap<InstanceId, Contact>,
+    cut: Vec<(InstanceId, InstanceId)>,
+    rounds: usize,
+}
+
+impl Fleet {
+    /// All instances read the list and the head at version 1.
+    fn started(count: usize) -> Self {
+        let clock = ManualClock::default();
+        let names: Vec<InstanceId> = (1..=count).map(|n| format!("i{n}").into()).collect();
+        clock.advance(Duration::from_secs(60));
+        let mut contacts = BTreeMap::new();
+        for name in &names {
+            let mut contact = Contact::new(name.clone(), ContactSettings::default());
+            contact.list_read(&names, clock.now(), clock.now());
+            contact.adopted(1, clock.now());
+            contact.head_read(1, clock.now(), clock.now());
+            contacts.insert(name.clone(), contact);
+        }
+        Self {
+            clock,
+            roster: Roster::new(names),
+            contacts,
+            cut: Vec::new(),
+            rounds: 0,
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    fn at(&self, name: &str) -> &Contact {
+        &self.contacts[name]
+    }
+
+    fn at_mut(&mut self, name: &str) -> &mut Contact {
+        self.contacts.get_mut(name).unwrap()
+    }
+
+    fn answer(&self, name: &str) -> Hearing {
+        let contact = self.at(name);
+        Hearing {
+            member: name.into(),
+            version: contact.told_version(),
+            confirmed_age: contact.confirmation_age(self.now()),
+            stopped: false,
+            relay: Relay::of(contact, &self.roster, self.now()),
+        }
+    }
+
+    fn exchange(&mut self, asker: &str, asked: &str) {
+        let now = self.now();
+        let hearing = self.answer(asked);
+        self.at_mut(asker).exchanged(&hearing, now, now);
+    }
+
+    fn cut_off(&mut self, name: &str) {
+        let others: Vec<_> = self
+            .contacts
+            .keys()
+            .filter(|other| &***other != name)
+            .cloned()
+            .collect();
+        for other in others {
+            self.cut.push((name.into(), other.clone()));
+            self.cut.push((other, name.into()));
+        }
+    }
+
+    /// Each instance asks one other, a different one in each round, for one period.
+    fn round(&mut self) {
+        self.clock.advance(PERIOD);
+        let names = self.roster.names.clone();
+        let count = names.len();
+        self.rounds += 1;
+        let distance = 1 + self.rounds % (count - 1);
+        for (number, name) in names.iter().enumerate() {
+            let asked = &names[(number + distance) % count];
+            if !self.cut.contains(&(name.clone(), asked.clone())) {
+                self.exchange(name, asked);
+            }
+        }
+    }
+
+    fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.round();
+        }
+    }
+
+    fn dispatching(&self) -> Vec<&str> {
+        let now = self.now();
+        let may = self
+            .contacts
+            .iter()
+            .filter(|(_, contact)| contact.may_dispatch(now));
+        may.map(|(name, _)| &**name).collect()
+    }
+
+    /// `name` learns of a version that was written.
+    fn adopt(&mut self, name: &str, version: Version) {
+        let now = self.now();
+        self.at_mut(name).adopted(version, now);
+    }
+}
+
+#[test]
+fn dispatch_store_outage_majority_goes_on() {
+    let mut fleet = Fleet::started(5);
+    fleet.cut_off("i5");
+    fleet.rounds(20);
+    assert_eq!(fleet.dispatching(), ["i1", "i2", "i3", "i4"]);
+    let heard = fleet.at("i5").may_accept(fleet.now()).unwrap_err();
+    assert_eq!(heard.to_string(), "1 of 5 members are heard, 3 are needed");
+}
+
+#[test]
+fn dispatch_fenced_to_the_moment() {
+    let mut fleet = Fleet::started(3);
+    fleet.cut_off("i1");
+    fleet.clock.advance(FENCE);
+    assert!(fleet.at("i1").may_dispatch(fleet.now()));
+    fleet.clock.advance(Duration::from_nanos(1));
+    assert!(!fleet.at("i1").may_dispatch(fleet.now()));
+    let now = fleet.now();
+    fleet.at_mut("i1").head_read(0, now, now);
+    assert!(
+        !fleet.at("i1").may_dispatch(now),
+        "an older head confirms nothing"
+    );
+    fleet.at_mut("i1").head_read(1, now, now);
+    assert!(fleet.at("i1").may_dispatch(now));
+}
+
+#[test]
+fn dispatch_head_ahead_confirms_on_adoption() {
+    let mut fleet = Fleet::started(3);
+    fleet.cut_off("i1");
+    fleet.clock.advance(2 * FENCE);
+    let now = fleet.now();
+    fleet.at_mut("i1").head_read(2, now, now);
+    assert!(!fleet.at("i1").may_dispatch(now));
+    fleet.adopt("i1", 2);
+    assert!(fleet.at("i1").may_dispatch(now));
+}
+
+#[test]
+fn dispatch_delayed_answer_is_counted_from_the_question() {
+    let mut fleet = Fleet::started(3);
+    let sent = fleet.now();
+    fleet.clock.advance(2 * FENCE);
+    let hearing = fleet.answer("i2");
+    let now = fleet.now();
+    fleet.at_mut("i1").exchanged(&hearing, sent, now);
+    assert!(!fleet.at("i1").may_dispatch(now));
+}
+
+#[test]
+fn dispatch_peers_with_newer_version_confirm_nothing() {
+    let mut fleet = Fleet::started(3);
+    fleet.clock.advance(FENCE);
+    fleet.adopt("i2", 2);
+    fleet.adopt("i3", 2);
+    fleet.exchange("i2", "i3");
+    fleet.exchange("i3", "i2");
+    fleet.clock.advance(Duration::from_millis(1));
+    fleet.exchange("i1", "i2");
+    assert!(!fleet.at("i1").may_dispatch(fleet.now()));
+    fleet.adopt("i1", 2);
+    assert!(fleet.at("i1").may_dispatch(fleet.now()));
+}
+
+#[test]
+fn accept_known_to_majority_fences_the_rest() {
+    let mut fleet = Fleet::started(5);
+    fleet.rounds(4);
+    fleet.cut_off("i5");
+    fleet.adopt("i1", 2);
+    assert!(!fleet.at("i1").holds_majority(2, fleet.now()));
+    fleet.adopt("i2", 2);
+    fleet.exchange("i1", "i2");
+    assert!(!fleet.at("i1").holds_majority(2, fleet.now()));
+    fleet.adopt("i3", 2);
+    fleet.exchange("i1", "i3");
+    assert!(fleet.at("i1").holds_majority(2, fleet.now()));
+    fleet.adopt("i4", 2);
+    let spread = fleet.at("i1").spread(2, fleet.now());
+    assert_eq!((spread.in_force, spread.pending.len()), (false, 2));
+    fleet.rounds(7);
+    let spread = fleet.at("i1").spread(2, fleet.now());
+    assert_eq!(spread.pending, ["i5".into()]);
+    assert!(spread.in_force, "the silent instance is fenced by now");
+    assert!(!fleet.dispatching().contains(&"i5"));
+}
+
+#[test]
+fn start_in_outage_needs_majority_of_others() {
+    let fleet = Fleet::started(3);
+    let names = ["i1".into(), "i3".into(), "new".into()];
+    let mut contact = Contact::new("new".into(), ContactSettings::default());
+    fleet.clock.advance(2 * FENCE);
+    let now = fleet.now();
+    contact.list_read(&names, now, now);
+    contact.adopted(1, now);
+    contact.exchanged(&fleet.answer("i3"), now, now);
+    assert!(!contact.may_dispatch(now), "its own silence is no vote");
+    assert_eq!(contact.told_version(), None);
+    contact.exchanged(&fleet.answer("i1"), now, now);
+    assert!(contact.may_dispatch(now));
+    assert_eq!(contact.told_version(), Some(1));
+}
+
+#[test]
+fn list_vanished_member_counts_until_grace_ends() {
+    let mut fleet = Fleet::started(3);
+    let now = fleet.now();
+    fleet.at_mut("i1").list_read(&["i1".into()], now, now);
+    assert_eq!(fleet.at("i1").quorum(now).members, 3);
+    fleet.at_mut("i1").stopped(&"i2".into());
+    assert_eq!(fleet.at("i1").quorum(now).members, 2);
+    fleet.clock.advance(ContactSettings::default().vanish_grace);
+    assert_eq!(fleet.at("i1").quorum(fleet.now()).members, 1);
+}
+
+#[test]
+fn list_alone_goes_on_while_the_list_is_trusted() {
+    let fleet = Fleet::started(1);
+    let trust = ContactSettings::default().list_trust;
+    fleet.clock.advance(trust);
+    assert_eq!(fleet.dispatching(), ["i1"]);
+    fleet.clock.advance(Duration::from_nanos(1));
+    assert!(fleet.dispatching().is_empty());
+}
+
+#[test]
+fn relay_text_of_ages_and_versions() {
+    let mut fleet = Fleet::started(4);
+    fleet.exchange("i1", "i2");
+    fleet.clock.advance(Duration::from_millis(250));
+    fleet.adopt("i1", 2);
+    fleet.exchange("i1", "i3");
+    fleet.at_mut("i1").stopped(&"i4".into());
+    let relay = Relay::of(fleet.at("i1"), &fleet.roster, fleet.now());
+    expect_test::expect!["z60y"].assert_eq(relay.text());
+    let told: Vec<_> = relay.iter().map(|known| format!("{known:?}")).collect();
+    expect_test::expect![[r#"
+        Relayed { member: "i1", state: Silent }
+        Relayed { member: "i2", state: Heard { age: 300ms, holds: false } }
+        Relayed { member: "i3", state: Heard { age: 0ns, holds: false } }
+        Relayed { member: "i4", state: Stopped }"#]]
+    .assert_eq(&told.join("\n"));
+    let strange = Relay::new(fleet.roster.clone(), "é~".into());
+    assert!(strange.iter().count() <= 4);
+}
