--- a/crates/sardineshore-wire/src/peer.rs
+++ b/crates/sardineshore-wire/src/peer.rs
@@ -92,10 +92,6 @@
 impl Phase {
     /// Whether the instance is neither leaving nor stopped.
     #[must_use]
-    #[expect(
-        clippy::trivially_copy_pass_by_ref,
-        reason = "serde passes a reference to skip_serializing_if"
-    )]
     pub fn is_running(&self) -> bool {
         *self == Self::Running
     }
