--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 pub mod change;
+pub mod claim;
 pub mod clock;
 pub mod config_log;
 pub mod contact;
@@ -25,10 +26,14 @@
 pub mod event;
 pub mod finding;
 pub mod id;
+pub mod limits;
 pub mod membership;
 pub mod order;
 pub mod outcome;
+pub mod quarantine;
 pub mod query;
+pub mod retry;
+pub mod routing;
 pub mod store;
 
 pub use change::{Change, Refusal};
@@ -42,10 +47,22 @@
     AttemptId, CommandId, CustomerId, DomainId, Fingerprint, InstanceId, PipelineId, PoolId,
     RequestId, Revision, ServerId, Version,
 };
+pub use limits::{
+    Admission, AdmissionConfig, Completion, ConcurrencyLimit, Offer, Offered, Release, Released,
+    Ticket, Verdict,
+};
 pub use order::{EngineAction, EngineOrder, Fence};
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use query::{
     Answer, CostBy, CostRow, CustomerRow, EventRow, InstanceRow, QuarantineRow, Query, ServerRow,
     VersionRow,
 };
+pub use retry::{
+    EndedAttempt, GiveUp, HedgePolicy, Retries, RetryBudget, RetryConfig, RetryDecision,
+    StageBudget, StageLatencies, StageQuantiles,
+};
+pub use routing::{
+    Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice, Policy, Polled, Router,
+    RoutingConfig, RoutingDecision, RoutingNotice,
+};
 pub use store::{Check, Commit, Put, Row, StoreError, Txn};
