--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -20,11 +20,14 @@
 pub mod change;
 pub mod claim;
 pub mod clock;
+pub mod config_log;
+pub mod contact;
 pub mod deployment;
 pub mod event;
 pub mod finding;
 pub mod id;
 pub mod limits;
+pub mod membership;
 pub mod order;
 pub mod outcome;
 pub mod quarantine;
