feat(load): open-loop load, its report, and the audit of callers' logs

Cause: attainment and the promises need a load whose schedule does not wait for answers, and a witness apart from the product's counters.

Change: - `sardine-load`: the arrival schedule (Poisson, one burst window, weighted customers and pipelines) is computed from a seed before the run; latency counts from when a request was due; requests in flight are bounded and a schedule that was not kept is reported. Non-idempotent requests carry a version 7 UUID; after an outcome in doubt the same key is repeated a bounded number of times. A repeat that was not run leaves an earlier doubt standing. - `audit` compares callers' logs with execution logs: answered, not run, unknown, lost, doubled, misdelivered. A log that is missing, empty, torn or shorter than the requests sent is an error. - `Told` names the entry instance that was asked last, so that a missing reply is excused only by a failure of that very instance at that time. - Streams are decoded by `async-sse`; `eventsource-stream` was the alternative and works on streams of chunks rather than readers.

--- /dev/null
+++ b/crates/sardineshore-load/src/main.rs
@@ -0,0 +1,87 @@
+//! `sardine-load`: open-loop load and experiment tool of sardineshore.
+
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::Path;
+use std::sync::Arc;
+
+use anyhow::Context;
+use sardineshore_core::SystemClock;
+use sardineshore_load::caller::Callers;
+use sardineshore_load::report::Report;
+use sardineshore_load::run::{self, Sink};
+use sardineshore_load::schedule::Schedule;
+use sardineshore_load::sender::Balancer;
+use sardineshore_load::settings::{self, Settings};
+use sardineshore_load::{plots, text};
+use sardineshore_wire::settings::exit_with;
+use sardineshore_wire::witness::Told;
+
+#[async_std::main]
+async fn main() -> anyhow::Result<()> {
+    let matches = settings::command().get_matches();
+    let settings = settings::read(&matches).unwrap_or_else(|findings| exit_with(&findings));
+    load(settings).await
+}
+
+async fn load(settings: Settings) -> anyhow::Result<()> {
+    let mut log = LogFile::open(settings.log.as_deref())?;
+    let schedule = Schedule::plan(&settings.workload, &settings.schedule);
+    let name = settings.workload.name.clone();
+    let callers = Arc::new(Callers {
+        workload: settings.workload,
+        balancer: Balancer::new(settings.entries),
+        settings: settings.callers,
+        clock: Arc::new(SystemClock),
+    });
+    let result = run::run(callers, schedule, settings.in_flight, &mut log).await;
+    let result = result.context("the callers' log can't be written")?;
+    log.flush().context("the callers' log can't be written")?;
+    let report = Report::new(&name, settings.schedule.seed, &result);
+    if let Some(path) = &settings.plots {
+        let page = plots::render(&report, &result.told)?;
+        std::fs::write(path, page).with_context(|| format!("can't write {}", path.display()))?;
+    }
+    print(&report, settings.json)
+}
+
+fn print(report: &Report, json: bool) -> anyhow::Result<()> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(report)?);
+    } else {
+        print!("{}", text::render(report));
+    }
+    Ok(())
+}
+
+/// The callers' log, if one is wanted.
+struct LogFile {
+    file: Option<BufWriter<File>>,
+}
+
+impl LogFile {
+    fn open(path: Option<&Path>) -> anyhow::Result<Self> {
+        let Some(path) = path else {
+            return Ok(Self { file: None });
+        };
+        let file = File::create(path);
+        let file = file.with_context(|| format!("can't create {}", path.display()))?;
+        Ok(Self {
+            file: Some(BufWriter::new(file)),
+        })
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        self.file.as_mut().map_or(Ok(()), Write::flush)
+    }
+}
+
+impl Sink for LogFile {
+    fn take(&mut self, told: &Told) -> std::io::Result<()> {
+        let Some(file) = &mut self.file else {
+            return Ok(());
+        };
+        serde_json::to_writer(&mut *file, told)?;
+        file.write_all(b"\n")
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-load/src/preset.rs
@@ -0,0 +1,122 @@
+//! Built-in workloads, in small.
+
+use crate::workload::{CustomerMix, PipelineMix, StageShape, Workload};
+
+/// Names of the built-in workloads.
+pub const NAMES: &[&str] = &["tangolin", "mangos"];
+
+/// The built-in workload of that name.
+#[must_use]
+pub fn find(name: &str) -> Option<Workload> {
+    match name {
+        "tangolin" => Some(tangolin()),
+        "mangos" => Some(mangos()),
+        _ => None,
+    }
+}
+
+/// Partner matching, bookings of practice slots and profiles.
+#[must_use]
+pub fn tangolin() -> Workload {
+    Workload {
+        name: "tangolin".into(),
+        pipelines: vec![
+            PipelineMix {
+                name: "match".into(),
+                share: 5.0,
+                deadline_ms: 4_000,
+                streamed: 0.5,
+                prompt_bytes: 1_024,
+                prefixes: 8,
+                max_tokens: 24,
+                stages: vec![
+                    idempotent("encode"),
+                    idempotent("retrieve"),
+                    idempotent("rerank"),
+                    idempotent("generate"),
+                ],
+            },
+            PipelineMix {
+                name: "booking".into(),
+                share: 3.0,
+                stages: vec![idempotent("check"), non_idempotent("book")],
+                ..PipelineMix::default()
+            },
+            PipelineMix {
+                name: "profiles".into(),
+                share: 2.0,
+                stages: vec![idempotent("profile")],
+                ..PipelineMix::default()
+            },
+        ],
+        customers: customers(&[
+            ("studio-taipei", 6.0),
+            ("studio-kaohsiung", 3.0),
+            ("studio-tainan", 1.0),
+            ("studio-hualien", 0.5),
+            ("studio-taitung", 0.5),
+        ]),
+    }
+}
+
+/// Repair quotes, work orders and warranty claims.
+#[must_use]
+pub fn mangos() -> Workload {
+    Workload {
+        name: "mangos".into(),
+        pipelines: vec![
+            PipelineMix {
+                name: "quote".into(),
+                share: 4.0,
+                deadline_ms: 3_000,
+                streamed: 0.25,
+                prompt_bytes: 512,
+                prefixes: 6,
+                max_tokens: 16,
+                stages: vec![idempotent("encode"), idempotent("draft")],
+            },
+            PipelineMix {
+                name: "order".into(),
+                share: 4.0,
+                stages: vec![idempotent("stock"), non_idempotent("place")],
+                ..PipelineMix::default()
+            },
+            PipelineMix {
+                name: "warranty".into(),
+                share: 2.0,
+                deadline_ms: 3_000,
+                stages: vec![idempotent("claims"), idempotent("summarise")],
+                ..PipelineMix::default()
+            },
+        ],
+        customers: customers(&[
+            ("coop-xela", 5.0),
+            ("coop-cantel", 3.0),
+            ("coop-salcaja", 1.0),
+            ("coop-zunil", 0.5),
+            ("bench", 0.5),
+        ]),
+    }
+}
+
+fn idempotent(name: &str) -> StageShape {
+    StageShape {
+        name: name.into(),
+        idempotent: true,
+    }
+}
+
+fn non_idempotent(name: &str) -> StageShape {
+    StageShape {
+        name: name.into(),
+        idempotent: false,
+    }
+}
+
+fn customers(shares: &[(&str, f64)]) -> Vec<CustomerMix> {
+    let customer = |(name, share): &(&str, f64)| CustomerMix {
+        name: (*name).into(),
+        share: *share,
+    };
+    shares.iter().map(customer).collect()
+}
--- /dev/null
+++ b/crates/sardineshore-load/src/sender.rs
@@ -0,0 +1,233 @@
+//! One exchange with an entry instance, as the platform's balancer would route it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_std::io::BufReader;
+use async_std::stream::StreamExt;
+use http_types::{Body, Method, Request, Response, Url, mime};
+use sardineshore_wire::caller::Refusal;
+use sardineshore_wire::headers;
+use sardineshore_wire::http::{Client, ClientError, Reuse, header};
+
+use crate::verify::{ReadAnswer, Token};
+
+/// Media type of streamed answers.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// One send of a logical request.
+#[derive(Debug, Clone)]
+pub struct Send {
+    /// Customer.
+    pub customer: Arc<str>,
+    /// Pipeline.
+    pub pipeline: Arc<str>,
+    /// Deadline that the caller asks for.
+    pub deadline: Duration,
+    /// Idempotency key, or empty.
+    pub key: Arc<str>,
+    /// Whether a stream is asked for.
+    pub streamed: bool,
+    /// JSON document.
+    pub body: Arc<[u8]>,
+    /// How long the caller waits for the whole reply.
+    pub patience: Duration,
+}
+
+/// What came of one send.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Sent {
+    /// `IP:PORT` of the entry instance that was asked last.
+    pub entry: Arc<str>,
+    /// Request's identifier, or empty.
+    pub request: Arc<str>,
+    /// `answered`, `not-run`, `unknown`, or `no-reply`.
+    pub outcome: Arc<str>,
+    /// Reason, or empty.
+    pub reason: Arc<str>,
+    /// Answer, if there was one.
+    pub answer: Option<ReadAnswer>,
+}
+
+impl Sent {
+    fn no_reply(reason: &str) -> Self {
+        Self {
+            outcome: "no-reply".into(),
+            reason: reason.into(),
+            ..Self::default()
+        }
+    }
+
+    fn refused(head: &Response, refusal: &Refusal) -> Self {
+        Self {
+            request: header(head, headers::REQUEST).into(),
+            outcome: refusal.outcome.clone(),
+            reason: refusal.reason.clone(),
+            ..Self::default()
+        }
+    }
+
+    fn answered(head: &Response, answer: ReadAnswer) -> Self {
+        Self {
+            request: header(head, headers::REQUEST).into(),
+            outcome: "answered".into(),
+            answer: Some(answer),
+            ..Self::default()
+        }
+    }
+}
+
+/// Spreads sends over entry instances; goes on to the next one when a connection is refused.
+#[derive(Debug)]
+pub struct Balancer {
+    entries: Vec<Arc<str>>,
+    next: AtomicUsize,
+    client: Client,
+}
+
+impl Balancer {
+    /// Creates a balancer over entry instances' callers' addresses (`IP:PORT`).
+    #[must_use]
+    pub fn new(entries: Vec<Arc<str>>) -> Self {
+        Self {
+            entries,
+            next: AtomicUsize::new(0),
+            client: Client::default(),
+        }
+    }
+
+    /// Sends once and reads the whole reply.
+    pub async fn send(&self, send: &Send) -> Sent {
+        let first = self.next.fetch_add(1, Ordering::Relaxed);
+        for i in 0..self.entries.len() {
+            let entry = &self.entries[(first + i) % self.entries.len()];
+            match self.send_to(entry, send).await {
+                Ok(sent) => {
+                    return Sent {
+                        entry: entry.clone(),
+                        ..sent
+                    };
+                }
+                Err(ClientError::NotSent(_)) => {}
+                Err(ClientError::Lost(_)) => return lost(entry, "connection-lost"),
+                Err(ClientError::TimedOut) => return lost(entry, "timed-out"),
+            }
+        }
+        Sent {
+            outcome: "not-run".into(),
+            reason: "not-sent".into(),
+            ..Sent::default()
+        }
+    }
+
+    async fn send_to(&self, entry: &str, send: &Send) -> Result<Sent, ClientError> {
+        let req = request(entry, send);
+        if !send.streamed {
+            let reply = self.client.send(entry, req, send.patience).await?;
+            return Ok(read_whole(&reply.head, reply.body));
+        }
+        let conn = self
+            .client
+            .checkout(entry, Reuse::Never, send.patience)
+            .await?;
+        let head = self.client.stream(conn, req, send.patience).await?;
+        let read = read_reply(head);
+        let read = async_std::future::timeout(send.patience, read).await;
+        read.map_err(|_| ClientError::TimedOut)?
+    }
+}
+
+fn lost(entry: &Arc<str>, reason: &str) -> Sent {
+    Sent {
+        entry: entry.clone(),
+        ..Sent::no_reply(reason)
+    }
+}
+
+fn request(entry: &str, send: &Send) -> Request {
+    let url = format!("http://{entry}/v1/pipelines/{}/requests", send.pipeline);
+    let url = Url::parse(&url).expect("a checked address and name form a URL");
+    let mut req = Request::new(Method::Post, url);
+    req.insert_header(headers::CUSTOMER, &*send.customer);
+    req.insert_header(headers::DEADLINE_MS, send.deadline.as_millis().to_string());
+    if !send.key.is_empty() {
+        req.insert_header(headers::IDEMPOTENCY_KEY, &*send.key);
+    }
+    if send.streamed {
+        req.insert_header("accept", EVENT_STREAM);
+    }
+    let mut body = Body::from_bytes(send.body.to_vec());
+    body.set_mime(mime::JSON);
+    req.set_body(body);
+    req
+}
+
+fn read_whole(head: &Response, body: Vec<u8>) -> Sent {
+    match header(head, headers::OUTCOME) {
+        "answered" => Sent::answered(
+            head,
+            ReadAnswer {
+                document: body,
+                tokens: None,
+            },
+        ),
+        _ => match serde_json::from_slice::<Refusal>(&body) {
+            Ok(refusal) => Sent::refused(head, &refusal),
+            Err(_) => Sent::no_reply("no-outcome"),
+        },
+    }
+}
+
+async fn read_reply(mut head: Response) -> Result<Sent, ClientError> {
+    let body = head.take_body();
+    if header(&head, "content-type").starts_with(EVENT_STREAM) {
+        return Ok(read_stream(&head, body).await);
+    }
+    let body = body.into_bytes().await;
+    let body = body.map_err(|err| ClientError::Lost(err.to_string()))?;
+    Ok(read_whole(&head, body))
+}
+
+/// Reads events until `done` or `failed`; a stream without either is no reply.
+async fn read_stream(head: &Response, body: Body) -> Sent {
+    let mut tokens = Vec::new();
+    let mut events = async_sse::decode(BufReader::new(body));
+    while let Some(event) = events.next().await {
+        let Ok(event) = event else {
+            return Sent::no_reply("stream-broken");
+        };
+        let async_sse::Event::Message(message) = event else {
+            continue;
+        };
+        match message.name().as_str() {
+            "token" => tokens.push(read_token(&message)),
+            "done" => {
+                let answer = ReadAnswer {
+                    document: message.into_bytes(),
+                    tokens: Some(tokens),
+                };
+                return Sent::answered(head, answer);
+            }
+            "failed" => return read_failed(head, message.data()),
+            _ => return Sent::no_reply("stream-malformed"),
+        }
+    }
+    Sent::no_reply("stream-cut")
+}
+
+fn read_failed(head: &Response, data: &[u8]) -> Sent {
+    match serde_json::from_slice::<Refusal>(data) {
+        Ok(refusal) => Sent::refused(head, &refusal),
+        Err(_) => Sent::no_reply("stream-malformed"),
+    }
+}
+
+/// A token without a number gets the largest one, which no check accepts.
+fn read_token(message: &async_sse::Message) -> Token {
+    let seq = message.id().as_ref().and_then(|id| id.parse().ok());
+    Token {
+        seq: seq.unwrap_or(u64::MAX),
+        text: String::from_utf8_lossy(message.data()).into_owned(),
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-load/src/text.rs
@@ -0,0 +1,90 @@
+//! The report as text for people.
+
+use std::fmt::Write as _;
+
+use comfy_table::{Table, presets};
+
+use crate::report::{Group, Report};
+
+const HEADER: &[&str] = &[
+    "",
+    "offered",
+    "answered",
+    "in time",
+    "not run",
+    "unknown",
+    "no reply",
+    "repeats",
+    "attainment",
+    "goodput/s",
+    "p50 ms",
+    "p90 ms",
+    "p99 ms",
+    "max ms",
+];
+
+/// Formats the report as tables.
+#[must_use]
+pub fn render(report: &Report) -> String {
+    let mut text = format!(
+        "{} (seed {}): {} requests in {:.1} s\n",
+        report.workload, report.seed, report.total.offered, report.seconds
+    );
+    let mut table = table(HEADER);
+    table.add_row(row(&report.total));
+    for group in report.pipelines.iter().chain(&report.customers) {
+        table.add_row(row(group));
+    }
+    let _ = writeln!(text, "{table}");
+    let _ = writeln!(
+        text,
+        "fairness between customers (Jain): {:.4}",
+        report.fairness
+    );
+    for count in &report.reasons {
+        let _ = writeln!(
+            text,
+            "{} {}: {}",
+            count.outcome, count.reason, count.requests
+        );
+    }
+    text.push_str(&pacing(report));
+    text
+}
+
+fn pacing(report: &Report) -> String {
+    let pacing = report.pacing;
+    if pacing.late == 0 && pacing.waits == 0 {
+        return String::new();
+    }
+    format!(
+        "schedule not kept: {} requests started late (at most {} ms), {} waits for room in flight\n",
+        pacing.late, pacing.max_lag_ms, pacing.waits
+    )
+}
+
+fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(header);
+    table
+}
+
+fn row(group: &Group) -> Vec<String> {
+    let latency = group.latency;
+    vec![
+        group.name.to_string(),
+        group.offered.to_string(),
+        group.answered.to_string(),
+        group.in_time.to_string(),
+        group.not_run.to_string(),
+        group.unknown.to_string(),
+        group.no_reply.to_string(),
+        group.repeats.to_string(),
+        format!("{:.4}", group.attainment),
+        format!("{:.1}", group.goodput),
+        format!("{:.1}", latency.p50_ms),
+        format!("{:.1}", latency.p90_ms),
+        format!("{:.1}", latency.p99_ms),
+        format!("{:.1}", latency.max_ms),
+    ]
+}
--- /dev/null
+++ b/crates/sardineshore-load/tests/audit.rs
@@ -0,0 +1,292 @@
+//! The audit catches each kind of breach in hand-made logs.
+
+use std::path::PathBuf;
+
+use sardineshore_load::audit::{Audit, Evidence, EvidenceError, Outage, Verdict};
+use sardineshore_load::preset;
+use sardineshore_wire::witness::{Execution, ExecutionEvent, Told};
+
+const ENTRY: &str = "127.0.0.1:7001";
+
+fn execution(tag: &str, stage: &str, event: ExecutionEvent) -> Execution {
+    Execution {
+        at_ms: 1_000,
+        server: "s1".into(),
+        event,
+        request: "r1".into(),
+        attempt: "a1".into(),
+        stage: stage.into(),
+        run_id: "".into(),
+        tag: tag.into(),
+    }
+}
+
+fn ran(tag: &str, stage: &str) -> [Execution; 2] {
+    [
+        execution(tag, stage, ExecutionEvent::Begun),
+        execution(tag, stage, ExecutionEvent::Finished),
+    ]
+}
+
+fn booked(tag: &str) -> Vec<Execution> {
+    [ran(tag, "check"), ran(tag, "book")].concat()
+}
+
+fn told(tag: &str, outcome: &str) -> Told {
+    let answered = outcome == "answered";
+    Told {
+        due_ms: 1_000,
+        latency_us: 50_000,
+        customer: "studio".into(),
+        pipeline: "booking".into(),
+        entry: ENTRY.into(),
+        request: "r1".into(),
+        tag: tag.into(),
+        key: "k1".into(),
+        outcome: outcome.into(),
+        reason: "".into(),
+        answer_tag: if answered { tag.into() } else { "".into() },
+        whole: answered,
+        in_time: answered,
+        sends: 1,
+    }
+}
+
+fn judge(told: Vec<Told>, executions: Vec<Execution>) -> Verdict {
+    judge_with(Vec::new(), told, executions)
+}
+
+fn judge_with(outages: Vec<Outage>, told: Vec<Told>, executions: Vec<Execution>) -> Verdict {
+    let audit = Audit {
+        outages,
+        ..Audit::of(&[preset::tangolin()])
+    };
+    audit.judge(&Evidence { executions, told })
+}
+
+fn outage(entry: &str, from_ms: u64, until_ms: u64) -> Outage {
+    Outage {
+        entry: entry.into(),
+        from_ms,
+        until_ms,
+    }
+}
+
+#[test]
+fn judge_clean_logs() {
+    let told = vec![
+        told("t1", "answered"),
+        told("t2", "not-run"),
+        told("t3", "unknown"),
+    ];
+    let mut executions = booked("t1");
+    executions.extend(ran("t2", "check"));
+    executions.push(execution("t3", "book", ExecutionEvent::Begun));
+    let verdict = judge(told, executions);
+    assert!(verdict.is_clean());
+    assert_eq!(
+        verdict.to_string(),
+        "audit: answered 1 of 3, not run 1, unknown 1, lost 0, doubled 0, misdelivered 0"
+    );
+}
+
+#[test]
+fn judge_answer_without_execution() {
+    let executions = ran("t1", "check").to_vec();
+    let verdict = judge(vec![told("t1", "answered")], executions);
+    assert_eq!(verdict.lost.len(), 1);
+    assert_eq!(verdict.lost[0].text, "stage book has no finished execution");
+}
+
+#[test]
+fn judge_answer_with_unfinished_execution() {
+    let mut executions = ran("t1", "check").to_vec();
+    executions.push(execution("t1", "book", ExecutionEvent::Begun));
+    executions.push(execution("t1", "book", ExecutionEvent::Crashed));
+    let verdict = judge(vec![told("t1", "answered")], executions);
+    assert_eq!(verdict.lost.len(), 1);
+}
+
+#[test]
+fn judge_answer_with_execution_of_other_tag() {
+    let verdict = judge(vec![told("t1", "answered")], booked("t2"));
+    assert_eq!(verdict.lost.len(), 1);
+}
+
+#[test]
+fn judge_incomplete_answer() {
+    let cut = Told {
+        whole: false,
+        ..told("t1", "answered")
+    };
+    let verdict = judge(vec![cut], booked("t1"));
+    assert_eq!(verdict.lost.len(), 1);
+    assert_eq!(verdict.lost[0].text, "the answer is incomplete");
+}
+
+#[test]
+fn judge_answer_of_unknown_pipeline() {
+    let foreign = Told {
+        pipeline: "nowhere".into(),
+        ..told("t1", "answered")
+    };
+    assert_eq!(judge(vec![foreign], booked("t1")).lost.len(), 1);
+}
+
+#[test]
+fn judge_no_reply_from_live_instance() {
+    let verdict = judge(vec![told("t1", "no-reply")], booked("t1"));
+    assert_eq!(verdict.lost.len(), 1);
+    assert_eq!(verdict.unknown, 0);
+}
+
+#[test]
+fn judge_no_reply_from_failed_instance() {
+    let failed = vec![outage(ENTRY, 1_040, 5_000)];
+    let verdict = judge_with(failed, vec![told("t1", "no-reply")], Vec::new());
+    assert!(verdict.is_clean());
+    assert_eq!(verdict.unknown, 1);
+}
+
+#[test]
+fn judge_no_reply_beside_another_instance_outage() {
+    let other = vec![outage("127.0.0.1:7002", 0, 9_000)];
+    let verdict = judge_with(other, vec![told("t1", "no-reply")], Vec::new());
+    assert_eq!(verdict.lost.len(), 1);
+}
+
+#[test]
+fn judge_no_reply_outside_outage() {
+    let told = vec![told("t1", "no-reply")];
+    let before = vec![outage(ENTRY, 0, 999)];
+    assert_eq!(judge_with(before, told.clone(), Vec::new()).lost.len(), 1);
+    let after = vec![outage(ENTRY, 1_051, 9_000)];
+    assert_eq!(judge_with(after, told, Vec::new()).lost.len(), 1);
+}
+
+#[test]
+fn judge_outcome_that_is_none() {
+    assert_eq!(judge(vec![told("t1", "perhaps")], Vec::new()).lost.len(), 1);
+}
+
+#[test]
+fn judge_doubled_stage_on_two_servers() {
+    let mut executions = booked("t1");
+    executions.push(Execution {
+        server: "s2".into(),
+        run_id: "other".into(),
+        ..execution("t1", "book", ExecutionEvent::Begun)
+    });
+    let verdict = judge(vec![told("t1", "answered")], executions);
+    assert_eq!(verdict.doubled.len(), 1);
+    assert_eq!(verdict.doubled[0].text, "stage book began 2 times");
+}
+
+#[test]
+fn judge_doubled_run_id_under_other_tags() {
+    let begun = |tag: &str| Execution {
+        run_id: "run1".into(),
+        ..execution(tag, "book", ExecutionEvent::Begun)
+    };
+    let verdict = judge(Vec::new(), vec![begun("t1"), begun("t2")]);
+    assert_eq!(verdict.doubled.len(), 1);
+    assert_eq!(verdict.doubled[0].text, "run id run1 began 2 times");
+}
+
+#[test]
+fn judge_doubled_behind_unknown() {
+    let mut executions = booked("t1");
+    executions.extend(ran("t1", "book"));
+    let verdict = judge(vec![told("t1", "unknown")], executions);
+    assert_eq!(verdict.doubled.len(), 1);
+}
+
+#[test]
+fn judge_repeated_idempotent_stage() {
+    let mut executions = booked("t1");
+    executions.extend(ran("t1", "check"));
+    assert!(judge(vec![told("t1", "answered")], executions).is_clean());
+}
+
+#[test]
+fn judge_not_run_that_began() {
+    let executions = vec![execution("t1", "book", ExecutionEvent::Begun)];
+    let verdict = judge(vec![told("t1", "not-run")], executions);
+    assert_eq!(verdict.doubled.len(), 1);
+    assert_eq!(
+        verdict.doubled[0].text,
+        "told not run, but stage book had begun"
+    );
+}
+
+#[test]
+fn judge_not_run_that_was_refused() {
+    let executions = vec![execution("t1", "book", ExecutionEvent::Refused)];
+    assert!(judge(vec![told("t1", "not-run")], executions).is_clean());
+}
+
+#[test]
+fn judge_misdelivered_answer() {
+    let swapped = Told {
+        answer_tag: "t2".into(),
+        ..told("t1", "answered")
+    };
+    let verdict = judge(vec![swapped], booked("t1"));
+    assert_eq!(verdict.misdelivered.len(), 1);
+    assert_eq!(
+        verdict.to_string(),
+        "audit: answered 1 of 1, not run 0, unknown 0, lost 0, doubled 0, misdelivered 1"
+    );
+}
+
+fn log_file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("sardine-audit-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+#[test]
+fn read_missing_log() {
+    let path = std::env::temp_dir().join("sardine-audit-no-such-log");
+    let read = Evidence::default().read_executions(&path);
+    assert!(matches!(read, Err(EvidenceError::Unreadable { .. })));
+}
+
+#[test]
+fn read_empty_log() {
+    let path = log_file("empty", "\n");
+    let read = Evidence::default().read_executions(&path);
+    std::fs::remove_file(&path).unwrap();
+    assert!(matches!(read, Err(EvidenceError::Empty { .. })));
+}
+
+#[test]
+fn read_torn_log() {
+    let whole = serde_json::to_string(&execution("t1", "book", ExecutionEvent::Begun)).unwrap();
+    let path = log_file("torn", &format!("{whole}\n{}", &whole[..40]));
+    let read = Evidence::default().read_executions(&path);
+    std::fs::remove_file(&path).unwrap();
+    assert!(matches!(
+        read,
+        Err(EvidenceError::Malformed { line: 2, .. })
+    ));
+}
+
+#[test]
+fn read_callers_log_with_missing_lines() {
+    let line = serde_json::to_string(&told("t1", "answered")).unwrap();
+    let path = log_file("short", &line);
+    let mut evidence = Evidence::default();
+    let short = evidence.read_told(&path, 2);
+    assert!(matches!(
+        short,
+        Err(EvidenceError::Incomplete {
+            found: 1,
+            expected: 2,
+            ..
+        })
+    ));
+    evidence.read_told(&path, 1).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(evidence.told.len(), 1);
+}
--- a/crates/sardineshore-wire/src/witness.rs
+++ b/crates/sardineshore-wire/src/witness.rs
@@ -56,6 +56,8 @@
     pub customer: Arc<str>,
     /// Pipeline.
     pub pipeline: Arc<str>,
+    /// `IP:PORT` of the entry instance that was asked last; empty if none could be reached.
+    pub entry: Arc<str>,
     /// Request, as told by the entry instance; empty if no reply came.
     pub request: Arc<str>,
     /// Tag that the caller put into its input, unique per logical request.
