--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 pub mod change;
+pub mod claim;
 pub mod clock;
 pub mod deployment;
 pub mod event;
@@ -26,6 +27,7 @@
 pub mod limits;
 pub mod order;
 pub mod outcome;
+pub mod quarantine;
 pub mod query;
 pub mod retry;
 pub mod routing;
@@ -43,7 +45,8 @@
     RequestId, Revision, ServerId, Version,
 };
 pub use limits::{
-    Admission, AdmissionConfig, Completion, Offer, Offered, Release, Released, Ticket, Verdict,
+    Admission, AdmissionConfig, Completion, ConcurrencyLimit, Offer, Offered, Release, Released,
+    Ticket, Verdict,
 };
 pub use order::{EngineAction, EngineOrder, Fence};
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
@@ -51,8 +54,12 @@
     Answer, CostBy, CostRow, CustomerRow, EventRow, InstanceRow, QuarantineRow, Query, ServerRow,
     VersionRow,
 };
-pub use retry::{GiveUp, Retries, RetryBudget, RetryConfig, RetryDecision};
+pub use retry::{
+    EndedAttempt, GiveUp, HedgePolicy, Retries, RetryBudget, RetryConfig, RetryDecision,
+    StageBudget, StageLatencies, StageQuantiles,
+};
 pub use routing::{
-    Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice, Policy, Router, RoutingConfig,
+    Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice, Policy, Polled, Router,
+    RoutingConfig, RoutingDecision, RoutingNotice,
 };
 pub use store::{Check, Commit, Put, Row, StoreError, Txn};
