feat(entry): answers to operators' queries from the instance's tables

Cause: operators ask for pipelines, backend servers, customers, costs and one request's events. Ruled out: counters of their own beside the tables that requests already use. Change: one function from a query to its rows; configuration and peers answer theirs. Conclusion: the operators' server needs only to call it.

--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod journal;
 pub mod listener;
 pub mod metrics;
+pub mod queries;
 pub mod reply;
 pub mod runner;
 pub mod settings;
--- /dev/null
+++ b/crates/sardineshore-entry/src/queries.rs
@@ -0,0 +1,30 @@
+//! Answers to operators' queries about requests, backend servers and costs; none changes anything.
+
+use sardineshore_core::{Answer, Query};
+
+use crate::instance::Instance;
+
+/// Answers a query from this instance's tables; none if it is about configuration or peers.
+#[must_use]
+pub fn answer(instance: &Instance, query: &Query) -> Option<Answer> {
+    let now = instance.clock.now();
+    let tables = &instance.tables;
+    match query {
+        Query::Pipelines => {
+            let deployment = tables.deployment();
+            Some(Answer::Pipelines(
+                deployment.pipelines.values().cloned().collect(),
+            ))
+        }
+        Query::Servers { pool } => {
+            Some(Answer::Servers(tables.router().rows(pool.as_deref(), now)))
+        }
+        Query::Customers => {
+            let deployment = tables.deployment();
+            Some(Answer::Customers(tables.totals().customers(&deployment)))
+        }
+        Query::Cost { by } => Some(Answer::Cost(tables.totals().costs(*by))),
+        Query::Explain { request } => Some(Answer::Explain(instance.journal.explain(request))),
+        Query::Instances | Query::Versions | Query::Quarantine => None,
+    }
+}
