feat(entry): configuration service, exchanges with peers, operators' methods

Cause: instances must follow the log, confirm it through the store or peers, and accept commands, under faults of both.

Ruled out: waiting for a whole wave of peers while a version spreads. One paused peer would hold up each acceptance by its timeout.

Change: ConfigService with single steps and tasks that repeat them; a question that names a newer version makes the asked instance fetch it before it answers; jsonrpsee client and server; operators' methods behind Queries, Orders and Releases. Evidence on crashes travels in exchanges. A head below any version known to be accepted confirms nothing.

--- a/crates/sardineshore-core/src/config_log/submit.rs
+++ b/crates/sardineshore-core/src/config_log/submit.rs
@@ -50,6 +50,8 @@
     Written {
         /// Its version.
         version: Version,
+        /// Its entry, if it was written just now.
+        entry: Option<LogEntry>,
     },
     /// It does not fit; nothing was written and nothing will be.
     Refused {
@@ -120,6 +122,12 @@
         (submitting, Step::ReadCommand)
     }
 
+    /// Whether a write was sent whose effect is not known.
+    #[must_use]
+    pub fn in_doubt(&self) -> bool {
+        self.in_doubt
+    }
+
     /// The command's row was read.
     pub fn command_read(&mut self, read: &Result<Option<Row>, StoreError>) -> Step {
         match read {
@@ -168,9 +176,13 @@
     /// The transaction was answered.
     pub fn committed(&mut self, result: &Result<Commit, StoreError>) -> Step {
         match result {
-            Ok(Commit::Applied { .. }) => Step::Done(Verdict::Written {
-                version: self.head.version + 1,
-            }),
+            Ok(Commit::Applied { .. }) => {
+                let entry = self.entry();
+                Step::Done(Verdict::Written {
+                    version: entry.version,
+                    entry: Some(entry),
+                })
+            }
             Ok(Commit::Conflict { rows }) => self.conflict(rows),
             Err(StoreError::Unconfirmed) => {
                 self.in_doubt = true;
@@ -222,16 +234,19 @@
         None
     }
 
-    fn txn(&self) -> Txn {
-        let HeadRead { revision, version } = self.head;
+    fn entry(&self) -> LogEntry {
         let proposal = &self.proposal;
-        let entry = LogEntry {
-            version: version + 1,
+        LogEntry {
+            version: self.head.version + 1,
             command: proposal.command.clone(),
             operator: proposal.operator.clone(),
             changes: proposal.changes.clone(),
             at_ms: proposal.at_ms,
-        };
+        }
+    }
+
+    fn txn(&self) -> Txn {
+        let entry = self.entry();
         let head = Head {
             version: entry.version,
             command: entry.command.clone(),
@@ -244,7 +259,7 @@
             log_key(entry.version),
             command_key(&entry.command),
         ];
-        let revisions = [revision, 0, 0];
+        let revisions = [self.head.revision, 0, 0];
         let values = [encode(&head), encode(&entry), encode(&row)];
         let checks = keys.iter().cloned().zip(revisions);
         let puts = keys.iter().cloned().zip(values);
@@ -270,6 +285,7 @@
     match serde_json::from_str::<CommandRow>(&row.value) {
         Ok(found) => Step::Done(Verdict::Written {
             version: found.version,
+            entry: None,
         }),
         Err(_) => Step::Done(Verdict::Unconfirmed),
     }
--- a/crates/sardineshore-core/src/contact.rs
+++ b/crates/sardineshore-core/src/contact.rs
@@ -113,6 +113,8 @@
     me: InstanceId,
     settings: ContactSettings,
     version: Option<Version>,
+    /// Highest version that any instance is known to hold.
+    newest: Version,
     /// Whether this instance has been confirmed once and counts as a member itself.
     joined: bool,
     confirmed: Option<Confirmation>,
@@ -132,6 +134,7 @@
             me,
             settings,
             version: None,
+            newest: 0,
             joined: false,
             confirmed: None,
             ahead: None,
@@ -163,8 +166,8 @@
 
     /// The store's head was read, by a call that began at `began`; 0: there is no head.
     pub fn head_read(&mut self, head: Version, began: Instant, now: Instant) {
-        // A head below the version in force was read from a store that is behind.
-        if self.version.is_none_or(|version| head >= version) {
+        // A head below a version that was accepted comes from a store that is behind.
+        if head >= self.newest {
             self.confirm(Confirmation {
                 at: began,
                 version: head,
@@ -176,6 +179,7 @@
     /// A version came into force here.
     pub fn adopted(&mut self, version: Version, now: Instant) {
         self.version = self.version.max(Some(version));
+        self.newest = self.newest.max(version);
         if let Some(ahead) = self.ahead.take() {
             self.confirm(ahead);
         }
@@ -307,6 +311,7 @@
     }
 
     fn heard_directly(&mut self, hearing: &Hearing, version: Version, sent: Instant) {
+        self.newest = self.newest.max(version);
         self.heard(&hearing.member, Confirmation { at: sent, version });
         self.holds(&hearing.member, version);
         let at = hearing.confirmed_age.and_then(|age| sent.checked_sub(age));
--- a/crates/sardineshore-core/tests/config_log.rs
+++ b/crates/sardineshore-core/tests/config_log.rs
@@ -5,7 +5,9 @@
 
 use sardineshore_core::config_log::submit::{NotWritten, Proposal, Step, Submitting, Verdict};
 use sardineshore_core::config_log::{Adoption, ConfigLog, HEAD_KEY, LogEntry, log_key};
-use sardineshore_core::{BackendServer, Change, Commit, Objective, Revision, Row, StoreError, Txn};
+use sardineshore_core::{
+    BackendServer, Change, Commit, Objective, Revision, Row, StoreError, Txn, Version,
+};
 
 /// What the table does with the next transaction.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -116,11 +118,27 @@
     }
 }
 
+/// A verdict whose entry, if it has one, has the verdict's version.
+fn without_entry(verdict: Verdict) -> Verdict {
+    let Verdict::Written { version, entry } = verdict else {
+        return verdict;
+    };
+    assert!(entry.is_none_or(|entry| entry.version == version && &*entry.command == "c-1"));
+    written(version)
+}
+
+fn written(version: Version) -> Verdict {
+    Verdict::Written {
+        version,
+        entry: None,
+    }
+}
+
 fn run(table: &mut Table, log: &mut ConfigLog, changes: Vec<Change>) -> Verdict {
     let (mut submitting, mut next) = Submitting::new(proposal("c-1", changes));
     loop {
         if let Step::Done(verdict) = next {
-            return verdict;
+            return without_entry(verdict);
         }
         next = step(&mut submitting, &next, table, log);
     }
@@ -141,7 +159,7 @@
 fn submission_writes_three_rows() {
     let mut table = Table::default();
     let verdict = run(&mut table, &mut ConfigLog::default(), vec![add("a")]);
-    assert_eq!(verdict, Verdict::Written { version: 1 });
+    assert_eq!(verdict, written(1));
     let rows: Vec<_> = table
         .rows
         .values()
@@ -162,7 +180,7 @@
         };
         let mut log = ConfigLog::default();
         let verdict = run(&mut table, &mut log, vec![add("a")]);
-        assert_eq!(verdict, Verdict::Written { version: 1 }, "{fault:?}");
+        assert_eq!(verdict, written(1), "{fault:?}");
         if let Some(late) = table.late.take() {
             assert!(matches!(table.apply(&late), Commit::Conflict { .. }));
         }
@@ -178,7 +196,7 @@
     run(&mut table, &mut log, vec![add("a")]);
     other(&mut table, "c-2", vec![add("b")]);
     let verdict = run(&mut table, &mut log, vec![add("a")]);
-    assert_eq!(verdict, Verdict::Written { version: 1 });
+    assert_eq!(verdict, written(1));
 }
 
 #[test]
@@ -191,7 +209,10 @@
     while !matches!(next, Step::Done(_)) {
         next = step(&mut submitting, &next, &mut table, &mut log);
     }
-    assert_eq!(next, Step::Done(Verdict::Written { version: 2 }));
+    let Step::Done(verdict) = next else {
+        panic!("ended")
+    };
+    assert_eq!(without_entry(verdict), written(2));
 }
 
 #[test]
@@ -226,7 +247,10 @@
     while !matches!(next, Step::Done(_)) {
         next = step(&mut submitting, &next, &mut table, &mut log);
     }
-    assert_eq!(next, Step::Done(Verdict::Written { version: 1 }));
+    let Step::Done(verdict) = next else {
+        panic!("ended")
+    };
+    assert_eq!(without_entry(verdict), written(1));
 }
 
 #[test]
--- /dev/null
+++ b/crates/sardineshore-entry/src/config/progress.rs
@@ -0,0 +1,87 @@
+//! Answers to operators: where versions are in force, which instances are known.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sardineshore_core::contact::Contact;
+use sardineshore_core::membership::Member;
+use sardineshore_core::{InstanceRow, Version, VersionRow};
+use sardineshore_wire::operator::Progress;
+
+use super::{ConfigService, ConfigState};
+
+impl ConfigService {
+    /// Where a version is in force.
+    #[must_use]
+    pub fn progress(&self, version: Version) -> Progress {
+        let spread = self.state().contact.spread(version, self.now());
+        Progress {
+            version,
+            in_force: spread.in_force,
+            applied: spread.applied,
+            pending: spread.pending,
+        }
+    }
+
+    /// Versions in force on all known instances, as last heard.
+    #[must_use]
+    pub fn versions(&self) -> Vec<VersionRow> {
+        let state = self.state();
+        let rows = state.membership.members().map(|member| VersionRow {
+            instance: member.name.clone(),
+            version: state.contact.held_by(&member.name).unwrap_or_default(),
+            confirmed_ms: millis(self.confirmed_age(&state, member)),
+        });
+        rows.collect()
+    }
+
+    /// All known instances.
+    #[must_use]
+    pub fn instances(&self) -> Vec<InstanceRow> {
+        let state = self.state();
+        let rows = state.membership.members().map(|member| InstanceRow {
+            instance: member.name.clone(),
+            domain: member.domain.clone(),
+            state: self.state_of(&state.contact, member),
+            version: state.contact.held_by(&member.name).unwrap_or_default(),
+            heard_ms: millis(self.heard_age(&state.contact, member)),
+        });
+        rows.collect()
+    }
+
+    fn state_of(&self, contact: &Contact, member: &Member) -> Arc<str> {
+        let fence = self.settings.contact.fence_after;
+        let age = self.heard_age(contact, member);
+        let live = age.is_some_and(|age| age <= fence);
+        let state = match () {
+            () if member.name == self.settings.name => "self",
+            () if contact.has_stopped(&member.name) => "stopped",
+            () if member.leaving => "leaving",
+            () if live => "live",
+            () => "silent",
+        };
+        state.into()
+    }
+
+    fn heard_age(&self, contact: &Contact, member: &Member) -> Option<Duration> {
+        if member.name == self.settings.name {
+            return Some(Duration::ZERO);
+        }
+        contact.heard_age(&member.name, self.now())
+    }
+
+    fn confirmed_age(&self, state: &ConfigState, member: &Member) -> Option<Duration> {
+        let now = self.now();
+        if member.name == self.settings.name {
+            return state.contact.confirmation_age(now);
+        }
+        let at = state.peer_confirmed.get(&member.name)?;
+        Some(now.saturating_duration_since(*at))
+    }
+}
+
+/// Milliseconds, the largest number if there is none.
+fn millis(age: Option<Duration>) -> u64 {
+    let age = age.map(|age| u64::try_from(age.as_millis()));
+    age.and_then(Result::ok).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/sardineshore-entry/src/config/tasks.rs
@@ -0,0 +1,139 @@
+//! Repeats the steps of the configuration service.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task::{self, JoinHandle};
+use rand::Rng;
+use sardineshore_core::membership::shared_period;
+
+use super::ConfigService;
+
+/// Share by which periods vary at random, so that instances do not call at the same moment.
+const JITTER: f64 = 0.2;
+/// Longest time between two reads of the head while the store fails.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Time between two looks at the fence and at the age of the confirmation.
+const WATCH_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two looks whether a shared period has passed.
+const MAX_NAP: Duration = Duration::from_secs(1);
+
+/// Tasks that run until they are cancelled.
+#[derive(Debug)]
+pub struct ConfigTasks {
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl ConfigTasks {
+    /// Ends all tasks.
+    pub async fn cancel(self) {
+        for task in self.tasks {
+            task.cancel().await;
+        }
+    }
+}
+
+/// Starts to follow the platform and to exchange with peers.
+#[must_use]
+pub fn start(service: &Arc<ConfigService>) -> ConfigTasks {
+    let tasks = vec![
+        spawn(service, follow_list),
+        spawn(service, follow_head),
+        spawn(service, exchange),
+        spawn(service, tell_news),
+        spawn(service, watch),
+    ];
+    ConfigTasks { tasks }
+}
+
+fn spawn<F>(
+    service: &Arc<ConfigService>,
+    task: impl FnOnce(Arc<ConfigService>) -> F,
+) -> JoinHandle<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    task::spawn(task(service.clone()))
+}
+
+async fn follow_list(service: Arc<ConfigService>) {
+    loop {
+        let read = service.poll_list().await;
+        let settings = &service.settings;
+        let began = service.now();
+        let period = || match read {
+            Ok(()) => shared_period(
+                service.members(),
+                settings.list_budget,
+                settings.list_period,
+            ),
+            Err(_) => settings.list_period,
+        };
+        // Members that join shorten nothing but lengthen the period while it runs.
+        while service.now() < began + period() {
+            task::sleep(jittered(period().min(MAX_NAP))).await;
+        }
+    }
+}
+
+/// Reads the head in its share of the budget, and at once when the confirmation grows old.
+async fn follow_head(service: Arc<ConfigService>) {
+    let settings = &service.settings;
+    let mut backoff = settings.head_period;
+    loop {
+        if service.poll_head().await.is_ok() {
+            backoff = settings.head_period;
+            service.wait_until_due().await;
+        } else {
+            task::sleep(jittered(backoff)).await;
+            backoff = (2 * backoff).min(MAX_BACKOFF);
+        }
+    }
+}
+
+async fn exchange(service: Arc<ConfigService>) {
+    loop {
+        task::sleep(jittered(service.settings.exchange_period)).await;
+        let service = service.clone();
+        task::spawn(async move { service.exchange_next().await });
+    }
+}
+
+async fn tell_news(service: Arc<ConfigService>) {
+    while service.news.1.recv().await.is_ok() {
+        service.exchange_with_some().await;
+    }
+}
+
+async fn watch(service: Arc<ConfigService>) {
+    loop {
+        service.watch_fence();
+        task::sleep(WATCH_PERIOD).await;
+    }
+}
+
+impl ConfigService {
+    fn members(&self) -> usize {
+        self.state().membership.len()
+    }
+
+    async fn wait_until_due(&self) {
+        let settings = &self.settings;
+        let began = self.now();
+        task::sleep(jittered(settings.head_period)).await;
+        loop {
+            let period = shared_period(self.members(), settings.head_budget, settings.head_period);
+            let age = self.state().contact.confirmation_age(self.now());
+            let old = age.is_none_or(|age| age >= settings.renew_after);
+            if old || self.now() >= began + period {
+                return;
+            }
+            task::sleep(WATCH_PERIOD).await;
+        }
+    }
+}
+
+fn jittered(period: Duration) -> Duration {
+    period.mul_f64(rand::rng().random_range(1.0 - JITTER..=1.0 + JITTER))
+}
--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod api;
+pub mod config;
 pub mod conn;
 pub mod dispatch;
 pub mod instance;
@@ -13,6 +14,8 @@
 pub mod journal;
 pub mod listener;
 pub mod metrics;
+pub mod operator;
+pub mod peers;
 pub mod queries;
 pub mod reply;
 pub mod runner;
--- a/crates/sardineshore-wire/src/peer.rs
+++ b/crates/sardineshore-wire/src/peer.rs
@@ -11,7 +11,8 @@
 use jsonrpsee::proc_macros::rpc;
 use sardineshore_core::config_log::LogEntry;
 use sardineshore_core::membership::leaving::LeavingNotice;
-use sardineshore_core::{Deployment, Fingerprint, InstanceId, ServerId, Version};
+use sardineshore_core::quarantine::Evidence;
+use sardineshore_core::{Deployment, InstanceId, Version};
 use serde::{Deserialize, Serialize};
 
 /// Methods that an entry instance serves to its peers.
@@ -56,9 +57,9 @@
     /// Backend servers whose mark in the instance list has changed; only in answers.
     #[serde(rename = "l", skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<LeavingNotice>,
-    /// Recent crashes of backend servers, with the request that each ran.
-    #[serde(rename = "s", skip_serializing_if = "Vec::is_empty")]
-    pub strikes: Vec<StrikeNotice>,
+    /// Recent evidence on requests that crash backend servers.
+    #[serde(rename = "e", skip_serializing_if = "Vec::is_empty")]
+    pub evidence: Vec<Evidence>,
 }
 
 impl Default for Exchange {
@@ -71,7 +72,7 @@
             roster: 0,
             relay: "".into(),
             leaving: Vec::new(),
-            strikes: Vec::new(),
+            evidence: Vec::new(),
         }
     }
 }
@@ -97,20 +98,6 @@
     }
 }
 
-/// A crash of a backend server, attributed to the request that it ran.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StrikeNotice {
-    /// Fingerprint of the request.
-    #[serde(rename = "f")]
-    pub fingerprint: Fingerprint,
-    /// Backend server that crashed.
-    #[serde(rename = "s")]
-    pub server: ServerId,
-    /// Unix time of the crash, in milliseconds.
-    #[serde(rename = "t")]
-    pub at_ms: u64,
-}
-
 /// Entries after the version asked for.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "reply")]
