--- a/crates/sardineshore-entry/src/peers/serve.rs
+++ b/crates/sardineshore-entry/src/peers/serve.rs
@@ -1,5 +1,6 @@
 //! Serves peers and operators over JSON-RPC on the peer address.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anyhow::Context;
@@ -43,8 +44,17 @@
     }
 }
 
-/// Listens on `addr` (`IP:PORT`) until the handle is stopped or dropped.
-pub async fn serve(addr: &str, operator: OperatorApi) -> anyhow::Result<ServerHandle> {
+/// A listener that serves until its handle is stopped or dropped.
+#[derive(Debug)]
+pub struct Serving {
+    /// Address that it listens on.
+    pub addr: SocketAddr,
+    /// Stops it.
+    pub handle: ServerHandle,
+}
+
+/// Listens on `addr` (`IP:PORT`).
+pub async fn serve(addr: &str, operator: OperatorApi) -> anyhow::Result<Serving> {
     let peer = PeerApi {
         service: operator.service().clone(),
     };
@@ -58,10 +68,14 @@
         .build(addr)
         .await
         .with_context(|| format!("listen {addr}"))?;
+    let local = server.local_addr().context("local address")?;
     let mut methods = RpcModule::new(());
     methods.merge(peer.into_rpc()).context("peer methods")?;
     methods
         .merge(operator.into_rpc())
         .context("operator methods")?;
-    Ok(server.start(methods))
+    Ok(Serving {
+        addr: local,
+        handle: server.start(methods),
+    })
 }
--- a/crates/sardineshore-entry/tests/configuration/fleet.rs
+++ b/crates/sardineshore-entry/tests/configuration/fleet.rs
@@ -252,10 +252,26 @@
 
 /// Starts an instance; it is listed, and its steps are the caller's to take.
 pub fn start(world: &Arc<World>, clock: &Arc<dyn Clock>, settings: ConfigSettings) -> Node {
+    let name = settings.name.clone();
+    let node = build(world, clock, settings, None);
+    world.store().listed.push(listed(&name, ListedRole::Entry));
+    let mut services = world.services.lock().unwrap();
+    services.insert(name, node.service.clone());
+    drop(services);
+    node
+}
+
+/// Builds an instance that is not listed, with a link to its peers if not through the world.
+pub fn build(
+    world: &Arc<World>,
+    clock: &Arc<dyn Clock>,
+    settings: ConfigSettings,
+    link: Option<Arc<dyn PeerLink>>,
+) -> Node {
     let name = settings.name.clone();
     let reach = Arc::new(Reach {
         world: world.clone(),
-        me: name.clone(),
+        me: name,
     });
     let recorder = Arc::new(Recorder::default());
     let ports = Ports {
@@ -263,16 +279,12 @@
         table: reach.clone(),
         objects: reach.clone(),
         list: reach.clone(),
-        peers: reach,
+        peers: link.unwrap_or(reach),
         adopted: recorder.clone(),
         evidence: Arc::new(NoEvidence),
         log: slog::Logger::root(slog::Discard, slog::o!()),
     };
     let service = Arc::new(ConfigService::new(settings, ports));
-    world.store().listed.push(listed(&name, ListedRole::Entry));
-    let mut services = world.services.lock().unwrap();
-    services.insert(name, service.clone());
-    drop(services);
     Node { service, recorder }
 }
 
@@ -288,7 +300,6 @@
 }
 
 /// Runs an instance's tasks.
-#[allow(dead_code, reason = "the tests take the steps one by one")]
 pub fn run(node: &Node) -> tasks::ConfigTasks {
     tasks::start(&node.service)
 }
--- a/crates/sardineshore-entry/tests/configuration/main.rs
+++ b/crates/sardineshore-entry/tests/configuration/main.rs
@@ -2,6 +2,7 @@
 //! under a manual clock.
 
 mod fleet;
+mod rpc;
 
 use std::sync::Arc;
 use std::time::Duration;
--- /dev/null
+++ b/crates/sardineshore-entry/tests/configuration/rpc.rs
@@ -0,0 +1,130 @@
+//! Peers and operators over JSON-RPC on loopback.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task::{block_on, sleep};
+use async_trait::async_trait;
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use sardineshore_core::{
+    Answer, Change, Clock, CommandId, EngineAction, Objective, Query, ServerId, SystemClock,
+};
+use sardineshore_entry::config::ConfigSettings;
+use sardineshore_entry::operator::{OperatorApi, Orders, Queries, Releases};
+use sardineshore_entry::peers::link::RpcLink;
+use sardineshore_entry::peers::serve::{Serving, serve};
+use sardineshore_wire::operator::{OperatorClient, OrderOutcome, Submission, SubmitReply};
+use sardineshore_wire::platform::ListedRole;
+
+use crate::fleet::{self, Node, World, build, listed};
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+#[derive(Debug)]
+struct Nothing;
+
+impl Queries for Nothing {
+    fn answer(&self, _query: &Query) -> Option<Answer> {
+        None
+    }
+}
+
+#[async_trait]
+impl Orders for Nothing {
+    async fn order(
+        &self,
+        _command: CommandId,
+        _server: ServerId,
+        _action: EngineAction,
+    ) -> OrderOutcome {
+        OrderOutcome::Done
+    }
+}
+
+#[async_trait]
+impl Releases for Nothing {
+    async fn release(&self, _fingerprint: Arc<str>) -> bool {
+        false
+    }
+}
+
+struct Served {
+    node: Node,
+    serving: Serving,
+}
+
+impl Served {
+    async fn start(world: &Arc<World>, name: &str) -> Self {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let settings = ConfigSettings {
+            name: name.into(),
+            ..ConfigSettings::default()
+        };
+        let link = Arc::new(RpcLink::new(TIMEOUT));
+        let node = build(world, &clock, settings, Some(link));
+        let nothing = Arc::new(Nothing);
+        let service = node.service.clone();
+        let api = OperatorApi::new(service, nothing.clone(), nothing.clone(), nothing);
+        let serving = serve("127.0.0.1:0", api).await.unwrap();
+        let mut line = listed(name, ListedRole::Entry);
+        line.addr = serving.addr.to_string();
+        world.store().listed.push(line);
+        Self { node, serving }
+    }
+
+    fn client(&self) -> HttpClient {
+        HttpClientBuilder::default()
+            .request_timeout(TIMEOUT)
+            .build(format!("http://{}", self.serving.addr))
+            .unwrap()
+    }
+}
+
+#[test]
+fn submit_reaches_peers() {
+    block_on(async {
+        let world = Arc::<World>::default();
+        let mut fleet = Vec::new();
+        for name in ["i1", "i2", "i3"] {
+            fleet.push(Served::start(&world, name).await);
+        }
+        let running: Vec<_> = fleet
+            .iter()
+            .map(|served| fleet::run(&served.node))
+            .collect();
+        while !fleet.iter().all(|served| served.node.service.is_ready()) {
+            sleep(Duration::from_millis(10)).await;
+        }
+        let client = fleet[0].client();
+        let submission = Submission {
+            command: "c-1".into(),
+            operator: "ana".into(),
+            changes: vec![Change::SetObjective {
+                objective: Objective::Cost,
+            }],
+        };
+        let mut reply = client.submit(submission.clone()).await.unwrap();
+        while matches!(reply, SubmitReply::NotAccepted { .. }) {
+            sleep(Duration::from_millis(10)).await;
+            reply = client.submit(submission.clone()).await.unwrap();
+        }
+        assert_eq!(reply, SubmitReply::Accepted { version: 1 });
+        for served in &fleet {
+            let client = served.client();
+            while !client.progress(1).await.unwrap().in_force {
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
+        let Answer::Instances(rows) = client.query(Query::Instances).await.unwrap() else {
+            panic!("rows of instances");
+        };
+        assert_eq!(rows.len(), 3);
+        assert!(rows.iter().all(|row| row.version == 1), "{rows:?}");
+        let unknown = client.query(Query::Customers).await.unwrap_err();
+        assert!(matches!(unknown, ClientError::Call(_)), "{unknown:?}");
+        for tasks in running {
+            tasks.cancel().await;
+        }
+    });
+}
