test(entry): the whole answer to the right request, drain and stop

Cause: the promises of whole answers, drain and graceful stops had no proof on the path. Ruled out: relying on the router's choice alone for drain: without the check before the send, a backend server drained after the choice still received the request.

--- /dev/null
+++ b/crates/sardineshore-entry/tests/support/site.rs
@@ -0,0 +1,164 @@
+//! An entry instance and stand-ins of backend servers within one test process.
+
+use std::collections::BTreeSet;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::task::{self, JoinHandle};
+use http_types::{Method, Request, Url};
+use sardineshore_core::{BackendServer, Change, Deployment, Pipeline, Stage, SystemClock};
+use sardineshore_entry::{Gate, Instance, OpenGate, Settings, listener};
+use sardineshore_fakes::serve::serve;
+use sardineshore_fakes::server::faults::ServerFaults;
+use sardineshore_fakes::server::settings::ServerSettings;
+use sardineshore_fakes::server::{FakeServer, log};
+use sardineshore_wire::headers;
+use sardineshore_wire::http::{Client, Reply};
+use sardineshore_wire::witness::ExecutionEvent;
+
+/// Long enough that no test depends on it.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// The execution log of a backend server's stand-in.
+pub struct Backend {
+    log: PathBuf,
+}
+
+impl Backend {
+    /// Number of attempts that began.
+    pub fn begun(&self) -> usize {
+        let all = log::read(&self.log).expect("the log can be read");
+        all.iter()
+            .filter(|line| line.event == ExecutionEvent::Begun)
+            .count()
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.log);
+    }
+}
+
+/// One entry instance that listens, and its backend servers.
+pub struct Site {
+    /// The instance.
+    pub instance: Arc<Instance>,
+    /// Its backend servers, in the order of their faults.
+    pub backends: Vec<Backend>,
+    /// The deployment in force.
+    pub deployment: Deployment,
+    addr: String,
+    client: Client,
+    accepting: JoinHandle<()>,
+}
+
+impl Site {
+    /// Starts an instance before one backend server for each set of faults, all in pool `pool`,
+    /// with one pipeline `work` of one stage.
+    pub async fn start(name: &str, stage: Stage, faults: Vec<ServerFaults>) -> Self {
+        Self::start_behind(Arc::new(OpenGate), name, stage, faults).await
+    }
+
+    /// Like [`Site::start`], with a gate that is asked before each send.
+    pub async fn start_behind(
+        gate: Arc<dyn Gate>,
+        name: &str,
+        stage: Stage,
+        faults: Vec<ServerFaults>,
+    ) -> Self {
+        let mut deployment = Deployment::default();
+        let pipeline = Pipeline {
+            name: "work".into(),
+            stages: vec![Stage {
+                name: "step".into(),
+                pool: "pool".into(),
+                ..stage
+            }],
+            deadline: PATIENCE,
+        };
+        deployment
+            .apply(&Change::CreatePipeline { pipeline })
+            .expect("the change fits");
+        let mut backends = Vec::new();
+        for (n, faults) in faults.into_iter().enumerate() {
+            let (backend, server) = start_backend(&format!("{name}-s{n}"), faults).await;
+            deployment
+                .apply(&Change::AddServer { server })
+                .expect("the change fits");
+            backends.push(backend);
+        }
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let settings = Settings {
+            name: name.into(),
+            ..Settings::default()
+        };
+        let instance = Instance::new(settings, Arc::new(SystemClock), gate, log);
+        let instance = Arc::new(instance);
+        instance
+            .tables
+            .adopt(Arc::new(deployment.clone()), &BTreeSet::new());
+        let socket = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let addr = socket.local_addr().expect("bound").to_string();
+        let accepting = task::spawn(listener::accept(instance.clone(), socket));
+        Self {
+            instance,
+            backends,
+            deployment,
+            addr,
+            client: Client::default(),
+            accepting,
+        }
+    }
+
+    /// Sends one request and waits for its reply.
+    pub async fn submit(&self, tag: &str, key: Option<&str>) -> Reply {
+        let url = Url::parse(&format!("http://{}/v1/pipelines/work/requests", self.addr));
+        let mut req = Request::new(Method::Post, url.expect("an address forms a URL"));
+        req.insert_header(headers::CUSTOMER, "studio");
+        if let Some(key) = key {
+            req.insert_header(headers::IDEMPOTENCY_KEY, key);
+        }
+        req.set_body(serde_json::json!({ "tag": tag }).to_string());
+        self.client
+            .send(&self.addr, req, PATIENCE)
+            .await
+            .expect("the instance replies")
+    }
+
+    /// Stops listening.
+    pub async fn stop(self) {
+        self.accepting.cancel().await;
+    }
+}
+
+/// Text under `"tag"` of a reply's body.
+pub fn tag(reply: &Reply) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+    body["tag"].as_str().unwrap_or_default().to_owned()
+}
+
+async fn start_backend(name: &str, faults: ServerFaults) -> (Backend, BackendServer) {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let addr = socket.local_addr().expect("bound").to_string();
+    let log = std::env::temp_dir().join(format!("sardine-{}-{name}.log", std::process::id()));
+    let _ = std::fs::remove_file(&log);
+    let settings = ServerSettings {
+        name: name.into(),
+        service_time: Duration::from_millis(2),
+        ..ServerSettings::default()
+    };
+    let server = FakeServer::start(settings, &log, Arc::new(SystemClock)).expect("starts");
+    let server = Arc::new(server);
+    server.set_faults(faults);
+    task::spawn(serve(socket, server));
+    let declared = BackendServer {
+        name: name.into(),
+        addr,
+        pool: "pool".into(),
+        ..BackendServer::default()
+    };
+    (Backend { log }, declared)
+}
