feat(entry): the program follows the configuration and serves peers and operators

Readiness and admission ask whether the configuration is confirmed; sends did already. A stop tells peers that the instance is leaving, then that it has ended its last work. Orders to engines are answered as not sent.

--- /dev/null
+++ b/crates/sardineshore-entry/src/assembly.rs
@@ -0,0 +1,141 @@
+//! Joins the parts of one entry instance: callers' side, configuration, peers and operators.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, OnceLock, Weak};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use sardineshore_core::{Answer, Clock, CommandId, Deployment, EngineAction, Query, ServerId};
+use sardineshore_wire::operator::OrderOutcome;
+use sardineshore_wire::platform::HttpPlatform;
+use slog::Logger;
+
+use crate::config::tasks::{self, ConfigTasks};
+use crate::config::{Adopted, ConfigService, ConfigSettings, NoEvidence, Ports};
+use crate::instance::Instance;
+use crate::operator::{OperatorApi, Orders, Queries, Releases};
+use crate::peers::link::RpcLink;
+use crate::peers::serve::{Serving, serve};
+use crate::queries;
+use crate::settings::Settings;
+
+/// Longest wait for a peer's answer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The callers' side of the instance, as the configuration reaches it.
+#[derive(Debug, Default)]
+struct CallersSide {
+    instance: OnceLock<Weak<Instance>>,
+}
+
+impl CallersSide {
+    fn instance(&self) -> Option<Arc<Instance>> {
+        self.instance.get().and_then(Weak::upgrade)
+    }
+}
+
+impl Adopted for CallersSide {
+    fn adopted(&self, deployment: Arc<Deployment>, leaving: &BTreeSet<ServerId>) {
+        if let Some(instance) = self.instance() {
+            instance.tables.adopt(deployment, leaving);
+        }
+    }
+}
+
+impl Queries for CallersSide {
+    fn answer(&self, query: &Query) -> Option<Answer> {
+        let instance = self.instance()?;
+        queries::answer(&instance, query)
+    }
+}
+
+#[async_trait]
+impl Orders for CallersSide {
+    async fn order(
+        &self,
+        _command: CommandId,
+        _server: ServerId,
+        _action: EngineAction,
+    ) -> OrderOutcome {
+        OrderOutcome::NotSent {
+            reason: "this instance sends no orders to engines".into(),
+        }
+    }
+}
+
+#[async_trait]
+impl Releases for CallersSide {
+    async fn release(&self, _fingerprint: Arc<str>) -> bool {
+        false
+    }
+}
+
+/// An entry instance whose parts know one another.
+#[derive(Debug)]
+pub struct Assembly {
+    /// Callers' side.
+    pub instance: Arc<Instance>,
+    /// Configuration and peers.
+    pub config: Arc<ConfigService>,
+    callers: Arc<CallersSide>,
+}
+
+/// The running side of configuration and peers.
+#[derive(Debug)]
+pub struct Running {
+    serving: Serving,
+    tasks: ConfigTasks,
+}
+
+impl Assembly {
+    /// Joins the parts; nothing runs yet.
+    #[must_use]
+    pub fn new(settings: Settings, clock: Arc<dyn Clock>, log: Logger) -> Self {
+        let callers = Arc::new(CallersSide::default());
+        let platform = HttpPlatform::new(settings.platform.as_str(), settings.platform_timeout);
+        let platform = Arc::new(platform);
+        let ports = Ports {
+            clock: clock.clone(),
+            table: platform.clone(),
+            objects: platform.clone(),
+            list: platform,
+            peers: Arc::new(RpcLink::new(PEER_TIMEOUT)),
+            adopted: callers.clone(),
+            evidence: Arc::new(NoEvidence),
+            log: log.clone(),
+        };
+        let config = ConfigSettings {
+            name: settings.name.clone(),
+            ..ConfigSettings::default()
+        };
+        let config = Arc::new(ConfigService::new(config, ports));
+        let instance = Arc::new(Instance::new(settings, clock, config.clone(), log));
+        let _ = callers.instance.set(Arc::downgrade(&instance));
+        Self {
+            instance,
+            config,
+            callers,
+        }
+    }
+
+    /// Serves peers and operators, and follows the configuration.
+    pub async fn start(&self) -> anyhow::Result<Running> {
+        let callers = self.callers.clone();
+        let api = OperatorApi::new(
+            self.config.clone(),
+            callers.clone(),
+            callers.clone(),
+            callers,
+        );
+        let serving = serve(&self.instance.settings.peer_listen, api).await?;
+        let tasks = tasks::start(&self.config);
+        Ok(Running { serving, tasks })
+    }
+
+    /// Tells peers that the last work has ended, then ends what [`Assembly::start`] began.
+    pub async fn stop(&self, running: Running) {
+        self.config.tell_stopped().await;
+        running.tasks.cancel().await;
+        let _ = running.serving.handle.stop();
+    }
+}
--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod api;
+pub mod assembly;
 pub mod config;
 pub mod conn;
 pub mod dispatch;
--- a/crates/sardineshore-entry/src/listener.rs
+++ b/crates/sardineshore-entry/src/listener.rs
@@ -99,7 +99,7 @@
 ) -> http_types::Result<Response> {
     let mut res = match target(&req) {
         Target::Health => Response::new(StatusCode::Ok),
-        Target::Ready if instance.stop.is_ready() => Response::new(StatusCode::Ok),
+        Target::Ready if is_ready(&instance) => Response::new(StatusCode::Ok),
         Target::Ready => Response::new(StatusCode::ServiceUnavailable),
         Target::Metrics => metrics(&instance),
         Target::Submit { pipeline } => submit(&instance, &stream, &mut req, &pipeline).await,
@@ -111,6 +111,11 @@
     Ok(res)
 }
 
+/// Whether the balancer may send callers here.
+fn is_ready(instance: &Instance) -> bool {
+    instance.stop.is_ready() && instance.gate.may_dispatch()
+}
+
 fn metrics(instance: &Instance) -> Response {
     instance.metrics.set_in_flight(instance.stop.in_flight());
     let mut res = Response::new(StatusCode::Ok);
@@ -146,6 +151,10 @@
 
 /// Checks an arrival against the configuration in force.
 fn job(instance: &Instance, arrival: &Arrival, pipeline: &str) -> Result<Job, Refused> {
+    if !instance.gate.may_dispatch() {
+        let detail = "the configuration is not confirmed";
+        return Err(Refused::new(NotRunReason::ConfigurationUnconfirmed, detail));
+    }
     let deployment = instance.tables.deployment();
     let Some(pipeline) = deployment.pipelines.get(pipeline) else {
         let detail = format!("pipeline {pipeline:?} is not declared");
--- a/crates/sardineshore-entry/src/program.rs
+++ b/crates/sardineshore-entry/src/program.rs
@@ -12,7 +12,8 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 
-use crate::instance::{Instance, OpenGate};
+use crate::assembly::Assembly;
+use crate::instance::Instance;
 use crate::settings::Settings;
 use crate::{admission, listener};
 
@@ -20,7 +21,9 @@
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let log = logging::root("sardine-entry", &settings.name, &settings.log_level);
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-    let instance = Arc::new(Instance::new(settings, clock, Arc::new(OpenGate), log));
+    let assembly = Assembly::new(settings, clock, log);
+    let instance = assembly.instance.clone();
+    let running = assembly.start().await?;
     let listen = &instance.settings.listen;
     let socket = TcpListener::bind(listen)
         .await
@@ -35,11 +38,13 @@
         .note(&events::STARTED, format!("callers at {listen}"));
     instance.stop.set_ready();
     wait_for_stop(&instance).await?;
+    assembly.config.leave();
     task::sleep(instance.settings.stop_delay).await;
     accepting.cancel().await;
     instance.stop.close_idle();
     let left = instance.stop.drained(instance.settings.stop_limit).await;
     expiring.cancel().await;
+    assembly.stop(running).await;
     instance
         .journal
         .note(&events::STOPPED, format!("{left} requests in flight"));
