--- a/crates/sardineshore-core/src/config_log/submit.rs
+++ b/crates/sardineshore-core/src/config_log/submit.rs
@@ -70,7 +70,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum NotWritten {
     /// The store refused or did not answer a read.
-    #[error("the store did not answer: {0}")]
+    #[error("the store refused or did not answer")]
     Store(StoreError),
     /// The store's head is older than the version in force here.
     #[error("the store's head is older than the version in force")]
--- /dev/null
+++ b/crates/sardineshore-entry/examples/config_bytes.rs
@@ -0,0 +1,134 @@
+//! Measures the bytes of one exchange on the wire, with HTTP and JSON-RPC around it.
+//!
+//! `cargo run --release -p sardineshore-entry --example config_bytes` exchanges through a
+//! forwarder that counts, for fleets of several sizes.
+
+#[path = "../tests/configuration/fleet.rs"]
+#[allow(dead_code, reason = "the tests use more of it")]
+mod fleet;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::{self, block_on};
+use async_trait::async_trait;
+use fleet::{World, build, listed};
+use sardineshore_core::membership::Member;
+use sardineshore_core::{Answer, Clock, CommandId, EngineAction, Query, ServerId, SystemClock};
+use sardineshore_entry::config::{ConfigService, ConfigSettings};
+use sardineshore_entry::operator::{OperatorApi, Orders, Queries, Releases};
+use sardineshore_entry::peers::link::RpcLink;
+use sardineshore_entry::peers::serve::serve;
+use sardineshore_wire::operator::OrderOutcome;
+use sardineshore_wire::platform::ListedRole;
+
+const EXCHANGES: u64 = 200;
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+#[derive(Debug)]
+struct Nothing;
+
+impl Queries for Nothing {
+    fn answer(&self, _query: &Query) -> Option<Answer> {
+        None
+    }
+}
+
+#[async_trait]
+impl Orders for Nothing {
+    async fn order(&self, _: CommandId, _: ServerId, _: EngineAction) -> OrderOutcome {
+        OrderOutcome::Done
+    }
+}
+
+#[async_trait]
+impl Releases for Nothing {
+    async fn release(&self, _: Arc<str>) -> bool {
+        false
+    }
+}
+
+#[derive(Debug, Default)]
+struct Counted {
+    questions: AtomicU64,
+    answers: AtomicU64,
+}
+
+fn main() {
+    for members in [9, 100, 410] {
+        block_on(measure(members));
+    }
+}
+
+async fn measure(members: usize) {
+    let world = Arc::<World>::default();
+    for n in 0..members {
+        let line = listed(&format!("entry-{n:03}"), ListedRole::Entry);
+        world.store().listed.push(line);
+    }
+    let asker = service(&world, 0).await;
+    let asked = service(&world, 1).await;
+    let nothing = Arc::new(Nothing);
+    let api = OperatorApi::new(asked, nothing.clone(), nothing.clone(), nothing);
+    let serving = serve("127.0.0.1:0", api).await.expect("serves");
+    let counted = Arc::new(Counted::default());
+    let peer = Member {
+        name: "entry-001".into(),
+        addr: forward(serving.addr.to_string(), &counted).await.into(),
+        domain: "d".into(),
+        leaving: false,
+    };
+    for _ in 0..EXCHANGES {
+        asker.exchange_one(&peer).await.expect("the peer answers");
+    }
+    let mean = |sum: &AtomicU64| sum.load(Ordering::Relaxed) / EXCHANGES;
+    let (question, answer) = (mean(&counted.questions), mean(&counted.answers));
+    println!("members {members}: question {question} B, answer {answer} B");
+    let _ = serving.handle.stop();
+}
+
+async fn service(world: &Arc<World>, n: usize) -> Arc<ConfigService> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let settings = ConfigSettings {
+        name: format!("entry-{n:03}").into(),
+        ..ConfigSettings::default()
+    };
+    let link = Arc::new(RpcLink::new(TIMEOUT));
+    let service = build(world, &clock, settings, Some(link)).service;
+    service.poll_list().await.expect("the list answers");
+    service.poll_head().await.expect("the table answers");
+    service
+}
+
+/// Forwards connections to `addr` and counts the bytes of both directions.
+async fn forward(addr: String, counted: &Arc<Counted>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let local = listener.local_addr().expect("bound").to_string();
+    let counted = counted.clone();
+    task::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            let server = TcpStream::connect(&addr).await.expect("the server listens");
+            let (questions, answers) = (counted.clone(), counted.clone());
+            task::spawn(copy(client.clone(), server.clone(), move |n| {
+                questions.questions.fetch_add(n, Ordering::Relaxed);
+            }));
+            task::spawn(copy(server, client, move |n| {
+                answers.answers.fetch_add(n, Ordering::Relaxed);
+            }));
+        }
+    });
+    local
+}
+
+async fn copy(mut from: TcpStream, mut to: TcpStream, count: impl Fn(u64)) {
+    let mut buf = vec![0; 64 << 10];
+    while let Ok(n @ 1..) = from.read(&mut buf).await {
+        count(n as u64);
+        if to.write_all(&buf[..n]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-entry/examples/config_fleet.rs
@@ -0,0 +1,173 @@
+//! Measures how fast versions come into force, and what instances spend on control.
+//!
+//! `cargo run --release -p sardineshore-entry --example config_fleet -- INSTANCES [COMMANDS]`
+//! runs all instances in one process, with their tasks and the machine's clock, over an in-process
+//! table and network. Bytes between peers are those of their JSON bodies; `config_bytes` measures
+//! what JSON-RPC and HTTP add around them.
+
+#[path = "../tests/configuration/fleet.rs"]
+#[allow(dead_code, reason = "the tests use more of it")]
+mod fleet;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use async_std::task::{block_on, sleep};
+use fleet::{Node, World, listed, run, start};
+use sardineshore_core::{Change, Clock, SystemClock};
+use sardineshore_entry::config::ConfigSettings;
+use sardineshore_wire::operator::{Submission, SubmitReply};
+use sardineshore_wire::platform::ListedRole;
+
+const REST: Duration = Duration::from_secs(20);
+const OUTAGE: Duration = Duration::from_secs(30);
+const TICK: Duration = Duration::from_millis(5);
+const BACKEND_SERVERS: usize = 600;
+const CLOCK_TICKS_PER_SECOND: f64 = 100.0;
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let instances = args
+        .next()
+        .map_or(9, |text| text.parse().expect("a number"));
+    let commands = args
+        .next()
+        .map_or(20, |text| text.parse().expect("a number"));
+    block_on(measure(instances, commands));
+}
+
+async fn measure(instances: usize, commands: usize) {
+    let world = Arc::<World>::default();
+    let nodes = started(&world, instances).await;
+    at_rest(&world, &nodes).await;
+    in_force(&nodes, commands).await;
+    outage(&world, &nodes).await;
+}
+
+async fn started(world: &Arc<World>, instances: usize) -> Vec<Node> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    for n in 0..BACKEND_SERVERS {
+        let line = listed(&format!("engine-{n:03}"), ListedRole::Backend);
+        world.store().listed.push(line);
+    }
+    let settings = |n| ConfigSettings {
+        name: format!("entry-{n:03}").into(),
+        ..ConfigSettings::default()
+    };
+    let nodes: Vec<_> = (0..instances)
+        .map(|n| start(world, &clock, settings(n)))
+        .collect();
+    for node in &nodes {
+        // The tasks run as long as the process.
+        let _ = run(node);
+    }
+    while !nodes.iter().all(|node| node.service.is_ready()) {
+        sleep(TICK).await;
+    }
+    sleep(REST).await;
+    nodes
+}
+
+/// Messages, bytes, calls and processor time without any change.
+async fn at_rest(world: &Arc<World>, nodes: &[Node]) {
+    world.store().calls.clear();
+    let bytes = world.peer_bytes.load(Ordering::Relaxed);
+    let exchanges = world.exchanges.load(Ordering::Relaxed);
+    let cpu = cpu_seconds();
+    sleep(REST).await;
+    let per = nodes.len() as f64 * REST.as_secs_f64();
+    let exchanges = world.exchanges.load(Ordering::Relaxed) - exchanges;
+    let bytes = world.peer_bytes.load(Ordering::Relaxed) - bytes;
+    let cpu = (cpu_seconds() - cpu) / per;
+    let calls = world.store().calls.clone();
+    let call = |name| calls.get(name).copied().unwrap_or(0) as f64 / per;
+    println!("instances {}", nodes.len());
+    println!("exchanges/s per instance {:.2}", exchanges as f64 / per);
+    println!(
+        "bytes per exchange, both bodies {:.0}",
+        bytes as f64 / exchanges as f64
+    );
+    println!(
+        "head reads/s per instance {:.2}, of all {:.1}",
+        call("read"),
+        call("read") * nodes.len() as f64
+    );
+    println!("list reads/s per instance {:.3}", call("list"));
+    println!(
+        "list bytes {}",
+        serde_json::to_vec(&world.store().listed).unwrap().len()
+    );
+    println!("processor time per instance {:.3} % of a core", cpu * 100.0);
+}
+
+/// Time from submission until accepted, adopted by all, and known to be in force.
+async fn in_force(nodes: &[Node], commands: usize) {
+    let (mut accepted, mut adopted, mut known) = (Vec::new(), Vec::new(), Vec::new());
+    for number in 0..commands {
+        let writer = &nodes[number % nodes.len()].service;
+        let change = Change::SetWeight {
+            name: "customer".into(),
+            weight: 1.0 + number as f64,
+        };
+        let submission = Submission {
+            command: format!("c-{number}").into(),
+            operator: "ana".into(),
+            changes: vec![change],
+        };
+        let began = Instant::now();
+        let reply = writer.submit(submission).await;
+        let SubmitReply::Accepted { version } = reply else {
+            println!("not accepted: {reply:?}");
+            continue;
+        };
+        accepted.push(began.elapsed());
+        let lacks = |node: &Node| node.service.state().log.version() < version;
+        while nodes.iter().any(lacks) {
+            sleep(TICK).await;
+        }
+        adopted.push(began.elapsed());
+        while !writer.progress(version).in_force {
+            sleep(TICK).await;
+        }
+        known.push(began.elapsed());
+    }
+    print("accepted", accepted);
+    print("adopted by all", adopted);
+    print("known to be in force", known);
+}
+
+/// Share of instances that go on while the store is down.
+async fn outage(world: &Arc<World>, nodes: &[Node]) {
+    world.store().down = true;
+    let began = Instant::now();
+    let mut fewest = nodes.len();
+    while began.elapsed() < OUTAGE {
+        let ready = nodes.iter().filter(|node| node.service.is_ready()).count();
+        fewest = fewest.min(ready);
+        sleep(10 * TICK).await;
+    }
+    println!("store down for {OUTAGE:?}: fewest instances that may dispatch {fewest}");
+}
+
+fn print(what: &str, mut times: Vec<Duration>) {
+    times.sort();
+    if let (Some(least), Some(most)) = (times.first(), times.last()) {
+        let median = times[times.len() / 2];
+        println!(
+            "{what}: least {least:.1?}, median {median:.1?}, most {most:.1?} of {}",
+            times.len()
+        );
+    }
+}
+
+/// Processor time of this process, user and system.
+fn cpu_seconds() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").expect("procfs is mounted");
+    let (_, rest) = stat.rsplit_once(')').expect("the name ends with a bracket");
+    let ticks = rest.split_whitespace().skip(11).take(2);
+    ticks
+        .filter_map(|text| text.parse::<f64>().ok())
+        .sum::<f64>()
+        / CLOCK_TICKS_PER_SECOND
+}
--- a/crates/sardineshore-entry/tests/configuration/fleet.rs
+++ b/crates/sardineshore-entry/tests/configuration/fleet.rs
@@ -185,7 +185,9 @@
         if self.world.is_cut(&self.me) {
             return Err(StoreError::Unavailable);
         }
-        Ok(self.world.store().listed.clone())
+        let mut store = self.world.store();
+        *store.calls.entry("list").or_default() += 1;
+        Ok(store.listed.clone())
     }
 }
 
