feat(xtask): demo, fault runs and benchmarks as one fleet of processes

Cause: the promises and the figures need real processes, started and ended by one program.

Change: - `demo`: platform, 28 backend servers in 4 failure domains, entry instances, both presets as separate loads, faults on a timeline from the seed, audit of all logs. Children are ended by pid when their owner is dropped, also at SIGINT and SIGTERM. - `faults`: each fault and each pair over seeds, one JSON line a run, resumable. - `bench`: latency, throughput, idle, slopes; the debug build replaces itself by a release build. - load: the balancer checks readiness, as the platform's does; before, a stopping instance went on being asked until it refused connections.

--- a/crates/sardineshore-load/src/caller.rs
+++ b/crates/sardineshore-load/src/caller.rs
@@ -8,8 +8,9 @@
 use serde::Serialize;
 use uuid::{Builder, Uuid};
 
+use crate::balancer::Balancer;
 use crate::schedule::Arrival;
-use crate::sender::{Balancer, Send, Sent};
+use crate::sender::{Send, Sent};
 use crate::verify::{Verified, verify};
 use crate::workload::{PipelineMix, Workload};
 
--- a/crates/sardineshore-load/src/lib.rs
+++ b/crates/sardineshore-load/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A run goes through these modules in this order: [`workload`] (what is asked, by whom),
 //! [`schedule`] (when), [`run`] (pacing), [`caller`] (one logical request with its repeats),
-//! [`sender`] (one HTTP exchange), [`verify`] (is the answer whole), then [`report`], [`text`] and
+//! [`balancer`] (to which instance), [`sender`] (one HTTP exchange), [`verify`] (is the answer whole), then [`report`], [`text`] and
 //! [`plots`]. [`audit`] compares callers' logs with the execution logs of backend servers.
 //!
 //! ```
@@ -16,6 +16,7 @@
 //! ```
 
 pub mod audit;
+pub mod balancer;
 pub mod caller;
 pub mod plots;
 pub mod preset;
--- a/crates/sardineshore-load/src/main.rs
+++ b/crates/sardineshore-load/src/main.rs
@@ -6,12 +6,13 @@
 use std::sync::Arc;
 
 use anyhow::Context;
+use async_std::task;
 use sardineshore_core::SystemClock;
+use sardineshore_load::balancer::Balancer;
 use sardineshore_load::caller::Callers;
 use sardineshore_load::report::Report;
 use sardineshore_load::run::{self, Sink};
 use sardineshore_load::schedule::Schedule;
-use sardineshore_load::sender::Balancer;
 use sardineshore_load::settings::{self, Settings};
 use sardineshore_load::{plots, text};
 use sardineshore_wire::settings::exit_with;
@@ -34,7 +35,10 @@
         settings: settings.callers,
         clock: Arc::new(SystemClock),
     });
+    let watched = callers.clone();
+    let watch = task::spawn(async move { watched.balancer.watch().await });
     let result = run::run(callers, schedule, settings.in_flight, &mut log).await;
+    watch.cancel().await;
     let result = result.context("the callers' log can't be written")?;
     log.flush().context("the callers' log can't be written")?;
     let report = Report::new(&name, settings.schedule.seed, &result);
--- a/crates/sardineshore-load/src/sender.rs
+++ b/crates/sardineshore-load/src/sender.rs
@@ -1,7 +1,6 @@
-//! One exchange with an entry instance, as the platform's balancer would route it.
+//! One exchange with an entry instance: a request, and a whole or streamed reply.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_std::io::BufReader;
@@ -51,7 +50,9 @@
 }
 
 impl Sent {
-    fn no_reply(reason: &str) -> Self {
+    /// A send that got no usable reply.
+    #[must_use]
+    pub fn no_reply(reason: &str) -> Self {
         Self {
             outcome: "no-reply".into(),
             reason: reason.into(),
@@ -59,6 +60,13 @@
         }
     }
 
+    /// Notes the entry instance that was asked.
+    #[must_use]
+    pub fn from_entry(mut self, entry: &Arc<str>) -> Self {
+        self.entry = entry.clone();
+        self
+    }
+
     fn refused(head: &Response, refusal: &Refusal) -> Self {
         Self {
             request: header(head, headers::REQUEST).into(),
@@ -78,71 +86,17 @@
     }
 }
 
-/// Spreads sends over entry instances; goes on to the next one when a connection is refused.
-#[derive(Debug)]
-pub struct Balancer {
-    entries: Vec<Arc<str>>,
-    next: AtomicUsize,
-    client: Client,
-}
-
-impl Balancer {
-    /// Creates a balancer over entry instances' callers' addresses (`IP:PORT`).
-    #[must_use]
-    pub fn new(entries: Vec<Arc<str>>) -> Self {
-        Self {
-            entries,
-            next: AtomicUsize::new(0),
-            client: Client::default(),
-        }
-    }
-
-    /// Sends once and reads the whole reply.
-    pub async fn send(&self, send: &Send) -> Sent {
-        let first = self.next.fetch_add(1, Ordering::Relaxed);
-        for i in 0..self.entries.len() {
-            let entry = &self.entries[(first + i) % self.entries.len()];
-            match self.send_to(entry, send).await {
-                Ok(sent) => {
-                    return Sent {
-                        entry: entry.clone(),
-                        ..sent
-                    };
-                }
-                Err(ClientError::NotSent(_)) => {}
-                Err(ClientError::Lost(_)) => return lost(entry, "connection-lost"),
-                Err(ClientError::TimedOut) => return lost(entry, "timed-out"),
-            }
-        }
-        Sent {
-            outcome: "not-run".into(),
-            reason: "not-sent".into(),
-            ..Sent::default()
-        }
-    }
-
-    async fn send_to(&self, entry: &str, send: &Send) -> Result<Sent, ClientError> {
-        let req = request(entry, send);
-        if !send.streamed {
-            let reply = self.client.send(entry, req, send.patience).await?;
-            return Ok(read_whole(&reply.head, reply.body));
-        }
-        let conn = self
-            .client
-            .checkout(entry, Reuse::Never, send.patience)
-            .await?;
-        let head = self.client.stream(conn, req, send.patience).await?;
-        let read = read_reply(head);
-        let read = async_std::future::timeout(send.patience, read).await;
-        read.map_err(|_| ClientError::TimedOut)?
-    }
-}
-
-fn lost(entry: &Arc<str>, reason: &str) -> Sent {
-    Sent {
-        entry: entry.clone(),
-        ..Sent::no_reply(reason)
+/// Sends once to one entry instance and reads the whole reply.
+pub async fn send_to(client: &Client, entry: &str, send: &Send) -> Result<Sent, ClientError> {
+    let req = request(entry, send);
+    if !send.streamed {
+        let reply = client.send(entry, req, send.patience).await?;
+        return Ok(read_whole(&reply.head, reply.body));
     }
+    let conn = client.checkout(entry, Reuse::Never, send.patience).await?;
+    let head = client.stream(conn, req, send.patience).await?;
+    let read = async_std::future::timeout(send.patience, read_reply(head)).await;
+    read.map_err(|_| ClientError::TimedOut)?
 }
 
 fn request(entry: &str, send: &Send) -> Request {
--- a/crates/sardineshore-load/tests/caller.rs
+++ b/crates/sardineshore-load/tests/caller.rs
@@ -7,10 +7,10 @@
 use async_std::task::{self, block_on};
 use http_types::{Request, Response, StatusCode};
 use sardineshore_core::SystemClock;
+use sardineshore_load::balancer::Balancer;
 use sardineshore_load::caller::{CallerSettings, Callers};
 use sardineshore_load::preset;
 use sardineshore_load::schedule::Arrival;
-use sardineshore_load::sender::Balancer;
 use sardineshore_wire::headers;
 use sardineshore_wire::witness::Told;
 
--- /dev/null
+++ b/xtask/src/bench/usage.rs
@@ -0,0 +1,32 @@
+//! What a process has used, as the kernel counts it.
+
+use std::time::Duration;
+
+use anyhow::Context;
+use nix::unistd::{SysconfVar, sysconf};
+
+const UTIME_FIELD: usize = 11;
+const STIME_FIELD: usize = 12;
+
+/// Processor time of a process since its start, from `/proc/PID/stat`.
+pub fn cpu_time(pid: u32) -> anyhow::Result<Duration> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    // The program's name stands in parentheses and may hold blanks.
+    let (_, fields) = stat.rsplit_once(") ").context("fields of a stat file")?;
+    let fields: Vec<&str> = fields.split(' ').collect();
+    let ticks = |field: usize| -> anyhow::Result<u64> {
+        let text = fields.get(field).context("field of a stat file")?;
+        Ok(text.parse()?)
+    };
+    let per_second = sysconf(SysconfVar::CLK_TCK)?.context("clock ticks per second")?;
+    let ticks = ticks(UTIME_FIELD)? + ticks(STIME_FIELD)?;
+    Ok(Duration::from_secs_f64(ticks as f64 / per_second as f64))
+}
+
+/// Resident memory of a process in KiB, from `/proc/PID/status`.
+pub fn resident_kib(pid: u32) -> anyhow::Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    Ok(number.context("VmRSS of a process")?.parse()?)
+}
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,189 @@
+//! `cargo xtask demo`: everything as separate processes on loopback, a load, and an audit.
+
+pub mod build;
+pub mod control;
+pub mod director;
+pub mod fault;
+pub mod fleet;
+pub mod layout;
+pub mod member;
+pub mod meter;
+pub mod ports;
+pub mod process;
+pub mod programs;
+pub mod scenario;
+
+use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, bail};
+use async_std::stream::StreamExt;
+use async_std::task;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use comfy_table::{Table, presets};
+use futures::FutureExt;
+use sardineshore_load::report::Report;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_async_std::Signals;
+
+use self::build::Profile;
+use self::fault::Fault;
+use self::fleet::{Fleet, FleetSettings};
+use self::layout::Layout;
+use self::scenario::{Outcome, Scenario};
+
+/// Declares the command line.
+pub fn command() -> Command {
+    Command::new("demo")
+        .about("Runs both users' workloads in small on loopback and audits them")
+        .args([
+            number("seed", "1", "Seed of all random choices"),
+            number(
+                "requests",
+                "600",
+                "Logical requests of both workloads together",
+            ),
+            number("instances", "3", "Number of entry instances"),
+            Arg::new("fault")
+                .long("fault")
+                .value_delimiter(',')
+                .value_parser(value_parser!(Fault))
+                .help("Faults to cause, separated by commas"),
+            Arg::new("keep")
+                .long("keep")
+                .action(ArgAction::SetTrue)
+                .help("Leaves everything running until this command is ended"),
+        ])
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+/// Runs the demonstration.
+pub fn run(matches: &ArgMatches) -> anyhow::Result<()> {
+    let scenario = Scenario {
+        seed: read_number(matches, "seed"),
+        requests: usize::try_from(read_number(matches, "requests"))?,
+        faults: matches
+            .get_many("fault")
+            .unwrap_or_default()
+            .copied()
+            .collect(),
+    };
+    let instances = usize::try_from(read_number(matches, "instances"))?;
+    if instances == 0 || scenario.requests == 0 {
+        bail!("--instances and --requests must be positive");
+    }
+    let keep = matches.get_flag("keep");
+    let programs = build::build(Profile::Debug)?;
+    let settings = settings(programs, instances, scenario.seed)?;
+    println!("logs: {}", settings.logs.display());
+    task::block_on(until_signal(demonstrate(scenario, settings, keep)))
+}
+
+fn read_number(matches: &ArgMatches, name: &str) -> u64 {
+    *matches.get_one(name).expect("it has a default")
+}
+
+/// Settings of a fleet with a fresh directory of logs.
+pub fn settings(programs: PathBuf, instances: usize, seed: u64) -> anyhow::Result<FleetSettings> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    let name = format!("{}-{}-{seed}", now.as_millis(), std::process::id());
+    let logs = build::target_dir()?.join("demo").join(name);
+    std::fs::create_dir_all(&logs).with_context(|| format!("{}", logs.display()))?;
+    Ok(FleetSettings {
+        instances,
+        seed,
+        layout: Layout::demo(),
+        entry_args: Vec::new(),
+        metered: false,
+        programs,
+        logs,
+    })
+}
+
+/// Runs until done, or fails at SIGINT or SIGTERM; children end either way.
+pub async fn until_signal<T>(work: impl Future<Output = anyhow::Result<T>>) -> anyhow::Result<T> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("signal handler")?;
+    let work = work.fuse();
+    let signal = signals.next().fuse();
+    futures::pin_mut!(work, signal);
+    futures::select! {
+        result = work => result,
+        _ = signal => bail!("ended by a signal"),
+    }
+}
+
+async fn demonstrate(
+    scenario: Scenario,
+    settings: FleetSettings,
+    keep: bool,
+) -> anyhow::Result<()> {
+    let mut fleet = Fleet::start(settings.clone()).await?;
+    let outcome = scenario.run(&mut fleet, &settings).await?;
+    print(&outcome);
+    if keep {
+        print_commands(&fleet);
+        futures::future::pending::<()>().await;
+    }
+    if !outcome.is_clean() {
+        bail!("a promise was broken; logs in {}", settings.logs.display());
+    }
+    Ok(())
+}
+
+fn print(outcome: &Outcome) {
+    println!("{}", table(&outcome.reports));
+    for surprise in &outcome.surprises {
+        println!("unexpected: {surprise}");
+    }
+    for complaint in outcome.verdict.complaints() {
+        println!("breach: {complaint}");
+    }
+    println!("{}", outcome.verdict);
+}
+
+fn table(reports: &[Report]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header([
+        "workload", "pipeline", "offered", "answered", "in time", "not run", "unknown", "no reply",
+        "p50 ms", "p99 ms",
+    ]);
+    for report in reports {
+        for group in &report.pipelines {
+            table.add_row([
+                report.workload.to_string(),
+                group.name.to_string(),
+                group.offered.to_string(),
+                group.answered.to_string(),
+                group.in_time.to_string(),
+                group.not_run.to_string(),
+                group.unknown.to_string(),
+                group.no_reply.to_string(),
+                format!("{:.1}", group.latency.p50_ms),
+                format!("{:.1}", group.latency.p99_ms),
+            ]);
+        }
+    }
+    table
+}
+
+fn print_commands(fleet: &Fleet) {
+    let peer = &fleet.entries[0].peer;
+    println!("\nEverything goes on running. To try:");
+    for line in [
+        "show instances",
+        "show pipelines",
+        "show servers",
+        "show cost by stage",
+        "drain server tangolin-engines-0",
+    ] {
+        println!("  sardinectl --entry {peer} {line}");
+    }
+    println!("To end it: kill {}", std::process::id());
+}
--- /dev/null
+++ b/xtask/src/demo/build.rs
@@ -0,0 +1,45 @@
+//! Builds the programs and finds them.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use anyhow::{Context, bail};
+
+/// How programs are built.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Profile {
+    /// For development.
+    Debug,
+    /// For measurements.
+    Release,
+}
+
+/// Builds all programs; returns their directory.
+pub fn build(profile: Profile) -> anyhow::Result<PathBuf> {
+    let mut cargo = Command::new("cargo");
+    cargo.args(["build", "--workspace", "--bins", "--exclude", "xtask"]);
+    if profile == Profile::Release {
+        cargo.arg("--release");
+    }
+    let status = cargo.current_dir(root()).status().context("cargo build")?;
+    if !status.success() {
+        bail!("cargo build failed");
+    }
+    let dir = match profile {
+        Profile::Debug => "debug",
+        Profile::Release => "release",
+    };
+    Ok(target_dir()?.join(dir))
+}
+
+/// The directory of build output.
+pub fn target_dir() -> anyhow::Result<PathBuf> {
+    let dir = std::env::var_os("CARGO_TARGET_DIR");
+    let dir = dir.map_or_else(|| root().join("target"), PathBuf::from);
+    std::path::absolute(&dir).with_context(|| format!("{}", dir.display()))
+}
+
+fn root() -> &'static Path {
+    let manifest = Path::new(env!("CARGO_MANIFEST_DIR"));
+    manifest.parent().unwrap_or(manifest)
+}
--- /dev/null
+++ b/xtask/src/faults/results.rs
@@ -0,0 +1,132 @@
+//! The file of results, and the table made of it.
+
+use std::fmt::Write as _;
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead, BufReader, Write};
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use anyhow::Context;
+use sardineshore_load::audit::Verdict;
+use serde::{Deserialize, Serialize};
+
+use super::plan::{Plan, Run, name};
+use crate::demo::build;
+use crate::demo::fault::Fault;
+
+/// Result of one run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RunResult {
+    /// Faults.
+    pub faults: Vec<Fault>,
+    /// Seed.
+    pub seed: u64,
+    /// Whether the run was completed and every promise held.
+    pub passed: bool,
+    /// What was wrong.
+    pub detail: String,
+    /// Length of the run.
+    pub seconds: f64,
+    /// Result of the audit.
+    pub verdict: Verdict,
+}
+
+/// All results so far, and the file that holds them.
+#[derive(Debug)]
+pub struct Results {
+    all: Vec<RunResult>,
+    file: File,
+}
+
+/// Runs of one group of faults.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    run: u64,
+    failed: u64,
+    offered: u64,
+    answered: u64,
+    not_run: u64,
+    unknown: u64,
+}
+
+impl Results {
+    /// Reads the results of a file, which is created if there is none.
+    pub fn open(path: &Path) -> anyhow::Result<Self> {
+        let file = OpenOptions::new()
+            .create(true)
+            .read(true)
+            .append(true)
+            .open(path);
+        let file = file.with_context(|| format!("{}", path.display()))?;
+        let mut all = Vec::new();
+        for line in BufReader::new(&file).lines() {
+            let line = line?;
+            all.push(serde_json::from_str(&line).with_context(|| format!("result {line:?}"))?);
+        }
+        Ok(Self { all, file })
+    }
+
+    /// Whether a run is among the results.
+    #[must_use]
+    pub fn has(&self, run: &Run) -> bool {
+        let same = |result: &RunResult| result.faults == run.faults && result.seed == run.seed;
+        self.all.iter().any(same)
+    }
+
+    /// Adds a result to the file.
+    pub fn add(&mut self, result: RunResult) -> anyhow::Result<()> {
+        let mut line = serde_json::to_string(&result)?;
+        line.push('\n');
+        self.file
+            .write_all(line.as_bytes())
+            .context("file of results")?;
+        self.all.push(result);
+        Ok(())
+    }
+
+    /// Table of the plan's groups in Markdown.
+    #[must_use]
+    pub fn table(&self, plan: &Plan) -> String {
+        let mut text = String::from(
+            "| faults | run | failed | not run | requests | answered | refused | unknown |\n\
+             | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+        );
+        for faults in plan.groups() {
+            let tally = self.tally(&faults);
+            let left = plan.seeds_of(&faults).saturating_sub(tally.run);
+            let _ = writeln!(
+                text,
+                "| {} | {} | {} | {left} | {} | {} | {} | {} |",
+                name(&faults),
+                tally.run,
+                tally.failed,
+                tally.offered,
+                tally.answered,
+                tally.not_run,
+                tally.unknown
+            );
+        }
+        text
+    }
+
+    fn tally(&self, faults: &[Fault]) -> Tally {
+        let mut tally = Tally::default();
+        for result in self.all.iter().filter(|result| result.faults == faults) {
+            tally.run += 1;
+            tally.failed += u64::from(!result.passed);
+            tally.offered += result.verdict.offered;
+            tally.answered += result.verdict.answered;
+            tally.not_run += result.verdict.not_run;
+            tally.unknown += result.verdict.unknown;
+        }
+        tally
+    }
+}
+
+/// Path of a new file of results.
+pub fn fresh_file() -> anyhow::Result<PathBuf> {
+    let dir = build::target_dir()?.join("faults");
+    std::fs::create_dir_all(&dir).with_context(|| format!("{}", dir.display()))?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    Ok(dir.join(format!("{}.jsonl", now.as_secs())))
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,9 @@
-//! Chores of sardineshore: `cargo xtask ci`, `cargo xtask demo`, `cargo xtask bench`.
+//! Chores of sardineshore: `cargo xtask ci`, `demo`, `faults` and `bench`.
 
+mod bench;
 mod ci;
+mod demo;
+mod faults;
 
 use clap::Command;
 
@@ -9,9 +12,15 @@
         .about("Chores of sardineshore")
         .subcommand_required(true)
         .subcommand(Command::new("ci").about("Runs formatter, linter, tests and documentation"))
+        .subcommand(demo::command())
+        .subcommand(faults::command())
+        .subcommand(bench::command())
         .get_matches();
-    match matches.subcommand_name() {
-        Some("ci") => ci::run(),
+    match matches.subcommand() {
+        Some(("ci", _)) => ci::run(),
+        Some(("demo", matches)) => demo::run(matches),
+        Some(("faults", matches)) => faults::run(matches),
+        Some(("bench", matches)) => bench::run(matches),
         _ => unreachable!("clap requires a known subcommand"),
     }
 }
