--- /dev/null
+++ b/crates/sardineshore-core/examples/policy/flow.rs
@@ -0,0 +1,338 @@
+//! The path of one request through its instance, as a program around the state machines takes it.
+
+use std::time::Duration;
+
+use rand::Rng;
+use sardineshore_core::{
+    Ask, AttemptResult, Completion, EndedAttempt, Feedback, NoChoice, Offer, PoolId, Release,
+    Released, RetryDecision, Verdict,
+};
+
+use crate::scenario::{DEADLINE, LENGTH, POOLS, RetryPlan};
+use crate::world::{Attempt, AttemptKey, Ending, Event, Request, RequestKey, World};
+
+/// Time between two looks for waiting requests that can't finish.
+pub const EXPIRE_EVERY: Duration = Duration::from_millis(100);
+
+impl World<'_> {
+    pub fn offer(&mut self, customer: usize) {
+        let now = self.now;
+        let prefix = self.draw_prefix();
+        let instance = self.rng.random_range(0..self.instances.len());
+        let key = self.requests.insert(Request {
+            customer,
+            instance,
+            arrived: now,
+            began: now,
+            ticket: None,
+            prefix,
+            stage: 0,
+            stage_began: now,
+            stage_until: now + DEADLINE,
+            tried: Vec::new(),
+            open: Vec::new(),
+            service: Duration::ZERO,
+        });
+        self.tally.offered[customer] += 1.0;
+        self.after(DEADLINE, Event::Deadline(key));
+        if self.variant.admission {
+            self.admit(key);
+        } else {
+            self.stage(key);
+        }
+    }
+
+    /// Draws a prefix; the `n`th is drawn about in proportion to `1 / n`.
+    fn draw_prefix(&mut self) -> u64 {
+        let all = self.scenario.prefixes as f64;
+        let rank = (all + 1.0).powf(self.rng.random::<f64>());
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a rank"
+        )]
+        let rank = rank as u64;
+        if self.scenario.prefixes == 0 { 0 } else { rank }
+    }
+
+    fn admit(&mut self, key: RequestKey) {
+        let now = self.instant();
+        let request = &mut self.requests[key];
+        let offer = Offer {
+            request: number(key).into(),
+            customer: request.customer.to_string().into(),
+            pipeline: "reports".into(),
+            weight: 1.0,
+            deadline: now + DEADLINE,
+            cost_estimate: Duration::ZERO,
+        };
+        let offered = self.instances[request.instance].admission.offer(offer, now);
+        match offered.verdict {
+            Verdict::Run(ticket) => {
+                request.ticket = Some(ticket);
+                self.stage(key);
+            }
+            Verdict::Queued(ticket) => request.ticket = Some(ticket),
+            Verdict::Refused(_) => self.end(key, false),
+        }
+        self.release(&offered.releases);
+    }
+
+    pub fn expire(&mut self, instance: usize) {
+        let now = self.instant();
+        let releases = self.instances[instance].admission.expired(now);
+        self.release(&releases);
+        if self.now < LENGTH + DEADLINE {
+            self.after(EXPIRE_EVERY, Event::Expire(instance));
+        }
+    }
+
+    fn release(&mut self, releases: &[Released]) {
+        for released in releases {
+            let key = slotmap::KeyData::from_ffi(released.request.parse().expect("a number"));
+            let key = RequestKey::from(key);
+            if !self.requests.contains_key(key) {
+                continue;
+            }
+            match released.release {
+                Release::Run => {
+                    self.requests[key].began = self.now;
+                    self.stage(key);
+                }
+                Release::Refused(_) => {
+                    self.requests[key].ticket = None;
+                    self.end(key, false);
+                }
+            }
+        }
+    }
+
+    /// Begins the request's present stage.
+    fn stage(&mut self, key: RequestKey) {
+        let now = self.instant();
+        let request = &mut self.requests[key];
+        let remaining = (request.arrived + DEADLINE).saturating_sub(self.now);
+        let pools: Vec<PoolId> = POOLS[request.stage..]
+            .iter()
+            .map(|pool| pool.name.into())
+            .collect();
+        let instance = &mut self.instances[request.instance];
+        let split = instance
+            .budget
+            .split(remaining, &pools, &instance.latencies, now);
+        let Ok(limit) = split else {
+            return self.end(key, false);
+        };
+        request.stage_began = self.now;
+        request.stage_until = self.now + limit;
+        request.tried.clear();
+        self.send(key);
+    }
+
+    pub fn again(&mut self, key: RequestKey, stage: usize) {
+        if self
+            .requests
+            .get(key)
+            .is_some_and(|request| request.stage == stage)
+        {
+            self.send(key);
+        }
+    }
+
+    fn send(&mut self, key: RequestKey) {
+        let now = self.instant();
+        let request = &mut self.requests[key];
+        let (stage, at) = (request.stage, request.instance);
+        let pool: PoolId = POOLS[stage].name.into();
+        let last = stage + 1 == POOLS.len();
+        let instance = &mut self.instances[at];
+        let ask = Ask {
+            pool: &pool,
+            request: "",
+            customer: "",
+            prefix: if last { request.prefix } else { 0 },
+            idempotent: true,
+            tried: &request.tried,
+            deadline: self.origin + request.stage_until,
+        };
+        let choice = match instance.router.choose(&ask, now) {
+            Ok(choice) => choice,
+            Err(NoChoice::Saturated { retry_after }) => {
+                return self.after(retry_after, Event::Again(key, stage));
+            }
+            Err(_) if request.open.is_empty() => return self.end(key, false),
+            Err(_) => return,
+        };
+        let first = request.tried.is_empty();
+        instance.router.started(&choice.server, now);
+        request.tried.push(choice.server.clone());
+        let server = self
+            .backends
+            .iter()
+            .position(|b| b.name == choice.server)
+            .expect("declared");
+        let attempt = self.attempts.insert(Attempt {
+            request: key,
+            stage,
+            server,
+            sent: self.now,
+            service: Duration::ZERO,
+            started: None,
+            cached: false,
+            cancelled: false,
+        });
+        request.open.push(attempt);
+        if first {
+            self.tally.firsts += 1.0;
+            instance.retries.sent(&pool);
+            self.plan_hedge(key, &pool);
+        } else {
+            self.tally.extras += 1.0;
+        }
+        let delay = self.network(at, server);
+        self.after(delay, Event::Reach(attempt));
+    }
+
+    fn plan_hedge(&mut self, key: RequestKey, pool: &PoolId) {
+        let request = &self.requests[key];
+        let instance = &self.instances[request.instance];
+        let observed = instance.latencies.quantiles(pool, self.instant());
+        let remaining = request.stage_until - self.now;
+        let delay = instance.hedges.delay(observed, self.objective, remaining);
+        let stage = request.stage;
+        if let Some(delay) = delay.filter(|_| self.variant.retries != RetryPlan::None) {
+            self.after(delay, Event::Hedge(key, stage));
+        }
+    }
+
+    pub fn hedge(&mut self, key: RequestKey, stage: usize) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let due = request.stage == stage && request.open.len() == 1;
+        let retries = &mut self.instances[request.instance].retries;
+        if due && retries.hedge(&POOLS[stage].name.into()) {
+            self.send(key);
+        }
+    }
+
+    pub fn reply(&mut self, key: AttemptKey, ending: Ending) {
+        let Some(attempt) = self
+            .attempts
+            .remove(key)
+            .filter(|attempt| !attempt.cancelled)
+        else {
+            return;
+        };
+        let now = self.instant();
+        let server = &self.backends[attempt.server];
+        let result = match ending {
+            Ending::Answered => AttemptResult::Answered,
+            Ending::Refused => AttemptResult::Refused,
+            Ending::Failed => AttemptResult::Failed,
+        };
+        let feedback = Feedback {
+            result,
+            latency: self.now - attempt.sent,
+            service: attempt.service,
+            cached_tokens: u32::from(attempt.cached),
+        };
+        let request = &mut self.requests[attempt.request];
+        request.open.retain(|open| *open != key);
+        let router = &mut self.instances[request.instance].router;
+        router.finished(&server.name, &feedback, now);
+        router.reported(&server.name, &server.load(), now);
+        if result == AttemptResult::Answered {
+            self.answered(attempt.request, attempt.service);
+        } else if request.open.is_empty() {
+            self.retry(attempt.request, result);
+        }
+    }
+
+    fn answered(&mut self, key: RequestKey, service: Duration) {
+        let now = self.instant();
+        self.cancel_open(key, AttemptResult::Cancelled);
+        let request = &mut self.requests[key];
+        let latencies = &mut self.instances[request.instance].latencies;
+        latencies.record(
+            &POOLS[request.stage].name.into(),
+            self.now - request.stage_began,
+            now,
+        );
+        request.service += service;
+        request.stage += 1;
+        if request.stage == POOLS.len() {
+            self.end(key, true);
+        } else {
+            self.stage(key);
+        }
+    }
+
+    fn retry(&mut self, key: RequestKey, result: AttemptResult) {
+        let request = &self.requests[key];
+        let (stage, ended) = (
+            request.stage,
+            EndedAttempt {
+                result,
+                tried: request.tried.len(),
+                remaining: request.stage_until.saturating_sub(self.now),
+                idempotent: true,
+            },
+        );
+        let retries = &mut self.instances[request.instance].retries;
+        match retries.after(&POOLS[stage].name.into(), ended) {
+            RetryDecision::Retry { after } => self.after(after, Event::Again(key, stage)),
+            RetryDecision::GiveUp(_) => self.end(key, false),
+        }
+    }
+
+    fn cancel_open(&mut self, key: RequestKey, result: AttemptResult) {
+        let now = self.instant();
+        let at = self.requests[key].instance;
+        for open in std::mem::take(&mut self.requests[key].open) {
+            let attempt = &mut self.attempts[open];
+            attempt.cancelled = true;
+            let (server, latency) = (attempt.server, self.now - attempt.sent);
+            let feedback = Feedback {
+                result,
+                latency,
+                ..Feedback::default()
+            };
+            let router = &mut self.instances[at].router;
+            router.finished(&self.backends[server].name, &feedback, now);
+            let delay = self.network(at, server);
+            self.after(delay, Event::Cancel(open));
+        }
+    }
+
+    pub fn end(&mut self, key: RequestKey, answered: bool) {
+        if !self.requests.contains_key(key) {
+            return;
+        }
+        self.cancel_open(key, AttemptResult::TimedOut);
+        let Some(request) = self.requests.remove(key) else {
+            return;
+        };
+        let latency = self.now - request.arrived;
+        let in_time = answered && latency <= DEADLINE;
+        if in_time {
+            self.tally.in_time[request.customer] += 1.0;
+            self.tally.latencies.push(latency);
+        }
+        if let Some(ticket) = request.ticket {
+            let end = Completion {
+                in_time,
+                latency: self.now - request.began,
+                service: request.service,
+            };
+            let now = self.instant();
+            let admission = &mut self.instances[request.instance].admission;
+            let releases = admission.finished(ticket, &end, now);
+            self.release(&releases);
+        }
+    }
+}
+
+fn number(key: RequestKey) -> String {
+    slotmap::Key::data(&key).as_ffi().to_string()
+}
--- /dev/null
+++ b/crates/sardineshore-core/examples/policy/instance.rs
@@ -0,0 +1,84 @@
+//! The state machines of one entry instance.
+
+use std::collections::BTreeSet;
+
+use sardineshore_core::{
+    Admission, AdmissionConfig, BackendServer, Deployment, HedgePolicy, Objective, Retries,
+    RetryConfig, Router, RoutingConfig, StageBudget, StageLatencies,
+};
+
+use crate::backend::Backend;
+use crate::scenario::{POOLS, RetryPlan, Variant};
+
+/// One entry instance.
+pub struct Instance {
+    pub domain: usize,
+    pub router: Router,
+    pub admission: Admission,
+    pub retries: Retries,
+    pub hedges: HedgePolicy,
+    pub budget: StageBudget,
+    pub latencies: StageLatencies,
+}
+
+impl Instance {
+    pub fn new(variant: &Variant, objective: Objective, servers: &[Backend], seed: u64) -> Self {
+        let domain = usize::try_from(seed % 4).unwrap_or(0);
+        let mut router = Router::new(RoutingConfig {
+            home: domain.to_string().into(),
+            policy: variant.policy,
+            seed,
+            ..RoutingConfig::default()
+        });
+        router.adopt(&deployment(objective, servers), &BTreeSet::new());
+        Self {
+            domain,
+            router,
+            admission: Admission::new(AdmissionConfig::default()),
+            retries: Retries::new(retries(variant.retries, seed), objective),
+            hedges: HedgePolicy::default(),
+            budget: StageBudget::default(),
+            latencies: StageLatencies::default(),
+        }
+    }
+}
+
+fn retries(plan: RetryPlan, seed: u64) -> RetryConfig {
+    let cfg = RetryConfig {
+        seed,
+        ..RetryConfig::default()
+    };
+    match plan {
+        RetryPlan::Budget => cfg,
+        RetryPlan::None => RetryConfig {
+            attempts_max: 1,
+            hedge_reserve: f64::MAX,
+            ..cfg
+        },
+        RetryPlan::Unlimited => RetryConfig {
+            attempts_max: 20,
+            saved_max: 1e12,
+            ..cfg
+        },
+    }
+}
+
+fn deployment(objective: Objective, servers: &[Backend]) -> Deployment {
+    let mut deployment = Deployment {
+        objective,
+        ..Deployment::default()
+    };
+    for server in servers {
+        let declared = BackendServer {
+            name: server.name.clone(),
+            addr: "127.0.0.1:1".into(),
+            domain: server.domain.to_string().into(),
+            pool: POOLS[server.pool].name.into(),
+            capacity: server.capacity,
+            cost: server.cost,
+            ..BackendServer::default()
+        };
+        deployment.servers.insert(server.name.clone(), declared);
+    }
+    deployment
+}
--- /dev/null
+++ b/crates/sardineshore-core/examples/policy/tally.rs
@@ -0,0 +1,92 @@
+//! What a run is judged by.
+
+use std::fmt;
+use std::time::Duration;
+
+use crate::scenario::{CUSTOMERS, LENGTH};
+
+/// Counts of one run.
+#[derive(Default)]
+pub struct Tally {
+    pub offered: [f64; CUSTOMERS],
+    pub in_time: [f64; CUSTOMERS],
+    pub latencies: Vec<Duration>,
+    pub firsts: f64,
+    pub extras: f64,
+    pub cost: f64,
+    pub prefixed: f64,
+    pub hits: f64,
+}
+
+impl Tally {
+    pub fn heading() -> &'static str {
+        "attainment | others' attainment | goodput/s | p50 ms | p99 ms | cost/answer | extra % | \
+         Jain | hits %"
+    }
+
+    pub fn figures(&mut self) -> Vec<f64> {
+        let offered: f64 = self.offered.iter().sum();
+        let in_time: f64 = self.in_time.iter().sum();
+        let others = self.in_time[1..].iter().sum::<f64>() / self.offered[1..].iter().sum::<f64>();
+        self.latencies.sort();
+        vec![
+            in_time / offered,
+            others,
+            in_time / LENGTH.as_secs_f64(),
+            self.quantile(0.50),
+            self.quantile(0.99),
+            self.cost / in_time,
+            100.0 * self.extras / self.firsts,
+            self.jain(),
+            100.0 * self.hits / self.prefixed.max(1.0),
+        ]
+    }
+
+    fn quantile(&self, share: f64) -> f64 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "an index"
+        )]
+        let at = (self.latencies.len() as f64 * share) as usize;
+        self.latencies
+            .get(at)
+            .map_or(f64::NAN, |latency| latency.as_secs_f64() * 1e3)
+    }
+
+    /// Fairness between customers of the share of their requests answered in time.
+    fn jain(&self) -> f64 {
+        let shares = self
+            .in_time
+            .iter()
+            .zip(&self.offered)
+            .map(|(done, all)| done / all);
+        let (sum, squares) = shares.fold((0.0, 0.0), |(s, q), x| (s + x, q + x * x));
+        sum * sum / (CUSTOMERS as f64 * squares)
+    }
+}
+
+/// Mean and half of the range over the seeds.
+pub struct Spread {
+    mean: f64,
+    half: f64,
+}
+
+impl Spread {
+    pub fn of(values: impl Iterator<Item = f64>) -> Self {
+        let values: Vec<f64> = values.collect();
+        let low = values.iter().copied().fold(f64::INFINITY, f64::min);
+        let high = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        Self {
+            mean: values.iter().sum::<f64>() / values.len() as f64,
+            half: (high - low) / 2.0,
+        }
+    }
+}
+
+impl fmt::Display for Spread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let digits = if self.mean.abs() < 2.0 { 3 } else { 1 };
+        write!(f, "{:.digits$} ±{:.digits$}", self.mean, self.half)
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-core/examples/policy/world.rs
@@ -0,0 +1,313 @@
+//! Discrete events between callers, entry instances and backend servers.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use sardineshore_core::{Objective, ServerId, Ticket};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::backend::Backend;
+use crate::flow::EXPIRE_EVERY;
+use crate::instance::Instance;
+use crate::scenario::{CAPACITY, CUSTOMERS, FAULT, LENGTH, POOLS, Scenario, Variant};
+use crate::tally::Tally;
+
+/// Time between two polls of all servers' load by one instance.
+const POLL_EVERY: Duration = Duration::from_secs(1);
+/// One way between an instance and a server of the same and of another failure domain.
+const NEAR_MS: f64 = 0.25;
+const FAR_MS: f64 = 3.0;
+
+new_key_type! {
+    pub struct AttemptKey;
+    pub struct RequestKey;
+}
+
+/// A caller's request at its instance.
+pub struct Request {
+    pub customer: usize,
+    pub instance: usize,
+    pub arrived: Duration,
+    pub began: Duration,
+    pub ticket: Option<Ticket>,
+    pub prefix: u64,
+    pub stage: usize,
+    pub stage_began: Duration,
+    pub stage_until: Duration,
+    pub tried: Vec<ServerId>,
+    pub open: Vec<AttemptKey>,
+    pub service: Duration,
+}
+
+/// One attempt on one backend server.
+pub struct Attempt {
+    pub request: RequestKey,
+    pub stage: usize,
+    pub server: usize,
+    pub sent: Duration,
+    pub service: Duration,
+    pub started: Option<Duration>,
+    pub cached: bool,
+    pub cancelled: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Event {
+    Arrive,
+    Poll(usize),
+    Expire(usize),
+    Deadline(RequestKey),
+    Again(RequestKey, usize),
+    Hedge(RequestKey, usize),
+    Reach(AttemptKey),
+    Done(AttemptKey, bool),
+    Reply(AttemptKey, Ending),
+    Cancel(AttemptKey),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Ending {
+    Answered,
+    Refused,
+    Failed,
+}
+
+/// All instances, servers and requests of one run.
+pub struct World<'a> {
+    pub scenario: &'a Scenario,
+    pub variant: &'a Variant,
+    pub objective: Objective,
+    pub origin: Instant,
+    pub now: Duration,
+    pub rng: SmallRng,
+    pub backends: Vec<Backend>,
+    pub instances: Vec<Instance>,
+    pub requests: SlotMap<RequestKey, Request>,
+    pub attempts: SlotMap<AttemptKey, Attempt>,
+    pub tally: Tally,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    numbered: u64,
+}
+
+impl<'a> World<'a> {
+    pub fn new(
+        scenario: &'a Scenario,
+        variant: &'a Variant,
+        objective: Objective,
+        seed: u64,
+    ) -> Self {
+        let backends = backends(scenario);
+        let instances = (0..variant.instances as u64)
+            .map(|at| Instance::new(variant, objective, &backends, at + 100 * seed))
+            .collect();
+        Self {
+            scenario,
+            variant,
+            objective,
+            origin: Instant::now(),
+            now: Duration::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            backends,
+            instances,
+            requests: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            tally: Tally::default(),
+            events: BinaryHeap::new(),
+            numbered: 0,
+        }
+    }
+
+    pub fn run(mut self) -> Tally {
+        self.after(Duration::ZERO, Event::Arrive);
+        for at in 0..self.instances.len() {
+            self.after(POLL_EVERY.mul_f64(at as f64 / 9.0), Event::Poll(at));
+            self.after(EXPIRE_EVERY, Event::Expire(at));
+        }
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            self.handle(event);
+        }
+        self.tally
+    }
+
+    pub fn after(&mut self, delay: Duration, event: Event) {
+        self.numbered += 1;
+        self.events
+            .push(Reverse((self.now + delay, self.numbered, event)));
+    }
+
+    pub fn instant(&self) -> Instant {
+        self.origin + self.now
+    }
+
+    /// Random time between an instance and a server.
+    pub fn network(&mut self, instance: usize, server: usize) -> Duration {
+        let near = self.instances[instance].domain == self.backends[server].domain;
+        let base = if near { NEAR_MS } else { FAR_MS };
+        Duration::from_secs_f64(base * self.rng.random_range(0.8..1.6) / 1e3)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Poll(instance) => self.poll(instance),
+            Event::Expire(instance) => self.expire(instance),
+            Event::Deadline(request) => self.end(request, false),
+            Event::Again(request, stage) => self.again(request, stage),
+            Event::Hedge(request, stage) => self.hedge(request, stage),
+            Event::Reach(attempt) => self.reach(attempt),
+            Event::Done(attempt, answered) => self.done(attempt, answered),
+            Event::Reply(attempt, ending) => self.reply(attempt, ending),
+            Event::Cancel(attempt) => self.stop(attempt),
+        }
+    }
+
+    fn arrive(&mut self) {
+        let faulty = self.faulty();
+        let burst = if faulty { self.scenario.burst } else { 1.0 };
+        let each = CAPACITY * self.scenario.load * burst / CUSTOMERS as f64;
+        let all = each * (CUSTOMERS as f64 - 1.0 + self.scenario.greedy);
+        let wait = -self.rng.random::<f64>().max(1e-12).ln() / all;
+        if self.now < LENGTH {
+            self.after(Duration::from_secs_f64(wait), Event::Arrive);
+            let pick = self.rng.random_range(0.0..all / each);
+            let customer = (1..CUSTOMERS).find(|at| pick < *at as f64).unwrap_or(0);
+            self.offer(customer);
+        }
+    }
+
+    fn poll(&mut self, instance: usize) {
+        let now = self.instant();
+        for server in &self.backends {
+            let router = &mut self.instances[instance].router;
+            router.reported(&server.name, &server.load(), now);
+        }
+        if self.now < LENGTH {
+            self.after(POLL_EVERY, Event::Poll(instance));
+        }
+    }
+
+    fn faulty(&self) -> bool {
+        FAULT.0 <= self.now && self.now < FAULT.1
+    }
+
+    fn reach(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(key) else {
+            return;
+        };
+        let at = attempt.server;
+        let server = &mut self.backends[at];
+        if server.idle() {
+            self.serve(key);
+        } else if server.full() {
+            self.answer(key, Ending::Refused);
+        } else {
+            server.queue.push_back(key);
+        }
+    }
+
+    fn serve(&mut self, key: AttemptKey) {
+        let attempt = &self.attempts[key];
+        let prefix = self.requests.get(attempt.request).map_or(0, |r| r.prefix);
+        let (at, stage) = (attempt.server, attempt.stage);
+        let failing = self.scenario.failing.filter(|(pool, _)| *pool == stage);
+        let fails = self.faulty() && failing.is_some_and(|(_, share)| self.rng.random_bool(share));
+        let draw = 0.5 - 0.5 * self.rng.random::<f64>().max(1e-12).ln();
+        let server = &mut self.backends[at];
+        server.running.push(key);
+        let prefixed = prefix != 0 && stage + 1 == POOLS.len();
+        let cached = if prefixed {
+            server.look_up(prefix)
+        } else {
+            1.0
+        };
+        let spent = if fails { 0.5 } else { 1.0 };
+        let service = Duration::from_secs_f64(server.service_ms * draw * cached * spent / 1e3);
+        let attempt = &mut self.attempts[key];
+        attempt.started = Some(self.now);
+        attempt.cached = cached < 1.0;
+        attempt.service = service;
+        if prefixed {
+            self.tally.prefixed += 1.0;
+            self.tally.hits += f64::from(u8::from(cached < 1.0));
+        }
+        self.after(service, Event::Done(key, !fails));
+    }
+
+    fn done(&mut self, key: AttemptKey, answered: bool) {
+        if self.attempts.contains_key(key) {
+            let ending = if answered {
+                Ending::Answered
+            } else {
+                Ending::Failed
+            };
+            self.leave(key);
+            self.answer(key, ending);
+        }
+    }
+
+    /// A cancelled attempt stops on its server.
+    fn stop(&mut self, key: AttemptKey) {
+        if self.attempts.contains_key(key) {
+            self.leave(key);
+            self.attempts.remove(key);
+        }
+    }
+
+    /// Frees the attempt's place and begins the next one's service.
+    fn leave(&mut self, key: AttemptKey) {
+        let attempt = &self.attempts[key];
+        let server = &mut self.backends[attempt.server];
+        let busy = attempt
+            .started
+            .map_or(Duration::ZERO, |from| self.now - from);
+        self.tally.cost += busy.as_secs_f64() * server.cost;
+        server.free(key);
+        if let Some(next) = server.idle().then(|| server.queue.pop_front()).flatten() {
+            self.serve(next);
+        }
+    }
+
+    fn answer(&mut self, key: AttemptKey, ending: Ending) {
+        let attempt = &self.attempts[key];
+        let server = attempt.server;
+        let Some(request) = self
+            .requests
+            .get(attempt.request)
+            .filter(|_| !attempt.cancelled)
+        else {
+            self.attempts.remove(key);
+            return;
+        };
+        let delay = self.network(request.instance, server);
+        self.after(delay, Event::Reply(key, ending));
+    }
+}
+
+fn backends(scenario: &Scenario) -> Vec<Backend> {
+    let mut backends = Vec::new();
+    for (pool, plan) in POOLS.iter().enumerate() {
+        for at in 0..plan.servers {
+            let slow = if plan.name == "generate" && at == 0 {
+                scenario.straggler
+            } else {
+                1.0
+            };
+            backends.push(Backend {
+                name: format!("{}-{at}", plan.name).into(),
+                domain: at % 4,
+                pool,
+                cost: if at % 2 == 0 { 1.0 } else { 1.5 },
+                capacity: plan.capacity,
+                service_ms: plan.service_ms * slow,
+                running: Vec::new(),
+                queue: VecDeque::new(),
+                cache: VecDeque::new(),
+            });
+        }
+    }
+    backends
+}
