fix(core): a member counts as stopped only until it answers again

Cause: a restarted instance keeps its name, so a relayed stop would have kept it out of the count for good. A region that is cut from the list can keep a majority of the list that it knows, while the platform lists others in its place: both sides would have had a majority.

Change: stops are not relayed and end with the next direct answer. A list is trusted for 300 s, and a member that vanished without a stop counts for 315 s, so that such a region is fenced before the others have a majority without it. The price: after most instances are killed within five minutes, commands are refused until then. The relay's golden text changes by the stop's character.

Proof: cargo test -p sardineshore-core -p sardineshore-entry.

--- a/crates/sardineshore-core/src/contact.rs
+++ b/crates/sardineshore-core/src/contact.rs
@@ -33,7 +33,8 @@
     pub fence_after: Duration,
     /// Added to `fence_after` before a silent instance counts as fenced, for clocks that drift.
     pub drift_margin: Duration,
-    /// Time for which a member that vanished from the list without a stop still counts.
+    /// Time for which a member that vanished from the list without a stop still counts. Longer
+    /// than `list_trust` by the lag of the list, so that it no longer acts on an older list.
     pub vanish_grace: Duration,
     /// Age of the instance list above which a majority of it confirms nothing.
     pub list_trust: Duration,
@@ -44,8 +45,8 @@
         Self {
             fence_after: Duration::from_secs(3),
             drift_margin: Duration::from_millis(100),
-            vanish_grace: Duration::from_secs(30),
-            list_trust: Duration::from_secs(600),
+            vanish_grace: Duration::from_secs(315),
+            list_trust: Duration::from_secs(300),
         }
     }
 }
@@ -104,7 +105,8 @@
     heard: Option<Confirmation>,
     /// Version that it held at some time.
     holds: Option<Version>,
-    stopped: bool,
+    /// When it told that it has ended its last work; nothing once it is heard again.
+    stopped: Option<Instant>,
 }
 
 /// What one instance knows of the store and its peers.
@@ -157,7 +159,7 @@
         }
         let grace = self.settings.vanish_grace;
         self.voters.retain(|_, voter| match voter.vanished {
-            Some(at) => !voter.stopped && now.duration_since(at) < grace,
+            Some(at) => voter.stopped.is_none() && now.duration_since(at) < grace,
             None => true,
         });
         self.listed_at = self.listed_at.max(Some(began));
@@ -188,8 +190,9 @@
 
     /// A peer answered an exchange that was sent at `sent`.
     pub fn exchanged(&mut self, hearing: &Hearing, sent: Instant, now: Instant) {
+        self.restarted(&hearing.member, sent);
         if hearing.stopped {
-            self.stopped(&hearing.member);
+            self.stopped(&hearing.member, now);
         } else if let Some(version) = hearing.version {
             self.heard_directly(hearing, version, sent);
             self.heard_relayed(&hearing.relay, version, sent);
@@ -197,10 +200,10 @@
         self.update(now);
     }
 
-    /// A member has ended its last work.
-    pub fn stopped(&mut self, member: &InstanceId) {
+    /// A member tells that it has ended its last work.
+    pub fn stopped(&mut self, member: &InstanceId, now: Instant) {
         if let Some(voter) = self.voters.get_mut(member) {
-            voter.stopped = true;
+            voter.stopped = Some(now);
         }
     }
 
@@ -295,7 +298,9 @@
     /// Whether a member has ended its last work.
     #[must_use]
     pub fn has_stopped(&self, member: &str) -> bool {
-        self.voters.get(member).is_some_and(|voter| voter.stopped)
+        self.voters
+            .get(member)
+            .is_some_and(|voter| voter.stopped.is_some())
     }
 
     /// Version in force here, told to peers only once it has been confirmed.
@@ -310,6 +315,13 @@
         &self.settings
     }
 
+    /// A member that answers after it told of its stop has been started again.
+    fn restarted(&mut self, member: &InstanceId, sent: Instant) {
+        if let Some(voter) = self.voters.get_mut(member) {
+            voter.stopped = voter.stopped.filter(|at| *at >= sent);
+        }
+    }
+
     fn heard_directly(&mut self, hearing: &Hearing, version: Version, sent: Instant) {
         self.newest = self.newest.max(version);
         self.heard(&hearing.member, Confirmation { at: sent, version });
@@ -323,7 +335,6 @@
     fn heard_relayed(&mut self, relay: &Relay, version: Version, sent: Instant) {
         for known in relay.iter() {
             match known.state {
-                RelayedState::Stopped => self.stopped(&known.member),
                 RelayedState::Heard { age, holds } => {
                     if let Some(at) = sent.checked_sub(age) {
                         self.heard(&known.member, Confirmation { at, version });
@@ -436,7 +447,7 @@
             let gone = voter
                 .vanished
                 .is_some_and(|at| now.saturating_duration_since(at) >= grace);
-            !gone && !voter.stopped
+            !gone && voter.stopped.is_none()
         })
     }
 }
--- a/crates/sardineshore-core/src/contact/relay.rs
+++ b/crates/sardineshore-core/src/contact/relay.rs
@@ -2,7 +2,7 @@
 //! [`Roster`].
 //!
 //! A character carries the age of the last hearing, rounded up to [`AGE_UNIT`], and whether the
-//! member holds the teller's version; two more values tell of a stopped and of a silent member.
+//! member holds the teller's version; one more value tells of a silent member.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,9 +16,8 @@
 pub const AGE_UNIT: Duration = Duration::from_millis(100);
 /// Ages that a character can carry, from 0.
 const AGES: usize = 30;
-const STOPPED: usize = 2 * AGES;
-const SILENT: usize = STOPPED + 1;
-const ALPHABET: &[u8; 62] = b"0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+const SILENT: usize = 2 * AGES;
+const ALPHABET: &[u8; 61] = b"0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxy";
 
 /// Names of members in a fixed order, told apart by a digest.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -59,8 +58,6 @@
         /// Whether it holds the teller's version.
         holds: bool,
     },
-    /// It has ended its last work.
-    Stopped,
     /// It was not heard lately, or knows a version that the teller does not hold.
     Silent,
 }
@@ -120,9 +117,6 @@
         let Some(voter) = self.voters.get(name) else {
             return SILENT;
         };
-        if voter.stopped {
-            return STOPPED;
-        }
         let Some(heard) = voter
             .heard
             .filter(|heard| Some(heard.version) <= self.version)
@@ -142,7 +136,6 @@
 fn decode(byte: u8) -> RelayedState {
     let code = ALPHABET.iter().position(|known| *known == byte);
     match code.unwrap_or(SILENT) {
-        STOPPED => RelayedState::Stopped,
         SILENT => RelayedState::Silent,
         code => RelayedState::Heard {
             age: AGE_UNIT * u32::try_from(code / 2).expect("an age has few units"),
--- a/crates/sardineshore-entry/src/config.rs
+++ b/crates/sardineshore-entry/src/config.rs
@@ -93,7 +93,7 @@
             head_period: Duration::from_millis(500),
             list_budget: 4.0,
             list_period: Duration::from_secs(1),
-            renew_after: Duration::from_millis(1_500),
+            renew_after: Duration::from_secs(2),
             accept_timeout: Duration::from_secs(2),
             wave: 16,
             fanout: 2,
--- a/crates/sardineshore-entry/src/peers.rs
+++ b/crates/sardineshore-entry/src/peers.rs
@@ -85,7 +85,8 @@
     /// that the answer tells the peer that they are in force here.
     pub async fn answer(&self, question: Exchange) -> Exchange {
         if question.phase == Phase::Stopped {
-            self.state().contact.stopped(&question.from);
+            let now = self.now();
+            self.state().contact.stopped(&question.from, now);
         }
         let (known, asker) = {
             let state = self.state();
