--- a/crates/sardineshore-entry/src/config.rs
+++ b/crates/sardineshore-entry/src/config.rs
@@ -21,7 +21,7 @@
 use sardineshore_core::membership::Membership;
 use sardineshore_core::membership::leaving::LeavingServers;
 use sardineshore_core::quarantine::Evidence;
-use sardineshore_core::{Clock, Deployment, InstanceId, ServerId};
+use sardineshore_core::{Clock, Deployment, InstanceId, ServerId, Version};
 use sardineshore_wire::peer::Phase;
 use sardineshore_wire::platform::{InstanceList, Objects, Table};
 use slog::Logger;
@@ -136,6 +136,8 @@
     pub leaving: LeavingServers,
     /// When each peer had last confirmed its version with the store, as last told.
     pub peer_confirmed: BTreeMap<InstanceId, Instant>,
+    /// A version accepted here that has yet to be told to the instances beyond the majority.
+    accepted: Option<Version>,
     pub(crate) phase: Phase,
     fenced: bool,
 }
@@ -166,6 +168,7 @@
             membership: Membership::new(name.clone()),
             leaving: LeavingServers::default(),
             peer_confirmed: BTreeMap::new(),
+            accepted: None,
             phase: Phase::Running,
             fenced: true,
         };
--- a/crates/sardineshore-entry/src/config/submit.rs
+++ b/crates/sardineshore-entry/src/config/submit.rs
@@ -114,9 +114,26 @@
         if version % SNAPSHOT_EVERY == 0 {
             self.write_snapshot().await;
         }
+        self.state().accepted = Some(version);
+        let _ = self.news.0.try_send(());
         SubmitReply::Accepted { version }
     }
 
+    /// Tells the instances beyond the majority of the last version accepted here, as far as they
+    /// answer.
+    pub async fn spread_rest(&self) {
+        let Some(version) = self.state().accepted.take() else {
+            return;
+        };
+        loop {
+            let peers = self.lacking(version);
+            self.exchange_with(&peers).await;
+            if !self.any_holds(&peers, version) {
+                return;
+            }
+        }
+    }
+
     /// Asks peers, a wave at a time, until a majority holds the version; false if time runs out.
     async fn spread(&self, version: Version) -> bool {
         let end = self.now() + self.settings.accept_timeout;
@@ -146,6 +163,10 @@
                 return true;
             }
         }
+        self.any_holds(&peers, version)
+    }
+
+    fn any_holds(&self, peers: &[Member], version: Version) -> bool {
         let state = self.state();
         let holds = |peer: &Member| state.contact.held_by(&peer.name) >= Some(version);
         peers.iter().any(holds)
--- a/crates/sardineshore-entry/src/config/tasks.rs
+++ b/crates/sardineshore-entry/src/config/tasks.rs
@@ -103,6 +103,7 @@
 async fn tell_news(service: Arc<ConfigService>) {
     while service.news.1.recv().await.is_ok() {
         service.exchange_with_some().await;
+        service.spread_rest().await;
     }
 }
 
--- a/crates/sardineshore-entry/src/peers.rs
+++ b/crates/sardineshore-entry/src/peers.rs
@@ -55,11 +55,11 @@
     pub async fn exchange_with_some(&self) {
         let fanout = self.settings.fanout;
         let peers = self.state().membership.some_peers(fanout, &mut rand::rng());
-        self.exchange_with(peers).await;
+        self.exchange_with(&peers).await;
     }
 
     /// Exchanges with several peers at the same time.
-    pub async fn exchange_with(&self, peers: Vec<Member>) {
+    pub async fn exchange_with(&self, peers: &[Member]) {
         join_all(peers.iter().map(|peer| self.exchange_one(peer))).await;
     }
 
@@ -120,7 +120,7 @@
             state.phase = Phase::Stopped;
             state.membership.some_peers(TOLD_OF_STOP, &mut rand::rng())
         };
-        self.exchange_with(peers).await;
+        self.exchange_with(&peers).await;
     }
 
     /// Some peers that are not known to hold a version.
