--- a/crates/sardineshore-core/src/contact.rs
+++ b/crates/sardineshore-core/src/contact.rs
@@ -213,6 +213,13 @@
         self.dispatch_until.is_some_and(|until| now <= until)
     }
 
+    /// Time left until [`Contact::may_dispatch`] turns false unless a confirmation comes.
+    #[must_use]
+    pub fn time_left(&self, now: Instant) -> Duration {
+        let until = self.dispatch_until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
     /// Whether a command may be written: a majority is heard.
     pub fn may_accept(&self, now: Instant) -> Result<Quorum, Quorum> {
         let quorum = self.quorum(now);
--- a/crates/sardineshore-entry/examples/config_fleet.rs
+++ b/crates/sardineshore-entry/examples/config_fleet.rs
@@ -141,6 +141,7 @@
 async fn outage(world: &Arc<World>, nodes: &[Node]) {
     world.store().down = true;
     let began = Instant::now();
+    let exchanges = world.exchanges.load(Ordering::Relaxed);
     let mut fewest = nodes.len();
     while began.elapsed() < OUTAGE {
         let ready = nodes.iter().filter(|node| node.service.is_ready()).count();
@@ -148,6 +149,9 @@
         sleep(10 * TICK).await;
     }
     println!("store down for {OUTAGE:?}: fewest instances that may dispatch {fewest}");
+    let exchanges = world.exchanges.load(Ordering::Relaxed) - exchanges;
+    let rate = exchanges as f64 / OUTAGE.as_secs_f64() / nodes.len() as f64;
+    println!("store down: exchanges/s per instance {rate:.2}");
 }
 
 fn print(what: &str, mut times: Vec<Duration>) {
--- a/crates/sardineshore-entry/src/config/tasks.rs
+++ b/crates/sardineshore-entry/src/config/tasks.rs
@@ -16,6 +16,8 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// Time between two looks at the fence and at the age of the confirmation.
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
+/// Time left until the fence below which an instance asks its peers more often.
+const HURRY_BELOW: Duration = Duration::from_millis(1_200);
 /// Time between two looks whether a shared period has passed.
 const MAX_NAP: Duration = Duration::from_secs(1);
 
@@ -94,7 +96,7 @@
 
 async fn exchange(service: Arc<ConfigService>) {
     loop {
-        task::sleep(jittered(service.settings.exchange_period)).await;
+        task::sleep(jittered(service.exchange_wait())).await;
         let service = service.clone();
         task::spawn(async move { service.exchange_next().await });
     }
@@ -119,6 +121,17 @@
         self.state().membership.len()
     }
 
+    /// Instances whose confirmation runs out soon ask twice as often.
+    fn exchange_wait(&self) -> Duration {
+        let left = self.state().contact.time_left(self.now());
+        let period = self.settings.exchange_period;
+        if left < HURRY_BELOW {
+            period / 2
+        } else {
+            period
+        }
+    }
+
     async fn wait_until_due(&self) {
         let settings = &self.settings;
         let began = self.now();
