--- a/crates/sardineshore-fakes/src/bin/sardine-fake-server.rs
+++ b/crates/sardineshore-fakes/src/bin/sardine-fake-server.rs
@@ -9,6 +9,8 @@
 use sardineshore_core::{Finding, SystemClock};
 use sardineshore_fakes::serve::serve;
 use sardineshore_fakes::server::FakeServer;
+use sardineshore_fakes::server::engine::EngineSettings;
+use sardineshore_fakes::server::engine::cache::CacheSettings;
 use sardineshore_fakes::server::settings::ServerSettings;
 use sardineshore_wire::settings::{Checker, exit_with, setting};
 
@@ -27,6 +29,41 @@
         .help(help)
 }
 
+fn engine_args() -> [Arg; 5] {
+    [
+        setting(
+            "cache-entries",
+            "SARDINE_FAKE_CACHE_ENTRIES",
+            "64",
+            "Prefixes that fit into an engine's cache",
+        ),
+        setting(
+            "event-lag",
+            "SARDINE_FAKE_EVENT_LAG",
+            "500ms",
+            "Time until an engine publishes a cache event",
+        ),
+        setting(
+            "event-loss",
+            "SARDINE_FAKE_EVENT_LOSS",
+            "0.05",
+            "Probability that an engine never publishes a cache event",
+        ),
+        setting(
+            "batch-slope",
+            "SARDINE_FAKE_BATCH_SLOPE",
+            "0.1",
+            "Growth of the time per token with each further attempt in the batch",
+        ),
+        setting(
+            "order-time",
+            "SARDINE_FAKE_ORDER_TIME",
+            "200ms",
+            "Time that an order to an engine takes",
+        ),
+    ]
+}
+
 fn command() -> Command {
     Command::new("sardine-fake-server")
         .about("Stand-in of a backend server, with an execution log")
@@ -91,6 +128,7 @@
             "1",
             "Seed of times and faults",
         ))
+        .args(engine_args())
         .arg(flag(
             "answers-status",
             "SARDINE_FAKE_ANSWERS_STATUS",
@@ -119,11 +157,24 @@
             seed: checker.parse("seed"),
             answers_status: matches.get_flag("answers-status"),
             fencing: matches.get_flag("fencing"),
+            engine: engine(&mut checker),
         },
     };
     checker.finish(settings)
 }
 
+fn engine(checker: &mut Checker<'_>) -> EngineSettings {
+    EngineSettings {
+        cache: CacheSettings {
+            entries: checker.parse("cache-entries"),
+            event_lag: checker.duration("event-lag"),
+            event_loss: checker.parse("event-loss"),
+        },
+        batch_slope: checker.parse("batch-slope"),
+        order_time: checker.duration("order-time"),
+    }
+}
+
 #[async_std::main]
 async fn main() -> anyhow::Result<()> {
     let settings = check(&command().get_matches()).unwrap_or_else(|findings| exit_with(&findings));
--- a/crates/sardineshore-fakes/src/platform.rs
+++ b/crates/sardineshore-fakes/src/platform.rs
@@ -139,6 +139,13 @@
         self.state().faults = faults;
     }
 
+    /// Replaces the instance list; readers see it after the lag.
+    pub fn replace_instances(&self, list: Vec<Listed>) {
+        let mut state = self.state();
+        let now = state.now;
+        state.listing.replace(list, now);
+    }
+
     /// Calls served since the start.
     #[must_use]
     pub fn stats(&self) -> Stats {
@@ -229,9 +236,7 @@
             },
             (Method::Put, "/v1/instances") => match reply::parse::<Vec<Listed>>(&mut req).await {
                 Ok(list) => {
-                    let mut state = self.state();
-                    let now = state.now;
-                    state.listing.replace(list, now);
+                    self.replace_instances(list);
                     reply::empty(StatusCode::Ok)
                 }
                 Err(res) => res,
--- a/crates/sardineshore-fakes/src/server.rs
+++ b/crates/sardineshore-fakes/src/server.rs
@@ -3,11 +3,12 @@
 //! It speaks the protocol of [`sardineshore_wire::backend`] and writes an execution log, the
 //! witness of audits. A run identifier that arrives twice runs twice, unless a status query
 //! sealed it: the stand-in must not hide a fault of its caller. A `true` under `"poison"` in the
-//! input crashes the process. Faults are set at `POST /v1/faults` ([`faults::ServerFaults`]).
+//! input crashes the process. `GET /v1/orders` lists the orders that an engine carried out. Faults are set at `POST /v1/faults` ([`faults::ServerFaults`]).
 
 pub mod answer;
 pub mod attempt;
 pub mod cancel;
+pub mod engine;
 pub mod faults;
 pub mod load;
 pub mod log;
@@ -15,6 +16,7 @@
 pub mod settings;
 pub mod slots;
 pub mod status;
+mod stream;
 
 use std::io;
 use std::path::Path;
@@ -31,10 +33,11 @@
 use self::answer::Answer;
 use self::attempt::Attempt;
 use self::cancel::Cancels;
+use self::engine::Engine;
 use self::faults::ServerFaults;
 use self::load::LaggingLoad;
 use self::log::ExecutionLog;
-use self::settings::ServerSettings;
+use self::settings::{Kind, ServerSettings};
 use self::slots::Slots;
 use self::status::Statuses;
 use crate::dice::Dice;
@@ -55,6 +58,7 @@
     load: Mutex<LaggingLoad>,
     faults: Mutex<ServerFaults>,
     previous: Mutex<Option<Answer>>,
+    engine: Option<Engine>,
 }
 
 impl FakeServer {
@@ -72,6 +76,7 @@
             load: Mutex::new(LaggingLoad::new(settings.load_lag, clock.now())),
             faults: Mutex::default(),
             previous: Mutex::default(),
+            engine: engine(&settings),
             settings,
             clock,
             log,
@@ -134,6 +139,28 @@
         reply::json(&statuses.get(&run_id))
     }
 
+    async fn order(&self, mut req: Request) -> Response {
+        let Some(engine) = &self.engine else {
+            return reply::empty(StatusCode::NotFound);
+        };
+        match reply::parse(&mut req).await {
+            Ok(order) => reply::json(&engine.order(&order, self.clock.now())),
+            Err(res) => res,
+        }
+    }
+
+    fn engine_query(&self, path: &str, req: &Request) -> Response {
+        let Some(engine) = &self.engine else {
+            return reply::empty(StatusCode::NotFound);
+        };
+        let now = self.clock.now();
+        if path == "/v1/orders" {
+            return reply::json(&engine.carried_out(now));
+        }
+        let after = reply::query(req, "after").parse().unwrap_or(0);
+        reply::json(&engine.cache_events(after, now))
+    }
+
     async fn replace_faults(&self, mut req: Request) -> Response {
         match reply::parse(&mut req).await {
             Ok(faults) => {
@@ -154,6 +181,10 @@
             (Method::Post, "/v1/cancel") => self.cancel(req).await.into(),
             (Method::Get, "/v1/load") => reply::json(&self.load_report()).into(),
             (Method::Post, "/v1/faults") => self.replace_faults(req).await.into(),
+            (Method::Post, "/v1/orders") => self.order(req).await.into(),
+            (Method::Get, "/v1/orders" | "/v1/cache-events") => {
+                self.engine_query(&path, &req).into()
+            }
             (Method::Get, path) if path.starts_with("/v1/requests/") => {
                 let run_id = path.trim_start_matches("/v1/requests/");
                 self.status(run_id, &req).into()
@@ -163,6 +194,11 @@
     }
 }
 
+fn engine(settings: &ServerSettings) -> Option<Engine> {
+    let is_engine = settings.kind == Kind::Engine;
+    is_engine.then(|| Engine::new(settings.engine.clone(), settings.fencing))
+}
+
 fn count(n: usize) -> u32 {
     u32::try_from(n).unwrap_or(u32::MAX)
 }
--- a/crates/sardineshore-fakes/src/server/run.rs
+++ b/crates/sardineshore-fakes/src/server/run.rs
@@ -14,14 +14,37 @@
 use super::answer::Answer;
 use super::attempt::Attempt;
 use super::cancel::Registration;
+use super::engine::Generation;
 use super::settings::Kind;
 use super::slots::Slot;
+use super::stream::Streamed;
 use crate::reply;
 use crate::serve::Served;
 
 /// Longest time in the queue of an attempt without a deadline.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
+/// What an attempt takes.
+#[derive(Debug, Clone, Copy)]
+enum Plan {
+    /// Some time.
+    Serve(Duration),
+    /// A generation.
+    Generate(Generation),
+}
+
+impl Plan {
+    fn cached_tokens(self) -> u32 {
+        match self {
+            Self::Serve(_) => 0,
+            Self::Generate(generation) => generation.cached_tokens,
+        }
+    }
+}
+
+/// The attempt was cancelled while it ran.
+struct Cancelled;
+
 impl FakeServer {
     /// Runs an attempt and answers it.
     pub(super) async fn run(self: Arc<Self>, mut req: Request) -> Served {
@@ -37,9 +60,23 @@
         if !self.begin(&attempt) {
             return self.refuse(&attempt, "the run identifier is sealed");
         }
-        let answer = self.work(&attempt, &mut registration).await;
-        drop(slot);
-        self.deliver(answer).await
+        let plan = self.plan(&attempt);
+        match plan {
+            Plan::Generate(generation) if attempt.streamed => {
+                let streamed = Streamed {
+                    attempt,
+                    slot,
+                    registration,
+                    generation,
+                };
+                self.answer_stream(streamed).await
+            }
+            _ => {
+                let answer = self.work(&attempt, plan, &mut registration).await;
+                drop(slot);
+                self.deliver(answer).await
+            }
+        }
     }
 
     /// Waits for a slot; the error tells why the attempt must not run.
@@ -91,29 +128,64 @@
     }
 
     /// Does the work of an attempt that has begun.
-    async fn work(&self, attempt: &Attempt, registration: &mut Registration) -> Answer {
-        let time = self.service_time();
-        let work = task::sleep(time);
-        let cancelled = registration.cancelled();
-        pin_mut!(work, cancelled);
-        // The effect of a non-idempotent call has happened: it is not cancelled any more.
-        let cancellable = attempt.run_id.is_empty();
-        if let Either::Right(((), work)) = select(work, cancelled).await {
-            if cancellable {
-                self.log.write(ExecutionEvent::Cancelled, attempt);
-                return Answer::failed(attempt, "cancelled");
-            }
-            work.await;
+    async fn work(&self, attempt: &Attempt, plan: Plan, registration: &mut Registration) -> Answer {
+        let started = self.clock.now();
+        if self.carry_out(attempt, plan, registration).await.is_err() {
+            self.log.write(ExecutionEvent::Cancelled, attempt);
+            return Answer::failed(attempt, "cancelled");
         }
         let body = serde_json::to_string(&self.output(attempt)).expect("an output serializes");
         self.finish(attempt, &body);
-        let failed = self.dice.roll(self.faults().fail);
-        let answer = if failed {
+        let fail = self.faults().fail;
+        let answer = if self.dice.roll(fail) {
             Answer::failed(attempt, "failed after the run by an injected fault")
         } else {
             Answer::ran(attempt, body.into_bytes())
         };
-        answer.service(time, 0)
+        let service = self.clock.now().saturating_duration_since(started);
+        answer.service(service, plan.cached_tokens())
+    }
+
+    /// Spends the time of an attempt, unless it is cancelled.
+    async fn carry_out(
+        &self,
+        attempt: &Attempt,
+        plan: Plan,
+        registration: &mut Registration,
+    ) -> Result<(), Cancelled> {
+        let work = self.spend(plan);
+        let cancelled = registration.cancelled();
+        pin_mut!(work, cancelled);
+        // The effect of a non-idempotent call has happened: it is not cancelled any more.
+        let cancellable = attempt.run_id.is_empty();
+        match select(work, cancelled).await {
+            Either::Left(((), _)) => Ok(()),
+            Either::Right(((), _)) if cancellable => Err(Cancelled),
+            Either::Right(((), work)) => {
+                work.await;
+                Ok(())
+            }
+        }
+    }
+
+    async fn spend(&self, plan: Plan) {
+        match (plan, &self.engine) {
+            (Plan::Generate(generation), Some(engine)) => {
+                engine.generate(generation, &self.slots).await;
+            }
+            (Plan::Serve(time), _) => task::sleep(time).await,
+            (Plan::Generate(_), None) => {}
+        }
+    }
+
+    fn plan(&self, attempt: &Attempt) -> Plan {
+        let time = self.service_time();
+        match &self.engine {
+            Some(engine) => {
+                Plan::Generate(engine.plan(attempt, time, &self.dice, self.clock.now()))
+            }
+            None => Plan::Serve(time),
+        }
     }
 
     fn finish(&self, attempt: &Attempt, body: &str) {
@@ -126,6 +198,9 @@
         if self.settings.kind == Kind::Service {
             output.insert("confirmation".into(), Value::from(&*attempt.run_id));
         }
+        if let Some(engine) = &self.engine {
+            engine.complete(attempt, &mut output);
+        }
         output
     }
 
@@ -137,11 +212,8 @@
 
     /// Writes an answer, with the faults of answering.
     async fn deliver(&self, answer: Answer) -> Served {
+        let earlier = self.hold_back(&answer).await;
         let faults = self.faults().clone();
-        task::sleep(Duration::from_millis(faults.late_answer_ms)).await;
-        let mut previous = self.previous.lock().expect("previous lock poisoned");
-        let earlier = previous.replace(answer.clone());
-        drop(previous);
         let report = self.load_report();
         if self.dice.roll(faults.wrong_attempt) {
             if let Some(earlier) = earlier {
@@ -157,4 +229,12 @@
         }
         answer.reply(report).into()
     }
+
+    /// Waits as long as answers are held back, remembers this answer and gives the one before.
+    pub(super) async fn hold_back(&self, answer: &Answer) -> Option<Answer> {
+        let late = self.faults().late_answer_ms;
+        task::sleep(Duration::from_millis(late)).await;
+        let mut previous = self.previous.lock().expect("previous lock poisoned");
+        previous.replace(answer.clone())
+    }
 }
--- a/crates/sardineshore-fakes/src/server/settings.rs
+++ b/crates/sardineshore-fakes/src/server/settings.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::engine::EngineSettings;
+
 /// Settings of one server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerSettings {
@@ -27,6 +29,8 @@
     pub answers_status: bool,
     /// Whether the server refuses orders with an old fencing number.
     pub fencing: bool,
+    /// Settings of a model engine.
+    pub engine: EngineSettings,
 }
 
 impl Default for ServerSettings {
@@ -42,6 +46,7 @@
             seed: 1,
             answers_status: false,
             fencing: false,
+            engine: EngineSettings::default(),
         }
     }
 }
