--- a/crates/sardineshore-core/src/change.rs
+++ b/crates/sardineshore-core/src/change.rs
@@ -45,7 +45,7 @@
         /// The backend server.
         server: BackendServer,
     },
-    /// Replaces the declaration of a backend server.
+    /// Replaces the declaration of a backend server; its state stays as it is.
     ReconfigureServer {
         /// The backend server.
         server: BackendServer,
@@ -237,12 +237,16 @@
         Ok(())
     }
 
+    /// Replaces a declaration; whether the server drains stays as it is.
     fn reconfigure_server(&mut self, server: &BackendServer) -> Result<(), Refusal> {
-        if !self.servers.contains_key(&server.name) {
-            return Err(Refusal::missing("server", &server.name));
-        }
         check_server(server)?;
-        self.servers.insert(server.name.clone(), server.clone());
+        let Some(known) = self.servers.get_mut(&server.name) else {
+            return Err(Refusal::missing("server", &server.name));
+        };
+        *known = BackendServer {
+            state: known.state,
+            ..server.clone()
+        };
         Ok(())
     }
 
--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod change;
 pub mod claim;
 pub mod clock;
+pub mod command;
 pub mod deployment;
 pub mod event;
 pub mod finding;
@@ -35,6 +36,7 @@
 
 pub use change::{Change, Refusal};
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use command::Statement;
 pub use deployment::{
     BackendServer, Customer, Deployment, Objective, Pipeline, ServerState, Stage, StageKind,
 };
