--- /dev/null
+++ b/crates/sardineshore-ctl/src/render.rs
@@ -0,0 +1,167 @@
+//! Reports as tables for people or as JSON for programs.
+
+mod rows;
+
+use std::fmt::Write;
+use std::str::FromStr;
+
+use sardineshore_wire::operator::{OrderOutcome, Progress};
+
+use crate::fleet::InstanceError;
+use crate::report::{Exit, Report};
+
+/// Form of the output.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Output {
+    /// Tables and sentences.
+    #[default]
+    Table,
+    /// One JSON array with a report for each step.
+    Json,
+}
+
+impl FromStr for Output {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "table" => Ok(Self::Table),
+            "json" => Ok(Self::Json),
+            _ => Err("expected table or json".into()),
+        }
+    }
+}
+
+/// What a program prints.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Printed {
+    /// Standard output.
+    pub out: String,
+    /// Standard error.
+    pub err: String,
+}
+
+/// All reports in the chosen form; people find what was not done on standard error.
+///
+/// # Panics
+///
+/// Panics if a report can't be serialized.
+#[must_use]
+pub fn render(reports: &[Report], output: Output) -> Printed {
+    let mut printed = Printed::default();
+    match output {
+        Output::Json => {
+            printed.out = serde_json::to_string_pretty(reports).expect("reports serialize");
+            printed.out.push('\n');
+        }
+        Output::Table => {
+            for report in reports {
+                match report.exit() {
+                    Exit::Done => printed.out += &text(report),
+                    _ => printed.err += &text(report),
+                }
+            }
+        }
+    }
+    printed
+}
+
+fn text(report: &Report) -> String {
+    match report {
+        Report::Answer(answer) => rows::table(answer),
+        Report::Accepted {
+            command,
+            version,
+            progress,
+            ..
+        } => accepted(command, *version, progress.as_ref()),
+        Report::Refused {
+            command,
+            change,
+            refusal,
+            winner,
+        } => {
+            let mut text = format!("refused: {refusal}\n  {change}\n");
+            if let Some(winner) = winner {
+                let _ = writeln!(text, "  command {winner} was accepted before it");
+            }
+            let _ = writeln!(text, "nothing was changed (command {command})");
+            text
+        }
+        Report::NotAccepted { command, reason } => {
+            format!("not accepted: {reason}\nnothing was changed (command {command})\n")
+        }
+        Report::Unconfirmed {
+            command,
+            errors,
+            last,
+        } => {
+            let mut text = failures(errors);
+            if let Some(last) = last {
+                let _ = writeln!(text, "last answer: {last}");
+            }
+            let again = format!("to learn its outcome, send it again with --command {command}");
+            text + "outcome not known; " + &again + "\n"
+        }
+        Report::Order { command, outcome } => order(command, outcome),
+        Report::Release {
+            fingerprint,
+            released,
+        } => match released {
+            true => format!("released {fingerprint}\n"),
+            false => format!("refused: {fingerprint} is not under quarantine\n"),
+        },
+        Report::Unreachable { errors } => {
+            format!("{}no instance answered\n", failures(errors))
+        }
+        Report::Faulty { findings } => {
+            let mut text = String::new();
+            for finding in findings {
+                let _ = writeln!(text, "{finding}");
+            }
+            text + "nothing was sent\n"
+        }
+    }
+}
+
+fn accepted(command: &str, version: u64, progress: Option<&Progress>) -> String {
+    let mut text = format!("accepted: version {version} (command {command})\n");
+    match progress {
+        None => text += "in force: not known\n",
+        Some(progress) => {
+            let _ = writeln!(text, "in force: {}", names(&progress.applied));
+            let _ = writeln!(text, "pending: {}", names(&progress.pending));
+            if progress.in_force {
+                text += "in force on every live instance\n";
+            }
+        }
+    }
+    text
+}
+
+fn order(command: &str, outcome: &OrderOutcome) -> String {
+    match outcome {
+        OrderOutcome::Done => format!("done (command {command})\n"),
+        OrderOutcome::NotSent { reason } => {
+            format!("refused: {reason}\nthe engine was not told (command {command})\n")
+        }
+        OrderOutcome::Unknown { reason } => {
+            format!("outcome not known: {reason} (command {command})\n")
+        }
+    }
+}
+
+fn names(names: &[sardineshore_core::InstanceId]) -> String {
+    if names.is_empty() {
+        return "none".to_owned();
+    }
+    names.join(", ")
+}
+
+fn failures(errors: &[InstanceError]) -> String {
+    let mut text = String::new();
+    for error in errors {
+        let _ = writeln!(text, "instance {}: {}", error.instance, error.reason);
+    }
+    text
+}
--- /dev/null
+++ b/crates/sardineshore-ctl/tests/render.rs
@@ -0,0 +1,190 @@
+//! Tables and JSON of answers.
+
+use expect_test::{Expect, expect};
+use sardineshore_core::{
+    Answer, BackendServer, CostRow, CustomerRow, EventRow, InstanceRow, Pipeline, QuarantineRow,
+    ServerRow, ServerState, Stage, StageKind,
+};
+use sardineshore_ctl::fleet::InstanceError;
+use sardineshore_ctl::render::{Output, render};
+use sardineshore_ctl::report::Report;
+
+fn check(reports: &[Report], output: Output, expect: &Expect) {
+    let printed = render(reports, output);
+    expect.assert_eq(&(printed.out + &printed.err));
+}
+
+fn servers() -> Report {
+    let active = ServerRow {
+        server: BackendServer {
+            name: "engine-1".into(),
+            addr: "127.0.0.1:7001".into(),
+            domain: "zone-a".into(),
+            pool: "engines".into(),
+            cost: 2.5,
+            ..BackendServer::default()
+        },
+        in_flight: 3,
+        running: 2,
+        queued: 1,
+        report_age_ms: Some(120),
+        ejected: false,
+        leaving: false,
+    };
+    let draining = ServerRow {
+        server: BackendServer {
+            name: "engine-10".into(),
+            state: ServerState::Draining,
+            ..active.server.clone()
+        },
+        report_age_ms: None,
+        ejected: true,
+        leaving: true,
+        ..active.clone()
+    };
+    Report::Answer(Answer::Servers(vec![active, draining]))
+}
+
+fn answers() -> Vec<Report> {
+    let instances = Answer::Instances(vec![InstanceRow {
+        instance: "i1".into(),
+        domain: "zone-a".into(),
+        state: "live".into(),
+        version: 12,
+        heard_ms: 250,
+    }]);
+    let pipelines = Answer::Pipelines(vec![Pipeline {
+        name: "quotes".into(),
+        stages: vec![
+            Stage {
+                name: "notes".into(),
+                kind: StageKind::Encode,
+                pool: "encoders".into(),
+                idempotent: true,
+            },
+            Stage {
+                name: "order".into(),
+                kind: StageKind::Service,
+                pool: "orders".into(),
+                idempotent: false,
+            },
+        ],
+        ..Pipeline::default()
+    }]);
+    let customers = Answer::Customers(vec![CustomerRow {
+        customer: "cooperative".into(),
+        weight: 2.5,
+        answered: 100,
+        not_run: 3,
+        unknown: 1,
+    }]);
+    let cost = Answer::Cost(vec![CostRow {
+        group: "quotes/notes".into(),
+        attempts: 104,
+        extra: 4,
+        seconds: 2.0816,
+        cost: 5.204,
+    }]);
+    let events = Answer::Explain(vec![EventRow {
+        at_ms: 1_800_000_000_123,
+        instance: "i1".into(),
+        event: 4001,
+        text: "engine-1 was chosen for notes".into(),
+    }]);
+    let quarantine = Answer::Quarantine(vec![QuarantineRow {
+        fingerprint: "ab12".into(),
+        crashes: 2,
+        servers: vec!["engine-1".into(), "engine-2".into()],
+        remaining_ms: 61_500,
+    }]);
+    let none = Answer::Versions(Vec::new());
+    [
+        instances, pipelines, customers, cost, events, quarantine, none,
+    ]
+    .map(Report::Answer)
+    .to_vec()
+}
+
+#[test]
+fn render_servers_as_table() {
+    check(
+        &[servers()],
+        Output::Table,
+        &expect![[r"
+         SERVER     POOL     DOMAIN  ADDRESS         STATE                       IN FLIGHT  RUNNING  QUEUED  CAPACITY      REPORT  COST/S
+         engine-1   engines  zone-a  127.0.0.1:7001  active                              3        2       1         8  120 ms ago     2.5
+         engine-10  engines  zone-a  127.0.0.1:7001  draining, leaving, ejected          3        2       1         8        none     2.5
+    "]],
+    );
+}
+
+#[test]
+fn render_answers_as_tables() {
+    check(
+        &answers(),
+        Output::Table,
+        &expect![[r"
+            INSTANCE  DOMAIN  STATE  VERSION       HEARD
+            i1        zone-a  live        12  250 ms ago
+            PIPELINE  DEADLINE  STAGE  KIND     POOL      IDEMPOTENT
+            quotes    6s        notes  encode   encoders  yes
+            quotes    6s        order  service  orders    no
+            CUSTOMER     WEIGHT  ANSWERED  NOT RUN  UNKNOWN
+            cooperative     2.5       100        3        1
+            GROUP         ATTEMPTS  EXTRA  SECONDS   COST
+            quotes/notes       104      4    2.082  5.204
+            TIME                      INSTANCE  EVENT  WHAT
+            2027-01-15T08:00:00.123Z  i1         4001  engine-1 was chosen for notes
+            FINGERPRINT  CRASHES  SERVERS               REMAINING
+            ab12               2  engine-1, engine-2  1m 1s 500ms
+            none
+        "]],
+    );
+}
+
+#[test]
+fn render_reports_as_json() {
+    let unconfirmed = Report::Unconfirmed {
+        command: "c1".into(),
+        errors: vec![InstanceError {
+            instance: "127.0.0.1:7000".parse().unwrap(),
+            sent: true,
+            reason: "timeout".into(),
+        }],
+        last: None,
+    };
+    let reports = [answers().remove(0), unconfirmed];
+    check(
+        &reports,
+        Output::Json,
+        &expect![[r#"
+            [
+              {
+                "report": "answer",
+                "answer": "instances",
+                "rows": [
+                  {
+                    "instance": "i1",
+                    "domain": "zone-a",
+                    "state": "live",
+                    "version": 12,
+                    "heard_ms": 250
+                  }
+                ]
+              },
+              {
+                "report": "unconfirmed",
+                "command": "c1",
+                "errors": [
+                  {
+                    "instance": "127.0.0.1:7000",
+                    "sent": true,
+                    "reason": "timeout"
+                  }
+                ],
+                "last": null
+              }
+            ]
+        "#]],
+    );
+}
--- /dev/null
+++ b/crates/sardineshore-ctl/tests/session.rs
@@ -0,0 +1,437 @@
+//! Sessions of `sardinectl` against instances that answer, refuse, lose answers or are away.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_std::io::ReadExt;
+use async_std::net::TcpListener;
+use async_std::task;
+use expect_test::{Expect, expect};
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::server::{Server, ServerHandle};
+use sardineshore_core::{
+    Answer, CommandId, EngineAction, Query, Refusal, ServerId, SystemClock, Version, VersionRow,
+};
+use sardineshore_ctl::fleet::Fleet;
+use sardineshore_ctl::render::{Output, Printed, render};
+use sardineshore_ctl::report::{Exit, exit};
+use sardineshore_ctl::session::{Session, SessionSettings};
+use sardineshore_ctl::step::{self, Step};
+use sardineshore_wire::operator::{
+    OperatorServer, OrderOutcome, Progress, Submission, SubmitReply,
+};
+
+const DRAIN: &str = "drain server s1";
+
+/// What an instance answers, and what it was asked.
+#[derive(Debug, Default)]
+struct Script {
+    replies: VecDeque<SubmitReply>,
+    progress: VecDeque<Progress>,
+    submissions: Vec<Submission>,
+    orders: Vec<CommandId>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Instance {
+    script: Arc<Mutex<Script>>,
+}
+
+impl Instance {
+    fn new(replies: impl Into<VecDeque<SubmitReply>>) -> Self {
+        let script = Script {
+            replies: replies.into(),
+            ..Script::default()
+        };
+        Self {
+            script: Arc::new(Mutex::new(script)),
+        }
+    }
+
+    fn in_force_after(self, progress: impl Into<VecDeque<Progress>>) -> Self {
+        self.script.lock().unwrap().progress = progress.into();
+        self
+    }
+
+    fn commands(&self) -> Vec<CommandId> {
+        let script = self.script.lock().unwrap();
+        script
+            .submissions
+            .iter()
+            .map(|it| it.command.clone())
+            .collect()
+    }
+
+    async fn start(&self) -> (SocketAddr, ServerHandle) {
+        let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+        let addr = server.local_addr().unwrap();
+        (addr, server.start(self.clone().into_rpc()))
+    }
+}
+
+#[async_trait]
+impl OperatorServer for Instance {
+    async fn query(&self, _: Query) -> RpcResult<Answer> {
+        let row = VersionRow {
+            instance: "i1".into(),
+            version: 7,
+            confirmed_ms: 40,
+        };
+        Ok(Answer::Versions(vec![row]))
+    }
+
+    async fn submit(&self, submission: Submission) -> RpcResult<SubmitReply> {
+        let mut script = self.script.lock().unwrap();
+        script.submissions.push(submission);
+        Ok(script
+            .replies
+            .pop_front()
+            .unwrap_or(SubmitReply::Unconfirmed))
+    }
+
+    async fn progress(&self, _: Version) -> RpcResult<Progress> {
+        let mut script = self.script.lock().unwrap();
+        let last = script.progress.len() == 1;
+        let next = if last {
+            script.progress.front().cloned()
+        } else {
+            script.progress.pop_front()
+        };
+        Ok(next.unwrap())
+    }
+
+    async fn order(
+        &self,
+        command: CommandId,
+        _: ServerId,
+        _: EngineAction,
+    ) -> RpcResult<OrderOutcome> {
+        self.script.lock().unwrap().orders.push(command);
+        Ok(OrderOutcome::Done)
+    }
+
+    async fn release(&self, _: Arc<str>) -> RpcResult<bool> {
+        Ok(false)
+    }
+}
+
+/// An instance that reads each request and closes the connection; it returns what it read.
+async fn start_losing() -> (SocketAddr, Arc<Mutex<String>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let read = Arc::new(Mutex::new(String::new()));
+    let texts = read.clone();
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            let len = stream.read(&mut buf).await.unwrap_or(0);
+            texts
+                .lock()
+                .unwrap()
+                .push_str(&String::from_utf8_lossy(&buf[..len]));
+        }
+    });
+    (addr, read)
+}
+
+/// An address at which nothing listens.
+fn away() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn settings() -> SessionSettings {
+    SessionSettings {
+        operator: "ana".into(),
+        command: "c1".into(),
+        wait: false,
+        timeout: Duration::from_secs(60),
+    }
+}
+
+async fn run(settings: SessionSettings, addrs: &[SocketAddr], text: &str) -> (Exit, Printed) {
+    let fleet = Fleet::new(addrs, Duration::from_secs(60)).unwrap();
+    let session = Session::new(settings, fleet, Arc::new(SystemClock));
+    let reports = session.run(step::steps(text).unwrap()).await;
+    (exit(&reports), render(&reports, Output::Table))
+}
+
+fn progress(in_force: bool, applied: &[&str], pending: &[&str]) -> Progress {
+    Progress {
+        version: 7,
+        in_force,
+        applied: applied.iter().map(|&name| name.into()).collect(),
+        pending: pending.iter().map(|&name| name.into()).collect(),
+    }
+}
+
+fn accepted() -> [SubmitReply; 1] {
+    [SubmitReply::Accepted { version: 7 }]
+}
+
+fn check(text: &str, expect: &Expect) {
+    expect.assert_eq(text);
+}
+
+#[async_std::test]
+async fn submit_lost_answer_is_sent_again_elsewhere() {
+    let (losing, read) = start_losing().await;
+    let instance = Instance::new(accepted()).in_force_after([progress(true, &["i1"], &[])]);
+    let (addr, _handle) = instance.start().await;
+    let (exit, printed) = run(settings(), &[losing, addr], DRAIN).await;
+    assert_eq!(exit, Exit::Done);
+    assert!(read.lock().unwrap().contains(r#""command":"c1""#));
+    assert_eq!(instance.commands(), ["c1".into()]);
+    check(
+        &printed.out,
+        &expect![[r"
+        accepted: version 7 (command c1)
+        in force: i1
+        pending: none
+        in force on every live instance
+    "]],
+    );
+}
+
+#[async_std::test]
+async fn submit_unconfirmed_is_asked_again_until_known() {
+    let replies = [
+        SubmitReply::Unconfirmed,
+        SubmitReply::Unconfirmed,
+        SubmitReply::Accepted { version: 7 },
+    ];
+    let instance = Instance::new(replies).in_force_after([progress(true, &["i1"], &[])]);
+    let (addr, _handle) = instance.start().await;
+    let (exit, _) = run(settings(), &[addr], DRAIN).await;
+    assert_eq!(exit, Exit::Done);
+    assert_eq!(instance.commands(), ["c1".into(), "c1".into(), "c1".into()]);
+}
+
+#[async_std::test]
+async fn submit_wait_polls_until_in_force() {
+    let pending = progress(false, &["i1"], &["i2"]);
+    let in_force = progress(true, &["i1", "i2"], &[]);
+    let instance = Instance::new(accepted()).in_force_after([pending.clone(), pending, in_force]);
+    let (addr, _handle) = instance.start().await;
+    let wait = SessionSettings {
+        wait: true,
+        ..settings()
+    };
+    let (exit, printed) = run(wait, &[addr], DRAIN).await;
+    assert_eq!(exit, Exit::Done);
+    check(
+        &printed.out,
+        &expect![[r"
+        accepted: version 7 (command c1)
+        in force: i1, i2
+        pending: none
+        in force on every live instance
+    "]],
+    );
+}
+
+#[async_std::test]
+async fn submit_wait_not_in_force_in_time_is_unconfirmed() {
+    let pending = progress(false, &["i1"], &["i2", "i3"]);
+    let instance = Instance::new(accepted()).in_force_after([pending]);
+    let (addr, _handle) = instance.start().await;
+    let wait = SessionSettings {
+        wait: true,
+        timeout: Duration::ZERO,
+        ..settings()
+    };
+    let (exit, printed) = run(wait, &[addr], DRAIN).await;
+    assert_eq!((exit, printed.out.as_str()), (Exit::Unconfirmed, ""));
+    check(
+        &printed.err,
+        &expect![[r"
+        accepted: version 7 (command c1)
+        in force: i1
+        pending: i2, i3
+    "]],
+    );
+}
+
+#[async_std::test]
+async fn submit_refused_names_change_and_winner() {
+    let refusal = Refusal::Missing {
+        kind: "server".into(),
+        name: "s2".into(),
+    };
+    let refused = SubmitReply::Refused {
+        change: 1,
+        refusal,
+        winner: Some("c0".into()),
+    };
+    let instance = Instance::new([refused]);
+    let (addr, _handle) = instance.start().await;
+    let text = "drain server s1\ndrain server s2\nshow versions";
+    let (exit, printed) = run(settings(), &[addr], text).await;
+    assert_eq!((exit, printed.out.as_str()), (Exit::Refused, ""));
+    check(
+        &printed.err,
+        &expect![[r#"
+        refused: server "s2" does not exist
+          drain server s2
+          command c0 was accepted before it
+        nothing was changed (command c1)
+    "#]],
+    );
+}
+
+#[async_std::test]
+async fn submit_not_accepted_anywhere_changed_nothing() {
+    let reason = "its configuration is not confirmed".to_owned();
+    let instance = Instance::new([SubmitReply::NotAccepted { reason }]);
+    let (addr, _handle) = instance.start().await;
+    let at_once = SessionSettings {
+        timeout: Duration::ZERO,
+        ..settings()
+    };
+    let (exit, printed) = run(at_once, &[addr], DRAIN).await;
+    assert_eq!(exit, Exit::Unconfirmed);
+    check(
+        &printed.err,
+        &expect![[r"
+        not accepted: its configuration is not confirmed
+        nothing was changed (command c1)
+    "]],
+    );
+}
+
+async fn lost_then(reply: SubmitReply) -> (Exit, String) {
+    let (losing, _) = start_losing().await;
+    let instance = Instance::new([reply]);
+    let (addr, _handle) = instance.start().await;
+    let at_once = SessionSettings {
+        timeout: Duration::ZERO,
+        ..settings()
+    };
+    let (exit, printed) = run(at_once, &[losing, addr], DRAIN).await;
+    (exit, printed.err.replace(&losing.to_string(), "LOSING"))
+}
+
+#[async_std::test]
+async fn submit_lost_then_not_accepted_is_not_known() {
+    let reason = "its configuration is not confirmed".to_owned();
+    let (exit, err) = lost_then(SubmitReply::NotAccepted { reason }).await;
+    assert_eq!(exit, Exit::Unconfirmed);
+    check(
+        &err,
+        &expect![[r"
+            instance LOSING: client error (SendRequest): connection closed before message completed
+            last answer: not accepted: its configuration is not confirmed
+            outcome not known; to learn its outcome, send it again with --command c1
+        "]],
+    );
+}
+
+#[async_std::test]
+async fn submit_lost_then_refused_is_not_known() {
+    let refusal = Refusal::Missing {
+        kind: "server".into(),
+        name: "s1".into(),
+    };
+    let refused = SubmitReply::Refused {
+        change: 0,
+        refusal,
+        winner: None,
+    };
+    let (exit, err) = lost_then(refused).await;
+    assert_eq!(exit, Exit::Unconfirmed);
+    check(
+        &err,
+        &expect![[r#"
+            instance LOSING: client error (SendRequest): connection closed before message completed
+            last answer: refused: server "s1" does not exist
+            outcome not known; to learn its outcome, send it again with --command c1
+        "#]],
+    );
+}
+
+#[async_std::test]
+async fn submit_instance_away_then_refused_is_refused() {
+    let refusal = Refusal::Missing {
+        kind: "server".into(),
+        name: "s1".into(),
+    };
+    let instance = Instance::new([SubmitReply::Refused {
+        change: 0,
+        refusal,
+        winner: None,
+    }]);
+    let (addr, _handle) = instance.start().await;
+    let (exit, _) = run(settings(), &[away(), addr], DRAIN).await;
+    assert_eq!(exit, Exit::Refused);
+}
+
+#[async_std::test]
+async fn query_answered_by_other_instance() {
+    let instance = Instance::default();
+    let (addr, _handle) = instance.start().await;
+    let (exit, printed) = run(settings(), &[away(), addr], "show versions").await;
+    assert_eq!(exit, Exit::Done);
+    check(
+        &printed.out,
+        &expect![[r"
+         INSTANCE  IN FORCE  CONFIRMED
+         i1               7  40 ms ago
+    "]],
+    );
+}
+
+#[async_std::test]
+async fn query_no_instance_is_unreachable() {
+    let (exit, printed) = run(settings(), &[away()], "show versions\nshow servers").await;
+    assert_eq!(exit, Exit::Unconfirmed);
+    assert!(
+        printed.err.ends_with("no instance answered\n"),
+        "{printed:?}"
+    );
+    assert_eq!(printed.err.matches("no instance answered").count(), 1);
+}
+
+#[async_std::test]
+async fn commands_of_one_session_differ() {
+    let instance = Instance::new(accepted()).in_force_after([progress(true, &["i1"], &[])]);
+    let (addr, _handle) = instance.start().await;
+    let text = format!(
+        "{DRAIN}\norder e1 to become decode\nrelease {}",
+        "ab".repeat(32)
+    );
+    let (exit, printed) = run(settings(), &[addr], &text).await;
+    assert_eq!(exit, Exit::Refused);
+    assert_eq!(instance.commands(), ["c1".into()]);
+    assert_eq!(instance.script.lock().unwrap().orders, ["c1-2".into()]);
+    assert!(printed.err.ends_with("is not under quarantine\n"));
+}
+
+#[test]
+fn steps_changes_in_a_row_form_one() {
+    let text = "drain server a\ndrain server b\nshow servers\ndrain server c";
+    let steps = step::steps(text).unwrap();
+    let sizes: Vec<usize> = steps
+        .iter()
+        .map(|step| match step {
+            Step::Submit(changes) => changes.len(),
+            _ => 0,
+        })
+        .collect();
+    assert_eq!(sizes, [2, 0, 1]);
+}
+
+#[test]
+fn file_other_statement_is_found_among_faults() {
+    let text = "drain server a\n  show servers\ndrain b\n\nset weight of c to -1\n";
+    let findings = step::file(text).unwrap_err();
+    let shown: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    check(
+        &shown.join("\n"),
+        &expect![[r#"
+        line 2, column 3: only changes of the configuration can be applied from a file
+        line 3, column 7: expected `server`, found `b`
+        line 5, column 20: weight "-1" is not a number above zero"#]],
+    );
+}
