perf(core): admission follows the ratio of work to latency

The limit of a pipeline shrank whenever one request of a round was slow; with many in flight one always is, so one instance alone lost a third of its goodput at capacity. The limit now moves to its product with the smoothed ratio of tolerated to observed latency, plus room for one, and doubles in each round until requests are first stretched.

--- a/crates/sardineshore-core/examples/policy/flow.rs
+++ b/crates/sardineshore-core/examples/policy/flow.rs
@@ -197,7 +197,7 @@
         let request = &self.requests[key];
         let instance = &self.instances[request.instance];
         let observed = instance.latencies.quantiles(pool, self.instant());
-        let remaining = request.stage_until - self.now;
+        let remaining = request.stage_until.saturating_sub(self.now);
         let delay = instance.hedges.delay(observed, self.objective, remaining);
         let stage = request.stage;
         if let Some(delay) = delay.filter(|_| self.variant.retries != RetryPlan::None) {
@@ -233,7 +233,7 @@
         };
         let feedback = Feedback {
             result,
-            latency: self.now - attempt.sent,
+            latency: self.now.saturating_sub(attempt.sent),
             service: attempt.service,
             cached_tokens: u32::from(attempt.cached),
         };
@@ -256,7 +256,7 @@
         let latencies = &mut self.instances[request.instance].latencies;
         latencies.record(
             &POOLS[request.stage].name.into(),
-            self.now - request.stage_began,
+            self.now.saturating_sub(request.stage_began),
             now,
         );
         request.service += service;
@@ -292,7 +292,7 @@
         for open in std::mem::take(&mut self.requests[key].open) {
             let attempt = &mut self.attempts[open];
             attempt.cancelled = true;
-            let (server, latency) = (attempt.server, self.now - attempt.sent);
+            let (server, latency) = (attempt.server, self.now.saturating_sub(attempt.sent));
             let feedback = Feedback {
                 result,
                 latency,
@@ -313,7 +313,7 @@
         let Some(request) = self.requests.remove(key) else {
             return;
         };
-        let latency = self.now - request.arrived;
+        let latency = self.now.saturating_sub(request.arrived);
         let in_time = answered && latency <= DEADLINE;
         if in_time {
             self.tally.in_time[request.customer] += 1.0;
@@ -322,7 +322,7 @@
         if let Some(ticket) = request.ticket {
             let end = Completion {
                 in_time,
-                latency: self.now - request.began,
+                latency: self.now.saturating_sub(request.began),
                 service: request.service,
             };
             let now = self.instant();
--- a/crates/sardineshore-core/examples/policy/world.rs
+++ b/crates/sardineshore-core/examples/policy/world.rs
@@ -263,7 +263,7 @@
         let server = &mut self.backends[attempt.server];
         let busy = attempt
             .started
-            .map_or(Duration::ZERO, |from| self.now - from);
+            .map_or(Duration::ZERO, |from| self.now.saturating_sub(from));
         self.tally.cost += busy.as_secs_f64() * server.cost;
         server.free(key);
         if let Some(next) = server.idle().then(|| server.queue.pop_front()).flatten() {
--- a/crates/sardineshore-core/src/limits/gate.rs
+++ b/crates/sardineshore-core/src/limits/gate.rs
@@ -7,10 +7,10 @@
 
 /// Weight of a new sample in smoothed values.
 const SAMPLE_WEIGHT: f64 = 0.1;
-/// Factor on the limit when a request took too long for the work in it.
-const STRETCH_FACTOR: f64 = 0.95;
-/// Factor on the limit when a request missed its deadline.
-const LATE_FACTOR: f64 = 0.9;
+/// Least factor on the limit in one round of requests.
+const GRADIENT_MIN: f64 = 0.5;
+/// Requests beyond the scaled limit that are let in to find out whether more can run.
+const HEADROOM: f64 = 1.0;
 /// Waiting inside a run that is tolerated in any case.
 const STRETCH_FLOOR: Duration = Duration::from_millis(20);
 
@@ -20,12 +20,15 @@
     pub(super) queue: FairQueue,
     pub(super) running: usize,
     limit: f64,
-    shrunk_at: Option<Instant>,
+    /// Whether requests were ever stretched.
+    settled: bool,
     released_at: Option<Instant>,
     /// Smoothed seconds between two ends of requests while others waited.
     interval: f64,
     /// Smoothed seconds that an admitted request takes.
     latency: f64,
+    /// Smoothed seconds that its stages spend on backend servers.
+    service: f64,
 }
 
 impl Gate {
@@ -34,10 +37,11 @@
             queue: FairQueue::default(),
             running: 0,
             limit: cfg.running_first,
-            shrunk_at: None,
+            settled: false,
             released_at: None,
             interval: 0.0,
             latency: 0.0,
+            service: 0.0,
         }
     }
 
@@ -73,15 +77,35 @@
         let used = self.running as f64 >= self.limit / 2.0;
         self.running -= 1;
         self.note_interval(now);
-        self.latency += SAMPLE_WEIGHT * (end.latency.as_secs_f64() - self.latency);
-        let tolerated = end.service.mul_f64(cfg.stretch_max) + STRETCH_FLOOR;
-        if !end.in_time {
-            self.shrink(LATE_FACTOR, end.latency, cfg, now);
-        } else if !end.service.is_zero() && end.latency > tolerated {
-            self.shrink(STRETCH_FACTOR, end.latency, cfg, now);
-        } else if used {
-            self.limit = (self.limit + 1.0 / self.limit).min(cfg.running_max as f64);
+        smooth(&mut self.latency, end.latency.as_secs_f64());
+        if !end.service.is_zero() {
+            smooth(&mut self.service, end.service.as_secs_f64());
         }
+        if used {
+            self.adapt(cfg);
+        }
+    }
+
+    /// Moves the limit half of the way to its target in each round of requests.
+    ///
+    /// The target is the limit scaled by how far requests are stretched beyond what is tolerated,
+    /// plus room for one more. The limit doubles in each round until requests are first stretched.
+    fn adapt(&mut self, cfg: &AdmissionConfig) {
+        let tolerated = self.service * cfg.stretch_max + STRETCH_FLOOR.as_secs_f64();
+        let gradient = if self.service > 0.0 {
+            (tolerated / self.latency).clamp(GRADIENT_MIN, 1.0)
+        } else {
+            1.0
+        };
+        self.settled |= gradient < 1.0;
+        let step = if self.settled {
+            let target = self.limit * gradient + HEADROOM;
+            (target - self.limit) / (2.0 * self.limit)
+        } else {
+            1.0
+        };
+        let limit = self.limit + step;
+        self.limit = limit.clamp(cfg.running_min, cfg.running_max as f64);
     }
 
     fn note_interval(&mut self, now: Instant) {
@@ -91,19 +115,12 @@
         }
         if let Some(at) = self.released_at {
             let interval = now.saturating_duration_since(at).as_secs_f64();
-            self.interval += SAMPLE_WEIGHT * (interval - self.interval);
+            smooth(&mut self.interval, interval);
         }
         self.released_at = Some(now);
     }
+}
 
-    /// Shrinks the limit at most once in the time of a request.
-    fn shrink(&mut self, factor: f64, pause: Duration, cfg: &AdmissionConfig, now: Instant) {
-        let recent = self
-            .shrunk_at
-            .is_some_and(|at| now.saturating_duration_since(at) < pause);
-        if !recent {
-            self.limit = (self.limit * factor).max(cfg.running_min);
-            self.shrunk_at = Some(now);
-        }
-    }
+fn smooth(value: &mut f64, sample: f64) {
+    *value += SAMPLE_WEIGHT * (sample - *value);
 }
