perf(core): admission starts from 16 requests of a pipeline at once

At the start of a load beyond capacity, 64 requests on each of nine instances filled the servers' queues before the limits had settled; their refusals used up the retry budget.

--- a/crates/sardineshore-core/src/limits/admission.rs
+++ b/crates/sardineshore-core/src/limits/admission.rs
@@ -33,7 +33,7 @@
     fn default() -> Self {
         Self {
             running_max: 1024,
-            running_first: 64.0,
+            running_first: 16.0,
             running_min: 2.0,
             queued_max: 1024,
             queued_per_customer_max: 256,
