perf(core): a refused attempt doesn't spend the retry budget

A refusal is no work for the server, but it used up the pool's budget, and requests with nearly all of their time left were given up when a burst filled the servers' queues. Refused attempts are now repeated up to eight times with growing pauses. The experiment counts extra work in servers' seconds in place of attempts.

--- a/crates/sardineshore-core/examples/policy/instance.rs
+++ b/crates/sardineshore-core/examples/policy/instance.rs
@@ -52,11 +52,13 @@
         RetryPlan::Budget => cfg,
         RetryPlan::None => RetryConfig {
             attempts_max: 1,
+            attempts_refused_max: 1,
             hedge_reserve: f64::MAX,
             ..cfg
         },
         RetryPlan::Unlimited => RetryConfig {
             attempts_max: 20,
+            attempts_refused_max: 20,
             saved_max: 1e12,
             ..cfg
         },
--- a/crates/sardineshore-core/examples/policy/tally.rs
+++ b/crates/sardineshore-core/examples/policy/tally.rs
@@ -11,8 +11,8 @@
     pub offered: [f64; CUSTOMERS],
     pub in_time: [f64; CUSTOMERS],
     pub latencies: Vec<Duration>,
-    pub firsts: f64,
-    pub extras: f64,
+    pub work: f64,
+    pub extra_work: f64,
     pub cost: f64,
     pub prefixed: f64,
     pub hits: f64,
@@ -20,7 +20,7 @@
 
 impl Tally {
     pub fn heading() -> &'static str {
-        "attainment | others' attainment | goodput/s | p50 ms | p99 ms | cost/answer | extra % | \
+        "attainment | others' attainment | goodput/s | p50 ms | p99 ms | cost/answer | extra work % | \
          Jain | hits %"
     }
 
@@ -36,7 +36,7 @@
             self.quantile(0.50),
             self.quantile(0.99),
             self.cost / in_time,
-            100.0 * self.extras / self.firsts,
+            100.0 * self.extra_work / (self.work - self.extra_work),
             self.jain(),
             100.0 * self.hits / self.prefixed.max(1.0),
         ]
--- a/crates/sardineshore-core/src/retry/policy.rs
+++ b/crates/sardineshore-core/src/retry/policy.rs
@@ -14,6 +14,8 @@
 pub struct RetryConfig {
     /// Most attempts of one stage of one request, the first included.
     pub attempts_max: usize,
+    /// The same where the last attempt was refused, which costs the server next to nothing.
+    pub attempts_refused_max: usize,
     /// Extra attempts that each first attempt pays for, where attainment goes first.
     pub ratio_attainment: f64,
     /// Extra attempts that each first attempt pays for, where cost goes first.
@@ -34,6 +36,7 @@
     fn default() -> Self {
         Self {
             attempts_max: 3,
+            attempts_refused_max: 8,
             ratio_attainment: 0.08,
             ratio_cost: 0.04,
             saved_max: 10.0,
@@ -120,12 +123,15 @@
         self.budget(pool).earn(ratio);
     }
 
-    /// Decides what follows an attempt of a stage; a retry spends one token of the pool.
+    /// Decides what follows an attempt of a stage.
+    ///
+    /// A retry spends one token of the pool, but after a refusal, which was no work.
     pub fn after(&mut self, pool: &PoolId, ended: EndedAttempt) -> RetryDecision {
         if let Some(why) = self.barred(ended) {
             return RetryDecision::GiveUp(why);
         }
-        if !self.budget(pool).spend(0.0) {
+        let refused = ended.result == AttemptResult::Refused;
+        if !refused && !self.budget(pool).spend(0.0) {
             return RetryDecision::GiveUp(GiveUp::Budget);
         }
         RetryDecision::Retry {
@@ -148,7 +154,7 @@
             Some(GiveUp::NotNeeded)
         } else if may_have_run && !ended.idempotent {
             Some(GiveUp::MayHaveRun)
-        } else if ended.tried >= self.cfg.attempts_max {
+        } else if ended.tried >= self.attempts_max(ended.result) {
             Some(GiveUp::Attempts)
         } else if ended.remaining < self.cfg.remaining_min {
             Some(GiveUp::Time)
@@ -157,6 +163,13 @@
         }
     }
 
+    fn attempts_max(&self, result: AttemptResult) -> usize {
+        match result {
+            AttemptResult::Refused => self.cfg.attempts_refused_max,
+            _ => self.cfg.attempts_max,
+        }
+    }
+
     /// None for the first retry, then doubling, with a random half.
     fn pause(&mut self, tried: usize) -> Duration {
         if tried < 2 {
