--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -18,14 +18,19 @@
 //! ```
 
 pub mod change;
+pub mod claim;
 pub mod clock;
+pub mod config_log;
+pub mod contact;
 pub mod deployment;
 pub mod event;
 pub mod finding;
 pub mod id;
 pub mod limits;
+pub mod membership;
 pub mod order;
 pub mod outcome;
+pub mod quarantine;
 pub mod query;
 pub mod retry;
 pub mod routing;
