--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -25,6 +25,7 @@
 use crate::demo::{settings, until_signal};
 
 /// Declares the command line.
+#[must_use]
 pub fn command() -> Command {
     Command::new("bench")
         .about("Measures entry instances in release builds")
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -14,6 +14,7 @@
 pub mod scenario;
 
 use std::path::PathBuf;
+use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, bail};
@@ -33,6 +34,7 @@
 use self::scenario::{Outcome, Scenario};
 
 /// Declares the command line.
+#[must_use]
 pub fn command() -> Command {
     Command::new("demo")
         .about("Runs both users' workloads in small on loopback and audits them")
@@ -64,8 +66,8 @@
         .help(help)
 }
 
-/// Runs the demonstration.
-pub fn run(matches: &ArgMatches) -> anyhow::Result<()> {
+/// Runs the demonstration; the exit code tells whether every promise held.
+pub fn run(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
     let scenario = Scenario {
         seed: read_number(matches, "seed"),
         requests: usize::try_from(read_number(matches, "requests"))?,
@@ -123,7 +125,7 @@
     scenario: Scenario,
     settings: FleetSettings,
     keep: bool,
-) -> anyhow::Result<()> {
+) -> anyhow::Result<ExitCode> {
     let mut fleet = Fleet::start(settings.clone()).await?;
     let outcome = scenario.run(&mut fleet, &settings).await?;
     print(&outcome);
@@ -131,10 +133,17 @@
         print_commands(&fleet);
         futures::future::pending::<()>().await;
     }
-    if !outcome.is_clean() {
-        bail!("a promise was broken; logs in {}", settings.logs.display());
+    Ok(exit_code(outcome.is_clean()))
+}
+
+/// Exit code of a command that checks something.
+#[must_use]
+pub fn exit_code(passed: bool) -> ExitCode {
+    if passed {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
     }
-    Ok(())
 }
 
 fn print(outcome: &Outcome) {
--- a/xtask/src/faults.rs
+++ b/xtask/src/faults.rs
@@ -3,10 +3,11 @@
 //! Results go to a file of JSON lines as soon as a run ends, so that a later call can go on where
 //! an earlier one was ended. The last output is a table in Markdown.
 
-mod plan;
-mod results;
+pub mod plan;
+pub mod results;
 
 use std::path::{Path, PathBuf};
+use std::process::ExitCode;
 use std::time::Instant;
 
 use async_std::task;
@@ -19,11 +20,12 @@
 use crate::demo::fault::Fault;
 use crate::demo::fleet::Fleet;
 use crate::demo::scenario::{Outcome, Scenario};
-use crate::demo::{settings, until_signal};
+use crate::demo::{exit_code, settings, until_signal};
 
 const INSTANCES: usize = 3;
 
 /// Declares the command line.
+#[must_use]
 pub fn command() -> Command {
     Command::new("faults")
         .about("Runs every fault and every pair of faults, and prints a table")
@@ -54,8 +56,8 @@
         ])
 }
 
-/// Runs what is not in the file of results yet.
-pub fn run(matches: &ArgMatches) -> anyhow::Result<()> {
+/// Runs what is not in the file of results yet; the exit code tells whether all passed.
+pub fn run(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
     let number = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
     let plan = Plan {
         seeds: number("seeds"),
@@ -77,7 +79,7 @@
         &mut results,
     )))?;
     println!("{}", results.table(&plan));
-    Ok(())
+    Ok(exit_code(results.all_passed()))
 }
 
 async fn run_all(
--- a/xtask/src/faults/results.rs
+++ b/xtask/src/faults/results.rs
@@ -73,6 +73,12 @@
         self.all.iter().any(same)
     }
 
+    /// Whether no run failed.
+    #[must_use]
+    pub fn all_passed(&self) -> bool {
+        self.all.iter().all(|result| result.passed)
+    }
+
     /// Adds a result to the file.
     pub fn add(&mut self, result: RunResult) -> anyhow::Result<()> {
         let mut line = serde_json::to_string(&result)?;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,13 +1,11 @@
 //! Chores of sardineshore: `cargo xtask ci`, `demo`, `faults` and `bench`.
 
-mod bench;
-mod ci;
-mod demo;
-mod faults;
+use std::process::ExitCode;
 
 use clap::Command;
+use xtask::{bench, ci, demo, faults};
 
-fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<ExitCode> {
     let matches = Command::new("xtask")
         .about("Chores of sardineshore")
         .subcommand_required(true)
@@ -17,10 +15,10 @@
         .subcommand(bench::command())
         .get_matches();
     match matches.subcommand() {
-        Some(("ci", _)) => ci::run(),
+        Some(("ci", _)) => ci::run().map(|()| ExitCode::SUCCESS),
         Some(("demo", matches)) => demo::run(matches),
         Some(("faults", matches)) => faults::run(matches),
-        Some(("bench", matches)) => bench::run(matches),
+        Some(("bench", matches)) => bench::run(matches).map(|()| ExitCode::SUCCESS),
         _ => unreachable!("clap requires a known subcommand"),
     }
 }
