fix(load): a streamed answer is verified by its tokens, a whole one also by its text

Cause: the first run of the demo on real processes showed that a stream's `done` names the number of tokens, not the document, so every stream would have counted as incomplete; and that an answer without generated text passed as whole. Change: each token must carry its caller's tag and its own number, the end must name their count; a whole answer of a generating pipeline must hold exactly the wanted text.

--- a/crates/sardineshore-load/src/caller.rs
+++ b/crates/sardineshore-load/src/caller.rs
@@ -40,11 +40,20 @@
 struct Input<'a> {
     tag: &'a str,
     prompt: &'a str,
+    #[serde(skip_serializing_if = "is_zero")]
     max_tokens: u32,
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     poison: bool,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 /// Callers that share a balancer.
 #[derive(Debug)]
 pub struct Callers {
--- a/crates/sardineshore-load/src/preset.rs
+++ b/crates/sardineshore-load/src/preset.rs
@@ -85,6 +85,7 @@
                 name: "warranty".into(),
                 share: 2.0,
                 deadline_ms: 3_000,
+                max_tokens: 16,
                 stages: vec![idempotent("claims"), idempotent("summarise")],
                 ..PipelineMix::default()
             },
--- a/crates/sardineshore-load/src/verify.rs
+++ b/crates/sardineshore-load/src/verify.rs
@@ -41,31 +41,60 @@
     text: Option<String>,
 }
 
+/// What ends a stream.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct End {
+    tokens: u64,
+}
+
 /// Reads the tag of an answer and checks that it is whole.
 #[must_use]
 pub fn verify(answer: &ReadAnswer, pipeline: &PipelineMix) -> Verified {
-    let Ok(document) = serde_json::from_slice::<Document>(&answer.document) else {
+    match &answer.tokens {
+        Some(tokens) => verify_stream(tokens, &answer.document, pipeline),
+        None => verify_document(&answer.document, pipeline),
+    }
+}
+
+fn verify_document(document: &[u8], pipeline: &PipelineMix) -> Verified {
+    let Ok(document) = serde_json::from_slice::<Document>(document) else {
         return Verified::default();
     };
-    let tokens_whole = answer
-        .tokens
-        .as_ref()
-        .is_none_or(|tokens| are_whole(tokens, document.text.as_deref()));
-    let stages_whole = passed_all(&document.stages, pipeline);
+    let wanted = pipeline.stages.iter().map(|stage| &stage.name);
+    let stages_whole = wanted.eq(document.stages.iter());
+    let text_whole = match document.text {
+        Some(text) => text == whole_text(&document.tag, pipeline.max_tokens),
+        None => pipeline.max_tokens == 0,
+    };
     Verified {
         tag: document.tag,
-        whole: stages_whole && tokens_whole,
+        whole: stages_whole && text_whole,
     }
 }
 
-fn passed_all(passed: &[Arc<str>], pipeline: &PipelineMix) -> bool {
-    let wanted = pipeline.stages.iter().map(|stage| &stage.name);
-    wanted.eq(passed.iter())
+/// A stream names no stages; its tokens name the tag and their number.
+fn verify_stream(tokens: &[Token], end: &[u8], pipeline: &PipelineMix) -> Verified {
+    let end = serde_json::from_slice::<End>(end).unwrap_or_default();
+    let first = tokens.first().map_or("", |token| &token.text);
+    let tag = first.rsplit_once(':').map_or("", |(tag, _)| tag);
+    let as_expected =
+        |(seq, token): (u64, &Token)| token.seq == seq && token.text == token_text(tag, seq);
+    let in_order = (0..).zip(tokens).all(as_expected);
+    let wanted = u64::from(pipeline.max_tokens);
+    let complete = end.tokens == wanted && tokens.len() as u64 == wanted;
+    Verified {
+        tag: tag.into(),
+        whole: in_order && complete,
+    }
+}
+
+fn whole_text(tag: &str, tokens: u32) -> String {
+    let tokens = 0..u64::from(tokens);
+    tokens.map(|seq| token_text(tag, seq)).collect()
 }
 
-/// Whether tokens come in sequence from 0 and add up to the whole text.
-fn are_whole(tokens: &[Token], text: Option<&str>) -> bool {
-    let in_sequence = (0_u64..).zip(tokens).all(|(seq, token)| token.seq == seq);
-    let joined: String = tokens.iter().map(|token| token.text.as_str()).collect();
-    in_sequence && text.is_some_and(|text| text == joined)
+/// Text of one token, as the stand-ins of engines generate it.
+fn token_text(tag: &str, seq: u64) -> String {
+    format!("{tag}:{seq} ")
 }
--- a/crates/sardineshore-load/src/workload.rs
+++ b/crates/sardineshore-load/src/workload.rs
@@ -47,7 +47,7 @@
     pub prompt_bytes: usize,
     /// Number of distinct prompt prefixes.
     pub prefixes: u32,
-    /// Tokens that a generate stage is asked for.
+    /// Tokens that a generate stage is asked for; 0 for a pipeline that generates none.
     pub max_tokens: u32,
     /// Stages that an answer must have passed, in order.
     pub stages: Vec<StageShape>,
@@ -62,7 +62,7 @@
             streamed: 0.0,
             prompt_bytes: 256,
             prefixes: 4,
-            max_tokens: 16,
+            max_tokens: 0,
             stages: Vec::new(),
         }
     }
--- a/crates/sardineshore-load/tests/caller.rs
+++ b/crates/sardineshore-load/tests/caller.rs
@@ -17,8 +17,6 @@
 const BOOKING: usize = 1;
 const MATCH: usize = 0;
 const BOOKED: &str = r#"{"tag":"t1","stages":["check","book"]}"#;
-const MATCHED: &str =
-    r#"{"tag":"t1","stages":["encode","retrieve","rerank","generate"],"text":"a b"}"#;
 
 /// One scripted reply.
 #[derive(Debug, Clone, Copy)]
@@ -187,13 +185,14 @@
 }
 
 fn stream(tail: &str) -> &'static str {
-    let events = format!("event: token\nid: 0\ndata: a \n\nevent: token\nid: 1\ndata: b\n\n{tail}");
-    Box::leak(events.into_boxed_str())
+    let token = |seq: u32| format!("event: token\nid: {seq}\ndata: t1:{seq} \n\n");
+    let tokens: String = (0..24).map(token).collect();
+    Box::leak((tokens + tail).into_boxed_str())
 }
 
 #[test]
 fn call_streamed_whole() {
-    let events = stream(&format!("event: done\ndata: {MATCHED}\n\n"));
+    let events = stream("event: done\ndata: {\"request\":\"r1\",\"tokens\":24}\n\n");
     let (told, _) = run(vec![Step::Events(events)], &arrival(MATCH, true));
     assert_eq!((&*told.outcome, told.whole), ("answered", true));
 }
--- a/crates/sardineshore-load/tests/verify.rs
+++ b/crates/sardineshore-load/tests/verify.rs
@@ -4,10 +4,18 @@
 use sardineshore_load::verify::{ReadAnswer, Token, Verified, verify};
 use sardineshore_load::workload::PipelineMix;
 
-const WHOLE: &str = r#"{"tag":"t1","stages":["encode","draft"],"text":"one two","tokens":2}"#;
+const WHOLE: &str =
+    r#"{"tag":"t1","stages":["encode","draft"],"text":"t1:0 t1:1 t1:2 ","tokens":3}"#;
+const END: &str = r#"{"request":"r1","tokens":3}"#;
+const FIRST: (u64, &str) = (0, "t1:0 ");
+const SECOND: (u64, &str) = (1, "t1:1 ");
+const THIRD: (u64, &str) = (2, "t1:2 ");
 
 fn quote() -> PipelineMix {
-    preset::mangos().pipelines[0].clone()
+    PipelineMix {
+        max_tokens: 3,
+        ..preset::mangos().pipelines[0].clone()
+    }
 }
 
 fn check(document: &str, tokens: Option<&[(u64, &str)]>) -> Verified {
@@ -31,30 +39,59 @@
 
 #[test]
 fn verify_whole_stream() {
-    assert!(check(WHOLE, Some(&[(0, "one "), (1, "two")])).whole);
+    let verified = check(END, Some(&[FIRST, SECOND, THIRD]));
+    assert!(verified.whole);
+    assert_eq!(&*verified.tag, "t1");
+}
+
+#[test]
+fn verify_text_missing_or_cut() {
+    assert!(!check(r#"{"tag":"t1","stages":["encode","draft"]}"#, None).whole);
+    assert!(!check(&WHOLE.replace(" t1:2", ""), None).whole);
 }
 
 #[test]
 fn verify_missing_stage() {
-    assert!(!check(r#"{"tag":"t1","stages":["draft"]}"#, None).whole);
+    assert!(!check(&WHOLE.replace("\"encode\",", ""), None).whole);
 }
 
 #[test]
 fn verify_stages_out_of_order() {
-    assert!(!check(r#"{"tag":"t1","stages":["draft","encode"]}"#, None).whole);
+    assert!(
+        !check(
+            &WHOLE.replace("\"encode\",\"draft\"", "\"draft\",\"encode\""),
+            None
+        )
+        .whole
+    );
 }
 
 #[test]
 fn verify_stage_twice() {
-    assert!(!check(r#"{"tag":"t1","stages":["encode","encode","draft"]}"#, None).whole);
+    assert!(!check(&WHOLE.replace("\"encode\"", "\"encode\",\"encode\""), None).whole);
 }
 
 #[test]
 fn verify_missing_doubled_and_swapped_tokens() {
-    assert!(!check(WHOLE, Some(&[(0, "one ")])).whole);
-    assert!(!check(WHOLE, Some(&[(0, "one "), (0, "one "), (1, "two")])).whole);
-    assert!(!check(WHOLE, Some(&[(1, "two"), (0, "one ")])).whole);
-    assert!(!check(WHOLE, Some(&[(0, "one "), (2, "two")])).whole);
+    assert!(!check(END, Some(&[FIRST, SECOND])).whole);
+    assert!(!check(END, Some(&[FIRST, FIRST, SECOND, THIRD])).whole);
+    assert!(!check(END, Some(&[SECOND, FIRST, THIRD])).whole);
+    assert!(!check(END, Some(&[FIRST, (2, "t1:1 "), THIRD])).whole);
+    assert!(!check(END, Some(&[FIRST, (1, "t1:2 "), THIRD])).whole);
+}
+
+#[test]
+fn verify_stream_with_wrong_end() {
+    let tokens = [FIRST, SECOND, THIRD];
+    assert!(!check(r#"{"tokens":2}"#, Some(&tokens)).whole);
+    assert!(!check("", Some(&tokens)).whole);
+}
+
+#[test]
+fn verify_stream_with_foreign_tokens() {
+    assert!(!check(END, Some(&[FIRST, (1, "t2:1 "), THIRD])).whole);
+    let foreign = [(0, "t2:0 "), (1, "t2:1 "), (2, "t2:2 ")];
+    assert_eq!(&*check(END, Some(&foreign)).tag, "t2");
 }
 
 #[test]
--- a/xtask/src/demo/build.rs
+++ b/xtask/src/demo/build.rs
@@ -17,7 +17,7 @@
 /// Builds all programs; returns their directory.
 pub fn build(profile: Profile) -> anyhow::Result<PathBuf> {
     let mut cargo = Command::new("cargo");
-    cargo.args(["build", "--workspace", "--bins", "--exclude", "xtask"]);
+    cargo.args(["build", "--workspace", "--bins"]);
     if profile == Profile::Release {
         cargo.arg("--release");
     }
