fix(load): tokens of a stream are read from the event's JSON data

Cause: entry instances send `{"seq","text"}` as the data of a `token` event, since a token may hold a newline; the load tool took the data for the text and called 86 of 600 answers misdelivered. Change: number and text come from the data, and the event's id must be the same number.

--- a/crates/sardineshore-load/src/sender.rs
+++ b/crates/sardineshore-load/src/sender.rs
@@ -9,6 +9,7 @@
 use sardineshore_wire::caller::Refusal;
 use sardineshore_wire::headers;
 use sardineshore_wire::http::{Client, ClientError, Reuse, header};
+use serde::Deserialize;
 
 use crate::verify::{ReadAnswer, Token};
 
@@ -155,7 +156,10 @@
             continue;
         };
         match message.name().as_str() {
-            "token" => tokens.push(read_token(&message)),
+            "token" => match read_token(&message) {
+                Some(token) => tokens.push(token),
+                None => return Sent::no_reply("stream-malformed"),
+            },
             "done" => {
                 let answer = ReadAnswer {
                     document: message.into_bytes(),
@@ -177,11 +181,20 @@
     }
 }
 
-/// A token without a number gets the largest one, which no check accepts.
-fn read_token(message: &async_sse::Message) -> Token {
-    let seq = message.id().as_ref().and_then(|id| id.parse().ok());
-    Token {
-        seq: seq.unwrap_or(u64::MAX),
-        text: String::from_utf8_lossy(message.data()).into_owned(),
-    }
+/// Data of a `token` event.
+#[derive(Debug, Deserialize)]
+struct TokenData {
+    seq: u64,
+    text: String,
+}
+
+/// Reads a token whose number stands in its data and, the same, in the event's id.
+fn read_token(message: &async_sse::Message) -> Option<Token> {
+    let data: TokenData = serde_json::from_slice(message.data()).ok()?;
+    let id = message.id().as_ref()?;
+    let named = id.parse() == Ok(data.seq);
+    named.then_some(Token {
+        seq: data.seq,
+        text: data.text,
+    })
 }
--- a/crates/sardineshore-load/tests/caller.rs
+++ b/crates/sardineshore-load/tests/caller.rs
@@ -185,7 +185,10 @@
 }
 
 fn stream(tail: &str) -> &'static str {
-    let token = |seq: u32| format!("event: token\nid: {seq}\ndata: t1:{seq} \n\n");
+    let token = |seq: u32| {
+        let data = format!(r#"{{"seq":{seq},"text":"t1:{seq} "}}"#);
+        format!("id: {seq}\nevent: token\ndata: {data}\n\n")
+    };
     let tokens: String = (0..24).map(token).collect();
     Box::leak((tokens + tail).into_boxed_str())
 }
@@ -197,6 +200,16 @@
     assert_eq!((&*told.outcome, told.whole), ("answered", true));
 }
 
+#[test]
+fn call_streamed_token_with_other_id() {
+    let events = "id: 1\nevent: token\ndata: {\"seq\":0,\"text\":\"t1:0 \"}\n\n";
+    let (told, _) = run(vec![Step::Events(events)], &arrival(MATCH, true));
+    assert_eq!(
+        (&*told.outcome, &*told.reason),
+        ("no-reply", "stream-malformed")
+    );
+}
+
 #[test]
 fn call_streamed_without_done() {
     let (told, _) = run(vec![Step::Events(stream(""))], &arrival(MATCH, true));
