feat(core): fenced leases and orders to engines

Orders to engines need one sender at a time, also when a holder is paused past its lease and when engines ignore fencing numbers.

The holder counts its lease from before it sent the write that is known to stand: an applied write from its own send, a row found after lost answers from the first of them. A candidate replaces a row only after it has seen it unchanged for the whole duration on its own clock, plus the longest order delay where an engine of the group ignores fencing numbers. Ruled out: comparing expiry times of different machines. OrderMachine sends one order at a time and repeats it, by its identifier, until the engine confirms it.

--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod event;
 pub mod finding;
 pub mod id;
+pub mod lease;
 pub mod limits;
 pub mod order;
 pub mod outcome;
--- a/crates/sardineshore-core/src/order.rs
+++ b/crates/sardineshore-core/src/order.rs
@@ -10,7 +10,7 @@
 pub type Fence = u64;
 
 /// One order to one engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EngineOrder {
     /// Identifier of the command that asked for it.
     pub command: CommandId,
--- /dev/null
+++ b/crates/sardineshore-core/tests/lease_session.rs
@@ -0,0 +1,184 @@
+//! Sessions of leases and of orders under them, under manual time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sardineshore_core::lease::{
+    LeaseAction, LeaseConfig, LeaseEvent, LeaseMachine, OrderAction, OrderAnswer, OrderEvent,
+    OrderMachine,
+};
+use sardineshore_core::{
+    Clock, Commit, EngineAction, EngineOrder, Fence, ManualClock, Row, StoreError, Txn,
+};
+
+/// Two instances before one table.
+struct Session {
+    clock: ManualClock,
+    rows: BTreeMap<Arc<str>, Row>,
+    revision: u64,
+    /// Whether the next commit's answer is lost.
+    lose: bool,
+    holders: [LeaseMachine; 2],
+}
+
+impl Session {
+    fn new(fencing: bool) -> Self {
+        let cfg = LeaseConfig {
+            fencing,
+            ..LeaseConfig::default()
+        };
+        Self {
+            clock: ManualClock::default(),
+            rows: BTreeMap::new(),
+            revision: 0,
+            lose: false,
+            holders: ["e1", "e2"].map(|name| LeaseMachine::new("pool", name.into(), cfg)),
+        }
+    }
+
+    fn step(&mut self, who: usize, event: LeaseEvent) {
+        let now = self.clock.now();
+        for action in self.holders[who].step(event, now) {
+            match action {
+                LeaseAction::Commit(txn) => {
+                    let commit = self.apply(&txn);
+                    let lost = std::mem::take(&mut self.lose);
+                    let answer = if lost {
+                        Err(StoreError::Unconfirmed)
+                    } else {
+                        Ok(commit)
+                    };
+                    self.step(who, LeaseEvent::Committed(answer));
+                }
+                LeaseAction::ReadRow(key) => {
+                    let row = self.rows.get(&key).cloned();
+                    self.step(who, LeaseEvent::RowRead(Ok(row)));
+                }
+                LeaseAction::WakeAt(_) => {}
+            }
+        }
+    }
+
+    fn apply(&mut self, txn: &Txn) -> Commit {
+        let check = &txn.checks[0];
+        let present = self.rows.get(&check.key);
+        if present.map_or(0, |row| row.revision) != check.revision {
+            let rows = present.cloned().into_iter().collect();
+            return Commit::Conflict { rows };
+        }
+        self.revision += 1;
+        let row = Row {
+            key: check.key.clone(),
+            value: txn.puts[0].value.clone(),
+            revision: self.revision,
+        };
+        self.rows.insert(check.key.clone(), row);
+        Commit::Applied {
+            revision: self.revision,
+        }
+    }
+
+    /// Lets time pass in steps of half a second; the listed instances run meanwhile.
+    fn pass(&mut self, secs: u64, running: &[usize]) {
+        for _ in 0..secs * 2 {
+            self.clock.advance(Duration::from_millis(500));
+            for who in running {
+                self.step(*who, LeaseEvent::Tick);
+            }
+        }
+    }
+
+    fn fences(&self) -> [Option<Fence>; 2] {
+        let now = self.clock.now();
+        [0, 1].map(|who| self.holders[who].may_act(now))
+    }
+}
+
+#[test]
+fn lease_renewed_while_held() {
+    let mut s = Session::new(true);
+    s.step(0, LeaseEvent::Wanted(true));
+    s.step(1, LeaseEvent::Wanted(true));
+    s.pass(120, &[0, 1]);
+    assert_eq!(s.fences(), [Some(1), None]);
+}
+
+#[test]
+fn lease_paused_holder_is_replaced() {
+    let mut s = Session::new(true);
+    s.step(0, LeaseEvent::Wanted(true));
+    s.step(1, LeaseEvent::Wanted(true));
+    s.pass(13, &[1]);
+    assert_eq!(s.fences(), [None, Some(2)]);
+    s.pass(1, &[0, 1]);
+    assert_eq!(s.fences(), [None, Some(2)]);
+}
+
+#[test]
+fn lease_waits_out_orders_where_engines_ignore_fencing() {
+    let mut s = Session::new(false);
+    s.step(0, LeaseEvent::Wanted(true));
+    s.step(1, LeaseEvent::Wanted(true));
+    s.pass(41, &[1]);
+    assert_eq!(s.fences(), [None, None]);
+    s.pass(2, &[1]);
+    assert_eq!(s.fences(), [None, Some(2)]);
+}
+
+#[test]
+fn lease_counts_from_the_first_unconfirmed_write() {
+    let mut s = Session::new(true);
+    s.lose = true;
+    s.step(0, LeaseEvent::Wanted(true));
+    s.pass(11, &[]);
+    s.lose = true;
+    s.step(0, LeaseEvent::Tick);
+    assert_eq!(s.fences(), [None, None], "the confirmed row is too old");
+    s.pass(1, &[0]);
+    assert_eq!(s.fences(), [Some(1), None]);
+}
+
+#[test]
+fn lease_released_is_free_at_once() {
+    let mut s = Session::new(false);
+    s.step(0, LeaseEvent::Wanted(true));
+    s.step(0, LeaseEvent::Wanted(false));
+    s.step(1, LeaseEvent::Wanted(true));
+    s.pass(1, &[1]);
+    assert_eq!(s.fences(), [None, Some(2)]);
+}
+
+fn order(command: &str) -> EngineOrder {
+    EngineOrder {
+        command: command.into(),
+        server: "engine-1".into(),
+        action: EngineAction::SetRole {
+            role: "decode".into(),
+        },
+    }
+}
+
+#[test]
+fn orders_one_at_a_time_under_the_lease() {
+    let clock = ManualClock::default();
+    let mut orders = OrderMachine::default();
+    let send = |command, fence| OrderAction::Send {
+        order: order(command),
+        fence,
+    };
+    let first = orders.step(OrderEvent::Ordered(order("c1")), Some(1), clock.now());
+    assert_eq!(first, [send("c1", 1)]);
+    let second = orders.step(OrderEvent::Ordered(order("c2")), Some(1), clock.now());
+    assert_eq!(second, []);
+    let lost = orders.step(OrderEvent::Answered(None), Some(1), clock.now());
+    assert!(matches!(lost[..], [OrderAction::WakeAt(_)]));
+    clock.advance(Duration::from_secs(1));
+    let without_lease = orders.step(OrderEvent::Tick, None, clock.now());
+    assert!(matches!(without_lease[..], [OrderAction::WakeAt(_)]));
+    let again = orders.step(OrderEvent::Tick, Some(3), clock.now());
+    assert_eq!(again, [send("c1", 3)]);
+    let done = OrderEvent::Answered(Some(OrderAnswer::Done));
+    let next = orders.step(done, Some(3), clock.now());
+    assert_eq!(next, [OrderAction::Finished(order("c1")), send("c2", 3)]);
+}
