--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -20,12 +20,15 @@
 pub mod change;
 pub mod claim;
 pub mod clock;
+pub mod config_log;
+pub mod contact;
 pub mod deployment;
 pub mod event;
 pub mod finding;
 pub mod id;
 pub mod lease;
 pub mod limits;
+pub mod membership;
 pub mod order;
 pub mod outcome;
 pub mod quarantine;
@@ -46,7 +49,8 @@
     RequestId, Revision, ServerId, Version,
 };
 pub use limits::{
-    Admission, AdmissionConfig, Completion, Offer, Offered, Release, Released, Ticket, Verdict,
+    Admission, AdmissionConfig, Completion, ConcurrencyLimit, Offer, Offered, Release, Released,
+    Ticket, Verdict,
 };
 pub use order::{EngineAction, EngineOrder, Fence};
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
@@ -54,8 +58,12 @@
     Answer, CostBy, CostRow, CustomerRow, EventRow, InstanceRow, QuarantineRow, Query, ServerRow,
     VersionRow,
 };
-pub use retry::{GiveUp, Retries, RetryBudget, RetryConfig, RetryDecision};
+pub use retry::{
+    EndedAttempt, GiveUp, HedgePolicy, Retries, RetryBudget, RetryConfig, RetryDecision,
+    StageBudget, StageLatencies, StageQuantiles,
+};
 pub use routing::{
-    Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice, Policy, Router, RoutingConfig,
+    Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice, Policy, Polled, Router,
+    RoutingConfig, RoutingDecision, RoutingNotice,
 };
 pub use store::{Check, Commit, Put, Row, StoreError, Txn};
