feat(core): a non-idempotent call goes only to the incarnation that its claim names

A repeat may have had the run sealed by a server that has restarted since and forgotten the seal. A call whose claimant was paused meanwhile would then run twice. DispatchWanted therefore names the incarnation at the other end of the open connection, and the machine refuses one that the claim row does not name. A claim that the store never confirmed always reports StoreUnavailable.

cargo test -p sardineshore-core: all pass.

--- a/crates/sardineshore-core/src/claim.rs
+++ b/crates/sardineshore-core/src/claim.rs
@@ -36,7 +36,7 @@
 pub use key::{IdempotencyKey, Retention, fingerprint};
 pub use message::{ClaimAction, ClaimEvent, DispatchResult, PeerReply, RunEnd, RunReport};
 pub use row::{ClaimRow, ClaimRun, ClaimServer, ClaimState, run_id};
-use run::Run;
+use run::{Run, Target};
 use table::TableCall;
 
 use crate::clock::unix_ms;
@@ -210,8 +210,16 @@
             ClaimEvent::DispatchWanted {
                 stage,
                 server,
+                incarnation,
                 may_dispatch,
-            } => self.on_dispatch_wanted(stage, &server, may_dispatch, now, &mut out),
+            } => {
+                let target = Target {
+                    stage,
+                    server,
+                    incarnation,
+                };
+                self.on_dispatch_wanted(target, may_dispatch, now, &mut out);
+            }
             ClaimEvent::Dispatched(result) => self.on_dispatched(&result, now, &mut out),
             ClaimEvent::Status {
                 server,
@@ -314,8 +322,7 @@
     fn on_tick(&mut self, now: Instant, out: &mut Vec<ClaimAction>) {
         match self.phase {
             Phase::Claiming if now >= self.give_up_at => {
-                let reason = self.gave_up.unwrap_or(NotRunReason::StoreUnavailable);
-                self.abandon(reason, now, out);
+                self.abandon(NotRunReason::StoreUnavailable, now, out);
             }
             Phase::Following(_) if now >= self.req.deadline => self.stop_following(out),
             Phase::Following(_) => self.poll_again(now, out),
--- a/crates/sardineshore-core/src/claim/message.rs
+++ b/crates/sardineshore-core/src/claim/message.rs
@@ -17,12 +17,16 @@
     Committed(Result<Commit, StoreError>),
     /// The answer to the last [`ClaimAction::ReadRow`].
     RowRead(Result<Option<Row>, StoreError>),
-    /// The stage runner is about to send a non-idempotent call.
+    /// The stage runner is about to send a non-idempotent call over an open connection.
+    ///
+    /// If no [`ClaimAction::Dispatch`] follows, the call must not be sent.
     DispatchWanted {
         /// Index of the stage.
         stage: u32,
         /// Backend server.
         server: ServerId,
+        /// Incarnation of the process at the other end of the connection; 0 if unknown.
+        incarnation: u64,
         /// Whether drain, quarantine and configuration allow the send at this moment.
         may_dispatch: bool,
     },
--- a/crates/sardineshore-core/src/claim/run.rs
+++ b/crates/sardineshore-core/src/claim/run.rs
@@ -18,6 +18,14 @@
     open: Option<OpenCall>,
 }
 
+/// Where a call is to be sent.
+#[derive(Debug, Clone)]
+pub(super) struct Target {
+    pub(super) stage: u32,
+    pub(super) server: ServerId,
+    pub(super) incarnation: u64,
+}
+
 /// A call whose result is not known.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct OpenCall {
@@ -47,8 +55,7 @@
     /// Allows a call at the last moment before it is sent, or ends the request.
     pub(super) fn on_dispatch_wanted(
         &mut self,
-        stage: u32,
-        server: &ServerId,
+        target: Target,
         may_dispatch: bool,
         now: Instant,
         out: &mut Vec<ClaimAction>,
@@ -60,10 +67,10 @@
             self.tick_run(now, out);
             return;
         }
-        let bound = stage != self.req.run.stage || self.server(server).is_some();
-        if !may_dispatch || !bound {
+        if !may_dispatch || !self.named_by_row(&target) {
             return;
         }
+        let Target { stage, server, .. } = target;
         self.run.open = Some(OpenCall {
             stage,
             server: server.clone(),
@@ -72,11 +79,23 @@
             ask_at: None,
         });
         out.push(ClaimAction::Dispatch {
-            server: server.clone(),
+            server,
             run_id: run_id(&self.req.attempt, stage),
         });
     }
 
+    /// Whether the claim row allows the first non-idempotent call to go there: a repeat may have
+    /// asked the servers of the row, in the incarnations of the row, to refuse it.
+    fn named_by_row(&self, target: &Target) -> bool {
+        if target.stage != self.req.run.stage {
+            return true;
+        }
+        let Some(known) = self.server(&target.server) else {
+            return false;
+        };
+        !known.answers_status || known.incarnation == target.incarnation
+    }
+
     /// Takes the result of the call dispatched last.
     pub(super) fn on_dispatched(
         &mut self,
--- a/crates/sardineshore-core/tests/claim_session.rs
+++ b/crates/sardineshore-core/tests/claim_session.rs
@@ -52,7 +52,7 @@
             00000 e1:   -> write claimed over revision 0
             00000 e1: applied at 1
             00000 e1:   -> Held
-            00005 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00005 e1: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             00005 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
             00025 e1: Dispatched(Answered)
             00025 e1: Ended(Answered("{\"ok\":1}"))
@@ -86,7 +86,7 @@
             00040 e1:   -> write claimed over revision 0
             00040 e1: conflict: claimed by e1-a
             00040 e1:   -> Held
-            00040 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00040 e1: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             00040 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
             00040 e1: Dispatched(Answered)
             00040 e1: Ended(Answered("{\"ok\":1}"))
@@ -163,7 +163,7 @@
             03040 e1:   -> write released over revision 0
             03040 e1: conflict: claimed by e2-a
             03040 e1:   -> Done
-            03040 e2: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            03040 e2: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             03040 e2:   -> Dispatch { server: "orders-1", run_id: "e2-a.2" }
             03040 e2: Dispatched(Answered)
             03040 e2: Ended(Answered("{\"ok\":1}"))
@@ -188,7 +188,7 @@
             00000 e1:   -> write claimed over revision 0
             00000 e1: applied at 1
             00000 e1:   -> Held
-            07000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            07000 e1: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             07000 e1:   -> reply NotRun { reason: DeadlineUnreachable }
             07000 e1:   -> write released over revision 1
             07000 e1: applied at 2
@@ -216,7 +216,7 @@
             00000 e1:   -> write claimed over revision 0
             00000 e1: applied at 1
             00000 e1:   -> Held
-            00000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e1: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             00000 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
             00000 e2: admitted
             00000 e2:   -> write claimed over revision 0
@@ -260,7 +260,7 @@
             00000 e1:   -> write claimed over revision 0
             00000 e1: applied at 1
             00000 e1:   -> Held
-            00000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e1: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             00000 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
             00000 e2: admitted
             00000 e2:   -> write claimed over revision 0
@@ -313,7 +313,7 @@
             00000 e2:   -> write claimed over revision 1
             00000 e2: applied at 2
             00000 e2:   -> Held
-            00000 e2: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e2: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             00000 e2:   -> Dispatch { server: "orders-1", run_id: "e2-a.2" }
             00000 e2: Dispatched(Answered)
             00000 e2: Ended(Answered("{\"ok\":1}"))
@@ -341,7 +341,7 @@
             00000 e1:   -> write claimed over revision 0
             00000 e1: applied at 1
             00000 e1:   -> Held
-            00000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e1: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             00000 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
             00000 e2: admitted
             00000 e2:   -> write claimed over revision 0
@@ -378,7 +378,7 @@
             00000 e1:   -> write claimed over revision 0
             00000 e1: applied at 1
             00000 e1:   -> Held
-            00000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e1: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             00000 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
             00000 e1: Dispatched(Lost(ConnectionLost))
             00000 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
@@ -387,7 +387,7 @@
             00100 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
             00100 e1: Status { server: "orders-1", incarnation: 5, report: Sealed }
             00100 e1:   -> Resolved(None)
-            00100 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00100 e1: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             00100 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
             00100 e1: Dispatched(Lost(ConnectionLost))
             00100 e1:   -> AskServer { server: "orders-1", run_id: "e1-a.2" }
@@ -418,7 +418,7 @@
             00000 e1:   -> write claimed over revision 0
             00000 e1: applied at 1
             00000 e1:   -> Held
-            00000 e1: DispatchWanted { stage: 2, server: "orders-1", may_dispatch: true }
+            00000 e1: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
             00000 e1:   -> Dispatch { server: "orders-1", run_id: "e1-a.2" }
             00000 e1: Dispatched(Answered)
             00000 e1: Ended(Answered("{\"ok\":1}"))
--- a/crates/sardineshore-core/tests/claim_session/support.rs
+++ b/crates/sardineshore-core/tests/claim_session/support.rs
@@ -75,6 +75,7 @@
         let event = ClaimEvent::DispatchWanted {
             stage: 2,
             server: "orders-1".into(),
+            incarnation: 5,
             may_dispatch: true,
         };
         self.step(name, event);
