--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -20,12 +20,14 @@
 pub mod change;
 pub mod claim;
 pub mod clock;
+pub mod command;
 pub mod config_log;
 pub mod contact;
 pub mod deployment;
 pub mod event;
 pub mod finding;
 pub mod id;
+pub mod lease;
 pub mod limits;
 pub mod membership;
 pub mod order;
@@ -38,6 +40,7 @@
 
 pub use change::{Change, Refusal};
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use command::Statement;
 pub use deployment::{
     BackendServer, Customer, Deployment, Objective, Pipeline, ServerState, Stage, StageKind,
 };
