feat(entry): orders to engines under the lease of their pool

An order takes the lease, is repeated under its fencing number until the engine confirms it, and gives the lease up; if its fate is not known the lease runs out, so that the next holder waits for a late arrival. The holder's name carries the start of its process: a restarted instance does not inherit a lease.

--- a/crates/sardineshore-entry/src/assembly.rs
+++ b/crates/sardineshore-entry/src/assembly.rs
@@ -5,15 +5,16 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use sardineshore_core::{Answer, Clock, CommandId, Deployment, EngineAction, Query, ServerId};
-use sardineshore_wire::operator::OrderOutcome;
+use sardineshore_core::clock::unix_ms;
+use sardineshore_core::{Answer, Clock, Deployment, Query, ServerId};
 use sardineshore_wire::platform::HttpPlatform;
 use slog::Logger;
 
 use crate::config::tasks::{self, ConfigTasks};
 use crate::config::{Adopted, ConfigService, ConfigSettings, NoEvidence, Ports};
 use crate::instance::Instance;
-use crate::operator::{OperatorApi, Orders, Queries, Releases};
+use crate::operator::{OperatorApi, Queries, Releases};
+use crate::orders::{EngineOrders, HttpEngines, OrderSettings};
 use crate::peers::link::RpcLink;
 use crate::peers::serve::{Serving, serve};
 use crate::queries;
@@ -22,6 +23,9 @@
 /// Longest wait for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest wait for an engine's answer to an order.
+const ENGINE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The callers' side of the instance, as the configuration reaches it.
 #[derive(Debug, Default)]
 struct CallersSide {
@@ -49,20 +53,6 @@
     }
 }
 
-#[async_trait]
-impl Orders for CallersSide {
-    async fn order(
-        &self,
-        _command: CommandId,
-        _server: ServerId,
-        _action: EngineAction,
-    ) -> OrderOutcome {
-        OrderOutcome::NotSent {
-            reason: "this instance sends no orders to engines".into(),
-        }
-    }
-}
-
 #[async_trait]
 impl Releases for CallersSide {
     async fn release(&self, _fingerprint: Arc<str>) -> bool {
@@ -78,6 +68,7 @@
     /// Configuration and peers.
     pub config: Arc<ConfigService>,
     callers: Arc<CallersSide>,
+    orders: Arc<EngineOrders>,
 }
 
 /// The running side of configuration and peers.
@@ -104,17 +95,32 @@
             evidence: Arc::new(NoEvidence),
             log: log.clone(),
         };
+        let table = ports.table.clone();
+        let holder = format!("{}@{}", settings.name, unix_ms(clock.wall()));
         let config = ConfigSettings {
             name: settings.name.clone(),
             ..ConfigSettings::default()
         };
         let config = Arc::new(ConfigService::new(config, ports));
+        let order_settings = OrderSettings {
+            holder: holder.into(),
+            ..OrderSettings::default()
+        };
+        let engines = Arc::new(HttpEngines::new(ENGINE_TIMEOUT));
+        let orders = EngineOrders::new(
+            order_settings,
+            clock.clone(),
+            table,
+            engines,
+            config.clone(),
+        );
         let instance = Arc::new(Instance::new(settings, clock, config.clone(), log));
         let _ = callers.instance.set(Arc::downgrade(&instance));
         Self {
             instance,
             config,
             callers,
+            orders: Arc::new(orders),
         }
     }
 
@@ -124,7 +130,7 @@
         let api = OperatorApi::new(
             self.config.clone(),
             callers.clone(),
-            callers.clone(),
+            self.orders.clone(),
             callers,
         );
         let serving = serve(&self.instance.settings.peer_listen, api).await?;
--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod operator;
+pub mod orders;
 pub mod peers;
 pub mod queries;
 pub mod reply;
--- a/crates/sardineshore-entry/tests/configuration/fleet.rs
+++ b/crates/sardineshore-entry/tests/configuration/fleet.rs
@@ -263,6 +263,14 @@
     node
 }
 
+/// The table as one instance reaches it.
+pub fn table(world: &Arc<World>, name: &str) -> Arc<dyn Table> {
+    Arc::new(Reach {
+        world: world.clone(),
+        me: name.into(),
+    })
+}
+
 /// Builds an instance that is not listed, with a link to its peers if not through the world.
 pub fn build(
     world: &Arc<World>,
--- a/crates/sardineshore-entry/tests/configuration/main.rs
+++ b/crates/sardineshore-entry/tests/configuration/main.rs
@@ -2,6 +2,7 @@
 //! under a manual clock.
 
 mod fleet;
+mod orders;
 mod rpc;
 
 use std::sync::Arc;
--- /dev/null
+++ b/crates/sardineshore-entry/tests/configuration/orders.rs
@@ -0,0 +1,174 @@
+//! Orders to engines under leases, with a scripted engine.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_std::task::block_on;
+use async_trait::async_trait;
+use sardineshore_core::lease::LeaseConfig;
+use sardineshore_core::{BackendServer, Change, Clock, EngineAction, Fence, SystemClock};
+use sardineshore_entry::config::ConfigSettings;
+use sardineshore_entry::operator::Orders;
+use sardineshore_entry::orders::{EngineLink, EngineOrders, OrderSettings};
+use sardineshore_wire::backend::{FencedOrder, OrderReply};
+use sardineshore_wire::operator::{OrderOutcome, Submission};
+
+use crate::fleet::{World, start, table};
+
+/// An engine that answers from a script, then that all is done.
+#[derive(Debug, Default)]
+struct Engine {
+    script: Mutex<Vec<Option<OrderReply>>>,
+    seen: Mutex<Vec<FencedOrder>>,
+}
+
+impl Engine {
+    fn fences(&self) -> Vec<Fence> {
+        let seen = self.seen.lock().unwrap();
+        seen.iter().map(|order| order.fence).collect()
+    }
+}
+
+#[async_trait]
+impl EngineLink for Engine {
+    async fn send(&self, _addr: &str, order: &FencedOrder) -> Option<OrderReply> {
+        self.seen.lock().unwrap().push(order.clone());
+        let next = self.script.lock().unwrap().pop();
+        next.unwrap_or(Some(OrderReply::Done))
+    }
+}
+
+/// An instance that sends orders.
+async fn orders(world: &Arc<World>, name: &str, engine: &Arc<Engine>) -> EngineOrders {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let settings = ConfigSettings {
+        name: name.into(),
+        ..ConfigSettings::default()
+    };
+    let node = start(world, &clock, settings);
+    node.service.poll_list().await.unwrap();
+    node.service.poll_head().await.unwrap();
+    let settings = OrderSettings {
+        holder: name.into(),
+        patience: Duration::from_millis(1_200),
+        lease: LeaseConfig {
+            order_delay: Duration::from_secs(60),
+            ..LeaseConfig::default()
+        },
+    };
+    EngineOrders::new(
+        settings,
+        clock,
+        table(world, name),
+        engine.clone(),
+        node.service,
+    )
+}
+
+/// A world whose configuration declares one engine.
+async fn world_with_engine() -> Arc<World> {
+    let world = Arc::<World>::default();
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let settings = ConfigSettings {
+        name: "writer".into(),
+        ..ConfigSettings::default()
+    };
+    let writer = start(&world, &clock, settings).service;
+    writer.poll_list().await.unwrap();
+    writer.poll_head().await.unwrap();
+    let server = BackendServer {
+        name: "engine".into(),
+        addr: "127.0.0.1:9000".into(),
+        pool: "pool".into(),
+        ..BackendServer::default()
+    };
+    let submission = Submission {
+        command: "c-1".into(),
+        operator: "ana".into(),
+        changes: vec![Change::AddServer { server }],
+    };
+    writer.submit(submission).await;
+    world
+}
+
+async fn load(orders: &EngineOrders, command: &str) -> OrderOutcome {
+    let action = EngineAction::LoadAdapter {
+        adapter: "tango".into(),
+    };
+    orders.order(command.into(), "engine".into(), action).await
+}
+
+#[test]
+fn order_holders_in_turn_with_growing_fences() {
+    block_on(async {
+        let world = world_with_engine().await;
+        let engine = Arc::new(Engine::default());
+        let first = orders(&world, "i1", &engine).await;
+        let second = orders(&world, "i2", &engine).await;
+        for (n, by) in [&first, &second, &first].into_iter().enumerate() {
+            assert_eq!(load(by, &format!("o-{n}")).await, OrderOutcome::Done);
+        }
+        assert_eq!(engine.fences(), [1, 2, 3]);
+    });
+}
+
+#[test]
+fn order_in_progress_is_repeated_until_done() {
+    block_on(async {
+        let world = world_with_engine().await;
+        let engine = Arc::new(Engine::default());
+        *engine.script.lock().unwrap() = vec![Some(OrderReply::InProgress)];
+        let orders = orders(&world, "i1", &engine).await;
+        assert_eq!(load(&orders, "o-1").await, OrderOutcome::Done);
+        let seen = engine.seen.lock().unwrap();
+        assert_eq!(seen.len(), 2);
+        assert_eq!(seen[0], seen[1]);
+    });
+}
+
+#[test]
+fn order_without_answer_is_unknown_and_keeps_others_waiting() {
+    block_on(async {
+        let world = world_with_engine().await;
+        let engine = Arc::new(Engine::default());
+        *engine.script.lock().unwrap() = vec![None; 8];
+        let first = orders(&world, "i1", &engine).await;
+        let lost = load(&first, "o-1").await;
+        assert!(matches!(lost, OrderOutcome::Unknown { .. }), "{lost:?}");
+        let sent = engine.fences().len();
+        let second = orders(&world, "i2", &engine).await;
+        let waits = load(&second, "o-2").await;
+        assert!(matches!(waits, OrderOutcome::NotSent { .. }), "{waits:?}");
+        assert_eq!(engine.fences().len(), sent);
+    });
+}
+
+#[test]
+fn order_refused_as_old_is_not_sent() {
+    block_on(async {
+        let world = world_with_engine().await;
+        let engine = Arc::new(Engine::default());
+        *engine.script.lock().unwrap() = vec![Some(OrderReply::Fenced { highest: 7 })];
+        let orders = orders(&world, "i1", &engine).await;
+        let refused = load(&orders, "o-1").await;
+        assert!(
+            matches!(refused, OrderOutcome::NotSent { .. }),
+            "{refused:?}"
+        );
+    });
+}
+
+#[test]
+fn order_to_undeclared_engine_is_not_sent() {
+    block_on(async {
+        let world = world_with_engine().await;
+        let engine = Arc::new(Engine::default());
+        let orders = orders(&world, "i1", &engine).await;
+        let action = EngineAction::SetRole {
+            role: "decode".into(),
+        };
+        let other = orders.order("o-1".into(), "other".into(), action).await;
+        assert!(matches!(other, OrderOutcome::NotSent { .. }), "{other:?}");
+        assert!(engine.fences().is_empty());
+    });
+}
