feat(entry): a leaving backend server is told to peers at once

Before, it spread by the instances' own exchanges only. Questions carry marks that say leaving: a late one at worst takes a server out of service until the next reading of the list; a late mark that says the opposite could put work on a leaving server, so that travels in answers only.

--- a/crates/sardineshore-entry/examples/config_fleet.rs
+++ b/crates/sardineshore-entry/examples/config_fleet.rs
@@ -23,6 +23,7 @@
 const REST: Duration = Duration::from_secs(20);
 const OUTAGE: Duration = Duration::from_secs(30);
 const TICK: Duration = Duration::from_millis(5);
+const LEAVING_SERVERS: usize = 10;
 const BACKEND_SERVERS: usize = 600;
 const CLOCK_TICKS_PER_SECOND: f64 = 100.0;
 
@@ -42,6 +43,7 @@
     let nodes = started(&world, instances).await;
     at_rest(&world, &nodes).await;
     in_force(&nodes, commands).await;
+    leaving(&world, &nodes).await;
     outage(&world, &nodes).await;
 }
 
@@ -137,6 +139,21 @@
     print("known to be in force", known);
 }
 
+/// Time from a change of the instance list until all instances have taken a server out of service.
+async fn leaving(world: &Arc<World>, nodes: &[Node]) {
+    let mut times = Vec::new();
+    for number in 0..LEAVING_SERVERS {
+        world.store().listed[number].leaving = true;
+        let began = Instant::now();
+        let lacks = |node: &Node| node.recorder.leaving().len() <= number;
+        while nodes.iter().any(lacks) {
+            sleep(TICK).await;
+        }
+        times.push(began.elapsed());
+    }
+    print("leaving server known to all", times);
+}
+
 /// Share of instances that go on while the store is down.
 async fn outage(world: &Arc<World>, nodes: &[Node]) {
     world.store().down = true;
--- a/crates/sardineshore-entry/src/config.rs
+++ b/crates/sardineshore-entry/src/config.rs
@@ -153,7 +153,7 @@
     state: Mutex<ConfigState>,
     /// One submission at a time; taken before `state`.
     submitting: async_std::sync::Mutex<()>,
-    /// Wakes the task that tells peers of a new version.
+    /// Wakes the task that tells peers of a new version or a leaving backend server.
     news: (Sender<()>, Receiver<()>),
 }
 
@@ -247,6 +247,7 @@
         self.ports
             .adopted
             .adopted(state.log.deployment().clone(), &leaving);
+        let _ = self.news.0.try_send(());
     }
 
     /// Logs when the instance becomes fenced or ceases to be.
--- a/crates/sardineshore-entry/src/peers.rs
+++ b/crates/sardineshore-entry/src/peers.rs
@@ -12,6 +12,7 @@
 use sardineshore_core::contact::Hearing;
 use sardineshore_core::contact::relay::Relay;
 use sardineshore_core::membership::Member;
+use sardineshore_core::membership::leaving::LeavingNotice;
 use sardineshore_core::{InstanceId, Version};
 use sardineshore_wire::peer::{Exchange, LogReply, Phase};
 use thiserror::Error;
@@ -99,6 +100,7 @@
             let _ = self.fetch(&asker).await;
         }
         self.ports.evidence.merge(question.evidence);
+        self.take_leaving(&question.leaving, self.now());
         self.told(&self.state(), self.now())
     }
 
@@ -134,10 +136,14 @@
         peers
     }
 
-    /// What is told in a question: nothing whose age matters.
+    /// What is told in a question: nothing that a delay could make wrong. A backend server that
+    /// comes back is told in answers only.
     fn question(&self) -> Exchange {
         let state = self.state();
+        let mut leaving = state.leaving.notices(self.now());
+        leaving.retain(|notice| notice.leaving);
         Exchange {
+            leaving,
             from: self.settings.name.clone(),
             version: state.contact.told_version(),
             phase: state.phase,
@@ -180,7 +186,13 @@
         if let Some(at) = age.and_then(|age| sent.checked_sub(age)) {
             state.peer_confirmed.insert(answer.from.clone(), at);
         }
-        if state.leaving.told(&answer.leaving, sent, now) {
+        drop(state);
+        self.take_leaving(&answer.leaving, sent);
+    }
+
+    fn take_leaving(&self, notices: &[LeavingNotice], sent: Instant) {
+        let mut state = self.state();
+        if state.leaving.told(notices, sent, self.now()) {
             self.leaving_changed(&state);
         }
     }
--- a/crates/sardineshore-entry/tests/configuration/main.rs
+++ b/crates/sardineshore-entry/tests/configuration/main.rs
@@ -346,11 +346,30 @@
         server.leaving = true;
         fleet.world.store().listed.push(server);
         fleet.nodes[0].service.poll_list().await.unwrap();
-        for node in &fleet.nodes[1..] {
-            node.service.exchange_next().await;
-            node.service.exchange_next().await;
-            assert_eq!(node.recorder.leaving(), ["s".into()]);
-        }
+        let told = &fleet.nodes[1];
+        told.service.exchange_next().await;
+        told.service.exchange_next().await;
+        assert_eq!(told.recorder.leaving(), ["s".into()], "by an answer");
+        fleet.nodes[0].service.exchange_with_some().await;
+        assert_eq!(
+            fleet.nodes[2].recorder.leaving(),
+            ["s".into()],
+            "by a question"
+        );
+        fleet.world.store().listed.pop();
+        fleet
+            .world
+            .store()
+            .listed
+            .push(listed("s", ListedRole::Backend));
+        fleet.clock.advance(STEP);
+        fleet.nodes[2].service.poll_list().await.unwrap();
+        assert!(fleet.nodes[2].recorder.leaving().is_empty());
+        fleet.nodes[0].service.exchange_with_some().await;
+        assert!(
+            fleet.nodes[2].recorder.leaving().is_empty(),
+            "an older reading"
+        );
     });
 }
 
--- a/crates/sardineshore-wire/src/peer.rs
+++ b/crates/sardineshore-wire/src/peer.rs
@@ -54,7 +54,8 @@
     /// only in answers.
     #[serde(rename = "r", skip_serializing_if = "str::is_empty")]
     pub relay: Arc<str>,
-    /// Backend servers whose mark in the instance list has changed; only in answers.
+    /// Backend servers whose mark in the instance list has changed; in questions only those that
+    /// are leaving.
     #[serde(rename = "l", skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<LeavingNotice>,
     /// Recent evidence on requests that crash backend servers.
