--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -92,7 +92,7 @@
 
 /// Builds this program in release and goes on as that one.
 fn become_release() -> anyhow::Result<()> {
-    let build = ["build", "--quiet", "--release", "--package", "xtask"];
+    let build = ["build", "--quiet", "--release", "--workspace", "--bins"];
     let status = Child::new("cargo")
         .args(build)
         .status()
--- a/xtask/src/faults/results.rs
+++ b/xtask/src/faults/results.rs
@@ -99,7 +99,11 @@
         );
         for faults in plan.groups() {
             let tally = self.tally(&faults);
-            let left = plan.seeds_of(&faults).saturating_sub(tally.run);
+            let wanted = plan.seeds_of(&faults);
+            if wanted == 0 && tally.run == 0 {
+                continue;
+            }
+            let left = wanted.saturating_sub(tally.run);
             let _ = writeln!(
                 text,
                 "| {} | {} | {} | {left} | {} | {} | {} | {} |",
