test(entry): any bytes of a caller give a checked arrival or a typed refusal

Cause: what parses callers' bytes had examples only. Change: two properties over headers, bodies and paths.

--- /dev/null
+++ b/crates/sardineshore-entry/tests/caller_any.rs
@@ -0,0 +1,70 @@
+//! Whatever bytes a caller sends: no panic, and either a checked arrival or a typed refusal.
+
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use http_types::{Method, Request, Url};
+use proptest::prelude::*;
+use sardineshore_entry::Settings;
+use sardineshore_entry::api::{Target, receive, target};
+use sardineshore_wire::headers;
+
+const MAX_BODY: usize = 256;
+
+fn request(path: &str, customer: &str, deadline: &str, body: &[u8]) -> Option<Request> {
+    let url = Url::parse(&format!("http://entry/{path}")).ok()?;
+    let mut req = Request::new(Method::Post, url);
+    let valid = |text: &str| text.bytes().all(|b| (32..127).contains(&b));
+    if !valid(customer) || !valid(deadline) {
+        return None;
+    }
+    req.insert_header(headers::CUSTOMER, customer);
+    req.insert_header(headers::DEADLINE_MS, deadline);
+    req.set_body(body);
+    Some(req)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn receive_any_input(
+        customer in "[ -~]{0,12}",
+        deadline in "[0-9-]{0,22}|[ -~]{0,6}",
+        body in prop_oneof![
+            proptest::collection::vec(any::<u8>(), 0..400),
+            "\\{\"prompt\":\"[^\"\\\\]{0,200}\"\\}".prop_map(String::into_bytes),
+            "[ \\[\\]{}:,\"0-9a-z]{0,60}".prop_map(String::into_bytes),
+        ],
+    ) {
+        let settings = Settings { max_body: MAX_BODY, ..Settings::default() };
+        let Some(mut req) = request("v1", &customer, &deadline, &body) else {
+            return Ok(());
+        };
+        match task::block_on(receive(&mut req, &settings, Instant::now())) {
+            Ok(arrival) => {
+                prop_assert!(arrival.body.len() <= MAX_BODY);
+                prop_assert_eq!(&arrival.body[..], &body[..]);
+                let parsed: serde_json::Value = serde_json::from_slice(&arrival.body).unwrap();
+                prop_assert!(parsed.is_object());
+                let deadline = arrival.deadline.unwrap_or(Duration::from_millis(1));
+                prop_assert!(!deadline.is_zero() && deadline <= settings.max_deadline);
+            }
+            Err(refused) => {
+                let status = refused.reason.status();
+                prop_assert!((400..500).contains(&status));
+                prop_assert!(!refused.detail.is_empty());
+            }
+        }
+    }
+
+    #[test]
+    fn target_any_path(path in "[ -~]{0,40}|v1/pipelines/[ -~]{0,200}/requests") {
+        let Some(req) = request(&path, "c", "1", b"{}") else {
+            return Ok(());
+        };
+        if let Target::Submit { pipeline } = target(&req) {
+            prop_assert!(!pipeline.contains('/') && pipeline.len() <= 128);
+        }
+    }
+}
