--- a/crates/sardineshore-entry/src/assembly.rs
+++ b/crates/sardineshore-entry/src/assembly.rs
@@ -115,6 +115,7 @@
             config.clone(),
         );
         let instance = Arc::new(Instance::new(settings, clock, config.clone(), log));
+        config.gauges().register(instance.metrics.registry());
         let _ = callers.instance.set(Arc::downgrade(&instance));
         Self {
             instance,
--- a/crates/sardineshore-entry/src/config.rs
+++ b/crates/sardineshore-entry/src/config.rs
@@ -5,6 +5,7 @@
 //! [`tasks::start`] repeats them. What comes into force is told to an [`Adopted`].
 
 pub mod follow;
+pub mod gauges;
 pub mod progress;
 pub mod submit;
 pub mod tasks;
@@ -26,6 +27,7 @@
 use sardineshore_wire::platform::{InstanceList, Objects, Table};
 use slog::Logger;
 
+use crate::config::gauges::ConfigGauges;
 use crate::instance::Gate;
 use crate::journal::Journal;
 use crate::peers::PeerLink;
@@ -149,6 +151,7 @@
     pub settings: ConfigSettings,
     pub(crate) ports: Ports,
     journal: Journal,
+    gauges: ConfigGauges,
     /// Taken before the locks of the instance's tables; not held across an `await`.
     state: Mutex<ConfigState>,
     /// One submission at a time; taken before `state`.
@@ -174,6 +177,7 @@
         };
         Self {
             journal: Journal::new(ports.log.clone(), name, ports.clock.clone()),
+            gauges: ConfigGauges::default(),
             state: Mutex::new(state),
             submitting: async_std::sync::Mutex::new(()),
             news: bounded(1),
--- a/crates/sardineshore-entry/src/config/tasks.rs
+++ b/crates/sardineshore-entry/src/config/tasks.rs
@@ -112,6 +112,7 @@
 async fn watch(service: Arc<ConfigService>) {
     loop {
         service.watch_fence();
+        service.update_gauges();
         task::sleep(WATCH_PERIOD).await;
     }
 }
--- a/crates/sardineshore-entry/tests/configuration/main.rs
+++ b/crates/sardineshore-entry/tests/configuration/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod orders;
 mod rpc;
+mod strange;
 
 use std::sync::Arc;
 use std::time::Duration;
--- /dev/null
+++ b/crates/sardineshore-entry/tests/configuration/strange.rs
@@ -0,0 +1,77 @@
+//! Messages of peers with any contents.
+
+use std::sync::Arc;
+
+use async_std::task::block_on;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use sardineshore_core::membership::leaving::LeavingNotice;
+use sardineshore_core::{Clock, ManualClock};
+use sardineshore_entry::config::ConfigSettings;
+use sardineshore_wire::peer::{Exchange, Phase};
+
+use crate::fleet::{World, start};
+
+fn notice() -> impl Strategy<Value = LeavingNotice> {
+    (".{0,4}", any::<bool>(), any::<u64>()).prop_map(|(server, leaving, age_ms)| LeavingNotice {
+        server: server.into(),
+        leaving,
+        age_ms,
+    })
+}
+
+fn exchange() -> impl Strategy<Value = Exchange> {
+    let phases = prop::sample::select(vec![Phase::Running, Phase::Leaving, Phase::Stopped]);
+    (
+        "i[1-4]",
+        any::<Option<u64>>(),
+        phases,
+        any::<Option<u64>>(),
+        ".{0,8}",
+        prop::collection::vec(notice(), 0..3),
+    )
+        .prop_map(
+            |(from, version, phase, confirmed_ms, relay, leaving)| Exchange {
+                from: from.as_str().into(),
+                version,
+                phase,
+                confirmed_ms,
+                relay: relay.into(),
+                leaving,
+                ..Exchange::default()
+            },
+        )
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 64,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn question_of_any_contents_is_answered(questions in prop::collection::vec(exchange(), 1..6)) {
+        block_on(async {
+            let world = Arc::<World>::default();
+            let clock: Arc<dyn Clock> = Arc::new(ManualClock::default());
+            let settings = |name: &str| ConfigSettings { name: name.into(), ..ConfigSettings::default() };
+            let nodes = ["i1", "i2", "i3"].map(|name| start(&world, &clock, settings(name)));
+            for node in &nodes {
+                node.service.poll_list().await.unwrap();
+                node.service.poll_head().await.unwrap();
+            }
+            for question in questions {
+                let answer = nodes[0].service.answer(question).await;
+                assert_eq!(answer.version, Some(0));
+                assert_eq!(nodes[0].service.state().log.version(), 0);
+            }
+            assert!(nodes[0].service.is_ready());
+        });
+    }
+}
