test(entry): tests of orders depend on no wall clock

The configuration's clock stands still; only the tests in which nothing answers let their patience run out.

--- a/crates/sardineshore-entry/tests/configuration/orders.rs
+++ b/crates/sardineshore-entry/tests/configuration/orders.rs
@@ -6,7 +6,9 @@
 use async_std::task::block_on;
 use async_trait::async_trait;
 use sardineshore_core::lease::LeaseConfig;
-use sardineshore_core::{BackendServer, Change, Clock, EngineAction, Fence, SystemClock};
+use sardineshore_core::{
+    BackendServer, Change, Clock, EngineAction, Fence, ManualClock, SystemClock,
+};
 use sardineshore_entry::config::ConfigSettings;
 use sardineshore_entry::operator::Orders;
 use sardineshore_entry::orders::{EngineLink, EngineOrders, OrderSettings};
@@ -15,6 +17,11 @@
 
 use crate::fleet::{World, start, table};
 
+/// Patience that no test uses up.
+const LONG: Duration = Duration::from_secs(60);
+/// Patience that runs out, since nothing answers.
+const SOON: Duration = Duration::from_millis(600);
+
 /// An engine that answers from a script, then that all is done.
 #[derive(Debug, Default)]
 struct Engine {
@@ -39,8 +46,13 @@
 }
 
 /// An instance that sends orders.
-async fn orders(world: &Arc<World>, name: &str, engine: &Arc<Engine>) -> EngineOrders {
-    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+async fn orders(
+    world: &Arc<World>,
+    name: &str,
+    engine: &Arc<Engine>,
+    patience: Duration,
+) -> EngineOrders {
+    let clock: Arc<dyn Clock> = Arc::new(ManualClock::default());
     let settings = ConfigSettings {
         name: name.into(),
         ..ConfigSettings::default()
@@ -50,7 +62,7 @@
     node.service.poll_head().await.unwrap();
     let settings = OrderSettings {
         holder: name.into(),
-        patience: Duration::from_millis(1_200),
+        patience,
         lease: LeaseConfig {
             order_delay: Duration::from_secs(60),
             ..LeaseConfig::default()
@@ -58,7 +70,7 @@
     };
     EngineOrders::new(
         settings,
-        clock,
+        Arc::new(SystemClock),
         table(world, name),
         engine.clone(),
         node.service,
@@ -68,7 +80,7 @@
 /// A world whose configuration declares one engine.
 async fn world_with_engine() -> Arc<World> {
     let world = Arc::<World>::default();
-    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let clock: Arc<dyn Clock> = Arc::new(ManualClock::default());
     let settings = ConfigSettings {
         name: "writer".into(),
         ..ConfigSettings::default()
@@ -103,8 +115,8 @@
     block_on(async {
         let world = world_with_engine().await;
         let engine = Arc::new(Engine::default());
-        let first = orders(&world, "i1", &engine).await;
-        let second = orders(&world, "i2", &engine).await;
+        let first = orders(&world, "i1", &engine, LONG).await;
+        let second = orders(&world, "i2", &engine, LONG).await;
         for (n, by) in [&first, &second, &first].into_iter().enumerate() {
             assert_eq!(load(by, &format!("o-{n}")).await, OrderOutcome::Done);
         }
@@ -118,7 +130,7 @@
         let world = world_with_engine().await;
         let engine = Arc::new(Engine::default());
         *engine.script.lock().unwrap() = vec![Some(OrderReply::InProgress)];
-        let orders = orders(&world, "i1", &engine).await;
+        let orders = orders(&world, "i1", &engine, LONG).await;
         assert_eq!(load(&orders, "o-1").await, OrderOutcome::Done);
         let seen = engine.seen.lock().unwrap();
         assert_eq!(seen.len(), 2);
@@ -132,11 +144,11 @@
         let world = world_with_engine().await;
         let engine = Arc::new(Engine::default());
         *engine.script.lock().unwrap() = vec![None; 8];
-        let first = orders(&world, "i1", &engine).await;
+        let first = orders(&world, "i1", &engine, SOON).await;
         let lost = load(&first, "o-1").await;
         assert!(matches!(lost, OrderOutcome::Unknown { .. }), "{lost:?}");
         let sent = engine.fences().len();
-        let second = orders(&world, "i2", &engine).await;
+        let second = orders(&world, "i2", &engine, SOON).await;
         let waits = load(&second, "o-2").await;
         assert!(matches!(waits, OrderOutcome::NotSent { .. }), "{waits:?}");
         assert_eq!(engine.fences().len(), sent);
@@ -149,7 +161,7 @@
         let world = world_with_engine().await;
         let engine = Arc::new(Engine::default());
         *engine.script.lock().unwrap() = vec![Some(OrderReply::Fenced { highest: 7 })];
-        let orders = orders(&world, "i1", &engine).await;
+        let orders = orders(&world, "i1", &engine, LONG).await;
         let refused = load(&orders, "o-1").await;
         assert!(
             matches!(refused, OrderOutcome::NotSent { .. }),
@@ -163,7 +175,7 @@
     block_on(async {
         let world = world_with_engine().await;
         let engine = Arc::new(Engine::default());
-        let orders = orders(&world, "i1", &engine).await;
+        let orders = orders(&world, "i1", &engine, LONG).await;
         let action = EngineAction::SetRole {
             role: "decode".into(),
         };
--- a/crates/sardineshore-entry/tests/configuration/rpc.rs
+++ b/crates/sardineshore-entry/tests/configuration/rpc.rs
@@ -105,11 +105,12 @@
             }],
         };
         let mut reply = client.submit(submission.clone()).await.unwrap();
-        while matches!(reply, SubmitReply::NotAccepted { .. }) {
+        while reply != (SubmitReply::Accepted { version: 1 }) {
+            let refused = matches!(reply, SubmitReply::Refused { .. });
+            assert!(!refused, "{reply:?}");
             sleep(Duration::from_millis(10)).await;
             reply = client.submit(submission.clone()).await.unwrap();
         }
-        assert_eq!(reply, SubmitReply::Accepted { version: 1 });
         for served in &fleet {
             let client = served.client();
             while !client.progress(1).await.unwrap().in_force {
