--- a/crates/sardineshore-fakes/src/bin/sardine-fake-server.rs
+++ b/crates/sardineshore-fakes/src/bin/sardine-fake-server.rs
@@ -150,8 +150,8 @@
             name: checker.text("name").into(),
             kind: checker.parse("kind"),
             service_time: checker.duration("service-time"),
-            jitter: checker.parse("jitter"),
-            capacity: checker.parse("capacity"),
+            jitter: share(&mut checker, "jitter"),
+            capacity: positive(&mut checker, "capacity"),
             max_queue: checker.parse("max-queue"),
             load_lag: checker.duration("load-lag"),
             seed: checker.parse("seed"),
@@ -163,12 +163,29 @@
     checker.finish(settings)
 }
 
+/// A number from 0 to 1.
+fn share(checker: &mut Checker<'_>, flag: &str) -> f64 {
+    let share: f64 = checker.parse(flag);
+    if !(0.0..=1.0).contains(&share) {
+        checker.fault(flag, &format!("{share} is not from 0 to 1"));
+    }
+    share
+}
+
+/// A whole number above zero.
+fn positive(checker: &mut Checker<'_>, flag: &str) -> usize {
+    if checker.optional(flag).as_deref() == Some("0") {
+        checker.fault(flag, "it is not above zero");
+    }
+    checker.parse(flag)
+}
+
 fn engine(checker: &mut Checker<'_>) -> EngineSettings {
     EngineSettings {
         cache: CacheSettings {
             entries: checker.parse("cache-entries"),
             event_lag: checker.duration("event-lag"),
-            event_loss: checker.parse("event-loss"),
+            event_loss: share(checker, "event-loss"),
         },
         batch_slope: checker.parse("batch-slope"),
         order_time: checker.duration("order-time"),
