feat(xtask): fault runs at the same time

Cause: 335 runs one after the other take about an hour. Ruled out: one process per fault, whose files of results would have to be joined.

--- a/xtask/src/faults.rs
+++ b/xtask/src/faults.rs
@@ -12,6 +12,7 @@
 
 use async_std::task;
 use clap::{Arg, ArgMatches, Command, value_parser};
+use futures::{StreamExt, stream};
 use indicatif::{ProgressBar, ProgressStyle};
 
 use self::plan::{Plan, Run};
@@ -40,6 +41,11 @@
                 .default_value("3")
                 .value_parser(value_parser!(u64))
                 .help("Seeds for each pair of faults"),
+            Arg::new("jobs")
+                .long("jobs")
+                .value_parser(value_parser!(u64))
+                .default_value("1")
+                .help("Runs at the same time"),
             Arg::new("requests")
                 .long("requests")
                 .default_value("240")
@@ -65,6 +71,7 @@
         only: matches.get_one("only").copied(),
     };
     let requests = usize::try_from(number("requests"))?;
+    let jobs = usize::try_from(number("jobs"))?.max(1);
     let path = match matches.get_one::<PathBuf>("resume") {
         Some(path) => path.clone(),
         None => results::fresh_file()?,
@@ -75,6 +82,7 @@
     task::block_on(until_signal(run_all(
         &plan,
         requests,
+        jobs,
         &programs,
         &mut results,
     )))?;
@@ -85,6 +93,7 @@
 async fn run_all(
     plan: &Plan,
     requests: usize,
+    jobs: usize,
     programs: &Path,
     results: &mut Results,
 ) -> anyhow::Result<()> {
@@ -95,9 +104,15 @@
         .collect();
     let style = ProgressStyle::with_template("{bar:40} {pos}/{len} {elapsed} (left {eta}) {msg}")?;
     let bar = ProgressBar::new(runs.len() as u64).with_style(style);
-    for run in runs {
+    let mut ended = stream::iter(runs)
+        .map(|run| async move {
+            let result = run_one(&run, requests, programs).await;
+            (run, result)
+        })
+        .buffer_unordered(jobs);
+    while let Some((run, result)) = ended.next().await {
+        let result = result?;
         bar.set_message(run.to_string());
-        let result = run_one(&run, requests, programs).await?;
         if !result.passed {
             bar.suspend(|| println!("failed: {run}: {}", result.detail));
         }
