fix(entry): a body that nobody reads ends its connection

A POST to an unknown path, or to a path of the instance's own, was answered without reading its body. The HTTP library then read that body to its end, without a limit of size or time, and dropped what it had buffered beyond it: the caller's next request could be lost, as it was with the stand-ins of the platform. Such replies now close the connection, as refused submissions do already.

answer_unread_body_ends_connection failed before ("/nothing waits for the body", with the guard set to 5 s for that run) and passes now.

fix(core): names in the operators' language may be as long as the entry instance accepts for customers, 128 characters instead of 64; a customer with a longer name could not be given a weight.

--- a/crates/sardineshore-core/src/command/value.rs
+++ b/crates/sardineshore-core/src/command/value.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Longest name, in characters.
-pub const MAX_NAME: usize = 64;
+pub const MAX_NAME: usize = 128;
 /// Longest deadline of a pipeline.
 pub const MAX_DEADLINE: Duration = Duration::from_secs(3600);
 /// Hexadecimal digits of a fingerprint.
--- a/crates/sardineshore-core/tests/command_properties.rs
+++ b/crates/sardineshore-core/tests/command_properties.rs
@@ -25,7 +25,7 @@
 }
 
 fn name() -> impl Strategy<Value = Arc<str>> {
-    "[A-Za-z0-9][A-Za-z0-9._-]{0,63}".prop_map(Arc::from)
+    "[A-Za-z0-9][A-Za-z0-9._-]{0,127}".prop_map(Arc::from)
 }
 
 fn deadline() -> impl Strategy<Value = Duration> {
--- a/crates/sardineshore-entry/src/listener.rs
+++ b/crates/sardineshore-entry/src/listener.rs
@@ -97,7 +97,9 @@
     stream: CallerStream,
     mut req: Request,
 ) -> http_types::Result<Response> {
-    let mut res = match target(&req) {
+    let target = target(&req);
+    let reads_body = matches!(target, Target::Submit { .. });
+    let mut res = match target {
         Target::Health => Response::new(StatusCode::Ok),
         Target::Ready if is_ready(&instance) => Response::new(StatusCode::Ok),
         Target::Ready => Response::new(StatusCode::ServiceUnavailable),
@@ -105,12 +107,24 @@
         Target::Submit { pipeline } => submit(&instance, &stream, &mut req, &pipeline).await,
         Target::Unknown => reply::not_run(NotRunReason::BadRequest, "no such path or method", ""),
     };
+    if !reads_body {
+        leave_body(&stream, &req, &mut res);
+    }
     if instance.stop.is_stopping() {
         res.insert_header("connection", "close");
     }
     Ok(res)
 }
 
+/// Ends the connection of a request whose body nobody reads. The HTTP library would read it to its
+/// end, without a limit, and drop what it buffered beyond it, which can be the next request.
+fn leave_body(stream: &CallerStream, req: &Request, res: &mut Response) {
+    if req.len() != Some(0) {
+        stream.reads().cut();
+        res.insert_header("connection", "close");
+    }
+}
+
 /// Whether the balancer may send callers here.
 fn is_ready(instance: &Instance) -> bool {
     instance.stop.is_ready() && instance.gate.may_dispatch()
--- a/crates/sardineshore-entry/tests/caller_input.rs
+++ b/crates/sardineshore-entry/tests/caller_input.rs
@@ -131,25 +131,49 @@
     ]
 }
 
+/// Starts an entry instance before `backend` and returns its address.
+async fn start(backend: &TcpListener) -> (String, task::JoinHandle<()>) {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let addr = socket.local_addr().expect("bound").to_string();
+    let settings = Settings {
+        max_body: 1_000,
+        receive_timeout: Duration::from_secs(60),
+        ..Settings::default()
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let instance = Instance::new(settings, Arc::new(SystemClock), Arc::new(OpenGate), log);
+    let instance = Arc::new(instance);
+    let backend_addr = backend.local_addr().expect("bound").to_string();
+    instance
+        .tables
+        .adopt(Arc::new(deployment(backend_addr)), &BTreeSet::new());
+    (addr, task::spawn(listener::accept(instance, socket)))
+}
+
+#[test]
+fn answer_unread_body_ends_connection() {
+    task::block_on(async {
+        let backend = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let (addr, accepting) = start(&backend).await;
+        for path in ["/nothing", "/healthz"] {
+            let mut stream = TcpStream::connect(&addr).await.expect("connects");
+            let head = format!("POST {path} HTTP/1.1\r\nhost: e\r\ncontent-length: 5\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.expect("writes");
+            let mut reply = String::new();
+            let read = stream.read_to_string(&mut reply);
+            let read = async_std::future::timeout(Duration::from_secs(60), read).await;
+            assert!(read.is_ok(), "{path} waits for the body");
+            assert!(reply.contains("connection: close"), "{path}: {reply}");
+        }
+        accepting.cancel().await;
+    });
+}
+
 #[test]
 fn submit_faulty_input() {
     let text = task::block_on(async {
         let backend = TcpListener::bind("127.0.0.1:0").await.expect("binds");
-        let socket = TcpListener::bind("127.0.0.1:0").await.expect("binds");
-        let addr = socket.local_addr().expect("bound").to_string();
-        let settings = Settings {
-            max_body: 1_000,
-            receive_timeout: Duration::from_secs(60),
-            ..Settings::default()
-        };
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let instance = Instance::new(settings, Arc::new(SystemClock), Arc::new(OpenGate), log);
-        let instance = Arc::new(instance);
-        let backend_addr = backend.local_addr().expect("bound").to_string();
-        instance
-            .tables
-            .adopt(Arc::new(deployment(backend_addr)), &BTreeSet::new());
-        let accepting = task::spawn(listener::accept(instance, socket));
+        let (addr, accepting) = start(&backend).await;
         let mut text = String::new();
         for (name, bytes) in cases() {
             let reply = exchange(&addr, &bytes).await;
