--- a/crates/sardineshore-core/src/claim.rs
+++ b/crates/sardineshore-core/src/claim.rs
@@ -155,7 +155,7 @@
     retry_at: Option<Instant>,
     told: Option<Outcome>,
     answer: Option<Arc<str>>,
-    /// Why the stage runner gave up before the claim was confirmed.
+    /// Why nothing shall run, until the caller can be told so.
     gave_up: Option<NotRunReason>,
     run: Run,
 }
@@ -193,7 +193,7 @@
         match self.cfg.retention.check(self.req.key, wall) {
             Ok(()) => self.write(&mut out),
             Err(reason) => {
-                self.reply(Outcome::NotRun { reason }, None, &mut out);
+                self.reply_not_run(reason, &mut out);
                 self.close(&mut out);
             }
         }
@@ -301,13 +301,28 @@
         out.push(ClaimAction::Done);
     }
 
-    /// Tells the caller that nothing ran, and withdraws the claim where it may stand.
-    fn abandon(&mut self, reason: NotRunReason, now: Instant, out: &mut Vec<ClaimAction>) {
+    fn reply_not_run(&mut self, reason: NotRunReason, out: &mut Vec<ClaimAction>) {
         self.reply(Outcome::NotRun { reason }, None, out);
+    }
+
+    /// Gives up a claim that was never confirmed, and withdraws it where it may stand.
+    fn give_up_claim(&mut self, now: Instant, out: &mut Vec<ClaimAction>) {
+        self.reply_not_run(NotRunReason::StoreUnavailable, out);
         if !self.may_stand && self.call.is_none() {
             self.close(out);
             return;
         }
+        self.begin_release(now, out);
+    }
+
+    /// Withdraws a confirmed claim under which nothing ran. The caller is told after the write,
+    /// because a repeat may have taken the claim over and run.
+    fn abandon(&mut self, reason: NotRunReason, now: Instant, out: &mut Vec<ClaimAction>) {
+        self.gave_up = Some(reason);
+        self.begin_release(now, out);
+    }
+
+    fn begin_release(&mut self, now: Instant, out: &mut Vec<ClaimAction>) {
         self.phase = Phase::Releasing;
         self.begin_background(now);
         self.write(out);
@@ -322,12 +337,15 @@
     fn on_tick(&mut self, now: Instant, out: &mut Vec<ClaimAction>) {
         match self.phase {
             Phase::Claiming if now >= self.give_up_at => {
-                self.abandon(NotRunReason::StoreUnavailable, now, out);
+                self.give_up_claim(now, out);
             }
             Phase::Following(_) if now >= self.req.deadline => self.stop_following(out),
             Phase::Following(_) => self.poll_again(now, out),
             Phase::Held => self.tick_run(now, out),
-            Phase::Releasing | Phase::Recording(_) if now >= self.give_up_at => self.close(out),
+            Phase::Releasing | Phase::Recording(_) if now >= self.give_up_at => {
+                self.reply_not_run(NotRunReason::StoreUnavailable, out);
+                self.close(out);
+            }
             _ => {}
         }
         self.retry_write(now, out);
--- a/crates/sardineshore-core/src/claim/follow.rs
+++ b/crates/sardineshore-core/src/claim/follow.rs
@@ -51,8 +51,7 @@
         out: &mut Vec<ClaimAction>,
     ) {
         if row.fingerprint != self.req.fingerprint {
-            let reason = NotRunReason::KeyReused;
-            self.reply(Outcome::NotRun { reason }, None, out);
+            self.reply_not_run(NotRunReason::KeyReused, out);
             self.close(out);
             return;
         }
@@ -80,7 +79,7 @@
     /// Claims in place of an attempt that provably did not run.
     fn take_over(&mut self, revision: Revision, now: Instant, out: &mut Vec<ClaimAction>) {
         if let Some(reason) = self.gave_up {
-            self.reply(Outcome::NotRun { reason }, None, out);
+            self.reply_not_run(reason, out);
             self.close(out);
             return;
         }
--- a/crates/sardineshore-core/src/claim/table.rs
+++ b/crates/sardineshore-core/src/claim/table.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use super::{ClaimAction, ClaimMachine, ClaimRow, ClaimState, Phase};
-use crate::{Commit, Revision, Row, StoreError, Txn};
+use crate::{Commit, NotRunReason, Revision, Row, StoreError, Txn};
 
 /// Longest doubling of the retry delay.
 const MAX_DOUBLINGS: u8 = 6;
@@ -65,14 +65,17 @@
         if call == TableCall::Claim && result == Err(StoreError::Unconfirmed) {
             self.may_stand = true;
         }
-        if self.phase == Phase::Releasing && result.is_err() && !self.may_stand {
-            self.close(out);
-            return;
+        if self.phase == Phase::Releasing && result.is_err() {
+            self.reply_not_run(NotRunReason::StoreUnavailable, out);
+            if !self.may_stand {
+                self.close(out);
+                return;
+            }
         }
         match (call, result) {
             (_, Err(_)) => self.schedule_retry(now, out),
             (TableCall::Claim, Ok(commit)) => self.claim_answered(commit, now, out),
-            (TableCall::Release, Ok(commit)) => self.release_answered(commit, out),
+            (TableCall::Release, Ok(commit)) => self.release_answered(commit, now, out),
             (TableCall::Record, Ok(commit)) => self.record_answered(commit, out),
             (TableCall::Read, Ok(_)) => {}
         }
@@ -87,7 +90,7 @@
             }
             Found::Own(row, revision) | Found::Other(row, revision) => {
                 self.may_stand = false;
-                if self.phase == Phase::Claiming {
+                if self.told.is_none() {
                     self.follow(row, revision, now, out);
                 } else {
                     self.close(out);
@@ -113,14 +116,23 @@
         }
     }
 
-    fn release_answered(&mut self, commit: Commit, out: &mut Vec<ClaimAction>) {
+    fn release_answered(&mut self, commit: Commit, now: Instant, out: &mut Vec<ClaimAction>) {
         let applied = matches!(commit, Commit::Applied { .. });
         match self.found(commit) {
             Found::Own(row, revision) if !applied && row.state == ClaimState::Claimed => {
                 self.base = revision;
                 self.write(out);
             }
-            _ => self.close(out),
+            Found::Other(row, revision) if self.told.is_none() => {
+                self.may_stand = false;
+                self.follow(row, revision, now, out);
+            }
+            _ => {
+                if let Some(reason) = self.gave_up {
+                    self.reply_not_run(reason, out);
+                }
+                self.close(out);
+            }
         }
     }
 
--- a/crates/sardineshore-core/tests/claim_session.rs
+++ b/crates/sardineshore-core/tests/claim_session.rs
@@ -189,9 +189,9 @@
             00000 e1: applied at 1
             00000 e1:   -> Held
             07000 e1: DispatchWanted { stage: 2, server: "orders-1", incarnation: 5, may_dispatch: true }
-            07000 e1:   -> reply NotRun { reason: DeadlineUnreachable }
             07000 e1:   -> write released over revision 1
             07000 e1: applied at 2
+            07000 e1:   -> reply NotRun { reason: DeadlineUnreachable }
             07000 e1:   -> Done
         "#]],
     );
