--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod admission;
 pub mod api;
+pub mod assembly;
+pub mod config;
 pub mod conn;
 pub mod dispatch;
 pub mod instance;
@@ -13,6 +15,9 @@
 pub mod journal;
 pub mod listener;
 pub mod metrics;
+pub mod operator;
+pub mod peers;
+pub mod queries;
 pub mod reply;
 pub mod runner;
 pub mod settings;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,17 +1,24 @@
-//! Chores of sardineshore: `cargo xtask ci`, `cargo xtask demo`, `cargo xtask bench`.
+//! Chores of sardineshore: `cargo xtask ci`, `demo`, `faults` and `bench`.
 
-mod ci;
+use std::process::ExitCode;
 
 use clap::Command;
+use xtask::{bench, ci, demo, faults};
 
-fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<ExitCode> {
     let matches = Command::new("xtask")
         .about("Chores of sardineshore")
         .subcommand_required(true)
         .subcommand(Command::new("ci").about("Runs formatter, linter, tests and documentation"))
+        .subcommand(demo::command())
+        .subcommand(faults::command())
+        .subcommand(bench::command())
         .get_matches();
-    match matches.subcommand_name() {
-        Some("ci") => ci::run(),
+    match matches.subcommand() {
+        Some(("ci", _)) => ci::run().map(|()| ExitCode::SUCCESS),
+        Some(("demo", matches)) => demo::run(matches),
+        Some(("faults", matches)) => faults::run(matches),
+        Some(("bench", matches)) => bench::run(matches).map(|()| ExitCode::SUCCESS),
         _ => unreachable!("clap requires a known subcommand"),
     }
 }
