feat(entry): non-idempotent requests run under a claim; crashing requests are quarantined

The entry instance sent non-idempotent calls without a claim, so a repeat ran again.

The claim is written beside the first idempotent stages; the first non-idempotent call waits for it and is allowed by the machine at the last moment, over a connection whose process was asked for its incarnation. A lost call is resolved by the backend server where it answers status. Repeats join the run through the peers' new claims method. A driver task goes on after the caller is told, until the row holds the outcome, and counts as in flight, so that a stop flushes it.

Crashes are attributed by looking after a server whose connection broke; evidence travels with peer exchanges, and operators can list and lift quarantines.

In the test of a cut-short answer the key was years old; such a key is refused now, so the test makes a fresh one. Wire: Client::exchange_on keeps the connection; peer claims method.

--- a/crates/sardineshore-core/src/event/claim.rs
+++ b/crates/sardineshore-core/src/event/claim.rs
@@ -2,5 +2,55 @@
 
 use super::EventKind;
 
+/// A claim was confirmed.
+pub const CLAIMED: EventKind = EventKind {
+    number: 2000,
+    name: "claimed",
+    meaning: "The claim of a non-idempotent request is confirmed; its calls may be sent.",
+    action: "None.",
+};
+/// Another attempt holds the key.
+pub const CLAIM_FOLLOWED: EventKind = EventKind {
+    number: 2001,
+    name: "claim-followed",
+    meaning: "The key is claimed by another attempt; its instance or the backend servers are asked.",
+    action: "None.",
+};
+/// A store call of a claim failed.
+pub const CLAIM_STORE_FAILED: EventKind = EventKind {
+    number: 2002,
+    name: "claim-store-failed",
+    meaning: "A store call of a claim gave no usable answer and is repeated.",
+    action: "If these last, look after the platform's table service.",
+};
+/// A claim ended.
+pub const CLAIM_TOLD: EventKind = EventKind {
+    number: 2003,
+    name: "claim-told",
+    meaning: "The outcome of a non-idempotent request is decided; the text names it.",
+    action: "None.",
+};
+/// A lost call was resolved by its backend server.
+pub const CLAIM_RESOLVED: EventKind = EventKind {
+    number: 2004,
+    name: "claim-resolved",
+    meaning: "A backend server told what became of a call whose connection was lost.",
+    action: "None.",
+};
+/// A crash was attributed.
+pub const STRIKE: EventKind = EventKind {
+    number: 2100,
+    name: "strike",
+    meaning: "A backend server crashed while it ran the request with the named fingerprint.",
+    action: "If one fingerprint appears on several servers, find its caller.",
+};
+
 /// All events of this module.
-pub const ALL: &[EventKind] = &[];
+pub const ALL: &[EventKind] = &[
+    CLAIMED,
+    CLAIM_FOLLOWED,
+    CLAIM_STORE_FAILED,
+    CLAIM_TOLD,
+    CLAIM_RESOLVED,
+    STRIKE,
+];
--- a/crates/sardineshore-core/src/quarantine.rs
+++ b/crates/sardineshore-core/src/quarantine.rs
@@ -186,6 +186,21 @@
         self.add_strikes(blamed)
     }
 
+    /// Lifts the quarantine of a fingerprint; returns whether it was under quarantine.
+    pub fn lift(&mut self, fingerprint: &str, now_ms: u64) -> bool {
+        let quarantined = !matches!(
+            self.standing(fingerprint, now_ms),
+            Standing::Clear | Standing::Suspect
+        );
+        if quarantined {
+            self.strikes.add(Evidence::Cleared {
+                fingerprint: fingerprint.into(),
+                at_ms: now_ms,
+            });
+        }
+        quarantined
+    }
+
     /// Takes evidence from a peer or from the table.
     pub fn merge(&mut self, delta: &QuarantineDelta, now_ms: u64) {
         let oldest_ms = now_ms.saturating_sub(millis(self.cfg.strike_age));
--- a/crates/sardineshore-entry/src/assembly.rs
+++ b/crates/sardineshore-entry/src/assembly.rs
@@ -5,17 +5,22 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use sardineshore_core::clock::unix_ms;
+use sardineshore_core::quarantine::Evidence;
 use sardineshore_core::{Answer, Clock, CommandId, Deployment, EngineAction, Query, ServerId};
 use sardineshore_wire::operator::OrderOutcome;
+use sardineshore_wire::peer::ClaimsServer;
 use sardineshore_wire::platform::HttpPlatform;
 use slog::Logger;
 
+use crate::claims::ClaimPorts;
+use crate::claims::peers::{Addresses, ClaimsApi, RpcClaims};
 use crate::config::tasks::{self, ConfigTasks};
-use crate::config::{Adopted, ConfigService, ConfigSettings, NoEvidence, Ports};
+use crate::config::{Adopted, ConfigService, ConfigSettings, EvidenceExchange, Ports};
 use crate::instance::Instance;
 use crate::operator::{OperatorApi, Orders, Queries, Releases};
 use crate::peers::link::RpcLink;
-use crate::peers::serve::{Serving, serve};
+use crate::peers::serve::{Serving, serve_with};
 use crate::queries;
 use crate::settings::Settings;
 
@@ -42,6 +47,33 @@
     }
 }
 
+impl EvidenceExchange for CallersSide {
+    fn recent(&self) -> Vec<Evidence> {
+        let Some(instance) = self.instance() else {
+            return Vec::new();
+        };
+        let now_ms = unix_ms(instance.clock.wall());
+        instance.quarantine.recent(now_ms)
+    }
+
+    fn merge(&self, evidence: Vec<Evidence>) {
+        if let Some(instance) = self.instance() {
+            let now_ms = unix_ms(instance.clock.wall());
+            instance.quarantine.merge(evidence, now_ms);
+        }
+    }
+}
+
+impl Addresses for ConfigService {
+    fn peer_addr(&self, instance: &str) -> Option<Arc<str>> {
+        let state = self.state();
+        state
+            .membership
+            .member(instance)
+            .map(|member| member.addr.clone())
+    }
+}
+
 impl Queries for CallersSide {
     fn answer(&self, query: &Query) -> Option<Answer> {
         let instance = self.instance()?;
@@ -65,8 +97,12 @@
 
 #[async_trait]
 impl Releases for CallersSide {
-    async fn release(&self, _fingerprint: Arc<str>) -> bool {
-        false
+    async fn release(&self, fingerprint: Arc<str>) -> bool {
+        let Some(instance) = self.instance() else {
+            return false;
+        };
+        let now_ms = unix_ms(instance.clock.wall());
+        instance.quarantine.lift(&fingerprint, now_ms)
     }
 }
 
@@ -98,10 +134,10 @@
             clock: clock.clone(),
             table: platform.clone(),
             objects: platform.clone(),
-            list: platform,
+            list: platform.clone(),
             peers: Arc::new(RpcLink::new(PEER_TIMEOUT)),
             adopted: callers.clone(),
-            evidence: Arc::new(NoEvidence),
+            evidence: callers.clone(),
             log: log.clone(),
         };
         let config = ConfigSettings {
@@ -111,6 +147,10 @@
         let config = Arc::new(ConfigService::new(config, ports));
         let instance = Arc::new(Instance::new(settings, clock, config.clone(), log));
         let _ = callers.instance.set(Arc::downgrade(&instance));
+        instance.claims.connect(ClaimPorts {
+            table: platform,
+            peers: Arc::new(RpcClaims::new(config.clone())),
+        });
         Self {
             instance,
             config,
@@ -127,7 +167,8 @@
             callers.clone(),
             callers,
         );
-        let serving = serve(&self.instance.settings.peer_listen, api).await?;
+        let claims = ClaimsApi::new(self.instance.clone()).into_rpc();
+        let serving = serve_with(&self.instance.settings.peer_listen, api, claims).await?;
         let tasks = tasks::start(&self.config);
         Ok(Running { serving, tasks })
     }
--- /dev/null
+++ b/crates/sardineshore-entry/src/claims/incarnations.rs
@@ -0,0 +1,74 @@
+//! Incarnations of backend servers as this instance last heard them.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use futures::future::join_all;
+use http_types::{Method, Request, Url};
+use sardineshore_core::ServerId;
+use sardineshore_wire::backend::LoadReport;
+use sardineshore_wire::http::Conn;
+
+use crate::instance::Instance;
+
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Last incarnation heard of each backend server.
+#[derive(Debug, Default)]
+pub struct Incarnations {
+    known: Mutex<HashMap<ServerId, u64>>,
+}
+
+impl Incarnations {
+    /// Last incarnation heard; 0 if none was.
+    #[must_use]
+    pub fn of(&self, server: &ServerId) -> u64 {
+        self.known().get(server).copied().unwrap_or(0)
+    }
+
+    /// Notes an incarnation; 0 means that it is unknown and changes nothing.
+    pub fn note(&self, server: &ServerId, incarnation: u64) {
+        if incarnation != 0 {
+            self.known().insert(server.clone(), incarnation);
+        }
+    }
+
+    fn known(&self) -> MutexGuard<'_, HashMap<ServerId, u64>> {
+        self.known.lock().expect("incarnations lock poisoned")
+    }
+}
+
+/// Asks the process at the other end of a connection for its incarnation; 0 if it does not tell.
+pub async fn probe(instance: &Instance, conn: &Conn, addr: &str) -> u64 {
+    let Ok(url) = Url::parse(&format!("http://{addr}/v1/load")) else {
+        return 0;
+    };
+    let req = Request::new(Method::Get, url);
+    let reply = instance.client.exchange_on(conn, req, PROBE_TIMEOUT).await;
+    let body = reply.map(|reply| reply.body).unwrap_or_default();
+    serde_json::from_slice::<LoadReport>(&body).map_or(0, |report| report.incarnation)
+}
+
+/// Learns the incarnations of servers that answer status and were not heard yet.
+pub async fn learn(instance: &Arc<Instance>, pool: &str) {
+    let deployment = instance.tables.deployment();
+    let of_pool = deployment.servers.values();
+    let unknown = of_pool.filter(|server| {
+        server.pool.as_ref() == pool
+            && server.answers_status
+            && instance.incarnations.of(&server.name) == 0
+    });
+    let probes = unknown.map(|server| async move {
+        let checkout = instance.client.checkout(
+            &server.addr,
+            sardineshore_wire::http::Reuse::Idle,
+            PROBE_TIMEOUT,
+        );
+        if let Ok(conn) = checkout.await {
+            let incarnation = probe(instance, &conn, &server.addr).await;
+            instance.incarnations.note(&server.name, incarnation);
+        }
+    });
+    join_all(probes).await;
+}
--- a/crates/sardineshore-entry/src/dispatch.rs
+++ b/crates/sardineshore-entry/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 use http_types::{Method, Request, Url};
 use sardineshore_core::event::entry as events;
+use sardineshore_core::quarantine::CallEnd;
 use sardineshore_core::{
     AttemptId, AttemptResult, Choice, Feedback, LoadFigures, ServerId, Stage, UnknownReason,
 };
@@ -12,6 +13,8 @@
 use sardineshore_wire::headers;
 use sardineshore_wire::http::{ClientError, Conn, Reply, Reuse};
 
+use crate::claims::Claim;
+use crate::claims::incarnations::probe;
 use crate::instance::Instance;
 use crate::job::Job;
 use crate::totals::AttemptCost;
@@ -30,6 +33,8 @@
     pub input: Arc<[u8]>,
     /// Whether an earlier attempt of this stage was sent.
     pub extra: bool,
+    /// Claim and index of a non-idempotent stage.
+    pub claimed: Option<(&'a Claim, u32)>,
 }
 
 /// How an attempt ended.
@@ -102,6 +107,7 @@
     call: &'a Call<'a>,
     choice: &'a Choice,
     id: AttemptId,
+    run_id: Option<Arc<str>>,
     sent: Instant,
     service: Duration,
     cached_tokens: u32,
@@ -131,8 +137,22 @@
             return Err(err.into());
         }
     };
+    let incarnation = match call.claimed {
+        Some(_) => probe(instance, &conn, &choice.addr).await,
+        None => 0,
+    };
+    instance.incarnations.note(&choice.server, incarnation);
     last_check(instance, call, &choice.server)?;
-    Ok((Attempt::new(instance, call, choice), conn))
+    instance
+        .quarantine
+        .begin(instance, call.job, &choice.server)?;
+    let run_id = claimed_run(call, &choice.server, incarnation).inspect_err(|_| {
+        let end = CallEnd::Abandoned;
+        instance
+            .quarantine
+            .end(instance, call.job, &choice.server, end);
+    })?;
+    Ok((Attempt::new(instance, call, choice, run_id), conn))
 }
 
 /// Sends one attempt and waits for its whole answer.
@@ -169,6 +189,23 @@
     Ok(())
 }
 
+/// Run identifier of a non-idempotent call, if its claim allows it at this moment.
+fn claimed_run(
+    call: &Call<'_>,
+    server: &ServerId,
+    incarnation: u64,
+) -> Result<Option<Arc<str>>, Attempted> {
+    let Some((claim, stage)) = call.claimed else {
+        return Ok(None);
+    };
+    match claim.dispatch(stage, server, incarnation) {
+        Some(run_id) => Ok(Some(run_id)),
+        None => Err(Attempted::NotRun {
+            detail: "the claim does not allow the call".into(),
+        }),
+    }
+}
+
 /// Tells the router of a connection that could not be made.
 fn note_refused(instance: &Instance, server: &ServerId) {
     let now = instance.clock.now();
@@ -176,13 +213,19 @@
         result: AttemptResult::Refused,
         ..Feedback::default()
     };
+    instance.quarantine.refused(instance, server);
     let mut router = instance.tables.router();
     router.started(server, now);
     router.finished(server, &feedback, now);
 }
 
 impl<'a> Attempt<'a> {
-    fn new(instance: &'a Arc<Instance>, call: &'a Call<'a>, choice: &'a Choice) -> Self {
+    fn new(
+        instance: &'a Arc<Instance>,
+        call: &'a Call<'a>,
+        choice: &'a Choice,
+        run_id: Option<Arc<str>>,
+    ) -> Self {
         let sent = instance.clock.now();
         instance.tables.router().started(&choice.server, sent);
         let id = instance.new_attempt();
@@ -195,6 +238,7 @@
             call,
             choice,
             id,
+            run_id,
             sent,
             service: Duration::ZERO,
             cached_tokens: 0,
@@ -213,8 +257,8 @@
         req.insert_header(headers::STAGE, &*self.call.stage.name);
         req.insert_header(headers::ATTEMPT, &*self.id);
         req.insert_header(headers::DEADLINE_MS, remaining.as_millis().to_string());
-        if !self.call.stage.idempotent {
-            req.insert_header(headers::RUN_ID, run_id(job, self.call.stage));
+        if let Some(run_id) = &self.run_id {
+            req.insert_header(headers::RUN_ID, &**run_id);
         }
         if streamed {
             req.insert_header("accept", "text/event-stream");
@@ -275,6 +319,12 @@
         self.service = Duration::from_micros(report.service_us);
         self.cached_tokens = report.cached_tokens;
         let now = self.instance.clock.now();
+        self.instance
+            .incarnations
+            .note(&self.choice.server, report.incarnation);
+        self.instance
+            .quarantine
+            .seen(self.instance, &self.choice.server, report.incarnation);
         self.instance
             .tables
             .router()
@@ -302,6 +352,9 @@
             choice,
             ..
         } = self;
+        instance
+            .quarantine
+            .ended(instance, call.job, choice, result);
         let now = instance.clock.now();
         let latency = now.duration_since(self.sent);
         let service = if self.service.is_zero() {
@@ -382,10 +435,3 @@
         incarnation: report.incarnation,
     }
 }
-
-/// Identifier under which a non-idempotent stage of a request may run once.
-#[must_use]
-pub fn run_id(job: &Job, stage: &Stage) -> String {
-    let key = job.key.as_deref().unwrap_or_default();
-    format!("{}.{key}.{}", job.customer, stage.name)
-}
--- a/crates/sardineshore-entry/src/instance.rs
+++ b/crates/sardineshore-entry/src/instance.rs
@@ -11,8 +11,10 @@
 use sardineshore_wire::http::Client;
 use slog::Logger;
 
+use crate::claims::{Claims, Incarnations};
 use crate::journal::Journal;
 use crate::metrics::Metrics;
+use crate::quarantine::QuarantineTable;
 use crate::settings::Settings;
 use crate::stop::Stop;
 use crate::tables::Tables;
@@ -50,6 +52,12 @@
     pub gate: Arc<dyn Gate>,
     /// Shared tables.
     pub tables: Tables,
+    /// Claims of non-idempotent requests.
+    pub claims: Claims,
+    /// Incarnations of backend servers.
+    pub incarnations: Incarnations,
+    /// Requests that crash backend servers.
+    pub quarantine: QuarantineTable,
     /// State of a graceful stop.
     pub stop: Stop,
     /// Start of the process, in milliseconds since the Unix epoch.
@@ -79,6 +87,9 @@
             metrics: Metrics::default(),
             client: Client::default(),
             tables: Tables::new(Router::new(routing), admission, RetryConfig::default()),
+            claims: Claims::new(settings.key_retention),
+            incarnations: Incarnations::default(),
+            quarantine: QuarantineTable::default(),
             stop: Stop::default(),
             started_ms: unix_ms(clock.wall()),
             next_id: AtomicU64::new(1),
--- a/crates/sardineshore-entry/src/job.rs
+++ b/crates/sardineshore-entry/src/job.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use sardineshore_core::{CustomerId, NotRunReason, Pipeline, RequestId, UnknownReason};
+use sardineshore_core::claim::IdempotencyKey;
+use sardineshore_core::{
+    CustomerId, Fingerprint, NotRunReason, Pipeline, RequestId, UnknownReason,
+};
 
 /// One admitted request.
 #[derive(Debug, Clone)]
@@ -14,10 +17,12 @@
     pub customer: CustomerId,
     /// Pipeline as declared when the request was admitted.
     pub pipeline: Arc<Pipeline>,
-    /// `Idempotency-Key`, checked for non-idempotent pipelines.
-    pub key: Option<Arc<str>>,
+    /// `Idempotency-Key` of a non-idempotent request.
+    pub key: Option<IdempotencyKey>,
     /// Whether the answer shall be streamed.
     pub streamed: bool,
+    /// Fingerprint of pipeline and body.
+    pub fingerprint: Fingerprint,
     /// JSON document of the caller.
     pub body: Arc<[u8]>,
     /// Hash of the beginning of the prompt.
--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod api;
 pub mod assembly;
+pub mod claims;
 pub mod config;
 pub mod conn;
 pub mod dispatch;
@@ -17,6 +18,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod peers;
+pub mod quarantine;
 pub mod queries;
 pub mod reply;
 pub mod runner;
--- a/crates/sardineshore-entry/src/listener.rs
+++ b/crates/sardineshore-entry/src/listener.rs
@@ -10,6 +10,7 @@
 use futures::{AsyncWriteExt, FutureExt};
 use http_types::{Request, Response, StatusCode};
 use sardineshore_core::NotRunReason;
+use sardineshore_core::claim::{IdempotencyKey, fingerprint};
 use sardineshore_core::event::entry as events;
 
 use crate::api::{Arrival, Refused, Target, effective_deadline, receive, target};
@@ -102,7 +103,10 @@
         Target::Ready if is_ready(&instance) => Response::new(StatusCode::Ok),
         Target::Ready => Response::new(StatusCode::ServiceUnavailable),
         Target::Metrics => metrics(&instance),
-        Target::Submit { pipeline } => submit(&instance, &stream, &mut req, &pipeline).await,
+        // On the heap, so that idle connections stay small.
+        Target::Submit { pipeline } => {
+            Box::pin(submit(&instance, &stream, &mut req, &pipeline)).await
+        }
         Target::Unknown => reply::not_run(NotRunReason::BadRequest, "no such path or method", ""),
     };
     if instance.stop.is_stopping() {
@@ -160,15 +164,17 @@
         let detail = format!("pipeline {pipeline:?} is not declared");
         return Err(Refused::new(NotRunReason::UnknownPipeline, detail));
     };
-    if !pipeline.idempotent() && arrival.key.is_none() {
-        let detail = "a non-idempotent pipeline needs the header idempotency-key";
-        return Err(Refused::new(NotRunReason::KeyMissing, detail));
-    }
+    let key = if pipeline.idempotent() {
+        None
+    } else {
+        Some(checked_key(instance, arrival.key.as_deref())?)
+    };
     let job = Job {
         request: instance.new_request(),
         customer: arrival.customer.clone(),
         pipeline: Arc::new(pipeline.clone()),
-        key: arrival.key.clone(),
+        key,
+        fingerprint: fingerprint(&pipeline.name, &arrival.body),
         streamed: arrival.streamed,
         body: arrival.body.clone(),
         prefix: arrival.prefix,
@@ -182,6 +188,20 @@
     Ok(job)
 }
 
+/// Reads the key of a non-idempotent request and checks its age.
+fn checked_key(instance: &Instance, text: Option<&str>) -> Result<IdempotencyKey, Refused> {
+    let Some(text) = text else {
+        let detail = "a non-idempotent pipeline needs the header idempotency-key";
+        return Err(Refused::new(NotRunReason::KeyMissing, detail));
+    };
+    let key = IdempotencyKey::parse(text)
+        .map_err(|reason| Refused::new(reason, "the key is not a version 7 UUID"))?;
+    let retention = instance.claims.retention();
+    let aged = retention.check(key, instance.clock.wall());
+    aged.map_err(|reason| Refused::new(reason, "the key's own time is outside the window"))?;
+    Ok(key)
+}
+
 /// Runs a request; if its caller goes away, idempotent work is cancelled.
 async fn run_whole(instance: &Arc<Instance>, stream: &CallerStream, job: Job) -> Response {
     let repeatable = job.pipeline.idempotent();
--- a/crates/sardineshore-entry/src/peers/serve.rs
+++ b/crates/sardineshore-entry/src/peers/serve.rs
@@ -5,9 +5,9 @@
 
 use anyhow::Context;
 use async_trait::async_trait;
-use jsonrpsee::RpcModule;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::{Methods, RpcModule};
 use sardineshore_core::{InstanceId, Version};
 use sardineshore_wire::operator::OperatorServer;
 use sardineshore_wire::peer::{Exchange, LogReply, PeerServer};
@@ -55,6 +55,15 @@
 
 /// Listens on `addr` (`IP:PORT`).
 pub async fn serve(addr: &str, operator: OperatorApi) -> anyhow::Result<Serving> {
+    serve_with(addr, operator, RpcModule::new(())).await
+}
+
+/// Listens on `addr` (`IP:PORT`) with further methods.
+pub async fn serve_with(
+    addr: &str,
+    operator: OperatorApi,
+    further: impl Into<Methods>,
+) -> anyhow::Result<Serving> {
     let peer = PeerApi {
         service: operator.service().clone(),
     };
@@ -70,6 +79,7 @@
         .with_context(|| format!("listen {addr}"))?;
     let local = server.local_addr().context("local address")?;
     let mut methods = RpcModule::new(());
+    methods.merge(further).context("further methods")?;
     methods.merge(peer.into_rpc()).context("peer methods")?;
     methods
         .merge(operator.into_rpc())
--- a/crates/sardineshore-entry/src/queries.rs
+++ b/crates/sardineshore-entry/src/queries.rs
@@ -1,5 +1,6 @@
 //! Answers to operators' queries about requests, backend servers and costs; none changes anything.
 
+use sardineshore_core::clock::unix_ms;
 use sardineshore_core::{Answer, Query};
 
 use crate::instance::Instance;
@@ -25,6 +26,10 @@
         }
         Query::Cost { by } => Some(Answer::Cost(tables.totals().costs(*by))),
         Query::Explain { request } => Some(Answer::Explain(instance.journal.explain(request))),
-        Query::Instances | Query::Versions | Query::Quarantine => None,
+        Query::Quarantine => {
+            let now_ms = unix_ms(instance.clock.wall());
+            Some(Answer::Quarantine(instance.quarantine.rows(now_ms)))
+        }
+        Query::Instances | Query::Versions => None,
     }
 }
--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::{Either, select};
+use sardineshore_core::claim::IdempotencyKey;
 use sardineshore_core::{
     Ask, AttemptResult, Choice, EndedAttempt, NoChoice, NotRunReason, RetryDecision, ServerId,
     Stage, StageKind, UnknownReason,
 };
 
+use crate::claims::incarnations::learn;
+use crate::claims::{Claim, Claims};
 use crate::dispatch::{Attempted, Call, dispatch};
 use crate::instance::Instance;
 use crate::job::{Finished, Job};
@@ -17,15 +21,56 @@
 
 /// Runs a request to its end; tokens of a streamed answer go to `sink`.
 pub async fn run(instance: &Arc<Instance>, job: &Job, sink: Option<Sink>) -> Finished {
+    match job.key {
+        Some(key) => Box::pin(run_claimed(instance, job, sink, key)).await,
+        None => run_stages(instance, job, sink, None).await,
+    }
+}
+
+/// Runs a non-idempotent request; its claim decides what the caller is told.
+async fn run_claimed(
+    instance: &Arc<Instance>,
+    job: &Job,
+    sink: Option<Sink>,
+    key: IdempotencyKey,
+) -> Finished {
+    learn_incarnations(instance, job).await;
+    let claim = Claims::begin(instance, job, key);
+    let finished = {
+        let stages = Box::pin(run_stages(instance, job, sink, Some(&claim)));
+        let told = Box::pin(claim.told());
+        match select(stages, told).await {
+            Either::Left((finished, _)) | Either::Right((finished, _)) => finished,
+        }
+    };
+    claim.ended(&finished);
+    claim.told().await
+}
+
+/// Learns which incarnations the claim may name.
+async fn learn_incarnations(instance: &Arc<Instance>, job: &Job) {
+    let first = job.pipeline.stages.iter().find(|stage| !stage.idempotent);
+    if let Some(stage) = first {
+        learn(instance, &stage.pool).await;
+    }
+}
+
+async fn run_stages(
+    instance: &Arc<Instance>,
+    job: &Job,
+    sink: Option<Sink>,
+    claim: Option<&Claim>,
+) -> Finished {
     let mut run = Run {
         instance,
         job,
+        claim,
         sink,
         document: job.body.clone(),
         not_run_denied: false,
     };
-    for stage in &job.pipeline.stages {
-        match run.stage(stage).await {
+    for (at, stage) in (0_u32..).zip(&job.pipeline.stages) {
+        match run.stage(at, stage).await {
             Ok(output) => run.document = output,
             Err(failure) => return run.failed(failure),
         }
@@ -37,6 +82,8 @@
 struct Run<'a> {
     instance: &'a Arc<Instance>,
     job: &'a Job,
+    /// Claim of a non-idempotent request.
+    claim: Option<&'a Claim>,
     sink: Option<Sink>,
     document: Arc<[u8]>,
     /// Whether "not run" would be false, because something of the request may have run.
@@ -59,7 +106,12 @@
 }
 
 impl Run<'_> {
-    async fn stage(&mut self, stage: &Stage) -> Result<Arc<[u8]>, Failure> {
+    async fn stage(&mut self, at: u32, stage: &Stage) -> Result<Arc<[u8]>, Failure> {
+        if let Some(claim) = self.claim.filter(|_| !stage.idempotent)
+            && !claim.held().await
+        {
+            return Err(Failure::no_server());
+        }
         let mut tried = Tried::default();
         self.instance.tables.retries().sent(&stage.pool);
         loop {
@@ -68,7 +120,8 @@
                 Err(failure) => return Err(tried.last.take().map_or(failure, Failure::from)),
             };
             tried.servers.push(choice.server.clone());
-            let attempted = self.attempt(stage, &choice, tried.servers.len() > 1).await;
+            let extra = tried.servers.len() > 1;
+            let attempted = self.attempt(at, stage, &choice, extra).await;
             self.note(stage, &attempted);
             if let Attempted::Answered(output) = attempted {
                 return Ok(output);
@@ -87,6 +140,9 @@
     /// Chooses a backend server, waiting while all are at their limit.
     async fn choose(&self, stage: &Stage, tried: &Tried) -> Result<Choice, Failure> {
         loop {
+            if self.instance.quarantine.refuses(self.instance, self.job) {
+                return Err(Failure::quarantined());
+            }
             let now = self.instance.clock.now();
             let ask = Ask {
                 pool: &stage.pool,
@@ -115,18 +171,24 @@
         }
     }
 
-    async fn attempt(&mut self, stage: &Stage, choice: &Choice, extra: bool) -> Attempted {
+    async fn attempt(&mut self, at: u32, stage: &Stage, choice: &Choice, extra: bool) -> Attempted {
+        let claim = self.claim.filter(|_| !stage.idempotent);
         let input = self.document.clone();
         let call = Call {
             job: self.job,
             stage,
             input,
             extra,
+            claimed: claim.map(|claim| (claim, at)),
         };
         let streams = stage.kind == StageKind::Generate && self.is_last(stage);
-        match &mut self.sink {
+        let attempted = match &mut self.sink {
             Some(sink) if streams => dispatch_streamed(self.instance, &call, choice, sink).await,
             _ => dispatch(self.instance, &call, choice).await,
+        };
+        match claim {
+            Some(claim) => claim.settle(attempted).await,
+            None => attempted,
         }
     }
 
@@ -189,6 +251,13 @@
         )
     }
 
+    fn quarantined() -> Self {
+        Self::NotRun(
+            NotRunReason::Quarantined,
+            "the request crashed backend servers".into(),
+        )
+    }
+
     fn too_late() -> Self {
         Self::NotRun(
             NotRunReason::DeadlineUnreachable,
--- a/crates/sardineshore-entry/tests/answers.rs
+++ b/crates/sardineshore-entry/tests/answers.rs
@@ -1,5 +1,7 @@
 //! A caller receives the whole answer to its own request, whatever backend servers answer.
 
+#[path = "answers/claims.rs"]
+mod claims;
 #[path = "support/site.rs"]
 mod support;
 
@@ -15,8 +17,6 @@
 
 use support::{Site, tag};
 
-const KEY: &str = "01940000-0000-7000-8000-000000000001";
-
 fn sound() -> ServerFaults {
     ServerFaults::default()
 }
@@ -75,7 +75,7 @@
             ..Stage::default()
         };
         let site = Site::start("once", stage, vec![faults.clone(), faults]).await;
-        let reply = site.submit("t", Some(KEY)).await;
+        let reply = site.submit("t", Some(&claims::fresh_key())).await;
         assert_eq!(reply.header(headers::OUTCOME), "unknown");
         let begun: usize = site.backends.iter().map(support::Backend::begun).sum();
         assert_eq!(begun, 1);
--- a/crates/sardineshore-entry/tests/support/site.rs
+++ b/crates/sardineshore-entry/tests/support/site.rs
@@ -1,14 +1,21 @@
 //! An entry instance and stand-ins of backend servers within one test process.
 
+#[path = "table.rs"]
+pub mod table;
+
 use std::collections::BTreeSet;
 use std::path::PathBuf;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
+use async_trait::async_trait;
 use http_types::{Method, Request, Url};
+use sardineshore_core::claim::PeerReply;
+use sardineshore_core::{AttemptId, InstanceId};
 use sardineshore_core::{BackendServer, Change, Deployment, Pipeline, Stage, SystemClock};
+use sardineshore_entry::claims::{ClaimPeers, ClaimPorts};
 use sardineshore_entry::{Gate, Instance, OpenGate, Settings, listener};
 use sardineshore_fakes::serve::serve;
 use sardineshore_fakes::server::faults::ServerFaults;
@@ -17,6 +24,10 @@
 use sardineshore_wire::headers;
 use sardineshore_wire::http::{Client, Reply};
 use sardineshore_wire::witness::ExecutionEvent;
+use table::FakeTable;
+
+/// Name of a stage whose backend servers answer what became of a run.
+pub const ANSWERS_STATUS: &str = "answers-status";
 
 /// Long enough that no test depends on it.
 pub const PATIENCE: Duration = Duration::from_secs(60);
@@ -42,6 +53,23 @@
     }
 }
 
+/// Instances that reach one another within the test process.
+#[derive(Debug, Default)]
+pub struct Neighbours {
+    instances: Mutex<Vec<Arc<Instance>>>,
+}
+
+#[async_trait]
+impl ClaimPeers for Neighbours {
+    async fn ask(&self, instance: &InstanceId, attempt: &AttemptId) -> PeerReply {
+        let instances = self.instances.lock().unwrap();
+        let asked = instances.iter().find(|i| i.settings.name == *instance);
+        asked.map_or(PeerReply::Unreachable, |asked| {
+            asked.claims.peer_reply(attempt)
+        })
+    }
+}
+
 /// One entry instance that listens, and its backend servers.
 pub struct Site {
     /// The instance.
@@ -50,6 +78,9 @@
     pub backends: Vec<Backend>,
     /// The deployment in force.
     pub deployment: Deployment,
+    /// The platform's table.
+    pub table: Arc<FakeTable>,
+    peers: Arc<Neighbours>,
     addr: String,
     client: Client,
     accepting: JoinHandle<()>,
@@ -75,7 +106,7 @@
             stages: vec![Stage {
                 name: "step".into(),
                 pool: "pool".into(),
-                ..stage
+                ..stage.clone()
             }],
             deadline: PATIENCE,
         };
@@ -84,12 +115,40 @@
             .expect("the change fits");
         let mut backends = Vec::new();
         for (n, faults) in faults.into_iter().enumerate() {
-            let (backend, server) = start_backend(&format!("{name}-s{n}"), faults).await;
+            let answers = stage.name.as_ref() == ANSWERS_STATUS;
+            let (backend, server) = start_backend(&format!("{name}-s{n}"), faults, answers).await;
             deployment
                 .apply(&Change::AddServer { server })
                 .expect("the change fits");
             backends.push(backend);
         }
+        let (table, peers) = Default::default();
+        Self::join(gate, name, deployment, backends, table, peers).await
+    }
+
+    /// Starts another instance before the same backend servers and the same table.
+    pub async fn beside(&self, name: &str) -> Self {
+        let (table, peers) = (self.table.clone(), self.peers.clone());
+        let deployment = self.deployment.clone();
+        Self::join(
+            Arc::new(OpenGate),
+            name,
+            deployment,
+            Vec::new(),
+            table,
+            peers,
+        )
+        .await
+    }
+
+    async fn join(
+        gate: Arc<dyn Gate>,
+        name: &str,
+        deployment: Deployment,
+        backends: Vec<Backend>,
+        table: Arc<FakeTable>,
+        peers: Arc<Neighbours>,
+    ) -> Self {
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let settings = Settings {
             name: name.into(),
@@ -97,6 +156,11 @@
         };
         let instance = Instance::new(settings, Arc::new(SystemClock), gate, log);
         let instance = Arc::new(instance);
+        instance.claims.connect(ClaimPorts {
+            table: table.clone(),
+            peers: peers.clone(),
+        });
+        peers.instances.lock().unwrap().push(instance.clone());
         instance
             .tables
             .adopt(Arc::new(deployment.clone()), &BTreeSet::new());
@@ -107,12 +171,20 @@
             instance,
             backends,
             deployment,
+            table,
+            peers,
             addr,
             client: Client::default(),
             accepting,
         }
     }
 
+    /// Makes the instance unreachable for the others.
+    pub fn cut_off(&self) {
+        let mut instances = self.peers.instances.lock().unwrap();
+        instances.retain(|known| !Arc::ptr_eq(known, &self.instance));
+    }
+
     /// Sends one request and waits for its reply.
     pub async fn submit(&self, tag: &str, key: Option<&str>) -> Reply {
         let url = Url::parse(&format!("http://{}/v1/pipelines/work/requests", self.addr));
@@ -140,7 +212,11 @@
     body["tag"].as_str().unwrap_or_default().to_owned()
 }
 
-async fn start_backend(name: &str, faults: ServerFaults) -> (Backend, BackendServer) {
+async fn start_backend(
+    name: &str,
+    faults: ServerFaults,
+    answers_status: bool,
+) -> (Backend, BackendServer) {
     let socket = TcpListener::bind("127.0.0.1:0").await.expect("binds");
     let addr = socket.local_addr().expect("bound").to_string();
     let log = std::env::temp_dir().join(format!("sardine-{}-{name}.log", std::process::id()));
@@ -148,6 +224,7 @@
     let settings = ServerSettings {
         name: name.into(),
         service_time: Duration::from_millis(2),
+        answers_status,
         ..ServerSettings::default()
     };
     let server = FakeServer::start(settings, &log, Arc::new(SystemClock)).expect("starts");
@@ -158,6 +235,7 @@
         name: name.into(),
         addr,
         pool: "pool".into(),
+        answers_status,
         ..BackendServer::default()
     };
     (Backend { log }, declared)
--- /dev/null
+++ b/crates/sardineshore-entry/tests/support/table.rs
@@ -0,0 +1,128 @@
+//! The platform's table within the test process, with injectable faults.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use async_trait::async_trait;
+use sardineshore_core::{Commit, Row, StoreError, Txn};
+use sardineshore_wire::platform::Table;
+
+/// How the table treats commits.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum TableFault {
+    /// As it should.
+    #[default]
+    None,
+    /// Refuses every call.
+    Outage,
+    /// Carries the next commit out and loses its answer.
+    LoseAnswer,
+    /// Holds the next commit back and gives no answer.
+    HoldBack,
+}
+
+/// A table.
+#[derive(Debug, Default)]
+pub struct FakeTable {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fault: TableFault,
+    rows: BTreeMap<Arc<str>, Row>,
+    revision: u64,
+    held: Vec<Txn>,
+    commits: usize,
+}
+
+impl FakeTable {
+    /// Sets how the next commits are treated.
+    pub fn set_fault(&self, fault: TableFault) {
+        self.state.lock().unwrap().fault = fault;
+    }
+
+    /// Lets the writes held back land.
+    pub fn land(&self) {
+        let mut state = self.state.lock().unwrap();
+        for txn in std::mem::take(&mut state.held) {
+            state.apply(&txn);
+        }
+    }
+
+    /// Commits asked for so far.
+    pub fn commits(&self) -> usize {
+        self.state.lock().unwrap().commits
+    }
+
+    /// Edits the value of every row.
+    pub fn edit(&self, edited: impl Fn(&str) -> String) {
+        let mut state = self.state.lock().unwrap();
+        for row in state.rows.values_mut() {
+            row.value = edited(&row.value).into();
+        }
+    }
+}
+
+impl State {
+    fn apply(&mut self, txn: &Txn) -> Commit {
+        let present = |key: &Arc<str>| self.rows.get(key).map_or(0, |row| row.revision);
+        let failed = |check: &&sardineshore_core::Check| present(&check.key) != check.revision;
+        if txn.checks.iter().any(|check| failed(&check)) {
+            let checks = txn.checks.iter().filter(failed);
+            let rows = checks.filter_map(|check| self.rows.get(&check.key).cloned());
+            return Commit::Conflict {
+                rows: rows.collect(),
+            };
+        }
+        self.revision += 1;
+        for put in &txn.puts {
+            let row = Row {
+                key: put.key.clone(),
+                value: put.value.clone(),
+                revision: self.revision,
+            };
+            self.rows.insert(put.key.clone(), row);
+        }
+        Commit::Applied {
+            revision: self.revision,
+        }
+    }
+}
+
+#[async_trait]
+impl Table for FakeTable {
+    async fn commit(&self, txn: &Txn) -> Result<Commit, StoreError> {
+        let mut state = self.state.lock().unwrap();
+        state.commits += 1;
+        match state.fault {
+            TableFault::None => Ok(state.apply(txn)),
+            TableFault::Outage => Err(StoreError::Unavailable),
+            TableFault::LoseAnswer => {
+                state.fault = TableFault::None;
+                state.apply(txn);
+                Err(StoreError::Unconfirmed)
+            }
+            TableFault::HoldBack => {
+                state.fault = TableFault::Outage;
+                state.held.push(txn.clone());
+                Err(StoreError::Unconfirmed)
+            }
+        }
+    }
+
+    async fn read(&self, key: &str) -> Result<Option<Row>, StoreError> {
+        let state = self.state.lock().unwrap();
+        if state.fault == TableFault::Outage {
+            return Err(StoreError::Unavailable);
+        }
+        Ok(state.rows.get(key).cloned())
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, StoreError> {
+        let state = self.state.lock().unwrap();
+        let wanted = |key: &str| key.starts_with(prefix) && key > after;
+        let rows = state.rows.values().filter(|row| wanted(&row.key));
+        Ok(rows.take(limit).cloned().collect())
+    }
+}
--- a/crates/sardineshore-wire/src/http.rs
+++ b/crates/sardineshore-wire/src/http.rs
@@ -131,6 +131,19 @@
         }
     }
 
+    /// Sends a request on a connection that is kept for another one, and reads the whole reply
+    /// within `timeout`. After an error the connection must not be used again.
+    pub async fn exchange_on(
+        &self,
+        conn: &Conn,
+        req: Request,
+        timeout: Duration,
+    ) -> Result<Reply, ClientError> {
+        let exchange = exchange(conn.stream.clone(), req);
+        let reply = async_std::future::timeout(timeout, exchange).await;
+        reply.map_err(|_| ClientError::TimedOut)?
+    }
+
     /// Sends a request to `addr` (`IP:PORT`) and reads the whole reply within `timeout`.
     pub async fn send(
         &self,
--- a/crates/sardineshore-wire/src/peer.rs
+++ b/crates/sardineshore-wire/src/peer.rs
@@ -9,10 +9,11 @@
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
+use sardineshore_core::claim::PeerReply;
 use sardineshore_core::config_log::LogEntry;
 use sardineshore_core::membership::leaving::LeavingNotice;
 use sardineshore_core::quarantine::Evidence;
-use sardineshore_core::{Deployment, InstanceId, Version};
+use sardineshore_core::{AttemptId, Deployment, InstanceId, Version};
 use serde::{Deserialize, Serialize};
 
 /// Methods that an entry instance serves to its peers.
@@ -31,6 +32,14 @@
     async fn roster(&self) -> RpcResult<Vec<InstanceId>>;
 }
 
+/// Questions about claims between entry instances.
+#[rpc(client, server, namespace = "claims")]
+pub trait Claims {
+    /// What became of an attempt of the asked instance.
+    #[method(name = "claim")]
+    async fn claim(&self, attempt: AttemptId) -> RpcResult<PeerReply>;
+}
+
 /// What one instance tells another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
