--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod operator;
+pub mod orders;
 pub mod peers;
 pub mod quarantine;
 pub mod queries;
