--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod api;
 pub mod assembly;
+pub mod claims;
 pub mod config;
 pub mod conn;
 pub mod dispatch;
@@ -18,6 +19,7 @@
 pub mod operator;
 pub mod orders;
 pub mod peers;
+pub mod quarantine;
 pub mod queries;
 pub mod reply;
 pub mod runner;
