fix(entry): instances read the list and the head at random times

Change: each waits for a random time with the mean of its share, so that the reads of all come at even times.

--- a/crates/sardineshore-entry/src/config/tasks.rs
+++ b/crates/sardineshore-entry/src/config/tasks.rs
@@ -18,8 +18,8 @@
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
 /// Time left until the fence below which an instance asks its peers more often.
 const HURRY_BELOW: Duration = Duration::from_millis(1_200);
-/// Time between two looks whether a shared period has passed.
-const MAX_NAP: Duration = Duration::from_secs(1);
+/// Largest multiple of its mean that a random wait may reach.
+const MAX_FACTOR: f64 = 5.0;
 
 /// Tasks that run until they are cancelled.
 #[derive(Debug)]
@@ -60,21 +60,14 @@
 }
 
 async fn follow_list(service: Arc<ConfigService>) {
+    let settings = &service.settings;
     loop {
-        let read = service.poll_list().await;
-        let settings = &service.settings;
-        let began = service.now();
-        let period = || match read {
-            Ok(()) => shared_period(
-                service.members(),
-                settings.list_budget,
-                settings.list_period,
-            ),
-            Err(_) => settings.list_period,
-        };
-        // Members that join shorten nothing but lengthen the period while it runs.
-        while service.now() < began + period() {
-            task::sleep(jittered(period().min(MAX_NAP))).await;
+        if service.poll_list().await.is_ok() {
+            service
+                .wait_for_share(settings.list_budget, settings.list_period, || false)
+                .await;
+        } else {
+            task::sleep(jittered(settings.list_period)).await;
         }
     }
 }
@@ -133,15 +126,29 @@
         }
     }
 
+    /// Waits until this instance's share of the reads of the head is due, or its confirmation is
+    /// old.
     async fn wait_until_due(&self) {
         let settings = &self.settings;
-        let began = self.now();
         task::sleep(jittered(settings.head_period)).await;
-        loop {
-            let period = shared_period(self.members(), settings.head_budget, settings.head_period);
+        let old = || {
             let age = self.state().contact.confirmation_age(self.now());
-            let old = age.is_none_or(|age| age >= settings.renew_after);
-            if old || self.now() >= began + period {
+            age.is_none_or(|age| age >= settings.renew_after)
+        };
+        self.wait_for_share(settings.head_budget, Duration::ZERO, old)
+            .await;
+    }
+
+    /// Waits for a random time, whose mean is this instance's share of a budget of calls a second,
+    /// so that all instances together call at even times even if they were started together.
+    /// Ends early when `due` says so.
+    async fn wait_for_share(&self, budget: f64, shortest: Duration, due: impl Fn() -> bool) {
+        let began = self.now();
+        let factor = -rand::rng().random_range(f64::MIN_POSITIVE..1.0).ln();
+        let factor = factor.min(MAX_FACTOR);
+        loop {
+            let wait = shared_period(self.members(), budget, shortest).mul_f64(factor);
+            if due() || self.now() >= began + wait.max(shortest) {
                 return;
             }
             task::sleep(WATCH_PERIOD).await;
