fix(core): requests that failed early don't count as quick ones

A request that ended early without an answer lowered the smoothed latency that admission compares with the work in requests, and its partial service lowered the work. Both now count for answers in time only; a late request still counts as slow. The router also tells the usual time of service of a pool and which backend server's load is to be polled next.

--- a/crates/sardineshore-core/src/limits/gate.rs
+++ b/crates/sardineshore-core/src/limits/gate.rs
@@ -73,12 +73,17 @@
     }
 
     /// Takes in the end of a request that ran.
+    ///
+    /// One that failed early tells nothing of how long requests take.
     pub(super) fn finished(&mut self, end: &Completion, cfg: &AdmissionConfig, now: Instant) {
         let used = self.running as f64 >= self.limit / 2.0;
         self.running -= 1;
         self.note_interval(now);
-        smooth(&mut self.latency, end.latency.as_secs_f64());
-        if !end.service.is_zero() {
+        let latency = end.latency.as_secs_f64();
+        if end.in_time || latency > self.latency {
+            smooth(&mut self.latency, latency);
+        }
+        if end.in_time && !end.service.is_zero() {
             smooth(&mut self.service, end.service.as_secs_f64());
         }
         if used {
--- a/crates/sardineshore-core/src/routing.rs
+++ b/crates/sardineshore-core/src/routing.rs
@@ -51,7 +51,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{RngCore, SeedableRng};
@@ -222,18 +222,31 @@
             .collect()
     }
 
-    /// Names and addresses of the backend servers whose load this instance should poll.
-    #[must_use]
-    pub fn polled(&self) -> Vec<Polled> {
-        self.pools
+    /// The backend server of this instance's subsets whose load is to be polled next, if the report
+    /// or poll before is older than `age` for any.
+    pub fn next_poll(&mut self, age: Duration, now: Instant) -> Option<Polled> {
+        let servers = &self.servers;
+        let (key, known) = self
+            .pools
             .values()
             .flat_map(|pool| &pool.members[..pool.subset])
-            .map(|key| &self.servers[*key])
-            .map(|server| Polled {
-                server: server.declared.name.clone(),
-                addr: server.addr.clone(),
-            })
-            .collect()
+            .map(|key| (*key, servers[*key].load_known_at()))
+            .min_by_key(|(_, known)| *known)?;
+        if known.is_some_and(|at| now.saturating_duration_since(at) < age) {
+            return None;
+        }
+        let server = &mut self.servers[key];
+        server.polled(now);
+        Some(Polled {
+            server: server.declared.name.clone(),
+            addr: server.addr.clone(),
+        })
+    }
+
+    /// Usual time of service in a pool, if any was observed.
+    #[must_use]
+    pub fn usual_service(&self, pool: &PoolId) -> Option<Duration> {
+        self.pools.get(pool)?.service().map(duration)
     }
 
     /// Decisions about backend servers since the last call, oldest first.
--- a/crates/sardineshore-core/src/routing/server.rs
+++ b/crates/sardineshore-core/src/routing/server.rs
@@ -36,6 +36,7 @@
     network: Option<f64>,
     progress: Option<Instant>,
     report: Option<Report>,
+    polled: Option<Instant>,
 }
 
 /// The last load report.
@@ -61,6 +62,7 @@
             network: None,
             progress: None,
             report: None,
+            polled: None,
         }
     }
 
@@ -175,6 +177,16 @@
         restarted
     }
 
+    /// Notes that its load is being polled.
+    pub(super) fn polled(&mut self, now: Instant) {
+        self.polled = Some(now);
+    }
+
+    /// Time of the last load report or poll.
+    pub(super) fn load_known_at(&self) -> Option<Instant> {
+        self.report.map(|report| report.at).max(self.polled)
+    }
+
     /// A decision about the server, for operators.
     pub(super) fn notice(&self, decision: RoutingDecision) -> RoutingNotice {
         RoutingNotice {
