perf(core): the retry budget counts work in place of attempts

A failing stage with little work used up its pool's tokens although its retries would have cost hardly anything beside the work of a whole request. One budget now bounds the extra seconds of service of the instance (8 in 100, 4 where cost goes first), and each pool's extra attempts are bounded by its first ones.

--- a/crates/sardineshore-core/examples/policy/flow.rs
+++ b/crates/sardineshore-core/examples/policy/flow.rs
@@ -241,6 +241,8 @@
         router.finished(&server.name, &feedback, now);
         router.reported(&server.name, &server.load(), now);
         if result == AttemptResult::Answered {
+            let retries = &mut self.instances[request.instance].retries;
+            retries.answered(&POOLS[attempt.stage].name.into(), attempt.service);
             self.answered(attempt.request, attempt.service);
         } else if request.open.is_empty() {
             self.retry(attempt.request, result);
--- a/crates/sardineshore-core/src/retry/budget.rs
+++ b/crates/sardineshore-core/src/retry/budget.rs
@@ -1,7 +1,7 @@
 //! Tokens for extra attempts.
 
 /// Tokens for extra attempts: first attempts earn them, retries and hedges spend them.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct RetryBudget {
     saved_max: f64,
     tokens: f64,
@@ -17,17 +17,27 @@
         }
     }
 
-    /// Earns `ratio` tokens for one first attempt.
-    pub fn earn(&mut self, ratio: f64) {
-        self.tokens = (self.tokens + ratio).min(self.saved_max);
+    /// Raises the most that can be saved up; what it is raised by is there at once.
+    pub fn raise(&mut self, saved_max: f64) {
+        if saved_max > self.saved_max {
+            self.tokens += saved_max - self.saved_max;
+            self.saved_max = saved_max;
+        }
     }
 
-    /// Spends one token if more than `reserve` remain afterwards; false if not.
-    pub fn spend(&mut self, reserve: f64) -> bool {
-        let enough = self.tokens >= 1.0 + reserve;
-        if enough {
-            self.tokens -= 1.0;
-        }
-        enough
+    /// Earns tokens for one first attempt.
+    pub fn earn(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.saved_max);
+    }
+
+    /// Whether `tokens` can be spent so that `reserve` remains.
+    #[must_use]
+    pub fn has(&self, tokens: f64, reserve: f64) -> bool {
+        self.tokens >= tokens + reserve
+    }
+
+    /// Spends tokens.
+    pub fn spend(&mut self, tokens: f64) {
+        self.tokens -= tokens;
     }
 }
--- a/crates/sardineshore-core/src/retry/policy.rs
+++ b/crates/sardineshore-core/src/retry/policy.rs
@@ -9,6 +9,11 @@
 use super::RetryBudget;
 use crate::{AttemptResult, Objective, PoolId};
 
+/// Seconds of service that an attempt is assumed to need before any was observed.
+const WORK_PRIOR: f64 = 0.05;
+/// Weight of a new sample in the smoothed service.
+const WORK_WEIGHT: f64 = 0.05;
+
 /// Settings of retries.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RetryConfig {
@@ -16,13 +21,15 @@
     pub attempts_max: usize,
     /// The same where the last attempt was refused, which costs the server next to nothing.
     pub attempts_refused_max: usize,
-    /// Extra attempts that each first attempt pays for, where attainment goes first.
+    /// Extra work as a share of the work of first attempts, where attainment goes first.
     pub ratio_attainment: f64,
-    /// Extra attempts that each first attempt pays for, where cost goes first.
+    /// Extra work as a share of the work of first attempts, where cost goes first.
     pub ratio_cost: f64,
-    /// Most extra attempts that a pool can save up.
+    /// Extra attempts of one pool that each of its first attempts pays for, whatever their work.
+    pub ratio_pool: f64,
+    /// Extra attempts that can be saved up, on each pool and of the pool with the most work.
     pub saved_max: f64,
-    /// Saved attempts that hedges leave to retries.
+    /// Saved attempts of the pool with the most work that hedges leave to retries.
     pub hedge_reserve: f64,
     /// Pause before the second retry; doubled for each further one. The first has none.
     pub pause: Duration,
@@ -39,8 +46,9 @@
             attempts_refused_max: 8,
             ratio_attainment: 0.08,
             ratio_cost: 0.04,
-            saved_max: 10.0,
-            hedge_reserve: 3.0,
+            ratio_pool: 1.0,
+            saved_max: 20.0,
+            hedge_reserve: 5.0,
             pause: Duration::from_millis(20),
             remaining_min: Duration::from_millis(10),
             seed: 0,
@@ -88,24 +96,37 @@
     Time,
 }
 
-/// Retries and hedges of all pools, each within its budget.
+/// Retries and hedges of all pools within budgets.
+///
+/// One budget bounds the extra work of the instance in seconds of service, so that attempts of a
+/// pool with little work are cheap to repeat; another one bounds the extra attempts of each pool.
 #[derive(Debug)]
 pub struct Retries {
     cfg: RetryConfig,
     objective: Objective,
-    budgets: BTreeMap<PoolId, RetryBudget>,
+    work: RetryBudget,
+    pools: BTreeMap<PoolId, PoolBudget>,
     rng: SmallRng,
 }
 
+/// Budget of one pool and the usual work of its attempts.
+#[derive(Debug)]
+struct PoolBudget {
+    attempts: RetryBudget,
+    /// Smoothed seconds of service.
+    work: f64,
+}
+
 impl Retries {
     /// Makes full budgets.
     #[must_use]
     pub fn new(cfg: RetryConfig, objective: Objective) -> Self {
         Self {
             rng: SmallRng::seed_from_u64(cfg.seed),
+            work: RetryBudget::new(cfg.saved_max * WORK_PRIOR),
             cfg,
             objective,
-            budgets: BTreeMap::new(),
+            pools: BTreeMap::new(),
         }
     }
 
@@ -120,18 +141,30 @@
             Objective::Attainment => self.cfg.ratio_attainment,
             Objective::Cost => self.cfg.ratio_cost,
         };
-        self.budget(pool).earn(ratio);
+        let ratio_pool = self.cfg.ratio_pool;
+        let pool = self.pool(pool);
+        pool.attempts.earn(ratio_pool);
+        let work = pool.work;
+        self.work.earn(ratio * work);
+    }
+
+    /// Notes the time of service of an answered attempt.
+    pub fn answered(&mut self, pool: &PoolId, service: Duration) {
+        let pool = self.pool(pool);
+        pool.work += WORK_WEIGHT * (service.as_secs_f64() - pool.work);
+        let work = pool.work;
+        self.work.raise(self.cfg.saved_max * work);
     }
 
     /// Decides what follows an attempt of a stage.
     ///
-    /// A retry spends one token of the pool, but after a refusal, which was no work.
+    /// A retry spends from both budgets, but after a refusal, which was no work.
     pub fn after(&mut self, pool: &PoolId, ended: EndedAttempt) -> RetryDecision {
         if let Some(why) = self.barred(ended) {
             return RetryDecision::GiveUp(why);
         }
         let refused = ended.result == AttemptResult::Refused;
-        if !refused && !self.budget(pool).spend(0.0) {
+        if !refused && !self.spend(pool, 0.0) {
             return RetryDecision::GiveUp(GiveUp::Budget);
         }
         RetryDecision::Retry {
@@ -139,10 +172,23 @@
         }
     }
 
-    /// Whether a hedge may be sent; spends one token of the pool if so.
+    /// Whether a hedge may be sent; spends from both budgets if so.
     pub fn hedge(&mut self, pool: &PoolId) -> bool {
-        let reserve = self.cfg.hedge_reserve;
-        self.budget(pool).spend(reserve)
+        let most = self.pools.values().map(|pool| pool.work);
+        let reserve = self.cfg.hedge_reserve * most.fold(0.0, f64::max);
+        self.spend(pool, reserve)
+    }
+
+    /// Spends one attempt from both budgets, if both have it.
+    fn spend(&mut self, pool: &PoolId, reserve: f64) -> bool {
+        let budget = self.pool(pool);
+        let (work, allowed) = (budget.work, budget.attempts.has(1.0, 0.0));
+        if !allowed || !self.work.has(work, reserve) {
+            return false;
+        }
+        self.pool(pool).attempts.spend(1.0);
+        self.work.spend(work);
+        true
     }
 
     fn barred(&self, ended: EndedAttempt) -> Option<GiveUp> {
@@ -180,9 +226,12 @@
         full.mul_f64(self.rng.random_range(0.5..1.0))
     }
 
-    fn budget(&mut self, pool: &PoolId) -> &mut RetryBudget {
-        self.budgets
+    fn pool(&mut self, pool: &PoolId) -> &mut PoolBudget {
+        self.pools
             .entry(pool.clone())
-            .or_insert_with(|| RetryBudget::new(self.cfg.saved_max))
+            .or_insert_with(|| PoolBudget {
+                attempts: RetryBudget::new(self.cfg.saved_max),
+                work: WORK_PRIOR,
+            })
     }
 }
