perf(core): up to five attempts of a stage within the budgets

Three attempts left one in eight requests of a stage that fails for half of its attempts without an answer, far below what the budgets allow.

--- a/crates/sardineshore-core/src/retry/policy.rs
+++ b/crates/sardineshore-core/src/retry/policy.rs
@@ -42,7 +42,7 @@
 impl Default for RetryConfig {
     fn default() -> Self {
         Self {
-            attempts_max: 3,
+            attempts_max: 5,
             attempts_refused_max: 8,
             ratio_attainment: 0.08,
             ratio_cost: 0.04,
