feat(entry): deadlines split over stages, hedges, load polls and their metrics

The thin path gave each stage the whole deadline, sent no hedge, polled no load and passed a prefix to every pool; requests without a prompt all shared one prefix and with it one home.

Each stage now has to answer before the deadline less the later stages' medians and is not begun if they can't fit. A slow attempt of an idempotent stage gets a second one on another server; the first answer wins and the other is cancelled downstream. Every 250 ms the backend server with the oldest load report of this instance's subset is polled. Admission learns the usual time on backend servers in place of zero. Only stages that generate look up a prefix, and only if there is a prompt. Retries, withheld retries, hedges, sheds, waits, ejections and unreachable deadlines are numbered events and metrics.

--- a/crates/sardineshore-entry/src/admission.rs
+++ b/crates/sardineshore-entry/src/admission.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
+use sardineshore_core::event::routing;
 use sardineshore_core::{Completion, NotRunReason, Offer, Release, Ticket, Verdict};
 
 use crate::instance::Instance;
@@ -44,7 +45,7 @@
 /// Waits until the request may run.
 pub async fn admit<'a>(instance: &'a Instance, job: &Job) -> Result<Turn<'a>, NotRunReason> {
     let now = instance.clock.now();
-    let offer = offer(instance, job);
+    let offer = offer(instance, job, now);
     let (tx, rx) = oneshot::channel();
     let verdict = {
         let mut table = instance.tables.admission();
@@ -63,21 +64,35 @@
     };
     match verdict {
         Verdict::Run(ticket) => Ok(turn(ticket)),
-        Verdict::Refused(reason) => Err(reason),
+        Verdict::Refused(reason) => {
+            note_shed(instance, job, reason);
+            Err(reason)
+        }
         Verdict::Queued(ticket) => {
             let mut waiting = turn(ticket);
+            let queued = &routing::REQUEST_QUEUED;
+            instance.journal.request(&job.request, queued, "");
             match rx.await {
                 Ok(Release::Run) => {
                     waiting.began = instance.clock.now();
                     Ok(waiting)
                 }
-                Ok(Release::Refused(reason)) => Err(reason),
+                Ok(Release::Refused(reason)) => {
+                    note_shed(instance, job, reason);
+                    Err(reason)
+                }
                 Err(_) => Err(NotRunReason::Overloaded),
             }
         }
     }
 }
 
+fn note_shed(instance: &Instance, job: &Job, reason: NotRunReason) {
+    let text = format!("{reason:?}");
+    let shed = &routing::REQUEST_SHED;
+    instance.journal.request(&job.request, shed, text);
+}
+
 /// Refuses requests that waited too long, periodically.
 pub async fn expire(instance: &Instance) {
     loop {
@@ -86,10 +101,23 @@
         let mut table = instance.tables.admission();
         let released = table.admission.expired(now);
         table.wake(released);
+        instance.metrics.policy.set_queued(table.admission.queued());
     }
 }
 
-fn offer(instance: &Instance, job: &Job) -> Offer {
+/// Time that backend servers usually need for all stages of a request.
+#[must_use]
+pub fn usual_service(instance: &Instance, job: &Job) -> Duration {
+    let router = instance.tables.router();
+    job.pipeline
+        .stages
+        .iter()
+        .filter_map(|stage| router.usual_service(&stage.pool))
+        .sum()
+}
+
+/// The estimate is bounded, so that a request with its whole deadline is never refused by it.
+fn offer(instance: &Instance, job: &Job, now: Instant) -> Offer {
     let deployment = instance.tables.deployment();
     let weight = deployment
         .customers
@@ -101,6 +129,6 @@
         pipeline: job.pipeline.name.clone(),
         weight,
         deadline: job.deadline,
-        cost_estimate: Duration::ZERO,
+        cost_estimate: usual_service(instance, job).min(job.remaining(now) / 2),
     }
 }
--- a/crates/sardineshore-entry/src/api.rs
+++ b/crates/sardineshore-entry/src/api.rs
@@ -47,7 +47,7 @@
     pub streamed: bool,
     /// JSON document.
     pub body: Arc<[u8]>,
-    /// Hash of the beginning of the prompt, for prefix caches.
+    /// Hash of the beginning of the prompt, for prefix caches; 0 without a prompt.
     pub prefix: u64,
     /// When its first byte was handled.
     pub arrived: Instant,
@@ -206,5 +206,10 @@
         .char_indices()
         .nth(PREFIX_CHARS)
         .map_or(prompt.len(), |(at, _)| at);
-    Ok(xxh3_64(&prompt.as_bytes()[..end]))
+    let beginning = &prompt.as_bytes()[..end];
+    Ok(if beginning.is_empty() {
+        0
+    } else {
+        xxh3_64(beginning)
+    })
 }
--- a/crates/sardineshore-entry/src/dispatch.rs
+++ b/crates/sardineshore-entry/src/dispatch.rs
@@ -324,6 +324,10 @@
             .tables
             .router()
             .finished(&choice.server, &feedback, now);
+        if result == AttemptResult::Answered {
+            let mut retries = instance.tables.retries();
+            retries.answered(&call.stage.pool, service);
+        }
         let cost = AttemptCost {
             extra: call.extra,
             service,
--- a/crates/sardineshore-entry/src/instance.rs
+++ b/crates/sardineshore-entry/src/instance.rs
@@ -10,6 +10,7 @@
 };
 use sardineshore_wire::http::Client;
 use slog::Logger;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::journal::Journal;
 use crate::metrics::Metrics;
@@ -66,19 +67,25 @@
         gate: Arc<dyn Gate>,
         log: Logger,
     ) -> Self {
+        let seed = xxh3_64(settings.name.as_bytes());
         let routing = RoutingConfig {
             home: settings.domain.clone(),
+            seed,
             ..RoutingConfig::default()
         };
         let admission = AdmissionConfig {
             running_max: settings.max_in_flight,
             ..AdmissionConfig::default()
         };
+        let retries = RetryConfig {
+            seed,
+            ..RetryConfig::default()
+        };
         Self {
             journal: Journal::new(log, settings.name.clone(), clock.clone()),
             metrics: Metrics::default(),
             client: Client::default(),
-            tables: Tables::new(Router::new(routing), admission, RetryConfig::default()),
+            tables: Tables::new(Router::new(routing), admission, retries),
             stop: Stop::default(),
             started_ms: unix_ms(clock.wall()),
             next_id: AtomicU64::new(1),
--- a/crates/sardineshore-entry/src/listener.rs
+++ b/crates/sardineshore-entry/src/listener.rs
@@ -227,9 +227,10 @@
         Ok(turn) => {
             let finished = runner::run(&instance, &job, sink).await;
             let in_time = !job.remaining(instance.clock.now()).is_zero();
+            let service = admission::usual_service(&instance, &job);
             turn.finish(
                 in_time && matches!(finished, Finished::Answered(_)),
-                Duration::ZERO,
+                service,
             );
             finished
         }
--- /dev/null
+++ b/crates/sardineshore-entry/src/load.rs
@@ -0,0 +1,67 @@
+//! Polls the load of backend servers within a budget, and logs what routing decided by itself.
+
+use std::time::Duration;
+
+use http_types::{Method, Request, Url};
+use sardineshore_core::{Polled, RoutingDecision, RoutingNotice};
+use sardineshore_wire::backend::LoadReport;
+
+use crate::dispatch::figures;
+use crate::instance::Instance;
+
+/// Time between two polls of one backend server each.
+const POLL_PERIOD: Duration = Duration::from_millis(250);
+/// Age from which a load report is worth a poll.
+const REPORT_AGE_MAX: Duration = Duration::from_secs(1);
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Polls one backend server after another, those with the oldest report first.
+pub async fn poll(instance: &Instance) {
+    loop {
+        async_std::task::sleep(POLL_PERIOD).await;
+        log_notices(instance);
+        let now = instance.clock.now();
+        let next = instance.tables.router().next_poll(REPORT_AGE_MAX, now);
+        if let Some(polled) = next {
+            poll_one(instance, &polled).await;
+        }
+    }
+}
+
+async fn poll_one(instance: &Instance, polled: &Polled) {
+    let Ok(url) = Url::parse(&format!("http://{}/v1/load", polled.addr)) else {
+        return;
+    };
+    let req = Request::new(Method::Get, url);
+    let reply = instance.client.send(&polled.addr, req, POLL_TIMEOUT).await;
+    let report = reply
+        .ok()
+        .and_then(|reply| serde_json::from_slice::<LoadReport>(&reply.body).ok());
+    if let Some(report) = report.filter(|report| report.server == polled.server) {
+        let now = instance.clock.now();
+        let mut router = instance.tables.router();
+        router.reported(&polled.server, &figures(&report), now);
+    }
+}
+
+fn log_notices(instance: &Instance) {
+    let notices = instance.tables.router().take_notices();
+    for notice in notices {
+        instance.metrics.policy.notice(&notice);
+        let text = text(&notice);
+        match notice.decision {
+            RoutingDecision::Returned => instance.journal.note(&notice.kind(), text),
+            _ => instance.journal.alarm(&notice.kind(), text),
+        }
+    }
+}
+
+fn text(notice: &RoutingNotice) -> String {
+    let RoutingNotice { server, pool, .. } = notice;
+    match notice.decision {
+        RoutingDecision::Ejected { length } => {
+            format!("{server} of {pool} for {} ms", length.as_millis())
+        }
+        _ => format!("{server} of {pool}"),
+    }
+}
--- a/crates/sardineshore-entry/src/metrics.rs
+++ b/crates/sardineshore-entry/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics in the Prometheus text format.
 
+mod policy;
+
 use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -8,6 +10,8 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
+pub use policy::PolicyMetrics;
+
 use crate::job::{Finished, Job};
 
 /// Customers with a label of their own; others share one, so that memory stays bounded.
@@ -30,6 +34,8 @@
     in_flight: IntGauge,
     connections: IntGauge,
     customers: Mutex<BTreeSet<String>>,
+    /// Routing, limits and retries.
+    pub policy: PolicyMetrics,
 }
 
 impl Default for Metrics {
@@ -59,6 +65,7 @@
             in_flight: gauge("sardine_requests_in_flight", "Requests in flight"),
             connections: gauge("sardine_connections", "Open connections of callers"),
             customers: Mutex::default(),
+            policy: PolicyMetrics::new(&registry),
             registry,
         };
         metrics.register();
--- /dev/null
+++ b/crates/sardineshore-entry/src/pacing.rs
@@ -0,0 +1,45 @@
+//! Observed latencies of stages, and what follows from them: time for a stage, time of a hedge.
+
+use std::time::{Duration, Instant};
+
+use sardineshore_core::{
+    HedgePolicy, NotRunReason, Objective, PoolId, StageBudget, StageLatencies,
+};
+
+/// Latencies of stages as this instance saw them.
+#[derive(Debug, Default)]
+pub struct Pacing {
+    latencies: StageLatencies,
+    budget: StageBudget,
+    hedges: HedgePolicy,
+}
+
+impl Pacing {
+    /// Takes in the latency of an answered stage.
+    pub fn answered(&mut self, pool: &PoolId, latency: Duration, now: Instant) {
+        self.latencies.record(pool, latency, now);
+    }
+
+    /// Time that the first of the remaining stages, named by their pools, may take.
+    pub fn split(
+        &mut self,
+        remaining: Duration,
+        pools: &[PoolId],
+        now: Instant,
+    ) -> Result<Duration, NotRunReason> {
+        self.budget.split(remaining, pools, &self.latencies, now)
+    }
+
+    /// Delay after which a second attempt of an idempotent stage is sent, if any.
+    #[must_use]
+    pub fn hedge_delay(
+        &self,
+        pool: &PoolId,
+        objective: Objective,
+        remaining: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
+        let observed = self.latencies.quantiles(pool, now);
+        self.hedges.delay(observed, objective, remaining)
+    }
+}
--- a/crates/sardineshore-entry/src/program.rs
+++ b/crates/sardineshore-entry/src/program.rs
@@ -15,7 +15,7 @@
 use crate::assembly::Assembly;
 use crate::instance::Instance;
 use crate::settings::Settings;
-use crate::{admission, listener};
+use crate::{admission, listener, load};
 
 /// Runs an entry instance until it is told to stop; returns after a graceful stop.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
@@ -33,6 +33,10 @@
         let instance = instance.clone();
         async move { admission::expire(&instance).await }
     });
+    let polling = task::spawn({
+        let instance = instance.clone();
+        async move { load::poll(&instance).await }
+    });
     instance
         .journal
         .note(&events::STARTED, format!("callers at {listen}"));
@@ -44,6 +48,7 @@
     instance.stop.close_idle();
     let left = instance.stop.drained(instance.settings.stop_limit).await;
     expiring.cancel().await;
+    polling.cancel().await;
     assembly.stop(running).await;
     instance
         .journal
--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -1,14 +1,16 @@
 //! Runs the stages of one request under its deadline.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use sardineshore_core::event::routing as events;
 use sardineshore_core::{
-    Ask, AttemptResult, Choice, EndedAttempt, NoChoice, NotRunReason, RetryDecision, ServerId,
-    Stage, StageKind, UnknownReason,
+    Ask, AttemptResult, Choice, EndedAttempt, EventKind, NoChoice, NotRunReason, PoolId,
+    RetryDecision, ServerId, Stage, StageKind, UnknownReason,
 };
 
-use crate::dispatch::{Attempted, Call, dispatch};
+use crate::dispatch::{Attempted, Call};
+use crate::hedge::{Attempts, dispatch_hedged};
 use crate::instance::Instance;
 use crate::job::{Finished, Job};
 use crate::stream::{Sink, dispatch_streamed};
@@ -24,8 +26,8 @@
         document: job.body.clone(),
         not_run_denied: false,
     };
-    for stage in &job.pipeline.stages {
-        match run.stage(stage).await {
+    for at in 0..job.pipeline.stages.len() {
+        match run.stage(at).await {
             Ok(output) => run.document = output,
             Err(failure) => return run.failed(failure),
         }
@@ -52,15 +54,30 @@
 }
 
 /// Attempts of one stage so far.
-#[derive(Default)]
 struct Tried {
     servers: Vec<ServerId>,
     last: Option<Attempted>,
+    /// When the stage must have answered.
+    until: Instant,
+}
+
+impl Tried {
+    fn new(until: Instant) -> Self {
+        Self {
+            servers: Vec::new(),
+            last: None,
+            until,
+        }
+    }
 }
 
 impl Run<'_> {
-    async fn stage(&mut self, stage: &Stage) -> Result<Arc<[u8]>, Failure> {
-        let mut tried = Tried::default();
+    /// Runs the stage at a position of the pipeline.
+    async fn stage(&mut self, at: usize) -> Result<Arc<[u8]>, Failure> {
+        let job = self.job;
+        let stage = &job.pipeline.stages[at];
+        let began = self.instance.clock.now();
+        let mut tried = Tried::new(self.due(at, began)?);
         self.instance.tables.retries().sent(&stage.pool);
         loop {
             let choice = match self.choose(stage, &tried).await {
@@ -68,9 +85,12 @@
                 Err(failure) => return Err(tried.last.take().map_or(failure, Failure::from)),
             };
             tried.servers.push(choice.server.clone());
-            let attempted = self.attempt(stage, &choice, tried.servers.len() > 1).await;
+            let attempted = self.attempt(stage, &choice, &mut tried).await;
             self.note(stage, &attempted);
             if let Attempted::Answered(output) = attempted {
+                let now = self.instance.clock.now();
+                let mut pacing = self.instance.tables.pacing();
+                pacing.answered(&stage.pool, now.duration_since(began), now);
                 return Ok(output);
             }
             let result = attempted.result();
@@ -92,20 +112,24 @@
                 pool: &stage.pool,
                 request: &self.job.request,
                 customer: &self.job.customer,
-                prefix: self.job.prefix,
+                prefix: self.prefix(stage),
                 idempotent: stage.idempotent,
                 tried: &tried.servers,
-                deadline: self.job.deadline,
+                deadline: tried.until,
             };
             let chosen = self.instance.tables.router().choose(&ask, now);
             match chosen {
                 Ok(choice) => return Ok(choice),
-                Err(NoChoice::NoServer) => return Err(Failure::no_server()),
+                Err(NoChoice::NoServer) => {
+                    self.event(&events::POOL_EMPTY, &stage.pool);
+                    return Err(Failure::no_server());
+                }
                 Err(NoChoice::TooLate) => return Err(Failure::too_late()),
                 Err(NoChoice::Saturated { .. }) if self.job.remaining(now).is_zero() => {
                     return Err(Failure::too_late());
                 }
                 Err(NoChoice::Saturated { retry_after }) => {
+                    self.instance.metrics.policy.saturated(&stage.pool);
                     let wait = retry_after
                         .min(SATURATED_WAIT_MAX)
                         .min(self.job.remaining(now));
@@ -115,21 +139,50 @@
         }
     }
 
-    async fn attempt(&mut self, stage: &Stage, choice: &Choice, extra: bool) -> Attempted {
+    async fn attempt(&mut self, stage: &Stage, choice: &Choice, tried: &mut Tried) -> Attempted {
         let input = self.document.clone();
         let call = Call {
             job: self.job,
             stage,
             input,
-            extra,
+            extra: tried.servers.len() > 1,
+        };
+        let attempts = Attempts {
+            prefix: self.prefix(stage),
+            until: tried.until,
+            tried: &mut tried.servers,
         };
         let streams = stage.kind == StageKind::Generate && self.is_last(stage);
         match &mut self.sink {
             Some(sink) if streams => dispatch_streamed(self.instance, &call, choice, sink).await,
-            _ => dispatch(self.instance, &call, choice).await,
+            _ => dispatch_hedged(self.instance, &call, choice, attempts).await,
+        }
+    }
+
+    /// When a stage must have answered: the deadline without what the later stages usually need.
+    fn due(&self, at: usize, now: Instant) -> Result<Instant, Failure> {
+        let stages = &self.job.pipeline.stages[at..];
+        let pools: Vec<PoolId> = stages.iter().map(|stage| stage.pool.clone()).collect();
+        let remaining = self.job.remaining(now);
+        let split = self.instance.tables.pacing().split(remaining, &pools, now);
+        split.map(|limit| now + limit).map_err(|_| {
+            self.event(&events::DEADLINE_UNREACHABLE, &stages[0].name);
+            Failure::too_late()
+        })
+    }
+
+    /// Hash that prefix caches are looked up by; only stages that generate have them.
+    fn prefix(&self, stage: &Stage) -> u64 {
+        match stage.kind {
+            StageKind::Generate => self.job.prefix,
+            _ => 0,
         }
     }
 
+    fn event(&self, kind: &EventKind, text: &str) {
+        self.instance.journal.request(&self.job.request, kind, text);
+    }
+
     fn is_last(&self, stage: &Stage) -> bool {
         self.job
             .pipeline
@@ -157,10 +210,16 @@
         let decision = self.instance.tables.retries().after(&stage.pool, ended);
         match decision {
             RetryDecision::Retry { after } => {
+                self.instance.metrics.policy.retry(&stage.pool);
+                self.event(&events::ATTEMPT_RETRIED, &format!("{result:?}"));
                 async_std::task::sleep(after).await;
                 true
             }
-            RetryDecision::GiveUp(_) => false,
+            RetryDecision::GiveUp(why) => {
+                self.instance.metrics.policy.withheld(&stage.pool, why);
+                self.event(&events::RETRY_WITHHELD, &format!("{why:?}"));
+                false
+            }
         }
     }
 
--- a/crates/sardineshore-entry/src/tables.rs
+++ b/crates/sardineshore-entry/src/tables.rs
@@ -1,6 +1,6 @@
 //! Tables that all workers share.
 //!
-//! Lock order: deployment, admission, router, retries, totals. No lock is held across an `await`.
+//! Lock order: deployment, admission, router, retries, pacing, totals. No lock is held across an `await`.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
@@ -12,6 +12,7 @@
 };
 use slotmap::SecondaryMap;
 
+use crate::pacing::Pacing;
 use crate::totals::Totals;
 
 /// Admission and those who wait for it.
@@ -44,6 +45,7 @@
     admission: Mutex<AdmissionTable>,
     router: Mutex<Router>,
     retries: Mutex<Retries>,
+    pacing: Mutex<Pacing>,
     totals: Mutex<Totals>,
 }
 
@@ -60,6 +62,7 @@
             }),
             retries: Mutex::new(Retries::new(retries, Objective::default())),
             router: Mutex::new(router),
+            pacing: Mutex::default(),
             totals: Mutex::default(),
         }
     }
@@ -91,6 +94,11 @@
         self.retries.lock().expect("retries lock poisoned")
     }
 
+    /// Observed latencies of stages.
+    pub fn pacing(&self) -> MutexGuard<'_, Pacing> {
+        self.pacing.lock().expect("pacing lock poisoned")
+    }
+
     /// The router.
     pub fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().expect("router lock poisoned")
