--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod load;
 pub mod metrics;
 pub mod operator;
+pub mod orders;
 pub mod pacing;
 pub mod peers;
 pub mod queries;
