--- a/crates/sardineshore-entry/src/dispatch.rs
+++ b/crates/sardineshore-entry/src/dispatch.rs
@@ -319,9 +319,6 @@
         self.service = Duration::from_micros(report.service_us);
         self.cached_tokens = report.cached_tokens;
         let now = self.instance.clock.now();
-        self.instance
-            .incarnations
-            .note(&self.choice.server, report.incarnation);
         self.instance
             .quarantine
             .seen(self.instance, &self.choice.server, report.incarnation);
--- a/crates/sardineshore-entry/src/load.rs
+++ b/crates/sardineshore-entry/src/load.rs
@@ -5,6 +5,7 @@
 use http_types::{Method, Request, Url};
 use sardineshore_core::{Polled, RoutingDecision, RoutingNotice};
 use sardineshore_wire::backend::LoadReport;
+use sardineshore_wire::http::ClientError;
 
 use crate::dispatch::figures;
 use crate::instance::Instance;
@@ -34,11 +35,17 @@
     };
     let req = Request::new(Method::Get, url);
     let reply = instance.client.send(&polled.addr, req, POLL_TIMEOUT).await;
+    if matches!(reply, Err(ClientError::NotSent(_))) {
+        instance.quarantine.refused(instance, &polled.server);
+    }
     let report = reply
         .ok()
         .and_then(|reply| serde_json::from_slice::<LoadReport>(&reply.body).ok());
     if let Some(report) = report.filter(|report| report.server == polled.server) {
         let now = instance.clock.now();
+        instance
+            .quarantine
+            .seen(instance, &polled.server, report.incarnation);
         let mut router = instance.tables.router();
         router.reported(&polled.server, &figures(&report), now);
     }
--- a/crates/sardineshore-entry/src/quarantine.rs
+++ b/crates/sardineshore-entry/src/quarantine.rs
@@ -1,15 +1,16 @@
 //! Quarantine of requests that crash backend servers: I/O around the core's decisions.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use sardineshore_core::clock::unix_ms;
 use sardineshore_core::event::claim as events;
 use sardineshore_core::quarantine::{
     CallEnd, Evidence, Hold, Quarantine, QuarantineDelta, Standing, Strike,
 };
-use sardineshore_core::{AttemptResult, Choice, QuarantineRow, ServerId};
+use sardineshore_core::{AttemptResult, Choice, PoolId, QuarantineRow, ServerId};
 use sardineshore_wire::http::{ClientError, Reuse};
 
 use crate::claims::incarnations::probe;
@@ -24,14 +25,23 @@
     Duration::from_millis(500),
     Duration::from_secs(2),
 ];
+/// Longest wait of a retry for the server's fate.
+const LOOK_WAIT: Duration = Duration::from_millis(300);
 const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Age up to which evidence is told to peers.
 const TOLD_AGE: Duration = Duration::from_secs(60);
 
-/// The quarantine of one instance.
+/// Time for which a server that refused a connection counts as down, unless it is heard.
+const DOWN_AGE: Duration = Duration::from_secs(30);
+
+/// The quarantine of one instance. No two of its locks are held together.
 #[derive(Debug, Default)]
 pub struct QuarantineTable {
     quarantine: Mutex<Quarantine>,
+    /// When each server first refused a connection since it was last heard.
+    down: Mutex<HashMap<ServerId, Instant>>,
+    /// Servers being looked after.
+    looks: Mutex<HashMap<ServerId, JoinHandle<()>>>,
 }
 
 impl QuarantineTable {
@@ -41,6 +51,28 @@
         matches!(standing, Standing::Quarantined { .. })
     }
 
+    /// Whether a request that crashed a server must wait, because a second crash would leave the
+    /// pool without a server.
+    pub fn must_wait(&self, instance: &Instance, job: &Job, pool: &PoolId) -> bool {
+        let standing = self.table().standing(&job.fingerprint, now_ms(instance));
+        if standing == Standing::Clear {
+            return false;
+        }
+        let deployment = instance.tables.deployment();
+        let of_pool = deployment.servers.values();
+        let names: Vec<_> = of_pool
+            .filter(|server| server.pool == *pool)
+            .map(|server| &server.name)
+            .collect();
+        let now = instance.clock.now();
+        let down = self.down.lock().expect("down lock poisoned");
+        let is_up = |name: &&&ServerId| {
+            let refused = down.get(**name);
+            refused.is_none_or(|at| now.duration_since(*at) > DOWN_AGE)
+        };
+        names.len() > 1 && names.iter().filter(is_up).count() < 2
+    }
+
     /// Asks to send a call; called at the last moment before it.
     pub fn begin(
         &self,
@@ -82,18 +114,35 @@
         };
         self.end(instance, job, &choice.server, end);
         if matches!(end, CallEnd::Broken { .. }) {
-            task::spawn(look_after(instance.clone(), choice.clone()));
+            let look = look_after(instance.clone(), choice.clone());
+            let look = task::spawn(look);
+            self.looks().insert(choice.server.clone(), look);
+        }
+    }
+
+    /// Waits until a server whose connection broke was looked after, so that a retry knows
+    /// whether its request is a suspect.
+    pub async fn looked_after(&self, server: &ServerId) {
+        let look = self.looks().remove(server);
+        if let Some(look) = look {
+            let _ = async_std::future::timeout(LOOK_WAIT, look).await;
         }
     }
 
     /// A backend server refused a connection.
     pub fn refused(&self, instance: &Instance, server: &ServerId) {
+        let now = instance.clock.now();
+        let mut down = self.down.lock().expect("down lock poisoned");
+        down.entry(server.clone()).or_insert(now);
+        drop(down);
         let strikes = self.table().server_refused(server, now_ms(instance));
         report(instance, &strikes);
     }
 
     /// A backend server was heard.
     pub fn seen(&self, instance: &Instance, server: &ServerId, incarnation: u64) {
+        instance.incarnations.note(server, incarnation);
+        self.down.lock().expect("down lock poisoned").remove(server);
         let now = now_ms(instance);
         let strikes = self.table().server_seen(server, incarnation, now);
         report(instance, &strikes);
@@ -125,6 +174,10 @@
         self.table().rows(now_ms)
     }
 
+    fn looks(&self) -> MutexGuard<'_, HashMap<ServerId, JoinHandle<()>>> {
+        self.looks.lock().expect("looks lock poisoned")
+    }
+
     fn table(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine.lock().expect("quarantine lock poisoned")
     }
--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -147,6 +147,9 @@
             }
             let result = attempted.result();
             tried.last = Some(attempted);
+            if result == AttemptResult::Lost {
+                self.instance.quarantine.looked_after(&choice.server).await;
+            }
             if !self.again(stage, result, tried.servers.len()).await {
                 return Err(tried
                     .last
@@ -163,6 +166,14 @@
                 return Err(Failure::quarantined());
             }
             let now = self.instance.clock.now();
+            let suspect = self
+                .instance
+                .quarantine
+                .must_wait(self.instance, self.job, &stage.pool);
+            if suspect && now < tried.until {
+                async_std::task::sleep(SATURATED_WAIT_MAX).await;
+                continue;
+            }
             let ask = Ask {
                 pool: &stage.pool,
                 request: &self.job.request,
