--- a/crates/sardineshore-entry/src/metrics.rs
+++ b/crates/sardineshore-entry/src/metrics.rs
@@ -13,6 +13,7 @@
 pub use policy::PolicyMetrics;
 
 use crate::job::{Finished, Job};
+use crate::reply;
 
 /// Customers with a label of their own; others share one, so that memory stays bounded.
 const MAX_LABELLED_CUSTOMERS: usize = 64;
@@ -99,9 +100,9 @@
     /// Counts how a request ended.
     pub fn finished(&self, job: &Job, finished: &Finished, latency: Duration) {
         let (outcome, reason) = match finished {
-            Finished::Answered(_) => ("answered", String::new()),
-            Finished::NotRun { reason, .. } => ("not-run", format!("{reason:?}")),
-            Finished::Unknown { reason, .. } => ("unknown", format!("{reason:?}")),
+            Finished::Answered(_) => ("answered", "".into()),
+            Finished::NotRun { reason, .. } => ("not-run", reply::name(reason)),
+            Finished::Unknown { reason, .. } => ("unknown", reply::name(reason)),
         };
         self.requests
             .with_label_values(&[&*job.pipeline.name, outcome, &reason])
