feat(load): a complaint about a missing reply names the outages that did not excuse it

Ruled out: a longer excuse, which would weaken the audit; rounding of the due time, which can only lengthen the reply's time. Change: the complaint carries both times. Conclusion: the cause is open; the next complaint will show it.

--- a/crates/sardineshore-load/src/audit.rs
+++ b/crates/sardineshore-load/src/audit.rs
@@ -37,11 +37,15 @@
 
 impl Outage {
     fn excuses(&self, told: &Told) -> bool {
-        let replied_by_ms = told.due_ms + told.latency_us.div_ceil(1_000);
-        self.entry == told.entry && told.due_ms <= self.until_ms && self.from_ms <= replied_by_ms
+        let in_time = told.due_ms <= self.until_ms && self.from_ms <= replied_by_ms(told);
+        self.entry == told.entry && in_time
     }
 }
 
+fn replied_by_ms(told: &Told) -> u64 {
+    told.due_ms + told.latency_us.div_ceil(1_000)
+}
+
 /// What an audit knows beforehand.
 #[derive(Debug, Clone, Default)]
 pub struct Audit {
@@ -94,8 +98,26 @@
             "no-reply" if self.outages.iter().any(|outage| outage.excuses(told)) => {
                 verdict.unknown += 1;
             }
-            _ => verdict.lost.push(Complaint::new(told, "no reply")),
+            _ => verdict
+                .lost
+                .push(Complaint::new(told, &self.no_reply(told))),
+        }
+    }
+
+    /// Text of a complaint about a missing reply, with the outages that did not excuse it.
+    fn no_reply(&self, told: &Told) -> String {
+        let (due, by) = (told.due_ms, replied_by_ms(told));
+        let ours = self
+            .outages
+            .iter()
+            .filter(|outage| outage.entry == told.entry);
+        let times: Vec<String> = ours
+            .map(|outage| format!("{} to {}", outage.from_ms, outage.until_ms))
+            .collect();
+        if times.is_empty() {
+            return "no reply".into();
         }
+        format!("no reply from {due} to {by}; outages: {}", times.join(", "))
     }
 
     fn judge_answer(&self, told: &Told, runs: &Runs, verdict: &mut Verdict) {
