--- a/crates/sardineshore-entry/src/tables.rs
+++ b/crates/sardineshore-entry/src/tables.rs
@@ -1,6 +1,7 @@
 //! Tables that all workers share.
 //!
-//! Lock order: deployment, admission, router, retries, totals. No lock is held across an `await`.
+//! Lock order: the state of [`config`](crate::config), deployment, admission, router, retries,
+//! totals. No lock is held across an `await`.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
