perf(entry): an idle connection holds no buffers and no request's memory

Cause: `cargo xtask bench idle` measured 24.5 KiB for each of 10,000 idle connections (9,976 KiB before, 254,808 KiB after), four times the 64 MB that an instance may use. Each connection held the HTTP server's read buffer and, in one task, the state of the largest request. Change: the task waits for the first byte by a peek, then serves the request in a boxed future. The wait ends after 60 s, as the library's own wait for a head did, and at a stop. Ruled out: a smaller read buffer in the library; its size is not a setting.

--- a/crates/sardineshore-entry/src/conn.rs
+++ b/crates/sardineshore-entry/src/conn.rs
@@ -91,6 +91,12 @@
         &self.stream
     }
 
+    /// Waits until the caller sends something; false if it closed the connection instead.
+    pub async fn begun(&self) -> bool {
+        let mut buf = [0_u8; 1];
+        matches!(self.stream.peek(&mut buf).await, Ok(1))
+    }
+
     /// Returns when the caller has closed its side; never, if it sends anything more.
     pub async fn closed(&self) {
         let mut buf = [0_u8; 1];
--- a/crates/sardineshore-entry/src/listener.rs
+++ b/crates/sardineshore-entry/src/listener.rs
@@ -21,6 +21,8 @@
 use crate::{admission, reply, runner};
 
 const STREAM_BUFFER_TOKENS: usize = 256;
+/// Time after which a connection without a request is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections until the listener is dropped.
@@ -52,35 +54,51 @@
 
 /// Serves the requests of one connection, one after the other.
 async fn serve(instance: &Arc<Instance>, stream: CallerStream) {
+    while arrives(instance, &stream).await {
+        // Boxed, so that an idle connection does not hold the memory of a request.
+        if !Box::pin(exchange(instance, &stream)).await {
+            return;
+        }
+    }
+}
+
+/// Waits for the first byte of a request; false if none will come.
+async fn arrives(instance: &Instance, stream: &CallerStream) -> bool {
+    stream.reads().expect_head();
+    let begun = async_std::future::timeout(IDLE_TIMEOUT, stream.begun()).fuse();
+    let stopped = instance.stop.idle_closed().fuse();
+    futures::pin_mut!(begun, stopped);
+    futures::select_biased! { begun = begun => begun.unwrap_or(false), () = stopped => false }
+}
+
+/// Serves one request; whether another may follow on the connection.
+async fn exchange(instance: &Arc<Instance>, stream: &CallerStream) -> bool {
     let in_flight: Arc<Mutex<Option<InFlight>>> = Arc::default();
-    loop {
-        stream.reads().expect_head();
-        let endpoint = |req| {
-            stream.reads().expect_body();
-            let entered = instance.stop.enter();
-            *in_flight.lock().expect("slot lock poisoned") = Some(entered);
-            answer(instance.clone(), stream.clone(), req)
-        };
-        let mut server = Server::new(stream.clone(), endpoint);
-        let served = {
-            let one = server.accept_one().fuse();
-            let stopped = idle_stop(instance, &stream).fuse();
-            futures::pin_mut!(one, stopped);
-            futures::select_biased! { served = one => Some(served), () = stopped => None }
-        };
-        let was_in_flight = in_flight
-            .lock()
-            .expect("slot lock poisoned")
-            .take()
-            .is_some();
-        match served {
-            Some(Ok(ConnectionStatus::KeepAlive)) if !instance.stop.is_stopping() => (),
-            Some(Err(_)) if !was_in_flight => {
-                let _ = stream.tcp().write_all(&reply::malformed()).await;
-                return;
-            }
-            _ => return,
+    let endpoint = |req| {
+        stream.reads().expect_body();
+        let entered = instance.stop.enter();
+        *in_flight.lock().expect("slot lock poisoned") = Some(entered);
+        answer(instance.clone(), stream.clone(), req)
+    };
+    let mut server = Server::new(stream.clone(), endpoint);
+    let served = {
+        let one = server.accept_one().fuse();
+        let stopped = idle_stop(instance, stream).fuse();
+        futures::pin_mut!(one, stopped);
+        futures::select_biased! { served = one => Some(served), () = stopped => None }
+    };
+    let was_in_flight = in_flight
+        .lock()
+        .expect("slot lock poisoned")
+        .take()
+        .is_some();
+    match served {
+        Some(Ok(ConnectionStatus::KeepAlive)) => !instance.stop.is_stopping(),
+        Some(Err(_)) if !was_in_flight => {
+            let _ = stream.tcp().write_all(&reply::malformed()).await;
+            false
         }
+        _ => false,
     }
 }
 
