--- a/crates/sardineshore-entry/src/listener.rs
+++ b/crates/sardineshore-entry/src/listener.rs
@@ -10,6 +10,7 @@
 use futures::{AsyncWriteExt, FutureExt};
 use http_types::{Request, Response, StatusCode};
 use sardineshore_core::NotRunReason;
+use sardineshore_core::claim::{IdempotencyKey, fingerprint};
 use sardineshore_core::event::entry as events;
 
 use crate::api::{Arrival, Refused, Target, effective_deadline, receive, target};
@@ -115,20 +116,37 @@
     stream: CallerStream,
     mut req: Request,
 ) -> http_types::Result<Response> {
-    let mut res = match target(&req) {
+    let target = target(&req);
+    let reads_body = matches!(target, Target::Submit { .. });
+    let mut res = match target {
         Target::Health => Response::new(StatusCode::Ok),
         Target::Ready if is_ready(&instance) => Response::new(StatusCode::Ok),
         Target::Ready => Response::new(StatusCode::ServiceUnavailable),
         Target::Metrics => metrics(&instance),
-        Target::Submit { pipeline } => submit(&instance, &stream, &mut req, &pipeline).await,
+        // On the heap, so that idle connections stay small.
+        Target::Submit { pipeline } => {
+            Box::pin(submit(&instance, &stream, &mut req, &pipeline)).await
+        }
         Target::Unknown => reply::not_run(NotRunReason::BadRequest, "no such path or method", ""),
     };
+    if !reads_body {
+        leave_body(&stream, &req, &mut res);
+    }
     if instance.stop.is_stopping() {
         res.insert_header("connection", "close");
     }
     Ok(res)
 }
 
+/// Ends the connection of a request whose body nobody reads. The HTTP library would read it to its
+/// end, without a limit, and drop what it buffered beyond it, which can be the next request.
+fn leave_body(stream: &CallerStream, req: &Request, res: &mut Response) {
+    if req.len() != Some(0) {
+        stream.reads().cut();
+        res.insert_header("connection", "close");
+    }
+}
+
 /// Whether the balancer may send callers here.
 fn is_ready(instance: &Instance) -> bool {
     instance.stop.is_ready() && instance.gate.may_dispatch()
@@ -178,15 +196,17 @@
         let detail = format!("pipeline {pipeline:?} is not declared");
         return Err(Refused::new(NotRunReason::UnknownPipeline, detail));
     };
-    if !pipeline.idempotent() && arrival.key.is_none() {
-        let detail = "a non-idempotent pipeline needs the header idempotency-key";
-        return Err(Refused::new(NotRunReason::KeyMissing, detail));
-    }
+    let key = if pipeline.idempotent() {
+        None
+    } else {
+        Some(checked_key(instance, arrival.key.as_deref())?)
+    };
     let job = Job {
         request: instance.new_request(),
         customer: arrival.customer.clone(),
         pipeline: Arc::new(pipeline.clone()),
-        key: arrival.key.clone(),
+        key,
+        fingerprint: fingerprint(&pipeline.name, &arrival.body),
         streamed: arrival.streamed,
         body: arrival.body.clone(),
         prefix: arrival.prefix,
@@ -200,6 +220,20 @@
     Ok(job)
 }
 
+/// Reads the key of a non-idempotent request and checks its age.
+fn checked_key(instance: &Instance, text: Option<&str>) -> Result<IdempotencyKey, Refused> {
+    let Some(text) = text else {
+        let detail = "a non-idempotent pipeline needs the header idempotency-key";
+        return Err(Refused::new(NotRunReason::KeyMissing, detail));
+    };
+    let key = IdempotencyKey::parse(text)
+        .map_err(|reason| Refused::new(reason, "the key is not a version 7 UUID"))?;
+    let retention = instance.claims.retention();
+    let aged = retention.check(key, instance.clock.wall());
+    aged.map_err(|reason| Refused::new(reason, "the key's own time is outside the window"))?;
+    Ok(key)
+}
+
 /// Runs a request; if its caller goes away, idempotent work is cancelled.
 async fn run_whole(instance: &Arc<Instance>, stream: &CallerStream, job: Job) -> Response {
     let repeatable = job.pipeline.idempotent();
