fix(xtask): runs that start in the same millisecond with one seed have logs of their own

Cause: with several runs at the same time, the runs of one seed start together, and the directory was named by time, process and seed. An existing directory is now an error.

--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -15,6 +15,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, bail};
@@ -94,10 +95,14 @@
 
 /// Settings of a fleet with a fresh directory of logs.
 pub fn settings(programs: PathBuf, instances: usize, seed: u64) -> anyhow::Result<FleetSettings> {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH)?;
-    let name = format!("{}-{}-{seed}", now.as_millis(), std::process::id());
-    let logs = build::target_dir()?.join("demo").join(name);
-    std::fs::create_dir_all(&logs).with_context(|| format!("{}", logs.display()))?;
+    static RUNS: AtomicUsize = AtomicUsize::new(0);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("{now}-{}-{run}-{seed}", std::process::id());
+    let demos = build::target_dir()?.join("demo");
+    let logs = demos.join(name);
+    std::fs::create_dir_all(&demos).with_context(|| format!("{}", demos.display()))?;
+    std::fs::create_dir(&logs).with_context(|| format!("{}", logs.display()))?;
     Ok(FleetSettings {
         instances,
         seed,
