fix(xtask): calls of cargo don't inherit the variables of `cargo run`

Cause: `cargo run` sets CARGO_PKG_* and CARGO_MANIFEST_*, on which a build script of a dependency depends; each `cargo xtask demo` after a build from a shell compiled 30 s of libraries again (29.3 s in the last such run). Change: they are removed for cargo's own calls.

--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -92,9 +92,9 @@
 
 /// Builds this program in release and goes on as that one.
 fn become_release() -> anyhow::Result<()> {
-    let build = ["build", "--quiet", "--release", "--workspace", "--bins"];
-    let status = Child::new("cargo")
-        .args(build)
+    let build_args = ["build", "--quiet", "--release", "--workspace", "--bins"];
+    let status = build::cargo()
+        .args(build_args)
         .status()
         .context("cargo build")?;
     if !status.success() {
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -1,9 +1,9 @@
 //! `cargo xtask ci`: the checks that every change must pass.
 
-use std::process::Command;
-
 use anyhow::{Context, bail};
 
+use crate::demo::build::cargo;
+
 /// One call of cargo.
 struct Step {
     name: &'static str,
@@ -45,7 +45,7 @@
 pub fn run() -> anyhow::Result<()> {
     for Step { name, args } in STEPS {
         println!("ci: {name}");
-        let status = Command::new("cargo")
+        let status = cargo()
             .args(*args)
             .env("RUSTDOCFLAGS", "-D warnings")
             .status()
--- a/xtask/src/demo/build.rs
+++ b/xtask/src/demo/build.rs
@@ -16,7 +16,7 @@
 
 /// Builds all programs; returns their directory.
 pub fn build(profile: Profile) -> anyhow::Result<PathBuf> {
-    let mut cargo = Command::new("cargo");
+    let mut cargo = cargo();
     cargo.args(["build", "--workspace", "--bins"]);
     if profile == Profile::Release {
         cargo.arg("--release");
@@ -32,6 +32,20 @@
     Ok(target_dir()?.join(dir))
 }
 
+/// A call of cargo as from a shell: without the variables that `cargo run` sets for this program,
+/// which make some build scripts run again.
+#[must_use]
+pub fn cargo() -> Command {
+    let mut cargo = Command::new("cargo");
+    for (name, _) in std::env::vars_os() {
+        let text = name.to_string_lossy();
+        if text.starts_with("CARGO_PKG_") || text.starts_with("CARGO_MANIFEST_") {
+            cargo.env_remove(&name);
+        }
+    }
+    cargo
+}
+
 /// The directory of build output.
 pub fn target_dir() -> anyhow::Result<PathBuf> {
     let dir = std::env::var_os("CARGO_TARGET_DIR");
