fix(xtask): the outage of a killed instance lasts until its process has ended

Until the process is gone, the system goes on accepting connections for it. Ruled out: an excuse of fixed length after the signal, which would hide a missing reply of a live instance. Change: the outage ends when the process has been reaped.

--- a/xtask/src/demo/director.rs
+++ b/xtask/src/demo/director.rs
@@ -1,8 +1,9 @@
 //! Carries out the steps of a timeline against a fleet and keeps its processes running.
 
 use std::collections::VecDeque;
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
+use async_std::task;
 use http_types::Method;
 use nix::sys::signal::Signal;
 use sardineshore_core::clock::unix_ms;
@@ -14,6 +15,9 @@
 use super::fault::{Action, Step};
 use super::fleet::Fleet;
 
+/// Time between two looks at a process that was killed.
+const DEATH_POLL: Duration = Duration::from_millis(1);
+
 /// Carries out faults.
 #[derive(Debug)]
 pub struct Director {
@@ -70,7 +74,7 @@
 
     async fn act(&mut self, action: Action, fleet: &mut Fleet) -> anyhow::Result<()> {
         match action {
-            Action::KillEntry(number) => self.kill_entry(number, fleet),
+            Action::KillEntry(number) => self.kill_entry(number, fleet).await,
             Action::StopEntry(number) => self.stop_entry(number, fleet),
             Action::ContinueEntry(number) => self.continue_entry(number, fleet),
             Action::KillServer(number) => fleet.servers[number].end(Signal::SIGKILL),
@@ -92,9 +96,15 @@
         }
     }
 
-    fn kill_entry(&mut self, number: usize, fleet: &mut Fleet) -> anyhow::Result<()> {
+    /// The outage lasts until the process has ended: until then the system accepts connections
+    /// for it.
+    async fn kill_entry(&mut self, number: usize, fleet: &mut Fleet) -> anyhow::Result<()> {
         let from_ms = now_ms();
-        fleet.entries[number].member.end(Signal::SIGKILL)?;
+        let entry = &mut fleet.entries[number].member;
+        entry.end(Signal::SIGKILL)?;
+        while entry.runs()? {
+            task::sleep(DEATH_POLL).await;
+        }
         self.note_outage(number, fleet, from_ms, now_ms());
         self.close_outages(number, fleet);
         Ok(())
