--- a/crates/sardineshore-entry/src/metrics.rs
+++ b/crates/sardineshore-entry/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics in the Prometheus text format.
 
+mod policy;
+
 use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -8,7 +10,10 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
+pub use policy::PolicyMetrics;
+
 use crate::job::{Finished, Job};
+use crate::reply;
 
 /// Customers with a label of their own; others share one, so that memory stays bounded.
 const MAX_LABELLED_CUSTOMERS: usize = 64;
@@ -30,6 +35,8 @@
     in_flight: IntGauge,
     connections: IntGauge,
     customers: Mutex<BTreeSet<String>>,
+    /// Routing, limits and retries.
+    pub policy: PolicyMetrics,
 }
 
 impl Default for Metrics {
@@ -59,6 +66,7 @@
             in_flight: gauge("sardine_requests_in_flight", "Requests in flight"),
             connections: gauge("sardine_connections", "Open connections of callers"),
             customers: Mutex::default(),
+            policy: PolicyMetrics::new(&registry),
             registry,
         };
         metrics.register();
@@ -92,9 +100,9 @@
     /// Counts how a request ended.
     pub fn finished(&self, job: &Job, finished: &Finished, latency: Duration) {
         let (outcome, reason) = match finished {
-            Finished::Answered(_) => ("answered", String::new()),
-            Finished::NotRun { reason, .. } => ("not-run", format!("{reason:?}")),
-            Finished::Unknown { reason, .. } => ("unknown", format!("{reason:?}")),
+            Finished::Answered(_) => ("answered", "".into()),
+            Finished::NotRun { reason, .. } => ("not-run", reply::name(reason)),
+            Finished::Unknown { reason, .. } => ("unknown", reply::name(reason)),
         };
         self.requests
             .with_label_values(&[&*job.pipeline.name, outcome, &reason])
--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -1,18 +1,20 @@
 //! Runs the stages of one request under its deadline.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::{Either, select};
 use sardineshore_core::claim::IdempotencyKey;
+use sardineshore_core::event::routing as events;
 use sardineshore_core::{
-    Ask, AttemptResult, Choice, EndedAttempt, NoChoice, NotRunReason, RetryDecision, ServerId,
-    Stage, StageKind, UnknownReason,
+    Ask, AttemptResult, Choice, EndedAttempt, EventKind, NoChoice, NotRunReason, PoolId,
+    RetryDecision, ServerId, Stage, StageKind, UnknownReason,
 };
 
 use crate::claims::incarnations::learn;
 use crate::claims::{Claim, Claims};
-use crate::dispatch::{Attempted, Call, dispatch};
+use crate::dispatch::{Attempted, Call};
+use crate::hedge::{Attempts, dispatch_hedged};
 use crate::instance::Instance;
 use crate::job::{Finished, Job};
 use crate::stream::{Sink, dispatch_streamed};
@@ -69,8 +71,8 @@
         document: job.body.clone(),
         not_run_denied: false,
     };
-    for (at, stage) in (0_u32..).zip(&job.pipeline.stages) {
-        match run.stage(at, stage).await {
+    for at in 0..job.pipeline.stages.len() {
+        match run.stage(at).await {
             Ok(output) => run.document = output,
             Err(failure) => return run.failed(failure),
         }
@@ -99,20 +101,35 @@
 }
 
 /// Attempts of one stage so far.
-#[derive(Default)]
 struct Tried {
     servers: Vec<ServerId>,
     last: Option<Attempted>,
+    /// When the stage must have answered.
+    until: Instant,
+}
+
+impl Tried {
+    fn new(until: Instant) -> Self {
+        Self {
+            servers: Vec::new(),
+            last: None,
+            until,
+        }
+    }
 }
 
 impl Run<'_> {
-    async fn stage(&mut self, at: u32, stage: &Stage) -> Result<Arc<[u8]>, Failure> {
+    /// Runs the stage at a position of the pipeline.
+    async fn stage(&mut self, at: usize) -> Result<Arc<[u8]>, Failure> {
+        let job = self.job;
+        let stage = &job.pipeline.stages[at];
         if let Some(claim) = self.claim.filter(|_| !stage.idempotent)
             && !claim.held().await
         {
             return Err(Failure::no_server());
         }
-        let mut tried = Tried::default();
+        let began = self.instance.clock.now();
+        let mut tried = Tried::new(self.due(at, began)?);
         self.instance.tables.retries().sent(&stage.pool);
         loop {
             let choice = match self.choose(stage, &tried).await {
@@ -120,10 +137,12 @@
                 Err(failure) => return Err(tried.last.take().map_or(failure, Failure::from)),
             };
             tried.servers.push(choice.server.clone());
-            let extra = tried.servers.len() > 1;
-            let attempted = self.attempt(at, stage, &choice, extra).await;
+            let attempted = self.attempt(at, &choice, &mut tried).await;
             self.note(stage, &attempted);
             if let Attempted::Answered(output) = attempted {
+                let now = self.instance.clock.now();
+                let mut pacing = self.instance.tables.pacing();
+                pacing.answered(&stage.pool, now.duration_since(began), now);
                 return Ok(output);
             }
             let result = attempted.result();
@@ -148,20 +167,24 @@
                 pool: &stage.pool,
                 request: &self.job.request,
                 customer: &self.job.customer,
-                prefix: self.job.prefix,
+                prefix: self.prefix(stage),
                 idempotent: stage.idempotent,
                 tried: &tried.servers,
-                deadline: self.job.deadline,
+                deadline: tried.until,
             };
             let chosen = self.instance.tables.router().choose(&ask, now);
             match chosen {
                 Ok(choice) => return Ok(choice),
-                Err(NoChoice::NoServer) => return Err(Failure::no_server()),
+                Err(NoChoice::NoServer) => {
+                    self.event(&events::POOL_EMPTY, &stage.pool);
+                    return Err(Failure::no_server());
+                }
                 Err(NoChoice::TooLate) => return Err(Failure::too_late()),
                 Err(NoChoice::Saturated { .. }) if self.job.remaining(now).is_zero() => {
                     return Err(Failure::too_late());
                 }
                 Err(NoChoice::Saturated { retry_after }) => {
+                    self.instance.metrics.policy.saturated(&stage.pool);
                     let wait = retry_after
                         .min(SATURATED_WAIT_MAX)
                         .min(self.job.remaining(now));
@@ -171,20 +194,27 @@
         }
     }
 
-    async fn attempt(&mut self, at: u32, stage: &Stage, choice: &Choice, extra: bool) -> Attempted {
+    async fn attempt(&mut self, at: usize, choice: &Choice, tried: &mut Tried) -> Attempted {
+        let stage = &self.job.pipeline.stages[at];
         let claim = self.claim.filter(|_| !stage.idempotent);
+        let position = u32::try_from(at).unwrap_or(u32::MAX);
         let input = self.document.clone();
         let call = Call {
             job: self.job,
             stage,
             input,
-            extra,
-            claimed: claim.map(|claim| (claim, at)),
+            extra: tried.servers.len() > 1,
+            claimed: claim.map(|claim| (claim, position)),
+        };
+        let attempts = Attempts {
+            prefix: self.prefix(stage),
+            until: tried.until,
+            tried: &mut tried.servers,
         };
         let streams = stage.kind == StageKind::Generate && self.is_last(stage);
         let attempted = match &mut self.sink {
             Some(sink) if streams => dispatch_streamed(self.instance, &call, choice, sink).await,
-            _ => dispatch(self.instance, &call, choice).await,
+            _ => dispatch_hedged(self.instance, &call, choice, attempts).await,
         };
         match claim {
             Some(claim) => claim.settle(attempted).await,
@@ -192,6 +222,30 @@
         }
     }
 
+    /// When a stage must have answered: the deadline without what the later stages usually need.
+    fn due(&self, at: usize, now: Instant) -> Result<Instant, Failure> {
+        let stages = &self.job.pipeline.stages[at..];
+        let pools: Vec<PoolId> = stages.iter().map(|stage| stage.pool.clone()).collect();
+        let remaining = self.job.remaining(now);
+        let split = self.instance.tables.pacing().split(remaining, &pools, now);
+        split.map(|limit| now + limit).map_err(|_| {
+            self.event(&events::DEADLINE_UNREACHABLE, &stages[0].name);
+            Failure::too_late()
+        })
+    }
+
+    /// Hash that prefix caches are looked up by; only stages that generate have them.
+    fn prefix(&self, stage: &Stage) -> u64 {
+        match stage.kind {
+            StageKind::Generate => self.job.prefix,
+            _ => 0,
+        }
+    }
+
+    fn event(&self, kind: &EventKind, text: &str) {
+        self.instance.journal.request(&self.job.request, kind, text);
+    }
+
     fn is_last(&self, stage: &Stage) -> bool {
         self.job
             .pipeline
@@ -219,10 +273,16 @@
         let decision = self.instance.tables.retries().after(&stage.pool, ended);
         match decision {
             RetryDecision::Retry { after } => {
+                self.instance.metrics.policy.retry(&stage.pool);
+                self.event(&events::ATTEMPT_RETRIED, &format!("{result:?}"));
                 async_std::task::sleep(after).await;
                 true
             }
-            RetryDecision::GiveUp(_) => false,
+            RetryDecision::GiveUp(why) => {
+                self.instance.metrics.policy.withheld(&stage.pool, why);
+                self.event(&events::RETRY_WITHHELD, &format!("{why:?}"));
+                false
+            }
         }
     }
 
--- a/crates/sardineshore-entry/src/tables.rs
+++ b/crates/sardineshore-entry/src/tables.rs
@@ -1,7 +1,7 @@
 //! Tables that all workers share.
 //!
 //! Lock order: the state of [`config`](crate::config), deployment, admission, router, retries,
-//! totals. No lock is held across an `await`.
+//! pacing, totals. No lock is held across an `await`.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
@@ -13,6 +13,7 @@
 };
 use slotmap::SecondaryMap;
 
+use crate::pacing::Pacing;
 use crate::totals::Totals;
 
 /// Admission and those who wait for it.
@@ -45,6 +46,7 @@
     admission: Mutex<AdmissionTable>,
     router: Mutex<Router>,
     retries: Mutex<Retries>,
+    pacing: Mutex<Pacing>,
     totals: Mutex<Totals>,
 }
 
@@ -61,6 +63,7 @@
             }),
             retries: Mutex::new(Retries::new(retries, Objective::default())),
             router: Mutex::new(router),
+            pacing: Mutex::default(),
             totals: Mutex::default(),
         }
     }
@@ -92,6 +95,11 @@
         self.retries.lock().expect("retries lock poisoned")
     }
 
+    /// Observed latencies of stages.
+    pub fn pacing(&self) -> MutexGuard<'_, Pacing> {
+        self.pacing.lock().expect("pacing lock poisoned")
+    }
+
     /// The router.
     pub fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().expect("router lock poisoned")
--- a/crates/sardineshore-wire/src/peer.rs
+++ b/crates/sardineshore-wire/src/peer.rs
@@ -1,6 +1,6 @@
 //! JSON-RPC between entry instances.
 //!
-//! Instances ask one another in turn ([`Peer::exchange`]). The question names the asker's version,
+//! Instances ask one another in turn ([`PeerClient::exchange`]). The question names the asker's version,
 //! so that the asked instance can fetch entries that it lacks; the answer tells ages, which the
 //! asker counts from when it asked. Field names are short, since these messages are most of what
 //! an instance spends on control.
