test(core): routing, limits and retries; fix two faults that they found

Found by the tests and mended: the weights of servers for an instance's subset were a product of two hashes whose seeds differ in few bits, and with 100 instances three of 200 servers were in no subset; they are now xxh3 hashes. A request that ended early without an answer raised the limit of its pipeline; now it doesn't count.

--- /dev/null
+++ b/crates/sardineshore-core/examples/decision_time.rs
@@ -0,0 +1,70 @@
+//! Measures the processor time of one choice among many backend servers.
+//!
+//! `cargo run --release -p sardineshore-core --example decision_time`
+
+use std::collections::BTreeSet;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use sardineshore_core::{
+    Ask, BackendServer, Deployment, LoadFigures, PoolId, Router, RoutingConfig,
+};
+
+const ROUNDS: usize = 7;
+const CHOICES: u32 = 100_000;
+
+fn main() {
+    for servers in [20, 100, 600] {
+        let mut router = router(servers);
+        for (name, prefixes) in [("without prefix", 0), ("with prefix", 1_000)] {
+            let mut rounds: Vec<f64> = (0..ROUNDS).map(|_| round(&mut router, prefixes)).collect();
+            rounds.sort_by(f64::total_cmp);
+            let (low, mid, high) = (rounds[0], rounds[ROUNDS / 2], rounds[ROUNDS - 1]);
+            println!("{servers} servers, {name}: {mid:.3} µs a choice ({low:.3} to {high:.3})");
+        }
+    }
+}
+
+fn router(servers: usize) -> Router {
+    let mut deployment = Deployment::default();
+    for at in 0..servers {
+        let server = BackendServer {
+            name: format!("engine-{at:03}").into(),
+            addr: "127.0.0.1:9000".into(),
+            domain: (at % 11).to_string().into(),
+            pool: "engines".into(),
+            ..BackendServer::default()
+        };
+        deployment.servers.insert(server.name.clone(), server);
+    }
+    let mut router = Router::new(RoutingConfig::default());
+    router.adopt(&deployment, &BTreeSet::new());
+    for name in deployment.servers.keys() {
+        let figures = LoadFigures {
+            running: 4,
+            capacity: 8,
+            ..LoadFigures::default()
+        };
+        router.reported(name, &figures, Instant::now());
+    }
+    router
+}
+
+/// Microseconds of one choice, as the mean of many.
+fn round(router: &mut Router, prefixes: u64) -> f64 {
+    let pool: PoolId = "engines".into();
+    let now = Instant::now();
+    for at in 0..CHOICES {
+        let ask = Ask {
+            pool: &pool,
+            request: "r",
+            customer: "c",
+            prefix: (u64::from(at) % prefixes.max(1)) * prefixes.min(1) * 7_919,
+            idempotent: true,
+            tried: &[],
+            deadline: now + Duration::from_secs(6),
+        };
+        black_box(router.choose(black_box(&ask), now)).expect("all servers are idle");
+    }
+    now.elapsed().as_secs_f64() * 1e6 / f64::from(CHOICES)
+}
--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -51,8 +51,8 @@
     RequestId, Revision, ServerId, Version,
 };
 pub use limits::{
-    Admission, AdmissionConfig, Completion, ConcurrencyLimit, Offer, Offered, Release, Released,
-    Ticket, Verdict,
+    Admission, AdmissionConfig, Completion, ConcurrencyLimit, Offer, Offered, QueueSample, Release,
+    Released, Ticket, Verdict,
 };
 pub use order::{EngineAction, EngineOrder, Fence};
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
--- a/crates/sardineshore-core/src/limits/gate.rs
+++ b/crates/sardineshore-core/src/limits/gate.rs
@@ -80,9 +80,10 @@
         self.running -= 1;
         self.note_interval(now);
         let latency = end.latency.as_secs_f64();
-        if end.in_time || latency > self.latency {
-            smooth(&mut self.latency, latency);
+        if !end.in_time && latency <= self.latency {
+            return;
         }
+        smooth(&mut self.latency, latency);
         if end.in_time && !end.service.is_zero() {
             smooth(&mut self.service, end.service.as_secs_f64());
         }
--- a/crates/sardineshore-core/src/routing/pool.rs
+++ b/crates/sardineshore-core/src/routing/pool.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::estimate::Smoothed;
 use super::server::Server;
@@ -15,6 +16,9 @@
 /// Share of service that a cached prefix is assumed to save before any was seen.
 const SAVING_PRIOR: f64 = 0.4;
 
+/// Factor that spreads the bits of a hash over its high half.
+const ODD_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// One pool.
 #[derive(Debug)]
 pub(super) struct Pool {
@@ -66,7 +70,7 @@
         seed: u64,
         subset_max: usize,
     ) {
-        members.sort_by_key(|key| std::cmp::Reverse(mix(servers[*key].hash, seed)));
+        members.sort_by_key(|key| std::cmp::Reverse(subset_weight(servers[*key].hash, seed)));
         self.hashes = members.iter().map(|key| servers[*key].hash).collect();
         self.least_cost = members
             .iter()
@@ -113,10 +117,11 @@
 
     /// Members that a prefix belongs to, by rendezvous hashing over the whole pool.
     pub(super) fn homes(&self, prefix: u64) -> Option<Homes> {
+        let prefix = xxh3_64(&prefix.to_le_bytes());
         let mut best = (0_u64, None);
         let mut second = (0_u64, None);
         for (at, hash) in self.hashes.iter().enumerate() {
-            let weight = mix(*hash, prefix);
+            let weight = home_weight(*hash, prefix);
             if weight >= best.0 {
                 second = best;
                 best = (weight, Some(at));
@@ -139,13 +144,12 @@
     }
 }
 
-/// Mixes two hashes into one.
-pub(super) fn mix(a: u64, b: u64) -> u64 {
-    let product = u128::from(a ^ 0x9e37_79b9_7f4a_7c15) * u128::from(b ^ 0xd1b5_4a32_d192_ed03);
-    #[expect(
-        clippy::cast_possible_truncation,
-        reason = "both halves are folded together"
-    )]
-    let folded = (product >> 64) as u64 ^ product as u64;
-    folded
+/// Weight of a server for an instance; the highest are its subset.
+fn subset_weight(server: u64, seed: u64) -> u64 {
+    xxh3_64_with_seed(&server.to_le_bytes(), seed)
+}
+
+/// Weight of a server for a prefix, both as hashes; the highest are the prefix's homes.
+fn home_weight(server: u64, prefix: u64) -> u64 {
+    (server ^ prefix).wrapping_mul(ODD_FACTOR)
 }
--- /dev/null
+++ b/crates/sardineshore-core/tests/retry.rs
@@ -0,0 +1,192 @@
+//! Retries, hedges and the split of deadlines.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use sardineshore_core::{
+    AttemptResult, EndedAttempt, GiveUp, HedgePolicy, NotRunReason, Objective, PoolId, Retries,
+    RetryConfig, RetryDecision, StageBudget, StageLatencies, StageQuantiles,
+};
+
+const MS: Duration = Duration::from_millis(1);
+const RESULTS: [AttemptResult; 6] = [
+    AttemptResult::Answered,
+    AttemptResult::Refused,
+    AttemptResult::Failed,
+    AttemptResult::Lost,
+    AttemptResult::TimedOut,
+    AttemptResult::Cancelled,
+];
+
+fn ended(result: AttemptResult, idempotent: bool) -> EndedAttempt {
+    EndedAttempt {
+        result,
+        tried: 1,
+        remaining: Duration::from_secs(5),
+        idempotent,
+    }
+}
+
+fn retries(objective: Objective) -> Retries {
+    Retries::new(RetryConfig::default(), objective)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A non-idempotent stage is repeated only after a refusal, whatever the state.
+    #[test]
+    fn after_non_idempotent(picks in proptest::collection::vec(0..RESULTS.len(), 1..100)) {
+        let (mut retries, pool) = (retries(Objective::Attainment), PoolId::from("orders"));
+        for pick in picks {
+            retries.sent(&pool);
+            let decision = retries.after(&pool, ended(RESULTS[pick], false));
+            if matches!(decision, RetryDecision::Retry { .. }) {
+                prop_assert_eq!(RESULTS[pick], AttemptResult::Refused);
+            }
+        }
+    }
+
+    /// Extra work stays within its share of first attempts' work plus what can be saved up.
+    #[test]
+    fn budget_any_mix(
+        picks in proptest::collection::vec((0..3_usize, any::<bool>(), 0..4_u8), 200..2_000),
+        cost_first in any::<bool>(),
+    ) {
+        let objective = if cost_first { Objective::Cost } else { Objective::Attainment };
+        let mut retries = retries(objective);
+        let pools: [(PoolId, Duration); 3] =
+            [("a".into(), 10 * MS), ("b".into(), 50 * MS), ("c".into(), 400 * MS)];
+        for (pool, service) in &pools {
+            for _ in 0..500 {
+                retries.answered(pool, *service);
+            }
+        }
+        let (mut first, mut extra) = (0.0, 0.0);
+        for (at, hedge, failures) in picks {
+            let (pool, service) = &pools[at];
+            retries.sent(pool);
+            first += service.as_secs_f64();
+            if hedge && retries.hedge(pool) {
+                extra += service.as_secs_f64();
+            }
+            for _ in 0..failures {
+                let decision = retries.after(pool, ended(AttemptResult::Failed, true));
+                if matches!(decision, RetryDecision::Retry { .. }) {
+                    extra += service.as_secs_f64();
+                }
+            }
+        }
+        let share = if cost_first { 0.04 } else { 0.08 };
+        let saved = RetryConfig::default().saved_max * 0.4;
+        prop_assert!(extra <= share * first + saved + 1e-3, "{extra} of {first}");
+    }
+}
+
+#[test]
+fn after_reasons() {
+    let (mut retries, pool) = (retries(Objective::Attainment), PoolId::from("p"));
+    let mut why = |attempt| match retries.after(&pool, attempt) {
+        RetryDecision::GiveUp(why) => Some(why),
+        RetryDecision::Retry { .. } => None,
+    };
+    let failed = ended(AttemptResult::Failed, true);
+    assert_eq!(why(failed), None);
+    let answered = ended(AttemptResult::Answered, true);
+    assert_eq!(why(answered), Some(GiveUp::NotNeeded));
+    let lost = ended(AttemptResult::Lost, false);
+    assert_eq!(why(lost), Some(GiveUp::MayHaveRun));
+    assert_eq!(
+        why(EndedAttempt { tried: 5, ..failed }),
+        Some(GiveUp::Attempts)
+    );
+    assert_eq!(
+        why(EndedAttempt {
+            remaining: MS,
+            ..failed
+        }),
+        Some(GiveUp::Time)
+    );
+    let spent = (0..100).find_map(|_| why(failed));
+    assert_eq!(spent, Some(GiveUp::Budget));
+}
+
+#[test]
+fn after_refusals_pause_grows() {
+    let (mut retries, pool) = (retries(Objective::Attainment), PoolId::from("p"));
+    let mut pauses = Vec::new();
+    for tried in 1.. {
+        let refused = EndedAttempt {
+            tried,
+            ..ended(AttemptResult::Refused, false)
+        };
+        match retries.after(&pool, refused) {
+            RetryDecision::Retry { after } => pauses.push(after),
+            RetryDecision::GiveUp(why) => {
+                assert_eq!(why, GiveUp::Attempts);
+                break;
+            }
+        }
+    }
+    assert_eq!(pauses[0], Duration::ZERO);
+    assert!(
+        pauses.windows(2).all(|pair| pair[0] <= pair[1]),
+        "{pauses:?}"
+    );
+}
+
+#[test]
+fn hedge_leaves_budget_to_retries() {
+    let (mut retries, pool) = (retries(Objective::Attainment), PoolId::from("p"));
+    let hedges = (0..100).filter(|_| retries.hedge(&pool)).count();
+    let failed = ended(AttemptResult::Failed, true);
+    let repeated = (0..100)
+        .filter(|_| matches!(retries.after(&pool, failed), RetryDecision::Retry { .. }))
+        .count();
+    assert!(hedges >= 14 && repeated >= 5, "{hedges} and {repeated}");
+    assert!(hedges + repeated <= 20, "{hedges} and {repeated}");
+}
+
+#[test]
+fn delay_by_objective() {
+    let policy = HedgePolicy::default();
+    let observed = Some(StageQuantiles {
+        p50: 50 * MS,
+        p95: 100 * MS,
+    });
+    let delay = |objective, remaining| policy.delay(observed, objective, remaining);
+    assert_eq!(delay(Objective::Attainment, 3_000 * MS), Some(150 * MS));
+    assert_eq!(delay(Objective::Attainment, 300 * MS), Some(100 * MS));
+    assert_eq!(delay(Objective::Cost, 3_000 * MS), Some(2_800 * MS));
+    assert_eq!(delay(Objective::Cost, 300 * MS), None);
+    assert_eq!(delay(Objective::Attainment, 100 * MS), None);
+    assert_eq!(policy.delay(None, Objective::Attainment, 3_000 * MS), None);
+}
+
+#[test]
+fn split_reserves_later_medians() {
+    let now = Instant::now();
+    let mut latencies = StageLatencies::default();
+    let pools: [PoolId; 3] = ["encode".into(), "rerank".into(), "generate".into()];
+    for (pool, ms) in pools.iter().zip([20, 50, 400]) {
+        for _ in 0..32 {
+            latencies.record(pool, ms * MS, now);
+        }
+    }
+    let mut budget = StageBudget::default();
+    let limit = budget.split(3_000 * MS, &pools, &latencies, now).unwrap();
+    let close = |a: Duration, b: Duration| a.abs_diff(b) <= 5 * MS;
+    assert!(close(limit, 2_550 * MS), "{limit:?}");
+    let last = budget.split(500 * MS, &pools[2..], &latencies, now);
+    assert_eq!(last, Ok(500 * MS));
+
+    let refusals: Vec<_> = (0..20)
+        .filter_map(|_| budget.split(400 * MS, &pools, &latencies, now).err())
+        .collect();
+    assert_eq!(refusals, [NotRunReason::DeadlineUnreachable; 18]);
+    let later = now + Duration::from_secs(21);
+    assert_eq!(
+        budget.split(400 * MS, &pools, &latencies, later),
+        Ok(400 * MS)
+    );
+}
--- /dev/null
+++ b/crates/sardineshore-core/tests/routing.rs
@@ -0,0 +1,321 @@
+//! Choice of backend servers: what may never be chosen, ejection, affinity, subsets, return.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use sardineshore_core::{
+    Ask, AttemptResult, BackendServer, Choice, Deployment, Feedback, LoadFigures, NoChoice, PoolId,
+    Router, RoutingConfig, RoutingDecision, ServerId, ServerState,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn deployment(servers: usize) -> Deployment {
+    let mut deployment = Deployment::default();
+    for at in 0..servers {
+        let server = BackendServer {
+            name: format!("s{at}").into(),
+            addr: format!("127.0.0.1:{}", 9000 + at),
+            pool: "pool".into(),
+            ..BackendServer::default()
+        };
+        deployment.servers.insert(server.name.clone(), server);
+    }
+    deployment
+}
+
+fn router(servers: usize, seed: u64) -> Router {
+    let mut router = Router::new(RoutingConfig {
+        seed,
+        ..RoutingConfig::default()
+    });
+    router.adopt(&deployment(servers), &BTreeSet::new());
+    router
+}
+
+fn choose(router: &mut Router, prefix: u64, now: Instant) -> Result<Choice, NoChoice> {
+    let pool: PoolId = "pool".into();
+    let ask = Ask {
+        pool: &pool,
+        request: "r",
+        customer: "c",
+        prefix,
+        idempotent: true,
+        tried: &[],
+        deadline: now + 6 * SECOND,
+    };
+    router.choose(&ask, now)
+}
+
+/// Chooses, sends and ends one attempt of 50 ms of service; returns the server.
+fn attempt(router: &mut Router, prefix: u64, result: AttemptResult, now: Instant) -> ServerId {
+    let server = choose(router, prefix, now).expect("a choice").server;
+    end(router, &server, result, now);
+    server
+}
+
+fn end(router: &mut Router, server: &ServerId, result: AttemptResult, now: Instant) {
+    let feedback = Feedback {
+        result,
+        latency: Duration::from_millis(51),
+        service: Duration::from_millis(50),
+        ..Feedback::default()
+    };
+    router.started(server, now);
+    router.finished(server, &feedback, now);
+}
+
+fn ejected(router: &Router, now: Instant) -> usize {
+    let rows = router.rows(Some("pool"), now);
+    rows.iter().filter(|row| row.ejected).count()
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Drain(usize),
+    Resume(usize),
+    Remove(usize),
+    Leave(usize),
+    Fail(usize),
+    Report(usize, u32),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let server = 0..6_usize;
+    prop_oneof![
+        server.clone().prop_map(Step::Drain),
+        server.clone().prop_map(Step::Resume),
+        server.clone().prop_map(Step::Remove),
+        server.clone().prop_map(Step::Leave),
+        server.clone().prop_map(Step::Fail),
+        (server, 0..100_u32).prop_map(|(at, load)| Step::Report(at, load)),
+        (1..5_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever happens, a choice may be sent to, and there is one if any server may be sent to.
+    #[test]
+    fn choose_any_history(steps in proptest::collection::vec(step(), 1..60), prefix in 0..3_u64) {
+        let mut now = Instant::now();
+        let mut router = router(6, 1);
+        let mut declared = deployment(6);
+        let mut leaving = BTreeSet::new();
+        for step in steps {
+            let name = |at: usize| ServerId::from(format!("s{at}"));
+            match step {
+                Step::Drain(at) => {
+                    if let Some(server) = declared.servers.get_mut(&name(at)) {
+                        server.state = ServerState::Draining;
+                    }
+                }
+                Step::Resume(at) => {
+                    let all = deployment(6);
+                    declared.servers.insert(name(at), all.servers[&name(at)].clone());
+                    leaving.remove(&name(at));
+                }
+                Step::Remove(at) => drop(declared.servers.remove(&name(at))),
+                Step::Leave(at) => drop(leaving.insert(name(at))),
+                Step::Fail(at) => {
+                    for _ in 0..6 {
+                        end(&mut router, &name(at), AttemptResult::Failed, now);
+                    }
+                }
+                Step::Report(at, load) => {
+                    let figures = LoadFigures { running: load, ..LoadFigures::default() };
+                    router.reported(&name(at), &figures, now);
+                }
+                Step::Wait(ms) => now += Duration::from_millis(ms),
+            }
+            router.adopt(&declared, &leaving);
+            let sendable = declared.servers.values().any(|server| {
+                server.state == ServerState::Active && !leaving.contains(&server.name)
+            });
+            match choose(&mut router, prefix, now) {
+                Ok(choice) => {
+                    prop_assert!(router.may_send(&choice.server));
+                    prop_assert_eq!(declared.servers[&choice.server].state, ServerState::Active);
+                    prop_assert!(!leaving.contains(&choice.server));
+                }
+                Err(NoChoice::NoServer) => prop_assert!(!sendable),
+                Err(other) => prop_assert!(false, "{other:?} although nothing is in flight"),
+            }
+        }
+    }
+}
+
+#[test]
+fn may_send_leaving_after_choice() {
+    let mut router = router(1, 1);
+    let chosen = choose(&mut router, 0, Instant::now()).unwrap().server;
+    router.adopt(&deployment(1), &BTreeSet::from([chosen.clone()]));
+    assert!(!router.may_send(&chosen));
+    assert!(!router.may_send(&"undeclared".into()));
+}
+
+#[test]
+fn eject_failing_server_returns_gradually() {
+    let mut router = router(4, 1);
+    let mut now = Instant::now();
+    let bad: ServerId = "s0".into();
+    for _ in 0..5 {
+        end(&mut router, &bad, AttemptResult::Failed, now);
+    }
+    let first = router.take_notices().remove(0).decision;
+    assert_eq!(first, RoutingDecision::Ejected { length: SECOND });
+    for _ in 0..200 {
+        assert_ne!(attempt(&mut router, 0, AttemptResult::Answered, now), bad);
+    }
+
+    now += SECOND;
+    assert_eq!(ejected(&router, now), 0);
+    end(&mut router, &bad, AttemptResult::Failed, now);
+    end(&mut router, &bad, AttemptResult::Failed, now);
+    let decisions: Vec<_> = router.take_notices().iter().map(|n| n.decision).collect();
+    let longer = RoutingDecision::Ejected { length: 2 * SECOND };
+    assert_eq!(decisions, [RoutingDecision::Returned, longer]);
+}
+
+#[test]
+fn eject_all_failing_leaves_half() {
+    let mut router = router(5, 1);
+    let now = Instant::now();
+    for _ in 0..500 {
+        attempt(&mut router, 0, AttemptResult::Failed, now);
+    }
+    assert_eq!(ejected(&router, now), 2);
+    let withheld = |notices: Vec<sardineshore_core::RoutingNotice>| {
+        notices
+            .iter()
+            .any(|n| n.decision == RoutingDecision::Withheld)
+    };
+    assert!(withheld(router.take_notices()));
+
+    let mut single = self::router(1, 1);
+    for _ in 0..50 {
+        attempt(&mut single, 0, AttemptResult::Failed, now);
+    }
+    assert_eq!(ejected(&single, now), 0);
+}
+
+#[test]
+fn choose_tried_only_without_alternative() {
+    let mut router = router(3, 1);
+    let (now, pool): (_, PoolId) = (Instant::now(), "pool".into());
+    let tried: Vec<ServerId> = vec!["s0".into(), "s1".into()];
+    let mut ask = Ask {
+        pool: &pool,
+        request: "r",
+        customer: "c",
+        prefix: 7,
+        idempotent: true,
+        tried: &tried,
+        deadline: now + SECOND,
+    };
+    for _ in 0..100 {
+        assert_eq!(&*router.choose(&ask, now).unwrap().server, "s2");
+    }
+    let all: Vec<ServerId> = vec!["s0".into(), "s1".into(), "s2".into()];
+    ask.tried = &all;
+    assert!(router.choose(&ask, now).is_ok());
+    ask.deadline = now;
+    assert_eq!(router.choose(&ask, now), Err(NoChoice::TooLate));
+}
+
+#[test]
+fn choose_at_limits_is_saturated() {
+    let mut router = router(2, 1);
+    let now = Instant::now();
+    let mut sent = 0;
+    let refused = loop {
+        match choose(&mut router, 0, now) {
+            Ok(choice) => router.started(&choice.server, now),
+            Err(refused) => break refused,
+        }
+        sent += 1;
+        assert!(sent <= 100, "no limit");
+    };
+    assert_eq!(sent, 16);
+    assert!(matches!(refused, NoChoice::Saturated { retry_after } if !retry_after.is_zero()));
+}
+
+#[test]
+fn choose_straggler_gets_little() {
+    let mut router = router(10, 1);
+    let mut now = Instant::now();
+    let mut slow = 0;
+    for _ in 0..1_000 {
+        let server = choose(&mut router, 0, now).unwrap().server;
+        let straggles = &*server == "s0";
+        slow += u32::from(straggles);
+        let service = Duration::from_millis(if straggles { 500 } else { 50 });
+        let feedback = Feedback {
+            latency: service,
+            service,
+            ..Feedback::default()
+        };
+        router.started(&server, now);
+        now += Duration::from_millis(5);
+        router.finished(&server, &feedback, now);
+    }
+    assert!(slow <= 20, "{slow} of 1000 went to the straggler");
+}
+
+#[test]
+fn homes_same_on_all_instances_and_stable() {
+    let now = Instant::now();
+    let mut servers = BTreeMap::new();
+    let (mut first, mut second) = (router(600, 1), router(600, 2));
+    let mut fewer = router(599, 3);
+    let mut moved = 0;
+    for prefix in 1..=400 {
+        let home = choose(&mut first, prefix, now).unwrap().server;
+        assert_eq!(choose(&mut second, prefix, now).unwrap().server, home);
+        moved += u32::from(choose(&mut fewer, prefix, now).unwrap().server != home);
+        *servers.entry(home).or_insert(0) += 1;
+    }
+    assert!(moved <= 10, "{moved} of 400 prefixes moved with one server");
+    assert!(servers.len() >= 250, "only {} homes", servers.len());
+}
+
+#[test]
+fn subset_covers_pool_with_overlap() {
+    let now = Instant::now();
+    let mut reached: BTreeMap<ServerId, BTreeSet<u64>> = BTreeMap::new();
+    for seed in 0..100 {
+        let mut router = router(200, seed);
+        let mut own = BTreeSet::new();
+        for _ in 0..600 {
+            own.insert(attempt(&mut router, 0, AttemptResult::Answered, now));
+        }
+        assert!(own.len() <= 48, "{} servers", own.len());
+        for server in own {
+            reached.entry(server).or_default().insert(seed);
+        }
+    }
+    assert_eq!(reached.len(), 200);
+    let fewest = reached.values().map(BTreeSet::len).min().unwrap();
+    assert!(
+        fewest >= 8,
+        "a server is reached by {fewest} instances only"
+    );
+}
+
+#[test]
+fn next_poll_oldest_first_and_bounded() {
+    let mut router = router(3, 1);
+    let now = Instant::now();
+    let mut polled = BTreeSet::new();
+    while let Some(next) = router.next_poll(SECOND, now) {
+        polled.insert(next.server);
+    }
+    assert_eq!(polled.len(), 3);
+    let later = now + 2 * SECOND;
+    router.reported(&"s1".into(), &LoadFigures::default(), later);
+    let next = router.next_poll(SECOND, later).unwrap().server;
+    assert_ne!(&*next, "s1");
+}
