--- a/crates/sardineshore-entry/src/lib.rs
+++ b/crates/sardineshore-entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod api;
 pub mod assembly;
+pub mod claims;
 pub mod config;
 pub mod conn;
 pub mod dispatch;
@@ -21,6 +22,7 @@
 pub mod orders;
 pub mod pacing;
 pub mod peers;
+pub mod quarantine;
 pub mod queries;
 pub mod reply;
 pub mod runner;
--- a/crates/sardineshore-entry/src/listener.rs
+++ b/crates/sardineshore-entry/src/listener.rs
@@ -10,6 +10,7 @@
 use futures::{AsyncWriteExt, FutureExt};
 use http_types::{Request, Response, StatusCode};
 use sardineshore_core::NotRunReason;
+use sardineshore_core::claim::{IdempotencyKey, fingerprint};
 use sardineshore_core::event::entry as events;
 
 use crate::api::{Arrival, Refused, Target, effective_deadline, receive, target};
@@ -21,6 +22,8 @@
 use crate::{admission, reply, runner};
 
 const STREAM_BUFFER_TOKENS: usize = 256;
+/// Time after which a connection without a request is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections until the listener is dropped.
@@ -52,35 +55,51 @@
 
 /// Serves the requests of one connection, one after the other.
 async fn serve(instance: &Arc<Instance>, stream: CallerStream) {
+    while arrives(instance, &stream).await {
+        // Boxed, so that an idle connection does not hold the memory of a request.
+        if !Box::pin(exchange(instance, &stream)).await {
+            return;
+        }
+    }
+}
+
+/// Waits for the first byte of a request; false if none will come.
+async fn arrives(instance: &Instance, stream: &CallerStream) -> bool {
+    stream.reads().expect_head();
+    let begun = async_std::future::timeout(IDLE_TIMEOUT, stream.begun()).fuse();
+    let stopped = instance.stop.idle_closed().fuse();
+    futures::pin_mut!(begun, stopped);
+    futures::select_biased! { begun = begun => begun.unwrap_or(false), () = stopped => false }
+}
+
+/// Serves one request; whether another may follow on the connection.
+async fn exchange(instance: &Arc<Instance>, stream: &CallerStream) -> bool {
     let in_flight: Arc<Mutex<Option<InFlight>>> = Arc::default();
-    loop {
-        stream.reads().expect_head();
-        let endpoint = |req| {
-            stream.reads().expect_body();
-            let entered = instance.stop.enter();
-            *in_flight.lock().expect("slot lock poisoned") = Some(entered);
-            answer(instance.clone(), stream.clone(), req)
-        };
-        let mut server = Server::new(stream.clone(), endpoint);
-        let served = {
-            let one = server.accept_one().fuse();
-            let stopped = idle_stop(instance, &stream).fuse();
-            futures::pin_mut!(one, stopped);
-            futures::select_biased! { served = one => Some(served), () = stopped => None }
-        };
-        let was_in_flight = in_flight
-            .lock()
-            .expect("slot lock poisoned")
-            .take()
-            .is_some();
-        match served {
-            Some(Ok(ConnectionStatus::KeepAlive)) if !instance.stop.is_stopping() => (),
-            Some(Err(_)) if !was_in_flight => {
-                let _ = stream.tcp().write_all(&reply::malformed()).await;
-                return;
-            }
-            _ => return,
+    let endpoint = |req| {
+        stream.reads().expect_body();
+        let entered = instance.stop.enter();
+        *in_flight.lock().expect("slot lock poisoned") = Some(entered);
+        answer(instance.clone(), stream.clone(), req)
+    };
+    let mut server = Server::new(stream.clone(), endpoint);
+    let served = {
+        let one = server.accept_one().fuse();
+        let stopped = idle_stop(instance, stream).fuse();
+        futures::pin_mut!(one, stopped);
+        futures::select_biased! { served = one => Some(served), () = stopped => None }
+    };
+    let was_in_flight = in_flight
+        .lock()
+        .expect("slot lock poisoned")
+        .take()
+        .is_some();
+    match served {
+        Some(Ok(ConnectionStatus::KeepAlive)) => !instance.stop.is_stopping(),
+        Some(Err(_)) if !was_in_flight => {
+            let _ = stream.tcp().write_all(&reply::malformed()).await;
+            false
         }
+        _ => false,
     }
 }
 
@@ -97,20 +116,37 @@
     stream: CallerStream,
     mut req: Request,
 ) -> http_types::Result<Response> {
-    let mut res = match target(&req) {
+    let target = target(&req);
+    let reads_body = matches!(target, Target::Submit { .. });
+    let mut res = match target {
         Target::Health => Response::new(StatusCode::Ok),
         Target::Ready if is_ready(&instance) => Response::new(StatusCode::Ok),
         Target::Ready => Response::new(StatusCode::ServiceUnavailable),
         Target::Metrics => metrics(&instance),
-        Target::Submit { pipeline } => submit(&instance, &stream, &mut req, &pipeline).await,
+        // On the heap, so that idle connections stay small.
+        Target::Submit { pipeline } => {
+            Box::pin(submit(&instance, &stream, &mut req, &pipeline)).await
+        }
         Target::Unknown => reply::not_run(NotRunReason::BadRequest, "no such path or method", ""),
     };
+    if !reads_body {
+        leave_body(&stream, &req, &mut res);
+    }
     if instance.stop.is_stopping() {
         res.insert_header("connection", "close");
     }
     Ok(res)
 }
 
+/// Ends the connection of a request whose body nobody reads. The HTTP library would read it to its
+/// end, without a limit, and drop what it buffered beyond it, which can be the next request.
+fn leave_body(stream: &CallerStream, req: &Request, res: &mut Response) {
+    if req.len() != Some(0) {
+        stream.reads().cut();
+        res.insert_header("connection", "close");
+    }
+}
+
 /// Whether the balancer may send callers here.
 fn is_ready(instance: &Instance) -> bool {
     instance.stop.is_ready() && instance.gate.may_dispatch()
@@ -160,15 +196,17 @@
         let detail = format!("pipeline {pipeline:?} is not declared");
         return Err(Refused::new(NotRunReason::UnknownPipeline, detail));
     };
-    if !pipeline.idempotent() && arrival.key.is_none() {
-        let detail = "a non-idempotent pipeline needs the header idempotency-key";
-        return Err(Refused::new(NotRunReason::KeyMissing, detail));
-    }
+    let key = if pipeline.idempotent() {
+        None
+    } else {
+        Some(checked_key(instance, arrival.key.as_deref())?)
+    };
     let job = Job {
         request: instance.new_request(),
         customer: arrival.customer.clone(),
         pipeline: Arc::new(pipeline.clone()),
-        key: arrival.key.clone(),
+        key,
+        fingerprint: fingerprint(&pipeline.name, &arrival.body),
         streamed: arrival.streamed,
         body: arrival.body.clone(),
         prefix: arrival.prefix,
@@ -182,6 +220,20 @@
     Ok(job)
 }
 
+/// Reads the key of a non-idempotent request and checks its age.
+fn checked_key(instance: &Instance, text: Option<&str>) -> Result<IdempotencyKey, Refused> {
+    let Some(text) = text else {
+        let detail = "a non-idempotent pipeline needs the header idempotency-key";
+        return Err(Refused::new(NotRunReason::KeyMissing, detail));
+    };
+    let key = IdempotencyKey::parse(text)
+        .map_err(|reason| Refused::new(reason, "the key is not a version 7 UUID"))?;
+    let retention = instance.claims.retention();
+    let aged = retention.check(key, instance.clock.wall());
+    aged.map_err(|reason| Refused::new(reason, "the key's own time is outside the window"))?;
+    Ok(key)
+}
+
 /// Runs a request; if its caller goes away, idempotent work is cancelled.
 async fn run_whole(instance: &Arc<Instance>, stream: &CallerStream, job: Job) -> Response {
     let repeatable = job.pipeline.idempotent();
--- /dev/null
+++ b/crates/sardineshore-entry/src/quarantine.rs
@@ -0,0 +1,221 @@
+//! Quarantine of requests that crash backend servers: I/O around the core's decisions.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use async_std::task::{self, JoinHandle};
+use sardineshore_core::clock::unix_ms;
+use sardineshore_core::event::claim as events;
+use sardineshore_core::quarantine::{
+    CallEnd, Evidence, Hold, Quarantine, QuarantineDelta, Standing, Strike,
+};
+use sardineshore_core::{AttemptResult, Choice, PoolId, QuarantineRow, ServerId};
+use sardineshore_wire::http::{ClientError, Reuse};
+
+use crate::claims::incarnations::probe;
+use crate::dispatch::Attempted;
+use crate::instance::Instance;
+use crate::job::Job;
+
+/// Pauses before a server whose connection broke is looked after.
+const LOOK_AFTER: [Duration; 4] = [
+    Duration::from_millis(20),
+    Duration::from_millis(100),
+    Duration::from_millis(500),
+    Duration::from_secs(2),
+];
+/// Longest wait of a retry for the server's fate.
+const LOOK_WAIT: Duration = Duration::from_millis(300);
+const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Age up to which evidence is told to peers.
+const TOLD_AGE: Duration = Duration::from_secs(60);
+
+/// Time for which a server that refused a connection counts as down, unless it is heard.
+const DOWN_AGE: Duration = Duration::from_secs(30);
+
+/// The quarantine of one instance. No two of its locks are held together.
+#[derive(Debug, Default)]
+pub struct QuarantineTable {
+    quarantine: Mutex<Quarantine>,
+    /// When each server first refused a connection since it was last heard.
+    down: Mutex<HashMap<ServerId, Instant>>,
+    /// Servers being looked after.
+    looks: Mutex<HashMap<ServerId, JoinHandle<()>>>,
+}
+
+impl QuarantineTable {
+    /// Whether a request is refused at present.
+    pub fn refuses(&self, instance: &Instance, job: &Job) -> bool {
+        let standing = self.table().standing(&job.fingerprint, now_ms(instance));
+        matches!(standing, Standing::Quarantined { .. })
+    }
+
+    /// Whether a request that crashed a server must wait, because a second crash would leave the
+    /// pool without a server.
+    pub fn must_wait(&self, instance: &Instance, job: &Job, pool: &PoolId) -> bool {
+        let standing = self.table().standing(&job.fingerprint, now_ms(instance));
+        if standing == Standing::Clear {
+            return false;
+        }
+        let deployment = instance.tables.deployment();
+        let of_pool = deployment.servers.values();
+        let names: Vec<_> = of_pool
+            .filter(|server| server.pool == *pool)
+            .map(|server| &server.name)
+            .collect();
+        let now = instance.clock.now();
+        let down = self.down.lock().expect("down lock poisoned");
+        let is_up = |name: &&&ServerId| {
+            let refused = down.get(**name);
+            refused.is_none_or(|at| now.duration_since(*at) > DOWN_AGE)
+        };
+        names.len() > 1 && names.iter().filter(is_up).count() < 2
+    }
+
+    /// Asks to send a call; called at the last moment before it.
+    pub fn begin(
+        &self,
+        instance: &Instance,
+        job: &Job,
+        server: &ServerId,
+    ) -> Result<(), Attempted> {
+        let begun = self
+            .table()
+            .begin(&job.fingerprint, server, now_ms(instance));
+        begun.map_err(|hold| Attempted::NotRun {
+            detail: match hold {
+                Hold::SuspectRunning => "another suspect runs on the backend server".into(),
+                Hold::Quarantined => "the request is quarantined".into(),
+            },
+        })
+    }
+
+    /// Ends a call that was begun.
+    pub fn end(&self, instance: &Instance, job: &Job, server: &ServerId, end: CallEnd) {
+        let now = now_ms(instance);
+        self.table().end(&job.fingerprint, server, end, now);
+    }
+
+    /// Ends a call by its result; after a broken connection the server is looked after.
+    pub fn ended(
+        &self,
+        instance: &Arc<Instance>,
+        job: &Job,
+        choice: &Choice,
+        result: AttemptResult,
+    ) {
+        let end = match result {
+            AttemptResult::Answered => CallEnd::Answered,
+            AttemptResult::Lost => CallEnd::Broken {
+                incarnation: instance.incarnations.of(&choice.server),
+            },
+            _ => CallEnd::Abandoned,
+        };
+        self.end(instance, job, &choice.server, end);
+        if matches!(end, CallEnd::Broken { .. }) {
+            let look = look_after(instance.clone(), choice.clone());
+            let look = task::spawn(look);
+            self.looks().insert(choice.server.clone(), look);
+        }
+    }
+
+    /// Waits until a server whose connection broke was looked after, so that a retry knows
+    /// whether its request is a suspect.
+    pub async fn looked_after(&self, server: &ServerId) {
+        let look = self.looks().remove(server);
+        if let Some(look) = look {
+            let _ = async_std::future::timeout(LOOK_WAIT, look).await;
+        }
+    }
+
+    /// A backend server refused a connection.
+    pub fn refused(&self, instance: &Instance, server: &ServerId) {
+        let now = instance.clock.now();
+        let mut down = self.down.lock().expect("down lock poisoned");
+        down.entry(server.clone()).or_insert(now);
+        drop(down);
+        let strikes = self.table().server_refused(server, now_ms(instance));
+        report(instance, &strikes);
+    }
+
+    /// A backend server was heard.
+    pub fn seen(&self, instance: &Instance, server: &ServerId, incarnation: u64) {
+        instance.incarnations.note(server, incarnation);
+        self.down.lock().expect("down lock poisoned").remove(server);
+        let now = now_ms(instance);
+        let strikes = self.table().server_seen(server, incarnation, now);
+        report(instance, &strikes);
+    }
+
+    /// Evidence of the last minute, for peers.
+    #[must_use]
+    pub fn recent(&self, now_ms: u64) -> Vec<Evidence> {
+        let oldest = now_ms.saturating_sub(u64::try_from(TOLD_AGE.as_millis()).unwrap_or(0));
+        let mut evidence = self.table().delta(0).evidence;
+        evidence.retain(|entry| entry.at_ms() >= oldest);
+        evidence
+    }
+
+    /// Takes evidence of a peer.
+    pub fn merge(&self, evidence: Vec<Evidence>, now_ms: u64) {
+        let delta = QuarantineDelta { evidence, next: 0 };
+        self.table().merge(&delta, now_ms);
+    }
+
+    /// Lifts the quarantine of a fingerprint; returns whether it was under quarantine.
+    pub fn lift(&self, fingerprint: &str, now_ms: u64) -> bool {
+        self.table().lift(fingerprint, now_ms)
+    }
+
+    /// Fingerprints under quarantine.
+    #[must_use]
+    pub fn rows(&self, now_ms: u64) -> Vec<QuarantineRow> {
+        self.table().rows(now_ms)
+    }
+
+    fn looks(&self) -> MutexGuard<'_, HashMap<ServerId, JoinHandle<()>>> {
+        self.looks.lock().expect("looks lock poisoned")
+    }
+
+    fn table(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().expect("quarantine lock poisoned")
+    }
+}
+
+/// Finds out whether a server whose connection broke has crashed.
+async fn look_after(instance: Arc<Instance>, choice: Choice) {
+    for pause in LOOK_AFTER {
+        task::sleep(pause).await;
+        let checkout = instance
+            .client
+            .checkout(&choice.addr, Reuse::Never, LOOK_TIMEOUT);
+        match checkout.await {
+            Ok(conn) => {
+                let incarnation = probe(&instance, &conn, &choice.addr).await;
+                if incarnation != 0 {
+                    instance
+                        .quarantine
+                        .seen(&instance, &choice.server, incarnation);
+                    return;
+                }
+            }
+            Err(ClientError::NotSent(_)) => {
+                instance.quarantine.refused(&instance, &choice.server);
+                return;
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+fn report(instance: &Instance, strikes: &[Strike]) {
+    for strike in strikes {
+        let text = format!("{} on {}", strike.fingerprint, strike.server);
+        instance.journal.alarm(&events::STRIKE, text);
+    }
+}
+
+fn now_ms(instance: &Instance) -> u64 {
+    unix_ms(instance.clock.wall())
+}
--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -3,12 +3,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::future::{Either, select};
+use sardineshore_core::claim::IdempotencyKey;
 use sardineshore_core::event::routing as events;
 use sardineshore_core::{
     Ask, AttemptResult, Choice, EndedAttempt, EventKind, NoChoice, NotRunReason, PoolId,
     RetryDecision, ServerId, Stage, StageKind, UnknownReason,
 };
 
+use crate::claims::incarnations::learn;
+use crate::claims::{Claim, Claims};
 use crate::dispatch::{Attempted, Call};
 use crate::hedge::{Attempts, dispatch_hedged};
 use crate::instance::Instance;
@@ -19,9 +23,50 @@
 
 /// Runs a request to its end; tokens of a streamed answer go to `sink`.
 pub async fn run(instance: &Arc<Instance>, job: &Job, sink: Option<Sink>) -> Finished {
+    match job.key {
+        Some(key) => Box::pin(run_claimed(instance, job, sink, key)).await,
+        None => run_stages(instance, job, sink, None).await,
+    }
+}
+
+/// Runs a non-idempotent request; its claim decides what the caller is told.
+async fn run_claimed(
+    instance: &Arc<Instance>,
+    job: &Job,
+    sink: Option<Sink>,
+    key: IdempotencyKey,
+) -> Finished {
+    learn_incarnations(instance, job).await;
+    let claim = Claims::begin(instance, job, key);
+    let finished = {
+        let stages = Box::pin(run_stages(instance, job, sink, Some(&claim)));
+        let told = Box::pin(claim.told());
+        match select(stages, told).await {
+            Either::Left((finished, _)) | Either::Right((finished, _)) => finished,
+        }
+    };
+    claim.ended(&finished);
+    claim.told().await
+}
+
+/// Learns which incarnations the claim may name.
+async fn learn_incarnations(instance: &Arc<Instance>, job: &Job) {
+    let first = job.pipeline.stages.iter().find(|stage| !stage.idempotent);
+    if let Some(stage) = first {
+        learn(instance, &stage.pool).await;
+    }
+}
+
+async fn run_stages(
+    instance: &Arc<Instance>,
+    job: &Job,
+    sink: Option<Sink>,
+    claim: Option<&Claim>,
+) -> Finished {
     let mut run = Run {
         instance,
         job,
+        claim,
         sink,
         document: job.body.clone(),
         not_run_denied: false,
@@ -39,6 +84,8 @@
 struct Run<'a> {
     instance: &'a Arc<Instance>,
     job: &'a Job,
+    /// Claim of a non-idempotent request.
+    claim: Option<&'a Claim>,
     sink: Option<Sink>,
     document: Arc<[u8]>,
     /// Whether "not run" would be false, because something of the request may have run.
@@ -76,6 +123,11 @@
     async fn stage(&mut self, at: usize) -> Result<Arc<[u8]>, Failure> {
         let job = self.job;
         let stage = &job.pipeline.stages[at];
+        if let Some(claim) = self.claim.filter(|_| !stage.idempotent)
+            && !claim.held().await
+        {
+            return Err(Failure::no_server());
+        }
         let began = self.instance.clock.now();
         let mut tried = Tried::new(self.due(at, began)?);
         self.instance.tables.retries().sent(&stage.pool);
@@ -85,7 +137,7 @@
                 Err(failure) => return Err(tried.last.take().map_or(failure, Failure::from)),
             };
             tried.servers.push(choice.server.clone());
-            let attempted = self.attempt(stage, &choice, &mut tried).await;
+            let attempted = self.attempt(at, &choice, &mut tried).await;
             self.note(stage, &attempted);
             if let Attempted::Answered(output) = attempted {
                 let now = self.instance.clock.now();
@@ -95,6 +147,9 @@
             }
             let result = attempted.result();
             tried.last = Some(attempted);
+            if result == AttemptResult::Lost {
+                self.instance.quarantine.looked_after(&choice.server).await;
+            }
             if !self.again(stage, result, tried.servers.len()).await {
                 return Err(tried
                     .last
@@ -107,7 +162,18 @@
     /// Chooses a backend server, waiting while all are at their limit.
     async fn choose(&self, stage: &Stage, tried: &Tried) -> Result<Choice, Failure> {
         loop {
+            if self.instance.quarantine.refuses(self.instance, self.job) {
+                return Err(Failure::quarantined());
+            }
             let now = self.instance.clock.now();
+            let suspect = self
+                .instance
+                .quarantine
+                .must_wait(self.instance, self.job, &stage.pool);
+            if suspect && now < tried.until {
+                async_std::task::sleep(SATURATED_WAIT_MAX).await;
+                continue;
+            }
             let ask = Ask {
                 pool: &stage.pool,
                 request: &self.job.request,
@@ -139,13 +205,17 @@
         }
     }
 
-    async fn attempt(&mut self, stage: &Stage, choice: &Choice, tried: &mut Tried) -> Attempted {
+    async fn attempt(&mut self, at: usize, choice: &Choice, tried: &mut Tried) -> Attempted {
+        let stage = &self.job.pipeline.stages[at];
+        let claim = self.claim.filter(|_| !stage.idempotent);
+        let position = u32::try_from(at).unwrap_or(u32::MAX);
         let input = self.document.clone();
         let call = Call {
             job: self.job,
             stage,
             input,
             extra: tried.servers.len() > 1,
+            claimed: claim.map(|claim| (claim, position)),
         };
         let attempts = Attempts {
             prefix: self.prefix(stage),
@@ -153,9 +223,13 @@
             tried: &mut tried.servers,
         };
         let streams = stage.kind == StageKind::Generate && self.is_last(stage);
-        match &mut self.sink {
+        let attempted = match &mut self.sink {
             Some(sink) if streams => dispatch_streamed(self.instance, &call, choice, sink).await,
             _ => dispatch_hedged(self.instance, &call, choice, attempts).await,
+        };
+        match claim {
+            Some(claim) => claim.settle(attempted).await,
+            None => attempted,
         }
     }
 
@@ -248,6 +322,13 @@
         )
     }
 
+    fn quarantined() -> Self {
+        Self::NotRun(
+            NotRunReason::Quarantined,
+            "the request crashed backend servers".into(),
+        )
+    }
+
     fn too_late() -> Self {
         Self::NotRun(
             NotRunReason::DeadlineUnreachable,
