fix(entry): an attempt that did not run tells its own reason

Cause: an attempt refused at the last check carried no reason, so a caller whose instance was fenced between admission and send was told 'no-server'. Ruled out: asking the gate again when the request has failed, which may answer differently. Change: the refusal carries its reason: fenced, deadline, quarantined, refused by the server. Conclusion: the reason is the one that was decided upon.

--- a/crates/sardineshore-entry/src/claims/claim.rs
+++ b/crates/sardineshore-entry/src/claims/claim.rs
@@ -7,7 +7,7 @@
     ClaimAction, ClaimEvent, ClaimMachine, DispatchResult, PeerReply, RunEnd,
 };
 use sardineshore_core::event::claim as events;
-use sardineshore_core::{AttemptId, Outcome, RequestId, ServerId, UnknownReason};
+use sardineshore_core::{AttemptId, NotRunReason, Outcome, RequestId, ServerId, UnknownReason};
 
 use crate::dispatch::Attempted;
 use crate::instance::Instance;
@@ -161,8 +161,8 @@
             }
             futures::future::Either::Left((Ok(None), _)) => {
                 self.note(&events::CLAIM_RESOLVED, "it did not run");
-                let detail = "the backend server told that it did not run".into();
-                Attempted::NotRun { detail }
+                let detail = "the backend server told that it did not run";
+                Attempted::not_run(NotRunReason::NoServer, detail)
             }
             _ => attempted,
         }
--- a/crates/sardineshore-entry/src/dispatch.rs
+++ b/crates/sardineshore-entry/src/dispatch.rs
@@ -7,7 +7,8 @@
 use sardineshore_core::event::entry as events;
 use sardineshore_core::quarantine::CallEnd;
 use sardineshore_core::{
-    AttemptId, AttemptResult, Choice, Feedback, LoadFigures, ServerId, Stage, UnknownReason,
+    AttemptId, AttemptResult, Choice, Feedback, LoadFigures, NotRunReason, ServerId, Stage,
+    UnknownReason,
 };
 use sardineshore_wire::backend::{Cancel, LoadReport};
 use sardineshore_wire::headers;
@@ -44,6 +45,8 @@
     Answered(Arc<[u8]>),
     /// It provably did not run.
     NotRun {
+        /// Reason to tell the caller, if no other attempt follows.
+        reason: NotRunReason,
         /// What happened.
         detail: String,
     },
@@ -69,6 +72,14 @@
         }
     }
 
+    /// An attempt that provably did not run.
+    pub fn not_run(reason: NotRunReason, detail: impl Into<String>) -> Self {
+        Self::NotRun {
+            reason,
+            detail: detail.into(),
+        }
+    }
+
     /// An attempt that ended without an answer after it was sent.
     pub fn may_have_run(
         result: AttemptResult,
@@ -87,7 +98,7 @@
     fn from(err: ClientError) -> Self {
         let detail = err.to_string();
         match err {
-            ClientError::NotSent(_) => Self::NotRun { detail },
+            ClientError::NotSent(_) => Self::not_run(NotRunReason::NoServer, detail),
             ClientError::Lost(_) => {
                 Self::may_have_run(AttemptResult::Lost, UnknownReason::ConnectionLost, detail)
             }
@@ -172,19 +183,17 @@
 
 /// The checks that must hold at the moment of the send.
 fn last_check(instance: &Instance, call: &Call<'_>, server: &ServerId) -> Result<(), Attempted> {
-    let refused = |detail: &str| {
-        Err(Attempted::NotRun {
-            detail: detail.into(),
-        })
-    };
+    let refused = |reason, detail| Err(Attempted::not_run(reason, detail));
     if call.job.remaining(instance.clock.now()).is_zero() {
-        return refused("the deadline passed before the send");
+        let detail = "the deadline passed before the send";
+        return refused(NotRunReason::DeadlineUnreachable, detail);
     }
     if !instance.gate.may_dispatch() {
-        return refused("the configuration is not confirmed");
+        let detail = "the configuration is not confirmed";
+        return refused(NotRunReason::ConfigurationUnconfirmed, detail);
     }
     if !instance.tables.router().may_send(server) {
-        return refused("the backend server is leaving");
+        return refused(NotRunReason::NoServer, "the backend server is leaving");
     }
     Ok(())
 }
@@ -198,12 +207,10 @@
     let Some((claim, stage)) = call.claimed else {
         return Ok(None);
     };
-    match claim.dispatch(stage, server, incarnation) {
-        Some(run_id) => Ok(Some(run_id)),
-        None => Err(Attempted::NotRun {
-            detail: "the claim does not allow the call".into(),
-        }),
-    }
+    let run_id = claim.dispatch(stage, server, incarnation);
+    let refused =
+        || Attempted::not_run(NotRunReason::NoServer, "the claim does not allow the call");
+    run_id.map(Some).ok_or_else(refused)
 }
 
 /// Tells the router of a connection that could not be made.
@@ -291,9 +298,8 @@
         } else if reply.status == 200 {
             Attempted::Answered(reply.body.as_slice().into())
         } else if reply.status == 503 && reply.header(headers::RUN) == "not-run" {
-            Attempted::NotRun {
-                detail: format!("{} refused it", self.choice.server),
-            }
+            let detail = format!("{} refused it", self.choice.server);
+            Attempted::not_run(NotRunReason::Overloaded, detail)
         } else {
             let detail = format!("{} answered {}", self.choice.server, reply.status);
             Attempted::may_have_run(AttemptResult::Failed, UnknownReason::ServerFailed, detail)
--- a/crates/sardineshore-entry/src/quarantine.rs
+++ b/crates/sardineshore-entry/src/quarantine.rs
@@ -10,7 +10,7 @@
 use sardineshore_core::quarantine::{
     CallEnd, Evidence, Hold, Quarantine, QuarantineDelta, Standing, Strike,
 };
-use sardineshore_core::{AttemptResult, Choice, PoolId, QuarantineRow, ServerId};
+use sardineshore_core::{AttemptResult, Choice, NotRunReason, PoolId, QuarantineRow, ServerId};
 use sardineshore_wire::http::{ClientError, Reuse};
 
 use crate::claims::incarnations::probe;
@@ -83,11 +83,14 @@
         let begun = self
             .table()
             .begin(&job.fingerprint, server, now_ms(instance));
-        begun.map_err(|hold| Attempted::NotRun {
-            detail: match hold {
-                Hold::SuspectRunning => "another suspect runs on the backend server".into(),
-                Hold::Quarantined => "the request is quarantined".into(),
-            },
+        begun.map_err(|hold| match hold {
+            Hold::SuspectRunning => {
+                let detail = "another suspect runs on the backend server";
+                Attempted::not_run(NotRunReason::NoServer, detail)
+            }
+            Hold::Quarantined => {
+                Attempted::not_run(NotRunReason::Quarantined, "the request is quarantined")
+            }
         })
     }
 
--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -341,7 +341,7 @@
     fn from(attempted: Attempted) -> Self {
         match attempted {
             Attempted::MayHaveRun { reason, detail, .. } => Self::MayHaveRun(reason, detail),
-            Attempted::NotRun { detail } => Self::NotRun(NotRunReason::NoServer, detail),
+            Attempted::NotRun { reason, detail } => Self::NotRun(reason, detail),
             Attempted::Answered(_) => Self::no_server(),
         }
     }
--- a/crates/sardineshore-entry/src/stream.rs
+++ b/crates/sardineshore-entry/src/stream.rs
@@ -6,7 +6,7 @@
 use async_std::io::BufReadExt;
 use async_std::stream::StreamExt;
 use http_types::Response;
-use sardineshore_core::{AttemptResult, Choice, UnknownReason};
+use sardineshore_core::{AttemptResult, Choice, NotRunReason, UnknownReason};
 use sardineshore_wire::backend::StreamItem;
 use sardineshore_wire::headers;
 use sardineshore_wire::http::header;
@@ -114,9 +114,8 @@
     }
     let status = u16::from(head.status());
     if status == 503 && header(head, headers::RUN) == "not-run" {
-        return Some(Attempted::NotRun {
-            detail: "the backend server refused it".into(),
-        });
+        let detail = "the backend server refused it";
+        return Some(Attempted::not_run(NotRunReason::Overloaded, detail));
     }
     (status != 200).then(|| {
         let detail = format!("the backend server answered {status}");
--- a/crates/sardineshore-entry/tests/answers.rs
+++ b/crates/sardineshore-entry/tests/answers.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock, Weak};
 
 use async_std::task;
@@ -145,6 +146,30 @@
     });
 }
 
+/// A gate that closes once a request was admitted.
+#[derive(Debug, Default)]
+struct CloseAfterAdmission {
+    admitted: AtomicBool,
+}
+
+impl Gate for CloseAfterAdmission {
+    fn may_dispatch(&self) -> bool {
+        !self.admitted.swap(true, Ordering::Relaxed)
+    }
+}
+
+#[test]
+fn dispatch_unconfirmed_after_admission_named() {
+    task::block_on(async {
+        let gate = Arc::new(CloseAfterAdmission::default());
+        let site = Site::start_behind(gate, "gate", Stage::default(), vec![sound()]).await;
+        let reply = site.submit("t", None).await;
+        assert_eq!(reply.header(headers::REASON), "configuration-unconfirmed");
+        assert_eq!(site.backends[0].begun(), 0);
+        site.stop().await;
+    });
+}
+
 #[test]
 fn stop_request_in_flight_answered() {
     task::block_on(async {
