--- a/crates/sardineshore-core/src/retry/policy.rs
+++ b/crates/sardineshore-core/src/retry/policy.rs
@@ -96,6 +96,20 @@
     Time,
 }
 
+impl GiveUp {
+    /// Name of the reason in kebab case.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotNeeded => "not-needed",
+            Self::MayHaveRun => "may-have-run",
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+            Self::Time => "time",
+        }
+    }
+}
+
 /// Retries and hedges of all pools within budgets.
 ///
 /// One budget bounds the extra work of the instance in seconds of service, so that attempts of a
--- a/crates/sardineshore-entry/src/dispatch.rs
+++ b/crates/sardineshore-entry/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 use http_types::{Method, Request, Url};
 use sardineshore_core::event::entry as events;
+use sardineshore_core::event::routing;
 use sardineshore_core::quarantine::CallEnd;
 use sardineshore_core::{
     AttemptId, AttemptResult, Choice, Feedback, LoadFigures, ServerId, Stage, UnknownReason,
@@ -402,6 +403,11 @@
         if !self.call.stage.idempotent {
             return;
         }
+        self.instance.journal.request(
+            &self.call.job.request,
+            &routing::ATTEMPT_CANCELLED,
+            &*self.id,
+        );
         let cancel = Cancel {
             request: self.call.job.request.clone(),
             attempt: self.id.clone(),
--- a/crates/sardineshore-entry/src/metrics/policy.rs
+++ b/crates/sardineshore-entry/src/metrics/policy.rs
@@ -74,8 +74,8 @@
 
     /// Counts an attempt that was not repeated.
     pub fn withheld(&self, pool: &PoolId, why: GiveUp) {
-        let reason = format!("{why:?}");
-        self.withheld.with_label_values(&[&**pool, &reason]).inc();
+        let reason = why.name();
+        self.withheld.with_label_values(&[&**pool, reason]).inc();
     }
 
     /// Counts a wait for a saturated pool.
--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -161,6 +161,7 @@
 
     /// Chooses a backend server, waiting while all are at their limit.
     async fn choose(&self, stage: &Stage, tried: &Tried) -> Result<Choice, Failure> {
+        let mut waited = false;
         loop {
             if self.instance.quarantine.refuses(self.instance, self.job) {
                 return Err(Failure::quarantined());
@@ -185,7 +186,10 @@
             };
             let chosen = self.instance.tables.router().choose(&ask, now);
             match chosen {
-                Ok(choice) => return Ok(choice),
+                Ok(choice) => {
+                    self.note_choice(stage, &choice);
+                    return Ok(choice);
+                }
                 Err(NoChoice::NoServer) => {
                     self.event(&events::POOL_EMPTY, &stage.pool);
                     return Err(Failure::no_server());
@@ -196,6 +200,10 @@
                 }
                 Err(NoChoice::Saturated { retry_after }) => {
                     self.instance.metrics.policy.saturated(&stage.pool);
+                    if !waited {
+                        self.event(&events::POOL_SATURATED, &stage.pool);
+                    }
+                    waited = true;
                     let wait = retry_after
                         .min(SATURATED_WAIT_MAX)
                         .min(self.job.remaining(now));
@@ -233,6 +241,18 @@
         }
     }
 
+    fn note_choice(&self, stage: &Stage, choice: &Choice) {
+        let Choice {
+            server, predicted, ..
+        } = choice;
+        let text = format!(
+            "stage {} to {server}, predicted {} us",
+            stage.name,
+            predicted.as_micros()
+        );
+        self.event(&events::SERVER_CHOSEN, &text);
+    }
+
     /// When a stage must have answered: the deadline without what the later stages usually need.
     fn due(&self, at: usize, now: Instant) -> Result<Instant, Failure> {
         let stages = &self.job.pipeline.stages[at..];
@@ -291,7 +311,7 @@
             }
             RetryDecision::GiveUp(why) => {
                 self.instance.metrics.policy.withheld(&stage.pool, why);
-                self.event(&events::RETRY_WITHHELD, &format!("{why:?}"));
+                self.event(&events::RETRY_WITHHELD, why.name());
                 false
             }
         }
