fix(core): a restarted instance joins only on knowledge newer than its start

The new model of the configuration found it: an instance restarted within the fence's time after it had voted for a version joined again on what a peer had heard before the write. Its own vote then kept it and that peer dispatching under the older version, with the store unreachable, for as long as the others were cut off. Joining now needs a confirmation not older than the instance's first call.

--- a/crates/sardineshore-check/src/lib.rs
+++ b/crates/sardineshore-check/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 pub mod claim;
+pub mod config;
 pub mod explore;
 pub mod lease;
 pub mod run;
--- a/crates/sardineshore-check/src/run.rs
+++ b/crates/sardineshore-check/src/run.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use crate::claim::{ClaimBounds, ClaimBreak, ClaimModel};
+use crate::config::{ConfigBounds, ConfigBreak, ConfigModel};
 use crate::lease::{LeaseBounds, LeaseBreak, LeaseModel};
 use crate::{Report, explore};
 
 /// Names of all models.
-pub const MODELS: &[&str] = &["claim", "lease-fencing", "lease-plain"];
+pub const MODELS: &[&str] = &["claim", "config", "lease-fencing", "lease-plain"];
 
 /// One search and its result.
 #[derive(Debug, Clone)]
@@ -58,6 +59,7 @@
 pub fn variants(model: &str) -> Vec<&'static str> {
     match model {
         "claim" => ClaimBreak::ALL.iter().map(|(name, _)| *name).collect(),
+        "config" => ConfigBreak::ALL.iter().map(|(name, _)| *name).collect(),
         "lease-fencing" => lease_variants(true),
         "lease-plain" => lease_variants(false),
         _ => Vec::new(),
@@ -76,6 +78,7 @@
     let started = std::time::Instant::now();
     let report = match model {
         "claim" => check_claim(broken, faults)?,
+        "config" => check_config(broken, faults)?,
         "lease-fencing" => check_lease(true, broken, faults)?,
         "lease-plain" => check_lease(false, broken, faults)?,
         _ => return None,
@@ -98,6 +101,16 @@
     Some(explore(&ClaimModel::new(bounds, rule)))
 }
 
+fn check_config(broken: Option<&str>, faults: Option<u8>) -> Option<Report> {
+    let rule = match broken {
+        Some(name) => Some(find(ConfigBreak::ALL, name)?),
+        None => None,
+    };
+    let mut bounds = rule.map_or(ConfigBounds::default(), ConfigBreak::bounds);
+    bounds.faults = faults.unwrap_or(bounds.faults);
+    Some(explore(&ConfigModel::new(bounds, rule)))
+}
+
 fn check_lease(fencing: bool, broken: Option<&str>, faults: Option<u8>) -> Option<Report> {
     let rule = match broken {
         Some(name) => Some(find(LeaseBreak::ALL, name)?),
--- a/crates/sardineshore-check/tests/models.rs
+++ b/crates/sardineshore-check/tests/models.rs
@@ -16,6 +16,14 @@
     );
 }
 
+#[test]
+fn config_holds() {
+    holds(
+        "config",
+        &expect!["config: 151265 states, depth 10, every invariant holds"],
+    );
+}
+
 #[test]
 fn lease_fencing_holds() {
     holds(
--- a/crates/sardineshore-core/src/contact.rs
+++ b/crates/sardineshore-core/src/contact.rs
@@ -96,6 +96,9 @@
     newest: Version,
     /// Whether this instance has been confirmed once and counts as a member itself.
     joined: bool,
+    /// When the first call began: what is known of earlier times says nothing of versions that
+    /// this instance held before it was started.
+    started: Option<Instant>,
     confirmed: Option<Confirmation>,
     /// A confirmation of a version that is not in force here yet.
     ahead: Option<Confirmation>,
@@ -115,6 +118,7 @@
             version: None,
             newest: 0,
             joined: false,
+            started: None,
             confirmed: None,
             ahead: None,
             voters: BTreeMap::new(),
@@ -126,6 +130,7 @@
 
     /// The instance list was read, by a call that began at `began`.
     pub fn list_read(&mut self, names: &[InstanceId], began: Instant, now: Instant) {
+        self.started.get_or_insert(began);
         for name in names {
             self.voters.entry(name.clone()).or_default().vanished = None;
         }
@@ -145,6 +150,7 @@
 
     /// The store's head was read, by a call that began at `began`; 0: there is no head.
     pub fn head_read(&mut self, head: Version, began: Instant, now: Instant) {
+        self.started.get_or_insert(began);
         // A head below a version that was accepted comes from a store that is behind.
         if head >= self.newest {
             self.confirm(Confirmation {
@@ -167,6 +173,7 @@
 
     /// A peer answered an exchange that was sent at `sent`.
     pub fn exchanged(&mut self, hearing: &Hearing, sent: Instant, now: Instant) {
+        self.started.get_or_insert(sent);
         self.restarted(&hearing.member, sent);
         if hearing.stopped {
             self.stopped(&hearing.member, now);
@@ -280,13 +287,21 @@
 
     fn update(&mut self, now: Instant) {
         self.dispatch_until = self.until(now);
-        if !self.joined && self.may_dispatch(now) {
+        if !self.joined && self.may_dispatch(now) && self.confirmed_since_start() {
             self.joined = true;
             self.dispatch_until = self.until(now);
         }
         self.note_spread(now);
     }
 
+    /// Whether the confirmation that allows dispatching dates from after the start.
+    fn confirmed_since_start(&self) -> bool {
+        let Some(started) = self.started else {
+            return false;
+        };
+        self.dispatch_until >= Some(started + self.settings.fence_after)
+    }
+
     fn until(&self, now: Instant) -> Option<Instant> {
         self.version?;
         let fence = self.settings.fence_after;
