test(entry): hedges answer for a stalled server and are cancelled downstream

One of two servers never answers in time: the request is answered by the other, the log of the stalled server shows the cancellation, and explain shows both events. A non-idempotent stage gets no second attempt however slow the first is.

--- a/crates/sardineshore-entry/tests/answers.rs
+++ b/crates/sardineshore-entry/tests/answers.rs
@@ -2,6 +2,8 @@
 
 #[path = "answers/claims.rs"]
 mod claims;
+#[path = "answers/hedges.rs"]
+mod hedges;
 #[path = "support/site.rs"]
 mod support;
 
--- a/crates/sardineshore-entry/tests/support/site.rs
+++ b/crates/sardineshore-entry/tests/support/site.rs
@@ -40,10 +40,17 @@
 impl Backend {
     /// Number of attempts that began.
     pub fn begun(&self) -> usize {
+        self.count(ExecutionEvent::Begun)
+    }
+
+    /// Number of attempts that were cancelled.
+    pub fn cancelled(&self) -> usize {
+        self.count(ExecutionEvent::Cancelled)
+    }
+
+    fn count(&self, event: ExecutionEvent) -> usize {
         let all = log::read(&self.log).expect("the log can be read");
-        all.iter()
-            .filter(|line| line.event == ExecutionEvent::Begun)
-            .count()
+        all.iter().filter(|line| line.event == event).count()
     }
 }
 
