feat(entry): expired claim rows are deleted

Cause: claim rows were never deleted, so the table grew without end. Ruled out: deleting by the present window: after it is raised, a key whose row is gone would be accepted and its request run again.

--- a/crates/sardineshore-core/src/claim.rs
+++ b/crates/sardineshore-core/src/claim.rs
@@ -35,7 +35,7 @@
 
 pub use batch::{Batch, MAX_BATCH, Settled};
 use follow::Follow;
-pub use key::{IdempotencyKey, Retention, fingerprint};
+pub use key::{IdempotencyKey, MAX_WINDOW, Retention, fingerprint};
 pub use message::{ClaimAction, ClaimEvent, DispatchResult, PeerReply, RunEnd, RunReport};
 pub use row::{ClaimRow, ClaimRun, ClaimServer, ClaimState, run_id};
 use run::{Run, Target};
--- a/crates/sardineshore-core/src/claim/key.rs
+++ b/crates/sardineshore-core/src/claim/key.rs
@@ -43,11 +43,17 @@
     }
 }
 
+/// Longest window that may be set.
+pub const MAX_WINDOW: Duration = Duration::from_secs(7 * 24 * 60 * 60);
+
 /// How long keys are remembered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Retention {
     /// Age up to which a key is accepted.
     pub window: Duration,
+    /// Time for which rows are kept, whatever the window: a window that is raised must not meet
+    /// keys whose rows are gone. Not below any window that was ever set.
+    pub kept: Duration,
     /// Allowance for clocks that differ between machines and for the longest deadline; rows
     /// outlive the window by it.
     pub margin: Duration,
@@ -59,6 +65,7 @@
     fn default() -> Self {
         Self {
             window: Duration::from_secs(24 * 60 * 60),
+            kept: MAX_WINDOW,
             margin: Duration::from_secs(10 * 60),
             bucket: Duration::from_secs(60 * 60),
         }
@@ -87,10 +94,19 @@
     /// First bucket whose rows must still be kept; all earlier ones may be deleted.
     #[must_use]
     pub fn first_kept(&self, wall: SystemTime) -> u64 {
-        let kept_ms = millis(self.window) + 2 * millis(self.margin);
+        let kept_ms = millis(self.kept.max(self.window)) + 2 * millis(self.margin);
         unix_ms(wall).saturating_sub(kept_ms) / millis(self.bucket).max(1)
     }
 
+    /// Whether a row of the table is a claim whose key no instance accepts any more.
+    #[must_use]
+    pub fn is_expired(&self, row_key: &str, wall: SystemTime) -> bool {
+        let mut parts = row_key.split('/');
+        let (prefix, bucket) = (parts.next(), parts.next());
+        let bucket = bucket.and_then(|text| text.parse::<u64>().ok());
+        prefix == Some("claim") && bucket.is_some_and(|bucket| bucket < self.first_kept(wall))
+    }
+
     /// Table key of the claim row of a customer's key.
     #[must_use]
     pub fn row_key(&self, customer: &CustomerId, key: IdempotencyKey) -> Arc<str> {
--- a/crates/sardineshore-core/src/event/claim.rs
+++ b/crates/sardineshore-core/src/event/claim.rs
@@ -45,6 +45,14 @@
     action: "If one fingerprint appears on several servers, find its caller.",
 };
 
+/// Expired claim rows were deleted.
+pub const CLAIMS_DELETED: EventKind = EventKind {
+    number: 2005,
+    name: "claims-deleted",
+    meaning: "Claim rows whose keys no instance accepts any more were deleted.",
+    action: "None.",
+};
+
 /// All events of this module.
 pub const ALL: &[EventKind] = &[
     CLAIMED,
@@ -52,5 +60,6 @@
     CLAIM_STORE_FAILED,
     CLAIM_TOLD,
     CLAIM_RESOLVED,
+    CLAIMS_DELETED,
     STRIKE,
 ];
--- a/crates/sardineshore-entry/src/assembly.rs
+++ b/crates/sardineshore-entry/src/assembly.rs
@@ -4,16 +4,18 @@
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::Duration;
 
+use async_std::task::JoinHandle;
 use async_trait::async_trait;
 use sardineshore_core::clock::unix_ms;
 use sardineshore_core::quarantine::Evidence;
 use sardineshore_core::{Answer, Clock, Deployment, Query, ServerId};
 use sardineshore_wire::peer::ClaimsServer;
-use sardineshore_wire::platform::HttpPlatform;
+use sardineshore_wire::platform::{HttpPlatform, Table};
 use slog::Logger;
 
 use crate::claims::ClaimPorts;
 use crate::claims::batcher::BatchingTable;
+use crate::claims::expiry;
 use crate::claims::peers::{Addresses, ClaimsApi, RpcClaims};
 use crate::claims::relay::{MemberRoutes, RelaySettings, RelayedTable};
 use crate::config::tasks::{self, ConfigTasks};
@@ -97,6 +99,13 @@
     }
 }
 
+/// Where claims are kept, and who looks after them.
+#[derive(Debug)]
+struct ClaimTable {
+    table: Arc<dyn Table>,
+    routes: Arc<MemberRoutes>,
+}
+
 /// An entry instance whose parts know one another.
 #[derive(Debug)]
 pub struct Assembly {
@@ -104,6 +113,7 @@
     pub instance: Arc<Instance>,
     /// Configuration and peers.
     pub config: Arc<ConfigService>,
+    claims: ClaimTable,
     /// Writes of claims relayed for other instances.
     joined: BatchingTable,
     callers: Arc<CallersSide>,
@@ -115,6 +125,7 @@
 pub struct Running {
     serving: Serving,
     tasks: ConfigTasks,
+    expiring: JoinHandle<()>,
 }
 
 impl Assembly {
@@ -161,15 +172,17 @@
         let peers = Arc::new(RpcClaims::new(config.clone()));
         let name = instance.settings.name.clone();
         let routes = Arc::new(MemberRoutes::new(name, relay, config.clone()));
-        let table = RelayedTable::new(platform, joined.clone(), routes, peers.clone());
+        let table = RelayedTable::new(platform, joined.clone(), routes.clone(), peers.clone());
+        let table: Arc<dyn Table> = Arc::new(table);
         instance.claims.connect(ClaimPorts {
-            table: Arc::new(table),
+            table: table.clone(),
             peers,
         });
         Self {
             instance,
             config,
             joined,
+            claims: ClaimTable { table, routes },
             callers,
             orders: Arc::new(orders),
         }
@@ -187,13 +200,21 @@
         let claims = ClaimsApi::new(self.instance.clone(), self.joined.clone()).into_rpc();
         let serving = serve_with(&self.instance.settings.peer_listen, api, claims).await?;
         let tasks = tasks::start(&self.config);
-        Ok(Running { serving, tasks })
+        let ClaimTable { table, routes } = &self.claims;
+        let expiring = expiry::run(self.instance.clone(), table.clone(), routes.clone());
+        let expiring = async_std::task::spawn(expiring);
+        Ok(Running {
+            serving,
+            tasks,
+            expiring,
+        })
     }
 
     /// Tells peers that the last work has ended, then ends what [`Assembly::start`] began.
     pub async fn stop(&self, running: Running) {
         self.config.tell_stopped().await;
         running.tasks.cancel().await;
+        running.expiring.cancel().await;
         let _ = running.serving.handle.stop();
     }
 }
--- a/crates/sardineshore-entry/src/claims.rs
+++ b/crates/sardineshore-entry/src/claims.rs
@@ -8,6 +8,7 @@
 pub mod batcher;
 pub mod claim;
 pub mod drive;
+pub mod expiry;
 pub mod incarnations;
 pub mod peers;
 pub mod relay;
--- a/crates/sardineshore-entry/src/claims/relay.rs
+++ b/crates/sardineshore-entry/src/claims/relay.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use sardineshore_core::membership::{Member, Membership};
 use sardineshore_core::{Commit, InstanceId, Row, StoreError, Txn};
 use sardineshore_wire::platform::Table;
 use xxhash_rust::xxh3::xxh3_64;
@@ -50,6 +51,9 @@
 pub trait Routes: fmt::Debug + Send + Sync {
     /// Where the claim with this row key is written.
     fn route(&self, key: &str) -> Route;
+
+    /// Whether this instance is the one that looks after the rows with this prefix.
+    fn is_ours(&self, prefix: &str) -> bool;
 }
 
 /// Passes transactions to relays.
@@ -132,18 +136,27 @@
 impl Routes for MemberRoutes {
     fn route(&self, key: &str) -> Route {
         let state = self.config.state();
-        let membership = &state.membership;
-        let relays = (membership.len() / self.settings.members_per_relay) as u64;
+        let relays = state.membership.len() / self.settings.members_per_relay;
         if relays == 0 {
             return Route::Direct;
         }
-        let relay = xxh3_64(key.as_bytes()) % relays;
-        let weight = |name: &str| xxh3_64(format!("{relay}/{name}").as_bytes());
-        let staying = membership.members().filter(|member| !member.leaving);
-        match staying.max_by_key(|member| weight(&member.name)) {
+        let relay = xxh3_64(key.as_bytes()) % relays as u64;
+        match chosen(&state.membership, &format!("relay/{relay}")) {
             Some(member) if member.name == self.me => Route::Joined,
             Some(member) => Route::Peer(member.addr.clone()),
             None => Route::Direct,
         }
     }
+
+    fn is_ours(&self, prefix: &str) -> bool {
+        let state = self.config.state();
+        chosen(&state.membership, prefix).is_some_and(|member| member.name == self.me)
+    }
+}
+
+/// The member that a task falls to, by rendezvous hash over those that are not leaving.
+fn chosen<'a>(membership: &'a Membership, task: &str) -> Option<&'a Member> {
+    let weight = |name: &str| xxh3_64(format!("{task}/{name}").as_bytes());
+    let staying = membership.members().filter(|member| !member.leaving);
+    staying.max_by_key(|member| weight(&member.name))
 }
--- a/crates/sardineshore-entry/tests/claim_relay.rs
+++ b/crates/sardineshore-entry/tests/claim_relay.rs
@@ -1,13 +1,15 @@
 //! Claims written through relays: one answer each, fewer writes, and no relay is needed.
 
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use async_std::task;
 use async_trait::async_trait;
 use futures::future::join_all;
+use sardineshore_core::claim::{IdempotencyKey, MAX_WINDOW, Retention};
 use sardineshore_core::{Commit, Row, StoreError, Txn};
 use sardineshore_entry::claims::batcher::BatchingTable;
+use sardineshore_entry::claims::expiry::delete_expired;
 use sardineshore_entry::claims::relay::{RelayLink, RelayedTable, Route, Routes};
 use sardineshore_fakes::platform::table::Table as Rows;
 use sardineshore_wire::platform::Table;
@@ -38,8 +40,9 @@
         Ok(self.rows.lock().unwrap().read(key, Instant::now()))
     }
 
-    async fn scan(&self, _: &str, _: &str, _: usize) -> Result<Vec<Row>, StoreError> {
-        Ok(Vec::new())
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, StoreError> {
+        let rows = self.rows.lock().unwrap();
+        Ok(rows.scan(prefix, after, limit, Instant::now()))
     }
 }
 
@@ -51,6 +54,10 @@
     fn route(&self, _: &str) -> Route {
         Route::Peer("relay".into())
     }
+
+    fn is_ours(&self, _: &str) -> bool {
+        true
+    }
 }
 
 /// A relay that writes and answers, or writes and is lost before it answers.
@@ -176,3 +183,32 @@
         assert!(table.writes() < 100, "{} writes", table.writes());
     });
 }
+
+#[test]
+fn delete_expired_keeps_what_any_window_accepts() {
+    task::block_on(async {
+        let table = Counted::default();
+        let retention = Retention {
+            window: Duration::from_secs(60),
+            ..Retention::default()
+        };
+        let wall = UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+        let key_of = |age: Duration| {
+            let made_ms = 1_800_000_000_000 - u64::try_from(age.as_millis()).unwrap();
+            let hex = format!("{made_ms:012x}");
+            let text = format!("{}-{}-7000-8000-000000000001", &hex[..8], &hex[8..]);
+            retention.row_key(&"studio".into(), IdempotencyKey::parse(&text).unwrap())
+        };
+        let kept = key_of(MAX_WINDOW);
+        for day in 8..108 {
+            let old = key_of(Duration::from_secs(day * 24 * 3_600));
+            table.commit(&insert(&old, "v")).await.unwrap();
+        }
+        table.commit(&insert(&kept, "v")).await.unwrap();
+        table.commit(&insert("config/head", "v")).await.unwrap();
+        let deleted = delete_expired(&table, &retention, wall).await;
+        assert_eq!(deleted, Ok(100));
+        assert!(table.read(&kept).await.unwrap().is_some());
+        assert!(table.read("config/head").await.unwrap().is_some());
+    });
+}
