--- a/xtask/src/faults.rs
+++ b/xtask/src/faults.rs
@@ -11,7 +11,7 @@
 use std::time::Instant;
 
 use async_std::task;
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use futures::{StreamExt, stream};
 use indicatif::{ProgressBar, ProgressStyle};
 
@@ -59,6 +59,11 @@
                 .long("only")
                 .value_parser(value_parser!(Fault))
                 .help("Runs only what includes this fault"),
+            Arg::new("table")
+                .long("table")
+                .action(ArgAction::SetTrue)
+                .requires("resume")
+                .help("Runs nothing; prints the table of the file of results"),
         ])
 }
 
@@ -76,16 +81,13 @@
         Some(path) => path.clone(),
         None => results::fresh_file()?,
     };
-    let programs = build::build(Profile::Debug)?;
     let mut results = Results::open(&path)?;
     println!("results: {}", path.display());
-    task::block_on(until_signal(run_all(
-        &plan,
-        requests,
-        jobs,
-        &programs,
-        &mut results,
-    )))?;
+    if !matches.get_flag("table") {
+        let programs = build::build(Profile::Debug)?;
+        let work = run_all(&plan, requests, jobs, &programs, &mut results);
+        task::block_on(until_signal(work))?;
+    }
     println!("{}", results.table(&plan));
     Ok(exit_code(results.all_passed()))
 }
