--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -147,6 +147,9 @@
             }
             let result = attempted.result();
             tried.last = Some(attempted);
+            if result == AttemptResult::Lost {
+                self.instance.quarantine.looked_after(&choice.server).await;
+            }
             if !self.again(stage, result, tried.servers.len()).await {
                 return Err(tried
                     .last
@@ -158,11 +161,20 @@
 
     /// Chooses a backend server, waiting while all are at their limit.
     async fn choose(&self, stage: &Stage, tried: &Tried) -> Result<Choice, Failure> {
+        let mut waited = false;
         loop {
             if self.instance.quarantine.refuses(self.instance, self.job) {
                 return Err(Failure::quarantined());
             }
             let now = self.instance.clock.now();
+            let suspect = self
+                .instance
+                .quarantine
+                .must_wait(self.instance, self.job, &stage.pool);
+            if suspect && now < tried.until {
+                async_std::task::sleep(SATURATED_WAIT_MAX).await;
+                continue;
+            }
             let ask = Ask {
                 pool: &stage.pool,
                 request: &self.job.request,
@@ -174,7 +186,10 @@
             };
             let chosen = self.instance.tables.router().choose(&ask, now);
             match chosen {
-                Ok(choice) => return Ok(choice),
+                Ok(choice) => {
+                    self.note_choice(stage, &choice);
+                    return Ok(choice);
+                }
                 Err(NoChoice::NoServer) => {
                     self.event(&events::POOL_EMPTY, &stage.pool);
                     return Err(Failure::no_server());
@@ -185,6 +200,10 @@
                 }
                 Err(NoChoice::Saturated { retry_after }) => {
                     self.instance.metrics.policy.saturated(&stage.pool);
+                    if !waited {
+                        self.event(&events::POOL_SATURATED, &stage.pool);
+                    }
+                    waited = true;
                     let wait = retry_after
                         .min(SATURATED_WAIT_MAX)
                         .min(self.job.remaining(now));
@@ -222,6 +241,18 @@
         }
     }
 
+    fn note_choice(&self, stage: &Stage, choice: &Choice) {
+        let Choice {
+            server, predicted, ..
+        } = choice;
+        let text = format!(
+            "stage {} to {server}, predicted {} us",
+            stage.name,
+            predicted.as_micros()
+        );
+        self.event(&events::SERVER_CHOSEN, &text);
+    }
+
     /// When a stage must have answered: the deadline without what the later stages usually need.
     fn due(&self, at: usize, now: Instant) -> Result<Instant, Failure> {
         let stages = &self.job.pipeline.stages[at..];
@@ -280,7 +311,7 @@
             }
             RetryDecision::GiveUp(why) => {
                 self.instance.metrics.policy.withheld(&stage.pool, why);
-                self.event(&events::RETRY_WITHHELD, &format!("{why:?}"));
+                self.event(&events::RETRY_WITHHELD, why.name());
                 false
             }
         }
@@ -330,7 +361,7 @@
     fn from(attempted: Attempted) -> Self {
         match attempted {
             Attempted::MayHaveRun { reason, detail, .. } => Self::MayHaveRun(reason, detail),
-            Attempted::NotRun { detail } => Self::NotRun(NotRunReason::NoServer, detail),
+            Attempted::NotRun { reason, detail } => Self::NotRun(reason, detail),
             Attempted::Answered(_) => Self::no_server(),
         }
     }
