test(entry): streams resume elsewhere whole, and a cut one never looks complete

Cause: streamed answers had no proof on the path. Ruled out: one request after the other, which the router may all send to the sound engine. Change: twelve streams at once over an engine that cuts and repeats and a sound one; and two that both cut.

--- /dev/null
+++ b/crates/sardineshore-entry/tests/answers/streams.rs
@@ -0,0 +1,105 @@
+//! Streamed answers resume on another engine without a missing or repeated token, and one that is
+//! cut short never looks complete.
+
+use std::fmt::Write as _;
+
+use async_std::task;
+use futures::future::join_all;
+use sardineshore_core::{Stage, StageKind};
+use sardineshore_fakes::server::faults::ServerFaults;
+use sardineshore_wire::caller::Refusal;
+
+use crate::support::Site;
+
+fn generate() -> Stage {
+    Stage {
+        kind: StageKind::Generate,
+        ..Stage::default()
+    }
+}
+
+fn faulty() -> ServerFaults {
+    ServerFaults {
+        truncate: 1.0,
+        repeat_answer: 1.0,
+        ..ServerFaults::default()
+    }
+}
+
+/// Events of a stream: names and data, in order.
+fn events(body: &[u8]) -> Vec<(String, serde_json::Value)> {
+    let text = std::str::from_utf8(body).expect("a stream is text");
+    let of = |event: &str, field: &str| {
+        let line = event.lines().find_map(|line| line.strip_prefix(field));
+        line.unwrap_or_default().trim().to_owned()
+    };
+    let read = |event: &str| {
+        let data = serde_json::from_str(&of(event, "data:")).expect("data is JSON");
+        (of(event, "event:"), data)
+    };
+    text.split("\n\n")
+        .filter(|event| !event.is_empty())
+        .map(read)
+        .collect()
+}
+
+/// Text of all tokens, after a check of their numbers.
+fn text(events: &[(String, serde_json::Value)]) -> String {
+    let mut text = String::new();
+    let tokens = events.iter().filter(|(name, _)| name == "token");
+    for (n, (_, data)) in tokens.enumerate() {
+        assert_eq!(data["seq"], n);
+        write!(text, "{}", data["text"].as_str().expect("a token has text")).unwrap();
+    }
+    text
+}
+
+/// The text that engines generate for a tag.
+fn whole(tag: &str, tokens: u64) -> String {
+    let mut text = String::new();
+    for seq in 0..tokens {
+        write!(text, "{tag}:{seq} ").unwrap();
+    }
+    text
+}
+
+#[test]
+fn stream_cut_short_resumed_elsewhere() {
+    task::block_on(async {
+        let faults = vec![faulty(), ServerFaults::default()];
+        let site = Site::start("resume", generate(), faults).await;
+        let tags: Vec<String> = (0..12).map(|n| format!("t{n}")).collect();
+        // Requests at the same time spread over both engines.
+        let replies = join_all(tags.iter().map(|tag| site.submit_streamed(tag))).await;
+        for (tag, reply) in tags.iter().zip(&replies) {
+            let events = events(&reply.body);
+            let (last, data) = events.last().expect("a stream has an end");
+            assert_eq!(last, "done");
+            let tokens = data["tokens"].as_u64().expect("the end counts the tokens");
+            assert_eq!(text(&events), whole(tag, tokens));
+        }
+        let begun = site.backends[0].begun();
+        assert!(begun > 0, "no stream met the faulty engine");
+        site.stop().await;
+    });
+}
+
+#[test]
+fn stream_cut_short_everywhere_fails() {
+    task::block_on(async {
+        let site = Site::start("cuts", generate(), vec![faulty(), faulty()]).await;
+        let reply = site.submit_streamed("t").await;
+        let events = events(&reply.body);
+        let ends: Vec<&str> = events
+            .iter()
+            .map(|(name, _)| &**name)
+            .filter(|name| *name != "token")
+            .collect();
+        assert_eq!(ends, ["failed"]);
+        let (_, data) = events.last().expect("it has an end");
+        let refusal: Refusal = serde_json::from_value(data.clone()).expect("a refusal");
+        assert_eq!((&*refusal.outcome, refusal.retryable), ("unknown", true));
+        text(&events);
+        site.stop().await;
+    });
+}
--- a/crates/sardineshore-entry/tests/support/site.rs
+++ b/crates/sardineshore-entry/tests/support/site.rs
@@ -14,12 +14,14 @@
 use http_types::{Method, Request, Url};
 use sardineshore_core::claim::PeerReply;
 use sardineshore_core::{AttemptId, InstanceId};
-use sardineshore_core::{BackendServer, Change, Deployment, Pipeline, Stage, SystemClock};
+use sardineshore_core::{
+    BackendServer, Change, Deployment, Pipeline, Stage, StageKind, SystemClock,
+};
 use sardineshore_entry::claims::{ClaimPeers, ClaimPorts};
 use sardineshore_entry::{Gate, Instance, OpenGate, Settings, listener};
 use sardineshore_fakes::serve::serve;
 use sardineshore_fakes::server::faults::ServerFaults;
-use sardineshore_fakes::server::settings::ServerSettings;
+use sardineshore_fakes::server::settings::{Kind, ServerSettings};
 use sardineshore_fakes::server::{FakeServer, log};
 use sardineshore_wire::headers;
 use sardineshore_wire::http::{Client, Reply};
@@ -122,8 +124,8 @@
             .expect("the change fits");
         let mut backends = Vec::new();
         for (n, faults) in faults.into_iter().enumerate() {
-            let answers = stage.name.as_ref() == ANSWERS_STATUS;
-            let (backend, server) = start_backend(&format!("{name}-s{n}"), faults, answers).await;
+            let name = format!("{name}-s{n}");
+            let (backend, server) = start_backend(&name, faults, &stage).await;
             deployment
                 .apply(&Change::AddServer { server })
                 .expect("the change fits");
@@ -194,17 +196,31 @@
 
     /// Sends one request and waits for its reply.
     pub async fn submit(&self, tag: &str, key: Option<&str>) -> Reply {
-        let url = Url::parse(&format!("http://{}/v1/pipelines/work/requests", self.addr));
-        let mut req = Request::new(Method::Post, url.expect("an address forms a URL"));
-        req.insert_header(headers::CUSTOMER, "studio");
+        let mut req = self.request(tag);
         if let Some(key) = key {
             req.insert_header(headers::IDEMPOTENCY_KEY, key);
         }
+        self.send(req).await
+    }
+
+    /// Asks for a streamed answer and reads it to its end.
+    pub async fn submit_streamed(&self, tag: &str) -> Reply {
+        let mut req = self.request(tag);
+        req.insert_header("accept", "text/event-stream");
+        self.send(req).await
+    }
+
+    fn request(&self, tag: &str) -> Request {
+        let url = Url::parse(&format!("http://{}/v1/pipelines/work/requests", self.addr));
+        let mut req = Request::new(Method::Post, url.expect("an address forms a URL"));
+        req.insert_header(headers::CUSTOMER, "studio");
         req.set_body(serde_json::json!({ "tag": tag }).to_string());
-        self.client
-            .send(&self.addr, req, PATIENCE)
-            .await
-            .expect("the instance replies")
+        req
+    }
+
+    async fn send(&self, req: Request) -> Reply {
+        let reply = self.client.send(&self.addr, req, PATIENCE).await;
+        reply.expect("the instance replies")
     }
 
     /// Stops listening.
@@ -222,8 +238,13 @@
 async fn start_backend(
     name: &str,
     faults: ServerFaults,
-    answers_status: bool,
+    stage: &Stage,
 ) -> (Backend, BackendServer) {
+    let answers_status = stage.name.as_ref() == ANSWERS_STATUS;
+    let kind = match stage.kind {
+        StageKind::Generate => Kind::Engine,
+        _ => Kind::default(),
+    };
     let socket = TcpListener::bind("127.0.0.1:0").await.expect("binds");
     let addr = socket.local_addr().expect("bound").to_string();
     let log = std::env::temp_dir().join(format!("sardine-{}-{name}.log", std::process::id()));
@@ -232,6 +253,7 @@
         name: name.into(),
         service_time: Duration::from_millis(2),
         answers_status,
+        kind,
         ..ServerSettings::default()
     };
     let server = FakeServer::start(settings, &log, Arc::new(SystemClock)).expect("starts");
