--- a/crates/sardineshore-entry/tests/answers/streams.rs
+++ b/crates/sardineshore-entry/tests/answers/streams.rs
@@ -18,9 +18,17 @@
     }
 }
 
-fn faulty() -> ServerFaults {
+/// Ends every stream in its middle.
+fn cutting() -> ServerFaults {
     ServerFaults {
         truncate: 1.0,
+        ..ServerFaults::default()
+    }
+}
+
+/// Sends one token of every stream twice.
+fn repeating() -> ServerFaults {
+    ServerFaults {
         repeat_answer: 1.0,
         ..ServerFaults::default()
     }
@@ -66,7 +74,7 @@
 #[test]
 fn stream_cut_short_resumed_elsewhere() {
     task::block_on(async {
-        let faults = vec![faulty(), ServerFaults::default()];
+        let faults = vec![cutting(), repeating()];
         let site = Site::start("resume", generate(), faults).await;
         let tags: Vec<String> = (0..12).map(|n| format!("t{n}")).collect();
         // Requests at the same time spread over both engines.
@@ -79,7 +87,7 @@
             assert_eq!(text(&events), whole(tag, tokens));
         }
         let begun = site.backends[0].begun();
-        assert!(begun > 0, "no stream met the faulty engine");
+        assert!(begun > 0, "no stream met the engine that cuts");
         site.stop().await;
     });
 }
@@ -87,7 +95,7 @@
 #[test]
 fn stream_cut_short_everywhere_fails() {
     task::block_on(async {
-        let site = Site::start("cuts", generate(), vec![faulty(), faulty()]).await;
+        let site = Site::start("cuts", generate(), vec![cutting(), cutting()]).await;
         let reply = site.submit_streamed("t").await;
         let events = events(&reply.body);
         let ends: Vec<&str> = events
