feat(entry): 'not run' tells whether it covers the request or only this send

Cause: a refusal before the claim is known (admission, input, store out of reach) said 'not run' of a repeat whose earlier send may have run; a caller that believed it could book again under a new key. Ruled out: 'unknown' for all of them, which would call most refusals in an outage unknown; a read of the row before each refusal, which the table's outage prevents just then. Change: a field and a header: 'request' where a confirmed claim proves it or the pipeline is idempotent, else 'send'.

--- a/crates/sardineshore-entry/src/claims/claim.rs
+++ b/crates/sardineshore-entry/src/claims/claim.rs
@@ -1,5 +1,6 @@
 //! One claim, shared by the stage runner and the driver.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use async_std::channel::{Receiver, Sender, bounded, unbounded};
@@ -46,6 +47,8 @@
     machine: Mutex<ClaimMachine>,
     actions: Sender<ClaimAction>,
     held: Latch,
+    /// Whether the row was this attempt's, so that no earlier send has run or can run.
+    confirmed: AtomicBool,
     told: Latch,
     finished: Mutex<Option<Finished>>,
     resolution_tx: Sender<Resolution>,
@@ -69,6 +72,7 @@
             machine: Mutex::new(machine),
             actions,
             held: Latch::default(),
+            confirmed: AtomicBool::default(),
             told: Latch::default(),
             finished: Mutex::default(),
             resolution_tx,
@@ -190,6 +194,7 @@
             match action {
                 ClaimAction::Held => {
                     self.note(&events::CLAIMED, &*self.attempt);
+                    self.confirmed.store(true, Ordering::Release);
                     self.held.set();
                 }
                 ClaimAction::Resolved(answer) => {
@@ -211,6 +216,9 @@
                 let answer = answer.map_or(&b""[..], |answer| answer.as_bytes());
                 Finished::Answered(answer.into())
             }
+            Outcome::NotRun { reason } if self.confirmed.load(Ordering::Acquire) => {
+                Finished::never_run(*reason, "decided by its claim")
+            }
             Outcome::NotRun { reason } => Finished::not_run(*reason, "decided by its claim"),
             Outcome::Unknown { reason } => Finished::unknown(*reason, "decided by its claim"),
         };
--- a/crates/sardineshore-entry/src/job.rs
+++ b/crates/sardineshore-entry/src/job.rs
@@ -7,6 +7,7 @@
 use sardineshore_core::{
     CustomerId, Fingerprint, NotRunReason, Pipeline, RequestId, UnknownReason,
 };
+use sardineshore_wire::caller::Covers;
 
 /// One admitted request.
 #[derive(Debug, Clone)]
@@ -52,6 +53,8 @@
         reason: NotRunReason,
         /// Text for people.
         detail: String,
+        /// Whether earlier sends with the same key did not run either.
+        covers: Covers,
     },
     /// It may have run.
     Unknown {
@@ -63,11 +66,21 @@
 }
 
 impl Finished {
-    /// Ends a request as not run.
+    /// Ends a request whose claim proves that no send of it has run.
+    pub fn never_run(reason: NotRunReason, detail: impl Into<String>) -> Self {
+        Self::NotRun {
+            reason,
+            detail: detail.into(),
+            covers: Covers::Request,
+        }
+    }
+
+    /// Ends this send of a request as not run.
     pub fn not_run(reason: NotRunReason, detail: impl Into<String>) -> Self {
         Self::NotRun {
             reason,
             detail: detail.into(),
+            covers: Covers::Send,
         }
     }
 
--- a/crates/sardineshore-entry/src/listener.rs
+++ b/crates/sardineshore-entry/src/listener.rs
@@ -12,6 +12,8 @@
 use sardineshore_core::NotRunReason;
 use sardineshore_core::claim::{IdempotencyKey, fingerprint};
 use sardineshore_core::event::entry as events;
+use sardineshore_wire::caller::Covers;
+use sardineshore_wire::headers;
 
 use crate::api::{Arrival, Refused, Target, effective_deadline, receive, target};
 use crate::conn::CallerStream;
@@ -127,7 +129,7 @@
         Target::Submit { pipeline } => {
             Box::pin(submit(&instance, &stream, &mut req, &pipeline)).await
         }
-        Target::Unknown => reply::not_run(NotRunReason::BadRequest, "no such path or method", ""),
+        Target::Unknown => no_such_path(),
     };
     if !reads_body {
         leave_body(&stream, &req, &mut res);
@@ -152,6 +154,11 @@
     instance.stop.is_ready() && instance.gate.may_dispatch()
 }
 
+fn no_such_path() -> Response {
+    let detail = "no such path or method";
+    reply::not_run(NotRunReason::BadRequest, detail, "", Covers::Request)
+}
+
 fn metrics(instance: &Instance) -> Response {
     instance.metrics.set_in_flight(instance.stop.in_flight());
     let mut res = Response::new(StatusCode::Ok);
@@ -167,6 +174,10 @@
     pipeline: &str,
 ) -> Response {
     let arrived = instance.clock.now();
+    let covers = match req.header(headers::IDEMPOTENCY_KEY) {
+        Some(_) => Covers::Send,
+        None => Covers::Request,
+    };
     let checked = match receive(req, &instance.settings, arrived).await {
         Ok(arrival) => job(instance, &arrival, pipeline),
         Err(refused) => {
@@ -178,7 +189,7 @@
         Ok(job) if job.streamed => run_streamed(instance, job).await,
         Ok(job) => run_whole(instance, stream, job).await,
         Err(Refused { reason, detail }) => {
-            let mut res = reply::not_run(reason, &detail, "");
+            let mut res = reply::not_run(reason, &detail, "", covers);
             res.insert_header("connection", "close");
             res
         }
@@ -301,7 +312,9 @@
             &events::ANSWERED,
             format!("after {} us", latency.as_micros()),
         ),
-        Finished::NotRun { reason, detail } => (&events::REFUSED, format!("{reason:?}: {detail}")),
+        Finished::NotRun { reason, detail, .. } => {
+            (&events::REFUSED, format!("{reason:?}: {detail}"))
+        }
         Finished::Unknown { reason, detail } => (&events::UNKNOWN, format!("{reason:?}: {detail}")),
     };
     instance.journal.request(&job.request, kind, text);
--- a/crates/sardineshore-entry/src/reply.rs
+++ b/crates/sardineshore-entry/src/reply.rs
@@ -6,7 +6,7 @@
 use futures::{StreamExt, TryStreamExt};
 use http_types::{Body, Response, StatusCode};
 use sardineshore_core::{NotRunReason, UnknownReason};
-use sardineshore_wire::caller::Refusal;
+use sardineshore_wire::caller::{Covers, Refusal};
 use sardineshore_wire::headers;
 use serde::Serialize;
 
@@ -22,22 +22,21 @@
 pub fn finished(finished: &Finished, request: &str, repeatable: bool) -> Response {
     match finished {
         Finished::Answered(body) => answered(body, request),
-        Finished::NotRun { reason, detail } => not_run(*reason, detail, request),
+        Finished::NotRun {
+            reason,
+            detail,
+            covers,
+        } => not_run(*reason, detail, request, scope(*covers, repeatable)),
         Finished::Unknown { reason, detail } => unknown(*reason, detail, request, repeatable),
     }
 }
 
 /// Reply to a request that was not run.
 #[must_use]
-pub fn not_run(reason: NotRunReason, detail: &str, request: &str) -> Response {
-    let refusal = Refusal {
-        outcome: "not-run".into(),
-        reason: name(&reason),
-        request: request.into(),
-        detail: detail.to_owned(),
-        retryable: reason.retryable(),
-    };
+pub fn not_run(reason: NotRunReason, detail: &str, request: &str, covers: Covers) -> Response {
+    let refusal = not_run_refusal(reason, detail, request, covers);
     let mut res = refused(reason.status(), &refusal);
+    res.insert_header(headers::COVERS, &*name(&covers));
     if reason.retryable() {
         res.insert_header("retry-after", RETRY_AFTER_SECONDS);
     }
@@ -47,13 +46,8 @@
 /// Whole reply, as sent, to bytes that are not an HTTP request.
 #[must_use]
 pub fn malformed() -> Vec<u8> {
-    let refusal = Refusal {
-        outcome: "not-run".into(),
-        reason: name(&NotRunReason::BadRequest),
-        request: "".into(),
-        detail: "the bytes are not an HTTP/1.1 request".into(),
-        retryable: false,
-    };
+    let detail = "the bytes are not an HTTP/1.1 request";
+    let refusal = not_run_refusal(NotRunReason::BadRequest, detail, "", Covers::Send);
     let body = serde_json::to_string(&refusal).expect("a refusal serializes");
     format!(
         "HTTP/1.1 400 Bad Request\r\ncontent-type: {JSON}\r\n{}: not-run\r\n{}: {}\r\n\
@@ -106,6 +100,22 @@
     )
 }
 
+/// What "not run" speaks of; each send of an idempotent pipeline is a request of its own.
+fn scope(covers: Covers, repeatable: bool) -> Covers {
+    if repeatable { Covers::Request } else { covers }
+}
+
+fn not_run_refusal(reason: NotRunReason, detail: &str, request: &str, covers: Covers) -> Refusal {
+    Refusal {
+        outcome: "not-run".into(),
+        reason: name(&reason),
+        request: request.into(),
+        detail: detail.to_owned(),
+        covers,
+        retryable: reason.retryable(),
+    }
+}
+
 fn unknown_refusal(
     reason: UnknownReason,
     detail: &str,
@@ -117,6 +127,7 @@
         reason: name(&reason),
         request: request.into(),
         detail: detail.to_owned(),
+        covers: Covers::Send,
         retryable: repeatable,
     }
 }
@@ -145,15 +156,13 @@
             let data = String::from_utf8_lossy(body);
             format!("event: done\ndata: {data}\n\n").into_bytes()
         }
-        Progress::Ended(Finished::NotRun { reason, detail }) => {
-            let refusal = Refusal {
-                outcome: "not-run".into(),
-                reason: name(reason),
-                request: request.into(),
-                detail: detail.clone(),
-                retryable: reason.retryable(),
-            };
-            failed(&refusal)
+        Progress::Ended(Finished::NotRun {
+            reason,
+            detail,
+            covers,
+        }) => {
+            let covers = scope(*covers, repeatable);
+            failed(&not_run_refusal(*reason, detail, request, covers))
         }
         Progress::Ended(Finished::Unknown { reason, detail }) => {
             failed(&unknown_refusal(*reason, detail, request, repeatable))
--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -320,7 +320,7 @@
     fn failed(&self, failure: Failure) -> Finished {
         match failure {
             Failure::NotRun(reason, detail) if !self.not_run_denied => {
-                Finished::NotRun { reason, detail }
+                Finished::not_run(reason, detail)
             }
             Failure::NotRun(NotRunReason::DeadlineUnreachable, detail) => {
                 Finished::unknown(UnknownReason::DeadlineExceeded, detail)
--- a/crates/sardineshore-entry/tests/answers/claims.rs
+++ b/crates/sardineshore-entry/tests/answers/claims.rs
@@ -125,6 +125,31 @@
     });
 }
 
+/// What a refusal speaks of.
+fn covers(reply: &Reply) -> &str {
+    reply.header(headers::COVERS)
+}
+
+#[test]
+fn claim_not_run_tells_what_it_covers() {
+    task::block_on(async {
+        let refusing = ServerFaults {
+            refuse: 1.0,
+            ..ServerFaults::default()
+        };
+        let site = Site::start("covers", once(), vec![refusing]).await;
+        let proven = site.submit("t", Some(&fresh_key())).await;
+        assert_eq!((&*told(&proven).0, covers(&proven)), ("not-run", "request"));
+        site.table.set_fault(TableFault::HoldBack);
+        let unproven = site.submit("t", Some(&fresh_key())).await;
+        assert_eq!(told(&unproven), not_run(NotRunReason::StoreUnavailable));
+        assert_eq!(covers(&unproven), "send");
+        site.table.set_fault(TableFault::None);
+        site.table.land();
+        site.stop().await;
+    });
+}
+
 #[test]
 fn claim_record_lost_repeat_asks_the_server() {
     task::block_on(async {
--- a/crates/sardineshore-wire/src/caller.rs
+++ b/crates/sardineshore-wire/src/caller.rs
@@ -2,14 +2,26 @@
 //!
 //! `POST /v1/pipelines/NAME/requests` with a JSON body. The answer's body is the last stage's
 //! output; with `accept: text/event-stream` it is a stream of events: `token` with a sequence
-//! number as its id, then exactly one `done` (whole answer) or `failed` (a [`Refusal`]).
+//! number as its id, then exactly one `done` (the number of tokens) or `failed` (a [`Refusal`]).
 
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+/// What `not-run` speaks of.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Covers {
+    /// This send only: an earlier send with the same idempotency key may have run.
+    #[default]
+    Send,
+    /// Every send of the request so far.
+    Request,
+}
+
 /// Body of every reply that carries no answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Refusal {
     /// `not-run` or `unknown`.
     pub outcome: Arc<str>,
@@ -19,6 +31,8 @@
     pub request: Arc<str>,
     /// Text for people.
     pub detail: String,
+    /// What `not-run` speaks of.
+    pub covers: Covers,
     /// Whether the same request may be sent again with a chance of success.
     pub retryable: bool,
 }
--- a/crates/sardineshore-wire/src/headers.rs
+++ b/crates/sardineshore-wire/src/headers.rs
@@ -12,6 +12,8 @@
 pub const OUTCOME: &str = "x-sardine-outcome";
 /// Entry to caller: the reason of `not-run` or `unknown`.
 pub const REASON: &str = "x-sardine-reason";
+/// Entry to caller: what `not-run` speaks of, `send` or `request`.
+pub const COVERS: &str = "x-sardine-covers";
 /// Entry to backend server and back: the stage's name.
 pub const STAGE: &str = "x-sardine-stage";
 /// Entry to backend server and back: the attempt's identifier.
