refactor: one meaning of a transaction for tests

Cause: what a transaction of the table means stood in three tests, word for word. Ruled out: the stand-in's table, which keeps its past; a test crate of its own. Change: core's Rows says it once; the tests use it, their checks unchanged. Conclusion: a change of the platform's protocol has one place.

--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -68,4 +68,4 @@
     Ask, AttemptResult, Choice, Feedback, LoadFigures, NoChoice, Policy, Polled, Router,
     RoutingConfig, RoutingDecision, RoutingNotice,
 };
-pub use store::{Check, Commit, Put, Row, StoreError, Txn};
+pub use store::{Check, Commit, Put, Row, Rows, StoreError, Txn};
--- a/crates/sardineshore-core/src/store.rs
+++ b/crates/sardineshore-core/src/store.rs
@@ -1,10 +1,14 @@
 //! Transactions of the platform's table service, as plain data.
 
+pub mod rows;
+
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+pub use rows::Rows;
+
 use crate::Revision;
 
 /// Conditions and writes that take effect together or not at all.
--- a/crates/sardineshore-core/tests/config_log.rs
+++ b/crates/sardineshore-core/tests/config_log.rs
@@ -1,12 +1,9 @@
 //! Submissions against a table that loses confirmations and lands writes late.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
-
 use sardineshore_core::config_log::submit::{NotWritten, Proposal, Step, Submitting, Verdict};
 use sardineshore_core::config_log::{Adoption, ConfigLog, HEAD_KEY, LogEntry, log_key};
 use sardineshore_core::{
-    BackendServer, Change, Commit, Objective, Revision, Row, StoreError, Txn, Version,
+    BackendServer, Change, Commit, Objective, Row, Rows, StoreError, Txn, Version,
 };
 
 /// What the table does with the next transaction.
@@ -20,8 +17,7 @@
 
 #[derive(Debug, Default)]
 struct Table {
-    rows: BTreeMap<Arc<str>, Row>,
-    revision: Revision,
+    rows: Rows,
     faults: Vec<Fault>,
     late: Option<Txn>,
 }
@@ -31,41 +27,13 @@
         self.rows.get(key).cloned()
     }
 
-    fn apply(&mut self, txn: &Txn) -> Commit {
-        let revision = |key| self.rows.get(key).map_or(0, |row| row.revision);
-        let failed = |key: &Arc<str>| self.rows.get(key).cloned();
-        if txn
-            .checks
-            .iter()
-            .any(|check| revision(&check.key) != check.revision)
-        {
-            let failed_checks = txn.checks.iter().filter(|c| revision(&c.key) != c.revision);
-            let rows = failed_checks
-                .filter_map(|check| failed(&check.key))
-                .collect();
-            return Commit::Conflict { rows };
-        }
-        self.revision += 1;
-        for put in &txn.puts {
-            let row = Row {
-                key: put.key.clone(),
-                value: put.value.clone(),
-                revision: self.revision,
-            };
-            self.rows.insert(put.key.clone(), row);
-        }
-        Commit::Applied {
-            revision: self.revision,
-        }
-    }
-
     fn commit(&mut self, txn: &Txn) -> Result<Commit, StoreError> {
         match self.faults.pop() {
-            None => Ok(self.apply(txn)),
+            None => Ok(self.rows.commit(txn)),
             Some(Fault::Refused) => Err(StoreError::Unavailable),
             Some(Fault::LostBefore) => Err(StoreError::Unconfirmed),
             Some(Fault::LostAfter) => {
-                self.apply(txn);
+                self.rows.commit(txn);
                 Err(StoreError::Unconfirmed)
             }
             Some(Fault::LandsLate) => {
@@ -152,7 +120,7 @@
     let Step::Commit(txn) = submitting.head_read(&Ok(table.read(HEAD_KEY)), &log) else {
         panic!("the command fits");
     };
-    assert!(matches!(table.apply(&txn), Commit::Applied { .. }));
+    assert!(matches!(table.rows.commit(&txn), Commit::Applied { .. }));
 }
 
 #[test]
@@ -160,9 +128,9 @@
     let mut table = Table::default();
     let verdict = run(&mut table, &mut ConfigLog::default(), vec![add("a")]);
     assert_eq!(verdict, written(1));
-    let rows: Vec<_> = table
-        .rows
-        .values()
+    let rows = table.rows.scan("", "", usize::MAX);
+    let rows: Vec<_> = rows
+        .iter()
         .map(|row| format!("{} {}", row.key, row.value))
         .collect();
     expect_test::expect![[r#"
@@ -182,7 +150,7 @@
         let verdict = run(&mut table, &mut log, vec![add("a")]);
         assert_eq!(verdict, written(1), "{fault:?}");
         if let Some(late) = table.late.take() {
-            assert!(matches!(table.apply(&late), Commit::Conflict { .. }));
+            assert!(matches!(table.rows.commit(&late), Commit::Conflict { .. }));
         }
         table.catch_up(&mut log);
         assert_eq!(log.version(), 1, "{fault:?}");
--- a/crates/sardineshore-entry/tests/configuration/fleet.rs
+++ b/crates/sardineshore-entry/tests/configuration/fleet.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use sardineshore_core::{
-    Clock, Commit, Deployment, InstanceId, Revision, Row, ServerId, StoreError, Txn, Version,
+    Clock, Commit, Deployment, InstanceId, Row, Rows, ServerId, StoreError, Txn, Version,
 };
 use sardineshore_entry::config::{
     Adopted, ConfigService, ConfigSettings, NoEvidence, Ports, tasks,
@@ -18,9 +18,8 @@
 /// What the platform holds, and its faults.
 #[derive(Debug, Default)]
 pub struct Store {
-    rows: BTreeMap<String, Row>,
+    rows: Rows,
     objects: BTreeMap<String, String>,
-    revision: Revision,
     /// Lines of the instance list.
     pub listed: Vec<Listed>,
     /// Whether all calls of the table and the object store are refused.
@@ -30,7 +29,7 @@
     /// Whether the store goes down right after the next commit.
     pub down_after_next: bool,
     /// Rows as an older replica answers reads with them.
-    pub stale: Option<BTreeMap<String, Row>>,
+    pub stale: Option<Rows>,
     /// Calls by method.
     pub calls: BTreeMap<&'static str, u64>,
 }
@@ -41,37 +40,9 @@
         self.stale = Some(self.rows.clone());
     }
 
-    fn readable(&self) -> &BTreeMap<String, Row> {
+    fn readable(&self) -> &Rows {
         self.stale.as_ref().unwrap_or(&self.rows)
     }
-
-    fn apply(&mut self, txn: &Txn) -> Commit {
-        let rows = &self.rows;
-        let revision = |key: &str| rows.get(key).map_or(0, |row| row.revision);
-        let mut failed = txn
-            .checks
-            .iter()
-            .filter(|c| revision(&c.key) != c.revision)
-            .peekable();
-        if failed.peek().is_some() {
-            let rows = failed
-                .filter_map(|check| rows.get(&*check.key).cloned())
-                .collect();
-            return Commit::Conflict { rows };
-        }
-        self.revision += 1;
-        for put in &txn.puts {
-            let row = Row {
-                key: put.key.clone(),
-                value: put.value.clone(),
-                revision: self.revision,
-            };
-            self.rows.insert(put.key.to_string(), row);
-        }
-        Commit::Applied {
-            revision: self.revision,
-        }
-    }
 }
 
 /// Everything that the instances share.
@@ -146,7 +117,7 @@
 impl Table for Reach {
     async fn commit(&self, txn: &Txn) -> Result<Commit, StoreError> {
         let mut store = self.store("commit")?;
-        let commit = store.apply(txn);
+        let commit = store.rows.commit(txn);
         store.down = std::mem::take(&mut store.down_after_next);
         if std::mem::take(&mut store.lose_next) {
             return Err(StoreError::Unconfirmed);
@@ -160,9 +131,7 @@
 
     async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, StoreError> {
         let store = self.store("scan")?;
-        let rows = store.readable().range(prefix.to_owned()..);
-        let rows = rows.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-        Ok(rows.take(limit).map(|(_, row)| row.clone()).collect())
+        Ok(store.readable().scan(prefix, after, limit))
     }
 }
 
--- a/crates/sardineshore-entry/tests/quarantine.rs
+++ b/crates/sardineshore-entry/tests/quarantine.rs
@@ -56,7 +56,7 @@
         let crashes = Arc::new(AtomicUsize::new(0));
         let mut deployment = Deployment::default();
         let pipeline = Pipeline {
-            name: "work".into(),
+            name: "single".into(),
             stages: vec![Stage {
                 name: "step".into(),
                 pool: "pool".into(),
--- a/crates/sardineshore-entry/tests/support/site.rs
+++ b/crates/sardineshore-entry/tests/support/site.rs
@@ -97,7 +97,7 @@
 
 impl Site {
     /// Starts an instance before one backend server for each set of faults, all in pool `pool`,
-    /// with one pipeline `work` of one stage.
+    /// with one pipeline `single` of one stage.
     pub async fn start(name: &str, stage: Stage, faults: Vec<ServerFaults>) -> Self {
         Self::start_behind(Arc::new(OpenGate), name, stage, faults).await
     }
@@ -111,7 +111,7 @@
     ) -> Self {
         let mut deployment = Deployment::default();
         let pipeline = Pipeline {
-            name: "work".into(),
+            name: "single".into(),
             stages: vec![Stage {
                 name: "step".into(),
                 pool: "pool".into(),
@@ -211,7 +211,10 @@
     }
 
     fn request(&self, tag: &str) -> Request {
-        let url = Url::parse(&format!("http://{}/v1/pipelines/work/requests", self.addr));
+        let url = Url::parse(&format!(
+            "http://{}/v1/pipelines/single/requests",
+            self.addr
+        ));
         let mut req = Request::new(Method::Post, url.expect("an address forms a URL"));
         req.insert_header(headers::CUSTOMER, "studio");
         req.set_body(serde_json::json!({ "tag": tag }).to_string());
--- a/crates/sardineshore-entry/tests/support/table.rs
+++ b/crates/sardineshore-entry/tests/support/table.rs
@@ -1,10 +1,9 @@
 //! The platform's table within the test process, with injectable faults.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 
 use async_trait::async_trait;
-use sardineshore_core::{Commit, Row, StoreError, Txn};
+use sardineshore_core::{Commit, Row, Rows, StoreError, Txn};
 use sardineshore_wire::platform::Table;
 
 /// How the table treats commits.
@@ -30,8 +29,7 @@
 #[derive(Debug, Default)]
 struct State {
     fault: TableFault,
-    rows: BTreeMap<Arc<str>, Row>,
-    revision: u64,
+    rows: Rows,
     held: Vec<Txn>,
     commits: usize,
 }
@@ -46,7 +44,7 @@
     pub fn land(&self) {
         let mut state = self.state.lock().unwrap();
         for txn in std::mem::take(&mut state.held) {
-            state.apply(&txn);
+            state.rows.commit(&txn);
         }
     }
 
@@ -57,36 +55,7 @@
 
     /// Edits the value of every row.
     pub fn edit(&self, edited: impl Fn(&str) -> String) {
-        let mut state = self.state.lock().unwrap();
-        for row in state.rows.values_mut() {
-            row.value = edited(&row.value).into();
-        }
-    }
-}
-
-impl State {
-    fn apply(&mut self, txn: &Txn) -> Commit {
-        let present = |key: &Arc<str>| self.rows.get(key).map_or(0, |row| row.revision);
-        let failed = |check: &&sardineshore_core::Check| present(&check.key) != check.revision;
-        if txn.checks.iter().any(|check| failed(&check)) {
-            let checks = txn.checks.iter().filter(failed);
-            let rows = checks.filter_map(|check| self.rows.get(&check.key).cloned());
-            return Commit::Conflict {
-                rows: rows.collect(),
-            };
-        }
-        self.revision += 1;
-        for put in &txn.puts {
-            let row = Row {
-                key: put.key.clone(),
-                value: put.value.clone(),
-                revision: self.revision,
-            };
-            self.rows.insert(put.key.clone(), row);
-        }
-        Commit::Applied {
-            revision: self.revision,
-        }
+        self.state.lock().unwrap().rows.edit(edited);
     }
 }
 
@@ -96,11 +65,11 @@
         let mut state = self.state.lock().unwrap();
         state.commits += 1;
         match state.fault {
-            TableFault::None => Ok(state.apply(txn)),
+            TableFault::None => Ok(state.rows.commit(txn)),
             TableFault::Outage => Err(StoreError::Unavailable),
             TableFault::LoseAnswer => {
                 state.fault = TableFault::None;
-                state.apply(txn);
+                state.rows.commit(txn);
                 Err(StoreError::Unconfirmed)
             }
             TableFault::HoldBack => {
@@ -121,8 +90,6 @@
 
     async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, StoreError> {
         let state = self.state.lock().unwrap();
-        let wanted = |key: &str| key.starts_with(prefix) && key > after;
-        let rows = state.rows.values().filter(|row| wanted(&row.key));
-        Ok(rows.take(limit).cloned().collect())
+        Ok(state.rows.scan(prefix, after, limit))
     }
 }
