revert: mimalloc as the allocator

Cause: was measured for processor time only. Ruled out: keeping it for the 22 % of processor time per request: the limit on memory is the users', the throughput is our own target. Change: reverted. Conclusion: a failed try; the C library's allocator stays.

--- a/crates/sardineshore-entry/src/bin/sardine-entry.rs
+++ b/crates/sardineshore-entry/src/bin/sardine-entry.rs
@@ -1,12 +1,8 @@
 //! `sardine-entry`: one entry instance of sardineshore.
 
-use mimalloc::MiMalloc;
 use sardineshore_entry::{Settings, command, run};
 use sardineshore_wire::settings::exit_with;
 
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
-
 fn main() -> anyhow::Result<()> {
     let matches = command().get_matches();
     let settings = Settings::from_matches(&matches).unwrap_or_else(|findings| exit_with(&findings));
