feat(load): cost by stage and customer of a run

Cause: the report had attainment and percentiles but no cost, which one of the users weighs most. Ruled out: costs from the stand-ins' logs, which other deployments do not have. Conclusion: a run's report carries its cost.

--- a/crates/sardineshore-core/src/query.rs
+++ b/crates/sardineshore-core/src/query.rs
@@ -1,5 +1,7 @@
 //! What operators ask, and the rows they are answered with.
 
+pub mod merge;
+
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
--- a/crates/sardineshore-ctl/src/merge.rs
+++ b/crates/sardineshore-core/src/query/merge.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use sardineshore_core::{Answer, CostRow, CustomerRow, Query};
+use crate::{Answer, CostRow, CustomerRow, Query};
 
 /// Whether each instance knows only a part of the answer.
 #[must_use]
--- a/crates/sardineshore-ctl/src/lib.rs
+++ b/crates/sardineshore-ctl/src/lib.rs
@@ -8,7 +8,6 @@
 //! * [`report`] and [`render`]: what became of a step, as tables or JSON, and the exit code.
 
 pub mod fleet;
-pub mod merge;
 pub mod render;
 pub mod report;
 pub mod session;
--- a/crates/sardineshore-ctl/src/session.rs
+++ b/crates/sardineshore-ctl/src/session.rs
@@ -13,10 +13,10 @@
 };
 
 use crate::fleet::{Called, Fleet, InstanceError};
-use crate::merge;
 use crate::report::{Exit, Report};
 use crate::step::Step;
 use crate::submit::{Fate, Next};
+use sardineshore_core::query::merge;
 
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
--- a/crates/sardineshore-ctl/tests/render.rs
+++ b/crates/sardineshore-ctl/tests/render.rs
@@ -1,12 +1,12 @@
 //! Tables and JSON of answers.
 
 use expect_test::{Expect, expect};
+use sardineshore_core::query::merge::merge;
 use sardineshore_core::{
     Answer, BackendServer, CostRow, CustomerRow, EventRow, InstanceRow, Pipeline, QuarantineRow,
     ServerRow, ServerState, Stage, StageKind,
 };
 use sardineshore_ctl::fleet::InstanceError;
-use sardineshore_ctl::merge::merge;
 use sardineshore_ctl::render::{Output, render};
 use sardineshore_ctl::report::Report;
 
--- a/crates/sardineshore-load/src/lib.rs
+++ b/crates/sardineshore-load/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod audit;
 pub mod balancer;
 pub mod caller;
+pub mod cost;
 pub mod plots;
 pub mod preset;
 pub mod report;
--- a/crates/sardineshore-load/src/main.rs
+++ b/crates/sardineshore-load/src/main.rs
@@ -10,6 +10,7 @@
 use sardineshore_core::SystemClock;
 use sardineshore_load::balancer::Balancer;
 use sardineshore_load::caller::Callers;
+use sardineshore_load::cost::Costs;
 use sardineshore_load::report::Report;
 use sardineshore_load::run::{self, Sink};
 use sardineshore_load::schedule::Schedule;
@@ -37,11 +38,16 @@
     });
     let watched = callers.clone();
     let watch = task::spawn(async move { watched.balancer.watch().await });
+    let before = costs(&settings.operators).await?;
     let result = run::run(callers, schedule, settings.in_flight, &mut log).await;
     watch.cancel().await;
     let result = result.context("the callers' log can't be written")?;
     log.flush().context("the callers' log can't be written")?;
-    let report = Report::new(&name, settings.schedule.seed, &result);
+    let after = costs(&settings.operators).await?;
+    let spent = after
+        .zip(before)
+        .map(|(after, before)| after.since(&before));
+    let report = Report::new(&name, settings.schedule.seed, &result).costs(spent);
     if let Some(path) = &settings.plots {
         let page = plots::render(&report, &result.told)?;
         std::fs::write(path, page).with_context(|| format!("can't write {}", path.display()))?;
@@ -49,6 +55,14 @@
     print(&report, settings.json)
 }
 
+/// Costs so far, if any instance is to be asked.
+async fn costs(operators: &[Arc<str>]) -> anyhow::Result<Option<Costs>> {
+    if operators.is_empty() {
+        return Ok(None);
+    }
+    Costs::read(operators).await.map(Some)
+}
+
 fn print(report: &Report, json: bool) -> anyhow::Result<()> {
     if json {
         println!("{}", serde_json::to_string_pretty(report)?);
--- a/crates/sardineshore-load/src/report.rs
+++ b/crates/sardineshore-load/src/report.rs
@@ -8,6 +8,7 @@
 use sardineshore_wire::witness::Told;
 use serde::{Deserialize, Serialize};
 
+use crate::cost::Costs;
 use crate::run::RunResult;
 
 const MAX_LATENCY_US: u64 = 600_000_000;
@@ -45,6 +46,8 @@
     pub reasons: Vec<ReasonCount>,
     /// Jain's index of the customers' attainment; 1 is even.
     pub fairness: f64,
+    /// Cost by stage and customer, if the entry instances were asked.
+    pub costs: Option<Costs>,
 }
 
 /// Figures of some requests.
@@ -115,8 +118,16 @@
             fairness: jain(&attainments),
             customers,
             reasons: reasons(told),
+            costs: None,
         }
     }
+
+    /// Adds what the run has cost.
+    #[must_use]
+    pub fn costs(mut self, costs: Option<Costs>) -> Self {
+        self.costs = costs;
+        self
+    }
 }
 
 /// Jain's fairness index of non-negative shares, from 1/n to 1; 1 if there are none.
--- a/crates/sardineshore-load/src/settings.rs
+++ b/crates/sardineshore-load/src/settings.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command};
 use sardineshore_core::Finding;
 use sardineshore_wire::settings::{Checker, setting};
 
@@ -18,6 +18,8 @@
 pub struct Settings {
     /// Callers' addresses of the entry instances, `IP:PORT`.
     pub entries: Vec<Arc<str>>,
+    /// Peer addresses of the entry instances that are asked for costs, `IP:PORT`.
+    pub operators: Vec<Arc<str>>,
     /// What is asked.
     pub workload: Workload,
     /// How many requests, and when.
@@ -40,13 +42,8 @@
     Command::new("sardine-load")
         .about("Open-loop load of sardineshore, free of coordinated omission")
         .version(env!("CARGO_PKG_VERSION"))
+        .args(addresses())
         .args([
-            setting(
-                "entries",
-                "SARDINE_LOAD_ENTRIES",
-                "127.0.0.1:7000",
-                "Callers' addresses of the entry instances, IP:PORT, separated by commas",
-            ),
             setting(
                 "workload",
                 "SARDINE_LOAD_WORKLOAD",
@@ -134,12 +131,34 @@
         ])
 }
 
+/// Settings of where entry instances are.
+fn addresses() -> [Arg; 2] {
+    [
+        setting(
+            "entries",
+            "SARDINE_LOAD_ENTRIES",
+            "127.0.0.1:7000",
+            "Callers' addresses of the entry instances, IP:PORT, separated by commas",
+        ),
+        setting(
+            "operators",
+            "SARDINE_LOAD_OPERATORS",
+            "",
+            "Peer addresses of all entry instances, to report costs; none: no costs",
+        ),
+    ]
+}
+
 /// Reads and checks the settings; all faults are returned together.
 pub fn read(matches: &ArgMatches) -> Result<Settings, Vec<Finding>> {
     let mut checker = Checker::new(matches);
     let (workload, findings) = read_workload(&mut checker);
     let settings = Settings {
-        entries: read_entries(&mut checker),
+        entries: read_addrs(&mut checker, "entries"),
+        operators: match checker.optional("operators") {
+            Some(_) => read_addrs(&mut checker, "operators"),
+            None => Vec::new(),
+        },
         workload,
         schedule: read_schedule(&mut checker),
         callers: CallerSettings {
@@ -183,15 +202,15 @@
     }
 }
 
-fn read_entries(checker: &mut Checker<'_>) -> Vec<Arc<str>> {
-    let text = checker.text("entries");
-    let entries: Vec<Arc<str>> = text.split(',').map(|entry| entry.trim().into()).collect();
-    for entry in &entries {
-        if entry.parse::<std::net::SocketAddr>().is_err() {
-            checker.fault("entries", &format!("{entry:?} is not IP:PORT"));
+fn read_addrs(checker: &mut Checker<'_>, flag: &str) -> Vec<Arc<str>> {
+    let text = checker.text(flag);
+    let addrs: Vec<Arc<str>> = text.split(',').map(|addr| addr.trim().into()).collect();
+    for addr in &addrs {
+        if addr.parse::<std::net::SocketAddr>().is_err() {
+            checker.fault(flag, &format!("{addr:?} is not IP:PORT"));
         }
     }
-    entries
+    addrs
 }
 
 fn read_schedule(checker: &mut Checker<'_>) -> ScheduleSettings {
--- a/crates/sardineshore-load/src/text.rs
+++ b/crates/sardineshore-load/src/text.rs
@@ -4,6 +4,7 @@
 
 use comfy_table::{Table, presets};
 
+use crate::cost::Costs;
 use crate::report::{Group, Report};
 
 const HEADER: &[&str] = &[
@@ -49,9 +50,26 @@
         );
     }
     text.push_str(&pacing(report));
+    if let Some(costs) = &report.costs {
+        let _ = writeln!(text, "{}", cost_table(costs));
+    }
     text
 }
 
+fn cost_table(costs: &Costs) -> Table {
+    let mut table = table(&["cost of", "attempts", "extra", "seconds", "cost"]);
+    for row in costs.stages.iter().chain(&costs.customers) {
+        table.add_row(vec![
+            row.group.to_string(),
+            row.attempts.to_string(),
+            row.extra.to_string(),
+            format!("{:.3}", row.seconds),
+            format!("{:.3}", row.cost),
+        ]);
+    }
+    table
+}
+
 fn pacing(report: &Report) -> String {
     let pacing = report.pacing;
     if pacing.late == 0 && pacing.waits == 0 {
