--- a/crates/sardineshore-ctl/src/lib.rs
+++ b/crates/sardineshore-ctl/src/lib.rs
@@ -3,7 +3,6 @@
 //! * [`settings`]: flags, environment variables and the statements themselves;
 //! * [`step`]: statements grouped into calls;
 //! * [`fleet`]: calls that move on to another instance when one does not answer;
-//! * [`merge`]: answers of which each instance knows a part;
 //! * [`session`]: carries out the steps and reports each; [`submit`]: one command's fate;
 //! * [`report`] and [`render`]: what became of a step, as tables or JSON, and the exit code.
 
