feat(xtask): the time of a routing decision among the measurements

Cause: it was an example of the core that the measurements did not name. Ruled out: a second measurement of the same. Change: cargo xtask bench decision runs the example.

--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -40,6 +40,7 @@
             Command::new("latency").about("Added latency of one entry instance over a direct call"),
             Command::new("throughput").about("Requests per second and core at 1 KiB"),
             Command::new("idle").about("Memory with 10,000 idle connections"),
+            Command::new("decision").about("Time of one routing decision among 600 servers"),
             Command::new("slopes")
                 .about("Cost at rest over numbers of instances and of configured servers")
                 .arg(
@@ -63,6 +64,9 @@
 
 /// Runs one measurement.
 pub fn run(matches: &ArgMatches) -> anyhow::Result<()> {
+    if matches.subcommand_name() == Some("decision") {
+        return decision();
+    }
     if cfg!(debug_assertions) {
         return become_release();
     }
@@ -101,6 +105,18 @@
         .collect()
 }
 
+/// Runs the core's own measurement, which needs no processes.
+fn decision() -> anyhow::Result<()> {
+    let args = ["run", "--quiet", "--release", "-p", "sardineshore-core"];
+    let mut cargo = build::cargo();
+    cargo.args(args).args(["--example", "decision_time"]);
+    let status = cargo.status().context("cargo run")?;
+    if !status.success() {
+        bail!("the measurement failed");
+    }
+    Ok(())
+}
+
 /// Builds this program in release and goes on as that one.
 fn become_release() -> anyhow::Result<()> {
     let build_args = ["build", "--quiet", "--release", "--workspace", "--bins"];
