--- /dev/null
+++ b/crates/sardineshore-core/src/flow.rs
@@ -0,0 +1,20 @@
+//! Decisions of the serving path: which route, which server, which batch, when to refuse.
+//!
+//! Every type here is a plain state machine: it takes events and the current time and returns
+//! what to do. The programs do the I/O.
+//!
+//! ```
+//! use sardineshore_core::flow::site::{Route, Site, SiteIndex};
+//!
+//! let route = Route { host: "a.example".into(), prefix: "/x/".into(), ..Route::default() };
+//! let index = SiteIndex::new(Site { routes: vec![route], ..Site::default() });
+//! assert!(index.route("a.example", "/x/1").is_some());
+//! assert!(index.route("a.example", "/y/").is_none());
+//! ```
+
+pub mod allowance;
+pub mod freshness;
+pub mod owners;
+pub mod pieces;
+pub mod placement;
+pub mod site;
--- /dev/null
+++ b/crates/sardineshore-core/src/flow/pieces/bench.rs
@@ -0,0 +1,95 @@
+//! One server of a batch pool as its owner sees it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::flow::site::{BatchSpec, Name};
+
+/// A server is left alone for so long after its first failure, and up to the second after many.
+const FIRST_REST: Duration = Duration::from_millis(400);
+const LONGEST_REST: Duration = Duration::from_secs(2);
+/// Weight of the newest call in the average slowness.
+const SLOWNESS_GAIN: f64 = 0.5;
+/// Part of a server's memory that is filled with results; sizes are approximate.
+const PERCENT_OF_ROOM: u64 = 92;
+
+/// State of one server.
+#[derive(Debug)]
+pub(super) struct Bench {
+    pub id: Name,
+    pub address: SocketAddr,
+    pub domain: Name,
+    pub spec: BatchSpec,
+    pub calls: u32,
+    /// Results that it keeps, with their bytes and the time they end at the latest.
+    pub kept: HashMap<Name, (u64, Instant)>,
+    /// Bytes of results that running calls will make.
+    pub promised: u64,
+    /// Observed time of a call over its expected time.
+    pub slowness: f64,
+    pub failures: u32,
+    /// Takes no new calls; its results can still be fetched.
+    pub leaving: bool,
+    pub rests_until: Option<Instant>,
+    pub freed: Vec<Name>,
+    pub free_since: Option<Instant>,
+}
+
+impl Bench {
+    pub fn new(id: Name, address: SocketAddr, domain: Name, spec: BatchSpec) -> Self {
+        Self {
+            id,
+            address,
+            domain,
+            spec,
+            calls: 0,
+            kept: HashMap::new(),
+            promised: 0,
+            slowness: 1.0,
+            failures: 0,
+            leaving: false,
+            rests_until: None,
+            freed: Vec::new(),
+            free_since: None,
+        }
+    }
+
+    /// Whether it takes a call now.
+    pub fn is_free(&self, now: Instant) -> bool {
+        self.calls < self.spec.slots.max(1) && self.rests_until.is_none_or(|until| now >= until)
+    }
+
+    /// Expected time of a call with so many pieces.
+    pub fn call_time(&self, pieces: u32) -> Duration {
+        self.spec.call + self.spec.item * pieces
+    }
+
+    /// Bytes that still fit.
+    pub fn room(&mut self, now: Instant) -> u64 {
+        self.kept.retain(|_, (_, until)| *until > now);
+        let held: u64 = self.kept.values().map(|(bytes, _)| *bytes).sum();
+        let room = self.spec.room / 100 * PERCENT_OF_ROOM;
+        room.saturating_sub(held + self.promised)
+    }
+
+    pub fn succeeded(&mut self, took: Duration, pieces: u32) {
+        self.failures = 0;
+        let ratio = took.as_secs_f64() / self.call_time(pieces).as_secs_f64().max(0.001);
+        self.slowness += SLOWNESS_GAIN * (ratio - self.slowness);
+    }
+
+    pub fn failed(&mut self, now: Instant) {
+        self.failures += 1;
+        let rest = FIRST_REST * 2_u32.saturating_pow(self.failures.min(4) - 1);
+        self.rests_until = Some(now + rest.min(LONGEST_REST));
+    }
+
+    /// Gives a result up; it is told later, together with others.
+    pub fn release(&mut self, handle: &Name, now: Instant) {
+        if self.kept.remove(handle).is_some() {
+            self.freed.push(handle.clone());
+            self.free_since.get_or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-core/src/flow/pieces/forecast.rs
@@ -0,0 +1,68 @@
+//! When a job's stages would end, from the work that was promised already.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::job::Job;
+use crate::flow::site::Name;
+
+/// Work promised to one pool and how fast the pool works.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PoolLoad {
+    /// Pieces of jobs that can be in time, not yet in a call.
+    pub urgent: u64,
+    /// Pieces of late jobs, not yet in a call.
+    pub late: u64,
+    /// Pieces a second with full batches.
+    pub rate: f64,
+    /// Time of a call with a typical batch.
+    pub call: Duration,
+    /// Average time until a server becomes free.
+    pub gap: Duration,
+}
+
+/// What a forecast says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Forecast {
+    /// Time until the request itself would end its first output, ahead of all late jobs.
+    pub urgent: Duration,
+    /// The same behind all jobs.
+    pub behind_all: Duration,
+}
+
+/// Forecast of a job; `None` if a pool it needs has no server.
+#[must_use]
+pub fn forecast(job: &Job, loads: &HashMap<Name, PoolLoad>) -> Option<Forecast> {
+    Some(Forecast {
+        urgent: path(job, loads, |load| load.urgent)?,
+        behind_all: path(job, loads, |load| load.urgent + load.late)?,
+    })
+}
+
+fn path(
+    job: &Job,
+    loads: &HashMap<Name, PoolLoad>,
+    waiting: impl Fn(&PoolLoad) -> u64,
+) -> Option<Duration> {
+    let mut ends: Vec<Duration> = Vec::with_capacity(job.steps.len());
+    for step in &job.steps {
+        let start = step
+            .after
+            .iter()
+            .filter_map(|before| ends.get(*before))
+            .max()
+            .copied()
+            .unwrap_or_default();
+        if step.pieces == 0 {
+            ends.push(start);
+            continue;
+        }
+        let load = loads.get(&step.pool)?;
+        if load.rate <= 0.0 {
+            return None;
+        }
+        let ahead = Duration::from_secs_f64(waiting(load) as f64 / load.rate);
+        ends.push(start.max(ahead) + load.gap + load.call);
+    }
+    Some(ends.into_iter().max().unwrap_or_default() + job.run_time)
+}
--- /dev/null
+++ b/crates/sardineshore-core/src/flow/pieces/job.rs
@@ -0,0 +1,149 @@
+//! A request's stages as a graph of pieces.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::flow::site::Name;
+
+/// One stage of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobStep {
+    /// Pool that works on the pieces.
+    pub pool: Name,
+    /// Indexes of the stages whose results every piece needs.
+    pub after: Vec<usize>,
+    /// Number of pieces; 0 leaves the stage out.
+    pub pieces: u32,
+    /// Approximate bytes of one result.
+    pub bytes: u64,
+}
+
+/// The stages of one request. Times are what is left when the job is handed over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// Id of the request.
+    pub id: Name,
+    /// Key that names the input of stages without predecessors.
+    pub key: Name,
+    /// Rank; 0 is the most urgent.
+    pub rank: u32,
+    /// Time left for the answer to be worth most.
+    pub aim_left: Duration,
+    /// Time left until the answer is worth nothing.
+    pub time_left: Duration,
+    /// Time that the request itself needs after its stages.
+    pub run_time: Duration,
+    /// Stages.
+    pub steps: Vec<JobStep>,
+}
+
+impl Job {
+    /// Whether stages, predecessors and counts fit together.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        let count = self.steps.len();
+        count <= MAX_STEPS
+            && self.steps.iter().enumerate().all(|(index, step)| {
+                step.pieces <= MAX_PIECES && step.after.iter().all(|before| *before < index)
+            })
+    }
+}
+
+/// Most stages of a job.
+const MAX_STEPS: usize = 32;
+/// Most pieces of a stage.
+const MAX_PIECES: u32 = 1024;
+
+/// How much later than its aim a job of the next rank counts.
+const RANK_STEP: Duration = Duration::from_millis(150);
+/// Ranks beyond this one count the same.
+const MOST_RANKS: u32 = 8;
+
+/// A finished piece.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Made {
+    /// Name of the result at its maker.
+    pub handle: Name,
+    /// Id of the server that keeps it.
+    pub maker: Name,
+    /// When its keeper may drop it.
+    pub until: Instant,
+}
+
+/// Progress of one piece.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// Predecessors are not finished.
+    Blocked,
+    /// Queued.
+    Queued,
+    /// In so many calls.
+    Called(u32),
+    /// Finished.
+    Made(Made),
+}
+
+/// Progress of one stage.
+#[derive(Debug)]
+pub(super) struct StepState {
+    pub pieces: Vec<Progress>,
+    /// Time that the job needs after this stage.
+    pub tail: Duration,
+}
+
+impl StepState {
+    pub fn finished(&self) -> bool {
+        self.pieces.iter().all(|p| matches!(p, Progress::Made(_)))
+    }
+}
+
+/// A job that was taken on.
+#[derive(Debug)]
+pub(super) struct JobState {
+    pub job: Job,
+    pub sequence: u64,
+    pub aim: Instant,
+    pub deadline: Instant,
+    /// Too late to be worth most: works with what others leave.
+    pub late: bool,
+    pub steps: Vec<StepState>,
+    pub rebuilds: u32,
+    /// All stages ended and the results were handed over.
+    pub delivered: bool,
+}
+
+impl JobState {
+    /// Latest time at which a stage can start for the job to be within its aim.
+    pub fn urgency(&self, step: usize) -> Instant {
+        let aim = self.aim + RANK_STEP * self.job.rank.min(MOST_RANKS);
+        aim.checked_sub(self.steps[step].tail).unwrap_or(aim)
+    }
+
+    /// Whether another stage needs the results of `step`.
+    pub fn feeds_another(&self, step: usize) -> bool {
+        self.job
+            .steps
+            .iter()
+            .any(|other| other.pieces > 0 && other.after.contains(&step))
+    }
+
+    /// Handles of all pieces of the given stages, in order; `None` while one is missing.
+    pub fn handles(&self, steps: impl Iterator<Item = usize>) -> Option<Vec<Name>> {
+        let mut handles = Vec::new();
+        for step in steps {
+            for piece in &self.steps[step].pieces {
+                match piece {
+                    Progress::Made(made) => handles.push(made.handle.clone()),
+                    _ => return None,
+                }
+            }
+        }
+        Some(handles)
+    }
+
+    /// Stages whose results the request itself needs.
+    pub fn last_steps(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.steps.len()).filter(|step| !self.feeds_another(*step))
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-core/src/flow/placement.rs
@@ -0,0 +1,316 @@
+//! Which server runs a request: by prompt prefix first, by load second, away from sick servers.
+
+mod health;
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::site::{Name, Server};
+use health::Health;
+
+/// Time to read one prompt token that isn't cached, before the pool's own speed is known.
+const TOKEN_TIME: Duration = Duration::from_micros(24);
+/// Cost of a request that waits at a server.
+const WAITING_COST: Duration = Duration::from_millis(40);
+/// Cost of a full set of running requests.
+const FULL_COST: Duration = Duration::from_millis(120);
+/// Cost of leaving the failure domain.
+const DOMAIN_COST: Duration = Duration::from_millis(8);
+/// How long a part of a prompt that was sent to a server counts as cached there.
+const CACHED_FOR: Duration = Duration::from_secs(20);
+/// A load report older than this counts for nothing.
+const REPORT_AGE: Duration = Duration::from_millis(1500);
+/// Cost of one plain request in flight.
+const PLAIN_COST: Duration = Duration::from_millis(15);
+/// Cost of a server whose every answer is a failure.
+const ERROR_COST: Duration = Duration::from_millis(500);
+
+/// A part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Id of the part; the same text has the same id.
+    pub id: Name,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// What a request needs of a server.
+#[derive(Debug, Clone, Default)]
+pub struct Need {
+    /// Pool that serves it.
+    pub pool: Name,
+    /// Parts of its prompt in order; the last one belongs to the request itself.
+    pub prompt: Vec<PromptPart>,
+    /// Servers that were tried already.
+    pub tried: Vec<Name>,
+}
+
+impl Need {
+    fn shared(&self) -> &[PromptPart] {
+        &self.prompt[..self.prompt.len().saturating_sub(1)]
+    }
+
+    fn tokens(&self) -> u32 {
+        self.prompt.iter().map(|part| part.tokens).sum()
+    }
+}
+
+/// A server that was chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// Id of the server.
+    pub id: Name,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Prompt tokens that it is expected to read.
+    pub unread: u32,
+}
+
+/// How an attempt at a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Answered, its first byte after this time.
+    Answered(Duration),
+    /// Answered with a failure of its own.
+    Failure,
+    /// Rejected as not run: full or leaving.
+    Rejected,
+    /// No usable answer.
+    Broken,
+    /// The caller left or time ran out: says nothing of the server.
+    Abandoned,
+}
+
+/// What a server reported of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it runs at most.
+    pub slots: u32,
+}
+
+#[derive(Debug)]
+struct Member {
+    server: Server,
+    in_flight: u32,
+    unread: u64,
+    report: Option<(LoadReport, Instant)>,
+    health: Health,
+    sent: HashMap<Name, Instant>,
+}
+
+/// All servers with what is known of them.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    domain: Name,
+    members: HashMap<Name, Member>,
+    pools: HashMap<Name, Vec<Name>>,
+}
+
+impl Fleet {
+    /// A fleet seen from a failure domain.
+    #[must_use]
+    pub fn new(domain: Name) -> Self {
+        Self {
+            domain,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the list of servers; what is known of those that stay is kept.
+    pub fn set_servers(&mut self, servers: Vec<Server>) {
+        let listed: HashSet<Name> = servers.iter().map(|s| s.id.clone()).collect();
+        self.members.retain(|id, _| listed.contains(id));
+        for server in servers {
+            match self.members.get_mut(&server.id) {
+                Some(member) if member.server.born == server.born => member.server = server,
+                _ => {
+                    self.members.insert(server.id.clone(), Member::new(server));
+                }
+            }
+        }
+        self.pools.clear();
+        for (id, member) in &self.members {
+            let pool = self.pools.entry(member.server.pool.clone()).or_default();
+            pool.push(id.clone());
+        }
+        for ids in self.pools.values_mut() {
+            ids.sort();
+        }
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.members.values().map(|member| &member.server)
+    }
+
+    /// Whether a server is listed and takes new work.
+    #[must_use]
+    pub fn takes_work(&self, id: &str) -> bool {
+        self.members.get(id).is_some_and(|m| m.server.ready)
+    }
+
+    /// Best server of a pool for a request; `None` if there is none.
+    #[must_use]
+    pub fn choose(&self, need: &Need, now: Instant) -> Option<Place> {
+        let members: Vec<&Member> = self
+            .pools
+            .get(&need.pool)?
+            .iter()
+            .filter_map(|id| self.members.get(id))
+            .filter(|m| m.server.ready && !need.tried.contains(&m.server.id))
+            .collect();
+        let rested: Vec<&Member> = members
+            .iter()
+            .copied()
+            .filter(|m| m.health.takes_work(now, m.in_flight))
+            .collect();
+        let candidates = if rested.is_empty() { members } else { rested };
+        let home = home_of(need, &candidates);
+        candidates
+            .into_iter()
+            .map(|member| {
+                let at_home = home.as_ref() == Some(&member.server.id);
+                let unread = member.unread_of(need, at_home, now);
+                (self.cost(member, unread, now), unread, member)
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.2.server.id.cmp(&b.2.server.id)))
+            .map(|(_, unread, member)| Place {
+                id: member.server.id.clone(),
+                address: member.server.address,
+                unread,
+            })
+    }
+
+    /// Records that a request goes to a server.
+    pub fn started(&mut self, place: &Place, need: &Need, now: Instant) {
+        if let Some(member) = self.members.get_mut(&place.id) {
+            member.in_flight += 1;
+            member.unread += u64::from(place.unread);
+            for part in need.shared() {
+                member.sent.insert(part.id.clone(), now);
+            }
+            if member.sent.len() > SENT_REMEMBERED {
+                member
+                    .sent
+                    .retain(|_, at| now.duration_since(*at) < CACHED_FOR);
+            }
+        }
+    }
+
+    /// Records that a server has read a request's prompt.
+    pub fn prompt_read(&mut self, place: &Place) {
+        if let Some(member) = self.members.get_mut(&place.id) {
+            member.unread = member.unread.saturating_sub(u64::from(place.unread));
+        }
+    }
+
+    /// Records the end of an attempt; `prompt_read` came before if `read` is set.
+    pub fn ended(&mut self, place: &Place, read: bool, end: AttemptEnd, now: Instant) {
+        if !read {
+            self.prompt_read(place);
+        }
+        if let Some(member) = self.members.get_mut(&place.id) {
+            member.in_flight = member.in_flight.saturating_sub(1);
+            if end == AttemptEnd::Broken {
+                member.sent.clear();
+            }
+            member.health.record(end, now);
+        }
+    }
+
+    /// Records what a server says of its load.
+    pub fn reported(&mut self, id: &str, report: LoadReport, now: Instant) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.report = Some((report, now));
+        }
+    }
+
+    /// Usable servers of a pool.
+    #[must_use]
+    pub fn usable(&self, pool: &str, now: Instant) -> usize {
+        self.pools.get(pool).map_or(0, |ids| {
+            ids.iter()
+                .filter_map(|id| self.members.get(id))
+                .filter(|m| m.server.ready && m.health.takes_work(now, 0))
+                .count()
+        })
+    }
+
+    fn cost(&self, member: &Member, unread: u32, now: Instant) -> f64 {
+        let engine = unread > 0 || member.unread > 0;
+        let report = member.fresh_report(now);
+        let waiting = report.map_or(0, |r| r.waiting);
+        let running = report.map_or(0, |r| r.running).max(member.in_flight);
+        let tokens = member.unread + u64::from(unread);
+        let mut cost = TOKEN_TIME.as_secs_f64() * tokens as f64;
+        cost += WAITING_COST.as_secs_f64() * f64::from(waiting);
+        let slots = f64::from(member.server.slots.max(1));
+        if engine {
+            cost += FULL_COST.as_secs_f64() * f64::from(running) / slots;
+            cost += OVERFULL_COST.as_secs_f64() * (f64::from(running) / slots - 0.9).max(0.0);
+        } else {
+            cost += PLAIN_COST.as_secs_f64() * f64::from(running + 1) / slots.min(4.0);
+        }
+        if member.server.domain != self.domain {
+            cost += DOMAIN_COST.as_secs_f64();
+        }
+        cost * member.health.slowness() + ERROR_COST.as_secs_f64() * member.health.error_rate()
+    }
+}
+
+/// Cost of running more requests than a server's slots.
+const OVERFULL_COST: Duration = Duration::from_secs(5);
+/// Parts remembered per server before old ones are dropped.
+const SENT_REMEMBERED: usize = 512;
+
+impl Member {
+    fn new(server: Server) -> Self {
+        Self {
+            server,
+            in_flight: 0,
+            unread: 0,
+            report: None,
+            health: Health::default(),
+            sent: HashMap::new(),
+        }
+    }
+
+    fn fresh_report(&self, now: Instant) -> Option<LoadReport> {
+        self.report
+            .filter(|(_, at)| now.duration_since(*at) < REPORT_AGE)
+            .map(|(report, _)| report)
+    }
+
+    /// Tokens that the server would read: a part counts as cached if all before it are.
+    fn unread_of(&self, need: &Need, at_home: bool, now: Instant) -> u32 {
+        let cached: u32 = need
+            .shared()
+            .iter()
+            .take_while(|part| {
+                at_home
+                    || self
+                        .sent
+                        .get(&part.id)
+                        .is_some_and(|at| now.duration_since(*at) < CACHED_FOR)
+            })
+            .map(|part| part.tokens)
+            .sum();
+        need.tokens() - cached
+    }
+}
+
+/// Server that all instances send a prompt to first: the highest hash of prompt and server.
+fn home_of(need: &Need, members: &[&Member]) -> Option<Name> {
+    let last = need.shared().last()?;
+    members
+        .iter()
+        .max_by_key(|m| xxh3_64(format!("{}/{}", last.id, m.server.id).as_bytes()))
+        .map(|m| m.server.id.clone())
+}
--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod deployment;
 pub mod event;
 pub mod finding;
+pub mod flow;
 pub mod id;
 pub mod lease;
 pub mod limits;
--- /dev/null
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -0,0 +1,328 @@
+//! One send of a request to one server.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sardineshore_core::flow::placement::{AttemptEnd, Need, Place};
+use sardineshore_core::flow::site::{Caller, Name, Route};
+
+use crate::dialect::Dialect;
+use crate::http1::{RequestHead, is_end_to_end, put_header};
+use crate::knowledge::Knowledge;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::upstream::{Answer, Conn, Sending, Upstreams};
+
+/// Longest time to open a connection to a server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Idle time up to which a connection carries a request that must not be repeated.
+const IDLE_ONCE: Duration = Duration::from_millis(900);
+/// Idle time up to which a connection carries another request.
+const IDLE_REPEATABLE: Duration = Duration::from_secs(3);
+/// Part of a server's connections that all instances together use.
+const CONNECTION_PART: f64 = 0.85;
+
+/// A request of a caller that was checked.
+#[derive(Debug)]
+pub struct Checked<'a> {
+    /// Id of the caller's attempt.
+    pub id: &'a str,
+    /// Head as received.
+    pub head: &'a RequestHead,
+    /// Whole body.
+    pub body: &'a [u8],
+    /// Route.
+    pub route: &'a Route,
+    /// Sender, if the route asks for a key.
+    pub caller: Option<&'a Caller>,
+    /// When it must be answered.
+    pub deadline: Instant,
+    /// When it arrived.
+    pub arrived: Instant,
+}
+
+impl Checked<'_> {
+    /// Time left.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Rank among other requests; 0 is the most urgent.
+    #[must_use]
+    pub fn rank(&self) -> u32 {
+        let own = self.caller.and_then(|caller| caller.priority);
+        own.unwrap_or(self.route.priority)
+    }
+}
+
+/// What is added to a request on its way.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Additions<'a> {
+    /// Results of the stages.
+    pub inputs: Option<&'a str>,
+    /// Last event that the caller has of a stream that goes on.
+    pub after_event: Option<u64>,
+}
+
+/// Sends requests to servers.
+#[derive(Debug)]
+pub struct Sender {
+    knowledge: Rc<Knowledge>,
+    upstreams: Rc<Upstreams>,
+    peers: Rc<Peers>,
+    dialect: Rc<dyn Dialect>,
+    metrics: Rc<Metrics>,
+}
+
+/// A send that is under way; its end is recorded once, as abandoned if it is dropped.
+#[derive(Debug)]
+pub struct Attempt {
+    place: Place,
+    pool: Name,
+    knowledge: Rc<Knowledge>,
+    metrics: Rc<Metrics>,
+    started: Instant,
+    read: Cell<bool>,
+    ended: Cell<bool>,
+}
+
+impl Attempt {
+    /// The server has read the prompt: its first output arrived.
+    pub fn first_output(&self) {
+        if !self.read.replace(true) {
+            self.knowledge.fleet.borrow_mut().prompt_read(&self.place);
+        }
+    }
+
+    /// Time since the send.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Records the end.
+    pub fn end(&self, end: AttemptEnd) {
+        if self.ended.replace(true) {
+            return;
+        }
+        let label = match end {
+            AttemptEnd::Answered(_) => "answered",
+            AttemptEnd::Failure => "failure",
+            AttemptEnd::Rejected => "rejected",
+            AttemptEnd::Broken => "broken",
+            AttemptEnd::Abandoned => "abandoned",
+        };
+        let labels = [&*self.pool, label];
+        self.metrics.sends.with_label_values(&labels).inc();
+        let mut fleet = self.knowledge.fleet.borrow_mut();
+        fleet.ended(&self.place, self.read.get(), end, Instant::now());
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.end(AttemptEnd::Abandoned);
+    }
+}
+
+/// An open connection to the server that was chosen.
+#[derive(Debug)]
+pub struct Chosen {
+    /// Server.
+    pub place: Place,
+    /// Connection.
+    pub conn: Conn,
+    /// Accounting.
+    pub attempt: Attempt,
+}
+
+impl Sender {
+    /// A sender with its tools.
+    #[must_use]
+    pub fn new(
+        knowledge: Rc<Knowledge>,
+        upstreams: Rc<Upstreams>,
+        peers: Rc<Peers>,
+        dialect: Rc<dyn Dialect>,
+        metrics: Rc<Metrics>,
+    ) -> Self {
+        Self {
+            knowledge,
+            upstreams,
+            peers,
+            dialect,
+            metrics,
+        }
+    }
+
+    /// Chooses a server and opens a connection; servers that can't be reached are passed over.
+    /// `None` if no server is left.
+    pub async fn choose(&self, need: &mut Need, request: &Checked<'_>) -> Option<Chosen> {
+        let idle = if request.route.kind.repeatable() {
+            IDLE_REPEATABLE
+        } else {
+            IDLE_ONCE
+        };
+        let mut full: Vec<Name> = Vec::new();
+        loop {
+            let mut asking = need.clone();
+            asking.tried.extend(full.iter().cloned());
+            let now = Instant::now();
+            let place = self.knowledge.fleet.borrow().choose(&asking, now)?;
+            if self.upstreams.open(place.address) >= self.connection_share(&need.pool) {
+                if let Some(conn) = self.upstreams.take_idle(place.address, idle) {
+                    return Some(self.begin(place, conn, need));
+                }
+                full.push(place.id);
+                continue;
+            }
+            let timeout = CONNECT_TIMEOUT.min(request.left());
+            let attempt = self.attempt(&place, need);
+            match self.upstreams.connect(place.address, idle, timeout).await {
+                // The server may have begun to leave while the connection was opened.
+                Ok(conn) if self.knowledge.fleet.borrow().takes_work(&place.id) => {
+                    return Some(Chosen {
+                        place,
+                        conn,
+                        attempt,
+                    });
+                }
+                Ok(_) => need.tried.push(place.id),
+                Err(_) => {
+                    attempt.end(AttemptEnd::Broken);
+                    need.tried.push(place.id);
+                }
+            }
+            if request.left().is_zero() {
+                return None;
+            }
+        }
+    }
+
+    fn begin(&self, place: Place, conn: Conn, need: &Need) -> Chosen {
+        let attempt = self.attempt(&place, need);
+        Chosen {
+            place,
+            conn,
+            attempt,
+        }
+    }
+
+    fn attempt(&self, place: &Place, need: &Need) -> Attempt {
+        let now = Instant::now();
+        self.knowledge
+            .fleet
+            .borrow_mut()
+            .started(place, need, now);
+        Attempt {
+            place: place.clone(),
+            pool: need.pool.clone(),
+            knowledge: self.knowledge.clone(),
+            metrics: self.metrics.clone(),
+            started: now,
+            read: Cell::new(false),
+            ended: Cell::new(false),
+        }
+    }
+
+    /// Connections that this instance may have to one server of a pool.
+    fn connection_share(&self, pool: &str) -> usize {
+        let site = self.knowledge.site();
+        let most = site
+            .as_ref()
+            .and_then(|site| site.pool(pool))
+            .map_or(0, |pool| pool.max_connections);
+        let share = f64::from(most) * CONNECTION_PART / self.peers.count().max(1) as f64;
+        (1..most as usize)
+            .take_while(|count| *count as f64 <= share)
+            .last()
+            .unwrap_or(1)
+    }
+
+    /// Counts a first send, or takes one of the repeated sends.
+    pub fn may_send(&self, pool: &Name, repeat: bool) -> bool {
+        let now = Instant::now();
+        let mut allowance = self.knowledge.allowance.borrow_mut();
+        if repeat {
+            return allowance.take(pool, self.peers.count(), now);
+        }
+        allowance.first(pool, now);
+        true
+    }
+
+    /// Sends the request on a connection and reads the head of its answer.
+    pub async fn send(
+        &self,
+        chosen: &mut Chosen,
+        request: &Checked<'_>,
+        additions: Additions<'_>,
+    ) -> Result<Answer, crate::upstream::ExchangeFault> {
+        let head = self.head(&chosen.place, request, additions);
+        let sending = Sending {
+            head: &head,
+            body: request.body,
+            echo: Some((self.dialect.fields().request_id, request.id)),
+            head_request: request.head.method == "HEAD",
+        };
+        let answer = chosen.conn.send(sending).await?;
+        let load = answer.head.headers.get(self.dialect.fields().load);
+        if let Some(load) = load.and_then(|text| self.dialect.load(text)) {
+            let mut fleet = self.knowledge.fleet.borrow_mut();
+            fleet.reported(&chosen.place.id, load, Instant::now());
+        }
+        Ok(answer)
+    }
+
+    /// Keeps a connection whose answer was read whole.
+    pub fn keep(&self, conn: Conn, answer: &Answer) {
+        self.upstreams.keep(conn, answer);
+    }
+
+    fn head(&self, place: &Place, request: &Checked<'_>, additions: Additions<'_>) -> Vec<u8> {
+        let fields = self.dialect.fields();
+        let mut out = Vec::with_capacity(768);
+        let received = request.head;
+        out.extend_from_slice(received.method.as_bytes());
+        out.push(b' ');
+        out.extend_from_slice(received.target.as_bytes());
+        out.extend_from_slice(b" HTTP/1.1\r\n");
+        for (name, value) in &received.headers.0 {
+            let is = |own: &str| name.eq_ignore_ascii_case(own);
+            let replaced = is(fields.time_left)
+                || is("authorization")
+                || (additions.after_event.is_some() && is(fields.last_event))
+                || fields.reserved.iter().any(|own| is(own));
+            if !replaced && is_end_to_end(name, &received.headers) {
+                put_header(&mut out, name, value);
+            }
+        }
+        let left = request.left().as_millis().to_string();
+        put_header(&mut out, fields.time_left, left.as_bytes());
+        put_header(&mut out, fields.expected_server, place.id.as_bytes());
+        if let Some(caller) = request.caller {
+            put_header(&mut out, fields.customer, caller.customer.as_bytes());
+        }
+        if let Some(inputs) = additions.inputs {
+            put_header(&mut out, fields.inputs, inputs.as_bytes());
+        }
+        if let Some(event) = additions.after_event {
+            put_header(&mut out, fields.last_event, event.to_string().as_bytes());
+        }
+        if request.route.kind.streams() {
+            let rank = request.rank().min(MOST_RANK).to_string();
+            put_header(&mut out, fields.rank, rank.as_bytes());
+        }
+        let had_length = received.headers.get("content-length").is_some()
+            || received.headers.get("transfer-encoding").is_some();
+        if had_length || !request.body.is_empty() {
+            put_header(&mut out, "Content-Length", request.body.len().to_string().as_bytes());
+        }
+        out.extend_from_slice(b"\r\n");
+        out
+    }
+}
+
+/// Least urgent rank at a model engine.
+const MOST_RANK: u32 = 9;
--- /dev/null
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -0,0 +1,337 @@
+//! The owner's side of a cell: drives a piece board and makes its calls.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sardineshore_core::flow::owners::cell_count;
+use sardineshore_core::flow::pieces::{
+    Action, BatchServer, BoardConfig, CallEnd, Job, PieceAsk, PieceBoard, Verdict,
+};
+use sardineshore_core::flow::placement::Fleet;
+use sardineshore_core::flow::site::{Name, SiteIndex, Work};
+use slog::{Logger, debug, info};
+use tokio::sync::Notify;
+
+use crate::dialect::{Call, Dialect};
+use crate::metrics::Metrics;
+use crate::store::call_head;
+use crate::upstream::{Answer, Conn, ExchangeFault, Sending, Upstreams};
+
+/// How often a board with jobs looks for calls that take too long.
+const TICK: Duration = Duration::from_millis(30);
+/// Longest time to open a connection to a server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time to tell a server that results are not needed.
+const FREE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle time up to which a connection for that is reused.
+const FREE_IDLE: Duration = Duration::from_secs(2);
+
+/// How a job ended for the request that waits for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StageEnd {
+    /// Inputs of the request.
+    Finished(Vec<Name>),
+    /// Can't be served; come back later.
+    GivenUp(Duration),
+    /// This owner doesn't take it: ask another one.
+    Moved,
+}
+
+/// Receives the end of a job.
+pub type Waiter = Box<dyn FnOnce(StageEnd)>;
+
+/// What the boards of all cells share.
+#[derive(Debug)]
+struct Tools {
+    dialect: Rc<dyn Dialect>,
+    upstreams: Rc<Upstreams>,
+    metrics: Rc<Metrics>,
+    log: Logger,
+}
+
+struct Runner {
+    cell: usize,
+    board: RefCell<PieceBoard>,
+    waiters: RefCell<HashMap<Name, Waiter>>,
+    wake: Notify,
+    tools: Rc<Tools>,
+}
+
+/// All cells that this instance was asked to own.
+pub struct Cells {
+    tools: Rc<Tools>,
+    runners: RefCell<HashMap<usize, Rc<Runner>>>,
+    servers: RefCell<Vec<Vec<BatchServer>>>,
+    closed: Cell<bool>,
+}
+
+impl std::fmt::Debug for Cells {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Cells").finish_non_exhaustive()
+    }
+}
+
+impl Cells {
+    /// No cells yet.
+    #[must_use]
+    pub fn new(
+        dialect: Rc<dyn Dialect>,
+        upstreams: Rc<Upstreams>,
+        metrics: Rc<Metrics>,
+        log: Logger,
+    ) -> Self {
+        let tools = Tools {
+            dialect,
+            upstreams,
+            metrics,
+            log,
+        };
+        Self {
+            tools: Rc::new(tools),
+            runners: RefCell::default(),
+            servers: RefCell::default(),
+            closed: Cell::new(false),
+        }
+    }
+
+    /// Number of cells.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.servers.borrow().len().max(1)
+    }
+
+    /// Divides the servers of all batch pools into cells.
+    pub fn set_servers(&self, fleet: &Fleet, site: &SiteIndex) {
+        let mut pools: BTreeMap<Name, Vec<BatchServer>> = BTreeMap::new();
+        for server in fleet.servers() {
+            let Some(pool) = site.pool(&server.pool) else {
+                continue;
+            };
+            if let Work::Batches(spec) = &pool.work {
+                let batch = BatchServer {
+                    id: server.id.clone(),
+                    pool: server.pool.clone(),
+                    address: server.address,
+                    domain: server.domain.clone(),
+                    spec: spec.clone(),
+                    ready: server.ready,
+                };
+                pools.entry(server.pool.clone()).or_default().push(batch);
+            }
+        }
+        let largest = pools.values().map(Vec::len).max().unwrap_or(0);
+        let mut cells = vec![Vec::new(); cell_count(largest)];
+        for servers in pools.values_mut() {
+            servers.sort_by(|a, b| a.id.cmp(&b.id));
+            for (position, server) in servers.drain(..).enumerate() {
+                let cell = position % cells.len();
+                cells[cell].push(server);
+            }
+        }
+        let now = Instant::now();
+        for (cell, runner) in self.runners.borrow().iter() {
+            let servers = cells.get(*cell).cloned().unwrap_or_default();
+            runner.board.borrow_mut().set_servers(servers, now);
+            runner.wake.notify_one();
+        }
+        *self.servers.borrow_mut() = cells;
+    }
+
+    /// Takes no further jobs: the instance stops.
+    pub fn close(&self) {
+        self.closed.set(true);
+    }
+
+    /// Hands a job over; `waiter` hears its end.
+    pub fn submit(&self, cell: usize, job: Job, waiter: Waiter) {
+        if self.closed.get() || cell >= self.count() {
+            waiter(StageEnd::Moved);
+            return;
+        }
+        let runner = self.runner(cell);
+        let id = job.id.clone();
+        let verdict = runner.board.borrow_mut().submit(job, Instant::now());
+        debug!(self.tools.log, "job"; "request" => &*id, "cell" => cell, "verdict" => ?verdict);
+        match verdict {
+            Verdict::Refused { retry_after } => waiter(StageEnd::GivenUp(retry_after)),
+            Verdict::Accepted { .. } => {
+                runner.waiters.borrow_mut().insert(id, waiter);
+                runner.wake.notify_one();
+            }
+        }
+    }
+
+    /// A job's results were used, or nobody waits for it any more.
+    pub fn release(&self, cell: usize, request: &str) {
+        if let Some(runner) = self.runners.borrow().get(&cell) {
+            runner.waiters.borrow_mut().remove(request);
+            runner.board.borrow_mut().cancel(request, Instant::now());
+        }
+    }
+
+    fn runner(&self, cell: usize) -> Rc<Runner> {
+        let mut runners = self.runners.borrow_mut();
+        let made = runners.entry(cell).or_insert_with(|| {
+            info!(self.tools.log, "owner of a cell"; "cell" => cell);
+            let mut board = PieceBoard::new(BoardConfig::default());
+            let servers = self.servers.borrow().get(cell).cloned().unwrap_or_default();
+            board.set_servers(servers, Instant::now());
+            let runner = Rc::new(Runner {
+                cell,
+                board: RefCell::new(board),
+                waiters: RefCell::default(),
+                wake: Notify::new(),
+                tools: self.tools.clone(),
+            });
+            tokio::task::spawn_local(run(runner.clone()));
+            runner
+        });
+        made.clone()
+    }
+}
+
+async fn run(runner: Rc<Runner>) {
+    loop {
+        let actions = runner.board.borrow_mut().poll(Instant::now());
+        for action in actions {
+            perform(&runner, action);
+        }
+        let busy = runner.board.borrow().job_count() > 0;
+        if busy {
+            let _ticked = tokio::time::timeout(TICK, runner.wake.notified()).await;
+        } else {
+            let _woken = tokio::time::timeout(IDLE_TICK, runner.wake.notified()).await;
+        }
+    }
+}
+
+/// How often a board without jobs looks for results to give up.
+const IDLE_TICK: Duration = Duration::from_millis(500);
+
+fn perform(runner: &Rc<Runner>, action: Action) {
+    match action {
+        Action::Call {
+            call,
+            server,
+            address,
+            pieces,
+            patience,
+        } => {
+            let runner = runner.clone();
+            tokio::task::spawn_local(async move {
+                let making = make(&runner.tools, &server, address, &pieces);
+                let end = match tokio::time::timeout(patience, making).await {
+                    Ok(end) => end,
+                    Err(_) => CallEnd::Broken,
+                };
+                let label = match &end {
+                    CallEnd::Answered(_) => "answered",
+                    CallEnd::Rejected => "rejected",
+                    CallEnd::Broken => "broken",
+                };
+                let cell = runner.cell.to_string();
+                let tools = &runner.tools;
+                tools.metrics.calls.with_label_values(&[label]).inc();
+                tools
+                    .metrics
+                    .pieces
+                    .with_label_values(&[cell.as_str()])
+                    .inc_by(pieces.len() as u64);
+                if label != "answered" {
+                    info!(tools.log, "call for pieces"; "server" => &*server, "end" => label, "pieces" => pieces.len());
+                }
+                runner
+                    .board
+                    .borrow_mut()
+                    .call_ended(call, &end, Instant::now());
+                runner.wake.notify_one();
+            });
+        }
+        Action::Finished { request, inputs } => {
+            if let Some(waiter) = runner.waiters.borrow_mut().remove(&request) {
+                waiter(StageEnd::Finished(inputs));
+            }
+        }
+        Action::GivenUp {
+            request,
+            retry_after,
+        } => {
+            if let Some(waiter) = runner.waiters.borrow_mut().remove(&request) {
+                waiter(StageEnd::GivenUp(retry_after));
+            }
+        }
+        Action::Free {
+            server,
+            address,
+            handles,
+        } => {
+            let runner = runner.clone();
+            tokio::task::spawn_local(async move {
+                let call = runner.tools.dialect.free_results(&handles);
+                let freeing = free(&runner.tools, address, &call);
+                // Results that can't be given up end by themselves.
+                if !matches!(tokio::time::timeout(FREE_TIMEOUT, freeing).await, Ok(Ok(()))) {
+                    debug!(runner.tools.log, "results not given up"; "server" => &*server, "results" => handles.len());
+                }
+            });
+        }
+    }
+}
+
+async fn make(tools: &Tools, server: &Name, address: SocketAddr, pieces: &[PieceAsk]) -> CallEnd {
+    let call = tools.dialect.make_pieces(pieces);
+    let mut head = call_head(&call, address);
+    head.truncate(head.len() - 2);
+    let fields = tools.dialect.fields();
+    crate::http1::put_header(&mut head, fields.expected_server, server.as_bytes());
+    head.extend_from_slice(b"\r\n");
+    // A new connection for each call: a late extra answer can't be told from this call's own.
+    let opened = tools.upstreams.open_new(address, CONNECT_TIMEOUT).await;
+    let Ok(mut conn) = opened else {
+        return CallEnd::Broken;
+    };
+    let Ok((answer, body)) = whole_answer(&mut conn, &head, &call).await else {
+        return CallEnd::Broken;
+    };
+    let status = answer.head.status;
+    if status == 421 || answer.head.headers.get(fields.not_run).is_some() {
+        return CallEnd::Rejected;
+    }
+    if status != 200 {
+        return CallEnd::Broken;
+    }
+    match tools.dialect.pieces_made(&body) {
+        Ok(ends) if ends.len() == pieces.len() => CallEnd::Answered(ends),
+        Ok(_) | Err(_) => CallEnd::Broken,
+    }
+}
+
+async fn free(tools: &Tools, address: SocketAddr, call: &Call) -> Result<(), ExchangeFault> {
+    let head = call_head(call, address);
+    let mut conn = tools
+        .upstreams
+        .connect(address, FREE_IDLE, CONNECT_TIMEOUT)
+        .await?;
+    let (answer, _) = whole_answer(&mut conn, &head, call).await?;
+    tools.upstreams.keep(conn, &answer);
+    Ok(())
+}
+
+async fn whole_answer(
+    conn: &mut Conn,
+    head: &[u8],
+    call: &Call,
+) -> Result<(Answer, Vec<u8>), ExchangeFault> {
+    let sending = Sending {
+        head,
+        body: &call.body,
+        echo: None,
+        head_request: false,
+    };
+    let mut answer = conn.send(sending).await?;
+    let body = conn.whole(&mut answer).await?;
+    Ok((answer, body))
+}
--- /dev/null
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -0,0 +1,469 @@
+//! Links between instances: jobs go to the owner of their cell, ends come back.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use sardineshore_core::flow::owners::Candidate;
+use sardineshore_core::flow::pieces::Job;
+use sardineshore_core::flow::site::Name;
+use serde::{Deserialize, Serialize};
+use slog::{Logger, info};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::cell::{Cells, StageEnd};
+
+/// Longest time to open a link, its greeting included.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a job waits for a link that is being opened.
+const OPEN_WAIT: Duration = Duration::from_millis(180);
+/// Pause before a link that could not be opened is tried again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(600);
+/// Pause before an owner that is stopping is asked again.
+const MOVED_PAUSE: Duration = Duration::from_millis(1500);
+/// A link with waiting jobs that was silent for so long is asked for a sign of life.
+const QUIET: Duration = Duration::from_millis(250);
+/// A link with waiting jobs that was silent for so long is given up.
+const SILENT: Duration = Duration::from_millis(800);
+/// Longest message, in bytes.
+const MAX_MESSAGE: usize = 1 << 20;
+
+/// An instance as the others know it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct InstanceInfo {
+    /// Name.
+    pub name: Name,
+    /// Where other instances connect.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: Name,
+    /// Relative processor share.
+    pub weight: f64,
+}
+
+/// Messages of the protocol between instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// First message in both directions.
+    Hello(InstanceInfo),
+    /// A job for the owner of a cell.
+    Submit {
+        /// Cell.
+        cell: u32,
+        /// Job.
+        job: Job,
+    },
+    /// A job's results were used, or nobody waits for it.
+    Release {
+        /// Cell.
+        cell: u32,
+        /// Id of the request.
+        request: Name,
+    },
+    /// All stages ended.
+    Finished {
+        /// Id of the request.
+        request: Name,
+        /// Inputs of the request.
+        inputs: Vec<Name>,
+    },
+    /// Can't be served.
+    GivenUp {
+        /// Id of the request.
+        request: Name,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Ask another owner.
+    Moved {
+        /// Id of the request.
+        request: Name,
+    },
+    /// Asks for a sign of life.
+    Ping,
+    /// Sign of life.
+    Pong,
+}
+
+impl Message {
+    /// Encoded form.
+    #[must_use]
+    pub fn encode(&self) -> Bytes {
+        postcard::to_stdvec(self).map_or_else(|_| Bytes::new(), Bytes::from)
+    }
+
+    /// Decodes a message.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn frames(stream: TcpStream) -> Frames {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_MESSAGE)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+/// An open link to an owner.
+#[derive(Debug)]
+pub struct Link {
+    tx: mpsc::UnboundedSender<Message>,
+    heard: Cell<Instant>,
+    waiting: RefCell<HashMap<Name, oneshot::Sender<StageEnd>>>,
+}
+
+impl Link {
+    fn end(&self, request: &str, end: StageEnd) {
+        if let Some(waiter) = self.waiting.borrow_mut().remove(request) {
+            // The request may have ended meanwhile.
+            let _gone = waiter.send(end);
+        }
+    }
+
+    /// Hands a job over; the receiver hears its end, or an error if the link is lost.
+    pub fn submit(&self, cell: u32, job: Job) -> oneshot::Receiver<StageEnd> {
+        let (tx, rx) = oneshot::channel();
+        self.waiting.borrow_mut().insert(job.id.clone(), tx);
+        let _closed = self.tx.send(Message::Submit { cell, job });
+        rx
+    }
+
+    /// Tells the owner that a job's results were used or that nobody waits for it.
+    pub fn release(&self, cell: u32, request: &Name) {
+        self.waiting.borrow_mut().remove(request);
+        let request = request.clone();
+        let _closed = self.tx.send(Message::Release { cell, request });
+    }
+}
+
+#[derive(Debug)]
+enum LinkState {
+    Opening(Instant),
+    Up(Rc<Link>),
+    Down(Instant),
+}
+
+/// Known instances and links to them.
+#[derive(Debug)]
+pub struct Peers {
+    own: InstanceInfo,
+    cells: Rc<Cells>,
+    known: RefCell<BTreeMap<Name, InstanceInfo>>,
+    links: RefCell<HashMap<Name, LinkState>>,
+    changed: Notify,
+    log: Logger,
+    weak: Weak<Self>,
+}
+
+impl Peers {
+    /// Knows only this instance.
+    #[must_use]
+    pub fn new(own: InstanceInfo, cells: Rc<Cells>, log: Logger) -> Rc<Self> {
+        Rc::new_cyclic(|weak| Self {
+            known: RefCell::new(BTreeMap::from([(own.name.clone(), own.clone())])),
+            own,
+            cells,
+            links: RefCell::default(),
+            changed: Notify::new(),
+            log,
+            weak: weak.clone(),
+        })
+    }
+
+    /// This instance.
+    #[must_use]
+    pub fn own(&self) -> &InstanceInfo {
+        &self.own
+    }
+
+    /// Number of known instances.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.known.borrow().len()
+    }
+
+    /// All known instances as candidates for ownership.
+    #[must_use]
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let known = self.known.borrow();
+        let candidates = known.values().map(|info| Candidate {
+            name: info.name.clone(),
+            weight: info.weight,
+        });
+        candidates.collect()
+    }
+
+    /// Replaces the known instances by the store's rows.
+    pub fn set_known(&self, listed: Vec<InstanceInfo>) {
+        let mut known = self.known.borrow_mut();
+        known.retain(|name, _| *name == self.own.name);
+        for info in listed {
+            if info.name != self.own.name {
+                known.insert(info.name.clone(), info);
+            }
+        }
+    }
+
+    fn meet(&self, info: InstanceInfo) {
+        if info.name != self.own.name {
+            self.known.borrow_mut().insert(info.name.clone(), info);
+        }
+    }
+
+    /// Link to an instance; `None` if it can't be opened soon.
+    pub async fn link(&self, name: &Name) -> Option<Rc<Link>> {
+        let patience = Instant::now() + OPEN_WAIT;
+        loop {
+            let changed = self.changed.notified();
+            match self.look(name) {
+                Look::Up(link) => return Some(link),
+                Look::Down => return None,
+                Look::Opening => {}
+            }
+            let left = patience.saturating_duration_since(Instant::now());
+            if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    fn look(&self, name: &Name) -> Look {
+        let now = Instant::now();
+        match self.links.borrow().get(name) {
+            Some(LinkState::Up(link)) => return Look::Up(link.clone()),
+            Some(LinkState::Opening(since)) => {
+                let slow = now.duration_since(*since) > OPEN_WAIT;
+                return if slow { Look::Down } else { Look::Opening };
+            }
+            Some(LinkState::Down(until)) if now < *until => return Look::Down,
+            Some(LinkState::Down(_)) | None => {}
+        }
+        let Some(info) = self.known.borrow().get(name).cloned() else {
+            return Look::Down;
+        };
+        self.set(name, LinkState::Opening(now));
+        if let Some(peers) = self.weak.upgrade() {
+            tokio::task::spawn_local(async move { peers.open(info).await });
+        }
+        Look::Opening
+    }
+
+    fn set(&self, name: &Name, state: LinkState) {
+        self.links.borrow_mut().insert(name.clone(), state);
+        self.changed.notify_waiters();
+    }
+
+    /// An owner said that it takes no jobs: it is left alone for a while.
+    pub fn moved(&self, name: &Name) {
+        self.set(name, LinkState::Down(Instant::now() + MOVED_PAUSE));
+    }
+
+    async fn open(&self, info: InstanceInfo) {
+        let opening = self.greet(info.address);
+        let frames = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+            Ok(Ok(frames)) => frames,
+            Ok(Err(_)) | Err(_) => {
+                self.set(&info.name, LinkState::Down(Instant::now() + REOPEN_PAUSE));
+                return;
+            }
+        };
+        let (tx, rx) = mpsc::unbounded_channel();
+        let link = Rc::new(Link {
+            tx,
+            heard: Cell::new(Instant::now()),
+            waiting: RefCell::default(),
+        });
+        self.set(&info.name, LinkState::Up(link.clone()));
+        drive(frames, &link, rx).await;
+        let lost = link.waiting.borrow_mut().drain().count();
+        info!(self.log, "link to owner lost"; "owner" => &*info.name, "waiting" => lost);
+        let is_current = matches!(
+            self.links.borrow().get(&info.name),
+            Some(LinkState::Up(current)) if Rc::ptr_eq(current, &link)
+        );
+        if is_current {
+            self.set(&info.name, LinkState::Down(Instant::now()));
+        }
+    }
+
+    async fn greet(&self, address: SocketAddr) -> anyhow::Result<Frames> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let mut frames = frames(stream);
+        frames
+            .send(Message::Hello(self.own.clone()).encode())
+            .await?;
+        let answer = frames
+            .next()
+            .await
+            .ok_or_else(|| anyhow::anyhow!("closed before its greeting"))??;
+        match Message::decode(&answer)? {
+            Message::Hello(info) => {
+                self.meet(info);
+                Ok(frames)
+            }
+            other => anyhow::bail!("expected a greeting, got {other:?}"),
+        }
+    }
+
+    /// Accepts links of other instances for ever.
+    pub async fn accept(self: Rc<Self>) -> anyhow::Result<()> {
+        let listener = TcpListener::bind(self.own.address).await?;
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            let peers = self.clone();
+            tokio::task::spawn_local(async move {
+                if let Err(fault) = peers.serve(stream).await {
+                    info!(peers.log, "link ended"; "fault" => format!("{fault:#}"));
+                }
+            });
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream) -> anyhow::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut frames = frames(stream);
+        let (tx, mut rx) = mpsc::unbounded_channel();
+        let mut jobs: HashMap<Name, u32> = HashMap::new();
+        let result = loop {
+            tokio::select! {
+                Some(message) = rx.recv() => {
+                    if let Err(fault) = send_all(&mut frames, message, &mut rx).await {
+                        break Err(fault.into());
+                    }
+                }
+                frame = frames.next() => match frame {
+                    Some(Ok(frame)) => match Message::decode(&frame) {
+                        Ok(message) => self.handle(message, &tx, &mut jobs),
+                        Err(fault) => break Err(fault.into()),
+                    },
+                    Some(Err(fault)) => break Err(fault.into()),
+                    None => break Ok(()),
+                },
+            }
+        };
+        for (request, cell) in jobs {
+            self.cells.release(cell as usize, &request);
+        }
+        result
+    }
+
+    fn handle(
+        &self,
+        message: Message,
+        tx: &mpsc::UnboundedSender<Message>,
+        jobs: &mut HashMap<Name, u32>,
+    ) {
+        match message {
+            Message::Hello(info) => {
+                self.meet(info);
+                let _closed = tx.send(Message::Hello(self.own.clone()));
+            }
+            Message::Submit { cell, job } => {
+                let request = job.id.clone();
+                jobs.insert(request.clone(), cell);
+                let tx = tx.clone();
+                let waiter = Box::new(move |end| {
+                    let _closed = tx.send(end_message(request, end));
+                });
+                self.cells.submit(cell as usize, job, waiter);
+            }
+            Message::Release { cell, request } => {
+                jobs.remove(&request);
+                self.cells.release(cell as usize, &request);
+            }
+            Message::Ping => {
+                let _closed = tx.send(Message::Pong);
+            }
+            Message::Finished { .. }
+            | Message::GivenUp { .. }
+            | Message::Moved { .. }
+            | Message::Pong => {}
+        }
+    }
+}
+
+enum Look {
+    Up(Rc<Link>),
+    Opening,
+    Down,
+}
+
+fn end_message(request: Name, end: StageEnd) -> Message {
+    match end {
+        StageEnd::Finished(inputs) => Message::Finished { request, inputs },
+        StageEnd::GivenUp(retry_after) => Message::GivenUp {
+            request,
+            retry_after,
+        },
+        StageEnd::Moved => Message::Moved { request },
+    }
+}
+
+/// Sends a message together with all that wait behind it.
+async fn send_all(
+    frames: &mut Frames,
+    first: Message,
+    rx: &mut mpsc::UnboundedReceiver<Message>,
+) -> std::io::Result<()> {
+    frames.feed(first.encode()).await?;
+    while let Ok(message) = rx.try_recv() {
+        frames.feed(message.encode()).await?;
+    }
+    SinkExt::<Bytes>::flush(frames).await
+}
+
+/// Carries messages until the link breaks or falls silent while jobs wait.
+async fn drive(mut frames: Frames, link: &Link, mut rx: mpsc::UnboundedReceiver<Message>) {
+    let mut asked: Option<Instant> = None;
+    loop {
+        tokio::select! {
+            message = rx.recv() => {
+                let Some(message) = message else { return };
+                if send_all(&mut frames, message, &mut rx).await.is_err() {
+                    return;
+                }
+            }
+            frame = frames.next() => {
+                let Some(Ok(frame)) = frame else { return };
+                link.heard.set(Instant::now());
+                asked = None;
+                match Message::decode(&frame) {
+                    Ok(Message::Finished { request, inputs }) => {
+                        link.end(&request, StageEnd::Finished(inputs));
+                    }
+                    Ok(Message::GivenUp { request, retry_after }) => {
+                        link.end(&request, StageEnd::GivenUp(retry_after));
+                    }
+                    Ok(Message::Moved { request }) => link.end(&request, StageEnd::Moved),
+                    Ok(_) => {}
+                    Err(_) => return,
+                }
+            }
+            () = tokio::time::sleep(QUIET), if !link.waiting.borrow().is_empty() => {
+                match asked {
+                    None => {
+                        asked = Some(Instant::now());
+                        if frames.send(Message::Ping.encode()).await.is_err() {
+                            return;
+                        }
+                    }
+                    Some(at) if at.elapsed() + QUIET > SILENT => return,
+                    Some(_) => {}
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-serve/src/program.rs
@@ -0,0 +1,241 @@
+//! Joins the parts of an instance, starts and stops them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use sardineshore_core::flow::site::Name;
+use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::attempt::Sender;
+use crate::caller;
+use crate::cell::Cells;
+use crate::dialect::{Dialect, Table};
+use crate::follow::Follower;
+use crate::knowledge::Knowledge;
+use crate::metrics::Metrics;
+use crate::peers::{InstanceInfo, Peers};
+use crate::ready;
+use crate::request::Serving;
+use crate::settings::Settings;
+use crate::stages::Stages;
+use crate::stop::Stop;
+use crate::store::Store;
+use crate::upstream::Upstreams;
+
+/// When the list of instances is read after the start; all start at nearly the same time.
+const FIRST_READS: [Duration; 3] = [
+    Duration::from_millis(700),
+    Duration::from_millis(1500),
+    Duration::from_secs(4),
+];
+/// How often it is read later.
+const READ_EVERY: Duration = Duration::from_secs(20);
+/// Pause before a failed call is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// How often idle connections are swept.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Runs an instance until it is stopped.
+///
+/// # Errors
+///
+/// Fails if an address can't be listened on or the runtime can't start.
+pub fn run(settings: Settings, dialect: Rc<dyn Dialect>, log: Logger) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, serve(settings, dialect, log))
+}
+
+struct Parts {
+    knowledge: Rc<Knowledge>,
+    store: Rc<Store>,
+    upstreams: Rc<Upstreams>,
+    cells: Rc<Cells>,
+    peers: Rc<Peers>,
+    stop: Rc<Stop>,
+    metrics: Rc<Metrics>,
+    serving: Rc<Serving>,
+}
+
+fn assemble(settings: &Settings, dialect: &Rc<dyn Dialect>, log: &Logger) -> anyhow::Result<Parts> {
+    let knowledge = Rc::new(Knowledge::new(settings));
+    let upstreams = Rc::new(Upstreams::default());
+    let metrics = Rc::new(Metrics::new()?);
+    let stop = Rc::new(Stop::default());
+    let store = Rc::new(Store::new(
+        settings.store,
+        dialect.clone(),
+        upstreams.clone(),
+    ));
+    let cells = Rc::new(Cells::new(
+        dialect.clone(),
+        upstreams.clone(),
+        metrics.clone(),
+        log.clone(),
+    ));
+    let own = InstanceInfo {
+        name: settings.instance.clone(),
+        address: settings.peer,
+        domain: settings.domain.clone(),
+        weight: settings.processor_share,
+    };
+    let peers = Peers::new(own, cells.clone(), log.clone());
+    let sender = Sender::new(
+        knowledge.clone(),
+        upstreams.clone(),
+        peers.clone(),
+        dialect.clone(),
+        metrics.clone(),
+    );
+    let stages = Stages::new(cells.clone(), peers.clone(), log.clone());
+    let serving = Rc::new(Serving::new(
+        knowledge.clone(),
+        sender,
+        stages,
+        dialect.clone(),
+        stop.clone(),
+        metrics.clone(),
+        log.clone(),
+    ));
+    Ok(Parts {
+        knowledge,
+        store,
+        upstreams,
+        cells,
+        peers,
+        stop,
+        metrics,
+        serving,
+    })
+}
+
+async fn serve(settings: Settings, dialect: Rc<dyn Dialect>, log: Logger) -> anyhow::Result<()> {
+    let parts = assemble(&settings, &dialect, &log)?;
+    info!(log, "start"; "domain" => &*settings.domain, "version" => env!("CARGO_PKG_VERSION"));
+    let listener = TcpListener::bind(settings.listen).await?;
+    start_following(&parts, &dialect, &log);
+    tokio::task::spawn_local(keep_membership(
+        parts.peers.clone(),
+        parts.store.clone(),
+        parts.stop.clone(),
+        log.clone(),
+    ));
+    spawn_checked(&log, "peers", parts.peers.clone().accept());
+    spawn_checked(
+        &log,
+        "readiness",
+        ready::serve(settings.ready, readiness(&parts, &dialect)),
+    );
+    let metrics = parts.metrics.clone();
+    let answering = Rc::new(move |_: &crate::http1::RequestHead| (200, metrics.text()));
+    spawn_checked(&log, "metrics", ready::serve(settings.metrics, answering));
+    let upstreams = parts.upstreams.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            upstreams.sweep();
+        }
+    });
+    tokio::task::spawn_local(caller::accept(listener, parts.serving.clone()));
+    wait_for_stop(&parts, &log).await?;
+    let own = parts.peers.own().name.clone();
+    // The row would be passed over by the others anyway; removing it spares them a try.
+    let _gone = parts.store.remove(Table::Instances, &own).await;
+    parts.stop.wait_drained(settings.bounds.grace).await;
+    info!(log, "stopped"; "store_calls" => parts.store.calls());
+    Ok(())
+}
+
+async fn wait_for_stop(parts: &Parts, log: &Logger) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => info!(log, "reload: nothing that runs depends on a changed setting"),
+        }
+    }
+    info!(log, "stopping");
+    parts.stop.begin();
+    parts.cells.close();
+    Ok(())
+}
+
+fn start_following(parts: &Parts, dialect: &Rc<dyn Dialect>, log: &Logger) {
+    let (knowledge, cells) = (parts.knowledge.clone(), parts.cells.clone());
+    let on_servers = Box::new(move || {
+        if let Some(site) = knowledge.site() {
+            cells.set_servers(&knowledge.fleet.borrow(), &site);
+        }
+    });
+    let follower = Rc::new(Follower::new(
+        parts.store.clone(),
+        dialect.clone(),
+        parts.knowledge.clone(),
+        log.clone(),
+        on_servers,
+    ));
+    let site = follower.clone();
+    tokio::task::spawn_local(async move { site.follow_site().await });
+    tokio::task::spawn_local(async move { follower.follow_servers().await });
+}
+
+fn readiness(parts: &Parts, dialect: &Rc<dyn Dialect>) -> ready::Answering {
+    let (knowledge, stop) = (parts.knowledge.clone(), parts.stop.clone());
+    let path = dialect.ready_path();
+    Rc::new(move |head| {
+        if head.target != path {
+            return (404, String::new());
+        }
+        let ready = knowledge.is_ready() && !stop.begun();
+        (if ready { 200 } else { 503 }, String::new())
+    })
+}
+
+fn spawn_checked(
+    log: &Logger,
+    what: &'static str,
+    task: impl Future<Output = anyhow::Result<()>> + 'static,
+) {
+    let log = log.clone();
+    tokio::task::spawn_local(async move {
+        if let Err(fault) = task.await {
+            warn!(log, "listener failed"; "what" => what, "fault" => format!("{fault:#}"));
+        }
+    });
+}
+
+/// Writes this instance's row and reads those of the others.
+async fn keep_membership(peers: Rc<Peers>, store: Rc<Store>, stop: Rc<Stop>, log: Logger) {
+    let own = peers.own().clone();
+    let Ok(value) = postcard::to_stdvec(&own) else {
+        return;
+    };
+    while store.put(Table::Instances, &own.name, &value).await.is_err() {
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    let mut waits = FIRST_READS.into_iter();
+    loop {
+        tokio::time::sleep(waits.next().unwrap_or(READ_EVERY)).await;
+        if stop.begun() {
+            return;
+        }
+        match store.read(Table::Instances).await {
+            Ok(read) => {
+                let rows = read.page.rows.iter();
+                let listed: Vec<InstanceInfo> = rows
+                    .filter_map(|row| row.value.as_deref())
+                    .filter_map(|value| postcard::from_bytes(value).ok())
+                    .collect();
+                let names: Vec<Name> = listed.iter().map(|info| info.name.clone()).collect();
+                info!(log, "instances"; "listed" => names.len());
+                peers.set_known(listed);
+            }
+            Err(fault) => info!(log, "instances can't be read"; "fault" => fault.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-serve/src/request.rs
@@ -0,0 +1,265 @@
+//! The way of one request: checks, stages, sends, answer.
+
+mod plain;
+mod streaming;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use sardineshore_core::flow::site::{Caller, Name, Route};
+use slog::{Logger, info};
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::attempt::{Checked, Sender};
+use crate::dialect::Dialect;
+use crate::http1::RequestHead;
+use crate::knowledge::{Knowledge, since_ms};
+use crate::metrics::Metrics;
+use crate::reply::Refusal;
+use crate::stages::Stages;
+use crate::stop::Stop;
+
+/// Wait that is asked for while the instance knows no fresh configuration; others may.
+const UNKNOWN_RETRY: Duration = Duration::from_millis(250);
+/// Wait that is asked for when a pool has no server.
+const NO_SERVER_RETRY: Duration = Duration::from_millis(800);
+/// Wait that is asked for when a server was full.
+const FULL_RETRY: Duration = Duration::from_millis(200);
+
+/// A request as it was read.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Head.
+    pub head: RequestHead,
+    /// Whole body.
+    pub body: Bytes,
+    /// When its first byte was read.
+    pub arrived: Instant,
+}
+
+/// What a request's end is made of, for the log.
+#[derive(Debug, Default)]
+pub struct Trace {
+    /// Last server that it was sent to.
+    pub server: Option<Name>,
+    /// Number of sends.
+    pub sends: u32,
+    /// Time in stages, milliseconds.
+    pub stages_ms: u64,
+    /// Time to the first byte, milliseconds.
+    pub first_ms: Option<u64>,
+    /// Events of a stream passed on.
+    pub last_event: Option<u64>,
+}
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum End {
+    /// A server's answer was passed on whole, with this status.
+    Answered(u16),
+    /// Refused or failed before anything was passed on.
+    Refused(Refusal),
+    /// A stream broke off after its head was passed on.
+    Cut(&'static str),
+    /// The caller can't be written to.
+    CallerGone,
+}
+
+/// Serves requests.
+#[derive(Debug)]
+pub struct Serving {
+    knowledge: Rc<Knowledge>,
+    sender: Sender,
+    stages: Stages,
+    dialect: Rc<dyn Dialect>,
+    stop: Rc<Stop>,
+    metrics: Rc<Metrics>,
+    log: Logger,
+}
+
+struct Routed {
+    route: std::sync::Arc<Route>,
+    caller: Option<Caller>,
+}
+
+impl Serving {
+    /// Serving with its tools.
+    #[must_use]
+    pub fn new(
+        knowledge: Rc<Knowledge>,
+        sender: Sender,
+        stages: Stages,
+        dialect: Rc<dyn Dialect>,
+        stop: Rc<Stop>,
+        metrics: Rc<Metrics>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            knowledge,
+            sender,
+            stages,
+            dialect,
+            stop,
+            metrics,
+            log,
+        }
+    }
+
+    /// The instance's stop.
+    #[must_use]
+    pub fn stop(&self) -> &Stop {
+        &self.stop
+    }
+
+    /// What is known of the deployment.
+    #[must_use]
+    pub fn knowledge(&self) -> &Knowledge {
+        &self.knowledge
+    }
+
+    /// Serves one request; returns whether the connection can carry another one.
+    pub async fn serve<W: AsyncWrite + Unpin>(
+        &self,
+        incoming: &Incoming,
+        wr: &mut W,
+        keep: bool,
+    ) -> bool {
+        let _active = self.stop.enter();
+        self.metrics.active.inc();
+        let mut trace = Trace::default();
+        let keep = keep && !self.stop.begun();
+        let id = incoming.head.headers.get(self.dialect.fields().request_id);
+        let (route, end) = match self.admit(incoming) {
+            Ok(routed) => {
+                let checked = self.checked(incoming, id.unwrap_or_default(), &routed);
+                let end = if routed.route.kind.streams() {
+                    self.serve_stream(&checked, wr, keep, &mut trace).await
+                } else {
+                    self.serve_plain(&checked, wr, keep, &mut trace).await
+                };
+                (routed.route.name.clone(), end)
+            }
+            Err(refusal) => (Name::from("-"), End::Refused(refusal)),
+        };
+        self.metrics.active.dec();
+        self.conclude(incoming, id, &route, &end, &trace);
+        match end {
+            End::Answered(_) => keep,
+            End::Refused(refusal) => {
+                let echo = id.map(|id| (self.dialect.fields().request_id, id));
+                let written = wr.write_all(&refusal.encode(echo, !keep)).await;
+                written.is_ok() && keep
+            }
+            End::Cut(_) | End::CallerGone => false,
+        }
+    }
+
+    fn conclude(
+        &self,
+        incoming: &Incoming,
+        id: Option<&str>,
+        route: &str,
+        end: &End,
+        trace: &Trace,
+    ) {
+        let (status, reason) = match end {
+            End::Answered(status) => (*status, "answered"),
+            End::Refused(refusal) => (refusal.status(), refusal.reason()),
+            End::Cut(reason) => (0, *reason),
+            End::CallerGone => (0, "caller gone"),
+        };
+        let label = status.to_string();
+        let labels = [route, label.as_str()];
+        self.metrics.answers.with_label_values(&labels).inc();
+        if let Some(first) = trace.first_ms {
+            let seconds = Duration::from_millis(first).as_secs_f64();
+            self.metrics.first_byte.with_label_values(&[route]).observe(seconds);
+        }
+        info!(self.log, "request";
+            "request" => id.unwrap_or("-"), "route" => route, "status" => status,
+            "reason" => reason, "ms" => since_ms(incoming.arrived), "sends" => trace.sends,
+            "stages_ms" => trace.stages_ms, "first_ms" => trace.first_ms,
+            "server" => trace.server.as_deref().unwrap_or("-"),
+            "last_event" => trace.last_event);
+    }
+
+    /// Finds the route and the caller, or says why the request isn't served.
+    fn admit(&self, incoming: &Incoming) -> Result<Routed, Refusal> {
+        let headers = &incoming.head.headers;
+        let Some(site) = self.knowledge.site() else {
+            return Err(Refusal::NotRun(UNKNOWN_RETRY, "no configuration yet"));
+        };
+        if headers.get(self.dialect.fields().request_id).is_none() {
+            return Err(Refusal::Malformed);
+        }
+        let host = headers.get("host").unwrap_or_default();
+        let found = site.route(host, &incoming.head.target);
+        let fresh = self.knowledge.keys_are_fresh();
+        let Some(route) = found.cloned() else {
+            return Err(if fresh {
+                Refusal::NoRoute
+            } else {
+                Refusal::NotRun(UNKNOWN_RETRY, "configuration not confirmed")
+            });
+        };
+        if route.anonymous {
+            return Ok(Routed {
+                route,
+                caller: None,
+            });
+        }
+        if !fresh {
+            return Err(Refusal::NotRun(UNKNOWN_RETRY, "keys not confirmed"));
+        }
+        let key = headers
+            .get("authorization")
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .map(str::trim);
+        let caller = key.and_then(|key| site.caller(key)).cloned();
+        if caller.is_none() {
+            return Err(Refusal::UnknownKey);
+        }
+        Ok(Routed { route, caller })
+    }
+
+    fn checked<'a>(&self, incoming: &'a Incoming, id: &'a str, routed: &'a Routed) -> Checked<'a> {
+        let stated = incoming
+            .head
+            .headers
+            .get(self.dialect.fields().time_left)
+            .and_then(|text| text.trim().parse::<u64>().ok())
+            .map(Duration::from_millis);
+        let timeout = routed.route.timeout;
+        let left = stated.map_or(timeout, |stated| stated.min(timeout));
+        Checked {
+            id,
+            head: &incoming.head,
+            body: &incoming.body,
+            route: &routed.route,
+            caller: routed.caller.as_ref(),
+            deadline: incoming.arrived + left,
+            arrived: incoming.arrived,
+        }
+    }
+}
+
+/// Pool of a request by the route's weights; the same id always goes to the same pool.
+fn pool_of(route: &Route, id: &str) -> Option<Name> {
+    let total: u64 = route.pools.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    let mut point = xxh3_64(id.as_bytes()) % total.max(1);
+    for (pool, weight) in &route.pools {
+        let weight = u64::from(*weight);
+        if point < weight {
+            return Some(pool.clone());
+        }
+        point -= weight;
+    }
+    route.pools.first().map(|(pool, _)| pool.clone())
+}
+
+/// "Not run" with a wait that the caller can follow: at most a third of the time left.
+fn not_run(request: &Checked<'_>, wait: Duration, reason: &'static str) -> End {
+    End::Refused(Refusal::NotRun(wait.min(request.left() / 3), reason))
+}
--- /dev/null
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -0,0 +1,154 @@
+//! Requests with one whole answer.
+
+use sardineshore_core::flow::placement::{AttemptEnd, Need};
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+
+use super::{End, FULL_RETRY, NO_SERVER_RETRY, Serving, Trace, not_run, pool_of};
+use crate::attempt::{Additions, Checked, Chosen};
+use crate::knowledge::since_ms;
+use crate::reply::{Refusal, answer_head};
+use crate::upstream::{Answer, ExchangeFault};
+
+/// Times its aim after which a repeatable request is sent to another server.
+const PATIENCE_AIMS: u32 = 2;
+
+/// End of one send.
+enum Sent {
+    /// Whole answer.
+    Whole(Answer, Vec<u8>),
+    /// Not run, says the server.
+    Rejected,
+    /// May have run.
+    Lost(&'static str),
+}
+
+impl Serving {
+    pub(super) async fn serve_plain<W: AsyncWrite + Unpin>(
+        &self,
+        request: &Checked<'_>,
+        wr: &mut W,
+        keep: bool,
+        trace: &mut Trace,
+    ) -> End {
+        let Some(pool) = pool_of(request.route, request.id) else {
+            return not_run(request, NO_SERVER_RETRY, "route without pool");
+        };
+        let mut need = Need {
+            pool,
+            ..Need::default()
+        };
+        let most = request.route.max_attempts.max(1);
+        let repeatable = request.route.kind.repeatable();
+        let mut lost = None;
+        loop {
+            let Some(mut chosen) = self.sender.choose(&mut need, request).await else {
+                return match lost {
+                    Some(reason) => End::Refused(Refusal::Unknown(reason)),
+                    None => not_run(request, NO_SERVER_RETRY, "no server"),
+                };
+            };
+            let again = trace.sends > 0;
+            if !self.sender.may_send(&need.pool, again) {
+                return match lost {
+                    Some(reason) => End::Refused(Refusal::Unknown(reason)),
+                    None => not_run(request, FULL_RETRY, "no repeats left"),
+                };
+            }
+            trace.sends += 1;
+            trace.server = Some(chosen.place.id.clone());
+            need.tried.push(chosen.place.id.clone());
+            let more = repeatable && trace.sends < most;
+            match self.send_plain(&mut chosen, request, more).await {
+                Sent::Whole(answer, body) => {
+                    let status = answer.head.status;
+                    self.sender.keep(chosen.conn, &answer);
+                    if status >= 500 && more {
+                        lost = Some("failed at the server");
+                        continue;
+                    }
+                    trace.first_ms = Some(since_ms(request.arrived));
+                    let mut out = answer_head(status, &answer.head.headers, Some(body.len()), !keep);
+                    out.extend_from_slice(&body);
+                    return match wr.write_all(&out).await {
+                        Ok(()) => End::Answered(status),
+                        Err(_) => End::CallerGone,
+                    };
+                }
+                Sent::Rejected if trace.sends < most => {}
+                Sent::Rejected => {
+                    return match lost {
+                        Some(reason) => End::Refused(Refusal::Unknown(reason)),
+                        None => not_run(request, FULL_RETRY, "rejected by the server"),
+                    };
+                }
+                Sent::Lost(reason) if more => lost = Some(reason),
+                Sent::Lost(reason) => {
+                    return End::Refused(if request.left().is_zero() {
+                        Refusal::TimeOver
+                    } else {
+                        Refusal::Unknown(reason)
+                    });
+                }
+            }
+        }
+    }
+
+    async fn send_plain(&self, chosen: &mut Chosen, request: &Checked<'_>, more: bool) -> Sent {
+        let left = request.left();
+        let patience = if more {
+            (request.route.aim * PATIENCE_AIMS).min(left / 2)
+        } else {
+            left
+        };
+        let exchange = self.exchange_plain(chosen, request);
+        let exchanged = tokio::time::timeout(patience, exchange).await;
+        let attempt = &chosen.attempt;
+        match exchanged {
+            Ok(Ok((answer, body))) => {
+                let status = answer.head.status;
+                let fields = self.dialect.fields();
+                let headers = &answer.head.headers;
+                if status == 421 || headers.get(fields.not_run).is_some() {
+                    attempt.end(AttemptEnd::Rejected);
+                    return Sent::Rejected;
+                }
+                let sealed = headers.get(fields.seal).is_some();
+                let promises = matches!(status, 408 | 421 | 429 | 503);
+                let encoded = headers.get("content-encoding").is_some();
+                if !sealed || promises || encoded {
+                    attempt.end(AttemptEnd::Failure);
+                    return Sent::Lost("answer can't be trusted");
+                }
+                attempt.end(if status >= 500 {
+                    AttemptEnd::Failure
+                } else {
+                    AttemptEnd::Answered(attempt.age())
+                });
+                Sent::Whole(answer, body)
+            }
+            Ok(Err(ExchangeFault::NoAnswer(_) | ExchangeFault::TooLarge)) => {
+                attempt.end(AttemptEnd::Failure);
+                Sent::Lost("no answer")
+            }
+            Ok(Err(_)) => {
+                attempt.end(AttemptEnd::Broken);
+                Sent::Lost("connection broke")
+            }
+            Err(_) => {
+                attempt.end(AttemptEnd::Broken);
+                Sent::Lost("server silent")
+            }
+        }
+    }
+
+    async fn exchange_plain(
+        &self,
+        chosen: &mut Chosen,
+        request: &Checked<'_>,
+    ) -> Result<(Answer, Vec<u8>), ExchangeFault> {
+        let sent = self.sender.send(chosen, request, Additions::default());
+        let mut answer = sent.await?;
+        let body = chosen.conn.whole(&mut answer).await?;
+        Ok((answer, body))
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -0,0 +1,366 @@
+//! Requests whose answer is a stream of events, after their stages.
+
+use std::time::{Duration, Instant};
+
+use sardineshore_core::flow::pieces::{Job, JobStep};
+use sardineshore_core::flow::placement::{AttemptEnd, Need};
+use sardineshore_core::flow::site::Name;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+
+use super::{End, FULL_RETRY, NO_SERVER_RETRY, Serving, Trace, not_run, pool_of};
+use crate::attempt::{Additions, Checked, Chosen};
+use crate::knowledge::since_ms;
+use crate::reply::{Refusal, answer_head, write_chunk};
+use crate::stages::Held;
+use crate::stream::EventFilter;
+use crate::upstream::Answer;
+
+/// Time that a model engine needs to its first output, beside waiting.
+const RUN_TIME: Duration = Duration::from_millis(150);
+/// A resumable stream that was silent for so long goes on at another server.
+const STALL: Duration = Duration::from_millis(900);
+/// Shortest time that a server has for its first output if another one can be tried.
+const FIRST_OUTPUT: Duration = Duration::from_millis(1500);
+/// Most times that lost results of stages are made again.
+const REMAKES: u32 = 1;
+
+/// How a send ended before the stream was complete.
+enum Broke {
+    /// Not run, says the server.
+    Rejected,
+    /// Inputs are gone; not run.
+    InputsGone,
+    /// Broke off, or no answer.
+    Lost(&'static str),
+    /// A failure of the server, to be passed on.
+    Failed(Answer, Vec<u8>),
+    /// The caller can't be written to.
+    CallerGone,
+}
+
+/// The caller's side of a stream.
+struct Output<'w, W> {
+    wr: &'w mut W,
+    keep: bool,
+    filter: EventFilter,
+    head_sent: bool,
+}
+
+impl Serving {
+    pub(super) async fn serve_stream<W: AsyncWrite + Unpin>(
+        &self,
+        request: &Checked<'_>,
+        wr: &mut W,
+        keep: bool,
+        trace: &mut Trace,
+    ) -> End {
+        let Some(pool) = pool_of(request.route, request.id) else {
+            return not_run(request, NO_SERVER_RETRY, "route without pool");
+        };
+        let headers = &request.head.headers;
+        let fields = self.dialect.fields();
+        let prompt = headers.get(fields.prompt).map(|text| self.dialect.prompt(text));
+        let mut need = Need {
+            pool,
+            prompt: prompt.unwrap_or_default(),
+            tried: Vec::new(),
+        };
+        let usable = self.knowledge.fleet.borrow().usable(&need.pool, Instant::now());
+        if usable == 0 {
+            return not_run(request, NO_SERVER_RETRY, "no server");
+        }
+        let resumed_from = headers
+            .get(fields.last_event)
+            .and_then(|text| text.trim().parse().ok());
+        let mut output = Output {
+            wr,
+            keep,
+            filter: EventFilter::after(resumed_from),
+            head_sent: false,
+        };
+        let end = self.run_stream(request, &mut need, &mut output, trace).await;
+        trace.last_event = output.filter.last_event();
+        end
+    }
+
+    async fn run_stream<W: AsyncWrite + Unpin>(
+        &self,
+        request: &Checked<'_>,
+        need: &mut Need,
+        output: &mut Output<'_, W>,
+        trace: &mut Trace,
+    ) -> End {
+        let most = request.route.max_attempts.max(1);
+        let repeatable = request.route.kind.repeatable();
+        let mut remakes = 0;
+        let (mut inputs, mut held) = match self.stages_of(request, trace).await {
+            Ok(made) => made,
+            Err(end) => return end,
+        };
+        let mut lost: Option<&'static str> = None;
+        loop {
+            let Some(mut chosen) = self.sender.choose(need, request).await else {
+                return give_up(request, output.head_sent, lost, NO_SERVER_RETRY, "no server");
+            };
+            let again = trace.sends > 0;
+            if !self.sender.may_send(&need.pool, again) {
+                return give_up(request, output.head_sent, lost, FULL_RETRY, "no repeats left");
+            }
+            trace.sends += 1;
+            trace.server = Some(chosen.place.id.clone());
+            need.tried.push(chosen.place.id.clone());
+            let more = repeatable && trace.sends < most;
+            let joined = (!inputs.is_empty()).then(|| inputs.join(","));
+            let additions = Additions {
+                inputs: joined.as_deref(),
+                after_event: output
+                    .filter
+                    .passed_any()
+                    .then(|| output.filter.last_event())
+                    .flatten(),
+            };
+            let forwarded = self
+                .forward(&mut chosen, request, additions, output, more, &mut held, trace)
+                .await;
+            output.filter.restart();
+            match forwarded {
+                Ok((status, answer)) => {
+                    self.sender.keep(chosen.conn, &answer);
+                    return End::Answered(status);
+                }
+                Err(Broke::CallerGone) => return End::CallerGone,
+                Err(Broke::InputsGone) if remakes < REMAKES && trace.sends < most => {
+                    remakes += 1;
+                    drop(held.take());
+                    match self.stages_of(request, trace).await {
+                        Ok(made) => (inputs, held) = made,
+                        Err(end) => return end,
+                    }
+                }
+                Err(Broke::Rejected) if trace.sends < most => {}
+                Err(Broke::Rejected | Broke::InputsGone) => {
+                    return give_up(request, output.head_sent, lost, FULL_RETRY, "rejected by the server");
+                }
+                Err(Broke::Failed(..) | Broke::Lost(_)) if more => lost = Some("server failed"),
+                Err(Broke::Failed(answer, body)) if !output.head_sent => {
+                    let status = answer.head.status;
+                    let mut out =
+                        answer_head(status, &answer.head.headers, Some(body.len()), !output.keep);
+                    out.extend_from_slice(&body);
+                    return match output.wr.write_all(&out).await {
+                        Ok(()) => End::Answered(status),
+                        Err(_) => End::CallerGone,
+                    };
+                }
+                Err(Broke::Failed(..)) => return End::Cut("server failed"),
+                Err(Broke::Lost(reason)) => {
+                    if output.head_sent {
+                        return End::Cut(reason);
+                    }
+                    return End::Refused(if request.left().is_zero() {
+                        Refusal::TimeOver
+                    } else {
+                        Refusal::Unknown(reason)
+                    });
+                }
+            }
+        }
+    }
+
+    /// Has the stages made. Without stages there are no inputs.
+    async fn stages_of(
+        &self,
+        request: &Checked<'_>,
+        trace: &mut Trace,
+    ) -> Result<(Vec<Name>, Option<Held>), End> {
+        let Some(job) = self.job(request) else {
+            return Ok((Vec::new(), None));
+        };
+        let start = Instant::now();
+        let made = tokio::time::timeout(request.left(), self.stages.make(job)).await;
+        trace.stages_ms += since_ms(start);
+        match made {
+            Ok(Ok((inputs, held))) => Ok((inputs, Some(held))),
+            Ok(Err(retry_after)) => Err(not_run(request, retry_after, "stages can't end in time")),
+            Err(_) => Err(not_run(request, Duration::ZERO, "time over in stages")),
+        }
+    }
+
+    fn job(&self, request: &Checked<'_>) -> Option<Job> {
+        let route = request.route;
+        let headers = &request.head.headers;
+        let fields = self.dialect.fields();
+        let counts = headers
+            .get(fields.piece_counts)
+            .and_then(|text| self.dialect.piece_counts(text))?;
+        let steps: Vec<JobStep> = route
+            .stages
+            .iter()
+            .zip(counts.into_iter().chain(std::iter::repeat(0)))
+            .map(|(stage, pieces)| JobStep {
+                pool: stage.pool.clone(),
+                after: stage.after.clone(),
+                pieces,
+                bytes: stage.bytes,
+            })
+            .collect();
+        if steps.iter().all(|step| step.pieces == 0) {
+            return None;
+        }
+        let waited = request.arrived.elapsed();
+        Some(Job {
+            id: request.id.into(),
+            key: headers.get(fields.piece_key).unwrap_or_default().into(),
+            rank: request.rank(),
+            aim_left: route.aim.saturating_sub(waited),
+            time_left: request.left(),
+            run_time: RUN_TIME,
+            steps,
+        })
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the state of one stream")]
+    async fn forward<W: AsyncWrite + Unpin>(
+        &self,
+        chosen: &mut Chosen,
+        request: &Checked<'_>,
+        additions: Additions<'_>,
+        output: &mut Output<'_, W>,
+        more: bool,
+        held: &mut Option<Held>,
+        trace: &mut Trace,
+    ) -> Result<(u16, Answer), Broke> {
+        let left = request.left();
+        let patience = if more {
+            (left / 2).max(FIRST_OUTPUT).min(left)
+        } else {
+            left
+        };
+        let sent = self.sender.send(chosen, request, additions);
+        let sent = tokio::time::timeout(patience, sent).await;
+        let mut answer = match sent {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => {
+                chosen.attempt.end(AttemptEnd::Broken);
+                return Err(Broke::Lost("connection broke"));
+            }
+            Err(_) => {
+                chosen.attempt.end(AttemptEnd::Broken);
+                return Err(Broke::Lost("server silent"));
+            }
+        };
+        self.check_head(chosen, &mut answer, left).await?;
+        let status = answer.head.status;
+        let mut chunk = Vec::new();
+        let mut wait = patience;
+        loop {
+            let next = chosen.conn.next(&mut answer);
+            let data = match tokio::time::timeout(wait.min(request.left()), next).await {
+                Ok(Ok(data)) => data,
+                Ok(Err(_)) => {
+                    chosen.attempt.end(AttemptEnd::Broken);
+                    return Err(Broke::Lost("stream broke off"));
+                }
+                Err(_) => {
+                    let over = request.left().is_zero();
+                    chosen.attempt.end(if over {
+                        AttemptEnd::Abandoned
+                    } else {
+                        AttemptEnd::Broken
+                    });
+                    return Err(Broke::Lost("stream stalled"));
+                }
+            };
+            let Some(data) = data else {
+                if output.filter.is_torn() || !output.head_sent {
+                    chosen.attempt.end(AttemptEnd::Failure);
+                    return Err(Broke::Lost("stream ended inside an event"));
+                }
+                let ended = output.wr.write_all(b"0\r\n\r\n").await;
+                return ended
+                    .map(|()| {
+                        chosen
+                            .attempt
+                            .end(AttemptEnd::Answered(Duration::from_millis(100)));
+                        (status, answer)
+                    })
+                    .map_err(|_| Broke::CallerGone);
+            };
+            output.filter.push(&data);
+            let Ok(events) = output.filter.take() else {
+                chosen.attempt.end(AttemptEnd::Failure);
+                return Err(Broke::Lost("events out of order"));
+            };
+            if events.is_empty() {
+                continue;
+            }
+            if !output.head_sent {
+                chunk = answer_head(status, &answer.head.headers, None, !output.keep);
+                output.head_sent = true;
+                trace.first_ms = Some(since_ms(request.arrived));
+            }
+            chosen.attempt.first_output();
+            // The engine has fetched the inputs once it produces output.
+            if held.is_some() && !request.route.kind.repeatable() {
+                drop(held.take());
+            }
+            if more {
+                wait = STALL;
+            }
+            write_chunk(output.wr, &mut chunk, &events)
+                .await
+                .map_err(|_| Broke::CallerGone)?;
+        }
+    }
+
+    async fn check_head(
+        &self,
+        chosen: &mut Chosen,
+        answer: &mut Answer,
+        left: Duration,
+    ) -> Result<(), Broke> {
+        let fields = self.dialect.fields();
+        let status = answer.head.status;
+        let not_run = answer.head.headers.get(fields.not_run).is_some();
+        if status == 421 || not_run {
+            chosen.attempt.end(AttemptEnd::Rejected);
+            return Err(if status == 409 {
+                Broke::InputsGone
+            } else {
+                Broke::Rejected
+            });
+        }
+        let sealed = answer.head.headers.get(fields.seal).is_some();
+        if (200..300).contains(&status) {
+            if sealed {
+                return Ok(());
+            }
+            chosen.attempt.end(AttemptEnd::Failure);
+            return Err(Broke::Lost("answer without signature"));
+        }
+        chosen.attempt.end(AttemptEnd::Failure);
+        let body = tokio::time::timeout(left, chosen.conn.whole(answer)).await;
+        let promises = matches!(status, 408 | 421 | 429 | 503);
+        match body {
+            Ok(Ok(body)) if sealed && !promises => {
+                let failed = std::mem::replace(answer, Answer::empty());
+                Err(Broke::Failed(failed, body))
+            }
+            _ => Err(Broke::Lost("failed at the server")),
+        }
+    }
+}
+
+fn give_up(
+    request: &Checked<'_>,
+    head_sent: bool,
+    lost: Option<&'static str>,
+    wait: Duration,
+    reason: &'static str,
+) -> End {
+    match (head_sent, lost) {
+        (true, _) => End::Cut(lost.unwrap_or(reason)),
+        (false, Some(lost)) => End::Refused(Refusal::Unknown(lost)),
+        (false, None) => not_run(request, wait, reason),
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-serve/src/stop.rs
@@ -0,0 +1,95 @@
+//! An orderly stop: unready at once, then no new connections, then the end of the last request.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+
+/// Time for the balancer to notice that the instance isn't ready.
+const LINGER: Duration = Duration::from_millis(2600);
+/// Part of the grace after which even requests that run are left.
+const GRACE_PART: f64 = 0.92;
+
+/// State of the stop, and the number of requests that are served.
+#[derive(Debug, Default)]
+pub struct Stop {
+    since: Cell<Option<Instant>>,
+    active: Cell<usize>,
+    changed: Notify,
+}
+
+/// Counts one request while it is served.
+#[derive(Debug)]
+pub struct Active<'a>(&'a Stop);
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+        if self.0.since.get().is_some() {
+            self.0.changed.notify_waiters();
+        }
+    }
+}
+
+impl Stop {
+    /// Begins the stop.
+    pub fn begin(&self) {
+        if self.since.get().is_none() {
+            self.since.set(Some(Instant::now()));
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Whether the stop has begun.
+    #[must_use]
+    pub fn begun(&self) -> bool {
+        self.since.get().is_some()
+    }
+
+    /// Whether idle connections are closed and nothing new is taken.
+    #[must_use]
+    pub fn lingered(&self) -> bool {
+        self.since.get().is_some_and(|at| at.elapsed() >= LINGER)
+    }
+
+    /// Counts a request.
+    pub fn enter(&self) -> Active<'_> {
+        self.active.set(self.active.get() + 1);
+        Active(self)
+    }
+
+    /// Waits until idle connections are to be closed.
+    pub async fn wait_lingered(&self) {
+        loop {
+            let changed = self.changed.notified();
+            match self.since.get() {
+                None => changed.await,
+                Some(at) => {
+                    tokio::time::sleep(LINGER.saturating_sub(at.elapsed())).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Waits until the stop begins.
+    pub async fn wait_begun(&self) {
+        while self.since.get().is_none() {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Waits until the last request has ended or the grace is nearly over.
+    pub async fn wait_drained(&self, grace: Duration) {
+        self.wait_lingered().await;
+        let began = self.since.get().unwrap_or_else(Instant::now);
+        let end = began + grace.mul_f64(GRACE_PART);
+        while self.active.get() > 0 {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            let _ended = tokio::time::timeout(left, self.changed.notified()).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sardineshore-serve/src/upstream.rs
@@ -0,0 +1,351 @@
+//! Connections to servers and to the store: opened, reused, and one exchange on them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::http1::{BodyDecoder, Framing, MessageFault, Part, ResponseHead, parse_response};
+
+/// Most bytes of a response's head.
+const MAX_HEAD: usize = 64 * 1024;
+/// Most bytes of a body that is read whole.
+const MAX_WHOLE_BODY: usize = 8 * 1024 * 1024;
+/// An idle connection is closed this much before the server would.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+/// Idle time after which a connection isn't used any more if the server names none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Most idle connections to one address.
+const MAX_IDLE: usize = 16;
+/// Wrong answers that are skipped on one connection.
+const MAX_STRAYS: u32 = 3;
+
+/// Why an exchange has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum ExchangeFault {
+    /// No connection: nothing was sent.
+    #[error("no connection: {0}")]
+    NotSent(io::Error),
+    /// The connection broke after something was sent.
+    #[error("connection broke: {0}")]
+    Broken(io::Error),
+    /// The bytes are no answer.
+    #[error("no answer: {0}")]
+    NoAnswer(#[from] MessageFault),
+    /// The answer is too large.
+    #[error("answer over the limit")]
+    TooLarge,
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub struct Conn {
+    stream: TcpStream,
+    buf: BytesMut,
+    address: SocketAddr,
+    open: Rc<Cell<usize>>,
+    reusable: bool,
+    idle_limit: Duration,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.open.set(self.open.get().saturating_sub(1));
+    }
+}
+
+/// Head of an answer and the decoder of its body.
+#[derive(Debug)]
+pub struct Answer {
+    /// Head.
+    pub head: ResponseHead,
+    decoder: BodyDecoder,
+}
+
+impl Answer {
+    /// An answer without content.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self {
+            head: ResponseHead::default(),
+            decoder: BodyDecoder::new(Framing::Length(0)),
+        }
+    }
+}
+
+/// A request as bytes, with what its answer must echo.
+#[derive(Debug, Clone, Copy)]
+pub struct Sending<'a> {
+    /// Head with its empty line.
+    pub head: &'a [u8],
+    /// Body.
+    pub body: &'a [u8],
+    /// Field and value that the answer echoes.
+    pub echo: Option<(&'a str, &'a str)>,
+    /// Whether the method is HEAD.
+    pub head_request: bool,
+}
+
+impl Conn {
+    /// Sends a request and reads the head of its answer. Answers to other requests are skipped.
+    pub async fn send(&mut self, sending: Sending<'_>) -> Result<Answer, ExchangeFault> {
+        let Self { stream, buf, .. } = self;
+        let (mut rd, mut wr) = stream.split();
+        let mut out = Buf::chain(sending.head, sending.body);
+        let mut written = false;
+        let mut strays = 0;
+        loop {
+            let parsed = {
+                let read = read_head(&mut rd, buf);
+                tokio::pin!(read);
+                loop {
+                    if written {
+                        break read.await;
+                    }
+                    tokio::select! {
+                        biased;
+                        done = wr.write_all_buf(&mut out) => match done {
+                            Ok(()) => written = true,
+                            // The answer may have been sent before the server closed.
+                            Err(_) => { self.reusable = false; written = true; }
+                        },
+                        parsed = &mut read => break parsed,
+                    }
+                }
+            };
+            let (head, used) = parsed?;
+            buf.advance(used);
+            if matches!(head.status, 100..=199) {
+                continue;
+            }
+            if !written {
+                self.reusable = false;
+            }
+            let mut decoder = BodyDecoder::new(head.framing(sending.head_request)?);
+            let ours = sending
+                .echo
+                .is_none_or(|(name, value)| head.headers.get(name) == Some(value));
+            if ours {
+                self.note_keep_alive(&head, &decoder);
+                return Ok(Answer { head, decoder });
+            }
+            self.reusable = false;
+            strays += 1;
+            if strays > MAX_STRAYS || decoder.ends_with_connection() {
+                return Err(ExchangeFault::NoAnswer(MessageFault::Malformed));
+            }
+            skip_body(&mut rd, buf, &mut decoder).await?;
+        }
+    }
+
+    fn note_keep_alive(&mut self, head: &ResponseHead, decoder: &BodyDecoder) {
+        if !head.keeps_alive() || decoder.ends_with_connection() {
+            self.reusable = false;
+        }
+        let stated = head.headers.get("keep-alive").and_then(|text| {
+            text.split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+                .and_then(|seconds| seconds.trim().parse::<u64>().ok())
+        });
+        if let Some(seconds) = stated {
+            self.idle_limit = Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN);
+        }
+    }
+
+    /// Next bytes of the answer's body; `None` at its end.
+    pub async fn next(&mut self, answer: &mut Answer) -> Result<Option<Bytes>, ExchangeFault> {
+        loop {
+            match answer.decoder.next(&mut self.buf)? {
+                Part::Data(data) => return Ok(Some(data)),
+                Part::End => return Ok(None),
+                Part::Need => {}
+            }
+            let count = self
+                .stream
+                .read_buf(&mut self.buf)
+                .await
+                .map_err(ExchangeFault::Broken)?;
+            if count == 0 {
+                if answer.decoder.ends_with_connection() {
+                    return Ok(None);
+                }
+                return Err(ExchangeFault::Broken(io::ErrorKind::UnexpectedEof.into()));
+            }
+        }
+    }
+
+    /// The whole body of the answer.
+    pub async fn whole(&mut self, answer: &mut Answer) -> Result<Vec<u8>, ExchangeFault> {
+        let mut body = Vec::new();
+        while let Some(data) = self.next(answer).await? {
+            body.extend_from_slice(&data);
+            if body.len() > MAX_WHOLE_BODY {
+                return Err(ExchangeFault::TooLarge);
+            }
+        }
+        Ok(body)
+    }
+}
+
+async fn read_head(
+    rd: &mut (impl AsyncReadExt + Unpin),
+    buf: &mut BytesMut,
+) -> Result<(ResponseHead, usize), ExchangeFault> {
+    loop {
+        if let Some(parsed) = parse_response(buf)? {
+            return Ok(parsed);
+        }
+        if buf.len() > MAX_HEAD {
+            return Err(ExchangeFault::TooLarge);
+        }
+        if rd.read_buf(buf).await.map_err(ExchangeFault::Broken)? == 0 {
+            return Err(ExchangeFault::Broken(io::ErrorKind::UnexpectedEof.into()));
+        }
+    }
+}
+
+async fn skip_body(
+    rd: &mut (impl AsyncReadExt + Unpin),
+    buf: &mut BytesMut,
+    decoder: &mut BodyDecoder,
+) -> Result<(), ExchangeFault> {
+    loop {
+        match decoder.next(buf)? {
+            Part::Data(_) => {}
+            Part::End => return Ok(()),
+            Part::Need => {
+                if rd.read_buf(buf).await.map_err(ExchangeFault::Broken)? == 0 {
+                    return Err(ExchangeFault::Broken(io::ErrorKind::UnexpectedEof.into()));
+                }
+            }
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct AddressPool {
+    open: Rc<Cell<usize>>,
+    idle: Vec<(Conn, Instant)>,
+}
+
+/// Connections by address.
+#[derive(Debug, Default)]
+pub struct Upstreams {
+    pools: RefCell<HashMap<SocketAddr, AddressPool>>,
+}
+
+impl Upstreams {
+    /// Number of connections to an address, used or idle.
+    #[must_use]
+    pub fn open(&self, address: SocketAddr) -> usize {
+        self.pools
+            .borrow()
+            .get(&address)
+            .map_or(0, |pool| pool.open.get())
+    }
+
+    /// A connection that was idle for at most `idle`, or a new one.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        idle: Duration,
+        timeout: Duration,
+    ) -> Result<Conn, ExchangeFault> {
+        if let Some(conn) = self.take_idle(address, idle) {
+            return Ok(conn);
+        }
+        self.open_new(address, timeout).await
+    }
+
+    /// A new connection.
+    pub async fn open_new(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Conn, ExchangeFault> {
+        let open = {
+            let mut pools = self.pools.borrow_mut();
+            pools.entry(address).or_default().open.clone()
+        };
+        open.set(open.get() + 1);
+        let guard = OpenGuard(Some(open));
+        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
+        let stream = match connecting.await {
+            Ok(connected) => connected.map_err(ExchangeFault::NotSent)?,
+            Err(_) => return Err(ExchangeFault::NotSent(io::ErrorKind::TimedOut.into())),
+        };
+        stream.set_nodelay(true).map_err(ExchangeFault::NotSent)?;
+        Ok(Conn {
+            stream,
+            buf: BytesMut::new(),
+            address,
+            open: guard.keep(),
+            reusable: true,
+            idle_limit: DEFAULT_IDLE,
+        })
+    }
+
+    /// Keeps a connection for reuse after its answer was read whole.
+    pub fn keep(&self, conn: Conn, answer: &Answer) {
+        if !conn.reusable || !answer.decoder.is_done() || !conn.buf.is_empty() {
+            return;
+        }
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(conn.address).or_default();
+        if pool.idle.len() < MAX_IDLE {
+            pool.idle.push((conn, Instant::now()));
+        }
+    }
+
+    /// A connection that was idle for at most `idle`, if there is one.
+    pub fn take_idle(&self, address: SocketAddr, idle: Duration) -> Option<Conn> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.get_mut(&address)?;
+        while let Some((conn, since)) = pool.idle.pop() {
+            if since.elapsed() > idle.min(conn.idle_limit) {
+                // Older ones lie below: none of them is younger.
+                pool.idle.clear();
+                return None;
+            }
+            let mut probe = [0_u8; 1];
+            match conn.stream.try_read(&mut probe) {
+                Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => return Some(conn),
+                _ => drop(conn),
+            }
+        }
+        None
+    }
+
+    /// Closes connections that were idle for too long, and forgets unused addresses.
+    pub fn sweep(&self) {
+        let mut pools = self.pools.borrow_mut();
+        for pool in pools.values_mut() {
+            pool.idle
+                .retain(|(conn, since)| since.elapsed() <= conn.idle_limit);
+        }
+        pools.retain(|_, pool| pool.open.get() > 0);
+    }
+}
+
+/// Counts a connection down unless it comes about.
+struct OpenGuard(Option<Rc<Cell<usize>>>);
+
+impl OpenGuard {
+    fn keep(mut self) -> Rc<Cell<usize>> {
+        self.0.take().unwrap_or_default()
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        if let Some(open) = &self.0 {
+            open.set(open.get().saturating_sub(1));
+        }
+    }
+}
