--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -823,16 +823,11 @@
 
     fn flush_freed(&mut self, now: Instant) {
         for bench in self.benches.values_mut().flatten() {
-            let due = bench.freed.len() >= FREED_AT_ONCE
-                || bench
-                    .free_since
-                    .is_some_and(|since| now.duration_since(since) >= self.config.free_delay);
-            if due && !bench.freed.is_empty() {
-                bench.free_since = None;
+            if bench.frees_are_due(now, self.config.free_delay) {
                 self.out.push(Action::Free {
                     server: bench.id.clone(),
                     address: bench.address,
-                    handles: std::mem::take(&mut bench.freed),
+                    handles: bench.take_freed(),
                 });
             }
         }
@@ -851,8 +846,6 @@
 const PATIENCE_FACTOR: u32 = 5;
 /// Failures in a row after which a server's capacity isn't counted.
 const FAILURES_TO_DISTRUST: u32 = 2;
-/// Released results that are told at once.
-const FREED_AT_ONCE: usize = 40;
 /// How long a finished job is remembered beyond its deadline if nobody says it was used.
 const DELIVERED_KEPT: Duration = Duration::from_secs(1);
 
--- a/crates/sardineshore-core/src/flow/pieces/bench.rs
+++ b/crates/sardineshore-core/src/flow/pieces/bench.rs
@@ -12,6 +12,8 @@
 /// Weight of the newest call in the average slowness.
 const SLOWNESS_GAIN: f64 = 0.5;
 /// Part of a server's memory that is filled with results; sizes are approximate.
+/// Results given up are told at once when they fill this part of the memory.
+const CROWDED_PARTS: u64 = 8;
 const PERCENT_OF_ROOM: u64 = 92;
 
 /// State of one server.
@@ -32,7 +34,10 @@
     /// Takes no new calls; its results can still be fetched.
     pub leaving: bool,
     pub rests_until: Option<Instant>,
+    /// Results that are given up, not yet told to the server.
     pub freed: Vec<Name>,
+    /// Bytes of those; they count until the server is told.
+    pub freed_bytes: u64,
     pub free_since: Option<Instant>,
 }
 
@@ -51,6 +56,7 @@
             leaving: false,
             rests_until: None,
             freed: Vec::new(),
+            freed_bytes: 0,
             free_since: None,
         }
     }
@@ -70,7 +76,7 @@
         self.kept.retain(|_, (_, until)| *until > now);
         let held: u64 = self.kept.values().map(|(bytes, _)| *bytes).sum();
         let room = self.spec.room / 100 * PERCENT_OF_ROOM;
-        room.saturating_sub(held + self.promised)
+        room.saturating_sub(held + self.promised + self.freed_bytes)
     }
 
     pub fn succeeded(&mut self, took: Duration, pieces: u32) {
@@ -85,9 +91,24 @@
         self.rests_until = Some(now + rest.min(LONGEST_REST));
     }
 
+    /// Whether the server has to be told which results are given up.
+    pub fn frees_are_due(&self, now: Instant, delay: Duration) -> bool {
+        let crowded = self.freed_bytes * CROWDED_PARTS > self.spec.room;
+        let waited = self.free_since.is_some_and(|since| now.duration_since(since) >= delay);
+        !self.freed.is_empty() && (crowded || waited)
+    }
+
+    /// Results to tell the server of.
+    pub fn take_freed(&mut self) -> Vec<Name> {
+        self.free_since = None;
+        self.freed_bytes = 0;
+        std::mem::take(&mut self.freed)
+    }
+
     /// Gives a result up; it is told later, together with others.
     pub fn release(&mut self, handle: &Name, now: Instant) {
-        if self.kept.remove(handle).is_some() {
+        if let Some((bytes, _)) = self.kept.remove(handle) {
+            self.freed_bytes += bytes;
             self.freed.push(handle.clone());
             self.free_since.get_or_insert(now);
         }
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -106,6 +106,14 @@
             if !self.sender.may_send(&need.pool, again) {
                 return give_up(request, output.head_sent, lost, FULL_RETRY, "no repeats left");
             }
+            if held.is_none() && !inputs.is_empty() {
+                // The results were given up when output began: a further run needs new ones.
+                match self.stages_of(request, trace).await {
+                    Ok(made) => (inputs, held) = made,
+                    Err(_) if output.head_sent => return End::Cut("stages can't end in time"),
+                    Err(end) => return end,
+                }
+            }
             trace.sends += 1;
             trace.server = Some(chosen.place.id.clone());
             need.tried.push(chosen.place.id.clone());
@@ -301,9 +309,7 @@
             }
             chosen.attempt.first_output();
             // The engine has fetched the inputs once it produces output.
-            if held.is_some() && !request.route.kind.repeatable() {
-                drop(held.take());
-            }
+            drop(held.take());
             if more {
                 wait = STALL;
             }
