--- a/crates/sardineshore-core/src/flow/owners.rs
+++ b/crates/sardineshore-core/src/flow/owners.rs
@@ -1,55 +1,76 @@
 //! Which instance forms the batches of which servers.
 //!
-//! The servers of all batch pools are divided into cells. Each cell has one owner among the live
-//! instances, by weighted rendezvous hashing: every instance finds the same owner without
+//! The servers of all batch pools are divided into cells: one for each failure domain where every
+//! pool has enough servers there, else one for all. Each cell has one owner among the live
+//! instances, in its domain if there is one, by weighted rendezvous hashing: every instance finds the same owner without
 //! agreement, and two owners for a moment cost thin batches, never a wrong answer.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::site::Name;
 
-/// Servers of the largest batch pool that one cell holds; more would load one owner too much.
-const SERVERS_PER_CELL: usize = 6;
+/// Servers of each pool that a failure domain has on average where it is a cell of its own; with
+/// fewer, a domain would be too often without a free server.
+const SERVERS_PER_DOMAIN: usize = 2;
+/// Factor of the weight of an instance in the cell's own domain.
+const OWN_DOMAIN: f64 = 1000.0;
 
 /// An instance as a candidate for ownership.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
     /// Name of the instance.
     pub name: Name,
+    /// Failure domain.
+    pub domain: Name,
     /// Relative processor share.
     pub weight: f64,
 }
 
-/// Number of cells for the largest batch pool.
+/// Name of the cell that holds all servers.
+pub const WHOLE: &str = "";
+
+/// Names of the cells besides [`WHOLE`]: the failure domains that are cells of their own.
+///
+/// `pools` holds the failure domain of every server, by pool.
 #[must_use]
-pub fn cell_count(largest_pool: usize) -> usize {
-    largest_pool.div_ceil(SERVERS_PER_CELL).max(1)
+pub fn domain_cells(pools: &BTreeMap<Name, Vec<Name>>) -> Vec<Name> {
+    let domains: BTreeSet<&Name> = pools.values().flatten().collect();
+    let enough = domains.len() * SERVERS_PER_DOMAIN;
+    if pools.is_empty() || pools.values().any(|servers| servers.len() < enough) {
+        return Vec::new();
+    }
+    let complete = |domain: &&Name| pools.values().all(|servers| servers.contains(domain));
+    domains.into_iter().filter(complete).cloned().collect()
 }
 
-/// Cell that a request belongs to.
+/// Cell of a request whose server is in `near`.
 #[must_use]
-pub fn cell_of(request: &str, cells: usize) -> usize {
-    let cells = u64::try_from(cells.max(1)).unwrap_or(1);
-    usize::try_from(xxh3_64(request.as_bytes()) % cells).unwrap_or(0)
+pub fn cell_of(request: &str, near: &Name, cells: &[Name]) -> Name {
+    if cells.contains(near) {
+        return near.clone();
+    }
+    let count = u64::try_from(cells.len().max(1)).unwrap_or(1);
+    let index = usize::try_from(xxh3_64(request.as_bytes()) % count).unwrap_or(0);
+    cells.get(index).cloned().unwrap_or_else(|| WHOLE.into())
 }
 
 /// Candidates of a cell, the owner first.
 #[must_use]
-pub fn ranking(cell: usize, candidates: &[Candidate]) -> Vec<Name> {
+pub fn ranking(cell: &str, candidates: &[Candidate]) -> Vec<Name> {
     let mut ranked: Vec<(f64, &Candidate)> = candidates
         .iter()
         .map(|candidate| (score(cell, candidate), candidate))
         .collect();
-    ranked.sort_by(|a, b| {
-        b.0.total_cmp(&a.0)
-            .then_with(|| a.1.name.cmp(&b.1.name))
-    });
+    ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
     ranked.into_iter().map(|(_, c)| c.name.clone()).collect()
 }
 
-fn score(cell: usize, candidate: &Candidate) -> f64 {
+fn score(cell: &str, candidate: &Candidate) -> f64 {
     let hash = xxh3_64(format!("{cell}/{}", candidate.name).as_bytes());
     let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
     // Squared: an instance with twice the processor share is four times as likely an owner.
-    candidate.weight * candidate.weight / -unit.ln()
+    let near = if *candidate.domain == *cell { OWN_DOMAIN } else { 1.0 };
+    near * candidate.weight * candidate.weight / -unit.ln()
 }
--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -8,7 +8,7 @@
 pub mod forecast;
 mod job;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -34,6 +34,12 @@
     pub free_delay: Duration,
     /// Most times that a job's lost results are made again.
     pub rebuilds: u32,
+    /// Part of its slack for which a piece waits for a server in its own failure domain.
+    pub domain_part: f64,
+    /// Longest such wait.
+    pub domain_wait: Duration,
+    /// A stage whose results only the request needs starts so long before it has to.
+    pub early: Duration,
 }
 
 impl Default for BoardConfig {
@@ -44,10 +50,25 @@
             suspect_slack: Duration::from_millis(120),
             free_delay: Duration::from_millis(250),
             rebuilds: 3,
+            domain_part: 0.25,
+            domain_wait: Duration::from_millis(220),
+            early: Duration::from_millis(250),
         }
     }
 }
 
+impl BoardConfig {
+    /// Whether a piece still waits for a server in its own failure domain.
+    fn waits_for_domain(&self, state: &JobState, step: usize, now: Instant) -> bool {
+        let Some(since) = state.steps[step].queued_at else {
+            return false;
+        };
+        let slack = state.urgency(step).saturating_duration_since(since);
+        let wait = slack.mul_f64(self.domain_part).min(self.domain_wait);
+        now < since + wait
+    }
+}
+
 /// A server of a batch pool.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BatchServer {
@@ -135,6 +156,8 @@
         request: Name,
         /// Names of the results.
         inputs: Vec<Name>,
+        /// Their bytes by the failure domain that they lie in.
+        domains: Vec<(Name, u64)>,
     },
     /// A job can't end in time.
     GivenUp {
@@ -203,6 +226,8 @@
     flights: HashMap<u64, Flight>,
     next_call: u64,
     next_sequence: u64,
+    /// Jobs with a stage that starts later, and when.
+    deferred: Vec<(Instant, usize)>,
     out: Vec<Action>,
 }
 
@@ -334,6 +359,7 @@
     pub fn poll(&mut self, now: Instant) -> Vec<Action> {
         self.suspect_slow_calls(now);
         self.give_up_hopeless(now);
+        self.start_deferred(now);
         let pools: Vec<Name> = self.queues.keys().cloned().collect();
         for pool in pools {
             while self.start_call(&pool, now) {}
@@ -400,13 +426,22 @@
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let tails = tails(&job, &self.benches);
+        let longest = tails.iter().max().copied().unwrap_or_default();
+        let feeds = |number: usize| job.steps.iter().any(|step| step.after.contains(&number));
         let steps = job
             .steps
             .iter()
             .zip(tails)
-            .map(|(step, tail)| StepState {
-                pieces: vec![Progress::Blocked; step.pieces as usize],
-                tail,
+            .enumerate()
+            .map(|(number, (step, tail))| {
+                let alone = step.after.is_empty() && !feeds(number);
+                let spare = longest.saturating_sub(tail + self.config.early);
+                StepState {
+                    pieces: vec![Progress::Blocked; step.pieces as usize],
+                    tail,
+                    not_before: if alone { now + spare } else { now },
+                    queued_at: None,
+                }
             })
             .collect();
         let id = job.id.clone();
@@ -422,11 +457,11 @@
         };
         let index = self.jobs.insert(state);
         self.by_id.insert(id, index);
-        self.advance(index);
+        self.advance(index, now);
     }
 
     /// Queues every blocked piece whose predecessors are finished; hands over a finished job.
-    fn advance(&mut self, index: usize) {
+    fn advance(&mut self, index: usize, now: Instant) {
         let state = &mut self.jobs[index];
         if state.delivered {
             return;
@@ -437,6 +472,11 @@
             if !step.after.iter().all(|before| finished[*before]) {
                 continue;
             }
+            if now < state.steps[number].not_before {
+                self.deferred.push((state.steps[number].not_before, index));
+                continue;
+            }
+            state.steps[number].queued_at.get_or_insert(now);
             for piece in 0..state.steps[number].pieces.len() {
                 if state.steps[number].pieces[piece] != Progress::Blocked {
                     continue;
@@ -456,6 +496,7 @@
             self.out.push(Action::Finished {
                 request: state.job.id.clone(),
                 inputs,
+                domains: state.bytes_by_domain(),
             });
         }
     }
@@ -497,7 +538,7 @@
             Some(Err(_)) | None => {}
         }
         if self.jobs.contains(index) {
-            self.advance(index);
+            self.advance(index, now);
         }
     }
 
@@ -524,10 +565,10 @@
             bench.release(&handle, now);
             return;
         }
-        let maker = flight.server.clone();
         let made = Made {
             handle,
-            maker,
+            maker: flight.server.clone(),
+            domain: bench.domain.clone(),
             until,
         };
         let state = &mut self.jobs[index];
@@ -597,7 +638,7 @@
     }
 
     /// Makes again what a lost server kept and somebody still needs.
-    fn remake_results_of(&mut self, server: &Name, _now: Instant) {
+    fn remake_results_of(&mut self, server: &Name, now: Instant) {
         let indexes: Vec<usize> = self.jobs.iter().map(|(index, _)| index).collect();
         for index in indexes {
             let state = &mut self.jobs[index];
@@ -625,7 +666,7 @@
             }
             if lost {
                 self.block_dependents(index);
-                self.advance(index);
+                self.advance(index, now);
             }
         }
     }
@@ -672,10 +713,9 @@
             };
             let progress = &mut state.steps[step].pieces[piece];
             if state.sequence == flown.sequence && matches!(progress, Progress::Called(_)) {
-                *progress = Progress::Queued;
-                let place = place(state, step, piece);
-                let pool = state.job.steps[step].pool.clone();
-                self.queues.entry(pool).or_default().insert(place, index);
+                // Its inputs may have to be made again first.
+                *progress = Progress::Blocked;
+                self.advance(index, now);
             }
         }
     }
@@ -719,6 +759,24 @@
         }
     }
 
+    fn start_deferred(&mut self, now: Instant) {
+        let due: Vec<usize> = self
+            .deferred
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, index)| *index)
+            .collect();
+        if due.is_empty() {
+            return;
+        }
+        self.deferred.retain(|(at, _)| *at > now);
+        for index in due {
+            if self.jobs.contains(index) {
+                self.advance(index, now);
+            }
+        }
+    }
+
     fn make_late(&mut self, index: usize) {
         let state = &mut self.jobs[index];
         let mut moved = Vec::new();
@@ -740,7 +798,7 @@
         }
     }
 
-    /// Starts one call of a pool if a server is free and pieces wait.
+    /// Starts one call of a pool if a server is free and pieces wait that it may take.
     fn start_call(&mut self, pool: &Name, now: Instant) -> bool {
         let Some(queue) = self.queues.get_mut(pool) else {
             return false;
@@ -751,35 +809,47 @@
         let Some(benches) = self.benches.get_mut(pool) else {
             return false;
         };
-        let free = benches
+        let served: HashSet<Name> = benches
+            .iter()
+            .filter(|bench| bench.is_usable(now))
+            .map(|bench| bench.domain.clone())
+            .collect();
+        let mut free: Vec<&mut Bench> = benches
             .iter_mut()
             .filter(|bench| !bench.leaving && bench.is_free(now))
-            .min_by(|a, b| {
-                let key = |b: &Bench| (b.failures, b.slowness);
-                let (a, b) = (key(a), key(b));
-                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-            });
-        let Some(bench) = free else {
-            return false;
-        };
-        let mut room = bench.room(now);
-        let mut taken = Vec::new();
-        let mut bytes = 0;
-        for (place, index) in queue.iter() {
-            if taken.len() >= bench.spec.batch.max(1) as usize {
-                break;
+            .collect();
+        free.sort_by(|a, b| {
+            let by_failures = a.failures.cmp(&b.failures);
+            by_failures.then(a.slowness.total_cmp(&b.slowness))
+        });
+        let mut chosen = None;
+        for bench in free {
+            let mut room = bench.room(now);
+            let mut taken = Vec::new();
+            let mut bytes = 0;
+            for (place, index) in queue.iter() {
+                if taken.len() >= bench.spec.batch.max(1) as usize {
+                    break;
+                }
+                let state = &self.jobs[*index];
+                let size = state.job.steps[place.3].bytes;
+                let domain = state.domain_of(place.3);
+                let foreign = *domain != bench.domain && served.contains(domain);
+                if size > room || (foreign && self.config.waits_for_domain(state, place.3, now)) {
+                    continue;
+                }
+                room -= size;
+                bytes += size;
+                taken.push((*place, *index));
             }
-            let size = self.jobs[*index].job.steps[place.3].bytes;
-            if size > room {
-                continue;
+            if !taken.is_empty() {
+                chosen = Some((bench, taken, bytes));
+                break;
             }
-            room -= size;
-            bytes += size;
-            taken.push((*place, *index));
         }
-        if taken.is_empty() {
+        let Some((bench, taken, bytes)) = chosen else {
             return false;
-        }
+        };
         let mut pieces = Vec::with_capacity(taken.len());
         let mut flown = Vec::with_capacity(taken.len());
         for (place, index) in taken {
@@ -827,7 +897,7 @@
                 self.out.push(Action::Free {
                     server: bench.id.clone(),
                     address: bench.address,
-                    handles: bench.take_freed(),
+                    handles: bench.take_freed(now),
                 });
             }
         }
--- a/crates/sardineshore-core/src/flow/pieces/bench.rs
+++ b/crates/sardineshore-core/src/flow/pieces/bench.rs
@@ -12,6 +12,8 @@
 /// Weight of the newest call in the average slowness.
 const SLOWNESS_GAIN: f64 = 0.5;
 /// Part of a server's memory that is filled with results; sizes are approximate.
+/// Time for a server to learn what is given up.
+const TELLING_TIME: Duration = Duration::from_millis(40);
 /// Results given up are told at once when they fill this part of the memory.
 const CROWDED_PARTS: u64 = 8;
 const PERCENT_OF_ROOM: u64 = 92;
@@ -39,6 +41,8 @@
     /// Bytes of those; they count until the server is told.
     pub freed_bytes: u64,
     pub free_since: Option<Instant>,
+    /// Bytes that the server was told of a moment ago; they count until that has arrived.
+    told: Vec<(u64, Instant)>,
 }
 
 impl Bench {
@@ -58,6 +62,7 @@
             freed: Vec::new(),
             freed_bytes: 0,
             free_since: None,
+            told: Vec::new(),
         }
     }
 
@@ -66,6 +71,11 @@
         self.calls < self.spec.slots.max(1) && self.rests_until.is_none_or(|until| now >= until)
     }
 
+    /// Whether it takes calls now or as soon as it has ended one.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        !self.leaving && self.rests_until.is_none_or(|until| now >= until)
+    }
+
     /// Expected time of a call with so many pieces.
     pub fn call_time(&self, pieces: u32) -> Duration {
         self.spec.call + self.spec.item * pieces
@@ -76,7 +86,9 @@
         self.kept.retain(|_, (_, until)| *until > now);
         let held: u64 = self.kept.values().map(|(bytes, _)| *bytes).sum();
         let room = self.spec.room / 100 * PERCENT_OF_ROOM;
-        room.saturating_sub(held + self.promised + self.freed_bytes)
+        self.told.retain(|(_, until)| *until > now);
+        let told: u64 = self.told.iter().map(|(bytes, _)| *bytes).sum();
+        room.saturating_sub(held + self.promised + self.freed_bytes + told)
     }
 
     pub fn succeeded(&mut self, took: Duration, pieces: u32) {
@@ -99,8 +111,9 @@
     }
 
     /// Results to tell the server of.
-    pub fn take_freed(&mut self) -> Vec<Name> {
+    pub fn take_freed(&mut self, now: Instant) -> Vec<Name> {
         self.free_since = None;
+        self.told.push((self.freed_bytes, now + TELLING_TIME));
         self.freed_bytes = 0;
         std::mem::take(&mut self.freed)
     }
--- a/crates/sardineshore-core/src/flow/pieces/job.rs
+++ b/crates/sardineshore-core/src/flow/pieces/job.rs
@@ -34,6 +34,8 @@
     pub time_left: Duration,
     /// Time that the request itself needs after its stages.
     pub run_time: Duration,
+    /// Failure domain of the server that will run the request.
+    pub near: Name,
     /// Stages.
     pub steps: Vec<JobStep>,
 }
@@ -67,6 +69,8 @@
     pub handle: Name,
     /// Id of the server that keeps it.
     pub maker: Name,
+    /// Failure domain of that server.
+    pub domain: Name,
     /// When its keeper may drop it.
     pub until: Instant,
 }
@@ -88,8 +92,12 @@
 #[derive(Debug)]
 pub(super) struct StepState {
     pub pieces: Vec<Progress>,
-    /// Time that the job needs after this stage.
+    /// Time that the job needs from the start of this stage on.
     pub tail: Duration,
+    /// The stage need not start before this time: its results would only lie about.
+    pub not_before: Instant,
+    /// When its pieces were queued first.
+    pub queued_at: Option<Instant>,
 }
 
 impl StepState {
@@ -142,6 +150,35 @@
         Some(handles)
     }
 
+    /// Failure domain in which a stage's pieces cost least to make.
+    pub fn domain_of(&self, step: usize) -> &Name {
+        let first_input = self.job.steps[step].after.first();
+        let made = first_input.and_then(|before| {
+            self.steps[*before].pieces.iter().find_map(|p| match p {
+                Progress::Made(made) => Some(&made.domain),
+                _ => None,
+            })
+        });
+        made.unwrap_or(&self.job.near)
+    }
+
+    /// Bytes of the request's inputs by the failure domain that they lie in.
+    pub fn bytes_by_domain(&self) -> Vec<(Name, u64)> {
+        let mut sums: Vec<(Name, u64)> = Vec::new();
+        for step in self.last_steps() {
+            for piece in &self.steps[step].pieces {
+                if let Progress::Made(made) = piece {
+                    let bytes = self.job.steps[step].bytes;
+                    match sums.iter_mut().find(|(domain, _)| *domain == made.domain) {
+                        Some((_, sum)) => *sum += bytes,
+                        None => sums.push((made.domain.clone(), bytes)),
+                    }
+                }
+            }
+        }
+        sums
+    }
+
     /// Stages whose results the request itself needs.
     pub fn last_steps(&self) -> impl Iterator<Item = usize> + '_ {
         (0..self.steps.len()).filter(|step| !self.feeds_another(*step))
--- a/crates/sardineshore-core/src/flow/placement.rs
+++ b/crates/sardineshore-core/src/flow/placement.rs
@@ -28,6 +28,11 @@
 /// Cost of a server whose every answer is a failure.
 const ERROR_COST: Duration = Duration::from_millis(500);
 
+/// Cost of reading a shared token again, beside its time.
+const REREAD_COST: Duration = Duration::from_micros(60);
+/// Cost of a million bytes of inputs from another failure domain.
+const FOREIGN_MB_COST: Duration = Duration::from_millis(25);
+
 /// A part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptPart {
@@ -44,6 +49,8 @@
     pub pool: Name,
     /// Parts of its prompt in order; the last one belongs to the request itself.
     pub prompt: Vec<PromptPart>,
+    /// Bytes of its inputs by the failure domain that they lie in.
+    pub inputs: Vec<(Name, u64)>,
     /// Servers that were tried already.
     pub tried: Vec<Name>,
 }
@@ -53,6 +60,10 @@
         &self.prompt[..self.prompt.len().saturating_sub(1)]
     }
 
+    fn own_tokens(&self) -> u32 {
+        self.prompt.last().map_or(0, |part| part.tokens)
+    }
+
     fn tokens(&self) -> u32 {
         self.prompt.iter().map(|part| part.tokens).sum()
     }
@@ -65,6 +76,8 @@
     pub id: Name,
     /// Its address.
     pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Name,
     /// Prompt tokens that it is expected to read.
     pub unread: u32,
 }
@@ -178,12 +191,17 @@
             .map(|member| {
                 let at_home = home.as_ref() == Some(&member.server.id);
                 let unread = member.unread_of(need, at_home, now);
-                (self.cost(member, unread, now), unread, member)
+                let moved = member.foreign_bytes(need);
+                let reread = unread - need.own_tokens().min(unread);
+                let price = REREAD_COST.as_secs_f64() * f64::from(reread)
+                    + FOREIGN_MB_COST.as_secs_f64() * moved as f64 / 1e6;
+                (self.cost(member, unread, now) + price, unread, member)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.2.server.id.cmp(&b.2.server.id)))
             .map(|(_, unread, member)| Place {
                 id: member.server.id.clone(),
                 address: member.server.address,
+                domain: member.server.domain.clone(),
                 unread,
             })
     }
@@ -288,6 +306,12 @@
             .map(|(report, _)| report)
     }
 
+    /// Bytes of inputs that would come from other failure domains.
+    fn foreign_bytes(&self, need: &Need) -> u64 {
+        let foreign = need.inputs.iter().filter(|(d, _)| *d != self.server.domain);
+        foreign.map(|(_, bytes)| *bytes).sum()
+    }
+
     /// Tokens that the server would read: a part counts as cached if all before it are.
     fn unread_of(&self, need: &Need, at_home: bool, now: Instant) -> u32 {
         let cached: u32 = need
--- /dev/null
+++ b/crates/sardineshore-core/tests/pieces.rs
@@ -0,0 +1,159 @@
+//! Piece boards: batches, rooms, lost servers and slow calls.
+
+use std::time::{Duration, Instant};
+
+use sardineshore_core::flow::pieces::{
+    Action, BatchServer, BoardConfig, CallEnd, Job, JobStep, PieceAsk, PieceBoard, PieceFault,
+    PieceSource, Verdict,
+};
+use sardineshore_core::flow::site::{BatchSpec, Name};
+
+const ROOM: u64 = 10_000_000;
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn server(id: &str, pool: &str) -> BatchServer {
+    BatchServer {
+        id: id.into(),
+        pool: pool.into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "d".into(),
+        spec: BatchSpec {
+            slots: 1,
+            batch: 4,
+            call: ms(200),
+            item: ms(10),
+            room: ROOM,
+            keep: Duration::from_secs(4),
+        },
+        ready: true,
+    }
+}
+
+fn step(pool: &str, after: &[usize], pieces: u32) -> JobStep {
+    JobStep {
+        pool: pool.into(),
+        after: after.to_vec(),
+        pieces,
+        bytes: 1000,
+    }
+}
+
+fn job(id: &str, steps: Vec<JobStep>) -> Job {
+    Job {
+        id: id.into(),
+        key: "key".into(),
+        rank: 1,
+        aim_left: ms(2000),
+        time_left: ms(8000),
+        run_time: ms(100),
+        near: "d".into(),
+        steps,
+    }
+}
+
+fn board(servers: &[(&str, &str)], now: Instant) -> PieceBoard {
+    let mut board = PieceBoard::new(BoardConfig::default());
+    let servers = servers.iter().map(|(id, pool)| server(id, pool)).collect();
+    board.set_servers(servers, now);
+    board
+}
+
+/// Calls among actions: number, server, pieces.
+fn calls(actions: &[Action]) -> Vec<(u64, Name, Vec<PieceAsk>)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Call {
+                call,
+                server,
+                pieces,
+                ..
+            } => Some((*call, server.clone(), pieces.clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+fn made(prefix: &str, count: usize) -> CallEnd {
+    CallEnd::Answered((0..count).map(|n| Ok(format!("{prefix}{n}").into())).collect())
+}
+
+#[test]
+fn batch_is_filled_by_pieces_of_many_jobs() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p")], now);
+    for id in ["1", "2", "3"] {
+        let verdict = board.submit(job(id, vec![step("p", &[], 2)]), now);
+        assert_eq!(verdict, Verdict::Accepted { late: false });
+    }
+    let calls = calls(&board.poll(now));
+    assert_eq!(calls.len(), 1);
+    assert_eq!(calls[0].2.len(), 4);
+}
+
+#[test]
+fn every_piece_has_all_inputs_after_a_slow_call_and_a_lost_maker() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p"), ("b", "q"), ("c", "q")], now);
+    board.submit(job("1", vec![step("p", &[], 1), step("q", &[0], 1)]), now);
+    let first = calls(&board.poll(now));
+    board.call_ended(first[0].0, &made("x", 1), now + ms(210));
+    let second = calls(&board.poll(now + ms(210)));
+    assert_eq!(second.len(), 1);
+    // The maker of the input is lost while the second stage's call takes too long.
+    let later = now + ms(400);
+    board.set_servers(vec![server("b", "q"), server("c", "q"), server("d", "p")], later);
+    for wait in 0..40 {
+        for (_, _, pieces) in calls(&board.poll(later + ms(wait * 50))) {
+            for piece in pieces.iter().filter(|piece| piece.step == 1) {
+                assert_ne!(piece.source, PieceSource::Results(Vec::new()));
+            }
+        }
+    }
+}
+
+#[test]
+fn results_given_up_count_until_their_keeper_is_told() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p")], now);
+    let big = |id| {
+        let mut job = job(id, vec![step("p", &[], 1)]);
+        job.steps[0].bytes = ROOM * 6 / 10;
+        job
+    };
+    board.submit(big("1"), now);
+    let first = calls(&board.poll(now));
+    board.call_ended(first[0].0, &made("x", 1), now + ms(210));
+    board.poll(now + ms(210));
+    board.submit(big("2"), now + ms(210));
+    assert!(calls(&board.poll(now + ms(210))).is_empty());
+    board.cancel("1", now + ms(220));
+    let told = board.poll(now + ms(220));
+    assert!(told.iter().any(|a| matches!(a, Action::Free { .. })));
+    assert_eq!(calls(&board.poll(now + ms(300))).len(), 1);
+}
+
+#[test]
+fn job_is_refused_at_once_without_a_server() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p")], now);
+    let verdict = board.submit(job("1", vec![step("q", &[], 1)]), now);
+    assert!(matches!(verdict, Verdict::Refused { .. }));
+}
+
+#[test]
+fn lost_input_is_made_again() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p"), ("b", "q")], now);
+    board.submit(job("1", vec![step("p", &[], 1), step("q", &[0], 1)]), now);
+    let first = calls(&board.poll(now));
+    board.call_ended(first[0].0, &made("x", 1), now + ms(210));
+    let second = calls(&board.poll(now + ms(210)));
+    let gone = CallEnd::Answered(vec![Err(PieceFault::InputGone)]);
+    board.call_ended(second[0].0, &gone, now + ms(220));
+    let again = calls(&board.poll(now + ms(220)));
+    assert_eq!(again[0].2[0].step, 0);
+}
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -6,12 +6,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use sardineshore_core::flow::owners::cell_count;
+use sardineshore_core::flow::owners::{WHOLE, domain_cells};
 use sardineshore_core::flow::pieces::{
     Action, BatchServer, BoardConfig, CallEnd, Job, PieceAsk, PieceBoard, Verdict,
 };
 use sardineshore_core::flow::placement::Fleet;
 use sardineshore_core::flow::site::{Name, SiteIndex, Work};
+use serde::{Deserialize, Serialize};
 use slog::{Logger, debug, info};
 use tokio::sync::Notify;
 
@@ -29,11 +30,20 @@
 /// Idle time up to which a connection for that is reused.
 const FREE_IDLE: Duration = Duration::from_secs(2);
 
+/// Results that a request needs.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inputs {
+    /// Names of the results.
+    pub names: Vec<Name>,
+    /// Their bytes by the failure domain that they lie in.
+    pub domains: Vec<(Name, u64)>,
+}
+
 /// How a job ended for the request that waits for it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StageEnd {
-    /// Inputs of the request.
-    Finished(Vec<Name>),
+    /// Inputs of the request, and their bytes by the failure domain that they lie in.
+    Finished(Inputs),
     /// Can't be served; come back later.
     GivenUp(Duration),
     /// This owner doesn't take it: ask another one.
@@ -53,7 +63,7 @@
 }
 
 struct Runner {
-    cell: usize,
+    cell: Name,
     board: RefCell<PieceBoard>,
     waiters: RefCell<HashMap<Name, Waiter>>,
     wake: Notify,
@@ -63,8 +73,9 @@
 /// All cells that this instance was asked to own.
 pub struct Cells {
     tools: Rc<Tools>,
-    runners: RefCell<HashMap<usize, Rc<Runner>>>,
-    servers: RefCell<Vec<Vec<BatchServer>>>,
+    runners: RefCell<HashMap<Name, Rc<Runner>>>,
+    servers: RefCell<HashMap<Name, Vec<BatchServer>>>,
+    names: RefCell<Vec<Name>>,
     closed: Cell<bool>,
 }
 
@@ -93,51 +104,55 @@
             tools: Rc::new(tools),
             runners: RefCell::default(),
             servers: RefCell::default(),
+            names: RefCell::default(),
             closed: Cell::new(false),
         }
     }
 
-    /// Number of cells.
+    /// Names of the cells that are failure domains.
     #[must_use]
-    pub fn count(&self) -> usize {
-        self.servers.borrow().len().max(1)
+    pub fn names(&self) -> Vec<Name> {
+        self.names.borrow().clone()
     }
 
     /// Divides the servers of all batch pools into cells.
     pub fn set_servers(&self, fleet: &Fleet, site: &SiteIndex) {
-        let mut pools: BTreeMap<Name, Vec<BatchServer>> = BTreeMap::new();
+        let mut all = Vec::new();
+        let mut pools: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
         for server in fleet.servers() {
             let Some(pool) = site.pool(&server.pool) else {
                 continue;
             };
             if let Work::Batches(spec) = &pool.work {
-                let batch = BatchServer {
+                if server.ready {
+                    let domains = pools.entry(server.pool.clone()).or_default();
+                    domains.push(server.domain.clone());
+                }
+                all.push(BatchServer {
                     id: server.id.clone(),
                     pool: server.pool.clone(),
                     address: server.address,
                     domain: server.domain.clone(),
                     spec: spec.clone(),
                     ready: server.ready,
-                };
-                pools.entry(server.pool.clone()).or_default().push(batch);
+                });
             }
         }
-        let largest = pools.values().map(Vec::len).max().unwrap_or(0);
-        let mut cells = vec![Vec::new(); cell_count(largest)];
-        for servers in pools.values_mut() {
-            servers.sort_by(|a, b| a.id.cmp(&b.id));
-            for (position, server) in servers.drain(..).enumerate() {
-                let cell = position % cells.len();
-                cells[cell].push(server);
-            }
+        let names = domain_cells(&pools);
+        let mut cells: HashMap<Name, Vec<BatchServer>> = HashMap::new();
+        for server in &all {
+            let servers = cells.entry(server.domain.clone()).or_default();
+            servers.push(server.clone());
         }
+        cells.insert(WHOLE.into(), all);
         let now = Instant::now();
         for (cell, runner) in self.runners.borrow().iter() {
-            let servers = cells.get(*cell).cloned().unwrap_or_default();
+            let servers = cells.get(cell).cloned().unwrap_or_default();
             runner.board.borrow_mut().set_servers(servers, now);
             runner.wake.notify_one();
         }
         *self.servers.borrow_mut() = cells;
+        *self.names.borrow_mut() = names;
     }
 
     /// Takes no further jobs: the instance stops.
@@ -146,15 +161,15 @@
     }
 
     /// Hands a job over; `waiter` hears its end.
-    pub fn submit(&self, cell: usize, job: Job, waiter: Waiter) {
-        if self.closed.get() || cell >= self.count() {
+    pub fn submit(&self, cell: &Name, job: Job, waiter: Waiter) {
+        if self.closed.get() || !self.servers.borrow().contains_key(cell) {
             waiter(StageEnd::Moved);
             return;
         }
         let runner = self.runner(cell);
         let id = job.id.clone();
         let verdict = runner.board.borrow_mut().submit(job, Instant::now());
-        debug!(self.tools.log, "job"; "request" => &*id, "cell" => cell, "verdict" => ?verdict);
+        debug!(self.tools.log, "job"; "request" => &*id, "cell" => &**cell, "verdict" => ?verdict);
         match verdict {
             Verdict::Refused { retry_after } => waiter(StageEnd::GivenUp(retry_after)),
             Verdict::Accepted { .. } => {
@@ -165,22 +180,22 @@
     }
 
     /// A job's results were used, or nobody waits for it any more.
-    pub fn release(&self, cell: usize, request: &str) {
-        if let Some(runner) = self.runners.borrow().get(&cell) {
+    pub fn release(&self, cell: &Name, request: &str) {
+        if let Some(runner) = self.runners.borrow().get(cell) {
             runner.waiters.borrow_mut().remove(request);
             runner.board.borrow_mut().cancel(request, Instant::now());
         }
     }
 
-    fn runner(&self, cell: usize) -> Rc<Runner> {
+    fn runner(&self, cell: &Name) -> Rc<Runner> {
         let mut runners = self.runners.borrow_mut();
-        let made = runners.entry(cell).or_insert_with(|| {
-            info!(self.tools.log, "owner of a cell"; "cell" => cell);
+        let made = runners.entry(cell.clone()).or_insert_with(|| {
+            info!(self.tools.log, "owner of a cell"; "cell" => &**cell);
             let mut board = PieceBoard::new(BoardConfig::default());
             let servers = self.servers.borrow().get(cell).cloned().unwrap_or_default();
             board.set_servers(servers, Instant::now());
             let runner = Rc::new(Runner {
-                cell,
+                cell: cell.clone(),
                 board: RefCell::new(board),
                 waiters: RefCell::default(),
                 wake: Notify::new(),
@@ -232,13 +247,12 @@
                     CallEnd::Rejected => "rejected",
                     CallEnd::Broken => "broken",
                 };
-                let cell = runner.cell.to_string();
                 let tools = &runner.tools;
                 tools.metrics.calls.with_label_values(&[label]).inc();
                 tools
                     .metrics
                     .pieces
-                    .with_label_values(&[cell.as_str()])
+                    .with_label_values(&[&*runner.cell])
                     .inc_by(pieces.len() as u64);
                 if label != "answered" {
                     info!(tools.log, "call for pieces"; "server" => &*server, "end" => label, "pieces" => pieces.len());
@@ -250,9 +264,14 @@
                 runner.wake.notify_one();
             });
         }
-        Action::Finished { request, inputs } => {
+        Action::Finished {
+            request,
+            inputs,
+            domains,
+        } => {
             if let Some(waiter) = runner.waiters.borrow_mut().remove(&request) {
-                waiter(StageEnd::Finished(inputs));
+                let names = inputs;
+                waiter(StageEnd::Finished(Inputs { names, domains }));
             }
         }
         Action::GivenUp {
--- a/crates/sardineshore-serve/src/follow.rs
+++ b/crates/sardineshore-serve/src/follow.rs
@@ -7,23 +7,29 @@
 
 use sardineshore_core::flow::site::{Name, Server, SiteIndex};
 use slog::{Logger, debug, info, warn};
+use tokio::sync::Notify;
 
 use crate::dialect::{Dialect, RowPage, StoreRow, Table};
 use crate::knowledge::Knowledge;
 use crate::store::{Stamped, Store, StoreFault};
 
-/// Longest wait for a change of the site; each answer proves the site's freshness.
-const SITE_WAIT: Duration = Duration::from_millis(1500);
+/// Longest wait for a change of the site; each answer proves the site's freshness and shows
+/// whether anything in the store is newer than the servers that are known.
+const SITE_WAIT: Duration = Duration::from_millis(2000);
 /// Longest wait for a change of the servers.
-const SERVERS_WAIT: Duration = Duration::from_millis(1900);
+const SERVERS_WAIT: Duration = Duration::from_secs(15);
+/// Pause after a change of the servers: changes of many servers come in one answer.
+const SERVERS_PAUSE: Duration = Duration::from_millis(600);
+/// A watch of the servers that misses what the store has is given this time to bring it.
+const CATCH_UP: Duration = Duration::from_millis(150);
 /// Pause after a failed call; it grows with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Longest wait while entries may have lapsed.
+const LAPSED_WAIT: Duration = Duration::from_millis(300);
 /// How long servers whose entries lapsed while the store was away are still used.
 const LAPSED_GRACE: Duration = Duration::from_millis(1700);
-/// An outage shorter than this lets no entry lapse.
-const OUTAGE: Duration = Duration::from_millis(900);
 
 /// Called after the list of servers changed.
 pub type OnServers = Box<dyn Fn()>;
@@ -37,6 +43,9 @@
     servers: RefCell<ServerRows>,
     on_servers: OnServers,
     site_version: Cell<u64>,
+    /// A call failed since the servers were read last.
+    lost: Cell<bool>,
+    behind: Notify,
 }
 
 impl std::fmt::Debug for Follower {
@@ -53,7 +62,6 @@
     removed: HashMap<Name, u64>,
     lapsed: HashMap<Name, Instant>,
     version: u64,
-    heard: Option<Instant>,
     returned: Option<Instant>,
 }
 
@@ -75,6 +83,8 @@
             servers: RefCell::default(),
             on_servers,
             site_version: Cell::new(0),
+            lost: Cell::new(false),
+            behind: Notify::new(),
         }
     }
 
@@ -99,6 +109,9 @@
                     }
                     self.prove(&stamped);
                     known = Some(stamped.page.version);
+                    if stamped.page.version > self.servers.borrow().version {
+                        self.behind.notify_one();
+                    }
                 }
                 Err(fault) => {
                     failures += 1;
@@ -157,7 +170,7 @@
         loop {
             let result = match known {
                 None => self.store.read(Table::Servers).await,
-                Some(after) => self.store.watch(Table::Servers, after, SERVERS_WAIT).await,
+                Some(after) => self.watch_servers(after).await,
             };
             match result {
                 Ok(stamped) => {
@@ -166,8 +179,12 @@
                     }
                     failures = 0;
                     let whole = known.is_none();
+                    let changed = !stamped.page.rows.is_empty();
                     if self.apply_servers(&stamped.page, whole) {
                         known = Some(stamped.page.version);
+                        if changed && !whole {
+                            tokio::time::sleep(SERVERS_PAUSE).await;
+                        }
                     } else {
                         known = None;
                         tokio::time::sleep(FIRST_PAUSE).await;
@@ -183,7 +200,32 @@
         }
     }
 
+    /// Waits for changes. A watch that stays silent although the store has newer rows is replaced
+    /// by a question that is answered at once.
+    async fn watch_servers(&self, after: u64) -> Result<Stamped, StoreFault> {
+        let wait = if self.servers.borrow().lapsed.is_empty() {
+            SERVERS_WAIT
+        } else {
+            LAPSED_WAIT
+        };
+        let missed = async {
+            loop {
+                self.behind.notified().await;
+                tokio::time::sleep(CATCH_UP).await;
+                if self.servers.borrow().version == after {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            watched = self.store.watch(Table::Servers, after, wait) => watched,
+            () = missed => self.store.watch(Table::Servers, after, Duration::ZERO).await,
+        }
+    }
+
     fn note(&self, what: &str, fault: &StoreFault, failures: u32) {
+        self.lost.set(true);
         if failures == 1 {
             warn!(self.log, "store lost"; "table" => what, "fault" => fault.to_string());
         } else {
@@ -197,11 +239,9 @@
         if page.version < rows.version {
             return false;
         }
-        let away = rows.heard.is_some_and(|at| now.duration_since(at) > OUTAGE + SERVERS_WAIT);
-        if away {
+        if self.lost.replace(false) {
             rows.returned = Some(now);
         }
-        rows.heard = Some(now);
         rows.version = page.version;
         let mut changed = whole;
         for row in &page.rows {
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::cell::{Cells, StageEnd};
+use crate::cell::{Cells, Inputs, StageEnd};
 
 /// Longest time to open a link, its greeting included.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -55,14 +55,14 @@
     /// A job for the owner of a cell.
     Submit {
         /// Cell.
-        cell: u32,
+        cell: Name,
         /// Job.
         job: Job,
     },
     /// A job's results were used, or nobody waits for it.
     Release {
         /// Cell.
-        cell: u32,
+        cell: Name,
         /// Id of the request.
         request: Name,
     },
@@ -71,7 +71,7 @@
         /// Id of the request.
         request: Name,
         /// Inputs of the request.
-        inputs: Vec<Name>,
+        inputs: Inputs,
     },
     /// Can't be served.
     GivenUp {
@@ -130,7 +130,7 @@
     }
 
     /// Hands a job over; the receiver hears its end, or an error if the link is lost.
-    pub fn submit(&self, cell: u32, job: Job) -> oneshot::Receiver<StageEnd> {
+    pub fn submit(&self, cell: Name, job: Job) -> oneshot::Receiver<StageEnd> {
         let (tx, rx) = oneshot::channel();
         self.waiting.borrow_mut().insert(job.id.clone(), tx);
         let _closed = self.tx.send(Message::Submit { cell, job });
@@ -138,9 +138,9 @@
     }
 
     /// Tells the owner that a job's results were used or that nobody waits for it.
-    pub fn release(&self, cell: u32, request: &Name) {
+    pub fn release(&self, cell: &Name, request: &Name) {
         self.waiting.borrow_mut().remove(request);
-        let request = request.clone();
+        let (cell, request) = (cell.clone(), request.clone());
         let _closed = self.tx.send(Message::Release { cell, request });
     }
 }
@@ -197,6 +197,7 @@
         let known = self.known.borrow();
         let candidates = known.values().map(|info| Candidate {
             name: info.name.clone(),
+            domain: info.domain.clone(),
             weight: info.weight,
         });
         candidates.collect()
@@ -336,7 +337,7 @@
         stream.set_nodelay(true)?;
         let mut frames = frames(stream);
         let (tx, mut rx) = mpsc::unbounded_channel();
-        let mut jobs: HashMap<Name, u32> = HashMap::new();
+        let mut jobs: HashMap<Name, Name> = HashMap::new();
         let result = loop {
             tokio::select! {
                 Some(message) = rx.recv() => {
@@ -355,7 +356,7 @@
             }
         };
         for (request, cell) in jobs {
-            self.cells.release(cell as usize, &request);
+            self.cells.release(&cell, &request);
         }
         result
     }
@@ -364,7 +365,7 @@
         &self,
         message: Message,
         tx: &mpsc::UnboundedSender<Message>,
-        jobs: &mut HashMap<Name, u32>,
+        jobs: &mut HashMap<Name, Name>,
     ) {
         match message {
             Message::Hello(info) => {
@@ -373,16 +374,16 @@
             }
             Message::Submit { cell, job } => {
                 let request = job.id.clone();
-                jobs.insert(request.clone(), cell);
+                jobs.insert(request.clone(), cell.clone());
                 let tx = tx.clone();
                 let waiter = Box::new(move |end| {
                     let _closed = tx.send(end_message(request, end));
                 });
-                self.cells.submit(cell as usize, job, waiter);
+                self.cells.submit(&cell, job, waiter);
             }
             Message::Release { cell, request } => {
                 jobs.remove(&request);
-                self.cells.release(cell as usize, &request);
+                self.cells.release(&cell, &request);
             }
             Message::Ping => {
                 let _closed = tx.send(Message::Pong);
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -63,7 +63,7 @@
         let mut need = Need {
             pool,
             prompt: prompt.unwrap_or_default(),
-            tried: Vec::new(),
+            ..Need::default()
         };
         let usable = self.knowledge.fleet.borrow().usable(&need.pool, Instant::now());
         if usable == 0 {
@@ -93,7 +93,7 @@
         let most = request.route.max_attempts.max(1);
         let repeatable = request.route.kind.repeatable();
         let mut remakes = 0;
-        let (mut inputs, mut held) = match self.stages_of(request, trace).await {
+        let (mut inputs, mut held) = match self.stages_of(request, need, trace).await {
             Ok(made) => made,
             Err(end) => return end,
         };
@@ -108,7 +108,7 @@
             }
             if held.is_none() && !inputs.is_empty() {
                 // The results were given up when output began: a further run needs new ones.
-                match self.stages_of(request, trace).await {
+                match self.stages_of(request, need, trace).await {
                     Ok(made) => (inputs, held) = made,
                     Err(_) if output.head_sent => return End::Cut("stages can't end in time"),
                     Err(end) => return end,
@@ -140,7 +140,7 @@
                 Err(Broke::InputsGone) if remakes < REMAKES && trace.sends < most => {
                     remakes += 1;
                     drop(held.take());
-                    match self.stages_of(request, trace).await {
+                    match self.stages_of(request, need, trace).await {
                         Ok(made) => (inputs, held) = made,
                         Err(end) => return end,
                     }
@@ -179,22 +179,26 @@
     async fn stages_of(
         &self,
         request: &Checked<'_>,
+        need: &mut Need,
         trace: &mut Trace,
     ) -> Result<(Vec<Name>, Option<Held>), End> {
-        let Some(job) = self.job(request) else {
+        let Some(job) = self.job(request, need) else {
             return Ok((Vec::new(), None));
         };
         let start = Instant::now();
         let made = tokio::time::timeout(request.left(), self.stages.make(job)).await;
         trace.stages_ms += since_ms(start);
         match made {
-            Ok(Ok((inputs, held))) => Ok((inputs, Some(held))),
+            Ok(Ok((inputs, held))) => {
+                need.inputs = inputs.domains;
+                Ok((inputs.names, Some(held)))
+            }
             Ok(Err(retry_after)) => Err(not_run(request, retry_after, "stages can't end in time")),
             Err(_) => Err(not_run(request, Duration::ZERO, "time over in stages")),
         }
     }
 
-    fn job(&self, request: &Checked<'_>) -> Option<Job> {
+    fn job(&self, request: &Checked<'_>, need: &Need) -> Option<Job> {
         let route = request.route;
         let headers = &request.head.headers;
         let fields = self.dialect.fields();
@@ -216,6 +220,7 @@
             return None;
         }
         let waited = request.arrived.elapsed();
+        let near = self.knowledge.fleet.borrow().choose(need, Instant::now());
         Some(Job {
             id: request.id.into(),
             key: headers.get(fields.piece_key).unwrap_or_default().into(),
@@ -223,6 +228,7 @@
             aim_left: route.aim.saturating_sub(waited),
             time_left: request.left(),
             run_time: RUN_TIME,
+            near: near.map_or_else(|| Name::from(""), |place| place.domain),
             steps,
         })
     }
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -9,7 +9,7 @@
 use slog::{Logger, info};
 use tokio::sync::oneshot;
 
-use crate::cell::{Cells, StageEnd};
+use crate::cell::{Cells, Inputs, StageEnd};
 use crate::peers::{Link, Peers};
 
 /// Most owners that a job is handed to.
@@ -31,7 +31,7 @@
 /// Keeps a job's results until it is dropped.
 pub struct Held {
     owner: Owner,
-    cell: usize,
+    cell: Name,
     request: Name,
 }
 
@@ -44,14 +44,14 @@
 impl Drop for Held {
     fn drop(&mut self) {
         match &self.owner {
-            Owner::Here(cells) => cells.release(self.cell, &self.request),
-            Owner::There(link) => link.release(cell_number(self.cell), &self.request),
+            Owner::Here(cells) => cells.release(&self.cell, &self.request),
+            Owner::There(link) => link.release(&self.cell, &self.request),
         }
     }
 }
 
 /// Inputs of a request, kept until `held` is dropped; or when to come back.
-pub type Made = Result<(Vec<Name>, Held), Duration>;
+pub type Made = Result<(Inputs, Held), Duration>;
 
 impl Stages {
     /// Stages made by the owners among `peers`, this instance included.
@@ -63,14 +63,14 @@
     /// Has all stages of a job made.
     pub async fn make(&self, job: Job) -> Made {
         let start = Instant::now();
-        let cell = cell_of(&job.id, self.cells.count());
+        let cell = cell_of(&job.id, &job.near, &self.cells.names());
         let mut tries = 0;
         while tries < MAX_OWNERS {
-            for name in ranking(cell, &self.peers.candidates()) {
+            for name in ranking(&cell, &self.peers.candidates()) {
                 let Some(current) = rest_of(&job, start.elapsed()) else {
                     return Err(Duration::ZERO);
                 };
-                let Some((held, ended)) = self.hand_over(&name, cell, current).await else {
+                let Some((held, ended)) = self.hand_over(&name, &cell, current).await else {
                     continue;
                 };
                 tries += 1;
@@ -96,7 +96,7 @@
     async fn hand_over(
         &self,
         name: &Name,
-        cell: usize,
+        cell: &Name,
         job: Job,
     ) -> Option<(Held, oneshot::Receiver<StageEnd>)> {
         let request = job.id.clone();
@@ -104,7 +104,7 @@
             let (tx, rx) = oneshot::channel();
             let held = Held {
                 owner: Owner::Here(self.cells.clone()),
-                cell,
+                cell: cell.clone(),
                 request,
             };
             let waiter = Box::new(move |end| {
@@ -114,20 +114,16 @@
             return Some((held, rx));
         }
         let link = self.peers.link(name).await?;
-        let rx = link.submit(cell_number(cell), job);
+        let rx = link.submit(cell.clone(), job);
         let held = Held {
             owner: Owner::There(link),
-            cell,
+            cell: cell.clone(),
             request,
         };
         Some((held, rx))
     }
 }
 
-fn cell_number(cell: usize) -> u32 {
-    u32::try_from(cell).unwrap_or(u32::MAX)
-}
-
 /// The job with what is left of its times; `None` if its time is over.
 fn rest_of(job: &Job, elapsed: Duration) -> Option<Job> {
     let time_left = job.time_left.checked_sub(elapsed)?;
