--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -50,8 +50,8 @@
             suspect_slack: Duration::from_millis(120),
             free_delay: Duration::from_millis(250),
             rebuilds: 3,
-            domain_part: 0.25,
-            domain_wait: Duration::from_millis(220),
+            domain_part: 0.12,
+            domain_wait: Duration::from_millis(90),
             early: Duration::from_millis(250),
         }
     }
@@ -283,7 +283,7 @@
             };
         }
         self.cancel(&job.id.clone(), now);
-        let Some(forecast) = forecast(&job, &self.loads()) else {
+        let Some(forecast) = forecast(&job, &self.loads(now)) else {
             return Verdict::Refused {
                 retry_after: NO_SERVER_RETRY.min(job.time_left / 3),
             };
@@ -376,13 +376,14 @@
 
     /// Work promised to each pool.
     #[must_use]
-    pub fn loads(&self) -> HashMap<Name, PoolLoad> {
+    pub fn loads(&self, now: Instant) -> HashMap<Name, PoolLoad> {
         let mut loads: HashMap<Name, PoolLoad> = HashMap::new();
         for (pool, benches) in &self.benches {
             let mut load = PoolLoad::default();
-            let usable = benches
-                .iter()
-                .filter(|b| !b.leaving && b.failures < FAILURES_TO_DISTRUST);
+            let staying = || benches.iter().filter(|bench| !bench.leaving);
+            // A pool whose servers all rest after failures is tried again soon.
+            let resting = staying().all(|bench| !bench.is_usable(now));
+            let usable = staying().filter(|bench| resting || bench.is_usable(now));
             let mut count = 0;
             for bench in usable {
                 let full = bench.call_time(bench.spec.batch);
@@ -528,7 +529,7 @@
                     PieceFault::Late => {}
                     PieceFault::NoRoom => {
                         if let Some(b) = find(&mut self.benches, &flight.pool, &flight.server) {
-                            b.rests_until = Some(now + NO_ROOM_REST);
+                            b.found_full(now);
                         }
                     }
                     PieceFault::Failed => self.count_rebuild(index),
@@ -910,12 +911,8 @@
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 /// Pause of a server that rejected a call because it is full.
 const REJECTED_REST: Duration = Duration::from_millis(60);
-/// Pause of a server without memory for results.
-const NO_ROOM_REST: Duration = Duration::from_millis(100);
 /// Calls are given up after so many times the time at which they are repeated elsewhere.
 const PATIENCE_FACTOR: u32 = 5;
-/// Failures in a row after which a server's capacity isn't counted.
-const FAILURES_TO_DISTRUST: u32 = 2;
 /// How long a finished job is remembered beyond its deadline if nobody says it was used.
 const DELIVERED_KEPT: Duration = Duration::from_secs(1);
 
--- a/crates/sardineshore-core/src/flow/pieces/bench.rs
+++ b/crates/sardineshore-core/src/flow/pieces/bench.rs
@@ -12,6 +12,8 @@
 /// Weight of the newest call in the average slowness.
 const SLOWNESS_GAIN: f64 = 0.5;
 /// Part of a server's memory that is filled with results; sizes are approximate.
+/// How long results of another owner are assumed after a server was found full.
+const STRANGE_TIME: Duration = Duration::from_millis(500);
 /// Time for a server to learn what is given up.
 const TELLING_TIME: Duration = Duration::from_millis(40);
 /// Results given up are told at once when they fill this part of the memory.
@@ -43,6 +45,8 @@
     pub free_since: Option<Instant>,
     /// Bytes that the server was told of a moment ago; they count until that has arrived.
     told: Vec<(u64, Instant)>,
+    /// Bytes of results that another owner left there, and until when they are assumed.
+    strange: Option<(u64, Instant)>,
 }
 
 impl Bench {
@@ -63,6 +67,7 @@
             freed_bytes: 0,
             free_since: None,
             told: Vec::new(),
+            strange: None,
         }
     }
 
@@ -83,6 +88,19 @@
 
     /// Bytes that still fit.
     pub fn room(&mut self, now: Instant) -> u64 {
+        let strange = self.strange.filter(|(_, until)| *until > now);
+        let room = self.room_for_known(now);
+        room.saturating_sub(strange.map_or(0, |(bytes, _)| bytes))
+    }
+
+    /// The server had no memory for a result: what doesn't belong to known results is taken by
+    /// others for a while.
+    pub fn found_full(&mut self, now: Instant) {
+        let free = self.room_for_known(now);
+        self.strange = Some((free, now + STRANGE_TIME));
+    }
+
+    fn room_for_known(&mut self, now: Instant) -> u64 {
         self.kept.retain(|_, (_, until)| *until > now);
         let held: u64 = self.kept.values().map(|(bytes, _)| *bytes).sum();
         let room = self.spec.room / 100 * PERCENT_OF_ROOM;
--- a/crates/sardineshore-core/tests/pieces.rs
+++ b/crates/sardineshore-core/tests/pieces.rs
@@ -157,3 +157,35 @@
     let again = calls(&board.poll(now + ms(220)));
     assert_eq!(again[0].2[0].step, 0);
 }
+
+#[test]
+fn pool_whose_servers_all_failed_takes_jobs_again() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p")], now);
+    board.submit(job("1", vec![step("p", &[], 1)]), now);
+    let mut at = now;
+    for _ in 0..3 {
+        for (call, _, _) in calls(&board.poll(at)) {
+            board.call_ended(call, &CallEnd::Broken, at);
+        }
+        at += Duration::from_secs(2);
+    }
+    let later = at + Duration::from_secs(10);
+    board.poll(later);
+    let verdict = board.submit(job("2", vec![step("p", &[], 1)]), later);
+    assert!(matches!(verdict, Verdict::Accepted { .. }));
+}
+
+#[test]
+fn server_found_full_is_not_sent_large_pieces_at_once() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p")], now);
+    let mut large = job("1", vec![step("p", &[], 1)]);
+    large.steps[0].bytes = ROOM / 2;
+    board.submit(large, now);
+    let first = calls(&board.poll(now));
+    let full = CallEnd::Answered(vec![Err(PieceFault::NoRoom)]);
+    board.call_ended(first[0].0, &full, now + ms(200));
+    assert!(calls(&board.poll(now + ms(250))).is_empty());
+    assert_eq!(calls(&board.poll(now + ms(900))).len(), 1);
+}
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -159,6 +159,8 @@
     cells: Rc<Cells>,
     known: RefCell<BTreeMap<Name, InstanceInfo>>,
     links: RefCell<HashMap<Name, LinkState>>,
+    /// Owners that take no jobs, and until when they are left alone.
+    avoided: RefCell<HashMap<Name, Instant>>,
     changed: Notify,
     log: Logger,
     weak: Weak<Self>,
@@ -173,6 +175,7 @@
             own,
             cells,
             links: RefCell::default(),
+            avoided: RefCell::default(),
             changed: Notify::new(),
             log,
             weak: weak.clone(),
@@ -239,6 +242,10 @@
 
     fn look(&self, name: &Name) -> Look {
         let now = Instant::now();
+        let avoided = self.avoided.borrow().get(name).copied();
+        if avoided.is_some_and(|until| now < until) {
+            return Look::Down;
+        }
         match self.links.borrow().get(name) {
             Some(LinkState::Up(link)) => return Look::Up(link.clone()),
             Some(LinkState::Opening(since)) => {
@@ -265,7 +272,8 @@
 
     /// An owner said that it takes no jobs: it is left alone for a while.
     pub fn moved(&self, name: &Name) {
-        self.set(name, LinkState::Down(Instant::now() + MOVED_PAUSE));
+        let until = Instant::now() + MOVED_PAUSE;
+        self.avoided.borrow_mut().insert(name.clone(), until);
     }
 
     async fn open(&self, info: InstanceInfo) {
@@ -286,6 +294,8 @@
         self.set(&info.name, LinkState::Up(link.clone()));
         drive(frames, &link, rx).await;
         let lost = link.waiting.borrow_mut().drain().count();
+        // A new process behind the same address may take jobs again.
+        self.avoided.borrow_mut().remove(&info.name);
         info!(self.log, "link to owner lost"; "owner" => &*info.name, "waiting" => lost);
         let is_current = matches!(
             self.links.borrow().get(&info.name),
--- a/crates/sardineshore-serve/src/program.rs
+++ b/crates/sardineshore-serve/src/program.rs
@@ -26,7 +26,7 @@
 
 /// When the list of instances is read after the start; all start at nearly the same time.
 const FIRST_READS: [Duration; 3] = [
-    Duration::from_millis(700),
+    Duration::from_millis(800),
     Duration::from_millis(1500),
     Duration::from_secs(4),
 ];
@@ -215,12 +215,14 @@
     let Ok(value) = postcard::to_stdvec(&own) else {
         return;
     };
-    while store.put(Table::Instances, &own.name, &value).await.is_err() {
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
+    let writing = store.clone();
+    tokio::task::spawn_local(async move {
+        while writing.put(Table::Instances, &own.name, &value).await.is_err() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    });
     let mut waits = FIRST_READS.into_iter();
     loop {
-        tokio::time::sleep(waits.next().unwrap_or(READ_EVERY)).await;
         if stop.begun() {
             return;
         }
@@ -235,7 +237,12 @@
                 info!(log, "instances"; "listed" => names.len());
                 peers.set_known(listed);
             }
-            Err(fault) => info!(log, "instances can't be read"; "fault" => fault.to_string()),
+            Err(fault) => {
+                info!(log, "instances can't be read"; "fault" => fault.to_string());
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
         }
+        tokio::time::sleep(waits.next().unwrap_or(READ_EVERY)).await;
     }
 }
