--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -36,6 +36,8 @@
     pub rebuilds: u32,
     /// Part of its slack for which a piece waits for a server in its own failure domain.
     pub domain_part: f64,
+    /// Slack that is kept for other waits.
+    pub domain_reserve: Duration,
     /// Longest such wait.
     pub domain_wait: Duration,
     /// A stage whose results only the request needs starts so long before it has to.
@@ -50,8 +52,9 @@
             suspect_slack: Duration::from_millis(120),
             free_delay: Duration::from_millis(250),
             rebuilds: 3,
-            domain_part: 0.12,
-            domain_wait: Duration::from_millis(90),
+            domain_part: 0.5,
+            domain_reserve: Duration::from_millis(200),
+            domain_wait: Duration::from_millis(150),
             early: Duration::from_millis(250),
         }
     }
@@ -63,7 +66,7 @@
         let Some(since) = state.steps[step].queued_at else {
             return false;
         };
-        let slack = state.urgency(step).saturating_duration_since(since);
+        let slack = state.urgency(step).saturating_duration_since(since + self.domain_reserve);
         let wait = slack.mul_f64(self.domain_part).min(self.domain_wait);
         now < since + wait
     }
@@ -835,7 +838,7 @@
                 let state = &self.jobs[*index];
                 let size = state.job.steps[place.3].bytes;
                 let domain = state.domain_of(place.3);
-                let foreign = *domain != bench.domain && served.contains(domain);
+                let foreign = domain.is_some_and(|d| *d != bench.domain && served.contains(d));
                 if size > room || (foreign && self.config.waits_for_domain(state, place.3, now)) {
                     continue;
                 }
--- a/crates/sardineshore-core/src/flow/pieces/job.rs
+++ b/crates/sardineshore-core/src/flow/pieces/job.rs
@@ -34,7 +34,7 @@
     pub time_left: Duration,
     /// Time that the request itself needs after its stages.
     pub run_time: Duration,
-    /// Failure domain of the server that will run the request.
+    /// Failure domain of the server that will run the request; empty if any will do.
     pub near: Name,
     /// Stages.
     pub steps: Vec<JobStep>,
@@ -59,6 +59,8 @@
 
 /// How much later than its aim a job of the next rank counts.
 const RANK_STEP: Duration = Duration::from_millis(150);
+/// Bytes that are worth keeping within a failure domain.
+const HEAVY_BYTES: u64 = 400_000;
 /// Ranks beyond this one count the same.
 const MOST_RANKS: u32 = 8;
 
@@ -150,16 +152,29 @@
         Some(handles)
     }
 
-    /// Failure domain in which a stage's pieces cost least to make.
-    pub fn domain_of(&self, step: usize) -> &Name {
-        let first_input = self.job.steps[step].after.first();
-        let made = first_input.and_then(|before| {
-            self.steps[*before].pieces.iter().find_map(|p| match p {
-                Progress::Made(made) => Some(&made.domain),
-                _ => None,
-            })
-        });
-        made.unwrap_or(&self.job.near)
+    /// Failure domain in which a stage's pieces cost least to make, if it matters: near heavy
+    /// inputs, or near the request's server for heavy results.
+    pub fn domain_of(&self, step: usize) -> Option<&Name> {
+        let spec = &self.job.steps[step];
+        let pieces = u64::from(spec.pieces);
+        let inputs: u64 = spec
+            .after
+            .iter()
+            .map(|before| &self.job.steps[*before])
+            .map(|before| before.bytes * u64::from(before.pieces))
+            .sum();
+        if inputs * pieces >= HEAVY_BYTES {
+            return spec.after.iter().find_map(|before| self.maker_domain(*before));
+        }
+        let heavy = spec.bytes * pieces >= HEAVY_BYTES && !self.feeds_another(step);
+        (heavy && !self.job.near.is_empty()).then_some(&self.job.near)
+    }
+
+    fn maker_domain(&self, step: usize) -> Option<&Name> {
+        self.steps[step].pieces.iter().find_map(|p| match p {
+            Progress::Made(made) => Some(&made.domain),
+            _ => None,
+        })
     }
 
     /// Bytes of the request's inputs by the failure domain that they lie in.
--- a/crates/sardineshore-core/src/flow/placement.rs
+++ b/crates/sardineshore-core/src/flow/placement.rs
@@ -60,6 +60,12 @@
         &self.prompt[..self.prompt.len().saturating_sub(1)]
     }
 
+    /// Tokens of the parts that other requests share.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared().iter().map(|part| part.tokens).sum()
+    }
+
     fn own_tokens(&self) -> u32 {
         self.prompt.last().map_or(0, |part| part.tokens)
     }
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -21,6 +21,9 @@
 const STALL: Duration = Duration::from_millis(900);
 /// Shortest time that a server has for its first output if another one can be tried.
 const FIRST_OUTPUT: Duration = Duration::from_millis(1500);
+/// Shared tokens of a prompt from which on it is sent where they are cached; shorter prompts go
+/// where their inputs lie.
+const PREFIX_MATTERS: u32 = 1500;
 /// Most times that lost results of stages are made again.
 const REMAKES: u32 = 1;
 
@@ -220,7 +223,11 @@
             return None;
         }
         let waited = request.arrived.elapsed();
-        let near = self.knowledge.fleet.borrow().choose(need, Instant::now());
+        let near = if need.shared_tokens() >= PREFIX_MATTERS {
+            self.knowledge.fleet.borrow().choose(need, Instant::now())
+        } else {
+            None
+        };
         Some(Job {
             id: request.id.into(),
             key: headers.get(fields.piece_key).unwrap_or_default().into(),
