--- a/crates/sardineshore-core/src/flow/allowance.rs
+++ b/crates/sardineshore-core/src/flow/allowance.rs
@@ -80,7 +80,10 @@
 }
 
 fn expire(times: &mut VecDeque<Instant>, now: Instant, window: Duration) {
-    while times.front().is_some_and(|at| now.duration_since(*at) > window) {
+    while times
+        .front()
+        .is_some_and(|at| now.duration_since(*at) > window)
+    {
         times.pop_front();
     }
 }
--- a/crates/sardineshore-core/src/flow/owners.rs
+++ b/crates/sardineshore-core/src/flow/owners.rs
@@ -71,6 +71,10 @@
     let hash = xxh3_64(format!("{cell}/{}", candidate.name).as_bytes());
     let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
     // Squared: an instance with twice the processor share is four times as likely an owner.
-    let near = if *candidate.domain == *cell { OWN_DOMAIN } else { 1.0 };
+    let near = if *candidate.domain == *cell {
+        OWN_DOMAIN
+    } else {
+        1.0
+    };
     near * candidate.weight * candidate.weight / -unit.ln()
 }
--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -66,7 +66,9 @@
         let Some(since) = state.steps[step].queued_at else {
             return false;
         };
-        let slack = state.urgency(step).saturating_duration_since(since + self.domain_reserve);
+        let slack = state
+            .urgency(step)
+            .saturating_duration_since(since + self.domain_reserve);
         let wait = slack.mul_f64(self.domain_part).min(self.domain_wait);
         now < since + wait
     }
@@ -715,8 +717,11 @@
             let Some(state) = self.jobs.get_mut(index) else {
                 continue;
             };
+            if state.sequence != flown.sequence {
+                continue;
+            }
             let progress = &mut state.steps[step].pieces[piece];
-            if state.sequence == flown.sequence && matches!(progress, Progress::Called(_)) {
+            if matches!(progress, Progress::Called(_)) {
                 // Its inputs may have to be made again first.
                 *progress = Progress::Blocked;
                 self.advance(index, now);
@@ -920,13 +925,7 @@
 const DELIVERED_KEPT: Duration = Duration::from_secs(1);
 
 fn place(state: &JobState, step: usize, piece: usize) -> Place {
-    (
-        state.late,
-        state.urgency(step),
-        state.sequence,
-        step,
-        piece,
-    )
+    (state.late, state.urgency(step), state.sequence, step, piece)
 }
 
 fn ask(state: &JobState, step: usize, piece: usize, now: Instant) -> PieceAsk {
@@ -968,8 +967,14 @@
         let own = benches
             .get(&step.pool)
             .and_then(|benches| benches.first())
-            .map_or(Duration::ZERO, |b| b.call_time(step.pieces.min(b.spec.batch)));
-        let own = if step.pieces == 0 { Duration::ZERO } else { own };
+            .map_or(Duration::ZERO, |b| {
+                b.call_time(step.pieces.min(b.spec.batch))
+            });
+        let own = if step.pieces == 0 {
+            Duration::ZERO
+        } else {
+            own
+        };
         let next = job.steps[number + 1..]
             .iter()
             .zip(&tails[number + 1..])
--- a/crates/sardineshore-core/src/flow/pieces/bench.rs
+++ b/crates/sardineshore-core/src/flow/pieces/bench.rs
@@ -124,7 +124,9 @@
     /// Whether the server has to be told which results are given up.
     pub fn frees_are_due(&self, now: Instant, delay: Duration) -> bool {
         let crowded = self.freed_bytes * CROWDED_PARTS > self.spec.room;
-        let waited = self.free_since.is_some_and(|since| now.duration_since(since) >= delay);
+        let waited = self
+            .free_since
+            .is_some_and(|since| now.duration_since(since) >= delay);
         !self.freed.is_empty() && (crowded || waited)
     }
 
--- a/crates/sardineshore-core/src/flow/pieces/job.rs
+++ b/crates/sardineshore-core/src/flow/pieces/job.rs
@@ -164,7 +164,10 @@
             .map(|before| before.bytes * u64::from(before.pieces))
             .sum();
         if inputs * pieces >= HEAVY_BYTES {
-            return spec.after.iter().find_map(|before| self.maker_domain(*before));
+            return spec
+                .after
+                .iter()
+                .find_map(|before| self.maker_domain(*before));
         }
         let heavy = spec.bytes * pieces >= HEAVY_BYTES && !self.feeds_another(step);
         (heavy && !self.job.near.is_empty()).then_some(&self.job.near)
--- a/crates/sardineshore-core/src/flow/placement.rs
+++ b/crates/sardineshore-core/src/flow/placement.rs
@@ -203,7 +203,10 @@
                     + FOREIGN_MB_COST.as_secs_f64() * moved as f64 / 1e6;
                 (self.cost(member, unread, now) + price, unread, member)
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.2.server.id.cmp(&b.2.server.id)))
+            .min_by(|a, b| {
+                a.0.total_cmp(&b.0)
+                    .then_with(|| a.2.server.id.cmp(&b.2.server.id))
+            })
             .map(|(_, unread, member)| Place {
                 id: member.server.id.clone(),
                 address: member.server.address,
--- a/crates/sardineshore-core/tests/pieces.rs
+++ b/crates/sardineshore-core/tests/pieces.rs
@@ -78,7 +78,11 @@
 }
 
 fn made(prefix: &str, count: usize) -> CallEnd {
-    CallEnd::Answered((0..count).map(|n| Ok(format!("{prefix}{n}").into())).collect())
+    CallEnd::Answered(
+        (0..count)
+            .map(|n| Ok(format!("{prefix}{n}").into()))
+            .collect(),
+    )
 }
 
 #[test]
@@ -105,7 +109,10 @@
     assert_eq!(second.len(), 1);
     // The maker of the input is lost while the second stage's call takes too long.
     let later = now + ms(400);
-    board.set_servers(vec![server("b", "q"), server("c", "q"), server("d", "p")], later);
+    board.set_servers(
+        vec![server("b", "q"), server("c", "q"), server("d", "p")],
+        later,
+    );
     for wait in 0..40 {
         for (_, _, pieces) in calls(&board.poll(later + ms(wait * 50))) {
             for piece in pieces.iter().filter(|piece| piece.step == 1) {
@@ -189,3 +196,16 @@
     assert!(calls(&board.poll(now + ms(250))).is_empty());
     assert_eq!(calls(&board.poll(now + ms(900))).len(), 1);
 }
+
+#[test]
+fn slow_call_of_a_job_that_left_does_not_touch_its_successor() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p"), ("b", "q")], now);
+    board.submit(job("1", vec![step("p", &[], 3)]), now);
+    assert_eq!(calls(&board.poll(now)).len(), 1);
+    board.cancel("1", now + ms(50));
+    // The new job takes the place of the old one and has fewer pieces.
+    board.submit(job("2", vec![step("q", &[], 1)]), now + ms(60));
+    board.poll(now + ms(2000));
+    assert_eq!(board.job_count(), 1);
+}
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -212,10 +212,7 @@
 
     fn attempt(&self, place: &Place, need: &Need) -> Attempt {
         let now = Instant::now();
-        self.knowledge
-            .fleet
-            .borrow_mut()
-            .started(place, need, now);
+        self.knowledge.fleet.borrow_mut().started(place, need, now);
         Attempt {
             place: place.clone(),
             pool: need.pool.clone(),
@@ -317,7 +314,11 @@
         let had_length = received.headers.get("content-length").is_some()
             || received.headers.get("transfer-encoding").is_some();
         if had_length || !request.body.is_empty() {
-            put_header(&mut out, "Content-Length", request.body.len().to_string().as_bytes());
+            put_header(
+                &mut out,
+                "Content-Length",
+                request.body.len().to_string().as_bytes(),
+            );
         }
         out.extend_from_slice(b"\r\n");
         out
--- a/crates/sardineshore-serve/src/caller.rs
+++ b/crates/sardineshore-serve/src/caller.rs
@@ -20,14 +20,11 @@
 /// Longest pause within a body.
 const BODY_PAUSE: Duration = Duration::from_secs(5);
 
-/// Accepts connections for ever; after the stop has lingered, none.
+/// Accepts connections for ever: while the instance stops, the balancer may have nowhere else to
+/// send callers.
 pub async fn accept(listener: TcpListener, serving: Rc<Serving>) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = serving.stop().wait_lingered() => return,
-        };
-        match accepted {
+        match listener.accept().await {
             Ok((stream, _)) => {
                 let serving = serving.clone();
                 tokio::task::spawn_local(async move { serve(stream, &serving).await });
@@ -51,12 +48,14 @@
     }
     let (mut rd, mut wr) = stream.split();
     let mut buf = BytesMut::new();
+    let mut served = false;
     loop {
         let limits = serving
             .knowledge()
             .site()
             .map_or_else(CallerLimits::default, |site| site.limits());
-        let read = read_request(&mut rd, &mut wr, &mut buf, limits, serving).await;
+        let read = read_request(&mut rd, &mut wr, &mut buf, limits, serving, served).await;
+        served = true;
         let incoming = match read {
             Ok(incoming) => incoming,
             Err(Ended::Closed) => return,
@@ -120,8 +119,9 @@
     buf: &mut BytesMut,
     limits: CallerLimits,
     serving: &Serving,
+    served: bool,
 ) -> Result<Incoming, Ended> {
-    let (head, arrived) = read_head(rd, buf, limits, serving).await?;
+    let (head, arrived) = read_head(rd, buf, limits, serving, served).await?;
     let framing = head
         .framing()
         .map_err(|_| Ended::Refused(Refusal::Malformed))?;
@@ -142,6 +142,7 @@
     buf: &mut BytesMut,
     limits: CallerLimits,
     serving: &Serving,
+    served: bool,
 ) -> Result<(RequestHead, Instant), Ended> {
     let mut first: Option<Instant> = (!buf.is_empty()).then(Instant::now);
     loop {
@@ -167,7 +168,7 @@
         let read = tokio::select! {
             biased;
             read = tokio::time::timeout(wait, rd.read_buf(buf)) => read,
-            () = serving.stop().wait_lingered(), if idle => return Err(Ended::Closed),
+            () = serving.stop().wait_lingered(), if idle && served => return Err(Ended::Closed),
         };
         match read {
             Ok(Ok(0) | Err(_)) => return Err(Ended::Closed),
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 
 use crate::dialect::{Call, Dialect};
+use crate::knowledge::since_ms;
 use crate::metrics::Metrics;
 use crate::store::call_head;
 use crate::upstream::{Answer, Conn, ExchangeFault, Sending, Upstreams};
@@ -27,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time to tell a server that results are not needed.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often a cell's load is logged.
+const TELL_EVERY: Duration = Duration::from_secs(1);
 /// Idle time up to which a connection for that is reused.
 const FREE_IDLE: Duration = Duration::from_secs(2);
 
@@ -209,12 +212,20 @@
 }
 
 async fn run(runner: Rc<Runner>) {
+    let mut told = Instant::now();
     loop {
         let actions = runner.board.borrow_mut().poll(Instant::now());
         for action in actions {
             perform(&runner, action);
         }
         let busy = runner.board.borrow().job_count() > 0;
+        if busy && told.elapsed() > TELL_EVERY {
+            told = Instant::now();
+            let loads = runner.board.borrow().loads(told);
+            let jobs = runner.board.borrow().job_count();
+            let text = format!("{loads:?}");
+            debug!(runner.tools.log, "cell"; "cell" => &*runner.cell, "jobs" => jobs, "loads" => text);
+        }
         if busy {
             let _ticked = tokio::time::timeout(TICK, runner.wake.notified()).await;
         } else {
@@ -237,6 +248,7 @@
         } => {
             let runner = runner.clone();
             tokio::task::spawn_local(async move {
+                let started = Instant::now();
                 let making = make(&runner.tools, &server, address, &pieces);
                 let end = match tokio::time::timeout(patience, making).await {
                     Ok(end) => end,
@@ -254,8 +266,15 @@
                     .pieces
                     .with_label_values(&[&*runner.cell])
                     .inc_by(pieces.len() as u64);
-                if label != "answered" {
-                    info!(tools.log, "call for pieces"; "server" => &*server, "end" => label, "pieces" => pieces.len());
+                let failed = match &end {
+                    CallEnd::Answered(ends) => ends.iter().filter(|end| end.is_err()).count(),
+                    CallEnd::Rejected | CallEnd::Broken => pieces.len(),
+                };
+                let ms = since_ms(started);
+                if failed > 0 {
+                    info!(tools.log, "call for pieces"; "server" => &*server, "end" => label, "pieces" => pieces.len(), "failed" => failed, "ms" => ms);
+                } else {
+                    debug!(tools.log, "call for pieces"; "server" => &*server, "end" => label, "pieces" => pieces.len(), "ms" => ms);
                 }
                 runner
                     .board
@@ -292,7 +311,10 @@
                 let call = runner.tools.dialect.free_results(&handles);
                 let freeing = free(&runner.tools, address, &call);
                 // Results that can't be given up end by themselves.
-                if !matches!(tokio::time::timeout(FREE_TIMEOUT, freeing).await, Ok(Ok(()))) {
+                if !matches!(
+                    tokio::time::timeout(FREE_TIMEOUT, freeing).await,
+                    Ok(Ok(()))
+                ) {
                     debug!(runner.tools.log, "results not given up"; "server" => &*server, "results" => handles.len());
                 }
             });
--- a/crates/sardineshore-serve/src/follow.rs
+++ b/crates/sardineshore-serve/src/follow.rs
@@ -283,7 +283,10 @@
     fn apply_row(&self, rows: &mut ServerRows, row: &StoreRow, now: Instant) -> bool {
         let known = rows.entries.get(&row.key).map(|(_, version)| *version);
         let removed = rows.removed.get(&row.key).copied();
-        if known.max(removed).is_some_and(|version| version >= row.version) {
+        if known
+            .max(removed)
+            .is_some_and(|version| version >= row.version)
+        {
             rows.lapsed.remove(&row.key);
             return false;
         }
--- a/crates/sardineshore-serve/src/program.rs
+++ b/crates/sardineshore-serve/src/program.rs
@@ -217,7 +217,11 @@
     };
     let writing = store.clone();
     tokio::task::spawn_local(async move {
-        while writing.put(Table::Instances, &own.name, &value).await.is_err() {
+        while writing
+            .put(Table::Instances, &own.name, &value)
+            .await
+            .is_err()
+        {
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     });
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -175,7 +175,10 @@
         self.metrics.answers.with_label_values(&labels).inc();
         if let Some(first) = trace.first_ms {
             let seconds = Duration::from_millis(first).as_secs_f64();
-            self.metrics.first_byte.with_label_values(&[route]).observe(seconds);
+            self.metrics
+                .first_byte
+                .with_label_values(&[route])
+                .observe(seconds);
         }
         info!(self.log, "request";
             "request" => id.unwrap_or("-"), "route" => route, "status" => status,
@@ -247,7 +250,11 @@
 
 /// Pool of a request by the route's weights; the same id always goes to the same pool.
 fn pool_of(route: &Route, id: &str) -> Option<Name> {
-    let total: u64 = route.pools.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    let total: u64 = route
+        .pools
+        .iter()
+        .map(|(_, weight)| u64::from(*weight))
+        .sum();
     let mut point = xxh3_64(id.as_bytes()) % total.max(1);
     for (pool, weight) in &route.pools {
         let weight = u64::from(*weight);
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -67,7 +67,8 @@
                         continue;
                     }
                     trace.first_ms = Some(since_ms(request.arrived));
-                    let mut out = answer_head(status, &answer.head.headers, Some(body.len()), !keep);
+                    let mut out =
+                        answer_head(status, &answer.head.headers, Some(body.len()), !keep);
                     out.extend_from_slice(&body);
                     return match wr.write_all(&out).await {
                         Ok(()) => End::Answered(status),
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -62,13 +62,22 @@
         };
         let headers = &request.head.headers;
         let fields = self.dialect.fields();
-        let prompt = headers.get(fields.prompt).map(|text| self.dialect.prompt(text));
+        let prompt = headers
+            .get(fields.prompt)
+            .map(|text| self.dialect.prompt(text));
         let mut need = Need {
             pool,
             prompt: prompt.unwrap_or_default(),
             ..Need::default()
         };
-        let usable = self.knowledge.fleet.borrow().usable(&need.pool, Instant::now());
+        if self.stop.lingered() {
+            return not_run(request, FULL_RETRY, "instance stops");
+        }
+        let usable = self
+            .knowledge
+            .fleet
+            .borrow()
+            .usable(&need.pool, Instant::now());
         if usable == 0 {
             return not_run(request, NO_SERVER_RETRY, "no server");
         }
@@ -81,7 +90,9 @@
             filter: EventFilter::after(resumed_from),
             head_sent: false,
         };
-        let end = self.run_stream(request, &mut need, &mut output, trace).await;
+        let end = self
+            .run_stream(request, &mut need, &mut output, trace)
+            .await;
         trace.last_event = output.filter.last_event();
         end
     }
@@ -103,11 +114,23 @@
         let mut lost: Option<&'static str> = None;
         loop {
             let Some(mut chosen) = self.sender.choose(need, request).await else {
-                return give_up(request, output.head_sent, lost, NO_SERVER_RETRY, "no server");
+                return give_up(
+                    request,
+                    output.head_sent,
+                    lost,
+                    NO_SERVER_RETRY,
+                    "no server",
+                );
             };
             let again = trace.sends > 0;
             if !self.sender.may_send(&need.pool, again) {
-                return give_up(request, output.head_sent, lost, FULL_RETRY, "no repeats left");
+                return give_up(
+                    request,
+                    output.head_sent,
+                    lost,
+                    FULL_RETRY,
+                    "no repeats left",
+                );
             }
             if held.is_none() && !inputs.is_empty() {
                 // The results were given up when output began: a further run needs new ones.
@@ -131,7 +154,15 @@
                     .flatten(),
             };
             let forwarded = self
-                .forward(&mut chosen, request, additions, output, more, &mut held, trace)
+                .forward(
+                    &mut chosen,
+                    request,
+                    additions,
+                    output,
+                    more,
+                    &mut held,
+                    trace,
+                )
                 .await;
             output.filter.restart();
             match forwarded {
@@ -150,7 +181,13 @@
                 }
                 Err(Broke::Rejected) if trace.sends < most => {}
                 Err(Broke::Rejected | Broke::InputsGone) => {
-                    return give_up(request, output.head_sent, lost, FULL_RETRY, "rejected by the server");
+                    return give_up(
+                        request,
+                        output.head_sent,
+                        lost,
+                        FULL_RETRY,
+                        "rejected by the server",
+                    );
                 }
                 Err(Broke::Failed(..) | Broke::Lost(_)) if more => lost = Some("server failed"),
                 Err(Broke::Failed(answer, body)) if !output.head_sent => {
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -37,7 +37,9 @@
 
 impl std::fmt::Debug for Held {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Held").field("request", &self.request).finish_non_exhaustive()
+        f.debug_struct("Held")
+            .field("request", &self.request)
+            .finish_non_exhaustive()
     }
 }
 
--- a/crates/sardineshore-serve/src/stop.rs
+++ b/crates/sardineshore-serve/src/stop.rs
@@ -6,7 +6,7 @@
 use tokio::sync::Notify;
 
 /// Time for the balancer to notice that the instance isn't ready.
-const LINGER: Duration = Duration::from_millis(2600);
+const LINGER: Duration = Duration::from_millis(2200);
 /// Part of the grace after which even requests that run are left.
 const GRACE_PART: f64 = 0.92;
 
@@ -46,7 +46,7 @@
         self.since.get().is_some()
     }
 
-    /// Whether idle connections are closed and nothing new is taken.
+    /// Whether idle connections are closed and nothing long is taken.
     #[must_use]
     pub fn lingered(&self) -> bool {
         self.since.get().is_some_and(|at| at.elapsed() >= LINGER)
