--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -16,7 +16,7 @@
 
 use bench::Bench;
 use forecast::{Forecast, PoolLoad, forecast};
-pub use job::{Job, JobStep};
+pub use job::{Job, JobStep, KeptResult, StepResults};
 use job::{JobState, Made, Progress, StepState};
 
 use super::site::{BatchSpec, Name};
@@ -164,6 +164,18 @@
         /// Their bytes by the failure domain that they lie in.
         domains: Vec<(Name, u64)>,
     },
+    /// A stage of a job ended; a later owner can go on from there.
+    StageEnded {
+        /// Id of the request.
+        request: Name,
+        /// Its results.
+        made: StepResults,
+    },
+    /// A job goes on at another owner.
+    HandedOver {
+        /// Id of the request.
+        request: Name,
+    },
     /// A job can't end in time.
     GivenUp {
         /// Id of the request.
@@ -233,6 +245,8 @@
     next_sequence: u64,
     /// Jobs with a stage that starts later, and when.
     deferred: Vec<(Instant, usize)>,
+    /// Starts no calls: another owner takes over.
+    closing: bool,
     out: Vec<Action>,
 }
 
@@ -308,19 +322,12 @@
             return;
         };
         let state = self.jobs.remove(index);
+        self.unqueue(&state);
         for (number, step) in state.steps.iter().enumerate() {
-            let place = |piece| place(&state, number, piece);
-            for (piece, progress) in step.pieces.iter().enumerate() {
-                match progress {
-                    Progress::Queued => {
-                        if let Some(queue) = self.queues.get_mut(&state.job.steps[number].pool) {
-                            queue.remove(&place(piece));
-                        }
-                    }
-                    Progress::Made(made) => {
-                        release(&mut self.benches, &state.job.steps[number].pool, made, now);
-                    }
-                    Progress::Blocked | Progress::Called(_) => {}
+            let pool = &state.job.steps[number].pool;
+            for progress in &step.pieces {
+                if let Progress::Made(made) = progress {
+                    release(&mut self.benches, pool, made, now);
                 }
             }
         }
@@ -365,14 +372,53 @@
         self.suspect_slow_calls(now);
         self.give_up_hopeless(now);
         self.start_deferred(now);
-        let pools: Vec<Name> = self.queues.keys().cloned().collect();
-        for pool in pools {
-            while self.start_call(&pool, now) {}
+        if self.closing {
+            self.hand_over();
+        } else {
+            let pools: Vec<Name> = self.queues.keys().cloned().collect();
+            for pool in pools {
+                while self.start_call(&pool, now) {}
+            }
         }
         self.flush_freed(now);
         std::mem::take(&mut self.out)
     }
 
+    /// Starts or ends the hand-over to another owner: no call is started, and jobs leave when
+    /// their running calls have ended. Their results stay with their makers.
+    pub fn set_closing(&mut self, closing: bool) {
+        self.closing = closing;
+    }
+
+    fn hand_over(&mut self) {
+        let idle: Vec<usize> = self
+            .jobs
+            .iter()
+            .filter(|(_, state)| !state.delivered && !state.in_call())
+            .map(|(index, _)| index)
+            .collect();
+        for index in idle {
+            let state = self.jobs.remove(index);
+            self.by_id.remove(&state.job.id);
+            self.unqueue(&state);
+            let request = state.job.id;
+            self.out.push(Action::HandedOver { request });
+        }
+    }
+
+    fn unqueue(&mut self, state: &JobState) {
+        for (number, step) in state.steps.iter().enumerate() {
+            let Some(queue) = self.queues.get_mut(&state.job.steps[number].pool) else {
+                continue;
+            };
+            for (piece, progress) in step.pieces.iter().enumerate() {
+                if *progress == Progress::Queued {
+                    queue.remove(&place(state, number, piece));
+                }
+            }
+        }
+    }
+
     /// Jobs that are not finished.
     #[must_use]
     pub fn job_count(&self) -> usize {
@@ -381,8 +427,8 @@
 
     /// Work promised to each pool.
     #[must_use]
-    pub fn loads(&self, now: Instant) -> HashMap<Name, PoolLoad> {
-        let mut loads: HashMap<Name, PoolLoad> = HashMap::new();
+    pub fn loads(&self, now: Instant) -> BTreeMap<Name, PoolLoad> {
+        let mut loads: BTreeMap<Name, PoolLoad> = BTreeMap::new();
         for (pool, benches) in &self.benches {
             let mut load = PoolLoad::default();
             let staying = || benches.iter().filter(|bench| !bench.leaving);
@@ -463,9 +509,43 @@
         };
         let index = self.jobs.insert(state);
         self.by_id.insert(id, index);
+        self.take_results(index, now);
         self.advance(index, now);
     }
 
+    /// Takes over results that an earlier owner had made, as far as their makers are known.
+    fn take_results(&mut self, index: usize, now: Instant) {
+        let state = &mut self.jobs[index];
+        for made in std::mem::take(&mut state.job.made) {
+            let Some(spec) = state.job.steps.get(made.step) else {
+                continue;
+            };
+            let Some(benches) = self.benches.get_mut(&spec.pool) else {
+                continue;
+            };
+            let known = |result: &KeptResult| benches.iter().any(|b| b.id == result.maker);
+            let whole = made.results.len() == state.steps[made.step].pieces.len();
+            if !whole || !made.results.iter().all(known) {
+                continue;
+            }
+            for (piece, result) in made.results.into_iter().enumerate() {
+                let Some(bench) = benches.iter_mut().find(|b| b.id == result.maker) else {
+                    continue;
+                };
+                let until = now + bench.spec.keep / 2;
+                bench
+                    .kept
+                    .insert(result.handle.clone(), (spec.bytes, until));
+                state.steps[made.step].pieces[piece] = Progress::Made(Made {
+                    handle: result.handle,
+                    maker: result.maker,
+                    domain: result.domain,
+                    until,
+                });
+            }
+        }
+    }
+
     /// Queues every blocked piece whose predecessors are finished; hands over a finished job.
     fn advance(&mut self, index: usize, now: Instant) {
         let state = &mut self.jobs[index];
@@ -585,6 +665,12 @@
             }
         }
         state.steps[step].pieces[piece] = Progress::Made(made);
+        if state.steps[step].finished() {
+            self.out.push(Action::StageEnded {
+                request: state.job.id.clone(),
+                made: state.results_of(step),
+            });
+        }
         self.release_used_inputs(index, step, now);
     }
 
--- a/crates/sardineshore-core/src/flow/pieces/forecast.rs
+++ b/crates/sardineshore-core/src/flow/pieces/forecast.rs
@@ -1,6 +1,6 @@
 //! When a job's stages would end, from the work that was promised already.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::job::Job;
@@ -32,7 +32,7 @@
 
 /// Forecast of a job; `None` if a pool it needs has no server.
 #[must_use]
-pub fn forecast(job: &Job, loads: &HashMap<Name, PoolLoad>) -> Option<Forecast> {
+pub fn forecast(job: &Job, loads: &BTreeMap<Name, PoolLoad>) -> Option<Forecast> {
     Some(Forecast {
         urgent: path(job, loads, |load| load.urgent)?,
         behind_all: path(job, loads, |load| load.urgent + load.late)?,
@@ -41,7 +41,7 @@
 
 fn path(
     job: &Job,
-    loads: &HashMap<Name, PoolLoad>,
+    loads: &BTreeMap<Name, PoolLoad>,
     waiting: impl Fn(&PoolLoad) -> u64,
 ) -> Option<Duration> {
     let mut ends: Vec<Duration> = Vec::with_capacity(job.steps.len());
--- a/crates/sardineshore-core/src/flow/pieces/job.rs
+++ b/crates/sardineshore-core/src/flow/pieces/job.rs
@@ -19,6 +19,26 @@
     pub bytes: u64,
 }
 
+/// A result with the server that keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptResult {
+    /// Name of the result.
+    pub handle: Name,
+    /// Id of the server.
+    pub maker: Name,
+    /// Failure domain of the server.
+    pub domain: Name,
+}
+
+/// All results of a stage, in the order of its pieces.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepResults {
+    /// Stage.
+    pub step: usize,
+    /// Results.
+    pub results: Vec<KeptResult>,
+}
+
 /// The stages of one request. Times are what is left when the job is handed over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Job {
@@ -38,6 +58,8 @@
     pub near: Name,
     /// Stages.
     pub steps: Vec<JobStep>,
+    /// Stages that an earlier owner has ended.
+    pub made: Vec<StepResults>,
 }
 
 impl Job {
@@ -152,6 +174,28 @@
         Some(handles)
     }
 
+    /// Results of a finished stage.
+    pub fn results_of(&self, step: usize) -> StepResults {
+        let results = self.steps[step].pieces.iter().filter_map(|p| match p {
+            Progress::Made(made) => Some(KeptResult {
+                handle: made.handle.clone(),
+                maker: made.maker.clone(),
+                domain: made.domain.clone(),
+            }),
+            _ => None,
+        });
+        StepResults {
+            step,
+            results: results.collect(),
+        }
+    }
+
+    /// Whether any piece is in a call.
+    pub fn in_call(&self) -> bool {
+        let mut pieces = self.steps.iter().flat_map(|step| &step.pieces);
+        pieces.any(|p| matches!(p, Progress::Called(_)))
+    }
+
     /// Failure domain in which a stage's pieces cost least to make, if it matters: near heavy
     /// inputs, or near the request's server for heavy results.
     pub fn domain_of(&self, step: usize) -> Option<&Name> {
--- a/crates/sardineshore-core/tests/pieces.rs
+++ b/crates/sardineshore-core/tests/pieces.rs
@@ -51,6 +51,7 @@
         run_time: ms(100),
         near: "d".into(),
         steps,
+        made: Vec::new(),
     }
 }
 
@@ -209,3 +210,30 @@
     board.poll(now + ms(2000));
     assert_eq!(board.job_count(), 1);
 }
+
+#[test]
+fn next_owner_goes_on_from_the_stages_that_ended() {
+    let now = Instant::now();
+    let servers = [("a", "p"), ("b", "q")];
+    let mut first = board(&servers, now);
+    let steps = vec![step("p", &[], 1), step("q", &[0], 1)];
+    first.submit(job("1", steps.clone()), now);
+    let call = calls(&first.poll(now))[0].0;
+    first.set_closing(true);
+    assert!(first.poll(now).is_empty(), "waits for the running call");
+    first.call_ended(call, &made("x", 1), now + ms(210));
+    let actions = first.poll(now + ms(210));
+    let ended = actions.iter().find_map(|action| match action {
+        Action::StageEnded { made, .. } => Some(made.clone()),
+        _ => None,
+    });
+    let request = Name::from("1");
+    assert!(actions.contains(&Action::HandedOver { request }));
+    let mut next = board(&servers, now);
+    let mut job = job("1", steps);
+    job.made = vec![ended.unwrap()];
+    next.submit(job, now + ms(215));
+    let calls = calls(&next.poll(now + ms(215)));
+    let source = PieceSource::Results(vec!["x0".into()]);
+    assert_eq!((calls[0].2[0].step, &calls[0].2[0].source), (1, &source));
+}
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -239,6 +239,7 @@
     }
 
     /// Counts a first send, or takes one of the repeated sends.
+    #[must_use]
     pub fn may_send(&self, pool: &Name, repeat: bool) -> bool {
         let now = Instant::now();
         let mut allowance = self.knowledge.allowance.borrow_mut();
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -8,7 +8,7 @@
 
 use sardineshore_core::flow::owners::{WHOLE, domain_cells};
 use sardineshore_core::flow::pieces::{
-    Action, BatchServer, BoardConfig, CallEnd, Job, PieceAsk, PieceBoard, Verdict,
+    Action, BatchServer, BoardConfig, CallEnd, Job, PieceAsk, PieceBoard, StepResults, Verdict,
 };
 use sardineshore_core::flow::placement::Fleet;
 use sardineshore_core::flow::site::{Name, SiteIndex, Work};
@@ -28,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time to tell a server that results are not needed.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a cell that was handed over takes no jobs.
+const RESIGNED_FOR: Duration = Duration::from_millis(1500);
 /// How often a cell's load is logged.
 const TELL_EVERY: Duration = Duration::from_secs(1);
 /// Idle time up to which a connection for that is reused.
@@ -53,8 +55,17 @@
     Moved,
 }
 
-/// Receives the end of a job.
-pub type Waiter = Box<dyn FnOnce(StageEnd)>;
+/// What the request that waits for a job hears.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StageEvent {
+    /// A stage ended.
+    Made(StepResults),
+    /// The job ended; nothing follows.
+    End(StageEnd),
+}
+
+/// Hears of a job.
+pub type Waiter = Box<dyn Fn(StageEvent)>;
 
 /// What the boards of all cells share.
 #[derive(Debug)]
@@ -70,6 +81,7 @@
     board: RefCell<PieceBoard>,
     waiters: RefCell<HashMap<Name, Waiter>>,
     wake: Notify,
+    resigned_at: Cell<Option<Instant>>,
     tools: Rc<Tools>,
 }
 
@@ -158,23 +170,54 @@
         *self.names.borrow_mut() = names;
     }
 
-    /// Takes no further jobs: the instance stops.
+    /// Takes no further jobs and hands over all others: the instance stops.
     pub fn close(&self) {
         self.closed.set(true);
+        for runner in self.runners.borrow().values() {
+            runner.board.borrow_mut().set_closing(true);
+            runner.wake.notify_one();
+        }
+    }
+
+    /// Cells with jobs.
+    #[must_use]
+    pub fn active(&self) -> Vec<Name> {
+        let runners = self.runners.borrow();
+        let active = runners
+            .values()
+            .filter(|runner| !runner.resigned() && runner.board.borrow().job_count() > 0);
+        active.map(|runner| runner.cell.clone()).collect()
+    }
+
+    /// Hands a cell over to its proper owner, which is back.
+    pub fn resign(&self, cell: &Name) {
+        if let Some(runner) = self.runners.borrow().get(cell) {
+            info!(self.tools.log, "cell handed over"; "cell" => &**cell);
+            runner.resigned_at.set(Some(Instant::now()));
+            runner.board.borrow_mut().set_closing(true);
+            runner.wake.notify_one();
+        }
     }
 
     /// Hands a job over; `waiter` hears its end.
     pub fn submit(&self, cell: &Name, job: Job, waiter: Waiter) {
         if self.closed.get() || !self.servers.borrow().contains_key(cell) {
-            waiter(StageEnd::Moved);
+            waiter(StageEvent::End(StageEnd::Moved));
             return;
         }
         let runner = self.runner(cell);
+        if runner.resigned() {
+            waiter(StageEvent::End(StageEnd::Moved));
+            return;
+        }
+        runner.board.borrow_mut().set_closing(false);
         let id = job.id.clone();
         let verdict = runner.board.borrow_mut().submit(job, Instant::now());
         debug!(self.tools.log, "job"; "request" => &*id, "cell" => &**cell, "verdict" => ?verdict);
         match verdict {
-            Verdict::Refused { retry_after } => waiter(StageEnd::GivenUp(retry_after)),
+            Verdict::Refused { retry_after } => {
+                waiter(StageEvent::End(StageEnd::GivenUp(retry_after)));
+            }
             Verdict::Accepted { .. } => {
                 runner.waiters.borrow_mut().insert(id, waiter);
                 runner.wake.notify_one();
@@ -202,6 +245,7 @@
                 board: RefCell::new(board),
                 waiters: RefCell::default(),
                 wake: Notify::new(),
+                resigned_at: Cell::new(None),
                 tools: self.tools.clone(),
             });
             tokio::task::spawn_local(run(runner.clone()));
@@ -211,6 +255,21 @@
     }
 }
 
+impl Runner {
+    fn end(&self, request: &Name, end: StageEnd) {
+        let waiter = self.waiters.borrow_mut().remove(request);
+        if let Some(waiter) = waiter {
+            waiter(StageEvent::End(end));
+        }
+    }
+
+    /// Whether the cell was given to another owner a moment ago.
+    fn resigned(&self) -> bool {
+        let at = self.resigned_at.get();
+        at.is_some_and(|at| at.elapsed() < RESIGNED_FOR)
+    }
+}
+
 async fn run(runner: Rc<Runner>) {
     let mut told = Instant::now();
     loop {
@@ -283,24 +342,21 @@
                 runner.wake.notify_one();
             });
         }
+        Action::StageEnded { request, made } => {
+            if let Some(waiter) = runner.waiters.borrow().get(&request) {
+                waiter(StageEvent::Made(made));
+            }
+        }
         Action::Finished {
             request,
-            inputs,
+            inputs: names,
             domains,
-        } => {
-            if let Some(waiter) = runner.waiters.borrow_mut().remove(&request) {
-                let names = inputs;
-                waiter(StageEnd::Finished(Inputs { names, domains }));
-            }
-        }
+        } => runner.end(&request, StageEnd::Finished(Inputs { names, domains })),
+        Action::HandedOver { request } => runner.end(&request, StageEnd::Moved),
         Action::GivenUp {
             request,
             retry_after,
-        } => {
-            if let Some(waiter) = runner.waiters.borrow_mut().remove(&request) {
-                waiter(StageEnd::GivenUp(retry_after));
-            }
-        }
+        } => runner.end(&request, StageEnd::GivenUp(retry_after)),
         Action::Free {
             server,
             address,
--- a/crates/sardineshore-serve/src/follow.rs
+++ b/crates/sardineshore-serve/src/follow.rs
@@ -15,7 +15,7 @@
 
 /// Longest wait for a change of the site; each answer proves the site's freshness and shows
 /// whether anything in the store is newer than the servers that are known.
-const SITE_WAIT: Duration = Duration::from_millis(2000);
+const SITE_WAIT: Duration = Duration::from_secs(2);
 /// Longest wait for a change of the servers.
 const SERVERS_WAIT: Duration = Duration::from_secs(15);
 /// Pause after a change of the servers: changes of many servers come in one answer.
--- a/crates/sardineshore-serve/src/knowledge.rs
+++ b/crates/sardineshore-serve/src/knowledge.rs
@@ -82,7 +82,7 @@
 /// Time since the machine started, suspended time included.
 #[must_use]
 pub fn boot_time() -> Duration {
-    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or_else(|_| Duration::ZERO, |at| Duration::from(at))
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or_else(|_| Duration::ZERO, Duration::from)
 }
 
 /// Time since `start` on the monotonic clock, for log lines in milliseconds.
--- a/crates/sardineshore-serve/src/logging.rs
+++ b/crates/sardineshore-serve/src/logging.rs
@@ -7,7 +7,6 @@
 const PENDING_LINES: usize = 2048;
 
 /// Root logger of an instance.
-#[must_use]
 pub fn root(instance: &str, level: Level) -> Logger {
     let json = slog_json::Json::new(std::io::stdout())
         .add_default_keys()
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -8,16 +8,16 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use sardineshore_core::flow::owners::Candidate;
-use sardineshore_core::flow::pieces::Job;
+use sardineshore_core::flow::owners::{Candidate, ranking};
+use sardineshore_core::flow::pieces::{Job, StepResults};
 use sardineshore_core::flow::site::Name;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::cell::{Cells, Inputs, StageEnd};
+use crate::cell::{Cells, Inputs, StageEnd, StageEvent, Waiter};
 
 /// Longest time to open a link, its greeting included.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -31,6 +31,8 @@
 const QUIET: Duration = Duration::from_millis(250);
 /// A link with waiting jobs that was silent for so long is given up.
 const SILENT: Duration = Duration::from_millis(800);
+/// How often an owner looks for one that goes before it.
+const RESIGN_CHECK: Duration = Duration::from_millis(300);
 /// Longest message, in bytes.
 const MAX_MESSAGE: usize = 1 << 20;
 
@@ -66,6 +68,13 @@
         /// Id of the request.
         request: Name,
     },
+    /// A stage ended; another owner can go on from there.
+    Made {
+        /// Id of the request.
+        request: Name,
+        /// Results of the stage.
+        made: StepResults,
+    },
     /// All stages ended.
     Finished {
         /// Id of the request.
@@ -114,27 +123,30 @@
 }
 
 /// An open link to an owner.
-#[derive(Debug)]
 pub struct Link {
     tx: mpsc::UnboundedSender<Message>,
     heard: Cell<Instant>,
-    waiting: RefCell<HashMap<Name, oneshot::Sender<StageEnd>>>,
+    waiting: RefCell<HashMap<Name, Waiter>>,
+}
+
+impl std::fmt::Debug for Link {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Link").finish_non_exhaustive()
+    }
 }
 
 impl Link {
     fn end(&self, request: &str, end: StageEnd) {
-        if let Some(waiter) = self.waiting.borrow_mut().remove(request) {
-            // The request may have ended meanwhile.
-            let _gone = waiter.send(end);
+        let waiter = self.waiting.borrow_mut().remove(request);
+        if let Some(waiter) = waiter {
+            waiter(StageEvent::End(end));
         }
     }
 
-    /// Hands a job over; the receiver hears its end, or an error if the link is lost.
-    pub fn submit(&self, cell: Name, job: Job) -> oneshot::Receiver<StageEnd> {
-        let (tx, rx) = oneshot::channel();
-        self.waiting.borrow_mut().insert(job.id.clone(), tx);
+    /// Hands a job over; the waiter hears of it and is dropped if the link is lost.
+    pub fn submit(&self, cell: Name, job: Job, waiter: Waiter) {
+        self.waiting.borrow_mut().insert(job.id.clone(), waiter);
         let _closed = self.tx.send(Message::Submit { cell, job });
-        rx
     }
 
     /// Tells the owner that a job's results were used or that nobody waits for it.
@@ -278,12 +290,9 @@
 
     async fn open(&self, info: InstanceInfo) {
         let opening = self.greet(info.address);
-        let frames = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
-            Ok(Ok(frames)) => frames,
-            Ok(Err(_)) | Err(_) => {
-                self.set(&info.name, LinkState::Down(Instant::now() + REOPEN_PAUSE));
-                return;
-            }
+        let Ok(Ok(frames)) = tokio::time::timeout(CONNECT_TIMEOUT, opening).await else {
+            self.set(&info.name, LinkState::Down(Instant::now() + REOPEN_PAUSE));
+            return;
         };
         let (tx, rx) = mpsc::unbounded_channel();
         let link = Rc::new(Link {
@@ -326,6 +335,25 @@
         }
     }
 
+    /// Gives cells up whose proper owner can be reached again, for ever.
+    pub async fn resign_cells(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(RESIGN_CHECK).await;
+            for cell in self.cells.active() {
+                let better = ranking(&cell, &self.candidates())
+                    .into_iter()
+                    .take_while(|name| *name != self.own.name);
+                let mut reached = false;
+                for name in better {
+                    reached |= matches!(self.look(&name), Look::Up(_));
+                }
+                if reached {
+                    self.cells.resign(&cell);
+                }
+            }
+        }
+    }
+
     /// Accepts links of other instances for ever.
     pub async fn accept(self: Rc<Self>) -> anyhow::Result<()> {
         let listener = TcpListener::bind(self.own.address).await?;
@@ -386,8 +414,8 @@
                 let request = job.id.clone();
                 jobs.insert(request.clone(), cell.clone());
                 let tx = tx.clone();
-                let waiter = Box::new(move |end| {
-                    let _closed = tx.send(end_message(request, end));
+                let waiter = Box::new(move |event| {
+                    let _closed = tx.send(event_message(request.clone(), event));
                 });
                 self.cells.submit(&cell, job, waiter);
             }
@@ -398,7 +426,8 @@
             Message::Ping => {
                 let _closed = tx.send(Message::Pong);
             }
-            Message::Finished { .. }
+            Message::Made { .. }
+            | Message::Finished { .. }
             | Message::GivenUp { .. }
             | Message::Moved { .. }
             | Message::Pong => {}
@@ -412,14 +441,15 @@
     Down,
 }
 
-fn end_message(request: Name, end: StageEnd) -> Message {
-    match end {
-        StageEnd::Finished(inputs) => Message::Finished { request, inputs },
-        StageEnd::GivenUp(retry_after) => Message::GivenUp {
+fn event_message(request: Name, event: StageEvent) -> Message {
+    match event {
+        StageEvent::Made(made) => Message::Made { request, made },
+        StageEvent::End(StageEnd::Finished(inputs)) => Message::Finished { request, inputs },
+        StageEvent::End(StageEnd::GivenUp(retry_after)) => Message::GivenUp {
             request,
             retry_after,
         },
-        StageEnd::Moved => Message::Moved { request },
+        StageEvent::End(StageEnd::Moved) => Message::Moved { request },
     }
 }
 
@@ -459,6 +489,11 @@
                         link.end(&request, StageEnd::GivenUp(retry_after));
                     }
                     Ok(Message::Moved { request }) => link.end(&request, StageEnd::Moved),
+                    Ok(Message::Made { request, made }) => {
+                        if let Some(waiter) = link.waiting.borrow().get(&request) {
+                            waiter(StageEvent::Made(made));
+                        }
+                    }
                     Ok(_) => {}
                     Err(_) => return,
                 }
--- a/crates/sardineshore-serve/src/program.rs
+++ b/crates/sardineshore-serve/src/program.rs
@@ -124,6 +124,7 @@
         parts.stop.clone(),
         log.clone(),
     ));
+    tokio::task::spawn_local(parts.peers.clone().resign_cells());
     spawn_checked(&log, "peers", parts.peers.clone().accept());
     spawn_checked(
         &log,
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -274,6 +274,7 @@
             run_time: RUN_TIME,
             near: near.map_or_else(|| Name::from(""), |place| place.domain),
             steps,
+            made: Vec::new(),
         })
     }
 
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -1,15 +1,16 @@
 //! The request's side of stages: finds the owner of the cell and follows the job there.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::owners::{cell_of, ranking};
-use sardineshore_core::flow::pieces::Job;
+use sardineshore_core::flow::pieces::{Job, StepResults};
 use sardineshore_core::flow::site::Name;
 use slog::{Logger, info};
 use tokio::sync::oneshot;
 
-use crate::cell::{Cells, Inputs, StageEnd};
+use crate::cell::{Cells, Inputs, StageEnd, StageEvent, Waiter};
 use crate::peers::{Link, Peers};
 
 /// Most owners that a job is handed to.
@@ -65,32 +66,31 @@
     /// Has all stages of a job made.
     pub async fn make(&self, job: Job) -> Made {
         let start = Instant::now();
+        let made: Progress = Rc::default();
         let cell = cell_of(&job.id, &job.near, &self.cells.names());
-        let mut tries = 0;
-        while tries < MAX_OWNERS {
+        for _ in 0..MAX_OWNERS {
+            let mut reached = None;
             for name in ranking(&cell, &self.peers.candidates()) {
-                let Some(current) = rest_of(&job, start.elapsed()) else {
+                let Some(current) = rest_of(&job, &made, start.elapsed()) else {
                     return Err(Duration::ZERO);
                 };
-                let Some((held, ended)) = self.hand_over(&name, &cell, current).await else {
-                    continue;
-                };
-                tries += 1;
-                match ended.await {
-                    Ok(StageEnd::Finished(inputs)) => return Ok((inputs, held)),
-                    Ok(StageEnd::GivenUp(retry_after)) => return Err(retry_after),
-                    Ok(StageEnd::Moved) => self.peers.moved(&name),
-                    Err(_) => {
-                        info!(self.log, "owner lost"; "request" => &*job.id, "owner" => &*name);
-                        // The same owner again if a new link to it can be opened.
-                        break;
-                    }
-                }
-                if tries >= MAX_OWNERS {
+                if let Some(taken) = self.hand_over(&name, &cell, current, &made).await {
+                    reached = Some((name, taken));
                     break;
                 }
             }
-            tries += 1;
+            let Some((name, (held, ended))) = reached else {
+                continue;
+            };
+            match ended.await {
+                Ok(StageEnd::Finished(inputs)) => return Ok((inputs, held)),
+                Ok(StageEnd::GivenUp(retry_after)) => return Err(retry_after),
+                Ok(StageEnd::Moved) => self.peers.moved(&name),
+                // The same owner again if a new link to it can be opened.
+                Err(_) => {
+                    info!(self.log, "owner lost"; "request" => &*job.id, "owner" => &*name);
+                }
+            }
         }
         Err(job.time_left.saturating_sub(start.elapsed()) / 3)
     }
@@ -100,38 +100,59 @@
         name: &Name,
         cell: &Name,
         job: Job,
+        made: &Progress,
     ) -> Option<(Held, oneshot::Receiver<StageEnd>)> {
         let request = job.id.clone();
-        if *name == self.peers.own().name {
-            let (tx, rx) = oneshot::channel();
-            let held = Held {
-                owner: Owner::Here(self.cells.clone()),
-                cell: cell.clone(),
-                request,
-            };
-            let waiter = Box::new(move |end| {
-                let _gone = tx.send(end);
-            });
-            self.cells.submit(cell, job, waiter);
-            return Some((held, rx));
-        }
-        let link = self.peers.link(name).await?;
-        let rx = link.submit(cell.clone(), job);
+        let cell = cell.clone();
+        let (waiter, ended) = listen(made);
+        let owner = if *name == self.peers.own().name {
+            self.cells.submit(&cell, job, waiter);
+            Owner::Here(self.cells.clone())
+        } else {
+            let link = self.peers.link(name).await?;
+            link.submit(cell.clone(), job, waiter);
+            Owner::There(link)
+        };
         let held = Held {
-            owner: Owner::There(link),
-            cell: cell.clone(),
+            owner,
+            cell,
             request,
         };
-        Some((held, rx))
+        Some((held, ended))
     }
 }
 
+/// Stages of a job that have ended, whoever owned it.
+type Progress = Rc<RefCell<Vec<StepResults>>>;
+
+/// A waiter that notes progress and passes the end on.
+fn listen(made: &Progress) -> (Waiter, oneshot::Receiver<StageEnd>) {
+    let (tx, rx) = oneshot::channel();
+    let tx = Cell::new(Some(tx));
+    let made = made.clone();
+    let waiter = Box::new(move |event| match event {
+        StageEvent::Made(results) => {
+            let mut made = made.borrow_mut();
+            made.retain(|known| known.step != results.step);
+            made.push(results);
+        }
+        StageEvent::End(end) => {
+            if let Some(tx) = tx.take() {
+                // The request may have ended meanwhile.
+                let _gone = tx.send(end);
+            }
+        }
+    });
+    (waiter, rx)
+}
+
 /// The job with what is left of its times; `None` if its time is over.
-fn rest_of(job: &Job, elapsed: Duration) -> Option<Job> {
+fn rest_of(job: &Job, made: &Progress, elapsed: Duration) -> Option<Job> {
     let time_left = job.time_left.checked_sub(elapsed)?;
     Some(Job {
         aim_left: job.aim_left.saturating_sub(elapsed),
         time_left,
+        made: made.borrow().clone(),
         ..job.clone()
     })
 }
--- a/crates/sardineshore-serve/src/upstream.rs
+++ b/crates/sardineshore-serve/src/upstream.rs
@@ -110,11 +110,11 @@
                     }
                     tokio::select! {
                         biased;
-                        done = wr.write_all_buf(&mut out) => match done {
-                            Ok(()) => written = true,
+                        done = wr.write_all_buf(&mut out) => {
+                            written = true;
                             // The answer may have been sent before the server closed.
-                            Err(_) => { self.reusable = false; written = true; }
-                        },
+                            self.reusable &= done.is_ok();
+                        }
                         parsed = &mut read => break parsed,
                     }
                 }
