--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -147,11 +147,7 @@
             let joined = (!inputs.is_empty()).then(|| inputs.join(","));
             let additions = Additions {
                 inputs: joined.as_deref(),
-                after_event: output
-                    .filter
-                    .passed_any()
-                    .then(|| output.filter.last_event())
-                    .flatten(),
+                after_event: output.after_event(),
             };
             let forwarded = self
                 .forward(
@@ -191,26 +187,10 @@
                 }
                 Err(Broke::Failed(..) | Broke::Lost(_)) if more => lost = Some("server failed"),
                 Err(Broke::Failed(answer, body)) if !output.head_sent => {
-                    let status = answer.head.status;
-                    let mut out =
-                        answer_head(status, &answer.head.headers, Some(body.len()), !output.keep);
-                    out.extend_from_slice(&body);
-                    return match output.wr.write_all(&out).await {
-                        Ok(()) => End::Answered(status),
-                        Err(_) => End::CallerGone,
-                    };
+                    return output.pass_on(&answer, &body).await;
                 }
                 Err(Broke::Failed(..)) => return End::Cut("server failed"),
-                Err(Broke::Lost(reason)) => {
-                    if output.head_sent {
-                        return End::Cut(reason);
-                    }
-                    return End::Refused(if request.left().is_zero() {
-                        Refusal::TimeOver
-                    } else {
-                        Refusal::Unknown(reason)
-                    });
-                }
+                Err(Broke::Lost(reason)) => return ended_by(request, output.head_sent, reason),
             }
         }
     }
@@ -408,6 +388,37 @@
     }
 }
 
+impl<W: AsyncWrite + Unpin> Output<'_, W> {
+    /// Passes a server's failure on as it is.
+    async fn pass_on(&mut self, answer: &Answer, body: &[u8]) -> End {
+        let status = answer.head.status;
+        let mut out = answer_head(status, &answer.head.headers, Some(body.len()), !self.keep);
+        out.extend_from_slice(body);
+        match self.wr.write_all(&out).await {
+            Ok(()) => End::Answered(status),
+            Err(_) => End::CallerGone,
+        }
+    }
+
+    /// Event after which another server goes on, if any was passed on.
+    fn after_event(&self) -> Option<u64> {
+        let passed = self.filter.passed_any();
+        passed.then(|| self.filter.last_event()).flatten()
+    }
+}
+
+/// End of a request that was sent and has no answer.
+fn ended_by(request: &Checked<'_>, head_sent: bool, reason: &'static str) -> End {
+    if head_sent {
+        return End::Cut(reason);
+    }
+    End::Refused(if request.left().is_zero() {
+        Refusal::TimeOver
+    } else {
+        Refusal::Unknown(reason)
+    })
+}
+
 fn give_up(
     request: &Checked<'_>,
     head_sent: bool,
