--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -15,7 +15,7 @@
 use slab::Slab;
 
 use bench::Bench;
-use forecast::{Forecast, PoolLoad, forecast};
+use forecast::{Forecast, PoolLoad, forecast, rank_index};
 pub use job::{Job, JobStep, KeptResult, StepResults};
 use job::{JobState, Made, Progress, StepState};
 
@@ -34,6 +34,8 @@
     pub free_delay: Duration,
     /// Most times that a job's lost results are made again.
     pub rebuilds: u32,
+    /// Late jobs begin while each of their pools needs less than this for what has begun.
+    pub spare_backlog: Duration,
     /// Part of its slack for which a piece waits for a server in its own failure domain.
     pub domain_part: f64,
     /// Slack that is kept for other waits.
@@ -50,8 +52,9 @@
             late_part: 0.5,
             suspect_factor: 1.6,
             suspect_slack: Duration::from_millis(120),
-            free_delay: Duration::from_millis(250),
+            free_delay: Duration::from_millis(120),
             rebuilds: 3,
+            spare_backlog: Duration::from_millis(150),
             domain_part: 0.5,
             domain_reserve: Duration::from_millis(200),
             domain_wait: Duration::from_millis(150),
@@ -372,6 +375,7 @@
         self.suspect_slow_calls(now);
         self.give_up_hopeless(now);
         self.start_deferred(now);
+        self.begin_parked(now);
         if self.closing {
             self.hand_over();
         } else {
@@ -454,10 +458,10 @@
                     .filter(|p| matches!(p, Progress::Blocked | Progress::Queued))
                     .count() as u64;
                 let load = loads.entry(step.pool.clone()).or_default();
-                if state.late {
-                    load.late += waiting;
-                } else {
-                    load.urgent += waiting;
+                match (state.parked, state.late) {
+                    (true, _) => load.parked += waiting,
+                    (false, true) => load.late += waiting,
+                    (false, false) => load.urgent[rank_index(state.job.rank)] += waiting,
                 }
             }
         }
@@ -502,6 +506,7 @@
             aim: now + job.aim_left,
             deadline: now + job.time_left,
             late,
+            parked: late,
             steps,
             rebuilds: 0,
             delivered: false,
@@ -549,7 +554,7 @@
     /// Queues every blocked piece whose predecessors are finished; hands over a finished job.
     fn advance(&mut self, index: usize, now: Instant) {
         let state = &mut self.jobs[index];
-        if state.delivered {
+        if state.delivered || state.parked {
             return;
         }
         let finished: Vec<bool> = state.steps.iter().map(StepState::finished).collect();
@@ -854,6 +859,38 @@
         }
     }
 
+    /// Late jobs begin while their pools have spare capacity, the most urgent first.
+    fn begin_parked(&mut self, now: Instant) {
+        let mut parked: Vec<(u32, Instant, usize)> = self
+            .jobs
+            .iter()
+            .filter(|(_, state)| state.parked)
+            .map(|(index, state)| (state.job.rank, state.aim, index))
+            .collect();
+        if parked.is_empty() {
+            return;
+        }
+        parked.sort_unstable();
+        let mut loads = self.loads(now);
+        for (_, _, index) in parked {
+            let steps = &self.jobs[index].job.steps;
+            let spare = steps.iter().filter(|step| step.pieces > 0).all(|step| {
+                let load = loads.get(&step.pool);
+                load.is_some_and(|load| load.backlog() < self.config.spare_backlog)
+            });
+            if !spare {
+                continue;
+            }
+            for step in steps {
+                if let Some(load) = loads.get_mut(&step.pool) {
+                    load.late += u64::from(step.pieces);
+                }
+            }
+            self.jobs[index].parked = false;
+            self.advance(index, now);
+        }
+    }
+
     fn start_deferred(&mut self, now: Instant) {
         let due: Vec<usize> = self
             .deferred
--- a/crates/sardineshore-core/src/flow/pieces/forecast.rs
+++ b/crates/sardineshore-core/src/flow/pieces/forecast.rs
@@ -9,10 +9,12 @@
 /// Work promised to one pool and how fast the pool works.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct PoolLoad {
-    /// Pieces of jobs that can be in time, not yet in a call.
-    pub urgent: u64,
-    /// Pieces of late jobs, not yet in a call.
+    /// Pieces of jobs that can be in time, not yet in a call, by rank.
+    pub urgent: [u64; RANKS],
+    /// Pieces of late jobs that have begun, not yet in a call.
     pub late: u64,
+    /// Pieces of late jobs that have not begun.
+    pub parked: u64,
     /// Pieces a second with full batches.
     pub rate: f64,
     /// Time of a call with a typical batch.
@@ -21,6 +23,35 @@
     pub gap: Duration,
 }
 
+impl PoolLoad {
+    /// Pieces that go before a job of a rank.
+    #[must_use]
+    pub fn ahead_of(&self, rank: u32) -> u64 {
+        self.urgent[..=rank_index(rank)].iter().sum()
+    }
+
+    /// Pieces of all jobs that have begun.
+    #[must_use]
+    pub fn begun(&self) -> u64 {
+        self.urgent.iter().sum::<u64>() + self.late
+    }
+
+    /// Time that the pool needs for all that has begun.
+    #[must_use]
+    pub fn backlog(&self) -> Duration {
+        Duration::from_secs_f64(self.begun() as f64 / self.rate.max(0.001))
+    }
+}
+
+/// Ranks that are told apart; the last one holds all beyond it.
+pub const RANKS: usize = 4;
+
+/// Index of a rank among those that are told apart.
+#[must_use]
+pub fn rank_index(rank: u32) -> usize {
+    (rank as usize).min(RANKS - 1)
+}
+
 /// What a forecast says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Forecast {
@@ -34,8 +65,8 @@
 #[must_use]
 pub fn forecast(job: &Job, loads: &BTreeMap<Name, PoolLoad>) -> Option<Forecast> {
     Some(Forecast {
-        urgent: path(job, loads, |load| load.urgent)?,
-        behind_all: path(job, loads, |load| load.urgent + load.late)?,
+        urgent: path(job, loads, |load| load.ahead_of(job.rank))?,
+        behind_all: path(job, loads, |load| load.begun() + load.parked)?,
     })
 }
 
--- a/crates/sardineshore-core/src/flow/pieces/job.rs
+++ b/crates/sardineshore-core/src/flow/pieces/job.rs
@@ -80,7 +80,7 @@
 const MAX_PIECES: u32 = 1024;
 
 /// How much later than its aim a job of the next rank counts.
-const RANK_STEP: Duration = Duration::from_millis(150);
+const RANK_STEP: Duration = Duration::from_millis(400);
 /// Bytes that are worth keeping within a failure domain.
 const HEAVY_BYTES: u64 = 400_000;
 /// Ranks beyond this one count the same.
@@ -139,6 +139,8 @@
     pub deadline: Instant,
     /// Too late to be worth most: works with what others leave.
     pub late: bool,
+    /// Waits for spare capacity before it begins.
+    pub parked: bool,
     pub steps: Vec<StepState>,
     pub rebuilds: u32,
     /// All stages ended and the results were handed over.
