--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -159,9 +159,13 @@
 
 #[derive(Debug)]
 enum LinkState {
+    /// Opened for the first time since it was lost: jobs wait a little.
     Opening(Instant),
     Up(Rc<Link>),
+    /// Could not be opened; tried again from a time on.
     Down(Instant),
+    /// Tried again: jobs don't wait.
+    Reopening,
 }
 
 /// Known instances and links to them.
@@ -264,17 +268,24 @@
                 let slow = now.duration_since(*since) > OPEN_WAIT;
                 return if slow { Look::Down } else { Look::Opening };
             }
+            Some(LinkState::Reopening) => return Look::Down,
             Some(LinkState::Down(until)) if now < *until => return Look::Down,
             Some(LinkState::Down(_)) | None => {}
         }
+        let again = self.links.borrow().contains_key(name);
         let Some(info) = self.known.borrow().get(name).cloned() else {
             return Look::Down;
         };
-        self.set(name, LinkState::Opening(now));
+        let state = if again {
+            LinkState::Reopening
+        } else {
+            LinkState::Opening(now)
+        };
+        self.set(name, state);
         if let Some(peers) = self.weak.upgrade() {
             tokio::task::spawn_local(async move { peers.open(info).await });
         }
-        Look::Opening
+        if again { Look::Down } else { Look::Opening }
     }
 
     fn set(&self, name: &Name, state: LinkState) {
@@ -311,7 +322,7 @@
             Some(LinkState::Up(current)) if Rc::ptr_eq(current, &link)
         );
         if is_current {
-            self.set(&info.name, LinkState::Down(Instant::now()));
+            self.links.borrow_mut().remove(&info.name);
         }
     }
 
--- a/crates/sardineshore-serve/src/program.rs
+++ b/crates/sardineshore-serve/src/program.rs
@@ -1,5 +1,6 @@
 //! Joins the parts of an instance, starts and stops them.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,14 +25,10 @@
 use crate::store::Store;
 use crate::upstream::Upstreams;
 
-/// When the list of instances is read after the start; all start at nearly the same time.
-const FIRST_READS: [Duration; 3] = [
-    Duration::from_millis(800),
-    Duration::from_millis(1500),
-    Duration::from_secs(4),
-];
-/// How often it is read later.
-const READ_EVERY: Duration = Duration::from_secs(20);
+/// Longest wait for a change of the list of instances.
+const INSTANCES_WAIT: Duration = Duration::from_secs(20);
+/// Pause after a change of the list: many starts come in one answer.
+const INSTANCES_PAUSE: Duration = Duration::from_millis(1200);
 /// Pause before a failed call is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// How often idle connections are swept.
@@ -121,7 +118,6 @@
     tokio::task::spawn_local(keep_membership(
         parts.peers.clone(),
         parts.store.clone(),
-        parts.stop.clone(),
         log.clone(),
     ));
     tokio::task::spawn_local(parts.peers.clone().resign_cells());
@@ -143,9 +139,6 @@
     });
     tokio::task::spawn_local(caller::accept(listener, parts.serving.clone()));
     wait_for_stop(&parts, &log).await?;
-    let own = parts.peers.own().name.clone();
-    // The row would be passed over by the others anyway; removing it spares them a try.
-    let _gone = parts.store.remove(Table::Instances, &own).await;
     parts.stop.wait_drained(settings.bounds.grace).await;
     info!(log, "stopped"; "store_calls" => parts.store.calls());
     Ok(())
@@ -210,44 +203,52 @@
     });
 }
 
-/// Writes this instance's row and reads those of the others.
-async fn keep_membership(peers: Rc<Peers>, store: Rc<Store>, stop: Rc<Stop>, log: Logger) {
+/// Writes this instance's row if it has changed and follows those of the others. A row stays when
+/// its instance stops: the next start has the same name and address.
+async fn keep_membership(peers: Rc<Peers>, store: Rc<Store>, log: Logger) {
     let own = peers.own().clone();
     let Ok(value) = postcard::to_stdvec(&own) else {
         return;
     };
-    let writing = store.clone();
-    tokio::task::spawn_local(async move {
-        while writing
-            .put(Table::Instances, &own.name, &value)
-            .await
-            .is_err()
-        {
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
-    });
-    let mut waits = FIRST_READS.into_iter();
+    let mut listed: BTreeMap<Name, InstanceInfo> = BTreeMap::new();
+    let mut known: Option<u64> = None;
+    let mut written = false;
     loop {
-        if stop.begun() {
-            return;
-        }
-        match store.read(Table::Instances).await {
-            Ok(read) => {
-                let rows = read.page.rows.iter();
-                let listed: Vec<InstanceInfo> = rows
-                    .filter_map(|row| row.value.as_deref())
-                    .filter_map(|value| postcard::from_bytes(value).ok())
-                    .collect();
-                let names: Vec<Name> = listed.iter().map(|info| info.name.clone()).collect();
-                info!(log, "instances"; "listed" => names.len());
-                peers.set_known(listed);
-            }
+        let read = match known {
+            None => store.read(Table::Instances).await,
+            Some(after) => store.watch(Table::Instances, after, INSTANCES_WAIT).await,
+        };
+        let page = match read {
+            Ok(read) => read.page,
             Err(fault) => {
                 info!(log, "instances can't be read"; "fault" => fault.to_string());
+                known = None;
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             }
+        };
+        if known.is_none() {
+            listed.clear();
+            let own_row = page.rows.iter().find(|row| row.key == own.name);
+            written |= own_row.is_some_and(|row| row.value.as_ref() == Some(&value));
+        }
+        known = Some(page.version);
+        for row in &page.rows {
+            let info = row.value.as_deref().map(postcard::from_bytes);
+            match info {
+                Some(Ok(info)) => listed.insert(row.key.clone(), info),
+                Some(Err(_)) | None => listed.remove(&row.key),
+            };
+        }
+        peers.set_known(listed.values().cloned().collect());
+        if !page.rows.is_empty() {
+            info!(log, "instances"; "listed" => listed.len(), "version" => page.version);
+        }
+        if !written {
+            written = store.put(Table::Instances, &own.name, &value).await.is_ok();
+        }
+        if !page.rows.is_empty() {
+            tokio::time::sleep(INSTANCES_PAUSE).await;
         }
-        tokio::time::sleep(waits.next().unwrap_or(READ_EVERY)).await;
     }
 }
