--- a/crates/sardineshore-serve/src/follow.rs
+++ b/crates/sardineshore-serve/src/follow.rs
@@ -7,21 +7,17 @@
 
 use sardineshore_core::flow::site::{Name, Server, SiteIndex};
 use slog::{Logger, debug, info, warn};
-use tokio::sync::Notify;
 
 use crate::dialect::{Dialect, RowPage, StoreRow, Table};
 use crate::knowledge::Knowledge;
 use crate::store::{Stamped, Store, StoreFault};
 
-/// Longest wait for a change of the site; each answer proves the site's freshness and shows
-/// whether anything in the store is newer than the servers that are known.
-const SITE_WAIT: Duration = Duration::from_secs(2);
-/// Longest wait for a change of the servers.
-const SERVERS_WAIT: Duration = Duration::from_secs(15);
+/// Longest wait for a change of the site; each answer proves the site's freshness.
+const SITE_WAIT: Duration = Duration::from_millis(2400);
+/// Longest wait for a change of the servers; keep-alive probes show a connection that fell silent.
+const SERVERS_WAIT: Duration = Duration::from_secs(20);
 /// Pause after a change of the servers: changes of many servers come in one answer.
-const SERVERS_PAUSE: Duration = Duration::from_millis(600);
-/// A watch of the servers that misses what the store has is given this time to bring it.
-const CATCH_UP: Duration = Duration::from_millis(150);
+const SERVERS_PAUSE: Duration = Duration::from_millis(900);
 /// Pause after a failed call; it grows with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause.
@@ -45,7 +41,6 @@
     site_version: Cell<u64>,
     /// A call failed since the servers were read last.
     lost: Cell<bool>,
-    behind: Notify,
 }
 
 impl std::fmt::Debug for Follower {
@@ -84,7 +79,6 @@
             on_servers,
             site_version: Cell::new(0),
             lost: Cell::new(false),
-            behind: Notify::new(),
         }
     }
 
@@ -109,9 +103,6 @@
                     }
                     self.prove(&stamped);
                     known = Some(stamped.page.version);
-                    if stamped.page.version > self.servers.borrow().version {
-                        self.behind.notify_one();
-                    }
                 }
                 Err(fault) => {
                     failures += 1;
@@ -200,28 +191,13 @@
         }
     }
 
-    /// Waits for changes. A watch that stays silent although the store has newer rows is replaced
-    /// by a question that is answered at once.
     async fn watch_servers(&self, after: u64) -> Result<Stamped, StoreFault> {
         let wait = if self.servers.borrow().lapsed.is_empty() {
             SERVERS_WAIT
         } else {
             LAPSED_WAIT
         };
-        let missed = async {
-            loop {
-                self.behind.notified().await;
-                tokio::time::sleep(CATCH_UP).await;
-                if self.servers.borrow().version == after {
-                    return;
-                }
-            }
-        };
-        tokio::select! {
-            biased;
-            watched = self.store.watch(Table::Servers, after, wait) => watched,
-            () = missed => self.store.watch(Table::Servers, after, Duration::ZERO).await,
-        }
+        self.store.watch(Table::Servers, after, wait).await
     }
 
     fn note(&self, what: &str, fault: &StoreFault, failures: u32) {
--- a/crates/sardineshore-serve/src/upstream.rs
+++ b/crates/sardineshore-serve/src/upstream.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -23,6 +24,12 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Most idle connections to one address.
 const MAX_IDLE: usize = 16;
+/// A silent connection is probed after this time.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Time between probes.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is lost.
+const PROBES: u32 = 1;
 /// Wrong answers that are skipped on one connection.
 const MAX_STRAYS: u32 = 3;
 
@@ -281,6 +288,14 @@
             Err(_) => return Err(ExchangeFault::NotSent(io::ErrorKind::TimedOut.into())),
         };
         stream.set_nodelay(true).map_err(ExchangeFault::NotSent)?;
+        let probes = TcpKeepalive::new()
+            .with_time(PROBE_AFTER)
+            .with_interval(PROBE_EVERY)
+            .with_retries(PROBES);
+        let socket = SockRef::from(&stream);
+        socket
+            .set_tcp_keepalive(&probes)
+            .map_err(ExchangeFault::NotSent)?;
         Ok(Conn {
             stream,
             buf: BytesMut::new(),
