--- a/crates/sardineshore-core/src/flow/owners.rs
+++ b/crates/sardineshore-core/src/flow/owners.rs
@@ -6,6 +6,7 @@
 //! agreement, and two owners for a moment cost thin batches, never a wrong answer.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -56,6 +57,40 @@
     cells.get(index).cloned().unwrap_or_else(|| WHOLE.into())
 }
 
+/// Backlog by which another cell has to be shorter for a request that is bound to one.
+const BOUND_MARGIN: Duration = Duration::from_millis(300);
+/// The same for a request that any cell can serve.
+const FREE_MARGIN: Duration = Duration::from_millis(60);
+
+/// Cell of a request by prefix and load: its own, or a second one that is chosen by the request's
+/// hash if that has much less to do. `backlog` gives what each cell is known to have to do.
+#[must_use]
+pub fn choose_cell(
+    request: &str,
+    near: &Name,
+    cells: &[Name],
+    backlog: impl Fn(&str) -> Duration,
+) -> Name {
+    let first = cell_of(request, near, cells);
+    let others: Vec<&Name> = cells.iter().filter(|cell| **cell != first).collect();
+    if others.is_empty() {
+        return first;
+    }
+    let count = u64::try_from(others.len()).unwrap_or(1);
+    let index = usize::try_from((xxh3_64(request.as_bytes()) >> 32) % count).unwrap_or(0);
+    let second = others[index];
+    let margin = if first == *near {
+        BOUND_MARGIN
+    } else {
+        FREE_MARGIN
+    };
+    if backlog(&first) > backlog(second) + margin {
+        second.clone()
+    } else {
+        first
+    }
+}
+
 /// Candidates of a cell, the owner first.
 #[must_use]
 pub fn ranking(cell: &str, candidates: &[Candidate]) -> Vec<Name> {
--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -468,6 +468,17 @@
         loads
     }
 
+    /// Time that the busiest pool needs for all that has begun.
+    #[must_use]
+    pub fn backlog(&self, now: Instant) -> Duration {
+        let loads = self.loads(now);
+        loads
+            .values()
+            .map(PoolLoad::backlog)
+            .max()
+            .unwrap_or_default()
+    }
+
     fn retry_after(&self, job: &Job, forecast: Forecast) -> Duration {
         let excess = forecast.urgent.saturating_sub(job.aim_left);
         // Arrivals spread over half the wait so that those who return don't meet.
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -5,7 +5,9 @@
 
 use sardineshore_core::flow::allowance::{Allowance, AllowanceConfig};
 use sardineshore_core::flow::freshness::Freshness;
-use sardineshore_core::flow::owners::{Candidate, WHOLE, cell_of, domain_cells, ranking};
+use sardineshore_core::flow::owners::{
+    Candidate, WHOLE, cell_of, choose_cell, domain_cells, ranking,
+};
 use sardineshore_core::flow::placement::{AttemptEnd, Fleet, LoadReport, Need, PromptPart};
 use sardineshore_core::flow::site::{Account, Name, Route, Server, Site, SiteIndex};
 
@@ -251,3 +253,16 @@
     fleet.reported("s0", report, now);
     assert_eq!(&*fleet.choose(&need, now).unwrap().id, "s1");
 }
+
+/// Load pattern: the servers of one failure domain are lost while requests go on.
+#[test]
+fn cell_with_a_long_backlog_is_passed_over() {
+    let cells: Vec<Name> = ["x", "y", "z"].map(Name::from).to_vec();
+    let backlog = |cell: &str| ms(if cell == "x" { 900 } else { 100 });
+    for number in 0..50 {
+        let request = format!("r{number}");
+        assert_ne!(&*choose_cell(&request, &"x".into(), &cells, backlog), "x");
+        assert_ne!(&*choose_cell(&request, &"".into(), &cells, backlog), "x");
+        assert_eq!(&*choose_cell(&request, &"y".into(), &cells, backlog), "y");
+    }
+}
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -42,6 +42,8 @@
     pub names: Vec<Name>,
     /// Their bytes by the failure domain that they lie in.
     pub domains: Vec<(Name, u64)>,
+    /// What the cell has to do.
+    pub backlog: Duration,
 }
 
 /// How a job ended for the request that waits for it.
@@ -51,6 +53,13 @@
     Finished(Inputs),
     /// Can't be served; come back later.
     GivenUp(Duration),
+    /// Was not taken on: come back later, or ask another cell.
+    Refused {
+        /// When to come back.
+        retry_after: Duration,
+        /// What the cell has to do.
+        backlog: Duration,
+    },
     /// This owner doesn't take it: ask another one.
     Moved,
 }
@@ -216,7 +225,12 @@
         debug!(self.tools.log, "job"; "request" => &*id, "cell" => &**cell, "verdict" => ?verdict);
         match verdict {
             Verdict::Refused { retry_after } => {
-                waiter(StageEvent::End(StageEnd::GivenUp(retry_after)));
+                let backlog = runner.board.borrow().backlog(Instant::now());
+                let end = StageEnd::Refused {
+                    retry_after,
+                    backlog,
+                };
+                waiter(StageEvent::End(end));
             }
             Verdict::Accepted { .. } => {
                 runner.waiters.borrow_mut().insert(id, waiter);
@@ -351,7 +365,15 @@
             request,
             inputs: names,
             domains,
-        } => runner.end(&request, StageEnd::Finished(Inputs { names, domains })),
+        } => {
+            let backlog = runner.board.borrow().backlog(Instant::now());
+            let inputs = Inputs {
+                names,
+                domains,
+                backlog,
+            };
+            runner.end(&request, StageEnd::Finished(inputs));
+        }
         Action::HandedOver { request } => runner.end(&request, StageEnd::Moved),
         Action::GivenUp {
             request,
--- a/crates/sardineshore-serve/src/follow.rs
+++ b/crates/sardineshore-serve/src/follow.rs
@@ -16,8 +16,10 @@
 const SITE_WAIT: Duration = Duration::from_millis(2400);
 /// Longest wait for a change of the servers; keep-alive probes show a connection that fell silent.
 const SERVERS_WAIT: Duration = Duration::from_secs(20);
-/// Pause after a change of the servers: changes of many servers come in one answer.
-const SERVERS_PAUSE: Duration = Duration::from_millis(900);
+/// Part of the drain bound for which changes of servers are collected into one answer.
+const DRAIN_PART: f64 = 0.5;
+/// Time for which changes of the site are collected.
+const SITE_PAUSE: Duration = Duration::from_millis(700);
 /// Pause after a failed call; it grows with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause.
@@ -39,6 +41,7 @@
     servers: RefCell<ServerRows>,
     on_servers: OnServers,
     site_version: Cell<u64>,
+    drain: Duration,
     /// A call failed since the servers were read last.
     lost: Cell<bool>,
 }
@@ -68,6 +71,7 @@
         dialect: Rc<dyn Dialect>,
         knowledge: Rc<Knowledge>,
         log: Logger,
+        drain: Duration,
         on_servers: OnServers,
     ) -> Self {
         Self {
@@ -78,6 +82,7 @@
             servers: RefCell::default(),
             on_servers,
             site_version: Cell::new(0),
+            drain,
             lost: Cell::new(false),
         }
     }
@@ -86,11 +91,13 @@
     pub async fn follow_site(&self) {
         let mut known: Option<u64> = None;
         let mut failures = 0;
+        let mut wait = SITE_WAIT;
         loop {
             let result = match known {
                 None => self.store.read(Table::Site).await,
-                Some(after) => self.store.watch(Table::Site, after, SITE_WAIT).await,
+                Some(after) => self.store.watch(Table::Site, after, wait).await,
             };
+            wait = SITE_WAIT;
             match result {
                 Ok(stamped) => {
                     failures = 0;
@@ -102,6 +109,10 @@
                         continue;
                     }
                     self.prove(&stamped);
+                    if known.is_some() && !stamped.page.rows.is_empty() {
+                        tokio::time::sleep(SITE_PAUSE).await;
+                        wait = SITE_WAIT.saturating_sub(SITE_PAUSE);
+                    }
                     known = Some(stamped.page.version);
                 }
                 Err(fault) => {
@@ -174,7 +185,7 @@
                     if self.apply_servers(&stamped.page, whole) {
                         known = Some(stamped.page.version);
                         if changed && !whole {
-                            tokio::time::sleep(SERVERS_PAUSE).await;
+                            tokio::time::sleep(self.drain.mul_f64(DRAIN_PART)).await;
                         }
                     } else {
                         known = None;
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -89,6 +89,15 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// Was not taken on.
+    Refused {
+        /// Id of the request.
+        request: Name,
+        /// When to come back.
+        retry_after: Duration,
+        /// What the cell has to do.
+        backlog: Duration,
+    },
     /// Ask another owner.
     Moved {
         /// Id of the request.
@@ -440,6 +449,7 @@
             Message::Made { .. }
             | Message::Finished { .. }
             | Message::GivenUp { .. }
+            | Message::Refused { .. }
             | Message::Moved { .. }
             | Message::Pong => {}
         }
@@ -460,6 +470,14 @@
             request,
             retry_after,
         },
+        StageEvent::End(StageEnd::Refused {
+            retry_after,
+            backlog,
+        }) => Message::Refused {
+            request,
+            retry_after,
+            backlog,
+        },
         StageEvent::End(StageEnd::Moved) => Message::Moved { request },
     }
 }
@@ -499,6 +517,9 @@
                     Ok(Message::GivenUp { request, retry_after }) => {
                         link.end(&request, StageEnd::GivenUp(retry_after));
                     }
+                    Ok(Message::Refused { request, retry_after, backlog }) => {
+                        link.end(&request, StageEnd::Refused { retry_after, backlog });
+                    }
                     Ok(Message::Moved { request }) => link.end(&request, StageEnd::Moved),
                     Ok(Message::Made { request, made }) => {
                         if let Some(waiter) = link.waiting.borrow().get(&request) {
--- a/crates/sardineshore-serve/src/program.rs
+++ b/crates/sardineshore-serve/src/program.rs
@@ -114,7 +114,7 @@
     let parts = assemble(&settings, &dialect, &log)?;
     info!(log, "start"; "domain" => &*settings.domain, "version" => env!("CARGO_PKG_VERSION"));
     let listener = TcpListener::bind(settings.listen).await?;
-    start_following(&parts, &dialect, &log);
+    start_following(&parts, &dialect, settings.bounds.drain, &log);
     tokio::task::spawn_local(keep_membership(
         parts.peers.clone(),
         parts.store.clone(),
@@ -159,7 +159,7 @@
     Ok(())
 }
 
-fn start_following(parts: &Parts, dialect: &Rc<dyn Dialect>, log: &Logger) {
+fn start_following(parts: &Parts, dialect: &Rc<dyn Dialect>, drain: Duration, log: &Logger) {
     let (knowledge, cells) = (parts.knowledge.clone(), parts.cells.clone());
     let on_servers = Box::new(move || {
         if let Some(site) = knowledge.site() {
@@ -171,6 +171,7 @@
         dialect.clone(),
         parts.knowledge.clone(),
         log.clone(),
+        drain,
         on_servers,
     ));
     let site = follower.clone();
--- a/crates/sardineshore-serve/src/settings.rs
+++ b/crates/sardineshore-serve/src/settings.rs
@@ -11,6 +11,8 @@
 pub struct Bounds {
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
+    /// Longest time for which a server that leaves may still be sent to.
+    pub drain: Duration,
     /// Longest time for which a key that was taken away may still be honoured.
     pub revoke: Duration,
     /// Whether requests with a key stop when the configuration can't be confirmed.
@@ -23,6 +25,7 @@
     fn default() -> Self {
         Self {
             grace: Duration::from_secs(8),
+            drain: Duration::from_secs(2),
             revoke: Duration::from_secs(5),
             fail_closed: true,
             repeats: AllowanceConfig::default(),
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -1,10 +1,11 @@
 //! The request's side of stages: finds the owner of the cell and follows the job there.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use sardineshore_core::flow::owners::{cell_of, ranking};
+use sardineshore_core::flow::owners::{choose_cell, ranking};
 use sardineshore_core::flow::pieces::{Job, StepResults};
 use sardineshore_core::flow::site::Name;
 use slog::{Logger, info};
@@ -21,6 +22,8 @@
 pub struct Stages {
     cells: Rc<Cells>,
     peers: Rc<Peers>,
+    /// What each cell had to do, and when it said so.
+    backlogs: RefCell<HashMap<Name, (Duration, Instant)>>,
     log: Logger,
 }
 
@@ -60,21 +63,65 @@
     /// Stages made by the owners among `peers`, this instance included.
     #[must_use]
     pub fn new(cells: Rc<Cells>, peers: Rc<Peers>, log: Logger) -> Self {
-        Self { cells, peers, log }
+        Self {
+            cells,
+            peers,
+            backlogs: RefCell::default(),
+            log,
+        }
     }
 
-    /// Has all stages of a job made.
+    /// Has all stages of a job made; asks a second cell if the first one refuses.
     pub async fn make(&self, job: Job) -> Made {
         let start = Instant::now();
+        let cells = self.cells.names();
+        let first = choose_cell(&job.id, &job.near, &cells, |cell| self.backlog(cell));
+        let (retry_after, backlog) = match self.make_in(&first, &job, start).await {
+            Ok(made) => return Ok(made),
+            Err(Failed::GivenUp(retry_after)) => return Err(retry_after),
+            Err(Failed::Refused(retry_after, backlog)) => (retry_after, backlog),
+        };
+        let others = cells.iter().filter(|cell| **cell != first);
+        let shortest = others.min_by_key(|cell| self.backlog(cell));
+        let Some(second) = shortest.filter(|cell| self.backlog(cell) < backlog) else {
+            return Err(retry_after);
+        };
+        match self.make_in(second, &job, start).await {
+            Ok(made) => Ok(made),
+            Err(Failed::GivenUp(wait) | Failed::Refused(wait, _)) => Err(wait.min(retry_after)),
+        }
+    }
+
+    /// What a cell has to do, as far as it is known.
+    fn backlog(&self, cell: &str) -> Duration {
+        let backlogs = self.backlogs.borrow();
+        let known = backlogs.get(cell);
+        known.map_or(Duration::ZERO, |(backlog, at)| {
+            backlog.saturating_sub(at.elapsed())
+        })
+    }
+
+    fn note_backlog(&self, cell: &Name, backlog: Duration) {
+        let now = Instant::now();
+        self.backlogs
+            .borrow_mut()
+            .insert(cell.clone(), (backlog, now));
+    }
+
+    async fn make_in(
+        &self,
+        cell: &Name,
+        job: &Job,
+        start: Instant,
+    ) -> Result<(Inputs, Held), Failed> {
         let made: Progress = Rc::default();
-        let cell = cell_of(&job.id, &job.near, &self.cells.names());
         for _ in 0..MAX_OWNERS {
             let mut reached = None;
-            for name in ranking(&cell, &self.peers.candidates()) {
-                let Some(current) = rest_of(&job, &made, start.elapsed()) else {
-                    return Err(Duration::ZERO);
+            for name in ranking(cell, &self.peers.candidates()) {
+                let Some(current) = rest_of(job, &made, start.elapsed()) else {
+                    return Err(Failed::GivenUp(Duration::ZERO));
                 };
-                if let Some(taken) = self.hand_over(&name, &cell, current, &made).await {
+                if let Some(taken) = self.hand_over(&name, cell, current, &made).await {
                     reached = Some((name, taken));
                     break;
                 }
@@ -83,8 +130,18 @@
                 continue;
             };
             match ended.await {
-                Ok(StageEnd::Finished(inputs)) => return Ok((inputs, held)),
-                Ok(StageEnd::GivenUp(retry_after)) => return Err(retry_after),
+                Ok(StageEnd::Finished(inputs)) => {
+                    self.note_backlog(cell, inputs.backlog);
+                    return Ok((inputs, held));
+                }
+                Ok(StageEnd::GivenUp(retry_after)) => return Err(Failed::GivenUp(retry_after)),
+                Ok(StageEnd::Refused {
+                    retry_after,
+                    backlog,
+                }) => {
+                    self.note_backlog(cell, backlog);
+                    return Err(Failed::Refused(retry_after, backlog));
+                }
                 Ok(StageEnd::Moved) => self.peers.moved(&name),
                 // The same owner again if a new link to it can be opened.
                 Err(_) => {
@@ -92,7 +149,8 @@
                 }
             }
         }
-        Err(job.time_left.saturating_sub(start.elapsed()) / 3)
+        let left = job.time_left.saturating_sub(start.elapsed());
+        Err(Failed::GivenUp(left / 3))
     }
 
     async fn hand_over(
@@ -122,6 +180,14 @@
     }
 }
 
+/// Why a cell did not make the stages.
+enum Failed {
+    /// Given up; when to come back.
+    GivenUp(Duration),
+    /// Not taken on; when to come back, and what the cell has to do.
+    Refused(Duration, Duration),
+}
+
 /// Stages of a job that have ended, whoever owned it.
 type Progress = Rc<RefCell<Vec<StepResults>>>;
 
