--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -14,6 +14,7 @@
 
 pub mod allowance;
 pub mod freshness;
+pub mod listing;
 pub mod owners;
 pub mod pieces;
 pub mod placement;
--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -970,20 +970,25 @@
             let mut room = bench.room(now);
             let mut taken = Vec::new();
             let mut bytes = 0;
-            for (place, index) in queue.iter() {
-                if taken.len() >= bench.spec.batch.max(1) as usize {
-                    break;
-                }
-                let state = &self.jobs[*index];
-                let size = state.job.steps[place.3].bytes;
-                let domain = state.domain_of(place.3);
-                let foreign = domain.is_some_and(|d| *d != bench.domain && served.contains(d));
-                if size > room || (foreign && self.config.waits_for_domain(state, place.3, now)) {
-                    continue;
+            // Own pieces first: under load a piece has waited because of the load, and results
+            // that cross domains would not shorten any queue.
+            for (late, foreign) in [(false, false), (false, true), (true, false), (true, true)] {
+                for (place, index) in queue.iter().filter(|(place, _)| place.0 == late) {
+                    if taken.len() >= bench.spec.batch.max(1) as usize {
+                        break;
+                    }
+                    let state = &self.jobs[*index];
+                    let size = state.job.steps[place.3].bytes;
+                    let domain = state.domain_of(place.3);
+                    let crosses = domain.is_some_and(|d| *d != bench.domain && served.contains(d));
+                    let waits = crosses && self.config.waits_for_domain(state, place.3, now);
+                    if crosses != foreign || waits || size > room {
+                        continue;
+                    }
+                    room -= size;
+                    bytes += size;
+                    taken.push((*place, *index));
                 }
-                room -= size;
-                bytes += size;
-                taken.push((*place, *index));
             }
             if !taken.is_empty() {
                 chosen = Some((bench, taken, bytes));
--- a/crates/sardineshore-serve/src/follow.rs
+++ b/crates/sardineshore-serve/src/follow.rs
@@ -1,11 +1,11 @@
 //! Follows the store: the site and the servers, never going back.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use sardineshore_core::flow::site::{Name, Server, SiteIndex};
+use sardineshore_core::flow::listing::{Applied, Entry, ListedRow, Listing};
+use sardineshore_core::flow::site::SiteIndex;
 use slog::{Logger, debug, info, warn};
 
 use crate::dialect::{Dialect, RowPage, StoreRow, Table};
@@ -26,9 +26,6 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest wait while entries may have lapsed.
 const LAPSED_WAIT: Duration = Duration::from_millis(300);
-/// How long servers whose entries lapsed while the store was away are still used.
-const LAPSED_GRACE: Duration = Duration::from_millis(1700);
-
 /// Called after the list of servers changed.
 pub type OnServers = Box<dyn Fn()>;
 
@@ -38,12 +35,10 @@
     dialect: Rc<dyn Dialect>,
     knowledge: Rc<Knowledge>,
     log: Logger,
-    servers: RefCell<ServerRows>,
+    servers: RefCell<Listing>,
     on_servers: OnServers,
     site_version: Cell<u64>,
     drain: Duration,
-    /// A call failed since the servers were read last.
-    lost: Cell<bool>,
 }
 
 impl std::fmt::Debug for Follower {
@@ -52,17 +47,6 @@
     }
 }
 
-/// Entries of servers with the versions that they stand for.
-#[derive(Debug, Default)]
-struct ServerRows {
-    entries: BTreeMap<Name, (Server, u64)>,
-    /// Versions of entries that were removed, so that an older state can't bring them back.
-    removed: HashMap<Name, u64>,
-    lapsed: HashMap<Name, Instant>,
-    version: u64,
-    returned: Option<Instant>,
-}
-
 impl Follower {
     /// A follower that tells changes of the servers to `on_servers`.
     #[must_use]
@@ -83,7 +67,6 @@
             on_servers,
             site_version: Cell::new(0),
             drain,
-            lost: Cell::new(false),
         }
     }
 
@@ -184,7 +167,7 @@
                     let changed = !stamped.page.rows.is_empty();
                     if self.apply_servers(&stamped.page, whole) {
                         known = Some(stamped.page.version);
-                        if changed && !whole {
+                        if changed && !whole && !self.servers.borrow().awaits_lapsed() {
                             tokio::time::sleep(self.drain.mul_f64(DRAIN_PART)).await;
                         }
                     } else {
@@ -203,7 +186,7 @@
     }
 
     async fn watch_servers(&self, after: u64) -> Result<Stamped, StoreFault> {
-        let wait = if self.servers.borrow().lapsed.is_empty() {
+        let wait = if !self.servers.borrow().awaits_lapsed() {
             SERVERS_WAIT
         } else {
             LAPSED_WAIT
@@ -212,7 +195,7 @@
     }
 
     fn note(&self, what: &str, fault: &StoreFault, failures: u32) {
-        self.lost.set(true);
+        self.servers.borrow_mut().store_failed();
         if failures == 1 {
             warn!(self.log, "store lost"; "table" => what, "fault" => fault.to_string());
         } else {
@@ -221,100 +204,40 @@
     }
 
     fn apply_servers(&self, page: &RowPage, whole: bool) -> bool {
-        let now = Instant::now();
-        let mut rows = self.servers.borrow_mut();
-        if page.version < rows.version {
-            return false;
-        }
-        if self.lost.replace(false) {
-            rows.returned = Some(now);
-        }
-        rows.version = page.version;
-        let mut changed = whole;
-        for row in &page.rows {
-            changed |= self.apply_row(&mut rows, row, now);
-        }
-        if whole {
-            let listed: std::collections::HashSet<&Name> =
-                page.rows.iter().map(|row| &row.key).collect();
-            let missing: Vec<Name> = rows
-                .entries
-                .keys()
-                .filter(|id| !listed.contains(id))
-                .cloned()
-                .collect();
-            for id in missing {
-                self.remove(&mut rows, &id, page.version, now);
+        let rows = page.rows.iter().map(|row| self.listed(row)).collect();
+        let mut listing = self.servers.borrow_mut();
+        let applied = listing.apply(rows, whole, page.version, Instant::now());
+        let servers = listing.servers();
+        drop(listing);
+        match applied {
+            Applied::Older => return false,
+            Applied::Unchanged => {}
+            Applied::Changed => {
+                info!(self.log, "servers"; "listed" => servers.len(), "version" => page.version);
+                self.knowledge.fleet.borrow_mut().set_servers(servers);
+                (self.on_servers)();
             }
         }
-        let expired: Vec<Name> = rows
-            .lapsed
-            .iter()
-            .filter(|(_, until)| now >= **until)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in expired {
-            rows.lapsed.remove(&id);
-            rows.entries.remove(&id);
-            changed = true;
-        }
-        if changed || !rows.lapsed.is_empty() {
-            let servers = rows.entries.values().map(|(s, _)| s.clone()).collect();
-            drop(rows);
-            self.knowledge.fleet.borrow_mut().set_servers(servers);
-            (self.on_servers)();
-        }
         true
     }
 
-    fn apply_row(&self, rows: &mut ServerRows, row: &StoreRow, now: Instant) -> bool {
-        let known = rows.entries.get(&row.key).map(|(_, version)| *version);
-        let removed = rows.removed.get(&row.key).copied();
-        if known
-            .max(removed)
-            .is_some_and(|version| version >= row.version)
-        {
-            rows.lapsed.remove(&row.key);
-            return false;
-        }
-        let Some(value) = &row.value else {
-            self.remove(rows, &row.key, row.version, now);
-            return true;
-        };
-        rows.lapsed.remove(&row.key);
-        match self.dialect.server(&row.key, value) {
-            Ok(server) => {
-                let was_ready = rows.entries.get(&row.key).map(|(s, _)| s.ready);
-                if was_ready != Some(server.ready) {
-                    info!(self.log, "server entry"; "server" => &*row.key, "ready" => server.ready, "pool" => &*server.pool, "row" => row.version);
+    fn listed(&self, row: &StoreRow) -> ListedRow {
+        let entry = match &row.value {
+            None => Entry::Removed,
+            Some(value) => match self.dialect.server(&row.key, value) {
+                Ok(server) => Entry::Server(server),
+                Err(fault) => {
+                    warn!(self.log, "server entry can't be read"; "server" => &*row.key, "fault" => format!("{fault:#}"));
+                    Entry::Unreadable
                 }
-                rows.entries.insert(row.key.clone(), (server, row.version));
-            }
-            Err(fault) => {
-                warn!(self.log, "server entry can't be read"; "server" => &*row.key, "fault" => format!("{fault:#}"));
-                rows.entries.remove(&row.key);
-                rows.removed.insert(row.key.clone(), row.version);
-            }
-        }
-        true
-    }
-
-    /// Removes an entry; if it may have lapsed while the store was away, a little later.
-    fn remove(&self, rows: &mut ServerRows, id: &Name, version: u64, now: Instant) {
-        let recent = rows
-            .returned
-            .is_some_and(|at| now.duration_since(at) < LAPSED_GRACE);
-        let serving = rows.entries.get(id).is_some_and(|(server, _)| server.ready);
-        if recent && serving {
-            let until = rows.returned.unwrap_or(now) + LAPSED_GRACE;
-            rows.lapsed.entry(id.clone()).or_insert(until);
-            return;
-        }
-        if rows.entries.remove(id).is_some() {
-            info!(self.log, "server entry removed"; "server" => &**id, "row" => version);
+            },
+        };
+        debug!(self.log, "server entry"; "server" => &*row.key, "row" => row.version, "entry" => ?entry);
+        ListedRow {
+            id: row.key.clone(),
+            entry,
+            version: row.version,
         }
-        rows.lapsed.remove(id);
-        rows.removed.insert(id.clone(), version);
     }
 }
 
--- a/crates/sardineshore-serve/tests/stream.rs
+++ b/crates/sardineshore-serve/tests/stream.rs
@@ -5,7 +5,10 @@
 use sardineshore_serve::stream::{EventFilter, StreamFault};
 
 fn event(id: u64) -> String {
-    format!("id: {id}\ndata: {}\n\n", "x".repeat(id as usize % 7))
+    format!(
+        "id: {id}\ndata: {}\n\n",
+        "x".repeat(usize::try_from(id % 7).unwrap())
+    )
 }
 
 #[test]
