--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -24,6 +24,8 @@
 /// How work waits and is turned away.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BoardConfig {
+    /// Part of its aim that a job's forecast may take; forecasts are short of what comes between.
+    pub aim_part: f64,
     /// Part of the time left that a late job's forecast may take.
     pub late_part: f64,
     /// A call that takes so many times its expected time is repeated elsewhere.
@@ -49,6 +51,7 @@
 impl Default for BoardConfig {
     fn default() -> Self {
         Self {
+            aim_part: 0.72,
             late_part: 0.25,
             suspect_factor: 1.6,
             suspect_slack: Duration::from_millis(120),
@@ -310,8 +313,9 @@
                 retry_after: NO_SERVER_RETRY.min(job.time_left / 3),
             };
         };
-        let late = forecast.urgent > job.aim_left;
-        if late && forecast.behind_all > job.time_left.mul_f64(self.config.late_part) {
+        let late = forecast.urgent > job.aim_left.mul_f64(self.config.aim_part);
+        let hopeless = forecast.behind_all > job.time_left.mul_f64(self.config.late_part);
+        if late && (hopeless || !job.late_allowed) {
             let retry_after = self.retry_after(&job, forecast);
             return Verdict::Refused { retry_after };
         }
--- a/crates/sardineshore-core/src/flow/pieces/job.rs
+++ b/crates/sardineshore-core/src/flow/pieces/job.rs
@@ -58,6 +58,8 @@
     pub near: Name,
     /// Stages.
     pub steps: Vec<JobStep>,
+    /// Whether it is worth being taken on although it will be late.
+    pub late_allowed: bool,
     /// Stages that an earlier owner has ended.
     pub made: Vec<StepResults>,
 }
--- a/crates/sardineshore-core/tests/load/replay.rs
+++ b/crates/sardineshore-core/tests/load/replay.rs
@@ -183,6 +183,7 @@
             run_time: Duration::from_millis(100),
             near: "".into(),
             steps: steps.collect(),
+            late_allowed: true,
             made: Vec::new(),
         };
         let counts = self.report.kinds.entry(kind.name).or_default();
--- a/crates/sardineshore-core/tests/pieces.rs
+++ b/crates/sardineshore-core/tests/pieces.rs
@@ -51,6 +51,7 @@
         run_time: ms(100),
         near: "d".into(),
         steps,
+        late_allowed: true,
         made: Vec::new(),
     }
 }
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -254,6 +254,7 @@
             run_time: RUN_TIME,
             near: near.map_or_else(|| Name::from(""), |place| place.domain),
             steps,
+            late_allowed: true,
             made: Vec::new(),
         })
     }
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -86,6 +86,11 @@
         let Some(second) = shortest.filter(|cell| self.backlog(cell) < backlog) else {
             return Err(retry_after);
         };
+        // Late work is left to the first cell: a second one only takes what it can end in time.
+        let job = Job {
+            late_allowed: false,
+            ..job
+        };
         match self.make_in(second, &job, start).await {
             Ok(made) => Ok(made),
             Err(Failed::GivenUp(wait) | Failed::Refused(wait, _)) => Err(wait.min(retry_after)),
