--- a/crates/sardineshore-serve/src/program.rs
+++ b/crates/sardineshore-serve/src/program.rs
@@ -62,7 +62,7 @@
     let knowledge = Rc::new(Knowledge::new(settings));
     let upstreams = Rc::new(Upstreams::default());
     let metrics = Rc::new(Metrics::new()?);
-    let stop = Rc::new(Stop::default());
+    let stop = Rc::new(Stop::new(settings.bounds.grace));
     let store = Rc::new(Store::new(
         settings.store,
         dialect.clone(),
@@ -148,7 +148,7 @@
     });
     tokio::task::spawn_local(caller::accept(listener, parts.serving.clone()));
     wait_for_stop(&parts, &log).await?;
-    parts.stop.wait_drained(settings.bounds.grace).await;
+    parts.stop.wait_drained().await;
     info!(log, "stopped"; "store_calls" => parts.store.calls());
     Ok(())
 }
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -19,7 +19,7 @@
 use crate::metrics::Metrics;
 use crate::reply::Refusal;
 use crate::stages::Stages;
-use crate::stop::Stop;
+use crate::stop::{Phase, Stop};
 
 /// Wait that is asked for while the instance knows no fresh configuration; others may.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(250);
@@ -190,6 +190,9 @@
 
     /// Finds the route and the caller, or says why the request isn't served.
     fn admit(&self, incoming: &Incoming) -> Result<Routed, Refusal> {
+        if self.stop.phase() == Some(Phase::Refusing) {
+            return Err(Refusal::NotRun(UNKNOWN_RETRY, "instance stops"));
+        }
         let headers = &incoming.head.headers;
         let Some(site) = self.knowledge.site() else {
             return Err(Refusal::NotRun(UNKNOWN_RETRY, "no configuration yet"));
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -12,6 +12,7 @@
 use crate::knowledge::since_ms;
 use crate::reply::{Refusal, answer_head, write_chunk};
 use crate::stages::Held;
+use crate::stop::Phase;
 use crate::stream::EventFilter;
 use crate::upstream::Answer;
 
@@ -70,7 +71,7 @@
             prompt: prompt.unwrap_or_default(),
             ..Need::default()
         };
-        if self.stop.lingered() {
+        if self.stop.phase() >= Some(Phase::Short) {
             return not_run(request, FULL_RETRY, "instance stops");
         }
         let usable = self
--- a/crates/sardineshore-serve/src/stop.rs
+++ b/crates/sardineshore-serve/src/stop.rs
@@ -10,9 +10,36 @@
 /// Part of the grace after which even requests that run are left.
 const GRACE_PART: f64 = 0.92;
 
+/// Part of the grace after which no request is taken any more: it might not end in time.
+const REFUSING_PART: f64 = 0.7;
+
+/// What an instance that stops still takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Everything: the balancer has not noticed yet.
+    Lingering,
+    /// Short requests of callers that have nowhere else to go.
+    Short,
+    /// Nothing.
+    Refusing,
+}
+
+/// Phase of a stop that began `elapsed` ago.
+#[must_use]
+pub fn phase(elapsed: Duration, grace: Duration) -> Phase {
+    if elapsed >= grace.mul_f64(REFUSING_PART) {
+        Phase::Refusing
+    } else if elapsed >= LINGER {
+        Phase::Short
+    } else {
+        Phase::Lingering
+    }
+}
+
 /// State of the stop, and the number of requests that are served.
 #[derive(Debug, Default)]
 pub struct Stop {
+    grace: Duration,
     since: Cell<Option<Instant>>,
     active: Cell<usize>,
     changed: Notify,
@@ -32,6 +59,21 @@
 }
 
 impl Stop {
+    /// Not begun; a stop takes at most `grace`.
+    #[must_use]
+    pub fn new(grace: Duration) -> Self {
+        Self {
+            grace,
+            ..Self::default()
+        }
+    }
+
+    /// Phase of the stop, if it has begun.
+    #[must_use]
+    pub fn phase(&self) -> Option<Phase> {
+        self.since.get().map(|at| phase(at.elapsed(), self.grace))
+    }
+
     /// Begins the stop.
     pub fn begin(&self) {
         if self.since.get().is_none() {
@@ -46,12 +88,6 @@
         self.since.get().is_some()
     }
 
-    /// Whether idle connections are closed and nothing long is taken.
-    #[must_use]
-    pub fn lingered(&self) -> bool {
-        self.since.get().is_some_and(|at| at.elapsed() >= LINGER)
-    }
-
     /// Counts a request.
     pub fn enter(&self) -> Active<'_> {
         self.active.set(self.active.get() + 1);
@@ -80,10 +116,10 @@
     }
 
     /// Waits until the last request has ended or the grace is nearly over.
-    pub async fn wait_drained(&self, grace: Duration) {
+    pub async fn wait_drained(&self) {
         self.wait_lingered().await;
         let began = self.since.get().unwrap_or_else(Instant::now);
-        let end = began + grace.mul_f64(GRACE_PART);
+        let end = began + self.grace.mul_f64(GRACE_PART);
         while self.active.get() > 0 {
             let left = end.saturating_duration_since(Instant::now());
             if left.is_zero() {
