--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -29,8 +29,10 @@
 pub struct BoardConfig {
     /// Part of its aim that a job's forecast may take; forecasts are short of what comes between.
     pub aim_part: f64,
-    /// Part of the time left that a late job's forecast may take.
+    /// Part of the time left that a late job may wait behind all others.
     pub late_part: f64,
+    /// Part of the time left within which a late job has to end.
+    pub time_part: f64,
     /// A call that takes so many times its expected time is repeated elsewhere.
     pub suspect_factor: f64,
     /// Time beyond that, for links and queues.
@@ -39,7 +41,7 @@
     pub free_delay: Duration,
     /// Most times that a job's lost results are made again.
     pub rebuilds: u32,
-    /// Late jobs begin while each of their pools needs less than this for what has begun.
+    /// Late jobs begin while each of their pools needs less than this for what is queued.
     pub spare_backlog: Duration,
     /// Part of its slack for which a piece waits for a server in its own failure domain.
     pub domain_part: f64,
@@ -56,6 +58,7 @@
         Self {
             aim_part: 0.72,
             late_part: 0.25,
+            time_part: 0.8,
             suspect_factor: 1.6,
             suspect_slack: Duration::from_millis(120),
             free_delay: Duration::from_millis(120),
@@ -317,9 +320,12 @@
             };
         };
         let late = forecast.urgent > job.aim_left.mul_f64(self.config.aim_part);
-        let hopeless = forecast.behind_all > job.time_left.mul_f64(self.config.late_part);
+        let wait = forecast.behind_all.saturating_sub(forecast.alone);
+        let hopeless = wait > job.time_left.mul_f64(self.config.late_part)
+            || forecast.behind_all > job.time_left.mul_f64(self.config.time_part);
         if late && (hopeless || !job.late_allowed) {
-            let retry_after = self.retry_after(&job, forecast);
+            let retry_after = self.retry_after(&job);
+            self.next_sequence += 1;
             return Verdict::Refused { retry_after };
         }
         self.take_on(job, late, now);
@@ -417,7 +423,13 @@
                     .iter()
                     .filter(|p| matches!(p, Progress::Blocked | Progress::Queued))
                     .count() as u64;
+                let queued = progress
+                    .pieces
+                    .iter()
+                    .filter(|p| matches!(p, Progress::Queued))
+                    .count() as u64;
                 let load = loads.entry(step.pool.clone()).or_default();
+                load.queued += queued;
                 match (state.parked, state.late) {
                     (true, _) => load.parked += waiting,
                     (false, true) => load.late += waiting,
@@ -442,8 +454,9 @@
 
 /// Wait that is asked for when a pool has no server.
 const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
-/// Shortest wait that is asked for.
-const SHORTEST_RETRY: Duration = Duration::from_millis(100);
+/// Part of the longest wait over which returns are spread, and in how many steps.
+const SPREAD_PART: f64 = 0.35;
+const SPREAD_STEPS: u64 = 16;
 /// Pause of a server that rejected a call because it is full.
 const REJECTED_REST: Duration = Duration::from_millis(60);
 /// Calls are given up after so many times the time at which they are repeated elsewhere.
--- a/crates/sardineshore-core/src/flow/pieces/forecast.rs
+++ b/crates/sardineshore-core/src/flow/pieces/forecast.rs
@@ -15,6 +15,8 @@
     pub late: u64,
     /// Pieces of late jobs that have not begun.
     pub parked: u64,
+    /// Pieces that could be in a call if a server were free.
+    pub queued: u64,
     /// Pieces a second with full batches.
     pub rate: f64,
     /// Time of a call with a typical batch.
@@ -36,6 +38,12 @@
         self.urgent.iter().sum::<u64>() + self.late
     }
 
+    /// Time that the pool needs for what could be in a call now.
+    #[must_use]
+    pub fn queue_time(&self) -> Duration {
+        Duration::from_secs_f64(self.queued as f64 / self.rate.max(0.001))
+    }
+
     /// Time that the pool needs for all that has begun.
     #[must_use]
     pub fn backlog(&self) -> Duration {
@@ -59,6 +67,8 @@
     pub urgent: Duration,
     /// The same behind all jobs.
     pub behind_all: Duration,
+    /// The same without any other job.
+    pub alone: Duration,
 }
 
 /// Forecast of a job; `None` if a pool it needs has no server.
@@ -66,6 +76,7 @@
 pub fn forecast(job: &Job, loads: &BTreeMap<Name, PoolLoad>) -> Option<Forecast> {
     Some(Forecast {
         urgent: path(job, loads, |load| load.ahead_of(job.rank))?,
+        alone: path(job, loads, |_| 0)?,
         behind_all: path(job, loads, |load| load.begun() + load.parked)?,
     })
 }
--- a/crates/sardineshore-core/src/flow/pieces/waiting.rs
+++ b/crates/sardineshore-core/src/flow/pieces/waiting.rs
@@ -2,19 +2,17 @@
 
 use std::time::{Duration, Instant};
 
-use super::forecast::Forecast;
 use super::job::{Job, JobState, Progress, StepState};
-use super::{Action, DELIVERED_KEPT, PieceBoard, SHORTEST_RETRY, place, tails};
+use super::{Action, DELIVERED_KEPT, PieceBoard, SPREAD_PART, SPREAD_STEPS, place, tails};
 
 impl PieceBoard {
-    pub(super) fn retry_after(&self, job: &Job, forecast: Forecast) -> Duration {
-        let excess = forecast.urgent.saturating_sub(job.aim_left);
-        // Arrivals spread over half the wait so that those who return don't meet.
-        let spread = f64::from(u32::try_from(self.next_sequence % 16).unwrap_or(0)) / 32.0;
-        excess
-            .mul_f64(1.0 + spread)
-            .max(SHORTEST_RETRY)
-            .min(job.time_left / 3)
+    /// When a refused caller should come back: what it asked for will be late by then whatever it
+    /// does, and it comes back once, so it waits as long as it can for the load to pass. Waits are
+    /// spread so that those who return don't meet.
+    pub(super) fn retry_after(&self, job: &Job) -> Duration {
+        let steps = f64::from(u32::try_from(self.next_sequence % SPREAD_STEPS).unwrap_or(0));
+        let part = 1.0 - SPREAD_PART * steps / SPREAD_STEPS as f64;
+        (job.time_left / 3).mul_f64(part)
     }
 
     pub(super) fn take_on(&mut self, job: Job, late: bool, now: Instant) {
@@ -134,14 +132,14 @@
             let steps = &self.jobs[index].job.steps;
             let spare = steps.iter().filter(|step| step.pieces > 0).all(|step| {
                 let load = loads.get(&step.pool);
-                load.is_some_and(|load| load.backlog() < self.config.spare_backlog)
+                load.is_some_and(|load| load.queue_time() < self.config.spare_backlog)
             });
             if !spare {
                 continue;
             }
             for step in steps {
                 if let Some(load) = loads.get_mut(&step.pool) {
-                    load.late += u64::from(step.pieces);
+                    load.queued += u64::from(step.pieces);
                 }
             }
             self.jobs[index].parked = false;
--- a/crates/sardineshore-serve/src/follow.rs
+++ b/crates/sardineshore-serve/src/follow.rs
@@ -186,10 +186,10 @@
     }
 
     async fn watch_servers(&self, after: u64) -> Result<Stamped, StoreFault> {
-        let wait = if !self.servers.borrow().awaits_lapsed() {
-            SERVERS_WAIT
-        } else {
+        let wait = if self.servers.borrow().awaits_lapsed() {
             LAPSED_WAIT
+        } else {
+            SERVERS_WAIT
         };
         self.store.watch(Table::Servers, after, wait).await
     }
