--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -207,7 +207,15 @@
             return Ok((Vec::new(), None));
         };
         let start = Instant::now();
-        let made = tokio::time::timeout(request.left(), self.stages.make(job)).await;
+        let making = tokio::time::timeout(request.left(), self.stages.make(job));
+        let made = tokio::select! {
+            biased;
+            made = making => made,
+            // The instance ends before the request could: it has not run, others can serve it.
+            () = self.stop.wait_refusing() => {
+                return Err(not_run(request, FULL_RETRY, "instance stops"));
+            }
+        };
         trace.stages_ms += since_ms(start);
         match made {
             Ok(Ok((inputs, held))) => {
--- a/crates/sardineshore-serve/src/stop.rs
+++ b/crates/sardineshore-serve/src/stop.rs
@@ -115,6 +115,14 @@
         }
     }
 
+    /// Waits until nothing is taken any more: what has not been sent by then is refused.
+    pub async fn wait_refusing(&self) {
+        self.wait_begun().await;
+        let began = self.since.get().unwrap_or_else(Instant::now);
+        let refusing = self.grace.mul_f64(REFUSING_PART);
+        tokio::time::sleep(refusing.saturating_sub(began.elapsed())).await;
+    }
+
     /// Waits until the last request has ended or the grace is nearly over.
     pub async fn wait_drained(&self) {
         self.wait_lingered().await;
--- a/crates/sardineshore-serve/tests/stop.rs
+++ b/crates/sardineshore-serve/tests/stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sardineshore_serve::stop::{Phase, phase};
+use sardineshore_serve::stop::{Phase, Stop, phase};
 
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -15,3 +15,17 @@
     assert_eq!(at(6500), Phase::Refusing);
     assert_eq!(at(7350), Phase::Refusing);
 }
+
+#[test]
+fn wait_for_the_refusing_phase_ends_within_the_grace() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let stop = Stop::new(Duration::from_millis(20));
+        stop.begin();
+        stop.wait_refusing().await;
+        assert_eq!(stop.phase(), Some(Phase::Refusing));
+    });
+}
