perf(placement): equal servers are told apart by request

Ruled out: prefix homes (the hottest were lowest ids, not homes). Change: up to 6 ms of cost by a hash of request and server; less than a failure domain costs. The longest pause of a stream is logged.

--- a/crates/sardineshore-core/src/flow/placement.rs
+++ b/crates/sardineshore-core/src/flow/placement.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::site::{Name, Server};
 use health::Health;
@@ -19,6 +19,9 @@
 const FULL_COST: Duration = Duration::from_millis(120);
 /// Cost of leaving the failure domain.
 const DOMAIN_COST: Duration = Duration::from_millis(8);
+/// Most that chance adds to a server's cost: instances don't see each other's newest sends, so
+/// equal servers are told apart by request. Below the cost of leaving the failure domain.
+const SPREAD_COST: Duration = Duration::from_millis(6);
 /// How long a part of a prompt that was sent to a server counts as cached there.
 const CACHED_FOR: Duration = Duration::from_secs(20);
 /// A load report older than this counts for nothing.
@@ -53,6 +56,8 @@
     pub inputs: Vec<(Name, u64)>,
     /// Servers that were tried already.
     pub tried: Vec<Name>,
+    /// Differs from request to request: spreads requests over servers that are equal otherwise.
+    pub seed: u64,
 }
 
 impl Need {
@@ -200,7 +205,8 @@
                 let moved = member.foreign_bytes(need);
                 let reread = unread - need.own_tokens().min(unread);
                 let price = REREAD_COST.as_secs_f64() * f64::from(reread)
-                    + FOREIGN_MB_COST.as_secs_f64() * moved as f64 / 1e6;
+                    + FOREIGN_MB_COST.as_secs_f64() * moved as f64 / 1e6
+                    + SPREAD_COST.as_secs_f64() * chance(&member.server.id, need.seed);
                 (self.cost(member, unread, now) + price, unread, member)
             })
             .min_by(|a, b| {
@@ -339,6 +345,11 @@
     }
 }
 
+/// A number from 0 to 1 that is the same for the same server and request.
+fn chance(server: &str, seed: u64) -> f64 {
+    (xxh3_64_with_seed(server.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 /// Server that all instances send a prompt to first: the highest hash of prompt and server.
 fn home_of(need: &Need, members: &[&Member]) -> Option<Name> {
     let last = need.shared().last()?;
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -194,6 +194,34 @@
     assert!(used.len() > 2, "{used:?}");
 }
 
+/// Load pattern: many instances that don't see each other's sends, requests without a common
+/// prompt.
+#[test]
+fn placement_of_equal_servers_is_spread_over_instances() {
+    let now = Instant::now();
+    let mut used: BTreeMap<Name, u32> = BTreeMap::new();
+    for instance in 0..20 {
+        let fleet = fleet(20);
+        for request in 0..10 {
+            let need = Need {
+                pool: "llm".into(),
+                prompt: vec![PromptPart {
+                    id: "own".into(),
+                    tokens: 500,
+                }],
+                seed: instance * 1000 + request,
+                ..Need::default()
+            };
+            *used
+                .entry(fleet.choose(&need, now).unwrap().id)
+                .or_default() += 1;
+        }
+    }
+    // Ten of the servers are in the instances' own domain: 20 requests each on average.
+    assert_eq!(used.len(), 10, "{used:?}");
+    assert!(used.values().all(|count| *count <= 40), "{used:?}");
+}
+
 #[test]
 fn placement_leaves_a_broken_server_and_comes_back() {
     let now = Instant::now();
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -52,6 +52,8 @@
     pub first_ms: Option<u64>,
     /// Events of a stream passed on.
     pub last_event: Option<u64>,
+    /// Longest pause between events of a stream, milliseconds.
+    pub pause_ms: u64,
 }
 
 /// How a request ended.
@@ -185,7 +187,7 @@
             "reason" => reason, "ms" => since_ms(incoming.arrived), "sends" => trace.sends,
             "stages_ms" => trace.stages_ms, "first_ms" => trace.first_ms,
             "server" => trace.server.as_deref().unwrap_or("-"),
-            "last_event" => trace.last_event);
+            "last_event" => trace.last_event, "pause_ms" => trace.pause_ms);
     }
 
     /// Finds the route and the caller, or says why the request isn't served.
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -2,6 +2,7 @@
 
 use sardineshore_core::flow::placement::{AttemptEnd, Need};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{End, FULL_RETRY, NO_SERVER_RETRY, Serving, Trace, not_run, pool_of};
 use crate::attempt::{Additions, Checked, Chosen};
@@ -35,6 +36,7 @@
         };
         let mut need = Need {
             pool,
+            seed: xxh3_64(request.id.as_bytes()),
             ..Need::default()
         };
         let most = request.route.max_attempts.max(1);
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -6,6 +6,7 @@
 use sardineshore_core::flow::placement::{AttemptEnd, Need};
 use sardineshore_core::flow::site::Name;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{End, FULL_RETRY, NO_SERVER_RETRY, Serving, Trace, not_run, pool_of};
 use crate::attempt::{Additions, Checked, Chosen};
@@ -68,6 +69,7 @@
             .map(|text| self.dialect.prompt(text));
         let mut need = Need {
             pool,
+            seed: xxh3_64(request.id.as_bytes()),
             prompt: prompt.unwrap_or_default(),
             ..Need::default()
         };
@@ -302,6 +304,7 @@
         let status = answer.head.status;
         let mut chunk = Vec::new();
         let mut wait = patience;
+        let mut heard = Instant::now();
         loop {
             let next = chosen.conn.next(&mut answer);
             let data = match tokio::time::timeout(wait.min(request.left()), next).await {
@@ -347,7 +350,10 @@
                 chunk = answer_head(status, &answer.head.headers, None, !output.keep);
                 output.head_sent = true;
                 trace.first_ms = Some(since_ms(request.arrived));
+            } else {
+                trace.pause_ms = trace.pause_ms.max(since_ms(heard));
             }
+            heard = Instant::now();
             chosen.attempt.first_output();
             // The engine has fetched the inputs once it produces output.
             drop(held.take());
