fix(pieces): a new owner asks servers for the memory that a lost one left filled

Change: a new owner, and one that found a server full, asks for its free memory (at most 50 ms before the first call, then every 400 ms while it is not explained); users of results whose owner is lost give them up themselves.

--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -18,6 +18,7 @@
 use slab::Slab;
 
 use bench::Bench;
+pub use bench::RoomLeft;
 use forecast::{PoolLoad, forecast, rank_index};
 pub use job::{Job, JobStep, KeptResult, StepResults};
 use job::{JobState, Made, Progress};
@@ -195,6 +196,13 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// Ask a server how much memory it has left for results; see [`PieceBoard::room_told`].
+    AskRoom {
+        /// Id of the server.
+        server: Name,
+        /// Its address.
+        address: SocketAddr,
+    },
     /// Tell a server that results are not needed any more.
     Free {
         /// Id of the server.
@@ -358,6 +366,7 @@
         if self.closing {
             self.hand_over();
         } else {
+            self.ask_rooms(now);
             let pools: Vec<Name> = self.queues.keys().cloned().collect();
             for pool in pools {
                 while self.start_call(&pool, now) {}
@@ -367,10 +376,44 @@
         std::mem::take(&mut self.out)
     }
 
-    /// Starts or ends the hand-over to another owner: no call is started, and jobs leave when
-    /// their running calls have ended. Their results stay with their makers.
-    pub fn set_closing(&mut self, closing: bool) {
-        self.closing = closing;
+    /// Starts the hand-over to another owner: no call is started, and jobs leave when their
+    /// running calls have ended. Their results stay with their makers.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// Ends the hand-over: the other owner is gone.
+    pub fn reopen(&mut self, now: Instant) {
+        if std::mem::take(&mut self.closing) {
+            self.take_over(now);
+        }
+    }
+
+    /// Another owner may have worked before: its results fill memory that this one knows nothing
+    /// of, so every server is asked before its first call.
+    pub fn take_over(&mut self, now: Instant) {
+        for bench in self.benches.values_mut().flatten() {
+            bench.ask_first(now);
+        }
+    }
+
+    /// A server told how much memory it has left for results.
+    pub fn room_told(&mut self, server: &str, free: RoomLeft, now: Instant) {
+        let mut benches = self.benches.values_mut().flatten();
+        if let Some(bench) = benches.find(|bench| *bench.id == *server) {
+            bench.room_told(free, now);
+        }
+    }
+
+    fn ask_rooms(&mut self, now: Instant) {
+        for bench in self.benches.values_mut().flatten() {
+            if bench.asks_now(now) {
+                self.out.push(Action::AskRoom {
+                    server: bench.id.clone(),
+                    address: bench.address,
+                });
+            }
+        }
     }
 
     fn hand_over(&mut self) {
--- a/crates/sardineshore-core/src/flow/pieces/bench.rs
+++ b/crates/sardineshore-core/src/flow/pieces/bench.rs
@@ -11,15 +11,31 @@
 const LONGEST_REST: Duration = Duration::from_secs(2);
 /// Weight of the newest call in the average slowness.
 const SLOWNESS_GAIN: f64 = 0.5;
-/// Part of a server's memory that is filled with results; sizes are approximate.
-/// How long results of another owner are assumed after a server was found full.
+/// How long results of another owner are assumed after a server was found full or told so.
 const STRANGE_TIME: Duration = Duration::from_millis(500);
+/// Pause between questions for the free memory while another owner's results lie there. Servers
+/// answer with a state that is some hundred milliseconds old.
+const ASK_PAUSE: Duration = Duration::from_millis(400);
+/// An answer is too coarse if its step is more than this part of the memory.
+const COARSE_PARTS: u64 = 8;
+/// Longest wait for the answer before a first call: a few times the way there and back.
+const ASK_WAIT: Duration = Duration::from_millis(50);
 /// Time for a server to learn what is given up.
 const TELLING_TIME: Duration = Duration::from_millis(40);
 /// Results given up are told at once when they fill this part of the memory.
 const CROWDED_PARTS: u64 = 8;
+/// Part of a server's memory that is filled with results; sizes are approximate.
 const PERCENT_OF_ROOM: u64 = 92;
 
+/// Memory that a server has left for results, in bytes: at least `least`, less than a `step` more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RoomLeft {
+    /// Least that is left.
+    pub least: u64,
+    /// How exactly it is told.
+    pub step: u64,
+}
+
 /// State of one server.
 #[derive(Debug)]
 pub(super) struct Bench {
@@ -47,6 +63,10 @@
     told: Vec<(u64, Instant)>,
     /// Bytes of results that another owner left there, and until when they are assumed.
     strange: Option<(u64, Instant)>,
+    /// When the server is asked next how much memory it has left.
+    ask_at: Option<Instant>,
+    /// No call is sent before the answer or this time.
+    answer_by: Option<Instant>,
 }
 
 impl Bench {
@@ -68,12 +88,15 @@
             free_since: None,
             told: Vec::new(),
             strange: None,
+            ask_at: None,
+            answer_by: None,
         }
     }
 
     /// Whether it takes a call now.
     pub fn is_free(&self, now: Instant) -> bool {
-        self.calls < self.spec.slots.max(1) && self.rests_until.is_none_or(|until| now >= until)
+        let over = |until: Option<Instant>| until.is_none_or(|until| now >= until);
+        self.calls < self.spec.slots.max(1) && over(self.rests_until) && over(self.answer_by)
     }
 
     /// Whether it takes calls now or as soon as it has ended one.
@@ -98,6 +121,38 @@
     pub fn found_full(&mut self, now: Instant) {
         let free = self.room_for_known(now);
         self.strange = Some((free, now + STRANGE_TIME));
+        self.ask_at.get_or_insert(now);
+    }
+
+    /// Asks for the free memory and waits a little for the answer.
+    pub fn ask_first(&mut self, now: Instant) {
+        self.ask_at = Some(now);
+        self.answer_by = Some(now + ASK_WAIT);
+    }
+
+    /// Whether the server is asked for its free memory now; true once a question.
+    pub fn asks_now(&mut self, now: Instant) -> bool {
+        let due = !self.leaving && self.ask_at.is_some_and(|at| now >= at);
+        if due {
+            self.ask_at = None;
+        }
+        due
+    }
+
+    /// The server told how much it has left: what known results don't explain belongs to another
+    /// owner. Too coarse an answer doesn't undo that the server was found full.
+    pub fn room_told(&mut self, free: RoomLeft, now: Instant) {
+        self.answer_by = None;
+        let hidden = self.spec.room / 100 * (100 - PERCENT_OF_ROOM);
+        let known = self.room_for_known(now);
+        let most = free.least + free.step;
+        let strange = known.saturating_sub(most.saturating_sub(hidden));
+        if strange > 0 {
+            self.strange = Some((strange, now + STRANGE_TIME));
+            self.ask_at = Some(now + ASK_PAUSE);
+        } else if free.step * COARSE_PARTS <= self.spec.room {
+            self.strange = None;
+        }
     }
 
     fn room_for_known(&mut self, now: Instant) -> u64 {
--- a/crates/sardineshore-core/tests/load/replay.rs
+++ b/crates/sardineshore-core/tests/load/replay.rs
@@ -299,7 +299,10 @@
                     self.refuse(request, asked, now + retry_after);
                 }
             }
-            Action::StageEnded { .. } | Action::HandedOver { .. } | Action::Free { .. } => {}
+            Action::StageEnded { .. }
+            | Action::HandedOver { .. }
+            | Action::AskRoom { .. }
+            | Action::Free { .. } => {}
         }
     }
 }
--- a/crates/sardineshore-core/tests/pieces.rs
+++ b/crates/sardineshore-core/tests/pieces.rs
@@ -4,7 +4,7 @@
 
 use sardineshore_core::flow::pieces::{
     Action, BatchServer, BoardConfig, CallEnd, Job, JobStep, PieceAsk, PieceBoard, PieceFault,
-    PieceSource, Verdict,
+    PieceSource, RoomLeft, Verdict,
 };
 use sardineshore_core::flow::site::{BatchSpec, Name};
 
@@ -220,7 +220,7 @@
     let steps = vec![step("p", &[], 1), step("q", &[0], 1)];
     first.submit(job("1", steps.clone()), now);
     let call = calls(&first.poll(now))[0].0;
-    first.set_closing(true);
+    first.close();
     assert!(first.poll(now).is_empty(), "waits for the running call");
     first.call_ended(call, &made("x", 1), now + ms(210));
     let actions = first.poll(now + ms(210));
@@ -238,3 +238,91 @@
     let source = PieceSource::Results(vec!["x0".into()]);
     assert_eq!((calls[0].2[0].step, &calls[0].2[0].source), (1, &source));
 }
+
+/// Servers that are asked for their free memory.
+fn asked(actions: &[Action]) -> Vec<Name> {
+    let asked = actions.iter().filter_map(|action| match action {
+        Action::AskRoom { server, .. } => Some(server.clone()),
+        _ => None,
+    });
+    asked.collect()
+}
+
+fn left(least: u64) -> RoomLeft {
+    RoomLeft {
+        least,
+        step: ROOM / 100,
+    }
+}
+
+fn heavy(id: &str, pieces: u32) -> Job {
+    let mut step = step("p", &[], pieces);
+    step.bytes = ROOM / 5;
+    job(id, vec![step])
+}
+
+/// Load pattern: an owner is lost under load, and what it left fills the servers' memory.
+#[test]
+fn new_owner_fills_only_what_a_predecessor_left_free() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p")], now);
+    board.take_over(now);
+    board.submit(heavy("1", 4), now);
+    let first = board.poll(now);
+    assert_eq!(asked(&first), ["a".into()]);
+    assert!(calls(&first).is_empty(), "waits for the answer");
+    board.room_told("a", left(ROOM / 5 * 2), now + ms(5));
+    let sent = calls(&board.poll(now + ms(5)));
+    assert_eq!(sent.len(), 1);
+    assert!(sent[0].2.len() <= 2, "{}", sent[0].2.len());
+    // The predecessor's results end: the server is asked again and then filled.
+    board.call_ended(sent[0].0, &made("x", sent[0].2.len()), now + ms(300));
+    assert_eq!(asked(&board.poll(now + ms(420))), ["a".into()]);
+    board.room_told("a", left(ROOM / 5 * 4), now + ms(425));
+    assert_eq!(calls(&board.poll(now + ms(425))).len(), 1);
+}
+
+#[test]
+fn new_owner_does_not_wait_long_for_a_silent_server() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p")], now);
+    board.take_over(now);
+    board.submit(heavy("1", 1), now);
+    assert!(calls(&board.poll(now)).is_empty());
+    assert_eq!(calls(&board.poll(now + ms(60))).len(), 1);
+}
+
+#[test]
+fn full_server_is_asked_what_it_has_left() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p")], now);
+    board.submit(heavy("1", 4), now);
+    let sent = calls(&board.poll(now));
+    let ends = vec![
+        Ok("x".into()),
+        Err(PieceFault::NoRoom),
+        Err(PieceFault::NoRoom),
+        Err(PieceFault::NoRoom),
+    ];
+    board.call_ended(sent[0].0, &CallEnd::Answered(ends), now + ms(250));
+    let next = board.poll(now + ms(250));
+    assert_eq!(asked(&next), ["a".into()]);
+    assert!(calls(&next).is_empty());
+    board.room_told("a", left(ROOM / 5 * 4), now + ms(260));
+    assert_eq!(calls(&board.poll(now + ms(260)))[0].2.len(), 3);
+}
+
+#[test]
+fn coarse_answer_of_a_small_server_stops_nothing() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p")], now);
+    board.take_over(now);
+    board.submit(heavy("1", 2), now);
+    board.poll(now);
+    let coarse = RoomLeft {
+        least: 0,
+        step: ROOM,
+    };
+    board.room_told("a", coarse, now + ms(5));
+    assert_eq!(calls(&board.poll(now + ms(5)))[0].2.len(), 2);
+}
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -8,7 +8,8 @@
 
 use sardineshore_core::flow::owners::{WHOLE, domain_cells};
 use sardineshore_core::flow::pieces::{
-    Action, BatchServer, BoardConfig, CallEnd, Job, PieceAsk, PieceBoard, StepResults, Verdict,
+    Action, BatchServer, BoardConfig, CallEnd, Job, KeptResult, PieceAsk, PieceBoard, RoomLeft,
+    StepResults, Verdict,
 };
 use sardineshore_core::flow::placement::Fleet;
 use sardineshore_core::flow::site::{Name, SiteIndex, Work};
@@ -28,6 +29,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time to tell a server that results are not needed.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for the answer to a question for free memory.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a cell that was handed over takes no jobs.
 const RESIGNED_FOR: Duration = Duration::from_millis(1500);
 /// How often a cell's load is logged.
@@ -183,11 +186,30 @@
     pub fn close(&self) {
         self.closed.set(true);
         for runner in self.runners.borrow().values() {
-            runner.board.borrow_mut().set_closing(true);
+            runner.board.borrow_mut().close();
             runner.wake.notify_one();
         }
     }
 
+    /// Gives results up whose owner is lost.
+    pub fn give_up(&self, results: Vec<KeptResult>) {
+        let mut by_maker: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
+        for result in results {
+            by_maker
+                .entry(result.maker)
+                .or_default()
+                .push(result.handle);
+        }
+        let servers = self.servers.borrow();
+        let all = servers.get(WHOLE).map(Vec::as_slice).unwrap_or_default();
+        for (maker, handles) in by_maker {
+            if let Some(server) = all.iter().find(|server| server.id == maker) {
+                let tools = self.tools.clone();
+                tokio::task::spawn_local(give_up(tools, maker, server.address, handles));
+            }
+        }
+    }
+
     /// Cells with jobs.
     #[must_use]
     pub fn active(&self) -> Vec<Name> {
@@ -203,7 +225,7 @@
         if let Some(runner) = self.runners.borrow().get(cell) {
             info!(self.tools.log, "cell handed over"; "cell" => &**cell);
             runner.resigned_at.set(Some(Instant::now()));
-            runner.board.borrow_mut().set_closing(true);
+            runner.board.borrow_mut().close();
             runner.wake.notify_one();
         }
     }
@@ -219,7 +241,7 @@
             waiter(StageEvent::End(StageEnd::Moved));
             return;
         }
-        runner.board.borrow_mut().set_closing(false);
+        runner.board.borrow_mut().reopen(Instant::now());
         let id = job.id.clone();
         let verdict = runner.board.borrow_mut().submit(job, Instant::now());
         debug!(self.tools.log, "job"; "request" => &*id, "cell" => &**cell, "verdict" => ?verdict);
@@ -254,6 +276,7 @@
             let mut board = PieceBoard::new(BoardConfig::default());
             let servers = self.servers.borrow().get(cell).cloned().unwrap_or_default();
             board.set_servers(servers, Instant::now());
+            board.take_over(Instant::now());
             let runner = Rc::new(Runner {
                 cell: cell.clone(),
                 board: RefCell::new(board),
@@ -384,16 +407,28 @@
             address,
             handles,
         } => {
+            let tools = runner.tools.clone();
+            tokio::task::spawn_local(give_up(tools, server, address, handles));
+        }
+        Action::AskRoom { server, address } => {
             let runner = runner.clone();
             tokio::task::spawn_local(async move {
-                let call = runner.tools.dialect.free_results(&handles);
-                let freeing = free(&runner.tools, address, &call);
-                // Results that can't be given up end by themselves.
-                if !matches!(
-                    tokio::time::timeout(FREE_TIMEOUT, freeing).await,
-                    Ok(Ok(()))
-                ) {
-                    debug!(runner.tools.log, "results not given up"; "server" => &*server, "results" => handles.len());
+                let tools = &runner.tools;
+                let asking = ask_room(tools, address);
+                match tokio::time::timeout(ASK_TIMEOUT, asking).await {
+                    Ok(Ok(free)) => {
+                        debug!(tools.log, "room left"; "server" => &*server, "bytes" => free.least);
+                        let now = Instant::now();
+                        runner.board.borrow_mut().room_told(&server, free, now);
+                        runner.wake.notify_one();
+                    }
+                    // Its first calls tell whether it is full.
+                    Ok(Err(fault)) => {
+                        info!(tools.log, "room unknown"; "server" => &*server, "fault" => format!("{fault:#}"));
+                    }
+                    Err(_) => {
+                        info!(tools.log, "room unknown"; "server" => &*server, "fault" => "no answer in time");
+                    }
                 }
             });
         }
@@ -428,6 +463,28 @@
     }
 }
 
+/// Results that can't be given up end by themselves.
+async fn give_up(tools: Rc<Tools>, server: Name, address: SocketAddr, handles: Vec<Name>) {
+    let call = tools.dialect.free_results(&handles);
+    let freeing = free(&tools, address, &call);
+    let freed = tokio::time::timeout(FREE_TIMEOUT, freeing).await;
+    if !matches!(freed, Ok(Ok(()))) {
+        debug!(tools.log, "results not given up"; "server" => &*server, "results" => handles.len());
+    }
+}
+
+async fn ask_room(tools: &Tools, address: SocketAddr) -> anyhow::Result<RoomLeft> {
+    let call = tools.dialect.ask_room();
+    let head = call_head(&call, address);
+    let mut conn = tools
+        .upstreams
+        .connect(address, FREE_IDLE, CONNECT_TIMEOUT)
+        .await?;
+    let (answer, body) = whole_answer(&mut conn, &head, &call).await?;
+    tools.upstreams.keep(conn, &answer);
+    tools.dialect.room_left(&body)
+}
+
 async fn free(tools: &Tools, address: SocketAddr, call: &Call) -> Result<(), ExchangeFault> {
     let head = call_head(call, address);
     let mut conn = tools
--- a/crates/sardineshore-serve/src/dialect.rs
+++ b/crates/sardineshore-serve/src/dialect.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use sardineshore_core::flow::pieces::{PieceAsk, PieceFault};
+use sardineshore_core::flow::pieces::{PieceAsk, PieceFault, RoomLeft};
 use sardineshore_core::flow::placement::{LoadReport, PromptPart};
 use sardineshore_core::flow::site::{Name, Server, Site};
 
@@ -123,4 +123,8 @@
     fn pieces_made(&self, bytes: &[u8]) -> anyhow::Result<Vec<Result<Name, PieceFault>>>;
     /// Call that gives results up.
     fn free_results(&self, handles: &[Name]) -> Call;
+    /// Call that asks a server for the memory it has left for results.
+    fn ask_room(&self) -> Call;
+    /// Decodes its answer.
+    fn room_left(&self, bytes: &[u8]) -> anyhow::Result<RoomLeft>;
 }
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -152,6 +152,12 @@
         }
     }
 
+    /// Whether the link is lost.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.tx.is_closed()
+    }
+
     /// Hands a job over; the waiter hears of it and is dropped if the link is lost.
     pub fn submit(&self, cell: Name, job: Job, waiter: Waiter) {
         self.waiting.borrow_mut().insert(job.id.clone(), waiter);
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -346,12 +346,12 @@
             if events.is_empty() {
                 continue;
             }
-            if !output.head_sent {
+            if output.head_sent {
+                trace.pause_ms = trace.pause_ms.max(since_ms(heard));
+            } else {
                 chunk = answer_head(status, &answer.head.headers, None, !output.keep);
                 output.head_sent = true;
                 trace.first_ms = Some(since_ms(request.arrived));
-            } else {
-                trace.pause_ms = trace.pause_ms.max(since_ms(heard));
             }
             heard = Instant::now();
             chosen.attempt.first_output();
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::owners::{choose_cell, ranking};
-use sardineshore_core::flow::pieces::{Job, StepResults};
+use sardineshore_core::flow::pieces::{Job, KeptResult, StepResults};
 use sardineshore_core::flow::site::Name;
 use slog::{Logger, info};
 use tokio::sync::oneshot;
@@ -37,6 +37,9 @@
     owner: Owner,
     cell: Name,
     request: Name,
+    /// Results that the request uses, to be given up here if their owner is lost.
+    results: Vec<KeptResult>,
+    cells: Rc<Cells>,
 }
 
 impl std::fmt::Debug for Held {
@@ -51,6 +54,9 @@
     fn drop(&mut self) {
         match &self.owner {
             Owner::Here(cells) => cells.release(&self.cell, &self.request),
+            Owner::There(link) if link.is_lost() => {
+                self.cells.give_up(std::mem::take(&mut self.results));
+            }
             Owner::There(link) => link.release(&self.cell, &self.request),
         }
     }
@@ -131,12 +137,13 @@
                     break;
                 }
             }
-            let Some((name, (held, ended))) = reached else {
+            let Some((name, (mut held, ended))) = reached else {
                 continue;
             };
             match ended.await {
                 Ok(StageEnd::Finished(inputs)) => {
                     self.note_backlog(cell, inputs.backlog);
+                    held.results = used(&made, &inputs);
                     return Ok((inputs, held));
                 }
                 Ok(StageEnd::GivenUp(retry_after)) => return Err(Failed::GivenUp(retry_after)),
@@ -180,6 +187,8 @@
             owner,
             cell,
             request,
+            results: Vec::new(),
+            cells: self.cells.clone(),
         };
         Some((held, ended))
     }
@@ -196,6 +205,14 @@
 /// Stages of a job that have ended, whoever owned it.
 type Progress = Rc<RefCell<Vec<StepResults>>>;
 
+/// Those of the results made that are inputs of the request.
+fn used(made: &Progress, inputs: &Inputs) -> Vec<KeptResult> {
+    let made = made.borrow();
+    let results = made.iter().flat_map(|step| &step.results);
+    let used = results.filter(|result| inputs.names.contains(&result.handle));
+    used.cloned().collect()
+}
+
 /// A waiter that notes progress and passes the end on.
 fn listen(made: &Progress) -> (Waiter, oneshot::Receiver<StageEnd>) {
     let (tx, rx) = oneshot::channel();
