feat(pieces): late jobs stand in line by rank, and callers that come back are known

Callers that came back counted as fresh and took capacity from those that could still be in time. Jobs in line that more urgent work overtook were held until their deadline.

--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -9,6 +9,7 @@
 pub mod forecast;
 mod job;
 mod results;
+mod returns;
 mod waiting;
 
 use std::collections::{BTreeMap, HashMap};
@@ -22,6 +23,7 @@
 use forecast::{PoolLoad, forecast, rank_index};
 pub use job::{Job, JobStep, KeptResult, StepResults};
 use job::{JobState, Made, Progress};
+use returns::Returns;
 
 use super::site::{BatchSpec, Name};
 
@@ -42,6 +44,8 @@
     pub free_delay: Duration,
     /// Most times that a job's lost results are made again.
     pub rebuilds: u32,
+    /// Late jobs that have not begun are looked through so often for those that can't be served.
+    pub parked_check: Duration,
     /// Late jobs begin while each of their pools needs less than this for what is queued.
     pub spare_backlog: Duration,
     /// Part of its slack for which a piece waits for a server in its own failure domain.
@@ -64,6 +68,7 @@
             suspect_slack: Duration::from_millis(120),
             free_delay: Duration::from_millis(120),
             rebuilds: 3,
+            parked_check: Duration::from_millis(100),
             spare_backlog: Duration::from_millis(150),
             domain_part: 0.5,
             domain_reserve: Duration::from_millis(200),
@@ -267,6 +272,9 @@
     deferred: Vec<(Instant, usize)>,
     /// Starts no calls: another owner takes over.
     closing: bool,
+    returns: Returns,
+    /// When the line of late jobs is looked through next.
+    parked_check: Option<Instant>,
     out: Vec<Action>,
 }
 
@@ -315,14 +323,19 @@
     }
 
     /// Takes a job on, or says when to come back.
-    pub fn submit(&mut self, job: Job, now: Instant) -> Verdict {
+    pub fn submit(&mut self, mut job: Job, now: Instant) -> Verdict {
         if !job.is_sound() {
             return Verdict::Refused {
                 retry_after: job.time_left / 3,
             };
         }
         self.cancel(&job.id.clone(), now);
+        let first_aim = self.returns.first_aim(&job, now);
+        if let Some(aim) = first_aim {
+            job.aim_left = aim.saturating_duration_since(now).min(job.aim_left);
+        }
         let Some(forecast) = forecast(&job, &self.loads(now)) else {
+            self.remember_refused(&job, now);
             return Verdict::Refused {
                 retry_after: NO_SERVER_RETRY.min(job.time_left / 3),
             };
@@ -334,9 +347,10 @@
         if late && (hopeless || !job.late_allowed) {
             let retry_after = self.retry_after(&job);
             self.next_sequence += 1;
+            self.remember_refused(&job, now);
             return Verdict::Refused { retry_after };
         }
-        self.take_on(job, late, now);
+        self.take_on(job, late, first_aim.is_some(), now);
         Verdict::Accepted { late }
     }
 
@@ -363,6 +377,7 @@
         self.give_up_hopeless(now);
         self.start_deferred(now);
         self.begin_parked(now);
+        self.give_up_parked(now);
         if self.closing {
             self.hand_over();
         } else {
@@ -474,7 +489,7 @@
                 let load = loads.entry(step.pool.clone()).or_default();
                 load.queued += queued;
                 match (state.parked, state.late) {
-                    (true, _) => load.parked += waiting,
+                    (true, _) => load.parked[rank_index(state.job.rank)] += waiting,
                     (false, true) => load.late += waiting,
                     (false, false) => load.urgent[rank_index(state.job.rank)] += waiting,
                 }
--- a/crates/sardineshore-core/src/flow/pieces/forecast.rs
+++ b/crates/sardineshore-core/src/flow/pieces/forecast.rs
@@ -13,8 +13,8 @@
     pub urgent: [u64; RANKS],
     /// Pieces of late jobs that have begun, not yet in a call.
     pub late: u64,
-    /// Pieces of late jobs that have not begun.
-    pub parked: u64,
+    /// Pieces of late jobs that have not begun, by rank.
+    pub parked: [u64; RANKS],
     /// Pieces that could be in a call if a server were free.
     pub queued: u64,
     /// Pieces a second with full batches.
@@ -32,6 +32,12 @@
         self.urgent[..=rank_index(rank)].iter().sum()
     }
 
+    /// Pieces that go before a late job of a rank that joins the line now.
+    #[must_use]
+    pub fn ahead_in_line(&self, rank: u32) -> u64 {
+        self.begun() + self.parked[..=rank_index(rank)].iter().sum::<u64>()
+    }
+
     /// Pieces of all jobs that have begun.
     #[must_use]
     pub fn begun(&self) -> u64 {
@@ -65,7 +71,7 @@
 pub struct Forecast {
     /// Time until the request itself would end its first output, ahead of all late jobs.
     pub urgent: Duration,
-    /// The same behind all jobs.
+    /// The same behind all jobs but late ones that are less urgent and have not begun.
     pub behind_all: Duration,
     /// The same without any other job.
     pub alone: Duration,
@@ -77,7 +83,7 @@
     Some(Forecast {
         urgent: path(job, loads, |load| load.ahead_of(job.rank))?,
         alone: path(job, loads, |_| 0)?,
-        behind_all: path(job, loads, |load| load.begun() + load.parked)?,
+        behind_all: path(job, loads, |load| load.ahead_in_line(job.rank))?,
     })
 }
 
--- a/crates/sardineshore-core/src/flow/pieces/job.rs
+++ b/crates/sardineshore-core/src/flow/pieces/job.rs
@@ -134,6 +134,7 @@
 
 /// A job that was taken on.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts")]
 pub(super) struct JobState {
     pub job: Job,
     pub sequence: u64,
@@ -143,6 +144,8 @@
     pub late: bool,
     /// Waits for spare capacity before it begins.
     pub parked: bool,
+    /// Its caller was refused before.
+    pub returned: bool,
     pub steps: Vec<StepState>,
     pub rebuilds: u32,
     /// All stages ended and the results were handed over.
--- a/crates/sardineshore-core/src/flow/pieces/waiting.rs
+++ b/crates/sardineshore-core/src/flow/pieces/waiting.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::forecast::{RANKS, forecast};
 use super::job::{Job, JobState, Progress, StepState};
 use super::{Action, DELIVERED_KEPT, PieceBoard, SPREAD_PART, SPREAD_STEPS, place, tails};
 
@@ -15,7 +16,7 @@
         (job.time_left / 3).mul_f64(part)
     }
 
-    pub(super) fn take_on(&mut self, job: Job, late: bool, now: Instant) {
+    pub(super) fn take_on(&mut self, job: Job, late: bool, returned: bool, now: Instant) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let tails = tails(&job, &self.benches);
@@ -44,6 +45,7 @@
             deadline: now + job.time_left,
             late,
             parked: late,
+            returned,
             steps,
             rebuilds: 0,
             delivered: false,
@@ -81,6 +83,11 @@
             }
         }
         for (request, retry_after) in hopeless {
+            let index = self.by_id.get(&request).filter(|_| retry_after.is_some());
+            if let Some(state) = index.and_then(|index| self.jobs.get(*index)) {
+                let (aim, deadline) = (state.aim, state.deadline);
+                self.returns.refused(&state.job.key, aim, deadline, now);
+            }
             self.cancel(&request, now);
             if let Some(retry_after) = retry_after {
                 self.out.push(Action::GivenUp {
@@ -115,20 +122,23 @@
         }
     }
 
-    /// Late jobs begin while their pools have spare capacity, the most urgent first.
+    /// The line of late jobs: by rank, callers that came back first, then by aim.
+    fn line(&self) -> Vec<usize> {
+        let parked = self.jobs.iter().filter(|(_, state)| state.parked);
+        let place = |state: &JobState| (state.job.rank, !state.returned, state.aim);
+        let mut line: Vec<_> = parked.map(|(index, s)| (place(s), index)).collect();
+        line.sort_unstable();
+        line.into_iter().map(|(_, index)| index).collect()
+    }
+
+    /// Late jobs begin while their pools have spare capacity, the first in line first.
     pub(super) fn begin_parked(&mut self, now: Instant) {
-        let mut parked: Vec<(u32, Instant, usize)> = self
-            .jobs
-            .iter()
-            .filter(|(_, state)| state.parked)
-            .map(|(index, state)| (state.job.rank, state.aim, index))
-            .collect();
-        if parked.is_empty() {
+        let line = self.line();
+        if line.is_empty() {
             return;
         }
-        parked.sort_unstable();
         let mut loads = self.loads(now);
-        for (_, _, index) in parked {
+        for index in line {
             let steps = &self.jobs[index].job.steps;
             let spare = steps.iter().filter(|step| step.pieces > 0).all(|step| {
                 let load = loads.get(&step.pool);
@@ -147,6 +157,53 @@
         }
     }
 
+    /// Gives up late jobs that would not end in time behind those before them in line.
+    pub(super) fn give_up_parked(&mut self, now: Instant) {
+        if self.parked_check.is_some_and(|at| now < at) {
+            return;
+        }
+        self.parked_check = Some(now + self.config.parked_check);
+        let line = self.line();
+        if line.is_empty() {
+            return;
+        }
+        let mut loads = self.loads(now);
+        for load in loads.values_mut() {
+            load.parked = [0; RANKS];
+        }
+        let mut hopeless = Vec::new();
+        for index in line {
+            let state = &self.jobs[index];
+            let left = state.deadline.saturating_duration_since(now);
+            let forecast = forecast(&state.job, &loads);
+            if forecast.is_some_and(|f| f.behind_all > left.mul_f64(self.config.time_part)) {
+                hopeless.push((index, left));
+                continue;
+            }
+            for step in &state.job.steps {
+                if let Some(load) = loads.get_mut(&step.pool) {
+                    load.late += u64::from(step.pieces);
+                }
+            }
+        }
+        for (index, left) in hopeless {
+            let state = &self.jobs[index];
+            let (request, key) = (state.job.id.clone(), state.job.key.clone());
+            self.returns.refused(&key, state.aim, state.deadline, now);
+            self.cancel(&request, now);
+            self.out.push(Action::GivenUp {
+                request,
+                retry_after: left / 3,
+            });
+        }
+    }
+
+    /// Remembers what the caller of a refused job will come back with.
+    pub(super) fn remember_refused(&mut self, job: &Job, now: Instant) {
+        let (aim, deadline) = (now + job.aim_left, now + job.time_left);
+        self.returns.refused(&job.key, aim, deadline, now);
+    }
+
     pub(super) fn start_deferred(&mut self, now: Instant) {
         let due: Vec<usize> = self
             .deferred
--- a/crates/sardineshore-core/tests/pieces.rs
+++ b/crates/sardineshore-core/tests/pieces.rs
@@ -326,3 +326,99 @@
     board.room_told("a", coarse, now + ms(5));
     assert_eq!(calls(&board.poll(now + ms(5)))[0].2.len(), 2);
 }
+
+/// A job that can't be in time any more, however empty the pool.
+fn late_job(id: &str, rank: u32, pieces: u32, time_left: u64) -> Job {
+    Job {
+        rank,
+        aim_left: ms(0),
+        time_left: ms(time_left),
+        ..job(id, vec![step("p", &[], pieces)])
+    }
+}
+
+/// A board whose only server is busy for about a second with urgent work.
+fn busy_board(now: Instant) -> PieceBoard {
+    let mut board = board(&[("a", "p")], now);
+    for n in 0..4 {
+        let mut urgent = job(&format!("u{n}"), vec![step("p", &[], 4)]);
+        urgent.aim_left = ms(6000);
+        board.submit(urgent, now);
+    }
+    board.poll(now);
+    board
+}
+
+/// Load pattern: overload by a less urgent kind that can wait long fills the line of late jobs.
+#[test]
+fn late_job_does_not_wait_behind_less_urgent_ones() {
+    let now = Instant::now();
+    let mut board = busy_board(now);
+    for n in 0..8 {
+        let verdict = board.submit(late_job(&format!("p{n}"), 2, 4, 20_000), now);
+        assert_eq!(verdict, Verdict::Accepted { late: true }, "{n}");
+    }
+    let verdict = board.submit(late_job("urgent", 0, 1, 6000), now);
+    assert_eq!(verdict, Verdict::Accepted { late: true });
+    let verdict = board.submit(late_job("same rank", 2, 1, 6000), now);
+    assert!(matches!(verdict, Verdict::Refused { .. }), "{verdict:?}");
+}
+
+/// Load pattern: urgent work goes on coming, so that those in line can't be served any more.
+#[test]
+fn late_job_that_can_not_begin_in_time_is_given_up_at_once() {
+    let now = Instant::now();
+    let mut board = busy_board(now);
+    board.submit(late_job("late", 2, 1, 5000), now);
+    for n in 0..14 {
+        let mut urgent = job(&format!("v{n}"), vec![step("p", &[], 4)]);
+        urgent.aim_left = ms(9000);
+        urgent.time_left = ms(20_000);
+        board.submit(urgent, now + ms(10));
+    }
+    let given_up = |actions: &[Action]| {
+        let mut actions = actions.iter();
+        actions.any(|a| matches!(a, Action::GivenUp { request, .. } if &**request == "late"))
+    };
+    let mut at = None;
+    for wait in 1..50 {
+        if given_up(&board.poll(now + ms(wait * 100))) {
+            at = Some(wait * 100);
+            break;
+        }
+    }
+    assert!(at.is_some_and(|at| at < 1000), "{at:?}");
+}
+
+/// Load pattern: callers that were refused come back while fresh ones go on coming.
+#[test]
+fn caller_that_comes_back_is_late_and_goes_before_other_late_ones() {
+    let now = Instant::now();
+    let mut board = busy_board(now);
+    let mut refused = job("first try", vec![step("p", &[], 4)]);
+    refused.key = "mine".into();
+    refused.aim_left = ms(500);
+    refused.late_allowed = false;
+    let verdict = board.submit(refused.clone(), now);
+    assert!(matches!(verdict, Verdict::Refused { .. }), "{verdict:?}");
+    for n in 0..2 {
+        board.submit(late_job(&format!("p{n}"), 1, 4, 20_000), now + ms(1000));
+    }
+    // Its caller states the time left; that its aim has passed follows from the first try.
+    let again = Job {
+        id: "second try".into(),
+        time_left: ms(8000 - 2400),
+        aim_left: ms(2000),
+        late_allowed: true,
+        ..refused
+    };
+    let fresh = Job {
+        id: "fresh".into(),
+        key: "other".into(),
+        ..again.clone()
+    };
+    let later = now + ms(2400);
+    assert_eq!(board.submit(again, later), Verdict::Accepted { late: true });
+    let verdict = board.submit(fresh, later);
+    assert_eq!(verdict, Verdict::Accepted { late: false });
+}
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -81,7 +81,13 @@
     pub async fn make(&self, job: Job) -> Made {
         let start = Instant::now();
         let cells = self.cells.names();
-        let first = choose_cell(&job.id, &job.near, &cells, |cell| self.backlog(cell));
+        // By the key: a caller that comes back reaches the owner that refused it.
+        let spread = if job.key.is_empty() {
+            &job.id
+        } else {
+            &job.key
+        };
+        let first = choose_cell(spread, &job.near, &cells, |cell| self.backlog(cell));
         let (retry_after, backlog) = match self.make_in(&first, &job, start).await {
             Ok(made) => return Ok(made),
             Err(Failed::GivenUp(retry_after)) => return Err(retry_after),
