fix(pieces): jobs that change owners are taken on, with what is left of them

Cause: a new owner judged a job that an owner before it had taken on like a fresh one: it forecast all stages again, though some had ended, and refused it or put it behind all others. Pieces of unfinished stages were forgotten at the hand-over and filled their makers' memory. Change: a job says whether an owner had taken it on; it isn't refused for the load, its forecast counts the pieces left, it is late only if that exceeds its aim, and in line it goes before others. Made pieces travel with the job one by one.

--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -182,7 +182,8 @@
         /// Their bytes by the failure domain that they lie in.
         domains: Vec<(Name, u64)>,
     },
-    /// A stage of a job ended; a later owner can go on from there.
+    /// A stage of a job ended, or the job is handed over with a part of it made; a later owner can
+    /// go on from there.
     StageEnded {
         /// Id of the request.
         request: Name,
@@ -340,17 +341,20 @@
                 retry_after: NO_SERVER_RETRY.min(job.time_left / 3),
             };
         };
-        let late = forecast.urgent > job.aim_left.mul_f64(self.config.aim_part);
+        let aim_part = if job.moved { 1.0 } else { self.config.aim_part };
+        let late = forecast.urgent > job.aim_left.mul_f64(aim_part);
         let wait = forecast.behind_all.saturating_sub(forecast.alone);
         let hopeless = wait > job.time_left.mul_f64(self.config.late_part)
             || forecast.behind_all > job.time_left.mul_f64(self.config.time_part);
-        if late && (hopeless || !job.late_allowed) {
+        let unwanted = !job.moved && (hopeless || !job.late_allowed);
+        if late && (unwanted || forecast.alone > job.time_left) {
             let retry_after = self.retry_after(&job);
             self.next_sequence += 1;
             self.remember_refused(&job, now);
             return Verdict::Refused { retry_after };
         }
-        self.take_on(job, late, first_aim.is_some(), now);
+        let before_others = first_aim.is_some() || job.moved;
+        self.take_on(job, late, before_others, now);
         Verdict::Accepted { late }
     }
 
@@ -442,6 +446,13 @@
             let state = self.jobs.remove(index);
             self.by_id.remove(&state.job.id);
             self.unqueue(&state);
+            for step in 0..state.steps.len() {
+                let made = state.results_of(step);
+                if !state.steps[step].finished() && !made.results.is_empty() {
+                    let request = state.job.id.clone();
+                    self.out.push(Action::StageEnded { request, made });
+                }
+            }
             let request = state.job.id;
             self.out.push(Action::HandedOver { request });
         }
--- a/crates/sardineshore-core/src/flow/pieces/forecast.rs
+++ b/crates/sardineshore-core/src/flow/pieces/forecast.rs
@@ -93,7 +93,7 @@
     waiting: impl Fn(&PoolLoad) -> u64,
 ) -> Option<Duration> {
     let mut ends: Vec<Duration> = Vec::with_capacity(job.steps.len());
-    for step in &job.steps {
+    for (number, step) in job.steps.iter().enumerate() {
         let start = step
             .after
             .iter()
@@ -101,7 +101,7 @@
             .max()
             .copied()
             .unwrap_or_default();
-        if step.pieces == 0 {
+        if job.pieces_left(number) == 0 {
             ends.push(start);
             continue;
         }
--- a/crates/sardineshore-core/src/flow/pieces/job.rs
+++ b/crates/sardineshore-core/src/flow/pieces/job.rs
@@ -22,6 +22,8 @@
 /// A result with the server that keeps it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptResult {
+    /// Number of the piece.
+    pub piece: usize,
     /// Name of the result.
     pub handle: Name,
     /// Id of the server.
@@ -30,7 +32,7 @@
     pub domain: Name,
 }
 
-/// All results of a stage, in the order of its pieces.
+/// Results of a stage: all of them, or those made so far if its owner hands the job over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepResults {
     /// Stage.
@@ -60,11 +62,22 @@
     pub steps: Vec<JobStep>,
     /// Whether it is worth being taken on although it will be late.
     pub late_allowed: bool,
-    /// Stages that an earlier owner has ended.
+    /// What an earlier owner has made.
     pub made: Vec<StepResults>,
+    /// Whether an earlier owner had taken it on: it isn't refused for the load.
+    pub moved: bool,
 }
 
 impl Job {
+    /// Pieces of a stage that are left to make.
+    #[must_use]
+    pub fn pieces_left(&self, step: usize) -> u32 {
+        let made = self.made.iter().filter(|made| made.step == step);
+        let count: usize = made.map(|made| made.results.len()).sum();
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        self.steps[step].pieces.saturating_sub(count)
+    }
+
     /// Whether stages, predecessors and counts fit together.
     #[must_use]
     pub fn is_sound(&self) -> bool {
@@ -144,8 +157,8 @@
     pub late: bool,
     /// Waits for spare capacity before it begins.
     pub parked: bool,
-    /// Its caller was refused before.
-    pub returned: bool,
+    /// Goes before others in line: its caller was refused before, or an owner had taken it on.
+    pub before_others: bool,
     pub steps: Vec<StepState>,
     pub rebuilds: u32,
     /// All stages ended and the results were handed over.
@@ -159,6 +172,19 @@
         aim.checked_sub(self.steps[step].tail).unwrap_or(aim)
     }
 
+    /// The job with the pieces that are left to make.
+    pub fn rest(&self) -> Job {
+        let mut job = self.job.clone();
+        for (step, state) in job.steps.iter_mut().zip(&self.steps) {
+            let left = state
+                .pieces
+                .iter()
+                .filter(|p| !matches!(p, Progress::Made(_)));
+            step.pieces = u32::try_from(left.count()).unwrap_or(u32::MAX);
+        }
+        job
+    }
+
     /// Whether another stage needs the results of `step`.
     pub fn feeds_another(&self, step: usize) -> bool {
         self.job
@@ -181,10 +207,12 @@
         Some(handles)
     }
 
-    /// Results of a finished stage.
+    /// Results of a stage, as far as they are made.
     pub fn results_of(&self, step: usize) -> StepResults {
-        let results = self.steps[step].pieces.iter().filter_map(|p| match p {
+        let pieces = self.steps[step].pieces.iter().enumerate();
+        let results = pieces.filter_map(|(piece, progress)| match progress {
             Progress::Made(made) => Some(KeptResult {
+                piece,
                 handle: made.handle.clone(),
                 maker: made.maker.clone(),
                 domain: made.domain.clone(),
--- a/crates/sardineshore-core/src/flow/pieces/results.rs
+++ b/crates/sardineshore-core/src/flow/pieces/results.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::job::{KeptResult, Made, Progress, StepState};
+use super::job::{Made, Progress, StepState};
 use super::{PieceBoard, place, release};
 use crate::flow::site::Name;
 
@@ -17,12 +17,10 @@
             let Some(benches) = self.benches.get_mut(&spec.pool) else {
                 continue;
             };
-            let known = |result: &KeptResult| benches.iter().any(|b| b.id == result.maker);
-            let whole = made.results.len() == state.steps[made.step].pieces.len();
-            if !whole || !made.results.iter().all(known) {
-                continue;
-            }
-            for (piece, result) in made.results.into_iter().enumerate() {
+            for result in made.results {
+                let Some(piece) = state.steps[made.step].pieces.get_mut(result.piece) else {
+                    continue;
+                };
                 let Some(bench) = benches.iter_mut().find(|b| b.id == result.maker) else {
                     continue;
                 };
@@ -30,7 +28,7 @@
                 bench
                     .kept
                     .insert(result.handle.clone(), (spec.bytes, until));
-                state.steps[made.step].pieces[piece] = Progress::Made(Made {
+                *piece = Progress::Made(Made {
                     handle: result.handle,
                     maker: result.maker,
                     domain: result.domain,
--- a/crates/sardineshore-core/src/flow/pieces/waiting.rs
+++ b/crates/sardineshore-core/src/flow/pieces/waiting.rs
@@ -16,7 +16,7 @@
         (job.time_left / 3).mul_f64(part)
     }
 
-    pub(super) fn take_on(&mut self, job: Job, late: bool, returned: bool, now: Instant) {
+    pub(super) fn take_on(&mut self, job: Job, late: bool, before_others: bool, now: Instant) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let tails = tails(&job, &self.benches);
@@ -45,7 +45,7 @@
             deadline: now + job.time_left,
             late,
             parked: late,
-            returned,
+            before_others,
             steps,
             rebuilds: 0,
             delivered: false,
@@ -125,7 +125,7 @@
     /// The line of late jobs: by rank, callers that came back first, then by aim.
     fn line(&self) -> Vec<usize> {
         let parked = self.jobs.iter().filter(|(_, state)| state.parked);
-        let place = |state: &JobState| (state.job.rank, !state.returned, state.aim);
+        let place = |state: &JobState| (state.job.rank, !state.before_others, state.aim);
         let mut line: Vec<_> = parked.map(|(index, s)| (place(s), index)).collect();
         line.sort_unstable();
         line.into_iter().map(|(_, index)| index).collect()
@@ -175,12 +175,13 @@
         for index in line {
             let state = &self.jobs[index];
             let left = state.deadline.saturating_duration_since(now);
-            let forecast = forecast(&state.job, &loads);
+            let rest = state.rest();
+            let forecast = forecast(&rest, &loads);
             if forecast.is_some_and(|f| f.behind_all > left.mul_f64(self.config.time_part)) {
                 hopeless.push((index, left));
                 continue;
             }
-            for step in &state.job.steps {
+            for step in &rest.steps {
                 if let Some(load) = loads.get_mut(&step.pool) {
                     load.late += u64::from(step.pieces);
                 }
--- a/crates/sardineshore-core/tests/load/replay.rs
+++ b/crates/sardineshore-core/tests/load/replay.rs
@@ -204,6 +204,7 @@
             steps: steps.collect(),
             late_allowed: true,
             made: Vec::new(),
+            moved: false,
         };
         match self.board.submit(job, now) {
             Verdict::Accepted { .. } => {
--- a/crates/sardineshore-core/tests/pieces.rs
+++ b/crates/sardineshore-core/tests/pieces.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::pieces::{
-    Action, BatchServer, BoardConfig, CallEnd, Job, JobStep, PieceAsk, PieceBoard, PieceFault,
-    PieceSource, RoomLeft, Verdict,
+    Action, BatchServer, BoardConfig, CallEnd, Job, JobStep, KeptResult, PieceAsk, PieceBoard,
+    PieceFault, PieceSource, RoomLeft, StepResults, Verdict,
 };
 use sardineshore_core::flow::site::{BatchSpec, Name};
 
@@ -53,6 +53,16 @@
         steps,
         late_allowed: true,
         made: Vec::new(),
+        moved: false,
+    }
+}
+
+fn kept(piece: usize, handle: &str, maker: &str) -> KeptResult {
+    KeptResult {
+        piece,
+        handle: handle.into(),
+        maker: maker.into(),
+        domain: "d".into(),
     }
 }
 
@@ -422,3 +432,62 @@
     let verdict = board.submit(fresh, later);
     assert_eq!(verdict, Verdict::Accepted { late: false });
 }
+
+/// Load pattern: the owner stops under load, and its successor gets all jobs at once.
+#[test]
+fn job_of_a_former_owner_is_taken_on_and_counts_what_is_left() {
+    let now = Instant::now();
+    let mut board = board(&[("a", "p"), ("b", "q")], now);
+    for n in 0..6 {
+        let mut urgent = job(&format!("u{n}"), vec![step("p", &[], 4)]);
+        urgent.aim_left = ms(9000);
+        board.submit(urgent, now);
+    }
+    let mut fresh = job("fresh", vec![step("p", &[], 1), step("q", &[0], 1)]);
+    fresh.aim_left = ms(1000);
+    fresh.time_left = ms(3000);
+    let moved = Job {
+        id: "moved".into(),
+        moved: true,
+        made: vec![StepResults {
+            step: 0,
+            results: vec![kept(0, "x", "a")],
+        }],
+        ..fresh.clone()
+    };
+    let waiting = Job {
+        id: "waiting".into(),
+        made: Vec::new(),
+        ..moved.clone()
+    };
+    let verdict = board.submit(fresh, now);
+    assert!(matches!(verdict, Verdict::Refused { .. }), "{verdict:?}");
+    // Only its second stage is left, and that pool is idle.
+    assert_eq!(board.submit(moved, now), Verdict::Accepted { late: false });
+    assert_eq!(board.submit(waiting, now), Verdict::Accepted { late: true });
+}
+
+#[test]
+fn next_owner_takes_over_pieces_of_an_unfinished_stage() {
+    let now = Instant::now();
+    let mut first = board(&[("a", "p")], now);
+    first.submit(job("1", vec![step("p", &[], 6)]), now);
+    let call = calls(&first.poll(now))[0].0;
+    first.close();
+    first.call_ended(call, &made("x", 4), now + ms(240));
+    let actions = first.poll(now + ms(240));
+    let told = actions.iter().find_map(|action| match action {
+        Action::StageEnded { made, .. } => Some(made.clone()),
+        _ => None,
+    });
+    let told = told.expect("the successor is told of the pieces made");
+    assert_eq!(told.results.len(), 4);
+    let mut next = board(&[("a", "p")], now);
+    let mut job = job("1", vec![step("p", &[], 6)]);
+    job.made = vec![told];
+    job.moved = true;
+    next.submit(job, now + ms(245));
+    let calls = calls(&next.poll(now + ms(245)));
+    let pieces: Vec<usize> = calls[0].2.iter().map(|ask| ask.piece).collect();
+    assert_eq!(pieces, [4, 5]);
+}
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -63,8 +63,11 @@
         /// What the cell has to do.
         backlog: Duration,
     },
-    /// This owner doesn't take it: ask another one.
-    Moved,
+    /// This owner doesn't take it, or hands it over: ask another one.
+    Moved {
+        /// Whether it had been taken on.
+        begun: bool,
+    },
 }
 
 /// What the request that waits for a job hears.
@@ -233,12 +236,12 @@
     /// Hands a job over; `waiter` hears its end.
     pub fn submit(&self, cell: &Name, job: Job, waiter: Waiter) {
         if self.closed.get() || !self.servers.borrow().contains_key(cell) {
-            waiter(StageEvent::End(StageEnd::Moved));
+            waiter(StageEvent::End(StageEnd::Moved { begun: false }));
             return;
         }
         let runner = self.runner(cell);
         if runner.resigned() {
-            waiter(StageEvent::End(StageEnd::Moved));
+            waiter(StageEvent::End(StageEnd::Moved { begun: false }));
             return;
         }
         runner.board.borrow_mut().reopen(Instant::now());
@@ -397,7 +400,9 @@
             };
             runner.end(&request, StageEnd::Finished(inputs));
         }
-        Action::HandedOver { request } => runner.end(&request, StageEnd::Moved),
+        Action::HandedOver { request } => {
+            runner.end(&request, StageEnd::Moved { begun: true });
+        }
         Action::GivenUp {
             request,
             retry_after,
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -102,6 +102,8 @@
     Moved {
         /// Id of the request.
         request: Name,
+        /// Whether it had been taken on.
+        begun: bool,
     },
     /// Asks for a sign of life.
     Ping,
@@ -484,7 +486,7 @@
             retry_after,
             backlog,
         },
-        StageEvent::End(StageEnd::Moved) => Message::Moved { request },
+        StageEvent::End(StageEnd::Moved { begun }) => Message::Moved { request, begun },
     }
 }
 
@@ -526,7 +528,9 @@
                     Ok(Message::Refused { request, retry_after, backlog }) => {
                         link.end(&request, StageEnd::Refused { retry_after, backlog });
                     }
-                    Ok(Message::Moved { request }) => link.end(&request, StageEnd::Moved),
+                    Ok(Message::Moved { request, begun }) => {
+                        link.end(&request, StageEnd::Moved { begun });
+                    }
                     Ok(Message::Made { request, made }) => {
                         if let Some(waiter) = link.waiting.borrow().get(&request) {
                             waiter(StageEvent::Made(made));
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -267,6 +267,7 @@
             steps,
             late_allowed: true,
             made: Vec::new(),
+            moved: false,
         })
     }
 
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -132,10 +132,11 @@
         start: Instant,
     ) -> Result<(Inputs, Held), Failed> {
         let made: Progress = Rc::default();
+        let mut moved = false;
         for _ in 0..MAX_OWNERS {
             let mut reached = None;
             for name in ranking(cell, &self.peers.candidates()) {
-                let Some(current) = rest_of(job, &made, start.elapsed()) else {
+                let Some(current) = rest_of(job, &made, moved, start.elapsed()) else {
                     return Err(Failed::GivenUp(Duration::ZERO));
                 };
                 if let Some(taken) = self.hand_over(&name, cell, current, &made).await {
@@ -160,9 +161,13 @@
                     self.note_backlog(cell, backlog);
                     return Err(Failed::Refused(retry_after, backlog));
                 }
-                Ok(StageEnd::Moved) => self.peers.moved(&name),
+                Ok(StageEnd::Moved { begun }) => {
+                    moved |= begun;
+                    self.peers.moved(&name);
+                }
                 // The same owner again if a new link to it can be opened.
                 Err(_) => {
+                    moved = true;
                     info!(self.log, "owner lost"; "request" => &*job.id, "owner" => &*name);
                 }
             }
@@ -241,12 +246,13 @@
 }
 
 /// The job with what is left of its times; `None` if its time is over.
-fn rest_of(job: &Job, made: &Progress, elapsed: Duration) -> Option<Job> {
+fn rest_of(job: &Job, made: &Progress, moved: bool, elapsed: Duration) -> Option<Job> {
     let time_left = job.time_left.checked_sub(elapsed)?;
     Some(Job {
         aim_left: job.aim_left.saturating_sub(elapsed),
         time_left,
         made: made.borrow().clone(),
+        moved,
         ..job.clone()
     })
 }
