--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -85,7 +85,7 @@
             return false;
         };
         let slack = state
-            .urgency(step)
+            .latest_start(step)
             .saturating_duration_since(since + self.domain_reserve);
         let wait = slack.mul_f64(self.domain_part).min(self.domain_wait);
         now < since + wait
--- a/crates/sardineshore-core/src/flow/pieces/forecast.rs
+++ b/crates/sardineshore-core/src/flow/pieces/forecast.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::job::Job;
-use crate::flow::site::Name;
+use crate::flow::site::{LEAST_RANK, Name};
 
 /// Work promised to one pool and how fast the pool works.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -58,7 +58,7 @@
 }
 
 /// Ranks that are told apart; the last one holds all beyond it.
-pub const RANKS: usize = 4;
+pub const RANKS: usize = LEAST_RANK as usize + 1;
 
 /// Index of a rank among those that are told apart.
 #[must_use]
--- a/crates/sardineshore-core/src/flow/pieces/job.rs
+++ b/crates/sardineshore-core/src/flow/pieces/job.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::flow::site::Name;
+use crate::flow::site::{LEAST_RANK, Name};
 
 /// One stage of a job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -98,8 +98,6 @@
 const RANK_STEP: Duration = Duration::from_millis(400);
 /// Bytes that are worth keeping within a failure domain.
 const HEAVY_BYTES: u64 = 400_000;
-/// Ranks beyond this one count the same.
-const MOST_RANKS: u32 = 8;
 
 /// A finished piece.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -166,10 +164,16 @@
 }
 
 impl JobState {
-    /// Latest time at which a stage can start for the job to be within its aim.
+    /// Place of a stage among others: the latest time at which it can start, later by rank.
     pub fn urgency(&self, step: usize) -> Instant {
-        let aim = self.aim + RANK_STEP * self.job.rank.min(MOST_RANKS);
-        aim.checked_sub(self.steps[step].tail).unwrap_or(aim)
+        self.latest_start(step) + RANK_STEP * self.job.rank.min(LEAST_RANK)
+    }
+
+    /// Latest time at which a stage can start for the job to be within its aim.
+    pub fn latest_start(&self, step: usize) -> Instant {
+        self.aim
+            .checked_sub(self.steps[step].tail)
+            .unwrap_or(self.aim)
     }
 
     /// The job with the pieces that are left to make.
--- a/crates/sardineshore-core/src/flow/site.rs
+++ b/crates/sardineshore-core/src/flow/site.rs
@@ -47,6 +47,19 @@
     pub bytes: u64,
 }
 
+/// Ranks of requests: 0 is the most urgent, this the least.
+pub const LEAST_RANK: u32 = 9;
+/// Ranks of routes that are told apart within a customer's rank.
+const ROUTE_RANKS: u32 = 3;
+
+/// Rank of a request: its customer's rank goes before its route's, which tells requests of equal
+/// customers apart. Without a rank of the customer the route's stands in its place.
+#[must_use]
+pub fn request_rank(customer: Option<u32>, route: u32) -> u32 {
+    let first = customer.unwrap_or(route).min(LEAST_RANK);
+    (first * ROUTE_RANKS + route.min(ROUTE_RANKS - 1)).min(LEAST_RANK)
+}
+
 /// Where requests go and how they are treated.
 #[derive(Debug, Clone, Default)]
 pub struct Route {
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -9,7 +9,9 @@
     Candidate, WHOLE, cell_of, choose_cell, domain_cells, ranking,
 };
 use sardineshore_core::flow::placement::{AttemptEnd, Fleet, LoadReport, Need, PromptPart};
-use sardineshore_core::flow::site::{Account, Name, Route, Server, Site, SiteIndex};
+use sardineshore_core::flow::site::{
+    Account, LEAST_RANK, Name, Route, Server, Site, SiteIndex, request_rank,
+};
 
 fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
@@ -53,6 +55,21 @@
     assert!(index.caller("old").is_none());
 }
 
+#[test]
+fn request_rank_customers_go_before_routes() {
+    let ranks = [
+        request_rank(Some(0), 0),
+        request_rank(Some(0), 1),
+        request_rank(Some(1), 0),
+        request_rank(Some(1), 1),
+        request_rank(Some(1), 2),
+        request_rank(Some(2), 0),
+    ];
+    assert!(ranks.windows(2).all(|pair| pair[0] < pair[1]), "{ranks:?}");
+    assert!(request_rank(None, 0) < request_rank(None, 1));
+    assert_eq!(request_rank(Some(1000), 1000), LEAST_RANK);
+}
+
 #[test]
 fn freshness_dates_a_long_wait_by_its_answer() {
     let mut freshness = Freshness::default();
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::placement::{AttemptEnd, Need, Place};
-use sardineshore_core::flow::site::{Caller, Name, Route};
+use sardineshore_core::flow::site::{Caller, Name, Route, request_rank};
 
 use crate::dialect::Dialect;
 use crate::http1::{RequestHead, is_end_to_end, put_header};
@@ -52,8 +52,8 @@
     /// Rank among other requests; 0 is the most urgent.
     #[must_use]
     pub fn rank(&self) -> u32 {
-        let own = self.caller.and_then(|caller| caller.priority);
-        own.unwrap_or(self.route.priority)
+        let customer = self.caller.and_then(|caller| caller.priority);
+        request_rank(customer, self.route.priority)
     }
 }
 
@@ -309,7 +309,7 @@
             put_header(&mut out, fields.last_event, event.to_string().as_bytes());
         }
         if request.route.kind.streams() {
-            let rank = request.rank().min(MOST_RANK).to_string();
+            let rank = request.rank().to_string();
             put_header(&mut out, fields.rank, rank.as_bytes());
         }
         let had_length = received.headers.get("content-length").is_some()
@@ -325,6 +325,3 @@
         out
     }
 }
-
-/// Least urgent rank at a model engine.
-const MOST_RANK: u32 = 9;
