--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -38,6 +38,8 @@
     pub late_part: f64,
     /// Part of the time left within which a late job has to end.
     pub time_part: f64,
+    /// Part of the time left within which a late job in line has to end, or it is given up.
+    pub line_part: f64,
     /// A call that takes so many times its expected time is repeated elsewhere.
     pub suspect_factor: f64,
     /// Time beyond that, for links and queues.
@@ -66,12 +68,13 @@
             aim_part: 0.72,
             late_part: 0.12,
             time_part: 0.7,
+            line_part: 0.95,
             suspect_factor: 1.6,
             suspect_slack: Duration::from_millis(120),
             free_delay: Duration::from_millis(120),
             rebuilds: 3,
             parked_check: Duration::from_millis(100),
-            spare_backlog: Duration::from_millis(150),
+            spare_backlog: Duration::from_millis(80),
             domain_part: 0.5,
             domain_reserve: Duration::from_millis(200),
             domain_wait: Duration::from_millis(150),
--- a/crates/sardineshore-core/src/flow/pieces/fairness.rs
+++ b/crates/sardineshore-core/src/flow/pieces/fairness.rs
@@ -17,7 +17,7 @@
 /// Nothing is turned away for others that are served at least so often.
 const CALM: f64 = 0.9;
 /// Part of the aim that is taken off for a whole share of difference.
-const GAIN: f64 = 3.0;
+const GAIN: f64 = 4.0;
 /// Most that is taken off.
 const MOST: f64 = 0.5;
 
--- a/crates/sardineshore-core/src/flow/pieces/waiting.rs
+++ b/crates/sardineshore-core/src/flow/pieces/waiting.rs
@@ -182,7 +182,7 @@
             let left = state.deadline.saturating_duration_since(now);
             let rest = state.rest();
             let forecast = forecast(&rest, &loads);
-            if forecast.is_some_and(|f| f.behind_all > left.mul_f64(self.config.time_part)) {
+            if forecast.is_some_and(|f| f.behind_all > left.mul_f64(self.config.line_part)) {
                 hopeless.push((index, left));
                 continue;
             }
--- a/crates/sardineshore-core/tests/pieces.rs
+++ b/crates/sardineshore-core/tests/pieces.rs
@@ -381,7 +381,7 @@
     let mut board = busy_board(now);
     let verdict = board.submit(late_job("late", 2, 1, 9000), now);
     assert_eq!(verdict, Verdict::Accepted { late: true });
-    for n in 0..30 {
+    for n in 0..40 {
         let mut urgent = job(&format!("v{n}"), vec![step("p", &[], 4)]);
         urgent.aim_left = ms(20_000);
         urgent.time_left = ms(40_000);
