--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -74,7 +74,7 @@
             free_delay: Duration::from_millis(120),
             rebuilds: 3,
             parked_check: Duration::from_millis(100),
-            spare_backlog: Duration::from_millis(80),
+            spare_backlog: Duration::from_millis(150),
             domain_part: 0.5,
             domain_reserve: Duration::from_millis(200),
             domain_wait: Duration::from_millis(150),
