fix(stream): a stream that goes on chooses its server after its stages are made again

Ruled out: the list of servers (the instance had the entry at 14.38 s); load (it repeats). Change: allowance, stages, then the server, so that the check at the choice is the last step before the send. No test without the bench yet: the stand-ins can't tell when an instance knows a row.

--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -116,15 +116,6 @@
         };
         let mut lost: Option<&'static str> = None;
         loop {
-            let Some(mut chosen) = self.sender.choose(need, request).await else {
-                return give_up(
-                    request,
-                    output.head_sent,
-                    lost,
-                    NO_SERVER_RETRY,
-                    "no server",
-                );
-            };
             let again = trace.sends > 0;
             if !self.sender.may_send(&need.pool, again) {
                 return give_up(
@@ -136,13 +127,23 @@
                 );
             }
             if held.is_none() && !inputs.is_empty() {
-                // The results were given up when output began: a further run needs new ones.
+                // The results were given up when output began: a further run needs new ones. The
+                // server is chosen afterwards: one chosen before may have begun to leave meanwhile.
                 match self.stages_of(request, need, trace).await {
                     Ok(made) => (inputs, held) = made,
                     Err(_) if output.head_sent => return End::Cut("stages can't end in time"),
                     Err(end) => return end,
                 }
             }
+            let Some(mut chosen) = self.sender.choose(need, request).await else {
+                return give_up(
+                    request,
+                    output.head_sent,
+                    lost,
+                    NO_SERVER_RETRY,
+                    "no server",
+                );
+            };
             trace.sends += 1;
             trace.server = Some(chosen.place.id.clone());
             need.tried.push(chosen.place.id.clone());
