--- a/crates/sardineshore-core/src/flow/pieces.rs
+++ b/crates/sardineshore-core/src/flow/pieces.rs
@@ -6,239 +6,31 @@
 
 mod bench;
 mod calls;
+mod config;
 mod fairness;
 pub mod forecast;
 mod job;
+mod messages;
 mod results;
 mod returns;
 mod waiting;
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use slab::Slab;
 
 use bench::Bench;
 pub use bench::RoomLeft;
+pub use config::BoardConfig;
 use fairness::Fairness;
 use forecast::{PoolLoad, forecast, rank_index};
 pub use job::{Job, JobStep, KeptResult, StepResults};
 use job::{JobState, Made, Progress};
+pub use messages::{Action, BatchServer, CallEnd, PieceAsk, PieceFault, PieceSource, Verdict};
 use returns::Returns;
 
-use super::site::{BatchSpec, Name};
-
-/// How work waits and is turned away.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct BoardConfig {
-    /// Part of its aim that a job's forecast may take; forecasts are short of what comes between.
-    pub aim_part: f64,
-    /// Part of the time left that a late job may wait behind all others.
-    pub late_part: f64,
-    /// Part of the time left within which a late job has to end.
-    pub time_part: f64,
-    /// Part of the time left within which a late job in line has to end, or it is given up.
-    pub line_part: f64,
-    /// A call that takes so many times its expected time is repeated elsewhere.
-    pub suspect_factor: f64,
-    /// Time beyond that, for links and queues.
-    pub suspect_slack: Duration,
-    /// Longest time for which released results wait to be told to their keeper.
-    pub free_delay: Duration,
-    /// Most times that a job's lost results are made again.
-    pub rebuilds: u32,
-    /// Late jobs that have not begun are looked through so often for those that can't be served.
-    pub parked_check: Duration,
-    /// Late jobs begin while each of their pools needs less than this for what is queued.
-    pub spare_backlog: Duration,
-    /// Part of its slack for which a piece waits for a server in its own failure domain.
-    pub domain_part: f64,
-    /// Slack that is kept for other waits.
-    pub domain_reserve: Duration,
-    /// Longest such wait.
-    pub domain_wait: Duration,
-    /// A stage whose results only the request needs starts so long before it has to.
-    pub early: Duration,
-}
-
-impl Default for BoardConfig {
-    fn default() -> Self {
-        Self {
-            aim_part: 0.72,
-            late_part: 0.12,
-            time_part: 0.7,
-            line_part: 0.95,
-            suspect_factor: 1.6,
-            suspect_slack: Duration::from_millis(120),
-            free_delay: Duration::from_millis(120),
-            rebuilds: 3,
-            parked_check: Duration::from_millis(100),
-            spare_backlog: Duration::from_millis(150),
-            domain_part: 0.5,
-            domain_reserve: Duration::from_millis(200),
-            domain_wait: Duration::from_millis(150),
-            early: Duration::from_millis(250),
-        }
-    }
-}
-
-impl BoardConfig {
-    /// Whether a piece still waits for a server in its own failure domain.
-    fn waits_for_domain(&self, state: &JobState, step: usize, now: Instant) -> bool {
-        let Some(since) = state.steps[step].queued_at else {
-            return false;
-        };
-        let slack = state
-            .latest_start(step)
-            .saturating_duration_since(since + self.domain_reserve);
-        let wait = slack.mul_f64(self.domain_part).min(self.domain_wait);
-        now < since + wait
-    }
-}
-
-/// A server of a batch pool.
-#[derive(Debug, Clone, PartialEq)]
-pub struct BatchServer {
-    /// Id of the server's incarnation.
-    pub id: Name,
-    /// Pool that it serves.
-    pub pool: Name,
-    /// Where it is reached.
-    pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: Name,
-    /// Figures of its pool.
-    pub spec: BatchSpec,
-    /// Whether it takes new work.
-    pub ready: bool,
-}
-
-/// One piece of a call.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PieceAsk {
-    /// Id of the request.
-    pub request: Name,
-    /// Stage.
-    pub step: usize,
-    /// Number of the piece.
-    pub piece: usize,
-    /// Time left for the request.
-    pub left: Duration,
-    /// Where its input comes from.
-    pub source: PieceSource,
-}
-
-/// Input of a piece.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PieceSource {
-    /// The request's own key.
-    Key(Name),
-    /// Results of earlier stages.
-    Results(Vec<Name>),
-}
-
-/// Why a server did not make a piece.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PieceFault {
-    /// The time left had run out.
-    Late,
-    /// An input no longer exists.
-    InputGone,
-    /// No memory for the result.
-    NoRoom,
-    /// Anything else.
-    Failed,
-}
-
-/// How a call ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum CallEnd {
-    /// An end for every piece, in the order of the call.
-    Answered(Vec<Result<Name, PieceFault>>),
-    /// The server did not take the call and says so.
-    Rejected,
-    /// No usable answer: the server may be gone with all it kept.
-    Broken,
-}
-
-/// What the owner has to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Send a call to a server.
-    Call {
-        /// Number of the call.
-        call: u64,
-        /// Id of the server.
-        server: Name,
-        /// Its address.
-        address: SocketAddr,
-        /// Pieces.
-        pieces: Vec<PieceAsk>,
-        /// Time after which the call is given up.
-        patience: Duration,
-    },
-    /// All stages of a job ended; these are the inputs of the request.
-    Finished {
-        /// Id of the request.
-        request: Name,
-        /// Names of the results.
-        inputs: Vec<Name>,
-        /// Their bytes by the failure domain that they lie in.
-        domains: Vec<(Name, u64)>,
-    },
-    /// A stage of a job ended, or the job is handed over with a part of it made; a later owner can
-    /// go on from there.
-    StageEnded {
-        /// Id of the request.
-        request: Name,
-        /// Its results.
-        made: StepResults,
-    },
-    /// A job goes on at another owner.
-    HandedOver {
-        /// Id of the request.
-        request: Name,
-    },
-    /// A job can't end in time.
-    GivenUp {
-        /// Id of the request.
-        request: Name,
-        /// When to come back.
-        retry_after: Duration,
-    },
-    /// Ask a server how much memory it has left for results; see [`PieceBoard::room_told`].
-    AskRoom {
-        /// Id of the server.
-        server: Name,
-        /// Its address.
-        address: SocketAddr,
-    },
-    /// Tell a server that results are not needed any more.
-    Free {
-        /// Id of the server.
-        server: Name,
-        /// Its address.
-        address: SocketAddr,
-        /// Names of the results.
-        handles: Vec<Name>,
-    },
-}
-
-/// Answer to a new job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// Taken on; the forecast says whether it is expected within its aim.
-    Accepted {
-        /// Expected to be later than its aim.
-        late: bool,
-    },
-    /// Can't be served; nothing of it has run.
-    Refused {
-        /// When to come back.
-        retry_after: Duration,
-    },
-}
+use super::site::Name;
 
 /// Place in a pool's queue: late jobs last, then by urgency, then in order of arrival.
 type Place = (bool, Instant, u64, usize, usize);
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -1,15 +1,15 @@
 //! The owner's side of a cell: drives a piece board and makes its calls.
 
+mod calls;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::owners::{WHOLE, domain_cells};
 use sardineshore_core::flow::pieces::{
-    Action, BatchServer, BoardConfig, CallEnd, Job, KeptResult, PieceAsk, PieceBoard, RoomLeft,
-    StepResults, Verdict,
+    Action, BatchServer, BoardConfig, CallEnd, Job, KeptResult, PieceBoard, StepResults, Verdict,
 };
 use sardineshore_core::flow::placement::Fleet;
 use sardineshore_core::flow::site::{Name, SiteIndex, Work};
@@ -17,26 +17,20 @@
 use slog::{Logger, debug, info};
 use tokio::sync::Notify;
 
-use crate::dialect::{Call, Dialect};
+use crate::dialect::Dialect;
 use crate::knowledge::since_ms;
 use crate::metrics::Metrics;
-use crate::store::call_head;
-use crate::upstream::{Answer, Conn, ExchangeFault, Sending, Upstreams};
+use crate::upstream::Upstreams;
+use calls::{ask_room, give_up, make};
 
 /// How often a board with jobs looks for calls that take too long.
 const TICK: Duration = Duration::from_millis(30);
-/// Longest time to open a connection to a server.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Longest time to tell a server that results are not needed.
-const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time for the answer to a question for free memory.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a cell that was handed over takes no jobs.
 const RESIGNED_FOR: Duration = Duration::from_millis(1500);
 /// How often a cell's load is logged.
 const TELL_EVERY: Duration = Duration::from_secs(1);
-/// Idle time up to which a connection for that is reused.
-const FREE_IDLE: Duration = Duration::from_secs(2);
 
 /// Results that a request needs.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -439,80 +433,3 @@
         }
     }
 }
-
-async fn make(tools: &Tools, server: &Name, address: SocketAddr, pieces: &[PieceAsk]) -> CallEnd {
-    let call = tools.dialect.make_pieces(pieces);
-    let mut head = call_head(&call, address);
-    head.truncate(head.len() - 2);
-    let fields = tools.dialect.fields();
-    crate::http1::put_header(&mut head, fields.expected_server, server.as_bytes());
-    head.extend_from_slice(b"\r\n");
-    // A new connection for each call: a late extra answer can't be told from this call's own.
-    let opened = tools.upstreams.open_new(address, CONNECT_TIMEOUT).await;
-    let Ok(mut conn) = opened else {
-        return CallEnd::Broken;
-    };
-    let Ok((answer, body)) = whole_answer(&mut conn, &head, &call).await else {
-        return CallEnd::Broken;
-    };
-    let status = answer.head.status;
-    if status == 421 || answer.head.headers.get(fields.not_run).is_some() {
-        return CallEnd::Rejected;
-    }
-    if status != 200 {
-        return CallEnd::Broken;
-    }
-    match tools.dialect.pieces_made(&body) {
-        Ok(ends) if ends.len() == pieces.len() => CallEnd::Answered(ends),
-        Ok(_) | Err(_) => CallEnd::Broken,
-    }
-}
-
-/// Results that can't be given up end by themselves.
-async fn give_up(tools: Rc<Tools>, server: Name, address: SocketAddr, handles: Vec<Name>) {
-    let call = tools.dialect.free_results(&handles);
-    let freeing = free(&tools, address, &call);
-    let freed = tokio::time::timeout(FREE_TIMEOUT, freeing).await;
-    if !matches!(freed, Ok(Ok(()))) {
-        debug!(tools.log, "results not given up"; "server" => &*server, "results" => handles.len());
-    }
-}
-
-async fn ask_room(tools: &Tools, address: SocketAddr) -> anyhow::Result<RoomLeft> {
-    let call = tools.dialect.ask_room();
-    let head = call_head(&call, address);
-    let mut conn = tools
-        .upstreams
-        .connect(address, FREE_IDLE, CONNECT_TIMEOUT)
-        .await?;
-    let (answer, body) = whole_answer(&mut conn, &head, &call).await?;
-    tools.upstreams.keep(conn, &answer);
-    tools.dialect.room_left(&body)
-}
-
-async fn free(tools: &Tools, address: SocketAddr, call: &Call) -> Result<(), ExchangeFault> {
-    let head = call_head(call, address);
-    let mut conn = tools
-        .upstreams
-        .connect(address, FREE_IDLE, CONNECT_TIMEOUT)
-        .await?;
-    let (answer, _) = whole_answer(&mut conn, &head, call).await?;
-    tools.upstreams.keep(conn, &answer);
-    Ok(())
-}
-
-async fn whole_answer(
-    conn: &mut Conn,
-    head: &[u8],
-    call: &Call,
-) -> Result<(Answer, Vec<u8>), ExchangeFault> {
-    let sending = Sending {
-        head,
-        body: &call.body,
-        echo: None,
-        head_request: false,
-    };
-    let mut answer = conn.send(sending).await?;
-    let body = conn.whole(&mut answer).await?;
-    Ok((answer, body))
-}
--- /dev/null
+++ b/crates/sardineshore-serve/src/cell/calls.rs
@@ -0,0 +1,108 @@
+//! Calls that an owner makes to servers of stages.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sardineshore_core::flow::pieces::{CallEnd, PieceAsk, RoomLeft};
+use sardineshore_core::flow::site::Name;
+use slog::debug;
+
+use super::Tools;
+use crate::dialect::Call;
+use crate::store::call_head;
+use crate::upstream::{Answer, Conn, ExchangeFault, Sending};
+
+/// Longest time to open a connection to a server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time to tell a server that results are not needed.
+const FREE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle time up to which a connection for that is reused.
+const FREE_IDLE: Duration = Duration::from_secs(2);
+
+pub(super) async fn make(
+    tools: &Tools,
+    server: &Name,
+    address: SocketAddr,
+    pieces: &[PieceAsk],
+) -> CallEnd {
+    let call = tools.dialect.make_pieces(pieces);
+    let mut head = call_head(&call, address);
+    head.truncate(head.len() - 2);
+    let fields = tools.dialect.fields();
+    crate::http1::put_header(&mut head, fields.expected_server, server.as_bytes());
+    head.extend_from_slice(b"\r\n");
+    // A new connection for each call: a late extra answer can't be told from this call's own.
+    let opened = tools.upstreams.open_new(address, CONNECT_TIMEOUT).await;
+    let Ok(mut conn) = opened else {
+        return CallEnd::Broken;
+    };
+    let Ok((answer, body)) = whole_answer(&mut conn, &head, &call).await else {
+        return CallEnd::Broken;
+    };
+    let status = answer.head.status;
+    if status == 421 || answer.head.headers.get(fields.not_run).is_some() {
+        return CallEnd::Rejected;
+    }
+    if status != 200 {
+        return CallEnd::Broken;
+    }
+    match tools.dialect.pieces_made(&body) {
+        Ok(ends) if ends.len() == pieces.len() => CallEnd::Answered(ends),
+        Ok(_) | Err(_) => CallEnd::Broken,
+    }
+}
+
+/// Results that can't be given up end by themselves.
+pub(super) async fn give_up(
+    tools: Rc<Tools>,
+    server: Name,
+    address: SocketAddr,
+    handles: Vec<Name>,
+) {
+    let call = tools.dialect.free_results(&handles);
+    let freeing = free(&tools, address, &call);
+    let freed = tokio::time::timeout(FREE_TIMEOUT, freeing).await;
+    if !matches!(freed, Ok(Ok(()))) {
+        debug!(tools.log, "results not given up"; "server" => &*server, "results" => handles.len());
+    }
+}
+
+pub(super) async fn ask_room(tools: &Tools, address: SocketAddr) -> anyhow::Result<RoomLeft> {
+    let call = tools.dialect.ask_room();
+    let head = call_head(&call, address);
+    let mut conn = tools
+        .upstreams
+        .connect(address, FREE_IDLE, CONNECT_TIMEOUT)
+        .await?;
+    let (answer, body) = whole_answer(&mut conn, &head, &call).await?;
+    tools.upstreams.keep(conn, &answer);
+    tools.dialect.room_left(&body)
+}
+
+async fn free(tools: &Tools, address: SocketAddr, call: &Call) -> Result<(), ExchangeFault> {
+    let head = call_head(call, address);
+    let mut conn = tools
+        .upstreams
+        .connect(address, FREE_IDLE, CONNECT_TIMEOUT)
+        .await?;
+    let (answer, _) = whole_answer(&mut conn, &head, call).await?;
+    tools.upstreams.keep(conn, &answer);
+    Ok(())
+}
+
+async fn whole_answer(
+    conn: &mut Conn,
+    head: &[u8],
+    call: &Call,
+) -> Result<(Answer, Vec<u8>), ExchangeFault> {
+    let sending = Sending {
+        head,
+        body: &call.body,
+        echo: None,
+        head_request: false,
+    };
+    let mut answer = conn.send(sending).await?;
+    let body = conn.whole(&mut answer).await?;
+    Ok((answer, body))
+}
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -1,5 +1,7 @@
 //! Links between instances: jobs go to the owner of their cell, ends come back.
 
+mod message;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -9,15 +11,16 @@
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use sardineshore_core::flow::owners::{Candidate, ranking};
-use sardineshore_core::flow::pieces::{Job, StepResults};
+use sardineshore_core::flow::pieces::Job;
 use sardineshore_core::flow::site::Name;
-use serde::{Deserialize, Serialize};
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::cell::{Cells, Inputs, StageEnd, StageEvent, Waiter};
+use crate::cell::{Cells, StageEnd, StageEvent, Waiter};
+use message::event_message;
+pub use message::{InstanceInfo, Message};
 
 /// Longest time to open a link, its greeting included.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -36,94 +39,6 @@
 /// Longest message, in bytes.
 const MAX_MESSAGE: usize = 1 << 20;
 
-/// An instance as the others know it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct InstanceInfo {
-    /// Name.
-    pub name: Name,
-    /// Where other instances connect.
-    pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: Name,
-    /// Relative processor share.
-    pub weight: f64,
-}
-
-/// Messages of the protocol between instances.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Message {
-    /// First message in both directions.
-    Hello(InstanceInfo),
-    /// A job for the owner of a cell.
-    Submit {
-        /// Cell.
-        cell: Name,
-        /// Job.
-        job: Job,
-    },
-    /// A job's results were used, or nobody waits for it.
-    Release {
-        /// Cell.
-        cell: Name,
-        /// Id of the request.
-        request: Name,
-    },
-    /// A stage ended; another owner can go on from there.
-    Made {
-        /// Id of the request.
-        request: Name,
-        /// Results of the stage.
-        made: StepResults,
-    },
-    /// All stages ended.
-    Finished {
-        /// Id of the request.
-        request: Name,
-        /// Inputs of the request.
-        inputs: Inputs,
-    },
-    /// Can't be served.
-    GivenUp {
-        /// Id of the request.
-        request: Name,
-        /// When to come back.
-        retry_after: Duration,
-    },
-    /// Was not taken on.
-    Refused {
-        /// Id of the request.
-        request: Name,
-        /// When to come back.
-        retry_after: Duration,
-        /// What the cell has to do.
-        backlog: Duration,
-    },
-    /// Ask another owner.
-    Moved {
-        /// Id of the request.
-        request: Name,
-        /// Whether it had been taken on.
-        begun: bool,
-    },
-    /// Asks for a sign of life.
-    Ping,
-    /// Sign of life.
-    Pong,
-}
-
-impl Message {
-    /// Encoded form.
-    #[must_use]
-    pub fn encode(&self) -> Bytes {
-        postcard::to_stdvec(self).map_or_else(|_| Bytes::new(), Bytes::from)
-    }
-
-    /// Decodes a message.
-    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
-    }
-}
-
 type Frames = Framed<TcpStream, LengthDelimitedCodec>;
 
 fn frames(stream: TcpStream) -> Frames {
@@ -470,26 +385,6 @@
     Down,
 }
 
-fn event_message(request: Name, event: StageEvent) -> Message {
-    match event {
-        StageEvent::Made(made) => Message::Made { request, made },
-        StageEvent::End(StageEnd::Finished(inputs)) => Message::Finished { request, inputs },
-        StageEvent::End(StageEnd::GivenUp(retry_after)) => Message::GivenUp {
-            request,
-            retry_after,
-        },
-        StageEvent::End(StageEnd::Refused {
-            retry_after,
-            backlog,
-        }) => Message::Refused {
-            request,
-            retry_after,
-            backlog,
-        },
-        StageEvent::End(StageEnd::Moved { begun }) => Message::Moved { request, begun },
-    }
-}
-
 /// Sends a message together with all that wait behind it.
 async fn send_all(
     frames: &mut Frames,
