--- a/crates/sardineshore-core/tests/batching.rs
+++ b/crates/sardineshore-core/tests/batching.rs
@@ -111,6 +111,30 @@
     assert_eq!(calls[0].2.len(), 4);
 }
 
+#[test]
+fn poll_sends_each_piece_once_if_calls_end_in_time() {
+    let start = Instant::now();
+    let mut scheduler = scheduler(&[("a", "p"), ("b", "p")], start);
+    let stages = vec![stage("p", &[], 1), stage("p", &[0], 2)];
+    scheduler.submit(job("1", stages), start);
+    let mut running: Option<(u64, usize, Instant)> = None;
+    let mut sent = Vec::new();
+    // Each call ends after its expected time; the clock goes on beyond the job's end.
+    for step in 0..200 {
+        let now = start + ms(step * 10);
+        if let Some((id, count, _)) = running.take_if(|(_, _, ends_at)| now >= *ends_at) {
+            scheduler.call_ended(id, &answered(&format!("{id}-"), count), now);
+        }
+        for (id, _, pieces) in calls(&scheduler.poll(now)) {
+            assert!(running.is_none(), "two calls at a time");
+            let expected = ms(200 + 10 * pieces.len() as u64);
+            running = Some((id, pieces.len(), now + expected));
+            sent.extend(pieces.iter().map(|piece| (piece.stage, piece.piece)));
+        }
+    }
+    assert_eq!(sent, [(0, 0), (1, 0), (1, 1)]);
+}
+
 #[test]
 fn poll_sends_no_piece_without_inputs_after_slow_call_and_lost_server() {
     let now = Instant::now();
