feat(serve): each lost attempt is logged with its prompt parts and whether output had come

Change: a line "attempt lost" in plain and streaming requests. Volume: one line for each lost attempt, within the log's bound.

--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Whether output arrived, see [`Self::record_first_output`].
+    #[must_use]
+    pub fn has_output(&self) -> bool {
+        self.prefill_done.get()
+    }
+
     /// Time since the attempt started.
     #[must_use]
     pub fn elapsed(&self) -> Duration {
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -16,14 +16,14 @@
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::attempt::{AdmittedRequest, Dispatcher};
+use crate::attempt::{AdmittedRequest, ConnectedServer, Dispatcher};
 use crate::dialect::Dialect;
 use crate::http1::RequestHead;
 use crate::metrics::Metrics;
 use crate::reply::ErrorResponse;
 use crate::shutdown::{Phase, Shutdown};
 use crate::stages::StageClient;
-use crate::state::{SharedState, elapsed_ms};
+use crate::state::{SharedState, elapsed_ms, whole_ms};
 
 /// `Retry-After` while this instance shuts down or has no confirmed configuration; another
 /// instance may be able to serve the request at once.
@@ -209,6 +209,20 @@
             "last_event" => stats.last_event_id, "pause_ms" => stats.max_pause_ms);
     }
 
+    /// Writes the log line of an attempt that brought no complete response.
+    fn log_lost_attempt(
+        &self,
+        request: &AdmittedRequest<'_>,
+        connected: &ConnectedServer,
+        reason: &str,
+    ) {
+        let prompt = (request.head.headers).get(self.dialect.header_names().prompt_parts);
+        info!(self.log, "attempt lost";
+            "request" => request.id, "server" => &*connected.server.id, "reason" => reason,
+            "ms" => whole_ms(connected.attempt.elapsed()),
+            "output" => connected.attempt.has_output(), "prompt" => prompt.unwrap_or("-"));
+    }
+
     /// Finds the route and checks the caller's key; fails with the error response if the request
     /// can't be handled.
     fn admit(&self, incoming: &IncomingRequest) -> Result<RouteMatch, ErrorResponse> {
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -72,7 +72,11 @@
             selection.tried.push(connected.server.id.clone());
             // Whether another attempt may follow although this one may have run the request.
             let may_retry = retryable && stats.attempts < max_attempts;
-            match self.send_once(&mut connected, request, may_retry).await {
+            let sent = self.send_once(&mut connected, request, may_retry).await;
+            if let SendResult::Lost(reason) = sent {
+                self.log_lost_attempt(request, &connected, reason);
+            }
+            match sent {
                 SendResult::Complete(response, body) => {
                     let status = response.head.status;
                     self.dispatcher.recycle(connected.conn, &response);
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -180,6 +180,9 @@
                 )
                 .await;
             sink.filter.discard_partial_event();
+            if let Err(End::Lost(reason)) = forwarded {
+                self.log_lost_attempt(request, &connected, reason);
+            }
             match forwarded {
                 Ok((status, response)) => {
                     self.dispatcher.recycle(connected.conn, &response);
--- a/crates/sardineshore-serve/src/state.rs
+++ b/crates/sardineshore-serve/src/state.rs
@@ -105,5 +105,11 @@
 /// Milliseconds since `start`, for log lines.
 #[must_use]
 pub fn elapsed_ms(start: Instant) -> u64 {
-    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    whole_ms(start.elapsed())
+}
+
+/// A duration in whole milliseconds, for log lines.
+#[must_use]
+pub fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
