fix(serve): requests that share what crashes servers are quarantined on all instances

Cause: the serving path had no memory of what a server was doing when it died. A request that crashed one engine was sent to the next, and requests with the same part went on everywhere. Change: core::flow::quarantine explains crashes by features (shared prompt parts, the request as a whole). Suspects are requests without 0.5 s of output; the feature common to most crashes is the cause from three crashes on; features that can't be told apart are refused only together; output clears. serve::crashes confirms a crash by a probe (connection refused), writes the evidence to a table of the store, and reads that of all instances through the relay that exists; an instance is ready once it has read it. Requests under quarantine get 503 with Retry-After before their stages run, 502 if an attempt may have run.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -200,6 +200,13 @@
         self.servers.get(id).is_some_and(|s| s.server.ready)
     }
 
+    /// Start time of a server that is listed and accepts new work.
+    #[must_use]
+    pub fn started_ms(&self, id: &str) -> Option<u64> {
+        let server = &self.servers.get(id)?.server;
+        server.ready.then_some(server.started_ms)
+    }
+
     /// Selects the server of the pool with the lowest cost for a request; `None` if no server is
     /// ready that was not tried. Servers in back-off are selected only if no other is left.
     #[must_use]
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -8,8 +8,10 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::config::{Caller, Name, Route, request_rank};
+use sardineshore_core::flow::quarantine::Feature;
 use sardineshore_core::flow::selection::{AttemptOutcome, SelectedServer, SelectionRequest};
 
+use crate::crashes::CrashMonitor;
 use crate::dialect::Dialect;
 use crate::http1::{RequestHead, is_end_to_end, put_header};
 use crate::metrics::Metrics;
@@ -24,6 +26,9 @@
 const MAX_IDLE_NOT_RETRYABLE: Duration = Duration::from_millis(900);
 /// Maximum idle time of a connection that is reused for a retryable request.
 const MAX_IDLE_RETRYABLE: Duration = Duration::from_secs(3);
+/// Time for which a stream must go on after its first output to show that its request doesn't crash
+/// the server.
+const SOUND_OUTPUT_TIME: Duration = Duration::from_millis(500);
 /// Fraction of a server's connection limit that all instances together use.
 const CONNECTION_FRACTION: f64 = 0.85;
 
@@ -44,6 +49,8 @@
     pub deadline: Instant,
     /// When the first byte of the request was read.
     pub arrived_at: Instant,
+    /// What the request may have in common with others that crash servers.
+    pub features: Vec<Feature>,
 }
 
 impl AdmittedRequest<'_> {
@@ -76,6 +83,7 @@
     state: Rc<SharedState>,
     connections: Rc<ConnectionPool>,
     peers: Rc<Peers>,
+    crashes: Rc<CrashMonitor>,
     dialect: Rc<dyn Dialect>,
     metrics: Rc<Metrics>,
 }
@@ -89,7 +97,8 @@
     state: Rc<SharedState>,
     metrics: Rc<Metrics>,
     started_at: Instant,
-    prefill_done: Cell<bool>,
+    first_output_at: Cell<Option<Instant>>,
+    connection_lost: Cell<bool>,
     finished: Cell<bool>,
 }
 
@@ -97,7 +106,8 @@
     /// Records that the server's first output arrived, which means that it has read the whole
     /// prompt (prefill).
     pub fn record_first_output(&self) {
-        if !self.prefill_done.replace(true) {
+        if self.first_output_at.get().is_none() {
+            self.first_output_at.set(Some(Instant::now()));
             self.state
                 .selector
                 .borrow_mut()
@@ -108,7 +118,31 @@
     /// Whether output arrived, see [`Self::record_first_output`].
     #[must_use]
     pub fn has_output(&self) -> bool {
-        self.prefill_done.get()
+        self.first_output_at.get().is_some()
+    }
+
+    /// Whether output has come for so long that the request can't be what crashes the server.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        let first = self.first_output_at.get();
+        first.is_some_and(|at| at.elapsed() >= SOUND_OUTPUT_TIME)
+    }
+
+    /// Records that the connection ended before the response did.
+    pub fn record_lost_connection(&self) {
+        self.connection_lost.set(true);
+    }
+
+    /// Whether the connection ended before the response did.
+    #[must_use]
+    pub fn has_lost_connection(&self) -> bool {
+        self.connection_lost.get()
+    }
+
+    /// When the attempt started.
+    #[must_use]
+    pub fn started_at(&self) -> Instant {
+        self.started_at
     }
 
     /// Time since the attempt started.
@@ -132,12 +166,7 @@
         let labels = [&*self.pool, label];
         self.metrics.sends.with_label_values(&labels).inc();
         let mut selector = self.state.selector.borrow_mut();
-        selector.record_end(
-            &self.server,
-            self.prefill_done.get(),
-            outcome,
-            Instant::now(),
-        );
+        selector.record_end(&self.server, self.has_output(), outcome, Instant::now());
     }
 }
 
@@ -165,6 +194,7 @@
         state: Rc<SharedState>,
         connections: Rc<ConnectionPool>,
         peers: Rc<Peers>,
+        crashes: Rc<CrashMonitor>,
         dialect: Rc<dyn Dialect>,
         metrics: Rc<Metrics>,
     ) -> Self {
@@ -172,11 +202,18 @@
             state,
             connections,
             peers,
+            crashes,
             dialect,
             metrics,
         }
     }
 
+    /// What is known about requests that crash servers.
+    #[must_use]
+    pub fn crashes(&self) -> &CrashMonitor {
+        &self.crashes
+    }
+
     /// Selects a server and gets a connection to it.
     ///
     /// A server that can't be reached, or that takes no new work any more, is added to the servers
@@ -259,7 +296,8 @@
             state: self.state.clone(),
             metrics: self.metrics.clone(),
             started_at: now,
-            prefill_done: Cell::new(false),
+            first_output_at: Cell::new(None),
+            connection_lost: Cell::new(false),
             finished: Cell::new(false),
         }
     }
--- /dev/null
+++ b/crates/sardineshore-serve/src/crashes.rs
@@ -0,0 +1,309 @@
+//! Learns which requests crash servers, and shares the evidence with the other instances.
+//!
+//! When a connection is lost before a request got output, a probe tells whether the server still
+//! listens. [`Quarantine`] decides what follows from a crash. The evidence lies in the store, where
+//! it outlives the instances: each one writes a few rows of its own in turn and reads all of them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::quarantine::{CrashReport, Evidence, Feature, Quarantine};
+use sardineshore_core::flow::selection::SelectedServer;
+use slog::{Logger, info, warn};
+use tokio::sync::Notify;
+
+use crate::dialect::{StoreRow, Table};
+use crate::metrics::Metrics;
+use crate::state::{SharedState, whole_ms};
+use crate::store::Store;
+use crate::upstream::{ConnectionPool, ExchangeError};
+
+/// Delay before the probe, in which the operating system closes the sockets of a crashed process.
+const PROBE_DELAY: Duration = Duration::from_millis(20);
+/// Longest time to open the probe's connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Delay before evidence is written, so that one write carries all suspects of a crash.
+const WRITE_DELAY: Duration = Duration::from_millis(20);
+/// Longest delay before an instance writes that features are sound; instances choose it at random,
+/// so that the others need not write the same.
+const MAX_SOUND_DELAY: Duration = Duration::from_millis(200);
+/// Back-off after a failed write.
+const WRITE_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Number of rows of one instance; a new one replaces the oldest.
+const OWN_ROWS: u64 = 16;
+/// Maximum number of pieces of evidence in one row.
+const MAX_EVIDENCE_PER_ROW: usize = 256;
+/// Maximum number of pieces of evidence that wait to be written; further ones are dropped.
+const MAX_UNWRITTEN: usize = 4096;
+
+/// Evidence about crashes that this instance has, and its exchange with the others.
+#[derive(Debug)]
+pub struct CrashMonitor {
+    instance: Name,
+    quarantine: RefCell<Quarantine>,
+    state: Rc<SharedState>,
+    connections: Rc<ConnectionPool>,
+    store: Rc<Store>,
+    metrics: Rc<Metrics>,
+    log: Logger,
+    /// Suspects of each server that is being probed.
+    probed: RefCell<HashMap<Name, Vec<Vec<Feature>>>>,
+    probe_ended: Notify,
+    unwritten: RefCell<Vec<Evidence>>,
+    to_write: Notify,
+    /// Whether a task waits to share features that are sound.
+    sound_pending: Cell<bool>,
+    next_row: Cell<u64>,
+    /// Version of the newest row of this instance.
+    own_version: Cell<u64>,
+    weak: Weak<Self>,
+}
+
+impl CrashMonitor {
+    /// Creates a monitor without evidence.
+    #[must_use]
+    pub fn new(
+        instance: Name,
+        state: Rc<SharedState>,
+        connections: Rc<ConnectionPool>,
+        store: Rc<Store>,
+        metrics: Rc<Metrics>,
+        log: Logger,
+    ) -> Rc<Self> {
+        Rc::new_cyclic(|weak| Self {
+            instance,
+            quarantine: RefCell::default(),
+            state,
+            connections,
+            store,
+            metrics,
+            log,
+            probed: RefCell::default(),
+            probe_ended: Notify::new(),
+            unwritten: RefCell::default(),
+            to_write: Notify::new(),
+            sound_pending: Cell::new(false),
+            next_row: Cell::new(0),
+            own_version: Cell::new(0),
+            weak: weak.clone(),
+        })
+    }
+
+    /// How long requests with these features are still refused; `None` if they are not.
+    #[must_use]
+    pub fn time_left(&self, features: &[Feature]) -> Option<Duration> {
+        self.quarantine.borrow().time_left(features, Instant::now())
+    }
+
+    /// Records that a request with these features got output that shows it to be sound.
+    pub fn record_output(&self, features: &[Feature]) {
+        let now = Instant::now();
+        self.quarantine.borrow_mut().record_output(features, now);
+        self.share_sound_features();
+    }
+
+    /// Finds out whether a server crashed that lost the connection of a request sent at `sent_at`.
+    /// Waits for the result if it may decide whether the request is sent again.
+    pub async fn record_lost(
+        &self,
+        server: &SelectedServer,
+        features: &[Feature],
+        sent_at: Instant,
+    ) {
+        let suspect = {
+            let quarantine = self.quarantine.borrow();
+            quarantine.suspect_features(features, sent_at)
+        };
+        self.start_probe(server, suspect);
+        if !self.is_suspect(features) {
+            return;
+        }
+        loop {
+            let ended = self.probe_ended.notified();
+            if !self.probed.borrow().contains_key(&server.id) {
+                return;
+            }
+            ended.await;
+        }
+    }
+
+    /// Whether a crash of one of the servers that are being probed may decide about a request.
+    fn is_suspect(&self, features: &[Feature]) -> bool {
+        let probed = self.probed.borrow();
+        let has = |suspects: &&Vec<Vec<Feature>>, feature| {
+            suspects.iter().flatten().any(|f| *f == feature)
+        };
+        let unconfirmed = |feature| {
+            probed
+                .values()
+                .filter(|suspects| has(suspects, feature))
+                .count()
+        };
+        self.quarantine.borrow().is_suspect(features, unconfirmed)
+    }
+
+    /// Adds a suspect to the probe of a server, and starts the probe if there is none.
+    fn start_probe(&self, server: &SelectedServer, suspect: Vec<Feature>) {
+        let mut probed = self.probed.borrow_mut();
+        if let Some(suspects) = probed.get_mut(&server.id) {
+            suspects.push(suspect);
+        } else if let Some(monitor) = self.weak.upgrade() {
+            probed.insert(server.id.clone(), vec![suspect]);
+            let server = server.clone();
+            tokio::task::spawn_local(async move { monitor.probe(server).await });
+        }
+    }
+
+    /// Probes a server. If it refuses connections though it should accept work, it has crashed.
+    async fn probe(&self, server: SelectedServer) {
+        tokio::time::sleep(PROBE_DELAY).await;
+        let connecting = self.connections.connect_new(server.address, PROBE_TIMEOUT);
+        let refused = match connecting.await {
+            Err(ExchangeError::Connect(error)) => error.kind() == ErrorKind::ConnectionRefused,
+            Ok(_) | Err(_) => false,
+        };
+        let suspects = self.probed.borrow_mut().remove(&server.id);
+        let started_ms = self.state.selector.borrow().started_ms(&server.id);
+        if let Some(started_ms) = started_ms.filter(|_| refused) {
+            self.metrics.crashes.inc();
+            let suspects = suspects.unwrap_or_default();
+            info!(self.log, "server crashed"; "server" => &*server.id, "suspects" => suspects.len());
+            for features in suspects.into_iter().filter(|f| !f.is_empty()) {
+                self.report(Evidence::Crashed(CrashReport {
+                    server: server.id.clone(),
+                    started_ms,
+                    features,
+                }));
+            }
+        }
+        self.probe_ended.notify_waiters();
+    }
+
+    /// Applies evidence of this instance and queues it to be written.
+    fn report(&self, evidence: Evidence) {
+        if !self.apply(&evidence) {
+            return;
+        }
+        let mut unwritten = self.unwritten.borrow_mut();
+        if unwritten.len() < MAX_UNWRITTEN {
+            unwritten.push(evidence);
+        } else {
+            warn!(self.log, "evidence about a crash dropped"; "unwritten" => unwritten.len());
+        }
+        self.to_write.notify_one();
+    }
+
+    /// Applies evidence of any instance; returns whether it was news.
+    fn apply(&self, evidence: &Evidence) -> bool {
+        let mut quarantine = self.quarantine.borrow_mut();
+        let before = quarantine.causes().to_vec();
+        let is_news = quarantine.apply(evidence, Instant::now());
+        for cause in quarantine.causes().iter().filter(|c| !before.contains(c)) {
+            let left = cause.until.saturating_duration_since(Instant::now());
+            warn!(self.log, "requests are quarantined"; "features" => ?cause.features, "crashes" => cause.crashes, "ms" => whole_ms(left));
+        }
+        drop(quarantine);
+        if is_news {
+            self.share_sound_features();
+        }
+        is_news
+    }
+
+    /// Tells the other instances of features that they refuse and that this one knows to be sound.
+    fn share_sound_features(&self) {
+        let is_needed = || {
+            let quarantine = self.quarantine.borrow();
+            quarantine.unshared_sound_features()
+        };
+        if self.sound_pending.get() || is_needed().is_empty() {
+            return;
+        }
+        let Some(monitor) = self.weak.upgrade() else {
+            return;
+        };
+        self.sound_pending.set(true);
+        let delay = MAX_SOUND_DELAY.mul_f64(rand::rng().random());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(delay).await;
+            let features = monitor.quarantine.borrow().unshared_sound_features();
+            for feature in features {
+                info!(monitor.log, "requests are not quarantined any more"; "feature" => feature);
+                monitor.report(Evidence::Sound(feature));
+            }
+            monitor.sound_pending.set(false);
+        });
+    }
+
+    /// Writes evidence of this instance to the store, forever.
+    pub async fn share_evidence(self: Rc<Self>) {
+        loop {
+            self.to_write.notified().await;
+            tokio::time::sleep(WRITE_DELAY).await;
+            while !self.unwritten.borrow().is_empty() {
+                self.write_row().await;
+            }
+        }
+    }
+
+    /// Writes a row of evidence; on an error the evidence stays queued.
+    async fn write_row(&self) {
+        let evidence: Vec<Evidence> = {
+            let mut unwritten = self.unwritten.borrow_mut();
+            let count = unwritten.len().min(MAX_EVIDENCE_PER_ROW);
+            unwritten.drain(..count).collect()
+        };
+        let value = match postcard::to_stdvec(&evidence) {
+            Ok(value) => value,
+            Err(error) => {
+                warn!(self.log, "can't encode evidence about crashes"; "fault" => error.to_string());
+                return;
+            }
+        };
+        let key = format!("{}/{}", self.instance, self.next_row.get());
+        match self.store.put(Table::Crashes, &key, &value).await {
+            Ok(()) => self.next_row.set((self.next_row.get() + 1) % OWN_ROWS),
+            Err(error) => {
+                info!(self.log, "can't write evidence about crashes; retrying"; "fault" => error.to_string());
+                self.unwritten.borrow_mut().splice(0..0, evidence);
+                tokio::time::sleep(WRITE_RETRY_DELAY).await;
+            }
+        }
+    }
+
+    /// Applies rows of the store, written by any instance.
+    pub fn apply_rows(&self, rows: &[StoreRow]) {
+        let mut rows: Vec<&StoreRow> = rows.iter().collect();
+        rows.sort_by_key(|row| row.version);
+        for row in rows {
+            let Some(value) = &row.value else { continue };
+            self.skip_own_row(row);
+            match postcard::from_bytes::<Vec<Evidence>>(value) {
+                Ok(evidence) => {
+                    for piece in &evidence {
+                        self.apply(piece);
+                    }
+                }
+                Err(error) => {
+                    warn!(self.log, "can't decode evidence about crashes"; "row" => &*row.key, "fault" => error.to_string());
+                }
+            }
+        }
+    }
+
+    /// Writes on after the newest row of this instance, which may be that of an earlier process.
+    fn skip_own_row(&self, row: &StoreRow) {
+        let Some((instance, number)) = row.key.rsplit_once('/') else {
+            return;
+        };
+        if *instance == *self.instance && row.version > self.own_version.get() {
+            self.own_version.set(row.version);
+            let number: u64 = number.parse().unwrap_or_default();
+            self.next_row.set((number + 1) % OWN_ROWS);
+        }
+    }
+}
--- a/crates/sardineshore-serve/src/dialect.rs
+++ b/crates/sardineshore-serve/src/dialect.rs
@@ -80,11 +80,13 @@
     Servers,
     /// Instances of sardineshore.
     Instances,
+    /// Evidence about crashes of servers.
+    Crashes,
 }
 
 impl Table {
     /// All tables, in the order of their declaration.
-    pub const ALL: [Self; 3] = [Self::Config, Self::Servers, Self::Instances];
+    pub const ALL: [Self; 4] = [Self::Config, Self::Servers, Self::Instances, Self::Crashes];
 }
 
 /// Translates between the serving path and one platform; makes no decisions.
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -11,6 +11,7 @@
 
 use crate::attempt::Dispatcher;
 use crate::cell::OwnedCells;
+use crate::crashes::CrashMonitor;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::peers::{InstanceInfo, Peers};
@@ -49,6 +50,7 @@
     connections: Rc<ConnectionPool>,
     cells: Rc<OwnedCells>,
     peers: Rc<Peers>,
+    crashes: Rc<CrashMonitor>,
     shutdown: Rc<Shutdown>,
     metrics: Rc<Metrics>,
     handler: Rc<RequestHandler>,
@@ -82,10 +84,19 @@
     };
     let relay = Rc::new(StoreRelay::new(settings.bounds.revoke, log.clone()));
     let peers = Peers::new(own, cells.clone(), relay, log.clone());
+    let crashes = CrashMonitor::new(
+        settings.instance.clone(),
+        state.clone(),
+        connections.clone(),
+        store.clone(),
+        metrics.clone(),
+        log.clone(),
+    );
     let dispatcher = Dispatcher::new(
         state.clone(),
         connections.clone(),
         peers.clone(),
+        crashes.clone(),
         dialect.clone(),
         metrics.clone(),
     );
@@ -105,6 +116,7 @@
         connections,
         cells,
         peers,
+        crashes,
         shutdown,
         metrics,
         handler,
@@ -124,8 +136,9 @@
     let components = build_components(&settings, &dialect, &log)?;
     info!(log, "start"; "domain" => &*settings.domain, "version" => env!("CARGO_PKG_VERSION"));
     let listener = TcpListener::bind(settings.listen).await?;
-    start_watching(&components, &dialect, settings.bounds.drain, &log);
+    start_watching(&components, settings.bounds.drain, &log);
     tokio::task::spawn_local(components.peers.clone().hand_over_cells());
+    tokio::task::spawn_local(components.crashes.clone().share_evidence());
     spawn_listener(&log, "peers", components.peers.clone().accept());
     spawn_listener(
         &log,
@@ -171,12 +184,7 @@
 }
 
 /// Starts the tasks that watch the store.
-fn start_watching(
-    components: &Components,
-    dialect: &Rc<dyn Dialect>,
-    drain: Duration,
-    log: &Logger,
-) {
+fn start_watching(components: &Components, drain: Duration, log: &Logger) {
     let (state, cells) = (components.state.clone(), components.cells.clone());
     let on_change = Box::new(move || {
         if let Some(config) = state.config() {
@@ -185,9 +193,9 @@
     });
     let watcher = Rc::new(StoreWatcher::new(
         components.store.clone(),
-        dialect.clone(),
         components.state.clone(),
         components.peers.clone(),
+        components.crashes.clone(),
         log.clone(),
         drain,
         on_change,
--- a/crates/sardineshore-serve/src/lib.rs
+++ b/crates/sardineshore-serve/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod attempt;
 pub mod caller;
 pub mod cell;
+pub mod crashes;
 pub mod dialect;
 pub mod http1;
 pub mod instance;
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Prometheus metrics of an instance.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of the buckets of latency histograms, in seconds.
@@ -23,6 +24,10 @@
     pub piece_calls: IntCounterVec,
     /// Pieces of stages sent in batch calls, by cell.
     pub pieces: IntCounterVec,
+    /// Crashes of servers that this instance saw.
+    pub crashes: IntCounter,
+    /// Requests not sent because their like have crashed servers.
+    pub quarantined: IntCounter,
     /// Requests in progress.
     pub active_requests: IntGauge,
 }
@@ -48,6 +53,13 @@
         let sends = counter("sardine_sends_total", "Sends to servers.", &["pool", "end"])?;
         let piece_calls = counter("sardine_piece_calls_total", "Calls for pieces.", &["end"])?;
         let pieces = counter("sardine_pieces_total", "Pieces sent.", &["cell"])?;
+        let crashes = IntCounter::new("sardine_crashes_total", "Crashes of servers seen.")?;
+        registry.register(Box::new(crashes.clone()))?;
+        let quarantined = IntCounter::new(
+            "sardine_quarantined_total",
+            "Requests not sent, as their like have crashed servers.",
+        )?;
+        registry.register(Box::new(quarantined.clone()))?;
         let first_byte = HistogramVec::new(
             HistogramOpts::new(
                 "sardine_first_byte_seconds",
@@ -67,6 +79,8 @@
             sends,
             piece_calls,
             pieces,
+            crashes,
+            quarantined,
             active_requests,
         })
     }
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -12,9 +12,10 @@
 
 use bytes::Bytes;
 use sardineshore_core::flow::config::{Caller, Name, Route};
+use sardineshore_core::flow::quarantine::Feature;
 use slog::{Logger, info};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::attempt::{AdmittedRequest, ConnectedServer, Dispatcher};
 use crate::dialect::Dialect;
@@ -34,6 +35,9 @@
 /// can't take or repeat it at the moment.
 const RETRY_AFTER_REJECTED: Duration = Duration::from_millis(200);
 
+/// Why a request is refused whose like have crashed servers.
+const QUARANTINED: &str = "quarantined";
+
 /// A request as received from a caller.
 #[derive(Debug)]
 pub struct IncomingRequest {
@@ -152,7 +156,9 @@
         let (route, outcome) = match self.admit(incoming) {
             Ok(matched) => {
                 let admitted = self.admitted_request(incoming, id.unwrap_or_default(), &matched);
-                let outcome = if matched.route.kind.is_streaming() {
+                let outcome = if let Some(refused) = self.refuse_quarantined(&admitted, None) {
+                    refused
+                } else if matched.route.kind.is_streaming() {
                     self.handle_stream(&admitted, wr, keep_alive, &mut stats)
                         .await
                 } else {
@@ -209,8 +215,23 @@
             "last_event" => stats.last_event_id, "pause_ms" => stats.max_pause_ms);
     }
 
-    /// Writes the log line of an attempt that brought no complete response.
-    fn log_lost_attempt(
+    /// Outcome of a request that may not be sent to servers, as its like have crashed them; `None`
+    /// if it may. `lost` tells why an earlier attempt was lost, after which it may have run.
+    fn refuse_quarantined(
+        &self,
+        request: &AdmittedRequest<'_>,
+        lost: Option<&'static str>,
+    ) -> Option<Outcome> {
+        let left = self.dispatcher.crashes().time_left(&request.features)?;
+        self.metrics.quarantined.inc();
+        Some(match lost {
+            Some(reason) => Outcome::Failed(ErrorResponse::OutcomeUnknown(reason)),
+            None => not_run(request, left, QUARANTINED),
+        })
+    }
+
+    /// Logs an attempt that brought no complete response, and finds out whether the server crashed.
+    async fn record_lost_attempt(
         &self,
         request: &AdmittedRequest<'_>,
         connected: &ConnectedServer,
@@ -221,6 +242,14 @@
             "request" => request.id, "server" => &*connected.server.id, "reason" => reason,
             "ms" => whole_ms(connected.attempt.elapsed()),
             "output" => connected.attempt.has_output(), "prompt" => prompt.unwrap_or("-"));
+        let attempt = &connected.attempt;
+        if attempt.has_lost_connection() && !attempt.is_sound() {
+            let (server, sent_at) = (&connected.server, attempt.started_at());
+            self.dispatcher
+                .crashes()
+                .record_lost(server, &request.features, sent_at)
+                .await;
+        }
     }
 
     /// Finds the route and checks the caller's key; fails with the error response if the request
@@ -292,6 +321,8 @@
             .map(Duration::from_millis);
         let route_timeout = matched.route.timeout;
         let timeout = caller_timeout.map_or(route_timeout, |timeout| timeout.min(route_timeout));
+        let customer = matched.caller.as_ref().map(|caller| &*caller.customer);
+        let features = self.features(incoming, customer.unwrap_or_default());
         AdmittedRequest {
             id,
             head: &incoming.head,
@@ -300,8 +331,25 @@
             caller: matched.caller.as_ref(),
             deadline: incoming.arrived_at + timeout,
             arrived_at: incoming.arrived_at,
+            features,
         }
     }
+
+    /// Features of a request: the shared parts of its prompt, and the request as a whole.
+    fn features(&self, incoming: &IncomingRequest, customer: &str) -> Vec<Feature> {
+        let IncomingRequest { head, body, .. } = incoming;
+        let prompt = head.headers.get(self.dialect.header_names().prompt_parts);
+        let mut parts = prompt.map_or_else(Vec::new, |text| self.dialect.parse_prompt(text));
+        // The last part belongs to the request itself or to its session.
+        parts.pop();
+        let mut features: Vec<Feature> = parts
+            .iter()
+            .map(|part| xxh3_64(part.id.as_bytes()))
+            .collect();
+        let caller = format!("{}\n{}\n{customer}", head.method, head.target);
+        features.push(xxh3_64_with_seed(body, xxh3_64(caller.as_bytes())));
+        features
+    }
 }
 
 /// Selects a pool of the route according to the pools' weights. The choice depends on the request
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -67,6 +67,9 @@
                     None => not_run(request, RETRY_AFTER_REJECTED, "no repeats left"),
                 };
             }
+            if let Some(refused) = self.refuse_quarantined(request, lost) {
+                return refused;
+            }
             stats.attempts += 1;
             stats.server = Some(connected.server.id.clone());
             selection.tried.push(connected.server.id.clone());
@@ -74,11 +77,12 @@
             let may_retry = retryable && stats.attempts < max_attempts;
             let sent = self.send_once(&mut connected, request, may_retry).await;
             if let SendResult::Lost(reason) = sent {
-                self.log_lost_attempt(request, &connected, reason);
+                self.record_lost_attempt(request, &connected, reason).await;
             }
             match sent {
                 SendResult::Complete(response, body) => {
                     let status = response.head.status;
+                    self.dispatcher.crashes().record_output(&request.features);
                     self.dispatcher.recycle(connected.conn, &response);
                     if status >= 500 && may_retry {
                         lost = Some("failed at the server");
@@ -163,6 +167,7 @@
                 SendResult::Lost("no answer")
             }
             Ok(Err(_)) => {
+                attempt.record_lost_connection();
                 attempt.finish(AttemptOutcome::Broken);
                 SendResult::Lost("connection broke")
             }
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -13,8 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    Outcome, RETRY_AFTER_NO_SERVER, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, not_run,
-    select_pool,
+    Outcome, QUARANTINED, RETRY_AFTER_NO_SERVER, RETRY_AFTER_REJECTED, RequestHandler,
+    RequestStats, not_run, select_pool,
 };
 use crate::attempt::{AdmittedRequest, ConnectedServer, ExtraHeaders};
 use crate::reply::{ErrorResponse, response_head, write_chunk};
@@ -158,6 +158,9 @@
                     "no server",
                 );
             };
+            if let Some(refused) = self.refuse_quarantined(request, lost) {
+                return sink.refused(refused);
+            }
             stats.attempts += 1;
             stats.server = Some(connected.server.id.clone());
             selection.tried.push(connected.server.id.clone());
@@ -181,7 +184,7 @@
                 .await;
             sink.filter.discard_partial_event();
             if let Err(End::Lost(reason)) = forwarded {
-                self.log_lost_attempt(request, &connected, reason);
+                self.record_lost_attempt(request, &connected, reason).await;
             }
             match forwarded {
                 Ok((status, response)) => {
@@ -329,6 +332,7 @@
         let mut response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(_)) => {
+                connected.attempt.record_lost_connection();
                 connected.attempt.finish(AttemptOutcome::Broken);
                 return Err(End::Lost("connection broke"));
             }
@@ -342,6 +346,7 @@
         let mut pending = Vec::new();
         let mut wait = first_output_timeout;
         let mut last_output_at = Instant::now();
+        let mut sound_output_recorded = false;
         loop {
             let next = connected.conn.next_chunk(&mut response);
             let wait_for_next = wait.min(request.time_to_deadline());
@@ -353,6 +358,7 @@
                 }
                 Ok(Ok(data)) => data,
                 Ok(Err(_)) => {
+                    connected.attempt.record_lost_connection();
                     connected.attempt.finish(AttemptOutcome::Broken);
                     return Err(End::Lost("stream broke off"));
                 }
@@ -368,9 +374,11 @@
             };
             let Some(data) = data else {
                 if sink.filter.has_partial_event() || !sink.started {
+                    connected.attempt.record_lost_connection();
                     connected.attempt.finish(AttemptOutcome::Failure);
                     return Err(End::Lost("stream ended inside an event"));
                 }
+                self.dispatcher.crashes().record_output(&request.features);
                 let written = sink.wr.write_all(b"0\r\n\r\n").await;
                 return written
                     .map(|()| {
@@ -399,6 +407,10 @@
             }
             last_output_at = Instant::now();
             connected.attempt.record_first_output();
+            if !sound_output_recorded && connected.attempt.is_sound() {
+                sound_output_recorded = true;
+                self.dispatcher.crashes().record_output(&request.features);
+            }
             // The engine has fetched its inputs once it produces output.
             drop(guard.take());
             if may_retry {
@@ -469,6 +481,15 @@
         }
     }
 
+    /// Outcome of a request that is refused after earlier attempts.
+    fn refused(&self, outcome: Outcome) -> Outcome {
+        if self.started {
+            Outcome::Aborted(QUARANTINED)
+        } else {
+            outcome
+        }
+    }
+
     /// Id of the event after which another server is to continue; `None` if nothing was forwarded.
     fn resume_point(&self) -> Option<u64> {
         let forwarded = self.filter.has_forwarded();
--- a/crates/sardineshore-serve/src/state.rs
+++ b/crates/sardineshore-serve/src/state.rs
@@ -30,6 +30,8 @@
     pub selector: RefCell<ServerSelector>,
     /// Whether the list of servers has been read.
     pub servers_known: Cell<bool>,
+    /// Whether the evidence about crashes has been read.
+    pub crashes_known: Cell<bool>,
     /// When the store last confirmed that the configuration is the newest one.
     pub freshness: RefCell<Freshness>,
     /// Budget for sending a request to a further server.
@@ -46,6 +48,7 @@
             config: RefCell::default(),
             selector: RefCell::new(ServerSelector::new(settings.domain.clone())),
             servers_known: Cell::new(false),
+            crashes_known: Cell::new(false),
             freshness: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.bounds.repeats)),
             revocation_bound: settings.bounds.revoke,
@@ -87,6 +90,7 @@
     pub fn is_ready(&self) -> bool {
         self.config.borrow().is_some()
             && self.servers_known.get()
+            && self.crashes_known.get()
             && (!self.fail_closed
                 || self.confirmed_within(self.revocation_bound.mul_f64(READY_FRACTION)))
     }
--- a/crates/sardineshore-serve/src/store.rs
+++ b/crates/sardineshore-serve/src/store.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// What translates calls to the store.
+    #[must_use]
+    pub fn dialect(&self) -> &Rc<dyn Dialect> {
+        &self.dialect
+    }
+
     /// Number of calls since the start of the instance.
     #[must_use]
     pub fn call_count(&self) -> u64 {
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -16,6 +16,7 @@
 use slog::{Logger, debug, info, warn};
 use tokio::sync::Notify;
 
+use crate::crashes::CrashMonitor;
 use crate::dialect::{Dialect, StoreRow, Table};
 use crate::peers::{InstanceInfo, Peers};
 use crate::relay::{Applied, KnownVersions, ReaderMessage, Stamp, StoreRelay};
@@ -39,6 +40,8 @@
 const CONFIG_DELAY: Duration = Duration::from_millis(700);
 /// Delay after a change of the instances, so that one call returns many starts.
 const INSTANCES_DELAY: Duration = Duration::from_millis(1200);
+/// Delay after new evidence about crashes, so that one call returns that of several instances.
+const CRASHES_DELAY: Duration = Duration::from_millis(100);
 /// Back-off after the first failed call; it grows by this much with each further failure.
 const BACKOFF_STEP: Duration = Duration::from_millis(100);
 /// Longest back-off.
@@ -79,6 +82,7 @@
     state: Rc<SharedState>,
     peers: Rc<Peers>,
     relay: Rc<StoreRelay>,
+    crashes: Rc<CrashMonitor>,
     log: Logger,
     servers: RefCell<ServerRegistry>,
     instances: RefCell<BTreeMap<Name, InstanceInfo>>,
@@ -117,6 +121,7 @@
         Table::Config => 0,
         Table::Servers => 1,
         Table::Instances => 2,
+        Table::Crashes => 3,
     }
 }
 
@@ -127,19 +132,20 @@
     #[must_use]
     pub fn new(
         store: Rc<Store>,
-        dialect: Rc<dyn Dialect>,
         state: Rc<SharedState>,
         peers: Rc<Peers>,
+        crashes: Rc<CrashMonitor>,
         log: Logger,
         drain_bound: Duration,
         on_change: ChangeCallback,
     ) -> Self {
         Self {
+            dialect: store.dialect().clone(),
             store,
-            dialect,
             state,
             relay: peers.relay().clone(),
             peers,
+            crashes,
             log,
             servers: RefCell::default(),
             instances: RefCell::default(),
@@ -195,7 +201,8 @@
             if table != Table::Config {
                 self.wait_until_reachable().await;
             }
-            if table == Table::Servers && self.version(table).is_none() {
+            let awaits_first_reader = matches!(table, Table::Servers | Table::Crashes);
+            if awaits_first_reader && self.version(table).is_none() {
                 self.wait_at_first_start().await;
                 if !self.relay.must_read() {
                     continue;
@@ -298,7 +305,7 @@
             Table::Config if self.relay.has_subscribers() => READER_CONFIG_WAIT,
             Table::Config => CONFIG_WAIT,
             Table::Servers if self.has_missing_entries() => MISSING_SERVERS_WAIT,
-            Table::Servers | Table::Instances => LONG_WAIT,
+            Table::Servers | Table::Instances | Table::Crashes => LONG_WAIT,
         }
     }
 
@@ -321,6 +328,7 @@
             }
             Table::Servers => self.drain_bound.mul_f64(SERVERS_DELAY_FRACTION),
             Table::Instances => INSTANCES_DELAY,
+            Table::Crashes => CRASHES_DELAY,
         }
     }
 
@@ -465,6 +473,11 @@
                 self.apply_instances(news);
                 Ok(())
             }
+            Table::Crashes => {
+                self.crashes.apply_rows(&news.rows);
+                self.state.crashes_known.set(true);
+                Ok(())
+            }
         }
     }
 
