fix(watcher): tables are watched anew after an outage of the store

Cause: a watch of a table waits up to 20 s. One that was sent as the outage began was lost by the store, while its connection stayed open, so it went on for its whole time. The same holds for the servers. Ruled out: writes (they succeeded at the first try after 8.3 s); the relay (this site has none). Change: once a call for the configuration succeeds after a failed one, the other tables' loops drop their call and ask again. Test: serve_finds_new_server_after_store_lost_calls fails before (the servers had not been read after four calls for the configuration), passes now.

--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -103,6 +103,8 @@
     /// reachable.
     reachable: Cell<Option<u64>>,
     reachable_changed: Notify,
+    /// Number of times that a call for the configuration succeeded after a failed one.
+    outages: Cell<u64>,
     /// When a server without an entry was last in use.
     entries_missing_at: Cell<Option<Instant>>,
     clock_checked_at: Cell<Instant>,
@@ -158,6 +160,7 @@
             store_time_ms: Cell::new(None),
             reachable: Cell::new(Some(0)),
             reachable_changed: Notify::new(),
+            outages: Cell::new(0),
             entries_missing_at: Cell::new(None),
             clock_checked_at: Cell::new(Instant::now()),
             check_clock: Notify::new(),
@@ -220,6 +223,8 @@
             let result = tokio::select! {
                 biased;
                 () = self.relay.wait_must_read(false) => continue,
+                // The store may have lost a call that it got during an outage.
+                () = self.wait_outage_end(), if table != Table::Config => continue,
                 () = self.relay.wait_for_subscriber(), if awaits_subscriber => {
                     wait = Duration::ZERO;
                     continue;
@@ -371,6 +376,18 @@
         }
     }
 
+    /// Waits until the store is reachable again after an outage.
+    async fn wait_outage_end(&self) {
+        let outages = self.outages.get();
+        loop {
+            let changed = self.reachable_changed.notified();
+            if self.outages.get() != outages {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Records a failed call.
     fn record_failure(&self, table: Table, error: &StoreError, failures: u32) {
         self.servers.borrow_mut().record_store_failure();
@@ -408,7 +425,9 @@
         after: Option<u64>,
     ) -> Result<(), PageError> {
         if table == Table::Config {
-            self.reachable.set(Some(self.relay.lost_reader_count()));
+            let before = self.reachable.replace(Some(self.relay.lost_reader_count()));
+            self.outages
+                .set(self.outages.get() + u64::from(before.is_none()));
             self.reachable_changed.notify_waiters();
         }
         let after_outage = self.servers.borrow().is_after_store_failure();
