fix(serve): rate limits that servers name are kept by all instances together

Cause: nothing on the serving path read the limit; selection spread load as ever. Ruled out: a limit kept by each instance for itself (eight instances would send eight times as much); equal shares that add up while unused (after a quiet time every instance may send at once). Change: core::flow::turns divides the limit into turns by the store's clock, which all instances know; in a turn, one instance sends its quota, and unused turns are lost. Selection leaves out servers without a turn; a request with no other server waits for the next turn for up to a quarter of its time left, else it is refused at once. serve::limits writes a limit, its change or its end to a table of the store, one row a server, so that instances know it without a request of their own and all learn of its end. A server that names 0 still gets a request now and then, whose response tells when the limit ends.

--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -23,3 +23,4 @@
 pub mod replica;
 pub mod retry_budget;
 pub mod selection;
+pub mod turns;
--- a/crates/sardineshore-core/src/flow/freshness.rs
+++ b/crates/sardineshore-core/src/flow/freshness.rs
@@ -71,6 +71,13 @@
         Some(confirmed)
     }
 
+    /// Reading of the store's clock at the local time `now`, as far as it is known.
+    #[must_use]
+    pub fn store_time(&self, now: Duration) -> Option<Duration> {
+        let ms = signed_ms(now) + self.offset_ms?;
+        u64::try_from(ms).ok().map(Duration::from_millis)
+    }
+
     /// Time since the newest confirmation; `None` before the first one.
     #[must_use]
     pub fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::config::{Name, Server};
+use super::turns::{RateLimit, TurnSchedule};
 use health::Health;
 
 /// Time to prefill one prompt token that isn't cached.
@@ -153,6 +154,10 @@
     servers: HashMap<Name, ServerState>,
     /// Ids of each pool's servers, sorted.
     pools: HashMap<Name, Vec<Name>>,
+    /// Rates that servers take from all instances together.
+    limits: HashMap<Name, RateLimit>,
+    /// When this instance may send to servers with such a rate.
+    schedule: Option<TurnSchedule>,
 }
 
 impl ServerSelector {
@@ -169,11 +174,21 @@
     /// start time differs, that is, unless it has restarted.
     pub fn set_servers(&mut self, servers: Vec<Server>) {
         let listed: HashSet<Name> = servers.iter().map(|s| s.id.clone()).collect();
-        self.servers.retain(|id, _| listed.contains(id));
+        let limits = &mut self.limits;
+        self.servers.retain(|id, _| {
+            let stays = listed.contains(id);
+            if !stays {
+                limits.remove(id);
+            }
+            stays
+        });
         for server in servers {
             match self.servers.get_mut(&server.id) {
                 Some(old) if old.server.started_ms == server.started_ms => old.server = server,
-                _ => {
+                known => {
+                    if known.is_some() {
+                        self.limits.remove(&server.id);
+                    }
                     self.servers
                         .insert(server.id.clone(), ServerState::new(server));
                 }
@@ -207,16 +222,73 @@
         server.ready.then_some(server.started_ms)
     }
 
+    /// Rate that a server takes from all instances together, in requests per second; `None` if it
+    /// has no limit.
+    #[must_use]
+    pub fn limit(&self, id: &str) -> Option<f64> {
+        self.limits.get(id).map(RateLimit::per_second)
+    }
+
+    /// Whether any server has a rate limit.
+    #[must_use]
+    pub fn has_limits(&self) -> bool {
+        !self.limits.is_empty()
+    }
+
+    /// Sets or removes the rate that a server takes from all instances together, in requests per
+    /// second.
+    pub fn set_limit(&mut self, id: &Name, per_second: Option<f64>) {
+        match per_second {
+            Some(per_second) => self
+                .limits
+                .entry(id.clone())
+                .or_insert_with(|| RateLimit::new(id, per_second))
+                .set(per_second),
+            None => {
+                self.limits.remove(id);
+            }
+        }
+    }
+
+    /// Sets when this instance may send to servers with a rate limit.
+    pub fn set_schedule(&mut self, schedule: TurnSchedule) {
+        self.schedule = Some(schedule);
+    }
+
+    /// Time until this instance may send a request to a server with a rate limit; `None` if no such
+    /// server could run it.
+    #[must_use]
+    pub fn next_turn(&self, request: &SelectionRequest, now: Instant) -> Option<Duration> {
+        let schedule = self.schedule?;
+        let servers = self.untried_servers(request)?;
+        let limits = servers.filter_map(|state| self.limits.get(&state.server.id));
+        limits.map(|limit| limit.next_turn(&schedule, now)).min()
+    }
+
+    /// Servers of the request's pool that are ready and were not tried.
+    fn untried_servers<'a>(
+        &'a self,
+        request: &'a SelectionRequest,
+    ) -> Option<impl Iterator<Item = &'a ServerState>> {
+        let ids = self.pools.get(&request.pool)?;
+        let servers = ids.iter().filter_map(|id| self.servers.get(id));
+        Some(servers.filter(|s| s.server.ready && !request.tried.contains(&s.server.id)))
+    }
+
+    /// Whether a server has no rate limit or this instance may send to it now.
+    fn has_turn(&self, id: &str, now: Instant) -> bool {
+        let limit = self.limits.get(id).zip(self.schedule.as_ref());
+        limit.is_none_or(|(limit, schedule)| limit.has_turn(schedule, now))
+    }
+
     /// Selects the server of the pool with the lowest cost for a request; `None` if no server is
-    /// ready that was not tried. Servers in back-off are selected only if no other is left.
+    /// ready that was not tried and has a turn. Servers in back-off are selected only if no other is
+    /// left.
     #[must_use]
     pub fn select(&self, request: &SelectionRequest, now: Instant) -> Option<SelectedServer> {
         let servers: Vec<&ServerState> = self
-            .pools
-            .get(&request.pool)?
-            .iter()
-            .filter_map(|id| self.servers.get(id))
-            .filter(|s| s.server.ready && !request.tried.contains(&s.server.id))
+            .untried_servers(request)?
+            .filter(|s| self.has_turn(&s.server.id, now))
             .collect();
         let available: Vec<&ServerState> = servers
             .iter()
@@ -264,6 +336,9 @@
         request: &SelectionRequest,
         now: Instant,
     ) {
+        if let Some((limit, schedule)) = self.limits.get_mut(&server.id).zip(self.schedule) {
+            limit.record_send(&schedule, now);
+        }
         if let Some(state) = self.servers.get_mut(&server.id) {
             state.in_flight += 1;
             state.prefill_tokens += u64::from(server.uncached_tokens);
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::crashes::CrashMonitor;
 use crate::dialect::Dialect;
 use crate::http1::{RequestHead, is_end_to_end, put_header};
+use crate::limits::LimitExchange;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::state::SharedState;
@@ -29,6 +30,10 @@
 /// Time for which a stream must go on after its first output to show that its request doesn't crash
 /// the server.
 const SOUND_OUTPUT_TIME: Duration = Duration::from_millis(500);
+/// Share of the time left for which a request waits for servers with a rate limit, as a divisor.
+const TURN_PATIENCE_DIVISOR: u32 = 4;
+/// Time after the start of a turn at which a request that waits for it is sent.
+const TURN_MARGIN: Duration = Duration::from_millis(2);
 /// Fraction of a server's connection limit that all instances together use.
 const CONNECTION_FRACTION: f64 = 0.85;
 
@@ -84,6 +89,7 @@
     connections: Rc<ConnectionPool>,
     peers: Rc<Peers>,
     crashes: Rc<CrashMonitor>,
+    limits: Rc<LimitExchange>,
     dialect: Rc<dyn Dialect>,
     metrics: Rc<Metrics>,
 }
@@ -195,6 +201,7 @@
         connections: Rc<ConnectionPool>,
         peers: Rc<Peers>,
         crashes: Rc<CrashMonitor>,
+        limits: Rc<LimitExchange>,
         dialect: Rc<dyn Dialect>,
         metrics: Rc<Metrics>,
     ) -> Self {
@@ -203,6 +210,7 @@
             connections,
             peers,
             crashes,
+            limits,
             dialect,
             metrics,
         }
@@ -210,10 +218,16 @@
 
     /// What is known about requests that crash servers.
     #[must_use]
-    pub fn crashes(&self) -> &CrashMonitor {
+    pub fn crashes(&self) -> &Rc<CrashMonitor> {
         &self.crashes
     }
 
+    /// Rate limits that servers name.
+    #[must_use]
+    pub fn limits(&self) -> &Rc<LimitExchange> {
+        &self.limits
+    }
+
     /// Selects a server and gets a connection to it.
     ///
     /// A server that can't be reached, or that takes no new work any more, is added to the servers
@@ -230,11 +244,23 @@
         };
         // Servers to which this instance may open no further connection.
         let mut at_limit: Vec<Name> = Vec::new();
+        // Time for which the request waited until servers with a rate limit take it.
+        let mut waited = Duration::ZERO;
         loop {
             let mut narrowed = selection.clone();
             narrowed.tried.extend(at_limit.iter().cloned());
+            self.limits.update_schedule();
             let now = Instant::now();
-            let server = self.state.selector.borrow().select(&narrowed, now)?;
+            let selected = self.state.selector.borrow().select(&narrowed, now);
+            let Some(server) = selected else {
+                let wait = self.state.selector.borrow().next_turn(&narrowed, now)?;
+                if waited + wait > request.time_to_deadline() / TURN_PATIENCE_DIVISOR {
+                    return None;
+                }
+                waited += wait + TURN_MARGIN;
+                tokio::time::sleep(wait + TURN_MARGIN).await;
+                continue;
+            };
             if self.connections.open_count(server.address) >= self.connection_limit(&selection.pool)
             {
                 if let Some(conn) = self.connections.take_idle(server.address, max_idle) {
@@ -356,6 +382,15 @@
             let mut selector = self.state.selector.borrow_mut();
             selector.record_load(&connected.server.id, load, Instant::now());
         }
+        // Another server may listen at the address by now.
+        if response.head.status != 421 {
+            let limit = response
+                .head
+                .headers
+                .get(self.dialect.header_names().rate_limit);
+            let limit = limit.and_then(|text| self.dialect.parse_rate_limit(text));
+            self.limits.record(&connected.server.id, limit);
+        }
         Ok(response)
     }
 
--- a/crates/sardineshore-serve/src/dialect.rs
+++ b/crates/sardineshore-serve/src/dialect.rs
@@ -43,6 +43,8 @@
     pub signature: &'static str,
     /// Load that a server reports in a response.
     pub load: &'static str,
+    /// Requests per second that a server takes from all instances together, in a response.
+    pub rate_limit: &'static str,
     /// Headers that callers may not set; they are dropped from requests.
     pub reserved: &'static [&'static str],
 }
@@ -82,11 +84,19 @@
     Instances,
     /// Evidence about crashes of servers.
     Crashes,
+    /// Rate limits that servers name.
+    Limits,
 }
 
 impl Table {
     /// All tables, in the order of their declaration.
-    pub const ALL: [Self; 4] = [Self::Config, Self::Servers, Self::Instances, Self::Crashes];
+    pub const ALL: [Self; 5] = [
+        Self::Config,
+        Self::Servers,
+        Self::Instances,
+        Self::Crashes,
+        Self::Limits,
+    ];
 }
 
 /// Translates between the serving path and one platform; makes no decisions.
@@ -103,6 +113,8 @@
     fn decode_server(&self, id: &str, bytes: &[u8]) -> anyhow::Result<Server>;
     /// Parses the load that a server reports in a header; `None` if it is malformed.
     fn parse_load(&self, text: &str) -> Option<LoadReport>;
+    /// Parses a rate limit from a header, in requests per second; `None` if it is malformed.
+    fn parse_rate_limit(&self, text: &str) -> Option<f64>;
     /// Parses the parts of a prompt from a header; malformed ones are left out.
     fn parse_prompt(&self, text: &str) -> Vec<PromptPart>;
     /// Parses the number of pieces of each stage from a header; `None` if it is malformed.
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -13,6 +13,7 @@
 use crate::cell::OwnedCells;
 use crate::crashes::CrashMonitor;
 use crate::dialect::Dialect;
+use crate::limits::LimitExchange;
 use crate::metrics::Metrics;
 use crate::peers::{InstanceInfo, Peers};
 use crate::relay::StoreRelay;
@@ -50,7 +51,7 @@
     connections: Rc<ConnectionPool>,
     cells: Rc<OwnedCells>,
     peers: Rc<Peers>,
-    crashes: Rc<CrashMonitor>,
+    dispatcher: Rc<Dispatcher>,
     shutdown: Rc<Shutdown>,
     metrics: Rc<Metrics>,
     handler: Rc<RequestHandler>,
@@ -92,18 +93,20 @@
         metrics.clone(),
         log.clone(),
     );
-    let dispatcher = Dispatcher::new(
+    let limits = LimitExchange::new(state.clone(), peers.clone(), store.clone(), log.clone());
+    let dispatcher = Rc::new(Dispatcher::new(
         state.clone(),
         connections.clone(),
         peers.clone(),
-        crashes.clone(),
+        crashes,
+        limits,
         dialect.clone(),
         metrics.clone(),
-    );
+    ));
     let stages = StageClient::new(cells.clone(), peers.clone(), log.clone());
     let handler = Rc::new(RequestHandler::new(
         state.clone(),
-        dispatcher,
+        dispatcher.clone(),
         stages,
         dialect.clone(),
         shutdown.clone(),
@@ -116,7 +119,7 @@
         connections,
         cells,
         peers,
-        crashes,
+        dispatcher,
         shutdown,
         metrics,
         handler,
@@ -138,7 +141,8 @@
     let listener = TcpListener::bind(settings.listen).await?;
     start_watching(&components, settings.bounds.drain, &log);
     tokio::task::spawn_local(components.peers.clone().hand_over_cells());
-    tokio::task::spawn_local(components.crashes.clone().share_evidence());
+    tokio::task::spawn_local(components.dispatcher.crashes().clone().share_evidence());
+    tokio::task::spawn_local(components.dispatcher.limits().clone().share());
     spawn_listener(&log, "peers", components.peers.clone().accept());
     spawn_listener(
         &log,
@@ -195,7 +199,7 @@
         components.store.clone(),
         components.state.clone(),
         components.peers.clone(),
-        components.crashes.clone(),
+        &components.dispatcher,
         log.clone(),
         drain,
         on_change,
--- a/crates/sardineshore-serve/src/lib.rs
+++ b/crates/sardineshore-serve/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod dialect;
 pub mod http1;
 pub mod instance;
+pub mod limits;
 pub mod logging;
 pub mod metrics;
 pub mod monitoring;
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -177,6 +177,16 @@
         self.instances.borrow().len()
     }
 
+    /// Position of this instance among all known ones, in the order of their names.
+    #[must_use]
+    pub fn rank(&self) -> usize {
+        let instances = self.instances.borrow();
+        instances
+            .keys()
+            .take_while(|name| **name != self.own.name)
+            .count()
+    }
+
     /// All known instances as candidates for the ownership of a cell.
     #[must_use]
     pub fn candidates(&self) -> Vec<OwnerCandidate> {
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -85,7 +85,7 @@
 #[derive(Debug)]
 pub struct RequestHandler {
     state: Rc<SharedState>,
-    dispatcher: Dispatcher,
+    dispatcher: Rc<Dispatcher>,
     stages: StageClient,
     dialect: Rc<dyn Dialect>,
     shutdown: Rc<Shutdown>,
@@ -105,7 +105,7 @@
     #[must_use]
     pub fn new(
         state: Rc<SharedState>,
-        dispatcher: Dispatcher,
+        dispatcher: Rc<Dispatcher>,
         stages: StageClient,
         dialect: Rc<dyn Dialect>,
         shutdown: Rc<Shutdown>,
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -16,8 +16,10 @@
 use slog::{Logger, debug, info, warn};
 use tokio::sync::Notify;
 
+use crate::attempt::Dispatcher;
 use crate::crashes::CrashMonitor;
 use crate::dialect::{Dialect, StoreRow, Table};
+use crate::limits::LimitExchange;
 use crate::peers::{InstanceInfo, Peers};
 use crate::relay::{Applied, KnownVersions, ReaderMessage, Stamp, StoreRelay};
 use crate::state::{SharedState, boot_time};
@@ -42,6 +44,8 @@
 const INSTANCES_DELAY: Duration = Duration::from_millis(1200);
 /// Delay after new evidence about crashes, so that one call returns that of several instances.
 const CRASHES_DELAY: Duration = Duration::from_millis(100);
+/// Delay after a change of rate limits, so that one call returns those of several servers.
+const LIMITS_DELAY: Duration = Duration::from_millis(150);
 /// Back-off after the first failed call; it grows by this much with each further failure.
 const BACKOFF_STEP: Duration = Duration::from_millis(100);
 /// Longest back-off.
@@ -83,6 +87,7 @@
     peers: Rc<Peers>,
     relay: Rc<StoreRelay>,
     crashes: Rc<CrashMonitor>,
+    limits: Rc<LimitExchange>,
     log: Logger,
     servers: RefCell<ServerRegistry>,
     instances: RefCell<BTreeMap<Name, InstanceInfo>>,
@@ -124,6 +129,7 @@
         Table::Servers => 1,
         Table::Instances => 2,
         Table::Crashes => 3,
+        Table::Limits => 4,
     }
 }
 
@@ -136,7 +142,7 @@
         store: Rc<Store>,
         state: Rc<SharedState>,
         peers: Rc<Peers>,
-        crashes: Rc<CrashMonitor>,
+        dispatcher: &Dispatcher,
         log: Logger,
         drain_bound: Duration,
         on_change: ChangeCallback,
@@ -147,7 +153,8 @@
             state,
             relay: peers.relay().clone(),
             peers,
-            crashes,
+            crashes: dispatcher.crashes().clone(),
+            limits: dispatcher.limits().clone(),
             log,
             servers: RefCell::default(),
             instances: RefCell::default(),
@@ -204,7 +211,8 @@
             if table != Table::Config {
                 self.wait_until_reachable().await;
             }
-            let awaits_first_reader = matches!(table, Table::Servers | Table::Crashes);
+            let awaits_first_reader =
+                matches!(table, Table::Servers | Table::Crashes | Table::Limits);
             if awaits_first_reader && self.version(table).is_none() {
                 self.wait_at_first_start().await;
                 if !self.relay.must_read() {
@@ -310,7 +318,7 @@
             Table::Config if self.relay.has_subscribers() => READER_CONFIG_WAIT,
             Table::Config => CONFIG_WAIT,
             Table::Servers if self.has_missing_entries() => MISSING_SERVERS_WAIT,
-            Table::Servers | Table::Instances | Table::Crashes => LONG_WAIT,
+            Table::Servers | Table::Instances | Table::Crashes | Table::Limits => LONG_WAIT,
         }
     }
 
@@ -334,6 +342,7 @@
             Table::Servers => self.drain_bound.mul_f64(SERVERS_DELAY_FRACTION),
             Table::Instances => INSTANCES_DELAY,
             Table::Crashes => CRASHES_DELAY,
+            Table::Limits => LIMITS_DELAY,
         }
     }
 
@@ -497,6 +506,10 @@
                 self.state.crashes_known.set(true);
                 Ok(())
             }
+            Table::Limits => {
+                self.limits.apply(news);
+                Ok(())
+            }
         }
     }
 
