fix(batching): the owner of a cell keeps rate limits that stage servers name

Change: the scheduler spaces all kinds of requests to such a server, and forecasts its speed accordingly. One owner calls a server, so nothing is shared; a new owner learns the limit from its first call. Test: poll_keeps_rate_limit_of_server_for_all_kinds_of_requests, with a manual clock; it needs the new set_rate_limit, so it could not run before.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -244,10 +244,20 @@
         }
     }
 
+    /// Sets the rate of requests that a server takes, in requests per second; `None` if it names no
+    /// limit.
+    pub fn set_rate_limit(&mut self, server: &str, per_second: Option<f64>, now: Instant) {
+        let mut servers = self.pools.values_mut().flatten();
+        if let Some(known) = servers.find(|known| *known.id == *server) {
+            known.set_rate_limit(per_second, now);
+        }
+    }
+
     /// Queries the free memory of every server for which a query is due.
     fn query_due_servers(&mut self, now: Instant) {
         for server in self.pools.values_mut().flatten() {
-            if server.take_due_query(now) {
+            if server.is_within_rate(now) && server.take_due_query(now) {
+                server.record_request(now);
                 self.actions.push(Action::QueryFreeMemory {
                     server: server.id.clone(),
                     address: server.address,
@@ -300,10 +310,7 @@
             let usable = active().filter(|server| all_back_off || server.is_available(now));
             let mut count = 0;
             for server in usable {
-                let full = server.expected_call_time(server.spec.max_batch);
-                let speed = server.slowness.max(1.0);
-                load.rate +=
-                    f64::from(server.spec.max_batch) / full.as_secs_f64().max(0.001) / speed;
+                load.rate += server.pieces_per_second();
                 load.call = server.expected_call_time(server.spec.max_batch.div_ceil(2));
                 count += 1;
             }
--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -271,6 +271,7 @@
         let expected = server.expected_call_time(u32::try_from(pieces.len()).unwrap_or(u32::MAX));
         let slow_after =
             expected.mul_f64(self.config.slow_call_factor) + self.config.slow_call_slack;
+        server.record_request(now);
         server.running_calls += 1;
         server.reserved_bytes += reserved_bytes;
         let call_id = self.next_call_id;
@@ -298,7 +299,8 @@
     /// has passed.
     pub(super) fn flush_releases(&mut self, now: Instant) {
         for server in self.pools.values_mut().flatten() {
-            if server.release_is_due(now, self.config.release_delay) {
+            if server.is_within_rate(now) && server.release_is_due(now, self.config.release_delay) {
+                server.record_request(now);
                 self.actions.push(Action::ReleaseResults {
                     server: server.id.clone(),
                     address: server.address,
--- a/crates/sardineshore-core/src/flow/batching/server.rs
+++ b/crates/sardineshore-core/src/flow/batching/server.rs
@@ -43,6 +43,10 @@
     pub step_bytes: u64,
 }
 
+/// Rate at which a server with a lower limit still gets requests, in requests per second: its
+/// responses tell when the limit ends.
+const MIN_RATE: f64 = 0.25;
+
 /// State of one batch server.
 #[derive(Debug)]
 pub(super) struct ServerState {
@@ -75,6 +79,10 @@
     query_at: Option<Instant>,
     /// No call is sent before a report of the free memory arrives or this time has passed.
     report_deadline: Option<Instant>,
+    /// Requests per second that the server takes, if it names a limit.
+    rate_limit: Option<f64>,
+    /// Nothing is sent to a server with a limit before this time.
+    next_request_at: Option<Instant>,
 }
 
 impl ServerState {
@@ -98,15 +106,50 @@
             foreign: None,
             query_at: None,
             report_deadline: None,
+            rate_limit: None,
+            next_request_at: None,
         }
     }
 
+    /// Sets the rate of requests that the server takes, in requests per second; `None` if it names
+    /// no limit.
+    pub fn set_rate_limit(&mut self, per_second: Option<f64>, now: Instant) {
+        let was_limited = std::mem::replace(&mut self.rate_limit, per_second).is_some();
+        if per_second.is_none() {
+            self.next_request_at = None;
+        } else if !was_limited {
+            self.record_request(now);
+        }
+    }
+
+    /// Whether its rate limit allows a request now.
+    pub fn is_within_rate(&self, now: Instant) -> bool {
+        self.next_request_at.is_none_or(|at| now >= at)
+    }
+
+    /// Records that a request of any kind is sent to it.
+    pub fn record_request(&mut self, now: Instant) {
+        self.next_request_at = self
+            .rate_limit
+            .map(|per_second| now + Duration::from_secs_f64(1.0 / per_second.max(MIN_RATE)));
+    }
+
+    /// Pieces per second that it can work on in full batches.
+    pub fn pieces_per_second(&self) -> f64 {
+        let batch = f64::from(self.spec.max_batch);
+        let full = self.expected_call_time(self.spec.max_batch).as_secs_f64();
+        let rate = batch / full.max(0.001) / self.slowness.max(1.0);
+        self.rate_limit
+            .map_or(rate, |limit| rate.min(limit.max(MIN_RATE) * batch))
+    }
+
     /// Whether a call can be sent to it now. Does not consider [`Self::draining`].
     pub fn has_free_slot(&self, now: Instant) -> bool {
         let passed = |until: Option<Instant>| until.is_none_or(|until| now >= until);
         self.running_calls < self.spec.slots.max(1)
             && passed(self.backoff_until)
             && passed(self.report_deadline)
+            && self.is_within_rate(now)
     }
 
     /// Whether it takes calls now or once a running call has ended.
--- a/crates/sardineshore-core/tests/batching.rs
+++ b/crates/sardineshore-core/tests/batching.rs
@@ -135,6 +135,64 @@
     assert_eq!(sent, [(0, 0), (1, 0), (1, 1)]);
 }
 
+/// Servers that get requests while a job arrives every 150 ms, in the order of the requests.
+fn requests_within(scheduler: &mut BatchScheduler, start: Instant, steps: u64) -> Vec<Name> {
+    let mut running: Vec<(u64, usize, Instant)> = Vec::new();
+    let mut requests = Vec::new();
+    for step in 0..steps {
+        let now = start + ms(step * 10);
+        if step % 15 == 0 {
+            let id = format!("{:?}", now.duration_since(start));
+            scheduler.submit(job(&id, vec![stage("p", &[], 4)]), now);
+        }
+        let (ended, left) = running
+            .into_iter()
+            .partition(|(_, _, ends_at)| now >= *ends_at);
+        running = left;
+        for (id, count, _) in Vec::from_iter::<Vec<_>>(ended) {
+            scheduler.call_ended(id, &answered(&format!("{id}-"), count), now);
+        }
+        for action in scheduler.poll(now) {
+            match action {
+                Action::Call {
+                    call_id,
+                    server,
+                    pieces,
+                    ..
+                } => {
+                    running.push((call_id, pieces.len(), now + ms(200)));
+                    requests.push(server);
+                }
+                Action::ReleaseResults { server, .. } | Action::QueryFreeMemory { server, .. } => {
+                    requests.push(server);
+                }
+                _ => {}
+            }
+        }
+    }
+    requests
+}
+
+#[test]
+fn poll_keeps_rate_limit_of_server_for_all_kinds_of_requests() {
+    const LIMIT: f64 = 1.5;
+    let start = Instant::now();
+    let mut scheduler = scheduler(&[("a", "p"), ("b", "p")], start);
+    scheduler.set_rate_limit("a", Some(LIMIT), start);
+    scheduler.query_free_memory(start);
+    let requests = requests_within(&mut scheduler, start, 400);
+    let limited = requests.iter().filter(|server| ***server == *"a").count();
+    assert!(
+        limited > 0 && limited as f64 <= LIMIT * 4.0 + 1.0,
+        "{limited}"
+    );
+    assert!(requests.len() - limited > 10, "{requests:?}");
+    scheduler.set_rate_limit("a", None, start + ms(4000));
+    let requests = requests_within(&mut scheduler, start + ms(4000), 200);
+    let limited = requests.iter().filter(|server| ***server == *"a").count();
+    assert!(limited as f64 > LIMIT * 2.0 + 1.0, "{limited}");
+}
+
 #[test]
 fn poll_sends_no_piece_without_inputs_after_slow_call_and_lost_server() {
     let now = Instant::now();
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -341,6 +341,26 @@
 /// Longest time between two polls of a scheduler without jobs, which releases results.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Logs the end of a batch call; at debug level if it brought all results.
+fn log_call(
+    shared: &Shared,
+    server: &Name,
+    label: &str,
+    pieces: usize,
+    outcome: &CallOutcome,
+    ms: u64,
+) {
+    let failed = match outcome {
+        CallOutcome::Answered(results) => results.iter().filter(|r| r.is_err()).count(),
+        CallOutcome::Rejected | CallOutcome::Broken => pieces,
+    };
+    if failed > 0 {
+        info!(shared.log, "call for pieces"; "server" => &**server, "end" => label, "pieces" => pieces, "failed" => failed, "ms" => ms);
+    } else {
+        debug!(shared.log, "call for pieces"; "server" => &**server, "end" => label, "pieces" => pieces, "ms" => ms);
+    }
+}
+
 fn perform(runner: &Rc<CellRunner>, action: Action) {
     match action {
         Action::Call {
@@ -354,10 +374,8 @@
             tokio::task::spawn_local(async move {
                 let started = Instant::now();
                 let batch_call = call_batch(&runner.shared, &server, address, &pieces);
-                let outcome = match tokio::time::timeout(timeout, batch_call).await {
-                    Ok(outcome) => outcome,
-                    Err(_) => CallOutcome::Broken,
-                };
+                let called = tokio::time::timeout(timeout, batch_call).await;
+                let (outcome, limit) = called.unwrap_or((CallOutcome::Broken, None));
                 let label = match &outcome {
                     CallOutcome::Answered(_) => "answered",
                     CallOutcome::Rejected => "rejected",
@@ -370,20 +388,21 @@
                     .pieces
                     .with_label_values(&[&*runner.cell])
                     .inc_by(pieces.len() as u64);
-                let failed = match &outcome {
-                    CallOutcome::Answered(results) => results.iter().filter(|r| r.is_err()).count(),
-                    CallOutcome::Rejected | CallOutcome::Broken => pieces.len(),
-                };
-                let ms = elapsed_ms(started);
-                if failed > 0 {
-                    info!(shared.log, "call for pieces"; "server" => &*server, "end" => label, "pieces" => pieces.len(), "failed" => failed, "ms" => ms);
-                } else {
-                    debug!(shared.log, "call for pieces"; "server" => &*server, "end" => label, "pieces" => pieces.len(), "ms" => ms);
+                log_call(
+                    shared,
+                    &server,
+                    label,
+                    pieces.len(),
+                    &outcome,
+                    elapsed_ms(started),
+                );
+                let now = Instant::now();
+                let mut sched = runner.sched.borrow_mut();
+                if let Some(limit) = limit {
+                    sched.set_rate_limit(&server, limit, now);
                 }
-                runner
-                    .sched
-                    .borrow_mut()
-                    .call_ended(call_id, &outcome, Instant::now());
+                sched.call_ended(call_id, &outcome, now);
+                drop(sched);
                 runner.wake.notify_one();
             });
         }
--- a/crates/sardineshore-serve/src/cell/calls.rs
+++ b/crates/sardineshore-serve/src/cell/calls.rs
@@ -21,13 +21,17 @@
 /// Longest idle time after which a connection is reused to release results or query memory.
 const MAX_IDLE: Duration = Duration::from_secs(2);
 
+/// How a batch call ended, and the rate limit in its response, in requests per second. The limit is
+/// `None` without a response that tells whether there is one.
+pub(super) type BatchResponse = (CallOutcome, Option<Option<f64>>);
+
 /// Runs a batch of pieces at a server and returns the result of each.
 pub(super) async fn call_batch(
     shared: &Shared,
     server: &Name,
     address: SocketAddr,
     pieces: &[CallPiece],
-) -> CallOutcome {
+) -> BatchResponse {
     let call = shared.dialect.run_pieces_call(pieces);
     let mut head = encode_call_head(&call, address);
     head.truncate(head.len() - 2);
@@ -41,22 +45,29 @@
         .connect_new(address, CONNECT_TIMEOUT)
         .await;
     let Ok(mut conn) = opened else {
-        return CallOutcome::Broken;
+        return (CallOutcome::Broken, None);
     };
     let Ok((response, body)) = exchange(&mut conn, &head, &call).await else {
-        return CallOutcome::Broken;
+        return (CallOutcome::Broken, None);
     };
     let status = response.head.status;
-    if status == 421 || response.head.headers.get(fields.not_run).is_some() {
-        return CallOutcome::Rejected;
-    }
-    if status != 200 {
-        return CallOutcome::Broken;
-    }
-    match shared.dialect.decode_piece_results(&body) {
-        Ok(results) if results.len() == pieces.len() => CallOutcome::Answered(results),
-        Ok(_) | Err(_) => CallOutcome::Broken,
+    let headers = &response.head.headers;
+    if status == 421 {
+        return (CallOutcome::Rejected, None);
     }
+    let limit = headers.get(fields.rate_limit);
+    let limit = limit.and_then(|text| shared.dialect.parse_rate_limit(text));
+    let outcome = if headers.get(fields.not_run).is_some() {
+        CallOutcome::Rejected
+    } else if status == 200 {
+        match shared.dialect.decode_piece_results(&body) {
+            Ok(results) if results.len() == pieces.len() => CallOutcome::Answered(results),
+            Ok(_) | Err(_) => CallOutcome::Broken,
+        }
+    } else {
+        CallOutcome::Broken
+    };
+    (outcome, Some(limit))
 }
 
 /// Releases results at a server. There is no retry: servers drop results after a while anyway.
