fix(serve): a stream with a lost attempt is never said not to have run

Found while reading the retries of crashed requests. Callers could see: 503, "not run", for a stream whose first server may have run it. Cause: after a lost attempt and one that lacked its inputs, the stages run again; when these fail, their own outcome (not run) was returned without regard to the lost attempt. Change: such an outcome becomes 502 if an earlier attempt was lost.

--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -146,7 +146,7 @@
                 match self.run_stages(request, selection, stats).await {
                     Ok(stage_results) => (inputs, guard) = stage_results,
                     Err(_) if sink.started => return Outcome::Aborted("stages can't end in time"),
-                    Err(outcome) => return outcome,
+                    Err(outcome) => return after_lost_attempt(outcome, lost),
                 }
             }
             let Some(mut connected) = self.dispatcher.connect(selection, request).await else {
@@ -199,7 +199,7 @@
                     drop(guard.take());
                     match self.run_stages(request, selection, stats).await {
                         Ok(stage_results) => (inputs, guard) = stage_results,
-                        Err(outcome) => return outcome,
+                        Err(outcome) => return after_lost_attempt(outcome, lost),
                     }
                 }
                 Err(End::Rejected) if stats.attempts < max_attempts => {}
@@ -509,6 +509,15 @@
     })
 }
 
+/// Outcome of a request without output whose stages failed when they ran again. `lost` tells why an
+/// earlier attempt was lost; only without it the request counts as not run.
+fn after_lost_attempt(outcome: Outcome, lost: Option<&'static str>) -> Outcome {
+    match lost {
+        Some(lost) => Outcome::Failed(ErrorResponse::OutcomeUnknown(lost)),
+        None => outcome,
+    }
+}
+
 /// Outcome when no further attempt is made. `lost` tells why an earlier attempt was lost; only
 /// without it the request counts as not run.
 fn no_attempt_outcome(
