fix(entry): requests whose prompts begin alike are quarantined together

Change: crashes that the existing checks attribute are also given to core::flow::quarantine, with the beginning of the prompt (the hash that prefix caches use) and the fingerprint as features; answers clear. Peers exchange the evidence in their gossip. Operators see such a quarantine as prompt-HASH and lift it by that name. A peer refuses without a crash of its own; merged twice; lifted.

--- a/crates/sardineshore-entry/src/assembly.rs
+++ b/crates/sardineshore-entry/src/assembly.rs
@@ -8,6 +8,7 @@
 use async_std::task::JoinHandle;
 use async_trait::async_trait;
 use sardineshore_core::clock::unix_ms;
+use sardineshore_core::flow::quarantine::Evidence as PromptEvidence;
 use sardineshore_core::quarantine::Evidence;
 use sardineshore_core::{Clock, Deployment, Query, QueryResponse, ServerId};
 use sardineshore_wire::peer::ClaimsServer;
@@ -72,6 +73,20 @@
             instance.quarantine.merge(evidence, now_ms);
         }
     }
+
+    fn recent_prompts(&self) -> Vec<PromptEvidence> {
+        self.instance().map_or_else(Vec::new, |instance| {
+            let now = instance.clock.now();
+            instance.quarantine.recent_prompt_evidence(now)
+        })
+    }
+
+    fn merge_prompts(&self, evidence: Vec<PromptEvidence>) {
+        if let Some(instance) = self.instance() {
+            let now = instance.clock.now();
+            instance.quarantine.merge_prompt_evidence(evidence, now);
+        }
+    }
 }
 
 impl PeerAddresses for ConfigService {
@@ -97,8 +112,7 @@
         let Some(instance) = self.instance() else {
             return false;
         };
-        let now_ms = unix_ms(instance.clock.wall_time());
-        instance.quarantine.lift(&fingerprint, now_ms)
+        instance.quarantine.lift(&instance, &fingerprint)
     }
 }
 
--- a/crates/sardineshore-entry/src/config.rs
+++ b/crates/sardineshore-entry/src/config.rs
@@ -20,6 +20,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use sardineshore_core::config_log::{Adoption, ConfigLog, LogEntry};
 use sardineshore_core::event::config as events;
+use sardineshore_core::flow::quarantine::Evidence as PromptEvidence;
 use sardineshore_core::membership::Membership;
 use sardineshore_core::membership::leaving::LeavingServers;
 use sardineshore_core::quarantine::Evidence;
@@ -47,6 +48,10 @@
     fn recent(&self) -> Vec<Evidence>;
     /// Merges evidence from a peer; known evidence is ignored.
     fn merge(&self, evidence: Vec<Evidence>);
+    /// Recent evidence about beginnings of prompts, to send to a peer.
+    fn recent_prompts(&self) -> Vec<PromptEvidence>;
+    /// Merges evidence from a peer about beginnings of prompts; known evidence is ignored.
+    fn merge_prompts(&self, evidence: Vec<PromptEvidence>);
 }
 
 /// An exchange that provides and keeps no evidence.
@@ -59,6 +64,12 @@
     }
 
     fn merge(&self, _evidence: Vec<Evidence>) {}
+
+    fn recent_prompts(&self) -> Vec<PromptEvidence> {
+        Vec::new()
+    }
+
+    fn merge_prompts(&self, _evidence: Vec<PromptEvidence>) {}
 }
 
 /// Settings of the configuration service.
--- a/crates/sardineshore-entry/src/peers.rs
+++ b/crates/sardineshore-entry/src/peers.rs
@@ -116,6 +116,7 @@
             let _ = self.fetch_log(&asker).await;
         }
         self.dependencies.evidence.merge(request.evidence);
+        self.dependencies.evidence.merge_prompts(request.prompts);
         self.apply_leaving(&request.leaving, self.now());
         self.build_reply(&self.state(), self.now())
     }
@@ -166,6 +167,7 @@
             version: state.quorum.advertised_version(),
             phase: state.phase,
             evidence: self.dependencies.evidence.recent(),
+            prompts: self.dependencies.evidence.recent_prompts(),
             ..GossipMessage::default()
         }
     }
@@ -183,11 +185,14 @@
             relay: PeerStatuses::of(&state.quorum, roster, now).text().clone(),
             leaving: state.leaving.recent_notices(now),
             evidence: self.dependencies.evidence.recent(),
+            prompts: self.dependencies.evidence.recent_prompts(),
         }
     }
 
     fn apply_reply(&self, reply: &GossipMessage, sent_at: Instant) {
-        self.dependencies.evidence.merge(reply.evidence.clone());
+        let exchange = &self.dependencies.evidence;
+        exchange.merge(reply.evidence.clone());
+        exchange.merge_prompts(reply.prompts.clone());
         let mut state = self.state();
         let now = self.now();
         let roster = state
--- a/crates/sardineshore-entry/src/quarantine.rs
+++ b/crates/sardineshore-entry/src/quarantine.rs
@@ -4,6 +4,8 @@
 //! When a connection breaks during a call, a task probes the server to find out whether it crashed.
 //! A request that crashed servers repeatedly is quarantined, on this instance and on its peers.
 
+mod prompts;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -11,6 +13,7 @@
 use async_std::task::{self, JoinHandle};
 use sardineshore_core::clock::unix_ms;
 use sardineshore_core::event::claim as events;
+use sardineshore_core::flow::quarantine::Evidence as PromptEvidence;
 use sardineshore_core::quarantine::{
     BeginError, CallOutcome, Crash, Evidence, FingerprintState, Quarantine, QuarantineDelta,
 };
@@ -23,6 +26,7 @@
 use crate::dispatch::AttemptOutcome;
 use crate::instance::Instance;
 use crate::job::Job;
+use prompts::PromptCauses;
 
 /// Delays before each probe of a server whose connection broke.
 const CRASH_CHECK_DELAYS: [Duration; 4] = [
@@ -45,6 +49,7 @@
 #[derive(Debug, Default)]
 pub struct QuarantineTable {
     quarantine: Mutex<Quarantine>,
+    prompts: Mutex<PromptCauses>,
     /// Time of the first refused connection of each server since its last response.
     down_since: Mutex<HashMap<ServerId, Instant>>,
     /// Running crash checks, by server.
@@ -56,6 +61,7 @@
     pub fn is_quarantined(&self, instance: &Instance, job: &Job) -> bool {
         let standing = self.table().state(&job.fingerprint, now_ms(instance));
         matches!(standing, FingerprintState::Quarantined { .. })
+            || self.prompts().is_quarantined(job, instance.clock.now())
     }
 
     /// Whether a request that is suspected of a crash must wait, because another crash would leave
@@ -88,6 +94,10 @@
         job: &Job,
         server: &ServerId,
     ) -> Result<(), AttemptOutcome> {
+        if self.prompts().is_quarantined(job, instance.clock.now()) {
+            let detail = "the beginning of the prompt is quarantined";
+            return Err(AttemptOutcome::not_run(NotRunReason::Quarantined, detail));
+        }
         let registered = self
             .table()
             .begin_call(&job.fingerprint, server, now_ms(instance));
@@ -125,6 +135,12 @@
             _ => CallOutcome::Cancelled,
         };
         self.end_call(instance, job, &choice.server, end);
+        let now = instance.clock.now();
+        match end {
+            CallOutcome::Answered => self.prompts().record_answer(job, now),
+            CallOutcome::ConnectionLost { .. } => self.prompts().record_lost(job, now),
+            CallOutcome::Cancelled => {}
+        }
         if matches!(end, CallOutcome::ConnectionLost { .. }) {
             let check = check_for_crash(instance.clone(), choice.clone());
             let check = task::spawn(check);
@@ -148,6 +164,7 @@
         down.entry(server.clone()).or_insert(now);
         drop(down);
         let strikes = self.table().connection_refused(server, now_ms(instance));
+        self.prompts().record_crashes(&strikes, now);
         log_strikes(instance, &strikes);
     }
 
@@ -160,6 +177,8 @@
             .remove(server);
         let now = now_ms(instance);
         let strikes = self.table().record_incarnation(server, incarnation, now);
+        self.prompts()
+            .record_crashes(&strikes, instance.clock.now());
         log_strikes(instance, &strikes);
     }
 
@@ -179,21 +198,40 @@
         self.table().merge(&delta, now_ms);
     }
 
-    /// Lifts the quarantine of a fingerprint; returns true if it was under quarantine.
-    pub fn lift(&self, fingerprint: &str, now_ms: u64) -> bool {
-        self.table().lift(fingerprint, now_ms)
+    /// Evidence of the last minute about beginnings of prompts, to send to peers.
+    #[must_use]
+    pub fn recent_prompt_evidence(&self, now: Instant) -> Vec<PromptEvidence> {
+        self.prompts().recent(now)
     }
 
-    /// Fingerprints under quarantine.
+    /// Merges evidence from a peer about beginnings of prompts.
+    pub fn merge_prompt_evidence(&self, evidence: Vec<PromptEvidence>, now: Instant) {
+        self.prompts().merge(evidence, now);
+    }
+
+    /// Lifts the quarantine of a fingerprint or of a prompt's beginning; returns true if it was
+    /// under quarantine.
+    pub fn lift(&self, instance: &Instance, name: &str) -> bool {
+        let lifted = self.table().lift(name, now_ms(instance));
+        lifted || self.prompts().lift(name, instance.clock.now())
+    }
+
+    /// Fingerprints and beginnings of prompts under quarantine.
     #[must_use]
-    pub fn rows(&self, now_ms: u64) -> Vec<QuarantineRow> {
-        self.table().rows(now_ms)
+    pub fn rows(&self, instance: &Instance) -> Vec<QuarantineRow> {
+        let mut rows = self.table().rows(now_ms(instance));
+        rows.extend(self.prompts().rows(instance.clock.now()));
+        rows
     }
 
     fn crash_checks(&self) -> MutexGuard<'_, HashMap<ServerId, JoinHandle<()>>> {
         self.crash_checks.lock().expect("crash check lock poisoned")
     }
 
+    fn prompts(&self) -> MutexGuard<'_, PromptCauses> {
+        self.prompts.lock().expect("prompt lock poisoned")
+    }
+
     fn table(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine.lock().expect("quarantine lock poisoned")
     }
--- a/crates/sardineshore-entry/src/queries.rs
+++ b/crates/sardineshore-entry/src/queries.rs
@@ -1,6 +1,5 @@
 //! Read-only answers to operators' queries about requests, backend servers and costs.
 
-use sardineshore_core::clock::unix_ms;
 use sardineshore_core::{Query, QueryResponse};
 
 use crate::instance::Instance;
@@ -30,10 +29,9 @@
         Query::Explain { request } => {
             Some(QueryResponse::Explain(instance.event_log.explain(request)))
         }
-        Query::Quarantine => {
-            let now_ms = unix_ms(instance.clock.wall_time());
-            Some(QueryResponse::Quarantine(instance.quarantine.rows(now_ms)))
-        }
+        Query::Quarantine => Some(QueryResponse::Quarantine(
+            instance.quarantine.rows(instance),
+        )),
         Query::Instances | Query::Versions => None,
     }
 }
--- a/crates/sardineshore-entry/tests/quarantine.rs
+++ b/crates/sardineshore-entry/tests/quarantine.rs
@@ -50,46 +50,107 @@
     }
 }
 
+/// An instance with one pool of these servers, each of which crashes on its first call.
+async fn instance_with_crashing_servers(
+    names: &[impl AsRef<str>],
+    crashes: &Arc<AtomicUsize>,
+) -> (Arc<Instance>, Pipeline) {
+    let mut deployment = Deployment::default();
+    let pipeline = Pipeline {
+        name: "single".into(),
+        stages: vec![Stage {
+            name: "step".into(),
+            pool: "pool".into(),
+            ..Stage::default()
+        }],
+        ..Pipeline::default()
+    };
+    let created = Change::CreatePipeline {
+        pipeline: pipeline.clone(),
+    };
+    deployment.apply(&created).unwrap();
+    for name in names {
+        let server = crashing(name.as_ref(), crashes.clone()).await;
+        deployment.apply(&Change::AddServer { server }).unwrap();
+    }
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let clock = Arc::new(SystemClock);
+    let instance = Instance::new(Settings::default(), clock, Arc::new(OpenGate), log);
+    let instance = Arc::new(instance);
+    instance
+        .tables
+        .activate(Arc::new(deployment), &BTreeSet::new());
+    (instance, pipeline)
+}
+
 #[test]
 fn quarantine_stops_at_two_crashes() {
     task::block_on(async {
         let crashes = Arc::new(AtomicUsize::new(0));
-        let mut deployment = Deployment::default();
-        let pipeline = Pipeline {
-            name: "single".into(),
-            stages: vec![Stage {
-                name: "step".into(),
-                pool: "pool".into(),
-                ..Stage::default()
-            }],
-            ..Pipeline::default()
-        };
-        let created = Change::CreatePipeline {
-            pipeline: pipeline.clone(),
-        };
-        deployment.apply(&created).unwrap();
-        for name in ["s1", "s2", "s3", "s4", "s5"] {
-            let server = crashing(name, crashes.clone()).await;
-            deployment.apply(&Change::AddServer { server }).unwrap();
-        }
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let clock = Arc::new(SystemClock);
-        let instance = Instance::new(Settings::default(), clock, Arc::new(OpenGate), log);
-        let instance = Arc::new(instance);
-        instance
-            .tables
-            .activate(Arc::new(deployment), &BTreeSet::new());
+        let names = ["s1", "s2", "s3", "s4", "s5"];
+        let (instance, pipeline) = instance_with_crashing_servers(&names, &crashes).await;
         for _ in 0..4 {
             let job = job(&instance, &pipeline);
             let finished = runner::run(&instance, &job, None).await;
             assert!(!matches!(finished, RequestOutcome::Answered(_)));
         }
         assert_eq!(crashes.load(Ordering::SeqCst), 2);
-        let last = runner::run(&instance, &job(&instance, &pipeline), None).await;
-        let reason = NotRunReason::Quarantined;
-        assert!(
-            matches!(&last, RequestOutcome::NotRun { reason: actual, .. } if *actual == reason),
-            "{last:?}"
-        );
+        assert_quarantined(&instance, &job(&instance, &pipeline)).await;
+    });
+}
+
+/// A request whose prompt begins like that of others and goes on in its own way.
+fn prompt_job(instance: &Instance, pipeline: &Pipeline, prefix: u64, n: usize) -> Job {
+    let body: Arc<[u8]> = format!(r#"{{"prompt":"{prefix} {n}"}}"#)
+        .into_bytes()
+        .into();
+    Job {
+        fingerprint: fingerprint(&pipeline.name, &body),
+        body,
+        prefix,
+        ..job(instance, pipeline)
+    }
+}
+
+#[test]
+fn quarantine_stops_different_requests_with_prompt_beginning_that_crashes_servers() {
+    task::block_on(async {
+        let crashes = Arc::new(AtomicUsize::new(0));
+        let names: Vec<String> = (0..20).map(|n| format!("s{n}")).collect();
+        let (instance, pipeline) = instance_with_crashing_servers(&names, &crashes).await;
+        for n in 0..10 {
+            let job = prompt_job(&instance, &pipeline, 7, n);
+            let finished = runner::run(&instance, &job, None).await;
+            assert!(!matches!(finished, RequestOutcome::Answered(_)));
+        }
+        // Five crashes, and three requests after them.
+        assert!(crashes.load(Ordering::SeqCst) <= 8, "{crashes:?}");
+        assert_quarantined(&instance, &prompt_job(&instance, &pipeline, 7, 10)).await;
+
+        // A peer refuses such requests without a crash of its own.
+        let before = crashes.load(Ordering::SeqCst);
+        let names: Vec<String> = (20..25).map(|n| format!("s{n}")).collect();
+        let (peer, _) = instance_with_crashing_servers(&names, &crashes).await;
+        let now = instance.clock.now();
+        let evidence = instance.quarantine.recent_prompt_evidence(now);
+        for _ in 0..2 {
+            peer.quarantine.merge_prompt_evidence(evidence.clone(), now);
+        }
+        assert_quarantined(&peer, &prompt_job(&peer, &pipeline, 7, 11)).await;
+        assert_eq!(crashes.load(Ordering::SeqCst), before);
+
+        let rows = peer.quarantine.rows(&peer);
+        assert_eq!(rows.len(), 1, "{rows:?}");
+        assert!(peer.quarantine.lift(&peer, &rows[0].fingerprint));
+        assert!(peer.quarantine.rows(&peer).is_empty());
     });
 }
+
+async fn assert_quarantined(instance: &Arc<Instance>, job: &Job) {
+    let outcome = runner::run(instance, job, None).await;
+    let quarantined = NotRunReason::Quarantined;
+    assert!(
+        matches!(&outcome, RequestOutcome::NotRun { reason, .. } if *reason == quarantined),
+        "{outcome:?}"
+    );
+}
--- a/crates/sardineshore-wire/src/peer.rs
+++ b/crates/sardineshore-wire/src/peer.rs
@@ -12,6 +12,7 @@
 use jsonrpsee::proc_macros::rpc;
 use sardineshore_core::claim::PeerReply;
 use sardineshore_core::config_log::LogEntry;
+use sardineshore_core::flow::quarantine::Evidence as PromptEvidence;
 use sardineshore_core::membership::leaving::LeavingNotice;
 use sardineshore_core::quarantine::Evidence;
 use sardineshore_core::{
@@ -96,6 +97,9 @@
     /// Recent evidence about requests that crash backend servers.
     #[serde(rename = "e", skip_serializing_if = "Vec::is_empty")]
     pub evidence: Vec<Evidence>,
+    /// Recent evidence about beginnings of prompts that crash backend servers.
+    #[serde(rename = "b", skip_serializing_if = "Vec::is_empty")]
+    pub prompts: Vec<PromptEvidence>,
 }
 
 impl Default for GossipMessage {
@@ -109,6 +113,7 @@
             relay: "".into(),
             leaving: Vec::new(),
             evidence: Vec::new(),
+            prompts: Vec::new(),
         }
     }
 }
