fix(wire): a reply without length or chunks ends with its connection

Callers of sardine-entry could see: 200 with an empty answer, where the backend server's answer came with neither a length nor chunks. Cause: the HTTP library takes such a body for an empty one, and the client took the reply for complete. Ruled out: refusing such replies (they are whole answers, and a non-idempotent one would be reported as unknown). sardine-serve reads them as it should, see tests/serving/close_delimited.rs. Change: the client keeps what is read with the head and reads on until the connection ends; a reset is an error, as before. Such a connection is not used again.

--- a/crates/sardineshore-wire/src/http.rs
+++ b/crates/sardineshore-wire/src/http.rs
@@ -2,16 +2,19 @@
 //!
 //! A connection returns to the pool only after a reply was read from it to the end; after a
 //! timeout, a cancellation or an error it is closed. Errors say whether the request may have been
-//! sent.
+//! sent. A body without a length and without chunks ends with its connection, which `async-h1` takes
+//! for an empty one.
 
 use std::collections::HashMap;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use async_std::io::ReadExt;
+use async_std::io::{BufReader, Cursor, Read, ReadExt, Write};
 use async_std::net::TcpStream;
 use futures::FutureExt;
-use http_types::{Request, Response};
+use http_types::{Body, Request, Response, StatusCode};
 use thiserror::Error;
 
 /// Largest number of idle connections that the pool keeps per address.
@@ -171,7 +174,7 @@
         req: Request,
         timeout: Duration,
     ) -> Result<Response, ClientError> {
-        let head = async_h1::connect(conn.stream, req);
+        let head = send_request(conn.stream, req);
         match async_std::future::timeout(timeout, head).await {
             Ok(head) => head.map_err(|err| ClientError::ReplyLost(err.to_string())),
             Err(_) => Err(ClientError::TimedOut),
@@ -192,7 +195,7 @@
 
     /// Returns a connection to the pool, unless the reply asks to close it or the pool is full.
     fn recycle(&self, conn: Conn, head: &Response) {
-        if header(head, "connection").eq_ignore_ascii_case("close") {
+        if header(head, "connection").eq_ignore_ascii_case("close") || !has_framed_body(head) {
             return;
         }
         let mut idle = self.idle.lock().expect("pool lock poisoned");
@@ -223,11 +226,78 @@
     stream.peek(&mut buf).now_or_never().is_none()
 }
 
+/// Connection that keeps what is read from it while the head of the response is read.
+struct HeadRecorder {
+    stream: TcpStream,
+    /// Bytes read; `None` once the head is known.
+    bytes: Arc<Mutex<Option<Vec<u8>>>>,
+}
+
+impl Read for HeadRecorder {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Poll::Ready(Ok(count)) = &read
+            && let Some(bytes) = &mut *self.bytes.lock().expect("recorder lock poisoned")
+        {
+            bytes.extend_from_slice(&buf[..*count]);
+        }
+        read
+    }
+}
+
+impl Write for HeadRecorder {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
+/// Sends a request and reads the head of the response.
+async fn send_request(stream: TcpStream, req: Request) -> http_types::Result<Response> {
+    let bytes = Arc::new(Mutex::new(Some(Vec::new())));
+    let recorder = HeadRecorder {
+        stream: stream.clone(),
+        bytes: bytes.clone(),
+    };
+    let mut head = async_h1::connect(recorder, req).await?;
+    let read = bytes.lock().expect("recorder lock poisoned").take();
+    if !has_framed_body(&head) {
+        let mut body = read.unwrap_or_default();
+        let head_end = body.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        body.drain(..head_end.map_or(0, |at| at + 4));
+        let body = BufReader::new(Cursor::new(body).chain(stream));
+        head.set_body(Body::from_reader(body, None));
+    }
+    Ok(head)
+}
+
+/// Whether a response says where its body ends, or has none.
+fn has_framed_body(head: &Response) -> bool {
+    let status = head.status();
+    head.header("content-length").is_some()
+        || head.header("transfer-encoding").is_some()
+        || status.is_informational()
+        || matches!(status, StatusCode::NoContent | StatusCode::NotModified)
+}
+
 async fn exchange(stream: TcpStream, req: Request) -> Result<Reply, ClientError> {
     let lost = |err: &dyn std::fmt::Display| ClientError::ReplyLost(err.to_string());
-    let mut head = async_h1::connect(stream, req)
-        .await
-        .map_err(|err| lost(&err))?;
+    let mut head = send_request(stream, req).await.map_err(|err| lost(&err))?;
     let expected = head.len();
     let mut body = Vec::new();
     head.take_body()
