fix(entry): bytes that a backend server sends without end are given up

Callers could see: every request of the instance lost, as the process runs out of memory. Change: heads up to 64 KiB, bodies up to 8 MiB, lines of a stream up to their 64 KiB limit while they are read, not after. Beyond that the reply is lost and its connection closed. An interim response (1xx) as the reply is lost too; nothing asks for one.

--- a/crates/sardineshore-entry/src/stream.rs
+++ b/crates/sardineshore-entry/src/stream.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use async_std::channel::Sender;
-use async_std::io::BufReadExt;
-use async_std::stream::StreamExt;
+use async_std::io::ReadExt;
+use async_std::io::prelude::BufReadExt;
 use http_types::Response;
 use sardineshore_core::{AttemptResult, NotRunReason, SelectedServer, UnknownReason};
 use sardineshore_wire::backend::StreamItem;
@@ -131,19 +131,24 @@
 }
 
 async fn read_items(head: &mut Response, sink: &mut TokenSink) -> Result<u64, String> {
-    let mut lines = head.take_body().lines();
-    while let Some(line) = lines.next().await {
-        let line = line.map_err(|err| err.to_string())?;
+    let mut body = head.take_body();
+    let mut line = Vec::new();
+    loop {
+        line.clear();
+        let mut limited = (&mut body).take(MAX_LINE_BYTES as u64 + 1);
+        let read = limited.read_until(b'\n', &mut line).await;
+        if read.map_err(|err| err.to_string())? == 0 {
+            return Err("the stream was cut short".into());
+        }
         if line.len() > MAX_LINE_BYTES {
             return Err("a line of the stream is too long".into());
         }
-        let Some(data) = line.strip_prefix("data:") else {
+        let Some(data) = line.strip_prefix(b"data:") else {
             continue;
         };
-        let item = serde_json::from_str(data.trim()).map_err(|err| err.to_string())?;
+        let item = serde_json::from_slice(data).map_err(|err| err.to_string())?;
         if let Some(tokens) = sink.accept(item).await? {
             return Ok(tokens);
         }
     }
-    Err("the stream was cut short".into())
 }
--- a/crates/sardineshore-wire/src/http.rs
+++ b/crates/sardineshore-wire/src/http.rs
@@ -6,6 +6,7 @@
 //! for an empty one.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
@@ -19,6 +20,10 @@
 
 /// Largest number of idle connections that the pool keeps per address.
 const MAX_IDLE_PER_ADDR: usize = 64;
+/// Maximum size of a reply's head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum size of a reply's body that is read as a whole, in bytes.
+const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
 /// Idle connections older than this are closed instead of reused.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(5);
 
@@ -243,6 +248,9 @@
         if let Poll::Ready(Ok(count)) = &read
             && let Some(bytes) = &mut *self.bytes.lock().expect("recorder lock poisoned")
         {
+            if bytes.len() > MAX_HEAD_BYTES {
+                return Poll::Ready(Err(ErrorKind::InvalidData.into()));
+            }
             bytes.extend_from_slice(&buf[..*count]);
         }
         read
@@ -276,6 +284,10 @@
     };
     let mut head = async_h1::connect(recorder, req).await?;
     let read = bytes.lock().expect("recorder lock poisoned").take();
+    if head.status().is_informational() {
+        let interim = "an interim response, which no request asked for";
+        return Err(http_types::Error::from_str(StatusCode::BadGateway, interim));
+    }
     if !has_framed_body(&head) {
         let mut body = read.unwrap_or_default();
         let head_end = body.windows(4).position(|bytes| bytes == b"\r\n\r\n");
@@ -288,11 +300,12 @@
 
 /// Whether a response says where its body ends, or has none.
 fn has_framed_body(head: &Response) -> bool {
-    let status = head.status();
     head.header("content-length").is_some()
         || head.header("transfer-encoding").is_some()
-        || status.is_informational()
-        || matches!(status, StatusCode::NoContent | StatusCode::NotModified)
+        || matches!(
+            head.status(),
+            StatusCode::NoContent | StatusCode::NotModified
+        )
 }
 
 async fn exchange(stream: TcpStream, req: Request) -> Result<Reply, ClientError> {
@@ -301,9 +314,13 @@
     let expected = head.len();
     let mut body = Vec::new();
     head.take_body()
+        .take(MAX_REPLY_BYTES as u64 + 1)
         .read_to_end(&mut body)
         .await
         .map_err(|err| lost(&err))?;
+    if body.len() > MAX_REPLY_BYTES {
+        return Err(ClientError::ReplyLost("the body is too large".into()));
+    }
     if expected.is_some_and(|len| len != body.len()) {
         return Err(ClientError::ReplyLost("the body was cut short".into()));
     }
