feat(serve): evidence about crashes travels over open links too

Cause: evidence went through the store alone. Ruled out: links opened for this purpose (every instance to every other); gossip to a few at random (new links as well, and rounds). The owners of cells and the readers of the store have links to all others. Change: an instance sends evidence of its own, and evidence that is news to it, over the links that are open in either direction. The store stays the memory.

--- a/crates/sardineshore-serve/src/crashes.rs
+++ b/crates/sardineshore-serve/src/crashes.rs
@@ -3,6 +3,8 @@
 //! When a connection is lost before a request got output, a probe tells whether the server still
 //! listens. [`Quarantine`] decides what follows from a crash. The evidence lies in the store, where
 //! it outlives the instances: each one writes a few rows of its own in turn and reads all of them.
+//! It also travels over the links that are open between instances, so that it arrives while the
+//! store is away.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -19,6 +21,7 @@
 
 use crate::dialect::{StoreRow, Table};
 use crate::metrics::Metrics;
+use crate::peers::Peers;
 use crate::state::{SharedState, whole_ms};
 use crate::store::Store;
 use crate::upstream::{ConnectionPool, ExchangeError};
@@ -49,6 +52,7 @@
     state: Rc<SharedState>,
     connections: Rc<ConnectionPool>,
     store: Rc<Store>,
+    peers: Rc<Peers>,
     metrics: Rc<Metrics>,
     log: Logger,
     /// Suspects of each server that is being probed.
@@ -68,19 +72,20 @@
     /// Creates a monitor without evidence.
     #[must_use]
     pub fn new(
-        instance: Name,
         state: Rc<SharedState>,
         connections: Rc<ConnectionPool>,
         store: Rc<Store>,
+        peers: Rc<Peers>,
         metrics: Rc<Metrics>,
         log: Logger,
     ) -> Rc<Self> {
         Rc::new_cyclic(|weak| Self {
-            instance,
+            instance: peers.this_instance().name.clone(),
             quarantine: RefCell::default(),
             state,
             connections,
             store,
+            peers,
             metrics,
             log,
             probed: RefCell::default(),
@@ -189,6 +194,7 @@
         if !self.apply(&evidence) {
             return;
         }
+        self.peers.broadcast_evidence(vec![evidence.clone()]);
         let mut unwritten = self.unwritten.borrow_mut();
         if unwritten.len() < MAX_UNWRITTEN {
             unwritten.push(evidence);
@@ -239,6 +245,19 @@
         });
     }
 
+    /// Applies evidence that other instances send and hands on what is news, forever.
+    pub async fn receive_evidence(self: Rc<Self>) {
+        let Some(mut received) = self.peers.take_evidence() else {
+            return;
+        };
+        while let Some(mut evidence) = received.recv().await {
+            evidence.retain(|piece| self.apply(piece));
+            if !evidence.is_empty() {
+                self.peers.broadcast_evidence(evidence);
+            }
+        }
+    }
+
     /// Writes evidence of this instance to the store, forever.
     pub async fn share_evidence(self: Rc<Self>) {
         loop {
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -86,10 +86,10 @@
     let relay = Rc::new(StoreRelay::new(settings.bounds.revoke, log.clone()));
     let peers = Peers::new(own, cells.clone(), relay, log.clone());
     let crashes = CrashMonitor::new(
-        settings.instance.clone(),
         state.clone(),
         connections.clone(),
         store.clone(),
+        peers.clone(),
         metrics.clone(),
         log.clone(),
     );
@@ -141,7 +141,9 @@
     let listener = TcpListener::bind(settings.listen).await?;
     start_watching(&components, settings.bounds.drain, &log);
     tokio::task::spawn_local(components.peers.clone().hand_over_cells());
-    tokio::task::spawn_local(components.dispatcher.crashes().clone().share_evidence());
+    let crashes = components.dispatcher.crashes();
+    tokio::task::spawn_local(crashes.clone().share_evidence());
+    tokio::task::spawn_local(crashes.clone().receive_evidence());
     tokio::task::spawn_local(components.dispatcher.limits().clone().share());
     spawn_listener(&log, "peers", components.peers.clone().accept());
     spawn_listener(
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -19,13 +19,14 @@
 use sardineshore_core::flow::batching::Job;
 use sardineshore_core::flow::cells::{OwnerCandidate, rank_owners};
 use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::quarantine::Evidence;
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::cell::{JobCallback, JobEvent, JobOutcome, OwnedCells};
-use crate::relay::{LinkEvent, ReaderMessage, StoreRelay};
+use crate::relay::{LinkEvent, StoreRelay};
 use crate::state::boot_time;
 use crate::upstream::detect_dead_peer;
 
@@ -132,6 +133,11 @@
     backed_off: RefCell<HashMap<Name, Instant>>,
     changed: Notify,
     relay: Rc<StoreRelay>,
+    /// Links that other instances opened, by number.
+    served: RefCell<HashMap<u64, mpsc::UnboundedSender<Bytes>>>,
+    next_served: Cell<u64>,
+    evidence_tx: mpsc::UnboundedSender<Vec<Evidence>>,
+    evidence_rx: RefCell<Option<mpsc::UnboundedReceiver<Vec<Evidence>>>>,
     log: Logger,
     weak: Weak<Self>,
 }
@@ -145,7 +151,12 @@
         relay: Rc<StoreRelay>,
         log: Logger,
     ) -> Rc<Self> {
+        let (evidence_tx, evidence_rx) = mpsc::unbounded_channel();
         Rc::new_cyclic(|weak| Self {
+            served: RefCell::default(),
+            next_served: Cell::new(0),
+            evidence_tx,
+            evidence_rx: RefCell::new(Some(evidence_rx)),
             instances: RefCell::new(BTreeMap::from([(own.name.clone(), own.clone())])),
             own,
             started_at: Instant::now(),
@@ -234,6 +245,24 @@
         }
     }
 
+    /// Sends evidence about crashes over all open links.
+    pub fn broadcast_evidence(&self, evidence: Vec<Evidence>) {
+        let encoded = Message::Crashes(evidence).encode();
+        let links = self.links.borrow();
+        let opened = links.values().filter_map(|state| match state {
+            LinkState::Up(link) => Some(&link.tx),
+            LinkState::Opening(_) | LinkState::Down(_) | LinkState::Reopening => None,
+        });
+        for tx in opened.chain(self.served.borrow().values()) {
+            let _closed = tx.send(encoded.clone());
+        }
+    }
+
+    /// Evidence that other instances send; `None` if it was taken before.
+    pub fn take_evidence(&self) -> Option<mpsc::UnboundedReceiver<Vec<Evidence>>> {
+        self.evidence_rx.borrow_mut().take()
+    }
+
     /// Link to an instance if it is open.
     #[must_use]
     pub fn open_link(&self, name: &Name) -> Option<Rc<Link>> {
@@ -300,9 +329,15 @@
             callbacks: RefCell::default(),
         });
         self.set_link(&info.name, LinkState::Up(link.clone()));
-        run_link(frames, &link, rx, |message| {
-            let event = LinkEvent::Received(message, boot_time());
-            self.relay.handle_link_event(&info.name, event);
+        run_link(frames, &link, rx, |message| match message {
+            Message::Store(message) => {
+                let event = LinkEvent::Received(message, boot_time());
+                self.relay.handle_link_event(&info.name, event);
+            }
+            Message::Crashes(evidence) => {
+                let _stopped = self.evidence_tx.send(evidence);
+            }
+            _ => {}
         })
         .await;
         self.relay.handle_link_event(&info.name, LinkEvent::Lost);
@@ -398,6 +433,8 @@
         detect_dead_peer(&stream)?;
         let mut frames = frames(stream);
         let (tx, mut rx) = mpsc::unbounded_channel();
+        let number = self.next_served.replace(self.next_served.get() + 1);
+        self.served.borrow_mut().insert(number, tx.clone());
         let mut served = ServedLink {
             tx,
             cells_by_request: HashMap::new(),
@@ -420,6 +457,7 @@
                 },
             }
         };
+        self.served.borrow_mut().remove(&number);
         for (request, cell) in served.cells_by_request {
             self.cells.release(&cell, &request);
         }
@@ -463,6 +501,9 @@
                     self.relay.unsubscribe(id);
                 }
             }
+            Message::Crashes(evidence) => {
+                let _stopped = self.evidence_tx.send(evidence);
+            }
             Message::StageFinished { .. }
             | Message::Finished { .. }
             | Message::Aborted { .. }
@@ -509,13 +550,13 @@
     SinkExt::<Bytes>::flush(frames).await
 }
 
-/// Sends and receives messages until the link breaks or times out while jobs wait. `on_store` gets
-/// what a reader of the store hands on.
+/// Sends and receives messages until the link breaks or times out while jobs wait. `on_other` gets
+/// those that are not about jobs.
 async fn run_link(
     mut frames: Frames,
     link: &Link,
     mut rx: mpsc::UnboundedReceiver<Bytes>,
-    on_store: impl Fn(ReaderMessage),
+    on_other: impl Fn(Message),
 ) {
     let mut heartbeat_sent: Option<Instant> = None;
     loop {
@@ -548,8 +589,7 @@
                             callback(JobEvent::StageFinished(results));
                         }
                     }
-                    Ok(Message::Store(message)) => on_store(message),
-                    Ok(_) => {}
+                    Ok(message) => on_other(message),
                     Err(_) => return,
                 }
             }
--- a/crates/sardineshore-serve/src/peers/message.rs
+++ b/crates/sardineshore-serve/src/peers/message.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use sardineshore_core::flow::batching::{Job, StageResults};
 use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::quarantine::Evidence;
 use serde::{Deserialize, Serialize};
 
 use crate::cell::{JobEvent, JobOutcome, RequestInputs};
@@ -107,6 +108,8 @@
     Unsubscribe,
     /// To a subscriber: what the reader has read.
     Store(ReaderMessage),
+    /// Evidence about crashes of servers.
+    Crashes(Vec<Evidence>),
 }
 
 impl Message {
