feat(serve): streams beyond all rate limits are refused before their stages

Cause: the server without a limit took all that the others refused, up to a multiple of its share, and whether an engine would take a stream was asked only after its stages. Change: while servers of the pool have limits, one that is saturated (requests waiting, or 0.6 of its slots used) is left out. If only limited and saturated ones are left, a stream is refused at once, with the wait as Retry-After, when the streams of this instance before it need longer for their turns than it would wait.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -265,6 +265,22 @@
         limits.map(|limit| limit.next_turn(&schedule, now)).min()
     }
 
+    /// Requests per second that this instance may send if all servers that could run the request have
+    /// a rate limit or are saturated; `None` if one is not, or none has a limit.
+    #[must_use]
+    pub fn limited_rate(&self, request: &SelectionRequest, now: Instant) -> Option<f64> {
+        let schedule = self.schedule?;
+        let mut rate = 0.0;
+        for state in self.untried_servers(request)? {
+            match self.limits.get(&state.server.id) {
+                Some(limit) => rate += limit.rate(),
+                None if state.is_saturated(now) => {}
+                None => return None,
+            }
+        }
+        (rate > 0.0).then(|| rate / schedule.instances.max(1) as f64)
+    }
+
     /// Servers of the request's pool that are ready and were not tried.
     fn untried_servers<'a>(
         &'a self,
@@ -286,9 +302,12 @@
     /// left.
     #[must_use]
     pub fn select(&self, request: &SelectionRequest, now: Instant) -> Option<SelectedServer> {
+        // Servers without a rate limit can't take all that others don't.
+        let spills = self.next_turn(request, now).is_some();
         let servers: Vec<&ServerState> = self
             .untried_servers(request)?
             .filter(|s| self.has_turn(&s.server.id, now))
+            .filter(|s| !spills || !s.is_saturated(now))
             .collect();
         let available: Vec<&ServerState> = servers
             .iter()
@@ -428,6 +447,9 @@
 /// Cost of a utilization (running requests per slot) that is 1 above 0.9, at a server with prompts
 /// to prefill; proportionally less below that and 0 up to 0.9.
 const OVERLOAD_COST: Duration = Duration::from_secs(5);
+/// Share of a server's slots from which on it gets no requests that other servers with a rate limit
+/// don't take.
+const SATURATED_UTILIZATION: f64 = 0.6;
 /// Number of recent prompt parts of a server above which the expired ones are removed.
 const RECENT_PARTS_BEFORE_CLEANUP: usize = 512;
 
@@ -443,6 +465,14 @@
         }
     }
 
+    /// Whether its latest report shows that it has as much to do as it can well work on.
+    fn is_saturated(&self, now: Instant) -> bool {
+        let slots = f64::from(self.server.slots.max(1));
+        self.fresh_report(now).is_some_and(|report| {
+            report.waiting > 0 || f64::from(report.running) >= SATURATED_UTILIZATION * slots
+        })
+    }
+
     /// Latest load report, unless it is too old.
     fn fresh_report(&self, now: Instant) -> Option<LoadReport> {
         self.report
--- a/crates/sardineshore-core/src/flow/turns.rs
+++ b/crates/sardineshore-core/src/flow/turns.rs
@@ -119,7 +119,9 @@
         self.used = Some((turn, count + 1));
     }
 
-    fn rate(&self) -> f64 {
+    /// Rate at which the server gets requests, in requests per second.
+    #[must_use]
+    pub fn rate(&self) -> f64 {
         self.per_second.max(MIN_RATE)
     }
 
--- a/crates/sardineshore-core/tests/turns.rs
+++ b/crates/sardineshore-core/tests/turns.rs
@@ -3,6 +3,8 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
+use sardineshore_core::flow::config::Server;
+use sardineshore_core::flow::selection::{LoadReport, SelectionRequest, ServerSelector};
 use sardineshore_core::flow::turns::{RateLimit, TurnSchedule};
 
 /// Time that a run takes, and the step of its clock.
@@ -103,3 +105,55 @@
     assert!(!sends.is_empty());
     assert!(most_in_window(&sends) as f64 <= SLACK);
 }
+
+/// Load pattern: all servers but one name a limit, and that one is full.
+#[test]
+fn select_saturated_server_does_not_take_what_limited_ones_refuse() {
+    let now = Instant::now();
+    let mut selector = ServerSelector::new("d".into());
+    selector.set_servers(["limited", "free"].map(server).to_vec());
+    selector.set_schedule(TurnSchedule::new(now));
+    let request = SelectionRequest {
+        pool: "p".into(),
+        ..SelectionRequest::default()
+    };
+    let full = LoadReport {
+        running: 8,
+        waiting: 3,
+        slots: 8,
+    };
+    selector.record_load("free", full, now);
+    assert!(
+        selector.limited_rate(&request, now).is_none(),
+        "no server has a limit"
+    );
+    assert!(selector.select(&request, now).is_some());
+    selector.set_limit(&"limited".into(), Some(0.5));
+    let selected = selector.select(&request, now).unwrap();
+    assert_eq!(&*selected.id, "limited");
+    selector.record_start(&selected, &request, now);
+    assert_eq!(selector.select(&request, now), None, "its turn is used");
+    assert_eq!(selector.limited_rate(&request, now), Some(0.5));
+    let wait = selector.next_turn(&request, now).unwrap();
+    assert!(selector.select(&request, now + wait).is_some());
+    let idle = LoadReport {
+        running: 1,
+        waiting: 0,
+        slots: 8,
+    };
+    selector.record_load("free", idle, now);
+    assert_eq!(selector.limited_rate(&request, now), None);
+    assert_eq!(&*selector.select(&request, now).unwrap().id, "free");
+}
+
+fn server(id: &str) -> Server {
+    Server {
+        id: id.into(),
+        pool: "p".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "d".into(),
+        slots: 8,
+        ready: true,
+        started_ms: 1,
+    }
+}
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -228,6 +228,22 @@
         &self.limits
     }
 
+    /// Waits for a turn at servers with rate limits that a request must expect, behind the `queued`
+    /// requests of this instance that come before it; `None` if other servers can take it.
+    #[must_use]
+    pub fn expected_wait(&self, selection: &SelectionRequest, queued: usize) -> Option<Duration> {
+        self.limits.update_schedule();
+        let selector = self.state.selector.borrow();
+        let rate = selector.limited_rate(selection, Instant::now())?;
+        Duration::try_from_secs_f64((queued + 1) as f64 / rate).ok()
+    }
+
+    /// Longest time for which a request waits for servers with rate limits.
+    #[must_use]
+    pub fn patience(request: &AdmittedRequest<'_>) -> Duration {
+        request.time_to_deadline() / TURN_PATIENCE_DIVISOR
+    }
+
     /// Selects a server and gets a connection to it.
     ///
     /// A server that can't be reached, or that takes no new work any more, is added to the servers
@@ -254,7 +270,7 @@
             let selected = self.state.selector.borrow().select(&narrowed, now);
             let Some(server) = selected else {
                 let wait = self.state.selector.borrow().next_turn(&narrowed, now)?;
-                if waited + wait > request.time_to_deadline() / TURN_PATIENCE_DIVISOR {
+                if waited + wait > Self::patience(request) {
                     return None;
                 }
                 waited += wait + TURN_MARGIN;
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -87,6 +87,8 @@
     state: Rc<SharedState>,
     dispatcher: Rc<Dispatcher>,
     stages: StageClient,
+    /// Has one more reference for each stream that was not sent to a server yet.
+    unsent_streams: Rc<()>,
     dialect: Rc<dyn Dialect>,
     shutdown: Rc<Shutdown>,
     metrics: Rc<Metrics>,
@@ -116,6 +118,7 @@
             state,
             dispatcher,
             stages,
+            unsent_streams: Rc::default(),
             dialect,
             shutdown,
             metrics,
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -4,6 +4,7 @@
 //! model engine. The engine's events are forwarded as they arrive. If a resumable stream breaks
 //! off, another server continues it after the last event that the caller has.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::batching::{Job, JobStage};
@@ -16,7 +17,7 @@
     Outcome, QUARANTINED, RETRY_AFTER_NO_SERVER, RETRY_AFTER_REJECTED, RequestHandler,
     RequestStats, not_run, select_pool,
 };
-use crate::attempt::{AdmittedRequest, ConnectedServer, ExtraHeaders};
+use crate::attempt::{AdmittedRequest, ConnectedServer, Dispatcher, ExtraHeaders};
 use crate::reply::{ErrorResponse, response_head, write_chunk};
 use crate::shutdown::Phase;
 use crate::stages::ResultGuard;
@@ -59,6 +60,8 @@
     filter: EventFilter,
     /// Whether the response head has been sent.
     started: bool,
+    /// Counts the stream among those that were not sent to a server yet.
+    unsent: Option<Rc<()>>,
 }
 
 impl RequestHandler {
@@ -95,6 +98,12 @@
         if usable_servers == 0 {
             return not_run(request, RETRY_AFTER_NO_SERVER, "no server");
         }
+        let queued = Rc::strong_count(&self.unsent_streams) - 1;
+        if let Some(wait) = self.dispatcher.expected_wait(&selection, queued)
+            && wait > Dispatcher::patience(request)
+        {
+            return not_run(request, wait, "servers at their rate limits");
+        }
         let resume_after = headers
             .get(fields.last_event_id)
             .and_then(|text| text.trim().parse().ok());
@@ -103,6 +112,7 @@
             keep_alive,
             filter: EventFilter::resume_after(resume_after),
             started: false,
+            unsent: Some(self.unsent_streams.clone()),
         };
         let outcome = self
             .run_attempts(request, &mut selection, &mut sink, stats)
@@ -162,6 +172,7 @@
                 return sink.refused(refused);
             }
             stats.attempts += 1;
+            sink.unsent = None;
             stats.server = Some(connected.server.id.clone());
             selection.tried.push(connected.server.id.clone());
             // Whether another attempt may follow although this one may have run the request.
