perf(quarantine): what other instances refuse is analysed once for new evidence

Cause: every output asked which features others refuse wrongly, and while this instance knew more sound features than the others, each such question analysed all crashes again (0.2 ms after a crash of 48 servers with 32 suspects each, for as long as crashes are kept). Change: that analysis is kept until evidence changes it. Comments of connect and expected_wait say what they wait for. No decision changes; tests of crash_causes and serving pass.

--- a/crates/sardineshore-core/src/flow/quarantine.rs
+++ b/crates/sardineshore-core/src/flow/quarantine.rs
@@ -127,6 +127,8 @@
     outputs_cleaned_at: Option<Instant>,
     /// What follows from the evidence; computed when it is needed.
     analysis: OnceCell<Analysis>,
+    /// Causes according to the shared clearances alone.
+    shared_causes: OnceCell<Vec<Cause>>,
 }
 
 /// What follows from the evidence.
@@ -221,9 +223,11 @@
         if self.local == self.shared {
             return Vec::new();
         }
-        let refused = find_causes(&self.crashes, &self.shared, &self.config);
-        let features = refused.into_iter().flat_map(|cause| cause.features);
+        let refused = (self.shared_causes)
+            .get_or_init(|| find_causes(&self.crashes, &self.shared, &self.config));
+        let features = refused.iter().flat_map(|cause| &cause.features);
         features
+            .copied()
             .filter(|f| self.local.get(f) > self.shared.get(f))
             .collect()
     }
@@ -240,6 +244,7 @@
         };
         if is_news {
             self.analysis.take();
+            self.shared_causes.take();
         }
         is_news
     }
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -228,8 +228,8 @@
         &self.limits
     }
 
-    /// Waits for a turn at servers with rate limits that a request must expect, behind the `queued`
-    /// requests of this instance that come before it; `None` if other servers can take it.
+    /// Time for which a request must expect to wait for a turn at servers with rate limits, behind
+    /// `queued` others of this instance; `None` if other servers can take it.
     #[must_use]
     pub fn expected_wait(&self, selection: &SelectionRequest, queued: usize) -> Option<Duration> {
         self.limits.update_schedule();
@@ -247,7 +247,8 @@
     /// Selects a server and gets a connection to it.
     ///
     /// A server that can't be reached, or that takes no new work any more, is added to the servers
-    /// tried and another one is selected. `None` if no server is left or the deadline has passed.
+    /// tried and another one is selected. Waits for a turn if only servers with rate limits are left.
+    /// `None` if there is no server, no turn in time, or the deadline has passed.
     pub async fn connect(
         &self,
         selection: &mut SelectionRequest,
--- a/crates/sardineshore-serve/src/crashes.rs
+++ b/crates/sardineshore-serve/src/crashes.rs
@@ -231,11 +231,8 @@
 
     /// Tells the other instances of features that they refuse and that this one knows to be sound.
     fn share_sound_features(&self) {
-        let is_needed = || {
-            let quarantine = self.quarantine.borrow();
-            quarantine.unshared_sound_features()
-        };
-        if self.sound_pending.get() || is_needed().is_empty() {
+        let features = self.quarantine.borrow().unshared_sound_features();
+        if self.sound_pending.get() || features.is_empty() {
             return;
         }
         let Some(monitor) = self.weak.upgrade() else {
