feat(serve): what servers say about themselves in responses is logged

Cause: an instance could not tell from its logs when a server first said that it leaves, nor whether a request went there afterwards, so the hypotheses on requests at leaving servers could not be told apart.

Change: NoticeReader reads Server-Leaving, and Retry-After of a 503, from each response of a server and of a stage server; ServerSelector keeps the notices for each run of a server. Log lines: a first notice with what the list says of the server, a request that goes to a server that leaves, and how many of the listed servers are ready. Selection doesn't use the notices yet.

Conclusion: a test of our own has to reproduce the fault.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::config::{Name, Server};
+use super::notices::{NoticeBoard, ServerNotice};
 use super::turns::{RateLimit, TurnSchedule};
 use health::Health;
 
@@ -158,6 +159,8 @@
     limits: HashMap<Name, RateLimit>,
     /// When this instance may send to servers with such a rate.
     schedule: Option<TurnSchedule>,
+    /// What servers said about themselves.
+    notices: NoticeBoard,
 }
 
 impl ServerSelector {
@@ -222,6 +225,26 @@
         server.ready.then_some(server.started_ms)
     }
 
+    /// Records what a server says about itself. Returns whether it was news.
+    pub fn record_notice(&mut self, id: &Name, notice: ServerNotice, now: Instant) -> bool {
+        let listed = self.servers.get(id);
+        let started_ms = listed.map(|state| state.server.started_ms);
+        let is_news = self.notices.record(id, started_ms, notice, now);
+        if is_news {
+            let servers = &self.servers;
+            self.notices
+                .forget_unlisted(|id| servers.contains_key(id), now);
+        }
+        is_news
+    }
+
+    /// Whether a server has said that it shuts down.
+    #[must_use]
+    pub fn is_leaving(&self, id: &str) -> bool {
+        let server = self.servers.get(id).map(|state| &state.server);
+        server.is_some_and(|server| self.notices.is_leaving(id, server.started_ms))
+    }
+
     /// Rate that a server takes from all instances together, in requests per second; `None` if it
     /// has no limit.
     #[must_use]
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -10,12 +10,14 @@
 use sardineshore_core::flow::config::{Caller, Name, Route, request_rank};
 use sardineshore_core::flow::quarantine::Feature;
 use sardineshore_core::flow::selection::{AttemptOutcome, SelectedServer, SelectionRequest};
+use slog::{Logger, info};
 
 use crate::crashes::CrashMonitor;
 use crate::dialect::Dialect;
 use crate::http1::{RequestHead, is_end_to_end, put_header};
 use crate::limits::LimitExchange;
 use crate::metrics::Metrics;
+use crate::notices::NoticeReader;
 use crate::peers::Peers;
 use crate::state::SharedState;
 use crate::upstream::{Conn, ConnectionPool, OutgoingRequest, Response};
@@ -90,8 +92,10 @@
     peers: Rc<Peers>,
     crashes: Rc<CrashMonitor>,
     limits: Rc<LimitExchange>,
+    notices: Rc<NoticeReader>,
     dialect: Rc<dyn Dialect>,
     metrics: Rc<Metrics>,
+    log: Logger,
 }
 
 /// Accounting of an attempt that is under way. Its outcome is recorded once: by
@@ -196,14 +200,17 @@
 impl Dispatcher {
     /// Creates a dispatcher from the parts of the instance that it uses.
     #[must_use]
+    #[expect(clippy::too_many_arguments, reason = "the parts of an instance")]
     pub fn new(
         state: Rc<SharedState>,
         connections: Rc<ConnectionPool>,
         peers: Rc<Peers>,
         crashes: Rc<CrashMonitor>,
         limits: Rc<LimitExchange>,
+        notices: Rc<NoticeReader>,
         dialect: Rc<dyn Dialect>,
         metrics: Rc<Metrics>,
+        log: Logger,
     ) -> Self {
         Self {
             state,
@@ -211,8 +218,10 @@
             peers,
             crashes,
             limits,
+            notices,
             dialect,
             metrics,
+            log,
         }
     }
 
@@ -393,7 +402,16 @@
             echo: Some((self.dialect.header_names().request_id, request.id)),
             is_head: request.head.method == "HEAD",
         };
+        if self
+            .state
+            .selector
+            .borrow()
+            .is_leaving(&connected.server.id)
+        {
+            info!(self.log, "request goes to a server that leaves"; "request" => request.id, "server" => &*connected.server.id);
+        }
         let response = connected.conn.send(outgoing).await?;
+        self.notices.record(&connected.server.id, &response.head);
         let load = response.head.headers.get(self.dialect.header_names().load);
         if let Some(load) = load.and_then(|text| self.dialect.parse_load(text)) {
             let mut selector = self.state.selector.borrow_mut();
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -24,6 +24,7 @@
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::notices::NoticeReader;
 use crate::state::elapsed_ms;
 use crate::upstream::ConnectionPool;
 
@@ -85,6 +86,7 @@
 struct Shared {
     dialect: Rc<dyn Dialect>,
     connections: Rc<ConnectionPool>,
+    notices: Rc<NoticeReader>,
     metrics: Rc<Metrics>,
     log: Logger,
 }
@@ -120,12 +122,14 @@
     pub fn new(
         dialect: Rc<dyn Dialect>,
         connections: Rc<ConnectionPool>,
+        notices: Rc<NoticeReader>,
         metrics: Rc<Metrics>,
         log: Logger,
     ) -> Self {
         let shared = Shared {
             dialect,
             connections,
+            notices,
             metrics,
             log,
         };
@@ -443,7 +447,7 @@
             let runner = runner.clone();
             tokio::task::spawn_local(async move {
                 let shared = &runner.shared;
-                let query = query_free_memory(shared, address);
+                let query = query_free_memory(shared, &server, address);
                 match tokio::time::timeout(FREE_MEMORY_TIMEOUT, query).await {
                     Ok(Ok(mem)) => {
                         debug!(shared.log, "room left"; "server" => &*server, "bytes" => mem.min_bytes);
--- a/crates/sardineshore-serve/src/cell/calls.rs
+++ b/crates/sardineshore-serve/src/cell/calls.rs
@@ -50,6 +50,7 @@
     let Ok((response, body)) = exchange(&mut conn, &head, &call).await else {
         return (CallOutcome::Broken, None);
     };
+    shared.notices.record(server, &response.head);
     let status = response.head.status;
     let headers = &response.head.headers;
     if status == 421 {
@@ -78,7 +79,7 @@
     handles: Vec<Name>,
 ) {
     let call = shared.dialect.release_results_call(&handles);
-    let releasing = send_release(&shared, address, &call);
+    let releasing = send_release(&shared, &server, address, &call);
     let released = tokio::time::timeout(RELEASE_TIMEOUT, releasing).await;
     if !matches!(released, Ok(Ok(()))) {
         debug!(shared.log, "could not release results; they expire at the server"; "server" => &*server, "results" => handles.len());
@@ -88,6 +89,7 @@
 /// Asks a server how much memory it has left for results.
 pub(super) async fn query_free_memory(
     shared: &Shared,
+    server: &Name,
     address: SocketAddr,
 ) -> anyhow::Result<FreeMemory> {
     let call = shared.dialect.free_memory_call();
@@ -97,12 +99,14 @@
         .connect(address, MAX_IDLE, CONNECT_TIMEOUT)
         .await?;
     let (response, body) = exchange(&mut conn, &head, &call).await?;
+    shared.notices.record(server, &response.head);
     shared.connections.recycle(conn, &response);
     shared.dialect.decode_free_memory(&body)
 }
 
 async fn send_release(
     shared: &Shared,
+    server: &Name,
     address: SocketAddr,
     call: &HttpCall,
 ) -> Result<(), ExchangeError> {
@@ -112,6 +116,7 @@
         .connect(address, MAX_IDLE, CONNECT_TIMEOUT)
         .await?;
     let (response, _) = exchange(&mut conn, &head, call).await?;
+    shared.notices.record(server, &response.head);
     shared.connections.recycle(conn, &response);
     Ok(())
 }
--- a/crates/sardineshore-serve/src/dialect.rs
+++ b/crates/sardineshore-serve/src/dialect.rs
@@ -45,6 +45,8 @@
     pub load: &'static str,
     /// Requests per second that a server takes from all instances together, in a response.
     pub rate_limit: &'static str,
+    /// `1` in the responses of a server that shuts down.
+    pub leaving: &'static str,
     /// Headers that callers may not set; they are dropped from requests.
     pub reserved: &'static [&'static str],
 }
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -15,6 +15,7 @@
 use crate::dialect::Dialect;
 use crate::limits::LimitExchange;
 use crate::metrics::Metrics;
+use crate::notices::NoticeReader;
 use crate::peers::{InstanceInfo, Peers};
 use crate::relay::StoreRelay;
 use crate::request::RequestHandler;
@@ -71,9 +72,12 @@
         dialect.clone(),
         connections.clone(),
     ));
+    let notices = NoticeReader::new(state.clone(), dialect.clone(), log.clone());
+    let notices = Rc::new(notices);
     let cells = Rc::new(OwnedCells::new(
         dialect.clone(),
         connections.clone(),
+        notices.clone(),
         metrics.clone(),
         log.clone(),
     ));
@@ -100,8 +104,10 @@
         peers.clone(),
         crashes,
         limits,
+        notices,
         dialect.clone(),
         metrics.clone(),
+        log.clone(),
     ));
     let stages = StageClient::new(cells.clone(), peers.clone(), log.clone());
     let handler = Rc::new(RequestHandler::new(
--- a/crates/sardineshore-serve/src/lib.rs
+++ b/crates/sardineshore-serve/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod monitoring;
+pub mod notices;
 pub mod peers;
 pub mod relay;
 pub mod reply;
--- /dev/null
+++ b/crates/sardineshore-serve/src/notices.rs
@@ -0,0 +1,59 @@
+//! Records what servers say about themselves in the heads of their responses.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::notices::ServerNotice;
+use slog::{Logger, info};
+
+use crate::dialect::Dialect;
+use crate::http1::ResponseHead;
+use crate::state::{SharedState, whole_ms};
+
+/// Reads notices from responses.
+#[derive(Debug)]
+pub struct NoticeReader {
+    state: Rc<SharedState>,
+    dialect: Rc<dyn Dialect>,
+    log: Logger,
+}
+
+impl NoticeReader {
+    /// Creates a reader that records notices in `state`.
+    #[must_use]
+    pub fn new(state: Rc<SharedState>, dialect: Rc<dyn Dialect>, log: Logger) -> Self {
+        Self {
+            state,
+            dialect,
+            log,
+        }
+    }
+
+    /// Records the notice in the head of a server's response, if there is one.
+    pub fn record(&self, server: &Name, head: &ResponseHead) {
+        // Another server may listen at the address by now.
+        if head.status == 421 {
+            return;
+        }
+        let leaving = head.headers.get(self.dialect.header_names().leaving);
+        let retry_after = head.headers.get("retry-after");
+        let notice = ServerNotice {
+            leaving: leaving.is_some_and(|value| value.trim() == "1"),
+            pause: retry_after
+                .filter(|_| head.status == 503)
+                .and_then(parse_seconds),
+        };
+        let now = Instant::now();
+        let mut selector = self.state.selector.borrow_mut();
+        if selector.record_notice(server, notice, now) {
+            let accepts_work = selector.accepts_work(server);
+            info!(self.log, "notice of a server"; "server" => &**server, "leaving" => notice.leaving, "pause_ms" => notice.pause.map(whole_ms), "listed_ready" => accepts_work);
+        }
+    }
+}
+
+/// Parses a number of seconds, which may have a fraction.
+fn parse_seconds(text: &str) -> Option<Duration> {
+    Duration::try_from_secs_f64(text.trim().parse().ok()?).ok()
+}
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -650,7 +650,8 @@
         if applied == ApplyOutcome::Changed {
             let servers = registry.servers();
             drop(registry);
-            info!(self.log, "servers"; "listed" => servers.len(), "version" => version);
+            let ready = servers.iter().filter(|server| server.ready).count();
+            info!(self.log, "servers"; "listed" => servers.len(), "ready" => ready, "version" => version);
             self.state.selector.borrow_mut().set_servers(servers);
             (self.on_change)();
         }
