fix(selection): servers that say that they leave get no further requests

Seen by callers: a request at a server that had announced its end, up to a broken connection.

Cause: an instance learned of a leaving server from the store alone; what the server itself says in each response was not read. An instance without the store, or one that has a newer but older-minded entry (the entry lapsed and returned), sent on. Class of fault: knowledge at hand that one path has and the decision doesn't use.

Change: ServerSelector lists a server that has said that it leaves as not ready, for as long as that process runs, whatever its entry says. Plain requests, streams, resumed streams and the calls of all cells' owners ask the selector, so all heed it; news of it updates the cells at once.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -173,8 +173,9 @@
         }
     }
 
-    /// Replaces the list of servers. A server keeps its load and health unless its
-    /// start time differs, that is, unless it has restarted.
+    /// Replaces the list of servers. A server keeps its load, its health and its notices unless its
+    /// start time differs, that is, unless it has restarted. One that has said that it leaves accepts
+    /// no work, whatever its entry says.
     pub fn set_servers(&mut self, servers: Vec<Server>) {
         let listed: HashSet<Name> = servers.iter().map(|s| s.id.clone()).collect();
         let limits = &mut self.limits;
@@ -185,7 +186,8 @@
             }
             stays
         });
-        for server in servers {
+        for mut server in servers {
+            server.ready &= !self.notices.is_leaving(&server.id, server.started_ms);
             match self.servers.get_mut(&server.id) {
                 Some(old) if old.server.started_ms == server.started_ms => old.server = server,
                 known => {
@@ -227,9 +229,12 @@
 
     /// Records what a server says about itself. Returns whether it was news.
     pub fn record_notice(&mut self, id: &Name, notice: ServerNotice, now: Instant) -> bool {
-        let listed = self.servers.get(id);
-        let started_ms = listed.map(|state| state.server.started_ms);
+        let listed = self.servers.get_mut(id);
+        let started_ms = listed.as_ref().map(|state| state.server.started_ms);
         let is_news = self.notices.record(id, started_ms, notice, now);
+        if let Some(state) = listed {
+            state.server.ready &= !notice.leaving;
+        }
         if is_news {
             let servers = &self.servers;
             self.notices
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -53,6 +53,7 @@
     cells: Rc<OwnedCells>,
     peers: Rc<Peers>,
     dispatcher: Rc<Dispatcher>,
+    notices: Rc<NoticeReader>,
     shutdown: Rc<Shutdown>,
     metrics: Rc<Metrics>,
     handler: Rc<RequestHandler>,
@@ -104,7 +105,7 @@
         peers.clone(),
         crashes,
         limits,
-        notices,
+        notices.clone(),
         dialect.clone(),
         metrics.clone(),
         log.clone(),
@@ -126,6 +127,7 @@
         cells,
         peers,
         dispatcher,
+        notices,
         shutdown,
         metrics,
         handler,
@@ -198,11 +200,18 @@
 /// Starts the tasks that watch the store.
 fn start_watching(components: &Components, drain: Duration, log: &Logger) {
     let (state, cells) = (components.state.clone(), components.cells.clone());
-    let on_change = Box::new(move || {
+    let update_cells = Rc::new(move || {
         if let Some(config) = state.config() {
             cells.set_servers(&state.selector.borrow(), &config);
         }
     });
+    let (notices, on_notice) = (components.notices.clone(), update_cells.clone());
+    tokio::task::spawn_local(async move {
+        loop {
+            notices.wait_for_news().await;
+            on_notice();
+        }
+    });
     let watcher = Rc::new(StoreWatcher::new(
         components.store.clone(),
         components.state.clone(),
@@ -210,7 +219,7 @@
         &components.dispatcher,
         log.clone(),
         drain,
-        on_change,
+        Box::new(move || update_cells()),
     ));
     watcher.start();
 }
--- a/crates/sardineshore-serve/src/notices.rs
+++ b/crates/sardineshore-serve/src/notices.rs
@@ -6,6 +6,7 @@
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::notices::ServerNotice;
 use slog::{Logger, info};
+use tokio::sync::Notify;
 
 use crate::dialect::Dialect;
 use crate::http1::ResponseHead;
@@ -17,6 +18,7 @@
     state: Rc<SharedState>,
     dialect: Rc<dyn Dialect>,
     log: Logger,
+    recorded: Notify,
 }
 
 impl NoticeReader {
@@ -27,9 +29,15 @@
             state,
             dialect,
             log,
+            recorded: Notify::new(),
         }
     }
 
+    /// Waits until a notice was recorded that was news.
+    pub async fn wait_for_news(&self) {
+        self.recorded.notified().await;
+    }
+
     /// Records the notice in the head of a server's response, if there is one.
     pub fn record(&self, server: &Name, head: &ResponseHead) {
         // Another server may listen at the address by now.
@@ -46,9 +54,10 @@
         };
         let now = Instant::now();
         let mut selector = self.state.selector.borrow_mut();
+        let accepted_work = selector.accepts_work(server);
         if selector.record_notice(server, notice, now) {
-            let accepts_work = selector.accepts_work(server);
-            info!(self.log, "notice of a server"; "server" => &**server, "leaving" => notice.leaving, "pause_ms" => notice.pause.map(whole_ms), "listed_ready" => accepts_work);
+            info!(self.log, "notice of a server"; "server" => &**server, "leaving" => notice.leaving, "pause_ms" => notice.pause.map(whole_ms), "was_ready" => accepted_work);
+            self.recorded.notify_one();
         }
     }
 }
