fix(selection): servers that turn requests away get none until the time that they name

Cause: Retry-After of a server was not read; a rejection led to a fixed back-off, which selection drops when no other server is left.

Change: the selector keeps the pause for each run of the server, and a paused server gets nothing: no request, no call for pieces, no query of memory, no release of results. A request waits for the first end if that comes within a quarter of its time left, else it is refused at once with that time; streams before their stages. A cell whose servers all pause counts the pause in its forecasts.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -126,6 +126,7 @@
             }
             if let Some(known) = pool_servers.iter_mut().find(|known| known.id == server.id) {
                 known.draining = !server.ready;
+                known.paused_until = server.paused_until;
             }
         }
         for server in lost {
@@ -256,7 +257,7 @@
     /// Queries the free memory of every server for which a query is due.
     fn query_due_servers(&mut self, now: Instant) {
         for server in self.pools.values_mut().flatten() {
-            if server.is_within_rate(now) && server.take_due_query(now) {
+            if server.accepts_requests(now) && server.take_due_query(now) {
                 server.record_request(now);
                 self.actions.push(Action::QueryFreeMemory {
                     server: server.id.clone(),
@@ -314,7 +315,8 @@
                 load.call = server.expected_call_time(server.spec.max_batch.div_ceil(2));
                 count += 1;
             }
-            load.server_wait = load.call / (2 * count.max(1));
+            let pause = active().map(|server| server.pause_left(now)).min();
+            load.server_wait = load.call / (2 * count.max(1)) + pause.unwrap_or_default();
             loads.insert(pool.clone(), load);
         }
         for (_, state) in self.jobs.iter().filter(|(_, job)| !job.delivered) {
--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -299,7 +299,8 @@
     /// has passed.
     pub(super) fn flush_releases(&mut self, now: Instant) {
         for server in self.pools.values_mut().flatten() {
-            if server.is_within_rate(now) && server.release_is_due(now, self.config.release_delay) {
+            if server.accepts_requests(now) && server.release_is_due(now, self.config.release_delay)
+            {
                 server.record_request(now);
                 self.actions.push(Action::ReleaseResults {
                     server: server.id.clone(),
--- a/crates/sardineshore-core/src/flow/batching/messages.rs
+++ b/crates/sardineshore-core/src/flow/batching/messages.rs
@@ -2,7 +2,7 @@
 //! caller carries out.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::job::StageResults;
 use crate::flow::config::{BatchSpec, Name};
@@ -22,6 +22,8 @@
     pub spec: BatchSpec,
     /// Whether it takes new calls; if not, its results can still be fetched.
     pub ready: bool,
+    /// Until when it wants no requests of any kind.
+    pub paused_until: Option<Instant>,
 }
 
 /// One piece of work in a call to a batch server.
--- a/crates/sardineshore-core/src/flow/batching/server.rs
+++ b/crates/sardineshore-core/src/flow/batching/server.rs
@@ -66,6 +66,8 @@
     pub draining: bool,
     /// No call is sent before this time.
     pub backoff_until: Option<Instant>,
+    /// No request of any kind is sent before this time.
+    pub paused_until: Option<Instant>,
     /// Released results of which the server has not been told yet.
     pub pending_release: Vec<Name>,
     /// Bytes of those; they count as occupied until the server is told.
@@ -99,6 +101,7 @@
             consecutive_failures: 0,
             draining: false,
             backoff_until: None,
+            paused_until: None,
             pending_release: Vec::new(),
             pending_release_bytes: 0,
             release_pending_since: None,
@@ -122,9 +125,15 @@
         }
     }
 
-    /// Whether its rate limit allows a request now.
-    pub fn is_within_rate(&self, now: Instant) -> bool {
-        self.next_request_at.is_none_or(|at| now >= at)
+    /// Whether a request of any kind can be sent now: its rate limit allows it, and it wants no pause.
+    pub fn accepts_requests(&self, now: Instant) -> bool {
+        self.next_request_at.is_none_or(|at| now >= at) && self.pause_left(now).is_zero()
+    }
+
+    /// Time for which it wants no requests.
+    pub fn pause_left(&self, now: Instant) -> Duration {
+        self.paused_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     /// Records that a request of any kind is sent to it.
@@ -149,12 +158,14 @@
         self.running_calls < self.spec.slots.max(1)
             && passed(self.backoff_until)
             && passed(self.report_deadline)
-            && self.is_within_rate(now)
+            && self.accepts_requests(now)
     }
 
     /// Whether it takes calls now or once a running call has ended.
     pub fn is_available(&self, now: Instant) -> bool {
-        !self.draining && self.backoff_until.is_none_or(|until| now >= until)
+        !self.draining
+            && self.backoff_until.is_none_or(|until| now >= until)
+            && self.pause_left(now).is_zero()
     }
 
     /// Expected time of a call with this many pieces.
--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -283,23 +283,54 @@
         self.schedule = Some(schedule);
     }
 
-    /// Time until this instance may send a request to a server with a rate limit; `None` if no such
-    /// server could run it.
+    /// Time until this instance may send a request to a server that has a rate limit or wants a pause;
+    /// `None` if no such server could run it.
     #[must_use]
     pub fn next_turn(&self, request: &SelectionRequest, now: Instant) -> Option<Duration> {
-        let schedule = self.schedule?;
         let servers = self.untried_servers(request)?;
-        let limits = servers.filter_map(|state| self.limits.get(&state.server.id));
-        limits.map(|limit| limit.next_turn(&schedule, now)).min()
+        servers
+            .filter_map(|state| self.wait(&state.server, now))
+            .min()
+    }
+
+    /// Time until the first server that could run the request wants requests again; `None` if one
+    /// does now, or there is none.
+    #[must_use]
+    pub fn pause_left(&self, request: &SelectionRequest, now: Instant) -> Option<Duration> {
+        let mut first = None;
+        for state in self.untried_servers(request)? {
+            let until = self.paused_until(&state.server, now)?;
+            first = Some(first.map_or(until, |first: Instant| first.min(until)));
+        }
+        first.map(|until| until.saturating_duration_since(now))
+    }
+
+    /// When a server wants requests again; `None` if it does now.
+    #[must_use]
+    pub fn paused_until(&self, server: &Server, now: Instant) -> Option<Instant> {
+        self.notices
+            .paused_until(&server.id, server.started_ms, now)
+    }
+
+    /// Time until this instance may send to a server; `None` if it has no rate limit and wants no
+    /// pause.
+    fn wait(&self, server: &Server, now: Instant) -> Option<Duration> {
+        let pause = self.paused_until(server, now);
+        let pause = pause.map(|until| until.saturating_duration_since(now));
+        let limit = self.limits.get(&server.id).zip(self.schedule.as_ref());
+        pause.max(limit.map(|(limit, schedule)| limit.next_turn(schedule, now)))
     }
 
     /// Requests per second that this instance may send if all servers that could run the request have
-    /// a rate limit or are saturated; `None` if one is not, or none has a limit.
+    /// a rate limit, want a pause or are saturated; `None` if one does not, or none has a limit.
     #[must_use]
     pub fn limited_rate(&self, request: &SelectionRequest, now: Instant) -> Option<f64> {
         let schedule = self.schedule?;
         let mut rate = 0.0;
         for state in self.untried_servers(request)? {
+            if self.paused_until(&state.server, now).is_some() {
+                continue;
+            }
             match self.limits.get(&state.server.id) {
                 Some(limit) => rate += limit.rate(),
                 None if state.is_saturated(now) => {}
@@ -319,22 +350,17 @@
         Some(servers.filter(|s| s.server.ready && !request.tried.contains(&s.server.id)))
     }
 
-    /// Whether a server has no rate limit or this instance may send to it now.
-    fn has_turn(&self, id: &str, now: Instant) -> bool {
-        let limit = self.limits.get(id).zip(self.schedule.as_ref());
-        limit.is_none_or(|(limit, schedule)| limit.has_turn(schedule, now))
-    }
-
     /// Selects the server of the pool with the lowest cost for a request; `None` if no server is
-    /// ready that was not tried and has a turn. Servers in back-off are selected only if no other is
+    /// ready that was not tried, has a turn and wants no pause. Servers in back-off are selected only if no other is
     /// left.
     #[must_use]
     pub fn select(&self, request: &SelectionRequest, now: Instant) -> Option<SelectedServer> {
         // Servers without a rate limit can't take all that others don't.
-        let spills = self.next_turn(request, now).is_some();
+        let spills = self.schedule.is_some()
+            && (self.untried_servers(request)?).any(|s| self.limits.contains_key(&s.server.id));
         let servers: Vec<&ServerState> = self
             .untried_servers(request)?
-            .filter(|s| self.has_turn(&s.server.id, now))
+            .filter(|s| self.wait(&s.server, now).is_none_or(|wait| wait.is_zero()))
             .filter(|s| !spills || !s.is_saturated(now))
             .collect();
         let available: Vec<&ServerState> = servers
--- a/crates/sardineshore-core/tests/batching.rs
+++ b/crates/sardineshore-core/tests/batching.rs
@@ -30,6 +30,7 @@
             result_ttl: Duration::from_secs(4),
         },
         ready: true,
+        paused_until: None,
     }
 }
 
--- a/crates/sardineshore-core/tests/load/replay.rs
+++ b/crates/sardineshore-core/tests/load/replay.rs
@@ -120,6 +120,7 @@
             domain: "d".into(),
             spec: spec(pool),
             ready: true,
+            paused_until: None,
         };
         let servers = POOLS
             .iter()
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -32,7 +32,9 @@
 /// Time for which a stream must go on after its first output to show that its request doesn't crash
 /// the server.
 const SOUND_OUTPUT_TIME: Duration = Duration::from_millis(500);
-/// Share of the time left for which a request waits for servers with a rate limit, as a divisor.
+/// `Retry-After` when a pool has no usable server.
+pub const RETRY_AFTER_NO_SERVER: Duration = Duration::from_millis(800);
+/// Share of the time left for which a request waits until a server takes it, as a divisor.
 const TURN_PATIENCE_DIVISOR: u32 = 4;
 /// Time after the start of a turn at which a request that waits for it is sent.
 const TURN_MARGIN: Duration = Duration::from_millis(2);
@@ -247,7 +249,14 @@
         Duration::try_from_secs_f64((queued + 1) as f64 / rate).ok()
     }
 
-    /// Longest time for which a request waits for servers with rate limits.
+    /// Time for which no server wants the request; `None` if one does now, or there is none.
+    #[must_use]
+    pub fn pause_left(&self, selection: &SelectionRequest) -> Option<Duration> {
+        let selector = self.state.selector.borrow();
+        selector.pause_left(selection, Instant::now())
+    }
+
+    /// Longest time for which a request waits for servers that have rate limits or want a pause.
     #[must_use]
     pub fn patience(request: &AdmittedRequest<'_>) -> Duration {
         request.time_to_deadline() / TURN_PATIENCE_DIVISOR
@@ -256,13 +265,18 @@
     /// Selects a server and gets a connection to it.
     ///
     /// A server that can't be reached, or that takes no new work any more, is added to the servers
-    /// tried and another one is selected. Waits for a turn if only servers with rate limits are left.
-    /// `None` if there is no server, no turn in time, or the deadline has passed.
+    /// tried and another one is selected. Waits if only servers are left that have rate limits or want
+    /// a pause.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no server, if none takes the request in time, or if the deadline has passed;
+    /// with the time after which the request may be tried again.
     pub async fn connect(
         &self,
         selection: &mut SelectionRequest,
         request: &AdmittedRequest<'_>,
-    ) -> Option<ConnectedServer> {
+    ) -> Result<ConnectedServer, Duration> {
         let max_idle = if request.route.kind.is_retryable() {
             MAX_IDLE_RETRYABLE
         } else {
@@ -270,7 +284,7 @@
         };
         // Servers to which this instance may open no further connection.
         let mut at_limit: Vec<Name> = Vec::new();
-        // Time for which the request waited until servers with a rate limit take it.
+        // Time for which the request waited until a server takes it.
         let mut waited = Duration::ZERO;
         loop {
             let mut narrowed = selection.clone();
@@ -279,10 +293,11 @@
             let now = Instant::now();
             let selected = self.state.selector.borrow().select(&narrowed, now);
             let Some(server) = selected else {
-                let wait = self.state.selector.borrow().next_turn(&narrowed, now)?;
-                if waited + wait > Self::patience(request) {
-                    return None;
-                }
+                let wait = self.state.selector.borrow().next_turn(&narrowed, now);
+                let Some(wait) = wait.filter(|wait| waited + *wait <= Self::patience(request))
+                else {
+                    return Err(wait.unwrap_or_default().max(RETRY_AFTER_NO_SERVER));
+                };
                 waited += wait + TURN_MARGIN;
                 tokio::time::sleep(wait + TURN_MARGIN).await;
                 continue;
@@ -290,7 +305,7 @@
             if self.connections.open_count(server.address) >= self.connection_limit(&selection.pool)
             {
                 if let Some(conn) = self.connections.take_idle(server.address, max_idle) {
-                    return Some(self.start_on_connection(server, conn, selection));
+                    return Ok(self.start_on_connection(server, conn, selection));
                 }
                 at_limit.push(server.id);
                 continue;
@@ -304,7 +319,7 @@
             {
                 // The server may have stopped accepting work while the connection was opened.
                 Ok(conn) if self.state.selector.borrow().accepts_work(&server.id) => {
-                    return Some(ConnectedServer {
+                    return Ok(ConnectedServer {
                         server,
                         conn,
                         attempt,
@@ -317,7 +332,7 @@
                 }
             }
             if request.time_to_deadline().is_zero() {
-                return None;
+                return Err(Duration::ZERO);
             }
         }
     }
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -153,6 +153,7 @@
     pub fn set_servers(&self, selector: &ServerSelector, config: &ConfigIndex) {
         let mut all = Vec::new();
         let mut pools: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
+        let now = Instant::now();
         for server in selector.servers() {
             let Some(pool) = config.pool(&server.pool) else {
                 continue;
@@ -169,6 +170,7 @@
                     domain: server.domain.clone(),
                     spec: spec.clone(),
                     ready: server.ready,
+                    paused_until: selector.paused_until(server, now),
                 });
             }
         }
@@ -179,7 +181,6 @@
             servers.push(server.clone());
         }
         cells.insert(GLOBAL_CELL.into(), all);
-        let now = Instant::now();
         for (cell, runner) in self.runners.borrow().iter() {
             let servers = cells.get(cell).cloned().unwrap_or_default();
             runner.sched.borrow_mut().set_servers(servers, now);
@@ -198,8 +199,9 @@
         }
     }
 
-    /// Releases results whose owner is lost.
+    /// Releases results whose owner is lost, except at servers that want no requests.
     pub fn release_results(&self, results: Vec<StoredResult>) {
+        let now = Instant::now();
         let mut by_server: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
         for result in results {
             by_server
@@ -213,7 +215,9 @@
             .map(Vec::as_slice)
             .unwrap_or_default();
         for (id, handles) in by_server {
-            if let Some(server) = all.iter().find(|server| server.id == id) {
+            let server = all.iter().find(|server| server.id == id);
+            let is_paused = |server: &&BatchServer| server.paused_until.is_some_and(|at| at > now);
+            if let Some(server) = server.filter(|server| !is_paused(server)) {
                 let shared = self.shared.clone();
                 tokio::task::spawn_local(release_results(shared, id, server.address, handles));
             }
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -29,8 +29,6 @@
 /// `Retry-After` while this instance shuts down or has no confirmed configuration; another
 /// instance may be able to serve the request at once.
 const RETRY_AFTER_UNREADY: Duration = Duration::from_millis(250);
-/// `Retry-After` when a pool has no usable server.
-const RETRY_AFTER_NO_SERVER: Duration = Duration::from_millis(800);
 /// `Retry-After` when servers rejected the request because they are full, or when the instance
 /// can't take or repeat it at the moment.
 const RETRY_AFTER_REJECTED: Duration = Duration::from_millis(200);
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -7,11 +7,8 @@
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{
-    Outcome, RETRY_AFTER_NO_SERVER, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, not_run,
-    select_pool,
-};
-use crate::attempt::{AdmittedRequest, ConnectedServer, ExtraHeaders};
+use super::{Outcome, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, not_run, select_pool};
+use crate::attempt::{AdmittedRequest, ConnectedServer, ExtraHeaders, RETRY_AFTER_NO_SERVER};
 use crate::reply::{ErrorResponse, response_head};
 use crate::state::elapsed_ms;
 use crate::upstream::{ExchangeError, Response};
@@ -54,11 +51,13 @@
         // has not run.
         let mut lost = None;
         loop {
-            let Some(mut connected) = self.dispatcher.connect(&mut selection, request).await else {
-                return match lost {
-                    Some(reason) => Outcome::Failed(ErrorResponse::OutcomeUnknown(reason)),
-                    None => not_run(request, RETRY_AFTER_NO_SERVER, "no server"),
-                };
+            let connected = self.dispatcher.connect(&mut selection, request).await;
+            let mut connected = match (connected, lost) {
+                (Ok(connected), _) => connected,
+                (Err(_), Some(reason)) => {
+                    return Outcome::Failed(ErrorResponse::OutcomeUnknown(reason));
+                }
+                (Err(retry_after), None) => return not_run(request, retry_after, "no server"),
             };
             let is_retry = stats.attempts > 0;
             if !self.dispatcher.try_acquire_send(&selection.pool, is_retry) {
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -14,10 +14,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    Outcome, QUARANTINED, RETRY_AFTER_NO_SERVER, RETRY_AFTER_REJECTED, RequestHandler,
-    RequestStats, not_run, select_pool,
+    Outcome, QUARANTINED, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, not_run, select_pool,
+};
+use crate::attempt::{
+    AdmittedRequest, ConnectedServer, Dispatcher, ExtraHeaders, RETRY_AFTER_NO_SERVER,
 };
-use crate::attempt::{AdmittedRequest, ConnectedServer, Dispatcher, ExtraHeaders};
 use crate::reply::{ErrorResponse, response_head, write_chunk};
 use crate::shutdown::Phase;
 use crate::stages::ResultGuard;
@@ -90,6 +91,11 @@
         if self.shutdown.phase() >= Some(Phase::AcceptShort) {
             return not_run(request, RETRY_AFTER_REJECTED, "instance stops");
         }
+        if let Some(pause) = self.dispatcher.pause_left(&selection)
+            && pause > Dispatcher::patience(request)
+        {
+            return not_run(request, pause, "servers want a pause");
+        }
         let usable_servers = self
             .state
             .selector
@@ -159,14 +165,11 @@
                     Err(outcome) => return after_lost_attempt(outcome, lost),
                 }
             }
-            let Some(mut connected) = self.dispatcher.connect(selection, request).await else {
-                return no_attempt_outcome(
-                    request,
-                    sink.started,
-                    lost,
-                    RETRY_AFTER_NO_SERVER,
-                    "no server",
-                );
+            let mut connected = match self.dispatcher.connect(selection, request).await {
+                Ok(connected) => connected,
+                Err(wait) => {
+                    return no_attempt_outcome(request, sink.started, lost, wait, "no server");
+                }
             };
             if let Some(refused) = self.refuse_quarantined(request, lost) {
                 return sink.refused(refused);
