feat(entry): backend servers tell in their load reports that they shut down

Change: LoadReport has the field leaving (absent: false, so older servers are understood); the router gives an incarnation that has said so no further work, whatever the list says, until a report names another incarnation. It leaves the pool at once, and the check before each send sees it too.

What remains: the protocol has no way to ask for a pause.

--- a/crates/sardineshore-core/src/routing.rs
+++ b/crates/sardineshore-core/src/routing.rs
@@ -203,13 +203,32 @@
         let Some(server) = find(&mut self.servers, &self.keys_by_name, server) else {
             return;
         };
+        let accepted_work = server.accepts_work();
         let restarted = server.record_load(load, now);
+        let accepts_work = server.accepts_work();
         if let Some(pool) = self.pools.get_mut(&server.declared.pool) {
             pool.record_other_load(server.other_load(pool.other_load(), now));
         }
         if restarted {
             self.notices.push(server.notice(RoutingDecision::Restarted));
         }
+        if accepts_work != accepted_work {
+            let pool = server.declared.pool.clone();
+            self.update_members(&pool);
+        }
+    }
+
+    /// Selects the members of a pool anew: its servers that accept work.
+    fn update_members(&mut self, pool: &PoolId) {
+        let keys = self.keys_by_name.values().copied();
+        let members = keys.filter(|key| {
+            let server = &self.servers[*key];
+            server.declared.pool == *pool && server.accepts_work()
+        });
+        let members = members.collect();
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.set_members(members, &self.servers, self.cfg.seed, self.cfg.max_subset);
+        }
     }
 
     /// Whether a backend server accepts new work: it is declared, active and not leaving.
--- a/crates/sardineshore-core/src/routing/selection.rs
+++ b/crates/sardineshore-core/src/routing/selection.rs
@@ -101,4 +101,6 @@
     pub age: Duration,
     /// Number that changes with each start of the server's process; a change means a restart.
     pub incarnation: u64,
+    /// Whether it shuts down and wants no new work.
+    pub leaving: bool,
 }
--- a/crates/sardineshore-core/src/routing/server.rs
+++ b/crates/sardineshore-core/src/routing/server.rs
@@ -29,6 +29,8 @@
     pub(super) declared: BackendServer,
     pub(super) addr: Arc<str>,
     pub(super) leaving: bool,
+    /// Incarnation that reported that it shuts down.
+    announced_leaving: Option<u64>,
     /// Hash of the name, for rendezvous hashing.
     pub(super) hash: u64,
     pub(super) in_flight: u32,
@@ -60,6 +62,7 @@
             limit: ConcurrencyLimit::new(declared.capacity),
             declared: declared.clone(),
             leaving,
+            announced_leaving: None,
             health,
             in_flight: 0,
             service: Smoothed::default(),
@@ -84,7 +87,12 @@
 
     /// Whether the server accepts new work: it is active and not leaving.
     pub(super) fn accepts_work(&self) -> bool {
-        self.declared.state == ServerState::Active && !self.leaving
+        self.declared.state == ServerState::Active && !self.is_leaving()
+    }
+
+    /// Whether the instance list or the server itself says that it is leaving.
+    fn is_leaving(&self) -> bool {
+        self.leaving || self.announced_leaving.is_some()
     }
 
     /// Whether the attempts of this instance in flight on the server have reached its limit.
@@ -165,7 +173,14 @@
     pub(super) fn record_load(&mut self, load: &ServerLoad, now: Instant) -> bool {
         let at = now.checked_sub(load.age).unwrap_or(now);
         let previous = self.report;
-        if previous.is_some_and(|previous| previous.at > at) {
+        let is_outdated = previous.is_some_and(|previous| previous.at > at);
+        // Reports that overtake each other don't take back that a process shuts down.
+        if load.leaving {
+            self.announced_leaving = Some(load.incarnation);
+        } else if !is_outdated && self.announced_leaving != Some(load.incarnation) {
+            self.announced_leaving = None;
+        }
+        if is_outdated {
             return false;
         }
         self.report = Some(Report {
@@ -212,7 +227,7 @@
             queued: load.queued,
             report_age_ms: self.report.map(|report| age_ms(report.at, now)),
             ejected: self.health.is_ejected(now),
-            leaving: self.leaving,
+            leaving: self.is_leaving(),
         }
     }
 
--- a/crates/sardineshore-core/tests/routing.rs
+++ b/crates/sardineshore-core/tests/routing.rs
@@ -166,6 +166,32 @@
     assert!(!router.accepts_work(&"undeclared".into()));
 }
 
+/// Guards against work for a server that has said in a load report that it shuts down.
+#[test]
+fn record_load_of_leaving_server_ends_its_work_until_it_restarts() {
+    let mut router = router(2, 1);
+    let now = Instant::now();
+    let load = |incarnation, leaving, age| ServerLoad {
+        incarnation,
+        leaving,
+        age,
+        ..ServerLoad::default()
+    };
+    let left: ServerId = "s0".into();
+    router.record_load(&left, &load(1, true, Duration::ZERO), now);
+    router.record_load(&left, &load(1, false, Duration::ZERO), now);
+    assert!(!router.accepts_work(&left));
+    for _ in 0..200 {
+        assert_ne!(attempt(&mut router, 0, AttemptResult::Answered, now), left);
+    }
+    router.update_servers(&deployment(2), &BTreeSet::new());
+    assert!(!router.accepts_work(&left));
+    router.record_load(&left, &load(2, false, Duration::ZERO), now);
+    assert!(router.accepts_work(&left));
+    let mut attempts = (0..200).map(|_| attempt(&mut router, 0, AttemptResult::Answered, now));
+    assert!(attempts.any(|server| server == left));
+}
+
 #[test]
 fn eject_failing_server_is_readmitted() {
     let mut router = router(4, 1);
--- a/crates/sardineshore-entry/src/dispatch/attempt.rs
+++ b/crates/sardineshore-entry/src/dispatch/attempt.rs
@@ -267,5 +267,6 @@
         capacity: report.capacity,
         age: Duration::from_millis(report.age_ms),
         incarnation: report.incarnation,
+        leaving: report.leaving,
     }
 }
--- a/crates/sardineshore-wire/src/backend.rs
+++ b/crates/sardineshore-wire/src/backend.rs
@@ -37,6 +37,8 @@
     pub service_us: u64,
     /// Prompt tokens of this reply's attempt that were found in the prefix cache.
     pub cached_tokens: u32,
+    /// Whether the server shuts down and wants no new work; final for this incarnation.
+    pub leaving: bool,
 }
 
 /// Body of `POST /v1/cancel`.
