fix(watcher): a store that comes back from a copy is followed again

Cause: versions of the store's rows were taken to rise for ever. A store restored from a copy gives out numbers again, so each page counted as older than the replica (the log has it every half second, on all instances and tables) until the counter passed the old one. Class of fault: an order that holds within one life of a store, used across two.

Ruled out: the older configuration in the copy took effect (no instance installed one); lost pages (they came and were refused).

Change: StoreVersion orders by era (Store-Era), then number; replicas, registry, relay and calls use it. Changes across eras don't join on, so all rows are read. Then: the active configuration stays, and the copy confirms it only if it was visibly written again or after 2 s. A server that was draining stays so for that run; one whose entry had been removed is used once it writes another, or after 5 s; entries that the copy lacks have the usual grace. Instances keep each other for 2 s and write their rows again, as they do limits and evidence.

--- a/crates/sardineshore-core/src/flow/registry.rs
+++ b/crates/sardineshore-core/src/flow/registry.rs
@@ -4,14 +4,23 @@
 //! ignored, so the registry never goes back to an older state. Entries expire while the store is
 //! unavailable. A ready server whose entry is missing after an outage therefore stays in use for a
 //! grace period, in which its entry can return. An explicit removal takes effect at once.
+//!
+//! A store that was restored from a copy may list servers that have left since. A server that was
+//! draining stays so for the rest of its run, and one whose entry had been removed is used again
+//! only after it has written a new entry, or after the time in which the store drops the entries of
+//! servers that are gone.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use super::config::{Name, Server};
+use super::replica::StoreVersion;
 
 /// How long a server stays in use whose entry is missing after a store outage.
 const GRACE_PERIOD: Duration = Duration::from_millis(1700);
+/// Time after which a restored entry is used whose server had left before: the store has dropped it
+/// by then if the server is gone.
+const RESTORED_ENTRY_HOLD: Duration = Duration::from_secs(5);
 
 /// The content of a row.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,7 +41,7 @@
     /// Content of the row.
     pub entry: RegistryEntry,
     /// Version of the store at the row's last change.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// The effect of a response on the registry.
@@ -49,13 +58,17 @@
 /// The servers in use, with the versions of their entries.
 #[derive(Debug, Default)]
 pub struct ServerRegistry {
-    entries: BTreeMap<Name, (Server, u64)>,
+    entries: BTreeMap<Name, (Server, StoreVersion)>,
     /// Versions at which entries were removed, so that an older row can't restore them.
-    removed: HashMap<Name, u64>,
+    removed: HashMap<Name, StoreVersion>,
     /// Entries that were missing after an outage, and when their grace period ends.
     grace_ends: HashMap<Name, Instant>,
-    /// Newest version of the store that was applied.
-    version: u64,
+    /// Start times of servers that were draining when the store was restored.
+    departed: HashMap<Name, u64>,
+    /// Restored entries of servers that had left before, and from when on they are used.
+    held_until: HashMap<Name, Instant>,
+    /// Newest version of the store that was applied; `None` at first.
+    version: Option<StoreVersion>,
     /// Whether a call to the store failed since the last response.
     store_unavailable: bool,
 }
@@ -72,16 +85,25 @@
         self.store_unavailable
     }
 
-    /// Whether servers without an entry are in use, as their grace period has not ended.
+    /// Whether a period has begun that ends in a call of [`ServerRegistry::apply`]: servers without
+    /// an entry are in use, or entries are held.
     #[must_use]
-    pub fn has_entries_in_grace(&self) -> bool {
-        !self.grace_ends.is_empty()
+    pub fn awaits_entries(&self) -> bool {
+        !self.grace_ends.is_empty() || !self.held_until.is_empty()
     }
 
     /// All servers in use.
     #[must_use]
     pub fn servers(&self) -> Vec<Server> {
-        self.entries.values().map(|(s, _)| s.clone()).collect()
+        let in_use = |(id, (server, _)): (&Name, &(Server, StoreVersion))| {
+            let has_left = self.held_until.contains_key(id)
+                || self.departed.get(id) == Some(&server.started_ms);
+            Server {
+                ready: server.ready && !has_left,
+                ..server.clone()
+            }
+        };
+        self.entries.iter().map(in_use).collect()
     }
 
     /// Applies a response of the store: all rows if `is_snapshot`, otherwise only changed rows.
@@ -92,7 +114,7 @@
         &mut self,
         rows: Vec<RegistryRow>,
         is_snapshot: bool,
-        version: u64,
+        version: StoreVersion,
         now: Instant,
     ) -> ApplyOutcome {
         let mut missing = Vec::new();
@@ -110,13 +132,17 @@
         &mut self,
         rows: Vec<RegistryRow>,
         missing: Vec<Name>,
-        version: u64,
+        version: StoreVersion,
         now: Instant,
     ) -> ApplyOutcome {
-        if version < self.version {
+        let before = self.version;
+        if before.is_some_and(|before| version < before) {
             return ApplyOutcome::Stale;
         }
-        self.version = version;
+        if before.is_some_and(|before| version.era > before.era) {
+            self.begin_era(&rows, now);
+        }
+        self.version = Some(version);
         let after_outage = std::mem::take(&mut self.store_unavailable);
         let mut changed = false;
         for row in rows {
@@ -133,6 +159,9 @@
                 changed = true;
             }
         }
+        let held_count = self.held_until.len();
+        self.held_until.retain(|_, until| now < *until);
+        changed |= self.held_until.len() < held_count;
         let expired: Vec<Name> = self
             .grace_ends
             .iter()
@@ -150,6 +179,21 @@
         }
     }
 
+    /// Remembers which servers had left, before the rows of a restored store are applied.
+    fn begin_era(&mut self, rows: &[RegistryRow], now: Instant) {
+        self.store_unavailable = true;
+        let draining = self.entries.values().filter(|(server, _)| !server.ready);
+        let draining = draining.map(|(server, _)| (server.id.clone(), server.started_ms));
+        self.departed.extend(draining);
+        let had_left = |id: &Name| {
+            self.held_until.contains_key(id)
+                || (self.removed.contains_key(id) && !self.entries.contains_key(id))
+        };
+        let until = now + RESTORED_ENTRY_HOLD;
+        let held = rows.iter().filter(|row| had_left(&row.id));
+        self.held_until = held.map(|row| (row.id.clone(), until)).collect();
+    }
+
     /// Applies one row and returns whether it is newer than what is known of the server. A row that
     /// is not newer only confirms that the entry exists, which ends a grace period, unless the
     /// entry is known to be removed since.
@@ -165,6 +209,10 @@
         match row.entry {
             RegistryEntry::Server(server) => {
                 self.grace_ends.remove(&row.id);
+                // A further version in the same era was written by the server itself.
+                if known.is_some_and(|known| known.era == row.version.era) {
+                    self.held_until.remove(&row.id);
+                }
                 self.entries.insert(row.id, (server, row.version));
             }
             RegistryEntry::Unreadable | RegistryEntry::Removed => self.remove(&row.id, row.version),
@@ -172,9 +220,10 @@
         true
     }
 
-    fn remove(&mut self, id: &Name, version: u64) {
+    fn remove(&mut self, id: &Name, version: StoreVersion) {
         self.entries.remove(id);
         self.grace_ends.remove(id);
+        self.held_until.remove(id);
         self.removed.insert(id.clone(), version);
     }
 }
--- a/crates/sardineshore-core/src/flow/replica.rs
+++ b/crates/sardineshore-core/src/flow/replica.rs
@@ -5,15 +5,19 @@
 //! replica never goes back to an older state. Changes apply only where they join on: a replica that
 //! doesn't know the table up to their start must get more first.
 //!
+//! A store that is restored from a copy begins a new era and gives out the versions after the copy
+//! again. Versions of different eras have nothing in common, so a replica needs all rows then.
+//!
 //! ```
-//! use sardineshore_core::flow::replica::{ApplyError, TableChanges, TableReplica};
+//! use sardineshore_core::flow::replica::{ApplyError, StoreVersion, TableChanges, TableReplica};
 //!
+//! let version = |number| StoreVersion { era: 1, number };
 //! let mut replica = TableReplica::default();
-//! let changes = TableChanges { after: 4, version: 7, ..TableChanges::default() };
+//! let changes = TableChanges { after: version(4), version: version(7), ..TableChanges::default() };
 //! assert_eq!(replica.apply(changes.clone()), Err(ApplyError::Gap));
-//! let all = TableChanges { is_snapshot: true, version: 5, ..TableChanges::default() };
+//! let all = TableChanges { is_snapshot: true, version: version(5), ..TableChanges::default() };
 //! assert!(replica.apply(all).is_ok() && replica.apply(changes).is_ok());
-//! assert_eq!(replica.version(), Some(7));
+//! assert_eq!(replica.version(), Some(version(7)));
 //! ```
 
 use std::collections::{BTreeMap, HashSet};
@@ -23,6 +27,17 @@
 
 use super::config::Name;
 
+/// A version of the store; those of a later era are higher.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StoreVersion {
+    /// Number of times that the store was restored from a copy, or a number that rises with it.
+    pub era: u64,
+    /// Counts the changes in one era.
+    pub number: u64,
+}
+
 /// A row of a table of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRow {
@@ -30,17 +45,18 @@
     pub key: Name,
     /// Value; `None` if the row was removed.
     pub value: Option<Arc<[u8]>>,
-    /// Version of the store with the last change of the row.
-    pub version: u64,
+    /// Version of the store with the last change of the row, or with the first reading of the row in
+    /// an era.
+    pub version: StoreVersion,
 }
 
 /// Changes of a table between two versions of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableChanges {
     /// Version after which all changes are included.
-    pub after: u64,
+    pub after: StoreVersion,
     /// Version of the store up to which all changes are included.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Whether `rows` are all rows of the table, whatever was known before.
     pub is_snapshot: bool,
     /// Changed rows.
@@ -66,15 +82,15 @@
     /// Rows, and removals since `complete_since`.
     rows: BTreeMap<Name, StoreRow>,
     /// Version of the store up to which the table is known.
-    version: Option<u64>,
+    version: Option<StoreVersion>,
     /// Oldest version after which all changes can still be told.
-    complete_since: u64,
+    complete_since: StoreVersion,
 }
 
 impl TableReplica {
     /// Version of the store up to which the table is known; `None` at first.
     #[must_use]
-    pub fn version(&self) -> Option<u64> {
+    pub fn version(&self) -> Option<StoreVersion> {
         self.version
     }
 
@@ -83,10 +99,13 @@
         if self.version.is_some_and(|known| changes.version < known) {
             return Err(ApplyError::Stale);
         }
-        if !changes.is_snapshot && self.version.is_none_or(|known| known < changes.after) {
+        let is_first_of_era = self
+            .version
+            .is_none_or(|known| known.era < changes.version.era);
+        let joins_on = self.version.is_some_and(|known| known >= changes.after);
+        if !changes.is_snapshot && (is_first_of_era || !joins_on) {
             return Err(ApplyError::Gap);
         }
-        let is_first = self.version.is_none();
         let mut missing = changes.missing;
         missing.retain(|key| self.rows.get(key).is_some_and(|row| row.value.is_some()));
         if changes.is_snapshot {
@@ -100,29 +119,37 @@
             let known = self.rows.get(&row.key);
             known.is_none_or(|known| known.version < row.version)
         });
+        if is_first_of_era {
+            self.rows.clear();
+        }
         for row in &news {
             self.rows.insert(row.key.clone(), row.clone());
         }
         for key in &missing {
             self.rows.remove(key);
         }
-        if is_first || !missing.is_empty() {
+        if is_first_of_era || !missing.is_empty() {
             self.complete_since = changes.version;
         }
         let after = self.version.replace(changes.version).unwrap_or_default();
         Ok(TableChanges {
             after,
             version: changes.version,
-            is_snapshot: is_first,
+            is_snapshot: is_first_of_era,
             rows: news,
             missing,
         })
     }
 
+    /// Rows, and recent removals.
+    pub fn rows(&self) -> impl Iterator<Item = &StoreRow> {
+        self.rows.values()
+    }
+
     /// What a replica that knows the table up to `known` lacks; `None` if this one knows nothing or
     /// less.
     #[must_use]
-    pub fn changes_after(&self, known: Option<u64>) -> Option<TableChanges> {
+    pub fn changes_after(&self, known: Option<StoreVersion>) -> Option<TableChanges> {
         let version = self.version?;
         if known.is_some_and(|known| known > version) {
             return None;
--- a/crates/sardineshore-core/tests/store_readers.rs
+++ b/crates/sardineshore-core/tests/store_readers.rs
@@ -7,7 +7,14 @@
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::freshness::Freshness;
 use sardineshore_core::flow::readers::{FollowerConfig, ReaderAction, StoreFollower, rank_readers};
-use sardineshore_core::flow::replica::{ApplyError, StoreRow, TableChanges, TableReplica};
+use sardineshore_core::flow::replica::{
+    ApplyError, StoreRow, StoreVersion, TableChanges, TableReplica,
+};
+
+/// A version of the first era.
+fn at(number: u64) -> StoreVersion {
+    StoreVersion { era: 1, number }
+}
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -17,7 +24,7 @@
     StoreRow {
         key: key.into(),
         value: Some(key.as_bytes().into()),
-        version,
+        version: at(version),
     }
 }
 
@@ -30,8 +37,8 @@
 
 fn changes(after: u64, version: u64, rows: Vec<StoreRow>) -> TableChanges {
     TableChanges {
-        after,
-        version,
+        after: at(after),
+        version: at(version),
         rows,
         ..TableChanges::default()
     }
@@ -76,7 +83,7 @@
     let mut replica = replica(5, vec![]);
     let gap = changes(6, 8, vec![row("b", 8)]);
     assert_eq!(replica.apply(gap), Err(ApplyError::Gap));
-    assert_eq!(replica.version(), Some(5));
+    assert_eq!(replica.version(), Some(at(5)));
 }
 
 #[test]
@@ -103,7 +110,7 @@
     let lacking = reader.changes_after(follower.version()).unwrap();
     assert!(!lacking.is_snapshot);
     assert_eq!(keys(&follower.apply(lacking).unwrap()), ["c"]);
-    assert_eq!(reader.changes_after(Some(10)), None);
+    assert_eq!(reader.changes_after(Some(at(10))), None);
 }
 
 #[test]
@@ -220,3 +227,41 @@
         }
     }
 }
+
+/// Changes of the store after it was restored from a copy.
+fn in_next_era(mut changes: TableChanges) -> TableChanges {
+    changes.version.era += 1;
+    for row in &mut changes.rows {
+        row.version.era += 1;
+    }
+    changes
+}
+
+#[test]
+fn apply_changes_after_restore_need_all_rows_first() {
+    let mut replica = replica(9, vec![row("a", 3), row("b", 8)]);
+    let further = in_next_era(changes(9, 12, vec![row("c", 12)]));
+    assert_eq!(replica.apply(further), Err(ApplyError::Gap));
+    let restored = in_next_era(snapshot(5, vec![row("a", 3), row("d", 5)]));
+    let news = replica.apply(restored.clone()).unwrap();
+    assert_eq!(keys(&news), ["a", "d"]);
+    assert_eq!(news.missing, ["b".into()]);
+    assert!(news.is_snapshot);
+    assert_eq!(replica.version(), Some(restored.version));
+    let late = snapshot(11, vec![row("a", 3)]);
+    assert_eq!(replica.apply(late), Err(ApplyError::Stale));
+}
+
+#[test]
+fn changes_after_version_of_earlier_era_are_all_rows() {
+    let mut reader = replica(9, vec![row("a", 3), row("b", 8)]);
+    let mut follower = replica(9, vec![row("a", 3), row("b", 8)]);
+    let restored = in_next_era(snapshot(20, vec![row("a", 3)]));
+    let news = reader.apply(restored).unwrap();
+    // The follower is told like any other, and one that comes later gets the same.
+    let lacking = reader.changes_after(follower.version()).unwrap();
+    assert!(lacking.is_snapshot && news.is_snapshot);
+    assert_eq!(keys(&lacking), keys(&news));
+    follower.apply(news).unwrap();
+    assert_eq!(follower.version(), reader.version());
+}
--- a/crates/sardineshore-serve/src/crashes.rs
+++ b/crates/sardineshore-serve/src/crashes.rs
@@ -10,6 +10,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rand::Rng;
@@ -19,7 +20,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
-use crate::dialect::{StoreRow, Table};
+use crate::dialect::{StoreRow, StoreVersion, Table};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::state::{SharedState, whole_ms};
@@ -67,7 +68,7 @@
     sound_pending: Cell<bool>,
     next_row: Cell<u64>,
     /// Version of the newest row of this instance.
-    own_version: Cell<u64>,
+    own_version: Cell<StoreVersion>,
     weak: Weak<Self>,
 }
 
@@ -97,7 +98,7 @@
             to_write: Notify::new(),
             sound_pending: Cell::new(false),
             next_row: Cell::new(0),
-            own_version: Cell::new(0),
+            own_version: Cell::default(),
             weak: weak.clone(),
         })
     }
@@ -322,6 +323,20 @@
         }
     }
 
+    /// Writes evidence of this instance again that the store has lost, given the rows that it lacks.
+    pub fn rewrite(&self, lost: &[(Name, Arc<[u8]>)]) {
+        let own = lost
+            .iter()
+            .filter(|(key, _)| (key.rsplit_once('/')).is_some_and(|(i, _)| *i == *self.instance));
+        let evidence =
+            own.filter_map(|(_, value)| postcard::from_bytes::<Vec<Evidence>>(value).ok());
+        let evidence: Vec<Evidence> = evidence.flatten().collect();
+        if !evidence.is_empty() {
+            self.unwritten.borrow_mut().extend(evidence);
+            self.to_write.notify_one();
+        }
+    }
+
     /// Writes on after the newest row of this instance, which may be that of an earlier process.
     fn skip_own_row(&self, row: &StoreRow) {
         let Some((instance, number)) = row.key.rsplit_once('/') else {
--- a/crates/sardineshore-serve/src/dialect.rs
+++ b/crates/sardineshore-serve/src/dialect.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use sardineshore_core::flow::batching::{CallPiece, FreeMemory, PieceError};
 use sardineshore_core::flow::config::{Name, Server, ServingConfig};
-pub use sardineshore_core::flow::replica::StoreRow;
+pub use sardineshore_core::flow::replica::{StoreRow, StoreVersion};
 use sardineshore_core::flow::selection::{LoadReport, PromptPart};
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +47,8 @@
     pub rate_limit: &'static str,
     /// `1` in the responses of a server that shuts down.
     pub leaving: &'static str,
+    /// Era in the store's responses: a number that rises when the store is restored from a copy.
+    pub store_era: &'static str,
     /// Headers that callers may not set; they are dropped from requests.
     pub reserved: &'static [&'static str],
 }
@@ -70,7 +72,7 @@
     /// Whether further pages follow.
     pub has_more: bool,
     /// Version of the whole store as of this page.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Reading of the store's monotonic clock for this page, in milliseconds.
     pub store_time_ms: u64,
 }
@@ -125,8 +127,8 @@
     fn read_rows_call(&self, table: Table, from: Option<&str>) -> HttpCall;
     /// Call that waits up to `wait` for changes of a table after version `after`.
     fn watch_rows_call(&self, table: Table, after: u64, wait: Duration) -> HttpCall;
-    /// Decodes the response to a read or a watch.
-    fn decode_rows(&self, bytes: &[u8]) -> anyhow::Result<RowPage>;
+    /// Decodes the response to a read or a watch of a store in this era.
+    fn decode_rows(&self, bytes: &[u8], era: u64) -> anyhow::Result<RowPage>;
     /// Call that writes a row.
     fn put_row_call(&self, table: Table, key: &str, value: &[u8]) -> HttpCall;
     /// Call that removes a row.
--- a/crates/sardineshore-serve/src/limits.rs
+++ b/crates/sardineshore-serve/src/limits.rs
@@ -121,6 +121,29 @@
         }
     }
 
+    /// Applies the rows of a store that was restored from a copy. Limits that are known from before stay,
+    /// and one instance writes each of them again if the copy differs.
+    pub fn apply_restored(&self, changes: &TableChanges) {
+        let before = self.rows.take();
+        let (known, unknown) = (changes.rows.iter().cloned())
+            .partition::<Vec<_>, _>(|row| before.contains_key(&row.key));
+        for row in known {
+            let limit = row.value.as_deref().map(postcard::from_bytes::<f64>);
+            if let Some(Ok(limit)) = limit {
+                self.rows.borrow_mut().insert(row.key, limit);
+            }
+        }
+        self.apply(&TableChanges {
+            rows: unknown,
+            ..TableChanges::default()
+        });
+        let (candidates, own) = (self.peers.candidates(), &self.peers.this_instance().name);
+        let mine = before.into_keys();
+        let mine = mine.filter(|server| rank_owners(server, &candidates).first() == Some(own));
+        self.unwritten.borrow_mut().extend(mine);
+        self.to_write.notify_one();
+    }
+
     /// Writes changes of limits to the store, forever.
     pub async fn share(self: Rc<Self>) {
         loop {
--- a/crates/sardineshore-serve/src/relay.rs
+++ b/crates/sardineshore-serve/src/relay.rs
@@ -17,7 +17,7 @@
 use slog::{Logger, info};
 use tokio::sync::{Notify, mpsc};
 
-use crate::dialect::Table;
+use crate::dialect::{StoreVersion, Table};
 use crate::peers::{Message, Peers};
 use crate::state::boot_time;
 
@@ -52,7 +52,7 @@
 }
 
 /// Versions up to which a subscriber knows the tables, in the order of [`Table::ALL`].
-pub type KnownVersions = [Option<u64>; Table::ALL.len()];
+pub type KnownVersions = [Option<StoreVersion>; Table::ALL.len()];
 
 /// An event of a link to a reader.
 #[derive(Debug)]
--- a/crates/sardineshore-serve/src/store.rs
+++ b/crates/sardineshore-serve/src/store.rs
@@ -7,7 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::dialect::{Dialect, HttpCall, RowPage, Table};
+use anyhow::Context;
+
+use crate::dialect::{Dialect, HttpCall, RowPage, StoreVersion, Table};
 use crate::state::boot_time;
 use crate::upstream::{ConnectionPool, ExchangeError, OutgoingRequest};
 
@@ -24,6 +26,9 @@
     /// The store no longer keeps the changes after the version that a watch named.
     #[error("the store no longer has the requested changes")]
     HistoryGone,
+    /// The store was restored from a copy after the version that a watch named.
+    #[error("the store was restored from a copy")]
+    Restored,
     /// The store responded with this unexpected status.
     #[error("unexpected status {0}")]
     Status(u16),
@@ -94,6 +99,12 @@
         loop {
             let call = self.dialect.read_rows_call(table, start.as_deref());
             let next = self.fetch_page(call, Duration::ZERO).await?;
+            if all
+                .as_ref()
+                .is_some_and(|all| all.page.version.era != next.page.version.era)
+            {
+                return Err(StoreError::Restored);
+            }
             let has_more = next.page.has_more;
             // A page includes its first key, so the next one starts at a key just after the last
             // one.
@@ -112,11 +123,15 @@
     pub async fn watch(
         &self,
         table: Table,
-        after: u64,
+        after: StoreVersion,
         wait: Duration,
     ) -> Result<TimedPage, StoreError> {
-        self.fetch_page(self.dialect.watch_rows_call(table, after, wait), wait)
-            .await
+        let call = self.dialect.watch_rows_call(table, after.number, wait);
+        let timed = self.fetch_page(call, wait).await?;
+        if timed.page.version.era != after.era {
+            return Err(StoreError::Restored);
+        }
+        Ok(timed)
     }
 
     /// Writes a row, whether or not it exists.
@@ -133,10 +148,10 @@
 
     async fn fetch_page(&self, call: HttpCall, wait: Duration) -> Result<TimedPage, StoreError> {
         let sent = boot_time();
-        let body = self.send(call, wait).await?;
+        let (body, era) = self.send(call, wait).await?;
         let page = self
             .dialect
-            .decode_rows(&body)
+            .decode_rows(&body, era)
             .map_err(StoreError::Decode)?;
         Ok(TimedPage {
             page,
@@ -145,8 +160,8 @@
         })
     }
 
-    /// Sends a call and returns the body of its response.
-    async fn send(&self, call: HttpCall, wait: Duration) -> Result<Vec<u8>, StoreError> {
+    /// Sends a call and returns the body of its response, and the store's era.
+    async fn send(&self, call: HttpCall, wait: Duration) -> Result<(Vec<u8>, u64), StoreError> {
         self.call_count.set(self.call_count.get() + 1);
         match tokio::time::timeout(wait + RESPONSE_TIMEOUT, self.exchange(&call)).await {
             Ok(result) => result,
@@ -154,7 +169,7 @@
         }
     }
 
-    async fn exchange(&self, call: &HttpCall) -> Result<Vec<u8>, StoreError> {
+    async fn exchange(&self, call: &HttpCall) -> Result<(Vec<u8>, u64), StoreError> {
         let head = encode_call_head(call, self.address);
         let mut conn = self
             .connections
@@ -170,8 +185,19 @@
         let body = conn.read_body(&mut response).await?;
         let status = response.head.status;
         self.connections.recycle(conn, &response);
+        let era = response
+            .head
+            .headers
+            .get(self.dialect.header_names().store_era);
+        // A store that names no era was never restored.
+        let era = era.map_or(Ok(0), |text| text.trim().parse());
         match status {
-            200..=299 => Ok(body),
+            200..=299 => {
+                let era = era
+                    .context("era of the store")
+                    .map_err(StoreError::Decode)?;
+                Ok((body, era))
+            }
             410 => Err(StoreError::HistoryGone),
             _ => Err(StoreError::Status(status)),
         }
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -3,6 +3,10 @@
 //!
 //! A response that shows an older state of the store than a previous one changes nothing; the
 //! whole table is then read again.
+//!
+//! [`restore`] handles a store that comes back from a copy.
+
+mod restore;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -10,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
+use restore::RESTORE_SETTLE_TIME;
 use sardineshore_core::flow::config::{ConfigIndex, Name};
 use sardineshore_core::flow::registry::{ApplyOutcome, RegistryEntry, RegistryRow, ServerRegistry};
 use sardineshore_core::flow::replica::{ApplyError, TableChanges, TableReplica};
@@ -18,7 +23,7 @@
 
 use crate::attempt::Dispatcher;
 use crate::crashes::CrashMonitor;
-use crate::dialect::{Dialect, StoreRow, Table};
+use crate::dialect::{Dialect, StoreRow, StoreVersion, Table};
 use crate::limits::LimitExchange;
 use crate::peers::{InstanceInfo, Peers};
 use crate::relay::{Applied, KnownVersions, ReaderMessage, Stamp, StoreRelay};
@@ -98,6 +103,11 @@
     drain_bound: Duration,
     /// Whether the newest configuration that was read is the active one.
     config_usable: Cell<bool>,
+    /// When a restored store may confirm the configuration; `None` if it may.
+    settled_at: Cell<Option<Instant>>,
+    /// Instances whose rows a restored store lacks, and when they are dropped.
+    unlisted_instances: RefCell<BTreeMap<Name, Instant>>,
+    instances_restored: Notify,
     started_at: Instant,
     /// Whether this instance had no row in the first list of instances.
     was_unlisted: Cell<bool>,
@@ -162,6 +172,9 @@
             on_change,
             drain_bound,
             config_usable: Cell::new(true),
+            settled_at: Cell::new(None),
+            unlisted_instances: RefCell::default(),
+            instances_restored: Notify::new(),
             started_at: Instant::now(),
             was_unlisted: Cell::new(false),
             store_time_ms: Cell::new(None),
@@ -188,7 +201,7 @@
         tokio::task::spawn_local(async move { watcher.register().await });
     }
 
-    fn version(&self, table: Table) -> Option<u64> {
+    fn version(&self, table: Table) -> Option<StoreVersion> {
         self.replicas.borrow()[table_index(table)].version()
     }
 
@@ -223,7 +236,10 @@
             let call = async {
                 match after {
                     None => self.store.read(table).await,
-                    Some(after) => self.store.watch(table, after, wait).await,
+                    Some(after) => {
+                        let wait = wait.min(self.time_to_settle(table));
+                        self.store.watch(table, after, wait).await
+                    }
                 }
             };
             // The first subscriber needs a confirmation that is more recent than the last one.
@@ -318,13 +334,14 @@
             Table::Config if self.relay.has_subscribers() => READER_CONFIG_WAIT,
             Table::Config => CONFIG_WAIT,
             Table::Servers if self.has_missing_entries() => MISSING_SERVERS_WAIT,
+            Table::Instances if !self.unlisted_instances.borrow().is_empty() => RESTORE_SETTLE_TIME,
             Table::Servers | Table::Instances | Table::Crashes | Table::Limits => LONG_WAIT,
         }
     }
 
     /// Whether servers without an entry are in use here, or may still be at a follower.
     fn has_missing_entries(&self) -> bool {
-        if self.servers.borrow().has_entries_in_grace() {
+        if self.servers.borrow().awaits_entries() {
             self.entries_missing_at.set(Some(Instant::now()));
         }
         let at = self.entries_missing_at.get();
@@ -405,7 +422,8 @@
         } else {
             debug!(self.log, "call to the store failed again"; "table" => ?table, "fault" => error.to_string());
         }
-        if table == Table::Config && !matches!(error, StoreError::HistoryGone) {
+        let is_reachable = matches!(error, StoreError::HistoryGone | StoreError::Restored);
+        if table == Table::Config && !is_reachable {
             self.reachable.set(None);
             let age = self.state.freshness.borrow().age(boot_time());
             if age.is_none_or(|age| age >= CONFIG_WAIT / 2) {
@@ -431,7 +449,7 @@
         &self,
         table: Table,
         timed: TimedPage,
-        after: Option<u64>,
+        after: Option<StoreVersion>,
     ) -> Result<(), PageError> {
         if table == Table::Config {
             let before = self.reachable.replace(Some(self.relay.lost_reader_count()));
@@ -451,7 +469,7 @@
         };
         let (changes, applied) = self.apply_changes(table, changes)?;
         let mut stamp = None;
-        if table == Table::Config && applied.is_ok() {
+        if table == Table::Config && applied.is_ok() && self.is_settled() {
             let mut freshness = self.state.freshness.borrow_mut();
             freshness.record(sent, received, store_time_ms);
             self.clock_checked_at.set(Instant::now());
@@ -475,8 +493,12 @@
         table: Table,
         changes: TableChanges,
     ) -> Result<(TableChanges, Result<(), PageError>), ApplyError> {
+        let restored = self.compare_restored(table, &changes);
         let news = self.replicas.borrow_mut()[table_index(table)].apply(changes)?;
-        let applied = self.apply_news(table, &news);
+        let applied = match restored {
+            Some(restored) => self.apply_restored(table, &news, &restored),
+            None => self.apply_news(table, &news),
+        };
         let own = &self.peers.this_instance().name;
         let is_listed = self.instances.borrow().contains_key(own);
         // An instance that was not listed before has started for the first time.
@@ -492,7 +514,17 @@
     /// Applies changes that are news to what depends on the table.
     fn apply_news(&self, table: Table, news: &TableChanges) -> Result<(), PageError> {
         match table {
-            Table::Config => self.apply_config(news),
+            Table::Config => {
+                if news
+                    .rows
+                    .iter()
+                    .any(|row| *row.key == *self.dialect.config_key())
+                {
+                    // Written since the store was restored.
+                    self.settled_at.set(None);
+                }
+                self.apply_config(news)
+            }
             Table::Servers => {
                 self.apply_servers(news);
                 Ok(())
@@ -579,8 +611,9 @@
         }
     }
 
-    /// Registers this instance in the store. Its row stays when it stops, as the next start has the
-    /// same name and address; it is written only if it has changed.
+    /// Registers this instance in the store, and again whenever the store was restored from a copy. Its
+    /// row stays when it stops, as the next start has the same name and address; it is written only if
+    /// it has changed.
     async fn register(&self) {
         let own = self.peers.this_instance().clone();
         let Ok(value) = postcard::to_stdvec(&own) else {
@@ -589,22 +622,30 @@
         loop {
             self.wait_until_reachable().await;
             if self.version(Table::Instances).is_some() {
-                if self.instances.borrow().get(&own.name) == Some(&own) {
-                    return;
-                }
-                let put = self.store.put(Table::Instances, &own.name, &value).await;
+                let put = if self.is_registered(&own.name, &value) {
+                    Ok(())
+                } else {
+                    self.store.put(Table::Instances, &own.name, &value).await
+                };
                 match put {
-                    Ok(()) => return,
+                    Ok(()) => self.instances_restored.notified().await,
                     Err(error) => {
                         info!(self.log, "can't register the instance; retrying"; "fault" => error.to_string());
+                        tokio::time::sleep(REGISTRATION_DELAY).await;
                     }
                 }
-                tokio::time::sleep(REGISTRATION_DELAY).await;
             }
             tokio::time::sleep(BACKOFF_STEP / 4).await;
         }
     }
 
+    /// Whether the store has the row of this instance, as far as it is known.
+    fn is_registered(&self, name: &Name, value: &[u8]) -> bool {
+        let replicas = self.replicas.borrow();
+        let mut rows = replicas[table_index(Table::Instances)].rows();
+        rows.any(|row| row.key == *name && row.value.as_deref() == Some(value))
+    }
+
     /// Applies changes of the configuration. Fails if the newest one can't be used; nothing is
     /// confirmed then.
     fn apply_config(&self, changes: &TableChanges) -> Result<(), PageError> {
@@ -619,17 +660,17 @@
                     let version = config.version;
                     let current = self.state.config().map_or(0, |config| config.version());
                     if version < current {
-                        warn!(self.log, "configuration is older than the active one"; "version" => version, "active" => current, "row" => row.version);
+                        warn!(self.log, "configuration is older than the active one"; "version" => version, "active" => current, "row" => row.version.number);
                         continue;
                     }
                     self.config_usable.set(true);
                     if self.state.install_config(ConfigIndex::new(config)) {
-                        info!(self.log, "new configuration is active"; "version" => version, "row" => row.version);
+                        info!(self.log, "new configuration is active"; "version" => version, "row" => row.version.number);
                         (self.on_change)();
                     }
                 }
                 Err(error) => {
-                    warn!(self.log, "can't decode configuration; keeping the previous one"; "row" => row.version, "fault" => format!("{error:#}"));
+                    warn!(self.log, "can't decode configuration; keeping the previous one"; "row" => row.version.number, "fault" => format!("{error:#}"));
                 }
             }
         }
@@ -651,7 +692,7 @@
             let servers = registry.servers();
             drop(registry);
             let ready = servers.iter().filter(|server| server.ready).count();
-            info!(self.log, "servers"; "listed" => servers.len(), "ready" => ready, "version" => version);
+            info!(self.log, "servers"; "listed" => servers.len(), "ready" => ready, "version" => version.number, "era" => version.era);
             self.state.selector.borrow_mut().set_servers(servers);
             (self.on_change)();
         }
@@ -660,20 +701,27 @@
     /// Applies changes of the instances.
     fn apply_instances(&self, changes: &TableChanges) {
         let mut instances = self.instances.borrow_mut();
+        let mut unlisted = self.unlisted_instances.borrow_mut();
         for row in &changes.rows {
+            unlisted.remove(&row.key);
             let info = row.value.as_deref().map(postcard::from_bytes);
             match info {
                 Some(Ok(info)) => instances.insert(row.key.clone(), info),
                 Some(Err(_)) | None => instances.remove(&row.key),
             };
         }
-        for name in &changes.missing {
+        let now = Instant::now();
+        let mut missing = changes.missing.clone();
+        let expired = unlisted.iter().filter(|(_, until)| now >= **until);
+        missing.extend(expired.map(|(name, _)| name.clone()));
+        unlisted.retain(|_, until| now < *until);
+        for name in &missing {
             instances.remove(name);
         }
-        if !changes.rows.is_empty() || !changes.missing.is_empty() {
+        if !changes.rows.is_empty() || !missing.is_empty() {
             self.peers
                 .set_instances(instances.values().cloned().collect());
-            info!(self.log, "instances"; "listed" => instances.len(), "version" => changes.version);
+            info!(self.log, "instances"; "listed" => instances.len(), "version" => changes.version.number);
         }
     }
 
@@ -689,7 +737,7 @@
                 }
             },
         };
-        debug!(self.log, "read server entry"; "server" => &*row.key, "row" => row.version, "entry" => ?entry);
+        debug!(self.log, "read server entry"; "server" => &*row.key, "row" => row.version.number, "entry" => ?entry);
         RegistryRow {
             id: row.key.clone(),
             entry,
--- a/crates/sardineshore-serve/tests/messages.rs
+++ b/crates/sardineshore-serve/tests/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between instances: long ones are compressed, and no bytes make the decoder fail badly.
 
 use proptest::prelude::*;
-use sardineshore_core::flow::replica::{StoreRow, TableChanges};
+use sardineshore_core::flow::replica::{StoreRow, StoreVersion, TableChanges};
 use sardineshore_serve::dialect::Table;
 use sardineshore_serve::peers::Message;
 use sardineshore_serve::relay::ReaderMessage;
@@ -14,7 +14,7 @@
         StoreRow {
             key: format!("i-{n:08x}").into(),
             value: Some(value.into_bytes().into()),
-            version: n,
+            version: StoreVersion { era: 1, number: n },
         }
     });
     Message::Store(ReaderMessage::Changes {
