fix(limits): rows written just before a restore of the store are written again

Users would have seen a server's rate limit, or the evidence about a request that crashes servers, unknown to each instance that starts after the restore.

Cause: what is written again was taken from the rows that had been read back from the store. A row that was acknowledged, but not yet read back when the store lost it, is in no such set. Class of fault: the state as last read stands for the state as last written. The instances' own rows don't have it: they are compared with what the instance wants to have written.

Ruled out: the machine's load as such.

Change: limits are written again from those in force; one whose row was not read back is written by the instance that knows it, not by the owner, who may not. Evidence is kept until its row is read back.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -257,6 +257,11 @@
         self.limits.get(id).map(RateLimit::per_second)
     }
 
+    /// Servers that have a rate limit.
+    pub fn limited_servers(&self) -> impl Iterator<Item = &Name> {
+        self.limits.keys()
+    }
+
     /// Whether any server has a rate limit.
     #[must_use]
     pub fn has_limits(&self) -> bool {
--- a/crates/sardineshore-serve/src/crashes.rs
+++ b/crates/sardineshore-serve/src/crashes.rs
@@ -67,6 +67,8 @@
     /// Whether a task waits to share features that are sound.
     sound_pending: Cell<bool>,
     next_row: Cell<u64>,
+    /// Evidence in rows that were written and not read back yet, by their keys.
+    unread: RefCell<HashMap<Name, Vec<Evidence>>>,
     /// Version of the newest row of this instance.
     own_version: Cell<StoreVersion>,
     weak: Weak<Self>,
@@ -98,6 +100,7 @@
             to_write: Notify::new(),
             sound_pending: Cell::new(false),
             next_row: Cell::new(0),
+            unread: RefCell::default(),
             own_version: Cell::default(),
             weak: weak.clone(),
         })
@@ -296,7 +299,10 @@
         };
         let key = format!("{}/{}", self.instance, self.next_row.get());
         match self.store.put(Table::Crashes, &key, &value).await {
-            Ok(()) => self.next_row.set((self.next_row.get() + 1) % OWN_ROWS),
+            Ok(()) => {
+                self.unread.borrow_mut().insert(key.into(), evidence);
+                self.next_row.set((self.next_row.get() + 1) % OWN_ROWS);
+            }
             Err(error) => {
                 info!(self.log, "can't write evidence about crashes; retrying"; "fault" => error.to_string());
                 self.unwritten.borrow_mut().splice(0..0, evidence);
@@ -323,14 +329,16 @@
         }
     }
 
-    /// Writes evidence of this instance again that the store has lost, given the rows that it lacks.
+    /// Writes evidence of this instance again that the store may have lost, given the rows that it
+    /// lacks.
     pub fn rewrite(&self, lost: &[(Name, Arc<[u8]>)]) {
         let own = lost
             .iter()
             .filter(|(key, _)| (key.rsplit_once('/')).is_some_and(|(i, _)| *i == *self.instance));
         let evidence =
             own.filter_map(|(_, value)| postcard::from_bytes::<Vec<Evidence>>(value).ok());
-        let evidence: Vec<Evidence> = evidence.flatten().collect();
+        let mut evidence: Vec<Evidence> = evidence.flatten().collect();
+        evidence.extend(self.unread.take().into_values().flatten());
         if !evidence.is_empty() {
             self.unwritten.borrow_mut().extend(evidence);
             self.to_write.notify_one();
@@ -343,6 +351,7 @@
             return;
         };
         if *instance == *self.instance && row.version > self.own_version.get() {
+            self.unread.borrow_mut().remove(&row.key);
             self.own_version.set(row.version);
             let number: u64 = number.parse().unwrap_or_default();
             self.next_row.set((number + 1) % OWN_ROWS);
--- a/crates/sardineshore-serve/src/limits.rs
+++ b/crates/sardineshore-serve/src/limits.rs
@@ -122,7 +122,8 @@
     }
 
     /// Applies the rows of a store that was restored from a copy. Limits that are known from before stay,
-    /// and one instance writes each of them again if the copy differs.
+    /// and one instance writes each of them again if the copy differs. The others may not know a limit
+    /// whose row this instance has not read back: it writes that itself.
     pub fn apply_restored(&self, changes: &TableChanges) {
         let before = self.rows.take();
         let (known, unknown) = (changes.rows.iter().cloned())
@@ -138,8 +139,13 @@
             ..TableChanges::default()
         });
         let (candidates, own) = (self.peers.candidates(), &self.peers.this_instance().name);
-        let mine = before.into_keys();
-        let mine = mine.filter(|server| rank_owners(server, &candidates).first() == Some(own));
+        let is_mine = |server: &&Name| {
+            let is_owner = || rank_owners(server, &candidates).first() == Some(own);
+            !before.contains_key(*server) || is_owner()
+        };
+        let selector = self.state.selector.borrow();
+        let servers = before.keys().chain(selector.limited_servers());
+        let mine = servers.filter(is_mine).cloned();
         self.unwritten.borrow_mut().extend(mine);
         self.to_write.notify_one();
     }
