fix(streaming): a stream is complete only once the event that broke off was sent

Cause: an attempt that goes on with a stream counted as its end whenever the body ended outside an event, also if this server had sent no event at all: a response until close whose server stopped after its head, or an empty one, although the server before had broken off inside the next event, which therefore exists.

Ruled out: errors of the next server inside the stream, also with a seal, in chunks or until close, with bare line feeds, or cut in the head (ten kinds, three routes): none reached the caller before the change. A refusal written once more on a kept connection, with the same, no or two ids, and responses cut at each place of their head, held before the change as well; their tests stay.

Change: EventFilter remembers that an event has begun until one is forwarded, and a response until close without an event is lost. A framed empty response after a break between two events still ends the stream.

--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -387,7 +387,10 @@
                 }
             };
             let Some(data) = data else {
-                if sink.filter.has_partial_event() || !sink.started {
+                // A server that stopped before its first event may close such a response too.
+                let stopped_early =
+                    response.is_close_delimited() && !connected.attempt.has_output();
+                if sink.filter.is_inside_event() || !sink.started || stopped_early {
                     connected.attempt.record_lost_connection();
                     connected.attempt.finish(AttemptOutcome::Failure);
                     return Err(End::Lost("stream ended inside an event"));
--- a/crates/sardineshore-serve/src/stream.rs
+++ b/crates/sardineshore-serve/src/stream.rs
@@ -42,6 +42,8 @@
     line_start: usize,
     last_id: Option<u64>,
     forwarded: bool,
+    /// Whether a server has broken off inside an event that no other server has sent since.
+    interrupted: bool,
 }
 
 impl EventFilter {
@@ -72,14 +74,15 @@
         self.forwarded
     }
 
-    /// Whether the buffer holds the beginning of an incomplete event.
+    /// Whether the stream can't end here: an event has begun, at this server or at one before it.
     #[must_use]
-    pub fn has_partial_event(&self) -> bool {
-        !self.buf.is_empty()
+    pub fn is_inside_event(&self) -> bool {
+        self.interrupted || !self.buf.is_empty()
     }
 
     /// Discards an incomplete event, before another server continues the stream.
     pub fn discard_partial_event(&mut self) {
+        self.interrupted |= !self.buf.is_empty();
         self.buf.clear();
         self.searched = 0;
         self.line_start = 0;
@@ -120,6 +123,7 @@
                 None => out.extend_from_slice(event),
             }
         }
+        self.interrupted &= out.is_empty();
         self.buf.drain(..consumed);
         self.searched = self.buf.len();
         self.line_start -= consumed;
--- a/crates/sardineshore-serve/src/upstream.rs
+++ b/crates/sardineshore-serve/src/upstream.rs
@@ -91,6 +91,12 @@
             decoder: BodyDecoder::new(Framing::Length(0)),
         }
     }
+
+    /// Whether only the end of the connection tells where the body ends.
+    #[must_use]
+    pub fn is_close_delimited(&self) -> bool {
+        self.decoder.is_close_delimited()
+    }
 }
 
 /// A request that is ready to be written to a connection.
--- a/crates/sardineshore-serve/tests/stream.rs
+++ b/crates/sardineshore-serve/tests/stream.rs
@@ -17,10 +17,14 @@
     let mut filter = EventFilter::default();
     filter.push(format!("{}id: 2\ndata", event(1)).as_bytes());
     assert_eq!(filter.take_events().unwrap(), event(1).as_bytes());
-    assert!(filter.has_partial_event());
+    assert!(filter.is_inside_event());
     filter.discard_partial_event();
+    // The stream can't end before another server has sent the event.
+    assert_eq!(filter.take_events().unwrap(), b"");
+    assert!(filter.is_inside_event());
     filter.push(event(2).as_bytes());
     assert_eq!(filter.take_events().unwrap(), event(2).as_bytes());
+    assert!(!filter.is_inside_event());
 }
 
 #[test]
