fix(wire): replies with bare line feeds in their head are lost, not forwarded

Reported by other operators: callers get the head of a reply in its body, or a success with a short body.

Cause: sardine-entry's client takes the body of a reply without length or chunks from the bytes after CRLF CRLF, but its parser also accepts heads whose lines end in a bare line feed. For these the whole head became the beginning of the body, or a CRLF CRLF in the body its end.

Ruled out: replies cut anywhere in their head, and errors of the next server after a stream that broke off (six kinds): held before the change; their tests stay. sardine-entry opens a connection for each attempt, so an earlier refusal can't be read again.

Change: such a head is ambiguous, so the reply counts as lost.

--- a/crates/sardineshore-wire/src/http.rs
+++ b/crates/sardineshore-wire/src/http.rs
@@ -288,16 +288,29 @@
         let interim = "an interim response, which no request asked for";
         return Err(http_types::Error::from_str(StatusCode::BadGateway, interim));
     }
+    let mut body = read.unwrap_or_default();
+    let Some(head_len) = head_len(&body) else {
+        let ambiguous = "a head with bare line feeds, whose end is ambiguous";
+        return Err(http_types::Error::from_str(
+            StatusCode::BadGateway,
+            ambiguous,
+        ));
+    };
     if !has_framed_body(&head) {
-        let mut body = read.unwrap_or_default();
-        let head_end = body.windows(4).position(|bytes| bytes == b"\r\n\r\n");
-        body.drain(..head_end.map_or(0, |at| at + 4));
+        body.drain(..head_len);
         let body = BufReader::new(Cursor::new(body).chain(stream));
         head.set_body(Body::from_reader(body, None));
     }
     Ok(head)
 }
 
+/// Length in bytes of the head at the start of `bytes`; `None` if a line of it doesn't end with CRLF.
+fn head_len(bytes: &[u8]) -> Option<usize> {
+    let end = bytes.windows(4).position(|end| end == b"\r\n\r\n")? + 4;
+    let mut lines = bytes[..end].split_inclusive(|byte| *byte == b'\n');
+    lines.all(|line| line.ends_with(b"\r\n")).then_some(end)
+}
+
 /// Whether a response says where its body ends, or has none.
 fn has_framed_body(head: &Response) -> bool {
     head.header("content-length").is_some()
