fix(watcher): servers whose entries vanish during an outage are dropped in time

Seen by callers: requests at a server that had left, up to a broken connection.

Cause: an instance that was cut off reads all servers when it is back. One that has no entry any more may have lost it in an outage of the store, so it stays in use for 1.7 s, which a response of the store must end. The wait of the next call was chosen before the rows were applied, as no entry was missing: 20 s. So the server stayed in use until another server came, changed or left. An instance that follows another one, whose reader misses no entry, was never told to end it either. Class of fault: a time limit that is checked only when something else happens.

Change: the wait is chosen after the rows were applied and ends with the first such period; an instance that follows another one asks the store itself if its reader's responses haven't ended the period. Calls each 0.3 s in that time are no longer made.

--- a/crates/sardineshore-core/src/flow/registry.rs
+++ b/crates/sardineshore-core/src/flow/registry.rs
@@ -85,11 +85,12 @@
         self.store_unavailable
     }
 
-    /// Whether a period has begun that ends in a call of [`ServerRegistry::apply`]: servers without
-    /// an entry are in use, or entries are held.
+    /// When [`ServerRegistry::apply`] must be called again, as the use of a server without an entry
+    /// ends, or an entry is held no longer; `None` if there is neither.
     #[must_use]
-    pub fn awaits_entries(&self) -> bool {
-        !self.grace_ends.is_empty() || !self.held_until.is_empty()
+    pub fn next_end(&self) -> Option<Instant> {
+        let ends = self.grace_ends.values().chain(self.held_until.values());
+        ends.min().copied()
     }
 
     /// All servers in use.
--- a/crates/sardineshore-core/tests/registry.rs
+++ b/crates/sardineshore-core/tests/registry.rs
@@ -70,7 +70,7 @@
     assert_eq!(server_ids(&registry), ["a", "b"]);
     registry.apply(vec![], false, at(3), now + Duration::from_secs(2));
     assert_eq!(server_ids(&registry), ["b"]);
-    assert!(!registry.awaits_entries());
+    assert!(registry.next_end().is_none());
 }
 
 #[test]
@@ -170,7 +170,7 @@
         let rows = in_restored(vec![row("a", 1), row("b", 2)]);
         registry.apply(rows, true, restored(2), now);
         assert_eq!(ready_ids(&registry), ["b"]);
-        assert!(registry.awaits_entries());
+        assert!(registry.next_end().is_some());
         let (rows, later) = if wrote {
             (in_restored(vec![row("a", 3)]), now)
         } else {
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -58,11 +58,15 @@
 /// The same while another instance will hand on the store's next response.
 const FOLLOWER_BACKOFF_STEP: Duration = Duration::from_millis(500);
 const FOLLOWER_MAX_BACKOFF: Duration = Duration::from_secs(4);
-/// Longest time for which one call waits for a change of the servers while some of those in use
-/// have no entry: they are dropped unless it returns in time.
-const MISSING_SERVERS_WAIT: Duration = Duration::from_millis(300);
-/// Time for which such calls go on after the last of them was dropped, as followers count later.
+/// Delay after a change of the servers while some of those in use have no entry.
+const MISSING_SERVERS_DELAY: Duration = Duration::from_millis(150);
+/// Time after the last of them was dropped for which followers may still use them, as they count
+/// from when they got the change.
 const MISSING_SERVERS_TAIL: Duration = Duration::from_millis(700);
+/// Longest time for which one call waits for a change in this time.
+const MISSING_SERVERS_TAIL_WAIT: Duration = Duration::from_millis(150);
+/// Margin after which the store's response ends the use of servers without an entry.
+const MISSING_SERVERS_MARGIN: Duration = Duration::from_millis(5);
 /// Longest time at its start for which an instance waits to follow another one.
 const FIRST_READER_WAIT: Duration = Duration::from_millis(600);
 /// Time from the first start of all instances after which they have registered.
@@ -120,8 +124,10 @@
     reachable_changed: Notify,
     /// Number of times that a call for the configuration succeeded after a failed one.
     outages: Cell<u64>,
-    /// When a server without an entry was last in use.
-    entries_missing_at: Cell<Option<Instant>>,
+    /// Notified when changes of the servers were applied.
+    servers_applied: Notify,
+    /// When the use of servers without an entry ends, or last ended.
+    missing_until: Cell<Option<Instant>>,
     clock_checked_at: Cell<Instant>,
     check_clock: Notify,
 }
@@ -181,7 +187,8 @@
             reachable: Cell::new(Some(0)),
             reachable_changed: Notify::new(),
             outages: Cell::new(0),
-            entries_missing_at: Cell::new(None),
+            servers_applied: Notify::new(),
+            missing_until: Cell::new(None),
             clock_checked_at: Cell::new(Instant::now()),
             check_clock: Notify::new(),
         }
@@ -255,7 +262,6 @@
                 }
                 result = call => result,
             };
-            wait = self.longest_wait(table);
             match result {
                 Ok(timed) => {
                     if failures > 0 {
@@ -270,6 +276,7 @@
                         continue;
                     }
                     read_all = false;
+                    let mut waited = Duration::ZERO;
                     if after.is_none() && table == Table::Instances {
                         if self.is_first_start() {
                             tokio::time::sleep(INSTANCES_DELAY).await;
@@ -280,9 +287,10 @@
                         let delay = self.delay_after_change(table);
                         tokio::time::sleep(delay).await;
                         if table == Table::Config {
-                            wait = wait.saturating_sub(delay);
+                            waited = delay;
                         }
                     }
+                    wait = self.longest_wait(table).saturating_sub(waited);
                 }
                 Err(error) => {
                     failures += 1;
@@ -333,26 +341,33 @@
         match table {
             Table::Config if self.relay.has_subscribers() => READER_CONFIG_WAIT,
             Table::Config => CONFIG_WAIT,
-            Table::Servers if self.has_missing_entries() => MISSING_SERVERS_WAIT,
+            Table::Servers => self.longest_servers_wait(),
             Table::Instances if !self.unlisted_instances.borrow().is_empty() => RESTORE_SETTLE_TIME,
-            Table::Servers | Table::Instances | Table::Crashes | Table::Limits => LONG_WAIT,
+            Table::Instances | Table::Crashes | Table::Limits => LONG_WAIT,
         }
     }
 
-    /// Whether servers without an entry are in use here, or may still be at a follower.
-    fn has_missing_entries(&self) -> bool {
-        if self.servers.borrow().awaits_entries() {
-            self.entries_missing_at.set(Some(Instant::now()));
+    /// Longest time for which one call waits for a change of the servers. Only a response of the store
+    /// ends the use of servers without an entry.
+    fn longest_servers_wait(&self) -> Duration {
+        let now = Instant::now();
+        if let Some(end) = self.servers.borrow().next_end() {
+            self.missing_until.set(Some(end.max(now)));
+            return end.saturating_duration_since(now) + MISSING_SERVERS_MARGIN;
+        }
+        let tail = self.missing_until.get().map(|at| at + MISSING_SERVERS_TAIL);
+        if tail.is_some_and(|tail| now < tail) && self.relay.has_subscribers() {
+            MISSING_SERVERS_TAIL_WAIT
+        } else {
+            LONG_WAIT
         }
-        let at = self.entries_missing_at.get();
-        at.is_some_and(|at| at.elapsed() < MISSING_SERVERS_TAIL)
     }
 
     /// Delay after a change, so that one call returns several changes.
     fn delay_after_change(&self, table: Table) -> Duration {
         match table {
             Table::Config => CONFIG_DELAY.min(self.longest_wait(table) / 2),
-            Table::Servers if self.has_missing_entries() => MISSING_SERVERS_WAIT / 2,
+            Table::Servers if self.servers.borrow().next_end().is_some() => MISSING_SERVERS_DELAY,
             Table::Servers if self.relay.has_subscribers() => {
                 self.drain_bound.mul_f64(READER_SERVERS_DELAY_FRACTION)
             }
@@ -364,16 +379,25 @@
     }
 
     /// Waits while another instance is followed. For the configuration, calls the store now and then
-    /// to compare the clocks.
+    /// to compare the clocks; for the servers, to end the use of those without an entry if the other
+    /// instance hands on no response in time.
     async fn wait_as_follower(&self, table: Table) {
         loop {
             let left = CLOCK_CHECK_INTERVAL.saturating_sub(self.clock_checked_at.get().elapsed());
+            let end = self.servers.borrow().next_end();
+            let overdue = end.map(|end| end + MISSING_SERVERS_TAIL_WAIT * 2);
+            let overdue_in = overdue.map(|at| at.saturating_duration_since(Instant::now()));
             tokio::select! {
                 () = self.relay.wait_must_read(true) => return,
                 () = self.check_clock.notified(), if table == Table::Config => {}
                 () = tokio::time::sleep(left), if table == Table::Config => {}
+                () = self.servers_applied.notified(), if table == Table::Servers => continue,
+                () = tokio::time::sleep(overdue_in.unwrap_or(LONG_WAIT)),
+                    if table == Table::Servers => if overdue_in.is_none() { continue },
+            }
+            if table == Table::Config {
+                self.clock_checked_at.set(Instant::now());
             }
-            self.clock_checked_at.set(Instant::now());
             let Some(after) = self.version(table) else {
                 return;
             };
@@ -382,7 +406,8 @@
                     let _not_news = self.apply_page(table, timed, Some(after));
                 }
                 Err(error) => {
-                    debug!(self.log, "can't read the store's clock"; "fault" => error.to_string());
+                    debug!(self.log, "call to the store as a follower failed"; "table" => ?table, "fault" => error.to_string());
+                    tokio::time::sleep(MAX_BACKOFF).await;
                 }
             }
         }
@@ -688,6 +713,7 @@
         let (missing, version) = (changes.missing.clone(), changes.version);
         self.state.servers_known.set(true);
         let applied = registry.apply_changes(rows.collect(), missing, version, Instant::now());
+        self.servers_applied.notify_waiters();
         if applied == ApplyOutcome::Changed {
             let servers = registry.servers();
             drop(registry);
