fix(registry): restored entries are held for as long as the store keeps silent servers

Cause, found on reading: the entry of a server that had left before the store was restored from a copy is held back until the store must have dropped it. That time was fixed at 5 s, while the store's own time is three heartbeat intervals, which the deployment sets. With intervals over 1.7 s, requests would have reached servers that are gone (DRAIN).

No change where the interval is 1.2 s.

--- a/crates/sardineshore-core/src/flow/registry.rs
+++ b/crates/sardineshore-core/src/flow/registry.rs
@@ -18,9 +18,11 @@
 
 /// How long a server stays in use whose entry is missing after a store outage.
 const GRACE_PERIOD: Duration = Duration::from_millis(1700);
-/// Time after which a restored entry is used whose server had left before: the store has dropped it
-/// by then if the server is gone.
-const RESTORED_ENTRY_HOLD: Duration = Duration::from_secs(5);
+/// Time beyond the lifetime of entries after which a restored entry is used whose server had left
+/// before: the store has dropped it by then if the server is gone.
+const RESTORED_ENTRY_MARGIN: Duration = Duration::from_millis(1400);
+/// Lifetime of entries unless the deployment sets another one.
+pub const DEFAULT_ENTRY_LIFETIME: Duration = Duration::from_millis(3600);
 
 /// The content of a row.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -56,8 +58,10 @@
 }
 
 /// The servers in use, with the versions of their entries.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServerRegistry {
+    /// Time after which the store drops the entry of a server that is silent.
+    entry_lifetime: Duration,
     entries: BTreeMap<Name, (Server, StoreVersion)>,
     /// Versions at which entries were removed, so that an older row can't restore them.
     removed: HashMap<Name, StoreVersion>,
@@ -73,7 +77,28 @@
     store_unavailable: bool,
 }
 
+impl Default for ServerRegistry {
+    fn default() -> Self {
+        Self::new(DEFAULT_ENTRY_LIFETIME)
+    }
+}
+
 impl ServerRegistry {
+    /// An empty registry, for a store that drops the entries of silent servers after `entry_lifetime`.
+    #[must_use]
+    pub fn new(entry_lifetime: Duration) -> Self {
+        Self {
+            entry_lifetime,
+            entries: BTreeMap::new(),
+            removed: HashMap::new(),
+            grace_ends: HashMap::new(),
+            departed: HashMap::new(),
+            held_until: HashMap::new(),
+            version: None,
+            store_unavailable: false,
+        }
+    }
+
     /// Records that a call to the store failed.
     pub fn record_store_failure(&mut self) {
         self.store_unavailable = true;
@@ -190,7 +215,7 @@
             self.held_until.contains_key(id)
                 || (self.removed.contains_key(id) && !self.entries.contains_key(id))
         };
-        let until = now + RESTORED_ENTRY_HOLD;
+        let until = now + self.entry_lifetime + RESTORED_ENTRY_MARGIN;
         let held = rows.iter().filter(|row| had_left(&row.id));
         self.held_until = held.map(|row| (row.id.clone(), until)).collect();
     }
--- a/crates/sardineshore-core/tests/registry.rs
+++ b/crates/sardineshore-core/tests/registry.rs
@@ -182,6 +182,23 @@
     }
 }
 
+/// Guards against requests to a server that is gone, where the store drops its restored entry late.
+#[test]
+fn apply_restored_entry_of_removed_server_is_held_for_its_lifetime() {
+    let now = Instant::now();
+    let lifetime = Duration::from_secs(10);
+    let mut registry = ServerRegistry::new(lifetime);
+    registry.apply(vec![row("a", 1), row("b", 2)], true, at(2), now);
+    registry.apply(vec![removed("a", 9)], false, at(9), now);
+    let rows = in_restored(vec![row("a", 1), row("b", 2)]);
+    registry.apply(rows, true, restored(2), now);
+    registry.apply(Vec::new(), false, restored(2), now + lifetime);
+    assert_eq!(ready_ids(&registry), ["b"]);
+    let end = registry.next_end().unwrap();
+    registry.apply(Vec::new(), false, restored(2), end);
+    assert_eq!(ready_ids(&registry), ["a", "b"]);
+}
+
 #[test]
 fn apply_entry_that_copy_lacks_has_grace_period() {
     let now = Instant::now();
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -19,7 +19,7 @@
 use crate::peers::{InstanceInfo, Peers};
 use crate::relay::StoreRelay;
 use crate::request::RequestHandler;
-use crate::settings::Settings;
+use crate::settings::{Bounds, Settings};
 use crate::shutdown::Shutdown;
 use crate::stages::StageClient;
 use crate::state::SharedState;
@@ -147,7 +147,7 @@
     let components = build_components(&settings, &dialect, &log)?;
     info!(log, "start"; "domain" => &*settings.domain, "version" => env!("CARGO_PKG_VERSION"));
     let listener = TcpListener::bind(settings.listen).await?;
-    start_watching(&components, settings.bounds.drain, &log);
+    start_watching(&components, &settings.bounds, &log);
     tokio::task::spawn_local(components.peers.clone().hand_over_cells());
     let crashes = components.dispatcher.crashes();
     tokio::task::spawn_local(crashes.clone().share_evidence());
@@ -198,7 +198,7 @@
 }
 
 /// Starts the tasks that watch the store.
-fn start_watching(components: &Components, drain: Duration, log: &Logger) {
+fn start_watching(components: &Components, bounds: &Bounds, log: &Logger) {
     let (state, cells) = (components.state.clone(), components.cells.clone());
     let update_cells = Rc::new(move || {
         if let Some(config) = state.config() {
@@ -218,7 +218,7 @@
         components.peers.clone(),
         &components.dispatcher,
         log.clone(),
-        drain,
+        bounds,
         Box::new(move || update_cells()),
     ));
     watcher.start();
--- a/crates/sardineshore-serve/src/settings.rs
+++ b/crates/sardineshore-serve/src/settings.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::registry::DEFAULT_ENTRY_LIFETIME;
 use sardineshore_core::flow::retry_budget::RetryBudgetConfig;
 
 /// Bounds that the deployment sets and the instance must keep.
@@ -16,6 +17,8 @@
     pub grace: Duration,
     /// Longest time for which requests may still go to a server that is draining or removed.
     pub drain: Duration,
+    /// Time after which the store drops the entry of a server that is silent.
+    pub entry_lifetime: Duration,
     /// Longest time for which a revoked key may still be accepted.
     pub revoke: Duration,
     /// Whether requests with a key are refused when the store can't confirm the configuration.
@@ -29,6 +32,7 @@
         Self {
             grace: Duration::from_secs(8),
             drain: Duration::from_secs(2),
+            entry_lifetime: DEFAULT_ENTRY_LIFETIME,
             revoke: Duration::from_secs(5),
             fail_closed: true,
             repeats: RetryBudgetConfig::default(),
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -27,6 +27,7 @@
 use crate::limits::LimitExchange;
 use crate::peers::{InstanceInfo, Peers};
 use crate::relay::{Applied, KnownVersions, ReaderMessage, Stamp, StoreRelay};
+use crate::settings::Bounds;
 use crate::state::{SharedState, boot_time};
 use crate::store::{Store, StoreError, TimedPage};
 
@@ -151,8 +152,7 @@
 
 impl StoreWatcher {
     /// A watcher that updates `state` and then calls `on_change`, and updates the instances of
-    /// `peers`. `drain_bound` is the longest time for which a server that leaves may still get
-    /// requests.
+    /// `peers`.
     #[must_use]
     pub fn new(
         store: Rc<Store>,
@@ -160,7 +160,7 @@
         peers: Rc<Peers>,
         dispatcher: &Dispatcher,
         log: Logger,
-        drain_bound: Duration,
+        bounds: &Bounds,
         on_change: ChangeCallback,
     ) -> Self {
         Self {
@@ -172,11 +172,11 @@
             crashes: dispatcher.crashes().clone(),
             limits: dispatcher.limits().clone(),
             log,
-            servers: RefCell::default(),
+            servers: RefCell::new(ServerRegistry::new(bounds.entry_lifetime)),
             instances: RefCell::default(),
             replicas: RefCell::default(),
             on_change,
-            drain_bound,
+            drain_bound: bounds.drain,
             config_usable: Cell::new(true),
             settled_at: Cell::new(None),
             unlisted_instances: RefCell::default(),
