refactor(watcher): waits and tables get modules of their own

How long calls wait and what they wait for stands in watcher/waits.rs, what is done with changed rows in watcher/tables.rs; code is moved, none is changed.

--- /dev/null
+++ b/crates/sardineshore-serve/src/watcher/tables.rs
@@ -0,0 +1,147 @@
+//! Applies changes of the store's tables to what depends on them.
+
+use std::time::Instant;
+
+use sardineshore_core::flow::config::ConfigIndex;
+use sardineshore_core::flow::registry::{ApplyOutcome, RegistryEntry, RegistryRow};
+use sardineshore_core::flow::replica::TableChanges;
+use slog::{debug, info, warn};
+
+use super::{PageError, StoreWatcher};
+use crate::dialect::{StoreRow, Table};
+
+impl StoreWatcher {
+    /// Applies changes that are news to what depends on the table.
+    pub(super) fn apply_news(&self, table: Table, news: &TableChanges) -> Result<(), PageError> {
+        match table {
+            Table::Config => {
+                if news
+                    .rows
+                    .iter()
+                    .any(|row| *row.key == *self.dialect.config_key())
+                {
+                    // Written since the store was restored.
+                    self.settled_at.set(None);
+                }
+                self.apply_config(news)
+            }
+            Table::Servers => {
+                self.apply_servers(news);
+                Ok(())
+            }
+            Table::Instances => {
+                self.apply_instances(news);
+                Ok(())
+            }
+            Table::Crashes => {
+                self.crashes.apply_rows(&news.rows);
+                self.state.crashes_known.set(true);
+                Ok(())
+            }
+            Table::Limits => {
+                self.limits.apply(news);
+                Ok(())
+            }
+        }
+    }
+
+    /// Applies changes of the configuration. Fails if the newest one can't be used; nothing is
+    /// confirmed then.
+    pub(super) fn apply_config(&self, changes: &TableChanges) -> Result<(), PageError> {
+        for row in &changes.rows {
+            if &*row.key != self.dialect.config_key() {
+                continue;
+            }
+            let Some(value) = &row.value else { continue };
+            self.config_usable.set(false);
+            match self.dialect.decode_config(value) {
+                Ok(config) => {
+                    let version = config.version;
+                    let current = self.state.config().map_or(0, |config| config.version());
+                    if version < current {
+                        warn!(self.log, "configuration is older than the active one"; "version" => version, "active" => current, "row" => row.version.number);
+                        continue;
+                    }
+                    self.config_usable.set(true);
+                    if self.state.install_config(ConfigIndex::new(config)) {
+                        info!(self.log, "new configuration is active"; "version" => version, "row" => row.version.number);
+                        (self.on_change)();
+                    }
+                }
+                Err(error) => {
+                    warn!(self.log, "can't decode configuration; keeping the previous one"; "row" => row.version.number, "fault" => format!("{error:#}"));
+                }
+            }
+        }
+        if self.config_usable.get() {
+            Ok(())
+        } else {
+            Err(PageError::UnusableConfig)
+        }
+    }
+
+    /// Applies changes of the servers.
+    fn apply_servers(&self, changes: &TableChanges) {
+        let rows = changes.rows.iter().map(|row| self.decode_entry(row));
+        let mut registry = self.servers.borrow_mut();
+        let (missing, version) = (changes.missing.clone(), changes.version);
+        self.state.servers_known.set(true);
+        let applied = registry.apply_changes(rows.collect(), missing, version, Instant::now());
+        self.servers_applied.notify_waiters();
+        if applied == ApplyOutcome::Changed {
+            let servers = registry.servers();
+            drop(registry);
+            let ready = servers.iter().filter(|server| server.ready).count();
+            info!(self.log, "servers"; "listed" => servers.len(), "ready" => ready, "version" => version.number, "era" => version.era);
+            self.state.selector.borrow_mut().set_servers(servers);
+            (self.on_change)();
+        }
+    }
+
+    /// Applies changes of the instances.
+    pub(super) fn apply_instances(&self, changes: &TableChanges) {
+        let mut instances = self.instances.borrow_mut();
+        let mut unlisted = self.unlisted_instances.borrow_mut();
+        for row in &changes.rows {
+            unlisted.remove(&row.key);
+            let info = row.value.as_deref().map(postcard::from_bytes);
+            match info {
+                Some(Ok(info)) => instances.insert(row.key.clone(), info),
+                Some(Err(_)) | None => instances.remove(&row.key),
+            };
+        }
+        let now = Instant::now();
+        let mut missing = changes.missing.clone();
+        let expired = unlisted.iter().filter(|(_, until)| now >= **until);
+        missing.extend(expired.map(|(name, _)| name.clone()));
+        unlisted.retain(|_, until| now < *until);
+        for name in &missing {
+            instances.remove(name);
+        }
+        if !changes.rows.is_empty() || !missing.is_empty() {
+            self.peers
+                .set_instances(instances.values().cloned().collect());
+            info!(self.log, "instances"; "listed" => instances.len(), "version" => changes.version.number);
+        }
+    }
+
+    /// Decodes a row of the table of servers.
+    fn decode_entry(&self, row: &StoreRow) -> RegistryRow {
+        let entry = match &row.value {
+            None => RegistryEntry::Removed,
+            Some(value) => match self.dialect.decode_server(&row.key, value) {
+                Ok(server) => RegistryEntry::Server(server),
+                Err(error) => {
+                    warn!(self.log, "can't decode server entry; the server gets no requests"; "server" => &*row.key, "fault" => format!("{error:#}"));
+                    RegistryEntry::Unreadable
+                }
+            },
+        };
+        debug!(self.log, "read server entry"; "server" => &*row.key, "row" => row.version.number, "entry" => ?entry);
+        RegistryRow {
+            id: row.key.clone(),
+            entry,
+            version: row.version,
+        }
+    }
+}
