test(entry): an earlier refusal on a kept connection says nothing of the next attempt

Reported by other operators: clients were told "not run" for requests that run, as a server wrote an earlier refusal once more. In sardine-entry this holds without a change: a reply counts only for the attempt whose id it repeats, and steps that must not run twice get a connection of their own.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -356,8 +356,8 @@
     }
 
     /// Selects the server of the pool with the lowest cost for a request; `None` if no server is
-    /// ready that was not tried, has a turn and wants no pause. Servers in back-off are selected only if no other is
-    /// left.
+    /// ready that was not tried, has a turn and wants no pause. Servers in back-off are selected only
+    /// if no other is left.
     #[must_use]
     pub fn select(&self, request: &SelectionRequest, now: Instant) -> Option<SelectedServer> {
         // Servers without a rate limit can't take all that others don't.
--- a/crates/sardineshore-entry/tests/server_replies.rs
+++ b/crates/sardineshore-entry/tests/server_replies.rs
@@ -1,8 +1,8 @@
 //! Replies of backend servers that have neither a length nor chunks, or no end.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_std::io::{ReadExt, WriteExt};
@@ -174,9 +174,13 @@
     (addr, sent)
 }
 
-/// Runs a streamed request on servers that all listen at this address. Returns its outcome and the
-/// events that the caller gets.
-async fn run_streamed(addr: &str, servers: usize) -> (RequestOutcome, Vec<StreamEvent>) {
+/// Runs a request on servers that all listen at this address. Returns its outcome and the events that
+/// the caller gets if it is streamed.
+async fn run_request(
+    addr: &str,
+    servers: usize,
+    streamed: bool,
+) -> (RequestOutcome, Vec<StreamEvent>) {
     let mut deployment = Deployment::default();
     let pipeline = Pipeline {
         name: "chat".into(),
@@ -217,13 +221,14 @@
         deadline: arrived + pipeline.deadline,
         pipeline: Arc::new(pipeline),
         key: None,
-        streamed: true,
+        streamed,
         body,
         prefix: 0,
         arrived,
     };
     let (tx, rx) = async_std::channel::unbounded();
-    let outcome = runner::run(&instance, &job, Some(TokenSink::new(tx))).await;
+    let sink = streamed.then(|| TokenSink::new(tx));
+    let outcome = runner::run(&instance, &job, sink).await;
     let mut events = Vec::new();
     while let Ok(event) = rx.try_recv() {
         events.push(event);
@@ -235,7 +240,7 @@
 fn run_endless_line_of_stream_ends_the_attempt() {
     task::block_on(async {
         let (addr, sent) = endless_line().await;
-        let (outcome, _) = run_streamed(&addr, 1).await;
+        let (outcome, _) = run_request(&addr, 1, true).await;
         assert!(
             !matches!(outcome, RequestOutcome::Answered(_)),
             "{outcome:?}"
@@ -245,6 +250,76 @@
     });
 }
 
+/// The headers of a request that its reply repeats; empty if it has none.
+fn echoed_headers(request: &[u8]) -> String {
+    let request = String::from_utf8_lossy(request);
+    let names = [headers::REQUEST, headers::STAGE, headers::ATTEMPT];
+    let is_echoed = |line: &&str| {
+        let line = line.to_lowercase();
+        names
+            .iter()
+            .any(|name| line.starts_with(&format!("{name}:")))
+    };
+    let lines: Vec<&str> = request.lines().filter(is_echoed).collect();
+    lines.join("\r\n")
+}
+
+/// A server that refuses its first request, writes this refusal once more when the next one comes on
+/// the same connection, and answers all others. Returns its address and the number of requests on
+/// each connection.
+async fn repeated_refusal() -> (String, Arc<Mutex<Vec<usize>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let requests = Arc::new(Mutex::new(Vec::new()));
+    let counts = requests.clone();
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let connection = counts.lock().unwrap().len();
+            counts.lock().unwrap().push(0);
+            let counts = counts.clone();
+            task::spawn(async move {
+                let mut refusal = String::new();
+                let mut buf = [0; 4096];
+                while let Ok(count @ 1..) = stream.read(&mut buf).await {
+                    let echo = echoed_headers(&buf[..count]);
+                    if echo.is_empty() {
+                        continue;
+                    }
+                    counts.lock().unwrap()[connection] += 1;
+                    if connection == 0 && refusal.is_empty() {
+                        let run = headers::RUN;
+                        refusal = format!(
+                            "HTTP/1.1 503 X\r\n{echo}\r\n{run}: not-run\r\nContent-Length: 0\r\n\r\n"
+                        );
+                    }
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\n{echo}\r\nContent-Length: 11\r\n\r\n{{\"whole\":1}}"
+                    );
+                    let reply = if connection == 0 { &refusal } else { &answer };
+                    let _closed = stream.write_all(reply.as_bytes()).await;
+                }
+            });
+        }
+    });
+    (addr, requests)
+}
+
+/// Guards against "not run" for a request that runs, as a server writes an earlier refusal once more.
+#[test]
+fn run_earlier_refusal_on_kept_connection_says_nothing_of_next_attempt() {
+    task::block_on(async {
+        let (addr, requests) = repeated_refusal().await;
+        let (outcome, _) = run_request(&addr, 1, false).await;
+        let RequestOutcome::Answered(body) = outcome else {
+            panic!("{outcome:?}, requests {requests:?}");
+        };
+        assert_eq!(&body[..], b"{\"whole\":1}");
+        // Other connections may carry cancellations and probes.
+        let requests = requests.lock().unwrap().clone();
+        assert_eq!((requests[0], requests.iter().sum()), (2, 3), "{requests:?}");
+    });
+}
+
 /// A server that begins a stream and breaks it off, and replies to all further requests with these
 /// bytes, in which `ECHO` stands for the headers that it echoes. Returns its address and the number
 /// of requests.
@@ -257,18 +332,7 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut buf = [0; 4096];
             let count = stream.read(&mut buf).await.unwrap();
-            let request = String::from_utf8_lossy(&buf[..count]).into_owned();
-            let names = [headers::REQUEST, headers::STAGE, headers::ATTEMPT];
-            let is_echoed = |line: &&str| {
-                let line = line.to_lowercase();
-                names
-                    .iter()
-                    .any(|name| line.starts_with(&format!("{name}:")))
-            };
-            let echo: String = request
-                .lines()
-                .filter(is_echoed)
-                .fold(String::new(), |echo, line| echo + line + "\r\n");
+            let echo = echoed_headers(&buf[..count]);
             if echo.is_empty() {
                 continue;
             }
@@ -276,7 +340,7 @@
                          data: {\"item\":\"token\",\"seq\":0,\"text\":\"a\"}\n\n";
             let is_first = counter.fetch_add(1, Ordering::SeqCst) == 0;
             let reply = if is_first { begun } else { further };
-            let reply = reply.replace("ECHO", echo.trim_end());
+            let reply = reply.replace("ECHO", &echo);
             let _closed = stream.write_all(reply.as_bytes()).await;
         }
     });
@@ -298,7 +362,7 @@
     task::block_on(async {
         for further in FURTHER {
             let (addr, requests) = breaking_stream(further).await;
-            let (outcome, events) = run_streamed(&addr, 3).await;
+            let (outcome, events) = run_request(&addr, 3, true).await;
             assert!(
                 !matches!(outcome, RequestOutcome::Answered(_)),
                 "{further}: {outcome:?}"
