feat(watcher): servers that stay in use without an entry are logged

Cause: the logs could not tell a grace period that ends late from a list that comes late: a server that stayed in use without an entry left no line, so the second timeline of docs/incidents/leaving.md had to be inferred from the number of ready servers. No decision changes. 17 of 17 tests of entries, restored and notices pass.

--- a/crates/sardineshore-core/src/flow/registry.rs
+++ b/crates/sardineshore-core/src/flow/registry.rs
@@ -118,6 +118,12 @@
         ends.min().copied()
     }
 
+    /// Number of servers in use that have no entry.
+    #[must_use]
+    pub fn missing_entries(&self) -> usize {
+        self.grace_ends.len()
+    }
+
     /// All servers in use.
     #[must_use]
     pub fn servers(&self) -> Vec<Server> {
--- a/crates/sardineshore-serve/src/watcher/tables.rs
+++ b/crates/sardineshore-serve/src/watcher/tables.rs
@@ -9,6 +9,7 @@
 
 use super::{PageError, StoreWatcher};
 use crate::dialect::{StoreRow, Table};
+use crate::state::whole_ms;
 
 impl StoreWatcher {
     /// Applies changes that are news to what depends on the table.
@@ -86,7 +87,13 @@
         let mut registry = self.servers.borrow_mut();
         let (missing, version) = (changes.missing.clone(), changes.version);
         self.state.servers_known.set(true);
-        let applied = registry.apply_changes(rows.collect(), missing, version, Instant::now());
+        let (missing_before, now) = (registry.missing_entries(), Instant::now());
+        let applied = registry.apply_changes(rows.collect(), missing, version, now);
+        let (missing, end) = (registry.missing_entries(), registry.next_end());
+        if let Some(end) = end.filter(|_| missing > missing_before) {
+            let left = end.saturating_duration_since(now);
+            info!(self.log, "servers without an entry stay in use for a while"; "servers" => missing, "ms" => whole_ms(left), "version" => version.number);
+        }
         self.servers_applied.notify_waiters();
         if applied == ApplyOutcome::Changed {
             let servers = registry.servers();
