fix(selection): a server that left after its entry was gone gets requests once it has restarted

Seen by callers: none yet; found by reading. A server whose entry is removed before its shutdown, and which then says in a response that it leaves, got no request for good once it was listed again under its id.

Cause: a notice was filed under the run that was listed when the response arrived. Without an entry there was none, and a notice without a run counted for every later one; as the server was listed again, it was never forgotten. Class of fault: a fact about one run of a process, kept under the name that its next run has too.

Ruled out: the registry, which tells runs apart by their start.

Change: the run is taken when the request is sent, when the server is listed, and a notice of another run than the listed one is ignored.

--- a/crates/sardineshore-core/src/flow/notices.rs
+++ b/crates/sardineshore-core/src/flow/notices.rs
@@ -6,11 +6,12 @@
 //!
 //! ```
 //! use std::time::Instant;
-//! use sardineshore_core::flow::notices::{NoticeBoard, ServerNotice};
+//! use sardineshore_core::flow::notices::{NoticeBoard, ServerNotice, ServerRun};
 //!
 //! let mut board = NoticeBoard::default();
 //! let leaving = ServerNotice { leaving: true, ..ServerNotice::default() };
-//! assert!(board.record(&"server".into(), Some(7), leaving, Instant::now()));
+//! let run = ServerRun { id: "server".into(), started_ms: 7 };
+//! assert!(board.record(&run, leaving, Instant::now()));
 //! assert!(board.is_leaving("server", 7) && !board.is_leaving("server", 8));
 //! ```
 
@@ -33,11 +34,19 @@
     pub pause: Option<Duration>,
 }
 
+/// One run of a server's process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerRun {
+    /// Id of the server, which it may keep when it restarts.
+    pub id: Name,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+}
+
 /// Notices of one run of a server.
 #[derive(Debug)]
 struct Notices {
-    /// Start of the process; `None` if the server was not listed at the time.
-    started_ms: Option<u64>,
+    started_ms: u64,
     leaving: bool,
     paused_until: Option<Instant>,
     recorded_at: Instant,
@@ -50,22 +59,15 @@
 }
 
 impl NoticeBoard {
-    /// Records a notice of a server whose process started at `started_ms`, if that is known. Returns
-    /// whether it was news.
-    pub fn record(
-        &mut self,
-        id: &Name,
-        started_ms: Option<u64>,
-        notice: ServerNotice,
-        now: Instant,
-    ) -> bool {
+    /// Records a notice; those of another run of the server are forgotten. Returns whether it was news.
+    pub fn record(&mut self, run: &ServerRun, notice: ServerNotice, now: Instant) -> bool {
         if notice == ServerNotice::default() {
             return false;
         }
-        let is_same_run = |known: &Notices| known.started_ms == started_ms || started_ms.is_none();
-        let known = self.servers.remove(id).filter(is_same_run);
+        let known = self.servers.remove(&run.id);
+        let known = known.filter(|known| known.started_ms == run.started_ms);
         let mut notices = known.unwrap_or(Notices {
-            started_ms,
+            started_ms: run.started_ms,
             leaving: false,
             paused_until: None,
             recorded_at: now,
@@ -77,7 +79,7 @@
         notices.paused_until = notices.paused_until.max(paused_until);
         notices.recorded_at = now;
         let changed = before != (notices.leaving, notices.paused_until);
-        self.servers.insert(id.clone(), notices);
+        self.servers.insert(run.id.clone(), notices);
         changed
     }
 
@@ -102,8 +104,7 @@
     }
 
     fn notices(&self, id: &str, started_ms: u64) -> Option<&Notices> {
-        let notices = self.servers.get(id)?;
-        let is_same_run = notices.started_ms.is_none_or(|known| known == started_ms);
-        is_same_run.then_some(notices)
+        let notices = self.servers.get(id);
+        notices.filter(|notices| notices.started_ms == started_ms)
     }
 }
--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::config::{Name, Server};
-use super::notices::{NoticeBoard, ServerNotice};
+use super::notices::{NoticeBoard, ServerNotice, ServerRun};
 use super::turns::{RateLimit, TurnSchedule};
 use health::Health;
 
@@ -227,14 +227,25 @@
         server.ready.then_some(server.started_ms)
     }
 
-    /// Records what a server says about itself. Returns whether it was news.
-    pub fn record_notice(&mut self, id: &Name, notice: ServerNotice, now: Instant) -> bool {
-        let listed = self.servers.get_mut(id);
-        let started_ms = listed.as_ref().map(|state| state.server.started_ms);
-        let is_news = self.notices.record(id, started_ms, notice, now);
+    /// The listed run of a server.
+    #[must_use]
+    pub fn listed_run(&self, id: &Name) -> Option<ServerRun> {
+        let started_ms = self.servers.get(id)?.server.started_ms;
+        let id = id.clone();
+        Some(ServerRun { id, started_ms })
+    }
+
+    /// Records what the run of a server to which a request was sent says about itself. A notice of an
+    /// earlier run than the listed one is ignored. Returns whether it was news.
+    pub fn record_notice(&mut self, run: &ServerRun, notice: ServerNotice, now: Instant) -> bool {
+        let listed = self.servers.get_mut(&run.id);
         if let Some(state) = listed {
+            if state.server.started_ms != run.started_ms {
+                return false;
+            }
             state.server.ready &= !notice.leaving;
         }
+        let is_news = self.notices.record(run, notice, now);
         if is_news {
             let servers = &self.servers;
             self.notices
--- a/crates/sardineshore-core/tests/notices.rs
+++ b/crates/sardineshore-core/tests/notices.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::config::Server;
-use sardineshore_core::flow::notices::{NoticeBoard, ServerNotice};
+use sardineshore_core::flow::notices::{NoticeBoard, ServerNotice, ServerRun};
 use sardineshore_core::flow::selection::{SelectionRequest, ServerSelector};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -34,6 +34,13 @@
     }
 }
 
+fn run(id: &str, started_ms: u64) -> ServerRun {
+    ServerRun {
+        id: id.into(),
+        started_ms,
+    }
+}
+
 fn request() -> SelectionRequest {
     SelectionRequest {
         pool: "p".into(),
@@ -45,9 +52,8 @@
 fn record_shorter_pause_after_a_longer_one_does_not_end_it() {
     let now = Instant::now();
     let mut board = NoticeBoard::default();
-    let id = "a".into();
-    assert!(board.record(&id, Some(1), pause(5 * SECOND), now));
-    assert!(!board.record(&id, Some(1), pause(SECOND), now + SECOND));
+    assert!(board.record(&run("a", 1), pause(5 * SECOND), now));
+    assert!(!board.record(&run("a", 1), pause(SECOND), now + SECOND));
     assert_eq!(
         board.paused_until("a", 1, now + SECOND),
         Some(now + 5 * SECOND)
@@ -59,9 +65,22 @@
 fn record_notice_of_unlisted_server_holds_when_its_entry_returns() {
     let now = Instant::now();
     let mut selector = ServerSelector::new("d".into());
-    selector.record_notice(&"a".into(), leaving(), now);
+    selector.record_notice(&run("a", 3), leaving(), now);
     selector.set_servers(vec![server("a", 3)]);
     assert!(selector.select(&request(), now).is_none());
+    selector.set_servers(vec![server("a", 4)]);
+    assert!(selector.select(&request(), now).is_some());
+}
+
+#[test]
+fn record_notice_of_an_earlier_run_is_ignored() {
+    let now = Instant::now();
+    let mut selector = ServerSelector::new("d".into());
+    selector.set_servers(vec![server("a", 4)]);
+    for notice in [leaving(), pause(60 * SECOND)] {
+        assert!(!selector.record_notice(&run("a", 3), notice, now));
+        assert!(selector.select(&request(), now).is_some());
+    }
 }
 
 #[test]
@@ -70,7 +89,7 @@
     let mut selector = ServerSelector::new("d".into());
     for notice in [leaving(), pause(60 * SECOND)] {
         selector.set_servers(vec![server("a", 3)]);
-        assert!(selector.record_notice(&"a".into(), notice, now));
+        assert!(selector.record_notice(&run("a", 3), notice, now));
         selector.set_servers(Vec::new());
         selector.set_servers(vec![server("a", 3)]);
         assert!(selector.select(&request(), now).is_none());
@@ -85,14 +104,14 @@
     let mut selector = ServerSelector::new("d".into());
     selector.set_servers(vec![server("a", 1), server("b", 1)]);
     assert_eq!(selector.pause_left(&request(), now), None);
-    selector.record_notice(&"a".into(), pause(5 * SECOND), now);
+    selector.record_notice(&run("a", 1), pause(5 * SECOND), now);
     assert_eq!(selector.pause_left(&request(), now), None);
     assert_eq!(
         &*selector.select(&request(), now).unwrap().id,
         "b",
         "the other server is left"
     );
-    selector.record_notice(&"b".into(), pause(2 * SECOND), now);
+    selector.record_notice(&run("b", 1), pause(2 * SECOND), now);
     assert_eq!(selector.pause_left(&request(), now), Some(2 * SECOND));
     assert_eq!(selector.next_turn(&request(), now), Some(2 * SECOND));
     assert!(selector.select(&request(), now).is_none());
@@ -103,6 +122,6 @@
 fn record_huge_pause_is_cut() {
     let now = Instant::now();
     let mut board = NoticeBoard::default();
-    board.record(&"a".into(), Some(1), pause(Duration::MAX), now);
+    board.record(&run("a", 1), pause(Duration::MAX), now);
     assert!(board.paused_until("a", 1, now).is_some());
 }
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -425,8 +425,11 @@
         {
             info!(self.log, "request goes to a server that leaves"; "request" => request.id, "server" => &*connected.server.id);
         }
+        let run = self.notices.listed_run(&connected.server.id);
         let response = connected.conn.send(outgoing).await?;
-        self.notices.record(&connected.server.id, &response.head);
+        if let Some(run) = &run {
+            self.notices.record(run, &response.head);
+        }
         let load = response.head.headers.get(self.dialect.header_names().load);
         if let Some(load) = load.and_then(|text| self.dialect.parse_load(text)) {
             let mut selector = self.state.selector.borrow_mut();
--- a/crates/sardineshore-serve/src/cell/calls.rs
+++ b/crates/sardineshore-serve/src/cell/calls.rs
@@ -47,10 +47,9 @@
     let Ok(mut conn) = opened else {
         return (CallOutcome::Broken, None);
     };
-    let Ok((response, body)) = exchange(&mut conn, &head, &call).await else {
+    let Ok((response, body)) = exchange(shared, server, &mut conn, &head, &call).await else {
         return (CallOutcome::Broken, None);
     };
-    shared.notices.record(server, &response.head);
     let status = response.head.status;
     let headers = &response.head.headers;
     if status == 421 {
@@ -98,8 +97,7 @@
         .connections
         .connect(address, MAX_IDLE, CONNECT_TIMEOUT)
         .await?;
-    let (response, body) = exchange(&mut conn, &head, &call).await?;
-    shared.notices.record(server, &response.head);
+    let (response, body) = exchange(shared, server, &mut conn, &head, &call).await?;
     shared.connections.recycle(conn, &response);
     shared.dialect.decode_free_memory(&body)
 }
@@ -115,14 +113,15 @@
         .connections
         .connect(address, MAX_IDLE, CONNECT_TIMEOUT)
         .await?;
-    let (response, _) = exchange(&mut conn, &head, call).await?;
-    shared.notices.record(server, &response.head);
+    let (response, _) = exchange(shared, server, &mut conn, &head, call).await?;
     shared.connections.recycle(conn, &response);
     Ok(())
 }
 
-/// Sends a call and reads the whole response.
+/// Sends a call and reads the whole response, with what the server says of itself in its head.
 async fn exchange(
+    shared: &Shared,
+    server: &Name,
     conn: &mut Conn,
     head: &[u8],
     call: &HttpCall,
@@ -133,7 +132,11 @@
         echo: None,
         is_head: false,
     };
+    let run = shared.notices.listed_run(server);
     let mut response = conn.send(request).await?;
+    if let Some(run) = &run {
+        shared.notices.record(run, &response.head);
+    }
     let body = conn.read_body(&mut response).await?;
     Ok((response, body))
 }
--- a/crates/sardineshore-serve/src/notices.rs
+++ b/crates/sardineshore-serve/src/notices.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::notices::ServerNotice;
+use sardineshore_core::flow::notices::{ServerNotice, ServerRun};
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
@@ -38,8 +38,15 @@
         self.recorded.notified().await;
     }
 
-    /// Records the notice in the head of a server's response, if there is one.
-    pub fn record(&self, server: &Name, head: &ResponseHead) {
+    /// The run of a server to which a request is about to be sent; `None` if it is not listed.
+    #[must_use]
+    pub fn listed_run(&self, server: &Name) -> Option<ServerRun> {
+        self.state.selector.borrow().listed_run(server)
+    }
+
+    /// Records the notice in the head of a response, if there is one. `run` was listed when the request
+    /// was sent.
+    pub fn record(&self, run: &ServerRun, head: &ResponseHead) {
         // Another server may listen at the address by now.
         if head.status == 421 {
             return;
@@ -54,9 +61,9 @@
         };
         let now = Instant::now();
         let mut selector = self.state.selector.borrow_mut();
-        let accepted_work = selector.accepts_work(server);
-        if selector.record_notice(server, notice, now) {
-            info!(self.log, "notice of a server"; "server" => &**server, "leaving" => notice.leaving, "pause_ms" => notice.pause.map(whole_ms), "was_ready" => accepted_work);
+        let accepted_work = selector.accepts_work(&run.id);
+        if selector.record_notice(run, notice, now) {
+            info!(self.log, "notice of a server"; "server" => &*run.id, "leaving" => notice.leaving, "pause_ms" => notice.pause.map(whole_ms), "was_ready" => accepted_work);
             self.recorded.notify_one();
         }
     }
