fix(entry): backend servers that turn attempts away get none until the time that they name

Seen by callers: requests that go on being refused by a server that had asked for a pause, each attempt taken from the retry budget.

Cause: as at sardine-serve before: what a server says of itself in a refusal was not read. The protocol of sardine-entry had no way to ask for a pause; a refusal is an HTTP response, so Retry-After is the usual one.

Ruled out: the concurrency limit, which falls with refusals, but never below one attempt.

Change: a refusal may carry retry-after; the router selects the server neither for attempts nor for load polls before that time, which a restart ends. If all servers of a pool pause beyond the deadline, the request is refused at once, else it waits. parse_pause serves both programs. The simple policies for comparison heed no pauses, as they heed no limits.

Conclusion: fixed for attempts and load polls; cancellations and orders are still sent.

--- a/crates/sardineshore-core/src/flow/notices.rs
+++ b/crates/sardineshore-core/src/flow/notices.rs
@@ -23,7 +23,14 @@
 /// Time for which the notices of a server that is not listed are kept.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Longest pause that is taken over from a server.
-const MAX_PAUSE: Duration = Duration::from_secs(600);
+pub const MAX_PAUSE: Duration = Duration::from_secs(600);
+
+/// Parses the pause that a server asks for: a number of seconds, which may have a fraction.
+#[must_use]
+pub fn parse_pause(retry_after: &str) -> Option<Duration> {
+    let pause = Duration::try_from_secs_f64(retry_after.trim().parse().ok()?).ok()?;
+    Some(pause.min(MAX_PAUSE))
+}
 
 /// What a server says about itself in one response.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/crates/sardineshore-core/src/routing.rs
+++ b/crates/sardineshore-core/src/routing.rs
@@ -129,7 +129,7 @@
     /// Selects a backend server for one attempt.
     ///
     /// A server in [`SelectionRequest::tried_servers`] or an ejected server is selected only if no
-    /// other member of the pool accepts work.
+    /// other member of the pool accepts work; one that wants a pause is not selected.
     pub fn select(
         &mut self,
         request: &SelectionRequest<'_>,
@@ -218,6 +218,13 @@
         }
     }
 
+    /// Records that a backend server wants no requests before this time.
+    pub fn record_pause(&mut self, server: &ServerId, until: Instant) {
+        if let Some(server) = find(&mut self.servers, &self.keys_by_name, server) {
+            server.record_pause(until);
+        }
+    }
+
     /// Selects the members of a pool anew: its servers that accept work.
     fn update_members(&mut self, pool: &PoolId) {
         let keys = self.keys_by_name.values().copied();
@@ -263,6 +270,7 @@
             .pools
             .values()
             .flat_map(|pool| &pool.members[..pool.subset])
+            .filter(|key| servers[**key].pause_left(now).is_zero())
             .map(|key| (*key, servers[*key].load_known_at()))
             .min_by_key(|(_, known)| *known)?;
         if known.is_some_and(|at| now.saturating_duration_since(at) < age) {
--- a/crates/sardineshore-core/src/routing/baseline.rs
+++ b/crates/sardineshore-core/src/routing/baseline.rs
@@ -7,7 +7,8 @@
 use super::server::Server;
 use super::{Policy, ServerKey};
 
-/// Selects a member of a non-empty pool, regardless of load reports, ejection and limits.
+/// Selects a member of a non-empty pool, regardless of load reports, ejection,
+/// pauses and limits.
 pub(super) fn select(
     policy: Policy,
     pool: &mut Pool,
--- a/crates/sardineshore-core/src/routing/selection.rs
+++ b/crates/sardineshore-core/src/routing/selection.rs
@@ -45,10 +45,10 @@
     /// No backend server of the pool accepts work, or the pool does not exist.
     #[error("no backend server of the pool may receive work")]
     NoServer,
-    /// Every backend server of the pool is at its concurrency limit.
+    /// Every backend server of the pool is at its concurrency limit or wants a pause.
     #[error("every backend server is at its limit; ask again in {retry_after:?}")]
     Saturated {
-        /// Expected time until a slot is free.
+        /// Expected time until one of them takes an attempt.
         retry_after: Duration,
     },
     /// The deadline has passed, or the best candidate can't answer before it.
--- a/crates/sardineshore-core/src/routing/selector.rs
+++ b/crates/sardineshore-core/src/routing/selector.rs
@@ -35,9 +35,9 @@
 /// Which servers are eligible.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Eligibility {
-    /// Servers that are neither ejected nor tried before.
+    /// Servers that are neither ejected nor tried before, and want no pause.
     Healthy,
-    /// All members of the pool.
+    /// All members of the pool that want no pause.
     Any,
 }
 
@@ -127,7 +127,8 @@
 
     fn is_eligible(&self, server: &Server, eligibility: Eligibility) -> bool {
         let tried = || self.request.tried_servers.contains(&server.declared.name);
-        eligibility == Eligibility::Any || !(server.health.is_ejected(self.now) || tried())
+        let is_healthy = || !(server.health.is_ejected(self.now) || tried());
+        server.pause_left(self.now).is_zero() && (eligibility == Eligibility::Any || is_healthy())
     }
 
     fn accept(&self, best: Candidate) -> Result<SelectedServer, SelectionError> {
@@ -142,9 +143,15 @@
         })
     }
 
-    /// The error for a saturated pool: the next slot is expected after the service time divided by
-    /// the number of attempts in flight.
+    /// The error for a pool all of whose servers are at their limits or want a pause: the next slot is
+    /// expected after the service time divided by the number of attempts in flight.
     fn saturated(&self) -> SelectionError {
+        let servers = self.pool.members.iter().map(|key| &self.servers[*key]);
+        let pause = servers.map(|server| server.pause_left(self.now)).min();
+        let pause = pause.unwrap_or_default();
+        if pause.as_secs_f64() > self.scoring.remaining {
+            return SelectionError::TooLate;
+        }
         let in_flight: u32 = self
             .pool
             .members
@@ -154,7 +161,7 @@
         let service = self.pool.service().unwrap_or(MAX_RETRY_AFTER);
         let wait = service / f64::from(in_flight.max(1));
         SelectionError::Saturated {
-            retry_after: duration(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)),
+            retry_after: pause.max(duration(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))),
         }
     }
 }
--- a/crates/sardineshore-core/src/routing/server.rs
+++ b/crates/sardineshore-core/src/routing/server.rs
@@ -31,6 +31,8 @@
     pub(super) leaving: bool,
     /// Incarnation that reported that it shuts down.
     announced_leaving: Option<u64>,
+    /// It wants no requests before this time.
+    paused_until: Option<Instant>,
     /// Hash of the name, for rendezvous hashing.
     pub(super) hash: u64,
     pub(super) in_flight: u32,
@@ -63,6 +65,7 @@
             declared: declared.clone(),
             leaving,
             announced_leaving: None,
+            paused_until: None,
             health,
             in_flight: 0,
             service: Smoothed::default(),
@@ -95,6 +98,18 @@
         self.leaving || self.announced_leaving.is_some()
     }
 
+    /// Time for which it wants no requests.
+    pub(super) fn pause_left(&self, now: Instant) -> Duration {
+        self.paused_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Records that it wants no requests before this time.
+    pub(super) fn record_pause(&mut self, until: Instant) {
+        // A reply may overtake an earlier one with a longer pause.
+        self.paused_until = self.paused_until.max(Some(until));
+    }
+
     /// Whether the attempts of this instance in flight on the server have reached its limit.
     pub(super) fn at_limit(&self, now: Instant) -> bool {
         let limit = self.limit.get() * self.health.slow_start_share(now);
@@ -194,6 +209,7 @@
             self.service = Smoothed::default();
             self.limit = ConcurrencyLimit::new(self.declared.capacity);
             self.health = Health::with_slow_start(now);
+            self.paused_until = None;
         }
         restarted
     }
--- a/crates/sardineshore-core/tests/routing.rs
+++ b/crates/sardineshore-core/tests/routing.rs
@@ -192,6 +192,47 @@
     assert!(attempts.any(|server| server == left));
 }
 
+/// Guards against requests and load polls for a server that has asked for a pause.
+#[test]
+fn record_pause_ends_work_until_its_end() {
+    let mut router = router(2, 1);
+    let now = Instant::now();
+    let paused: ServerId = "s0".into();
+    router.record_pause(&paused, now + 3 * SECOND);
+    router.record_pause(&paused, now + SECOND);
+    for _ in 0..200 {
+        assert_ne!(
+            attempt(&mut router, 0, AttemptResult::Answered, now),
+            paused
+        );
+    }
+    let polled = [now, now].map(|now| router.next_load_poll(SECOND, now));
+    assert!(polled.iter().flatten().all(|poll| poll.server != paused));
+    router.record_pause(&"s1".into(), now + 4 * SECOND);
+    let retry_after = 3 * SECOND;
+    let saturated = Err(SelectionError::Saturated { retry_after });
+    assert_eq!(select(&mut router, 0, now), saturated);
+    let now = now + 3 * SECOND;
+    assert_eq!(select(&mut router, 0, now).unwrap().server, paused);
+}
+
+#[test]
+fn select_refuses_at_once_while_pauses_outlast_the_deadline() {
+    let mut router = router(2, 1);
+    let now = Instant::now();
+    for server in ["s0", "s1"] {
+        router.record_pause(&server.into(), now + 60 * SECOND);
+    }
+    assert_eq!(select(&mut router, 0, now), Err(SelectionError::TooLate));
+    let restarted = ServerLoad {
+        incarnation: 2,
+        ..ServerLoad::default()
+    };
+    router.record_load(&"s0".into(), &ServerLoad::default(), now);
+    router.record_load(&"s0".into(), &restarted, now);
+    assert_eq!(&*select(&mut router, 0, now).unwrap().server, "s0");
+}
+
 #[test]
 fn eject_failing_server_is_readmitted() {
     let mut router = router(4, 1);
--- a/crates/sardineshore-entry/src/dispatch/attempt.rs
+++ b/crates/sardineshore-entry/src/dispatch/attempt.rs
@@ -6,6 +6,7 @@
 
 use http_types::{Method, Request, Url};
 use sardineshore_core::event::{entry as events, routing};
+use sardineshore_core::flow::notices::parse_pause;
 use sardineshore_core::{
     AttemptId, AttemptReport, AttemptResult, NotRunReason, SelectedServer, ServerLoad,
     UnknownReason,
@@ -113,6 +114,7 @@
         } else if reply.status == 200 {
             AttemptOutcome::Answered(reply.body.as_slice().into())
         } else if reply.status == 503 && reply.header(headers::RUN) == "not-run" {
+            self.record_pause(reply.header(headers::RETRY_AFTER));
             let detail = format!("{} refused it", self.choice.server);
             AttemptOutcome::not_run(NotRunReason::Overloaded, detail)
         } else {
@@ -151,6 +153,16 @@
             .record_load(&self.choice.server, &load_figures(&report), now);
     }
 
+    /// Records for how long the server that turned this attempt away wants no others; a header that
+    /// cannot be parsed is ignored.
+    pub fn record_pause(&self, retry_after: &str) {
+        if let Some(pause) = parse_pause(retry_after) {
+            let until = self.instance.clock.now() + pause;
+            let mut router = self.instance.tables.router();
+            router.record_pause(&self.choice.server, until);
+        }
+    }
+
     /// Finishes the attempt and reports it to routing, metrics and totals. After a timeout or a
     /// lost connection the backend server is asked to cancel it.
     #[must_use]
--- a/crates/sardineshore-entry/src/stream.rs
+++ b/crates/sardineshore-entry/src/stream.rs
@@ -121,6 +121,7 @@
     }
     let status = u16::from(head.status());
     if status == 503 && header(head, headers::RUN) == "not-run" {
+        attempt.record_pause(header(head, headers::RETRY_AFTER));
         let detail = "the backend server refused it";
         return Some(AttemptOutcome::not_run(NotRunReason::Overloaded, detail));
     }
--- a/crates/sardineshore-entry/tests/server_replies.rs
+++ b/crates/sardineshore-entry/tests/server_replies.rs
@@ -320,6 +320,48 @@
     });
 }
 
+/// A server that turns all requests away and wants no others for a minute. Returns its address and the
+/// number of requests.
+async fn refusing_server() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counter = requests.clone();
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            while let Ok(count @ 1..) = stream.read(&mut buf).await {
+                let echo = echoed_headers(&buf[..count]);
+                if echo.is_empty() {
+                    continue;
+                }
+                counter.fetch_add(1, Ordering::SeqCst);
+                let run = headers::RUN;
+                let reply = format!(
+                    "HTTP/1.1 503 X\r\n{echo}\r\n{run}: not-run\r\nRetry-After: 60\r\n\
+                     Content-Length: 0\r\n\r\n"
+                );
+                let _closed = stream.write_all(reply.as_bytes()).await;
+            }
+        }
+    });
+    (addr, requests)
+}
+
+/// Guards against further attempts at a server that has asked for a pause.
+#[test]
+fn run_server_that_wants_a_pause_gets_one_attempt() {
+    task::block_on(async {
+        for streamed in [false, true] {
+            let (addr, requests) = refusing_server().await;
+            let (outcome, _) = run_request(&addr, 1, streamed).await;
+            let is_not_run = matches!(outcome, RequestOutcome::NotRun { .. });
+            assert!(is_not_run, "{outcome:?}");
+            assert_eq!(requests.load(Ordering::SeqCst), 1, "streamed: {streamed}");
+        }
+    });
+}
+
 /// A server that begins a stream and breaks it off, and replies to all further requests with these
 /// bytes, in which `ECHO` stands for the headers that it echoes. Returns its address and the number
 /// of requests.
--- a/crates/sardineshore-serve/src/notices.rs
+++ b/crates/sardineshore-serve/src/notices.rs
@@ -1,10 +1,10 @@
 //! Records what servers say about themselves in the heads of their responses.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::notices::{ServerNotice, ServerRun};
+use sardineshore_core::flow::notices::{ServerNotice, ServerRun, parse_pause};
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
@@ -57,7 +57,7 @@
             leaving: leaving.is_some_and(|value| value.trim() == "1"),
             pause: retry_after
                 .filter(|_| head.status == 503)
-                .and_then(parse_seconds),
+                .and_then(parse_pause),
         };
         let now = Instant::now();
         let mut selector = self.state.selector.borrow_mut();
@@ -68,8 +68,3 @@
         }
     }
 }
-
-/// Parses a number of seconds, which may have a fraction.
-fn parse_seconds(text: &str) -> Option<Duration> {
-    Duration::try_from_secs_f64(text.trim().parse().ok()?).ok()
-}
--- a/crates/sardineshore-wire/src/backend.rs
+++ b/crates/sardineshore-wire/src/backend.rs
@@ -1,7 +1,8 @@
 //! HTTP API of the backend servers, which the entry instances call.
 //!
 //! * `POST /v1/run`: runs one stage; the reply repeats the request, stage and attempt headers. A
-//!   server that did not run the stage answers 503 with `x-sardine-run: not-run`. With
+//!   server that did not run the stage answers 503 with `x-sardine-run: not-run`; if it adds
+//!   `retry-after` in seconds, it wants no requests from this instance for that time. With
 //!   `accept: text/event-stream` the reply is a stream of server-sent events whose data is a
 //!   [`StreamItem`].
 //! * `POST /v1/cancel`: a [`CancelRequest`]; stops an attempt whose result is no longer needed.
--- a/crates/sardineshore-wire/src/headers.rs
+++ b/crates/sardineshore-wire/src/headers.rs
@@ -28,5 +28,7 @@
 pub const RESUME_FROM: &str = "x-sardine-resume-from";
 /// Backend server to entry: `ran` or `not-run`.
 pub const RUN: &str = "x-sardine-run";
+/// Backend server to entry, with a refusal: time for which it wants no requests, in seconds.
+pub const RETRY_AFTER: &str = "retry-after";
 /// Backend server to entry: a [`crate::backend::LoadReport`] as JSON.
 pub const LOAD: &str = "x-sardine-load";
