--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -79,6 +79,8 @@
         dialect.clone(),
         connections.clone(),
         notices.clone(),
+        store.clone(),
+        settings.instance.clone(),
         metrics.clone(),
         log.clone(),
     ));
--- a/crates/sardineshore-serve/src/watcher/tables.rs
+++ b/crates/sardineshore-serve/src/watcher/tables.rs
@@ -43,6 +43,8 @@
                 self.limits.apply(news);
                 Ok(())
             }
+            // Not watched.
+            Table::Results => Ok(()),
         }
     }
 
