revert: owners list their results in the store, and begun jobs go first

Conclusion: half of the results that fill the servers were in calls when their owner was killed; nobody ever gets their handles, so they stay until they expire.

--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -219,23 +219,15 @@
         });
         let mut chosen = None;
         for server in free {
-            let scarce = server.is_memory_scarce(now);
             let mut free_bytes = server.free_bytes(now);
             let mut taken = Vec::new();
             let mut reserved_bytes = 0;
             // Pieces that prefer the server's own failure domain go first: under load a piece has
             // waited because of the load, and moving its results between domains would not make
             // any queue shorter.
-            let passes = [(false, false), (false, true), (true, false), (true, true)];
-            let passes = [true, false]
-                .into_iter()
-                .filter(|begun| scarce || !begun)
-                .flat_map(|begun| passes.map(|p| (begun, p)));
-            for (begun, (late, cross_domain)) in passes {
+            for (late, cross_domain) in [(false, false), (false, true), (true, false), (true, true)]
+            {
                 for (key, index) in queue.iter().filter(|(key, _)| key.0 == late) {
-                    if scarce && begun != self.jobs[*index].has_begun(key.3) {
-                        continue;
-                    }
                     if taken.len() >= server.spec.max_batch.max(1) as usize {
                         break;
                     }
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -243,12 +243,6 @@
         }
     }
 
-    /// Whether a piece of a stage has finished or is in a running call.
-    pub fn has_begun(&self, stage: usize) -> bool {
-        let mut pieces = self.stages[stage].pieces.iter();
-        pieces.any(|p| matches!(p, Progress::Running(_) | Progress::Done(_)))
-    }
-
     /// Whether any piece is in a running call.
     pub fn has_running_piece(&self) -> bool {
         let mut pieces = self.stages.iter().flat_map(|stage| &stage.pieces);
--- a/crates/sardineshore-core/src/flow/batching/results.rs
+++ b/crates/sardineshore-core/src/flow/batching/results.rs
@@ -1,11 +1,9 @@
 //! Results of jobs on batch servers: adopting those of an earlier owner, releasing those that are
 //! not needed any more, computing lost ones again.
 
-use std::collections::HashSet;
 use std::time::Instant;
 
 use super::job::{PieceResult, Progress, StageState};
-use super::server::ServerState;
 use super::{BatchScheduler, queue_key, release_result};
 use crate::flow::config::Name;
 
@@ -42,61 +40,6 @@
         }
     }
 
-    /// Handles of the results that unfinished jobs use, by server; none while no server is short of
-    /// memory for results.
-    #[must_use]
-    pub fn scarce_results(&self) -> Vec<(Name, Vec<Name>)> {
-        let servers = || self.pools.values().flatten();
-        if !servers().any(ServerState::is_short_of_memory) {
-            return Vec::new();
-        }
-        let delivered = self.jobs.iter().filter(|(_, state)| state.delivered);
-        let delivered = delivered.flat_map(|(_, state)| &state.stages);
-        let delivered: HashSet<&Name> = delivered
-            .flat_map(|stage| &stage.pieces)
-            .filter_map(|progress| match progress {
-                Progress::Done(result) => Some(&result.handle),
-                _ => None,
-            })
-            .collect();
-        let in_use = servers().map(|server| {
-            let handles = server.stored.keys().filter(|h| !delivered.contains(h));
-            (server.id.clone(), handles.cloned().collect())
-        });
-        in_use
-            .filter(|(_, handles): &(_, Vec<_>)| !handles.is_empty())
-            .collect()
-    }
-
-    /// TRIAL
-    #[must_use]
-    pub fn memory_text(&self) -> String {
-        let mut out = String::new();
-        for server in self.pools.values().flatten() {
-            let stored: u64 = server.stored.values().map(|(bytes, _)| *bytes).sum();
-            if stored * 5 > server.spec.result_memory_bytes {
-                out += &format!(
-                    "{}:{}%/{} ",
-                    server.id,
-                    stored * 100 / server.spec.result_memory_bytes,
-                    server.stored.len()
-                );
-            }
-        }
-        format!("{out} jobs {}", self.jobs.len())
-    }
-
-    /// Releases results of a lost owner that no job has brought along.
-    pub fn release_orphans(&mut self, results: Vec<(Name, Vec<Name>)>, now: Instant) {
-        let delay = self.config.release_delay;
-        for (id, handles) in results {
-            let mut servers = self.pools.values_mut().flatten();
-            if let Some(server) = servers.find(|server| server.id == id) {
-                server.release_orphans(handles, delay, now);
-            }
-        }
-    }
-
     /// Releases the inputs of a finished stage that no unfinished stage needs.
     pub(super) fn release_used_inputs(&mut self, index: usize, stage: usize, now: Instant) {
         let state = &self.jobs[index];
--- a/crates/sardineshore-core/src/flow/batching/server.rs
+++ b/crates/sardineshore-core/src/flow/batching/server.rs
@@ -18,8 +18,6 @@
 /// How long memory counts as occupied by another owner after a server ran out of memory or
 /// reported less than expected.
 const FOREIGN_RESULTS_TTL: Duration = Duration::from_millis(500);
-/// How long memory counts as scarce after a server ran out of it.
-const SCARCITY_TIME: Duration = Duration::from_secs(1);
 /// Interval between queries of the free memory while another owner's results occupy some of it. A
 /// server's report can be some hundred milliseconds old.
 const QUERY_INTERVAL: Duration = Duration::from_millis(400);
@@ -31,8 +29,6 @@
 const RELEASE_LATENCY: Duration = Duration::from_millis(40);
 /// Released results are reported at once when they occupy more than the memory divided by this.
 const URGENT_RELEASE_PARTS: u64 = 8;
-/// Memory is short if results occupy more than the memory divided by this.
-const SHORT_PARTS: u64 = 4;
 /// Share of a server's memory that is filled with results, in percent; below 100 because sizes of
 /// results are approximate.
 const USABLE_PERCENT: u64 = 92;
@@ -81,8 +77,6 @@
     sent_releases: Vec<(u64, Instant)>,
     /// Bytes presumably occupied by another owner's results, and until when that is assumed.
     foreign: Option<(u64, Instant)>,
-    /// Until when memory counts as scarce after the server ran out of it.
-    scarce_until: Option<Instant>,
     /// When the free memory is queried next.
     query_at: Option<Instant>,
     /// No call is sent before a report of the free memory arrives or this time has passed.
@@ -113,7 +107,6 @@
             release_pending_since: None,
             sent_releases: Vec::new(),
             foreign: None,
-            scarce_until: None,
             query_at: None,
             report_deadline: None,
             rate_limit: None,
@@ -192,15 +185,9 @@
     pub fn record_out_of_memory(&mut self, now: Instant) {
         let free = self.own_free_bytes(now);
         self.foreign = Some((free, now + FOREIGN_RESULTS_TTL));
-        self.scarce_until = Some(now + SCARCITY_TIME);
         self.query_at.get_or_insert(now);
     }
 
-    /// Whether the server ran out of memory for results lately.
-    pub fn is_memory_scarce(&self, now: Instant) -> bool {
-        self.scarce_until.is_some_and(|until| now < until)
-    }
-
     /// Schedules a query of the free memory, and holds back calls for a short time until the report
     /// arrives.
     pub fn query_before_calls(&mut self, now: Instant) {
@@ -280,28 +267,6 @@
         std::mem::take(&mut self.pending_release)
     }
 
-    /// Whether the scheduler's own results occupy so much of its memory that others would find it short
-    /// if these stayed until they expire.
-    pub fn is_short_of_memory(&self) -> bool {
-        let stored: u64 = self.stored.values().map(|(bytes, _)| *bytes).sum();
-        stored * SHORT_PARTS > self.spec.result_memory_bytes
-    }
-
-    /// Releases results of a lost owner, except those that have been adopted. The server is told
-    /// within `delay`; then the lost owner's results no longer count as occupied.
-    pub fn release_orphans(&mut self, handles: Vec<Name>, delay: Duration, now: Instant) {
-        let stored = &self.stored;
-        let orphans = handles.into_iter().filter(|h| !stored.contains_key(h));
-        self.pending_release.extend(orphans);
-        if self.pending_release.is_empty() {
-            return;
-        }
-        self.release_pending_since.get_or_insert(now);
-        if let Some((_, until)) = &mut self.foreign {
-            *until = (*until).min(now + delay + RELEASE_LATENCY);
-        }
-    }
-
     /// Releases a result. The server is told later, together with other results.
     pub fn release(&mut self, handle: &Name, now: Instant) {
         if let Some((bytes, _)) = self.stored.remove(handle) {
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -4,7 +4,6 @@
 //! batches for the requests of all instances, which submit jobs through [`crate::stages`].
 
 mod calls;
-mod inventory;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -27,7 +26,6 @@
 use crate::metrics::Metrics;
 use crate::notices::NoticeReader;
 use crate::state::elapsed_ms;
-use crate::store::Store;
 use crate::upstream::ConnectionPool;
 
 /// Longest time between two polls of a scheduler with jobs, which finds calls that take too long.
@@ -36,8 +34,6 @@
 const FREE_MEMORY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a cell that was handed over accepts no jobs here.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(1500);
-/// Time without jobs after which another instance may have owned the cell.
-const TAKEOVER_IDLE_TIME: Duration = Duration::from_secs(2);
 /// How often the load of a cell with jobs is logged.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -91,9 +87,6 @@
     dialect: Rc<dyn Dialect>,
     connections: Rc<ConnectionPool>,
     notices: Rc<NoticeReader>,
-    store: Rc<Store>,
-    /// Name of this instance.
-    instance: Name,
     metrics: Rc<Metrics>,
     log: Logger,
 }
@@ -104,10 +97,6 @@
     sched: RefCell<BatchScheduler>,
     callbacks: RefCell<HashMap<Name, JobCallback>>,
     wake: Notify,
-    /// Another instance may have owned the cell until now.
-    taken_over: Notify,
-    /// When the cell last had a job.
-    busy_at: Cell<Instant>,
     handed_over_at: Cell<Option<Instant>>,
     shared: Rc<Shared>,
 }
@@ -134,8 +123,6 @@
         dialect: Rc<dyn Dialect>,
         connections: Rc<ConnectionPool>,
         notices: Rc<NoticeReader>,
-        store: Rc<Store>,
-        instance: Name,
         metrics: Rc<Metrics>,
         log: Logger,
     ) -> Self {
@@ -143,8 +130,6 @@
             dialect,
             connections,
             notices,
-            store,
-            instance,
             metrics,
             log,
         };
@@ -270,9 +255,6 @@
             callback(JobEvent::Ended(JobOutcome::Redirected { accepted: false }));
             return;
         }
-        if runner.busy_at.replace(Instant::now()).elapsed() > TAKEOVER_IDLE_TIME {
-            runner.taken_over.notify_one();
-        }
         runner.sched.borrow_mut().cancel_handover(Instant::now());
         let id = job.id.clone();
         let submitted = runner.sched.borrow_mut().submit(job, Instant::now());
@@ -315,15 +297,10 @@
                 sched: RefCell::new(sched),
                 callbacks: RefCell::default(),
                 wake: Notify::new(),
-                taken_over: Notify::new(),
-                busy_at: Cell::new(Instant::now()),
                 handed_over_at: Cell::new(None),
                 shared: self.shared.clone(),
             });
-            runner.taken_over.notify_one();
             tokio::task::spawn_local(run_cell(runner.clone()));
-            tokio::task::spawn_local(inventory::release_orphans(runner.clone()));
-            tokio::task::spawn_local(inventory::list_results(runner.clone()));
             runner
         });
         runner.clone()
@@ -354,9 +331,6 @@
             perform(&runner, action);
         }
         let busy = runner.sched.borrow().job_count() > 0;
-        if busy {
-            runner.busy_at.set(Instant::now());
-        }
         if busy && logged_at.elapsed() > LOAD_LOG_INTERVAL {
             logged_at = Instant::now();
             let loads = runner.sched.borrow().loads(logged_at);
--- a/crates/sardineshore-serve/src/dialect.rs
+++ b/crates/sardineshore-serve/src/dialect.rs
@@ -90,15 +90,11 @@
     Crashes,
     /// Rate limits that servers name.
     Limits,
-    /// Results that owners of cells hold; read only when a cell changes its owner.
-    Results,
 }
 
 impl Table {
-    /// Number of tables.
-    pub const COUNT: usize = 6;
-    /// The tables that instances watch, in the order of their declaration.
-    pub const WATCHED: [Self; 5] = [
+    /// All tables, in the order of their declaration.
+    pub const ALL: [Self; 5] = [
         Self::Config,
         Self::Servers,
         Self::Instances,
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -79,8 +79,6 @@
         dialect.clone(),
         connections.clone(),
         notices.clone(),
-        store.clone(),
-        settings.instance.clone(),
         metrics.clone(),
         log.clone(),
     ));
--- a/crates/sardineshore-serve/src/relay.rs
+++ b/crates/sardineshore-serve/src/relay.rs
@@ -51,8 +51,8 @@
     StoreFailed,
 }
 
-/// Versions up to which a subscriber knows the tables, in the order of [`Table::WATCHED`].
-pub type KnownVersions = [Option<StoreVersion>; Table::WATCHED.len()];
+/// Versions up to which a subscriber knows the tables, in the order of [`Table::ALL`].
+pub type KnownVersions = [Option<StoreVersion>; Table::ALL.len()];
 
 /// An event of a link to a reader.
 #[derive(Debug)]
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -60,8 +60,8 @@
     log: Logger,
     servers: RefCell<ServerRegistry>,
     instances: RefCell<BTreeMap<Name, InstanceInfo>>,
-    /// By [`table_index`].
-    replicas: RefCell<[TableReplica; Table::COUNT]>,
+    /// In the order of [`Table::ALL`].
+    replicas: RefCell<[TableReplica; Table::ALL.len()]>,
     on_change: ChangeCallback,
     /// Longest time for which a server that leaves may still get requests.
     drain_bound: Duration,
@@ -98,7 +98,7 @@
     }
 }
 
-/// Position of a table, in the order of declaration.
+/// Position of a table in [`Table::ALL`].
 fn table_index(table: Table) -> usize {
     match table {
         Table::Config => 0,
@@ -106,7 +106,6 @@
         Table::Instances => 2,
         Table::Crashes => 3,
         Table::Limits => 4,
-        Table::Results => 5,
     }
 }
 
@@ -156,7 +155,7 @@
 
     /// Starts all tasks; they run until the runtime stops.
     pub fn start(self: &Rc<Self>) {
-        for table in Table::WATCHED {
+        for table in Table::ALL {
             let watcher = self.clone();
             tokio::task::spawn_local(async move { watcher.watch(table).await });
         }
@@ -173,7 +172,7 @@
     }
 
     fn known_versions(&self) -> KnownVersions {
-        Table::WATCHED.map(|table| self.version(table))
+        Table::ALL.map(|table| self.version(table))
     }
 
     /// Watches a table forever: reads it, or waits while another instance hands it on.
@@ -392,7 +391,7 @@
     async fn greet_subscribers(&self) {
         loop {
             for (tx, known) in self.relay.take_new_subscribers().await {
-                for (index, table) in Table::WATCHED.into_iter().enumerate() {
+                for (index, table) in Table::ALL.into_iter().enumerate() {
                     let changes = self.replicas.borrow()[index].changes_after(known[index]);
                     let Some(changes) = changes else { continue };
                     let age = self.state.freshness.borrow().age(boot_time());
--- a/crates/sardineshore-serve/src/watcher/restore.rs
+++ b/crates/sardineshore-serve/src/watcher/restore.rs
@@ -113,7 +113,7 @@
                 self.limits.apply_restored(news);
                 Ok(())
             }
-            Table::Servers | Table::Results => self.apply_news(table, news),
+            Table::Servers => self.apply_news(table, news),
         }
     }
 }
--- a/crates/sardineshore-serve/src/watcher/tables.rs
+++ b/crates/sardineshore-serve/src/watcher/tables.rs
@@ -43,8 +43,6 @@
                 self.limits.apply(news);
                 Ok(())
             }
-            // Not watched.
-            Table::Results => Ok(()),
         }
     }
 
--- a/crates/sardineshore-serve/src/watcher/waits.rs
+++ b/crates/sardineshore-serve/src/watcher/waits.rs
@@ -95,7 +95,7 @@
             Table::Config => CONFIG_WAIT,
             Table::Servers => self.longest_servers_wait(),
             Table::Instances if !self.unlisted_instances.borrow().is_empty() => RESTORE_SETTLE_TIME,
-            Table::Instances | Table::Crashes | Table::Limits | Table::Results => LONG_WAIT,
+            Table::Instances | Table::Crashes | Table::Limits => LONG_WAIT,
         }
     }
 
@@ -126,7 +126,7 @@
             Table::Servers => self.drain_bound.mul_f64(SERVERS_DELAY_FRACTION),
             Table::Instances => INSTANCES_DELAY,
             Table::Crashes => CRASHES_DELAY,
-            Table::Limits | Table::Results => LIMITS_DELAY,
+            Table::Limits => LIMITS_DELAY,
         }
     }
 
