test(entry): stand-in servers that say that they leave or want a pause

The stand-ins of backend servers said neither, so only tests with sockets of their own showed what sardine-entry makes of it.

Change: two settings among the injected faults, leaving and pause_ms, also over HTTP as the others.

--- a/crates/sardineshore-entry/tests/answers.rs
+++ b/crates/sardineshore-entry/tests/answers.rs
@@ -122,6 +122,48 @@
     });
 }
 
+/// Guards against attempts at a server whose load reports say that it shuts down.
+#[test]
+fn dispatch_server_that_reports_leaving_receives_no_further_attempts() {
+    task::block_on(async {
+        let leaving = ServerFaults {
+            leaving: true,
+            ..no_faults()
+        };
+        let backends = vec![leaving, no_faults()];
+        let entry = TestEntry::start("leaves", Stage::default(), backends).await;
+        for _ in 0..32 {
+            assert_own_answers(&entry, 1).await;
+        }
+        let reached = entry.backends[0].started_attempts();
+        assert!(reached <= 1, "{reached} attempts");
+        entry.stop().await;
+    });
+}
+
+/// Guards against attempts at servers that want none, when no other server is left.
+#[test]
+fn dispatch_servers_that_pause_receive_no_further_attempts() {
+    task::block_on(async {
+        let pausing = ServerFaults {
+            refuse: 1.0,
+            pause_ms: 600_000,
+            ..no_faults()
+        };
+        let backends = vec![pausing.clone(), pausing];
+        let entry = TestEntry::start("pauses", Stage::default(), backends).await;
+        for _ in 0..8 {
+            let reply = entry.submit("t", None).await;
+            assert_eq!(reply.header(headers::OUTCOME), "not-run");
+        }
+        for backend in &entry.backends {
+            let refused = backend.refused_attempts();
+            assert!(refused <= 1, "{refused} attempts");
+        }
+        entry.stop().await;
+    });
+}
+
 /// A gate that drains a backend server after it was selected, just before the first send to it.
 #[derive(Debug, Default)]
 struct DrainBeforeSend {
--- a/crates/sardineshore-entry/tests/support/entry.rs
+++ b/crates/sardineshore-entry/tests/support/entry.rs
@@ -45,6 +45,11 @@
         self.count(ExecutionEvent::Begun)
     }
 
+    /// Number of attempts that were refused.
+    pub fn refused_attempts(&self) -> usize {
+        self.count(ExecutionEvent::Refused)
+    }
+
     /// Number of attempts that were cancelled.
     pub fn cancelled_attempts(&self) -> usize {
         self.count(ExecutionEvent::Cancelled)
--- a/crates/sardineshore-fakes/src/server.rs
+++ b/crates/sardineshore-fakes/src/server.rs
@@ -99,6 +99,7 @@
     }
 
     fn load_report(&self) -> LoadReport {
+        let leaving = self.faults().leaving;
         let current = self.slots.occupancy();
         let mut load = self.load.lock().expect("load lock poisoned");
         let (sample, age) = load.report(current, self.clock.now());
@@ -109,6 +110,7 @@
             queued: count(sample.queued),
             capacity: count(self.settings.capacity),
             age_ms: millis(age),
+            leaving,
             ..LoadReport::default()
         }
     }
--- a/crates/sardineshore-fakes/src/server/faults.rs
+++ b/crates/sardineshore-fakes/src/server/faults.rs
@@ -23,6 +23,10 @@
     pub late_answer_ms: u64,
     /// Probability that an attempt gets an error response after it ran.
     pub fail: f64,
+    /// Whether load reports say that the server shuts down.
+    pub leaving: bool,
+    /// Pause that refusals ask for, in milliseconds; 0 asks for none.
+    pub pause_ms: u64,
 }
 
 impl Default for ServerFaults {
@@ -36,6 +40,8 @@
             repeat_answer: 0.0,
             late_answer_ms: 0,
             fail: 0.0,
+            leaving: false,
+            pause_ms: 0,
         }
     }
 }
--- a/crates/sardineshore-fakes/src/server/run.rs
+++ b/crates/sardineshore-fakes/src/server/run.rs
@@ -8,6 +8,7 @@
 use futures::pin_mut;
 use http_types::Request;
 use sardineshore_wire::audit_log::ExecutionEvent;
+use sardineshore_wire::headers;
 use serde_json::{Map, Value};
 
 use super::FakeServer;
@@ -112,7 +113,12 @@
     fn refuse(&self, attempt: &Attempt, reason: &str) -> HandlerOutcome {
         self.log.write(ExecutionEvent::Refused, attempt);
         let response = AttemptResponse::not_run(attempt, reason);
-        response.http_response(self.load_report()).into()
+        let mut response = response.http_response(self.load_report());
+        let pause = Duration::from_millis(self.faults().pause_ms);
+        if !pause.is_zero() {
+            response.insert_header(headers::RETRY_AFTER, pause.as_secs_f64().to_string());
+        }
+        response.into()
     }
 
     /// Logs the start of the attempt; returns `false` if its run identifier is sealed. Aborts the
