feat(entry): servers that leave or want a pause are events and counted

The router took servers out of use without a line in the log, so operators could not tell a pause from a pool that is too small.

Change: two more decisions of the router, as events 4005 and 4006 and in the metric of its decisions. A pause that is lengthened while it lasts is logged once.

--- a/crates/sardineshore-core/src/event/routing.rs
+++ b/crates/sardineshore-core/src/event/routing.rs
@@ -36,6 +36,24 @@
     action: "None if the restart was planned; otherwise look for a crash.",
 };
 
+/// A backend server said that it shuts down.
+pub const SERVER_LEAVING: EventKind = EventKind {
+    number: 4005,
+    name: "server-leaving",
+    meaning: "A backend server said in a load report that it shuts down; it receives no new work \
+              until it is restarted.",
+    action: "None if the shutdown was planned.",
+};
+
+/// A backend server asked for a pause.
+pub const SERVER_PAUSED: EventKind = EventKind {
+    number: 4006,
+    name: "server-paused",
+    meaning: "A backend server turned an attempt away and named a time for which it wants no \
+              others.",
+    action: "Add backend servers to the pool if this lasts.",
+};
+
 /// A backend server was selected.
 pub const SERVER_CHOSEN: EventKind = EventKind {
     number: 4010,
@@ -123,6 +141,8 @@
     SERVER_RETURNED,
     EJECTION_WITHHELD,
     SERVER_RESTARTED,
+    SERVER_LEAVING,
+    SERVER_PAUSED,
     SERVER_CHOSEN,
     POOL_SATURATED,
     POOL_EMPTY,
--- a/crates/sardineshore-core/src/routing.rs
+++ b/crates/sardineshore-core/src/routing.rs
@@ -212,16 +212,26 @@
         if restarted {
             self.notices.push(server.notice(RoutingDecision::Restarted));
         }
+        if load.leaving && accepted_work {
+            self.notices.push(server.notice(RoutingDecision::Leaving));
+        }
         if accepts_work != accepted_work {
             let pool = server.declared.pool.clone();
             self.update_members(&pool);
         }
     }
 
-    /// Records that a backend server wants no requests before this time.
-    pub fn record_pause(&mut self, server: &ServerId, until: Instant) {
-        if let Some(server) = find(&mut self.servers, &self.keys_by_name, server) {
-            server.record_pause(until);
+    /// Records that a backend server wants no requests for a while.
+    pub fn record_pause(&mut self, server: &ServerId, pause: Duration, now: Instant) {
+        let Some(server) = find(&mut self.servers, &self.keys_by_name, server) else {
+            return;
+        };
+        let was_paused = !server.pause_left(now).is_zero();
+        server.record_pause(now + pause);
+        let length = server.pause_left(now);
+        if !was_paused && !length.is_zero() {
+            self.notices
+                .push(server.notice(RoutingDecision::Paused { length }));
         }
     }
 
--- a/crates/sardineshore-core/src/routing/notice.rs
+++ b/crates/sardineshore-core/src/routing/notice.rs
@@ -30,6 +30,13 @@
     Withheld,
     /// It was restarted; observations from before the restart are discarded.
     Restarted,
+    /// It receives no new work until it is restarted, as it shuts down.
+    Leaving,
+    /// It receives no new work for a time that it named.
+    Paused {
+        /// Time that is left of the pause.
+        length: Duration,
+    },
 }
 
 impl RoutingNotice {
@@ -41,6 +48,8 @@
             RoutingDecision::Returned => routing::SERVER_RETURNED,
             RoutingDecision::Withheld => routing::EJECTION_WITHHELD,
             RoutingDecision::Restarted => routing::SERVER_RESTARTED,
+            RoutingDecision::Leaving => routing::SERVER_LEAVING,
+            RoutingDecision::Paused { .. } => routing::SERVER_PAUSED,
         }
     }
 }
--- a/crates/sardineshore-core/tests/routing.rs
+++ b/crates/sardineshore-core/tests/routing.rs
@@ -179,6 +179,7 @@
     };
     let left: ServerId = "s0".into();
     router.record_load(&left, &load(1, true, Duration::ZERO), now);
+    assert_eq!(router.take_notices()[0].decision, RoutingDecision::Leaving);
     router.record_load(&left, &load(1, false, Duration::ZERO), now);
     assert!(!router.accepts_work(&left));
     for _ in 0..200 {
@@ -198,8 +199,11 @@
     let mut router = router(2, 1);
     let now = Instant::now();
     let paused: ServerId = "s0".into();
-    router.record_pause(&paused, now + 3 * SECOND);
-    router.record_pause(&paused, now + SECOND);
+    router.record_pause(&paused, 3 * SECOND, now);
+    router.record_pause(&paused, SECOND, now);
+    let decisions: Vec<_> = router.take_notices().iter().map(|n| n.decision).collect();
+    let length = 3 * SECOND;
+    assert_eq!(decisions, [RoutingDecision::Paused { length }]);
     for _ in 0..200 {
         assert_ne!(
             attempt(&mut router, 0, AttemptResult::Answered, now),
@@ -208,7 +212,7 @@
     }
     let polled = [now, now].map(|now| router.next_load_poll(SECOND, now));
     assert!(polled.iter().flatten().all(|poll| poll.server != paused));
-    router.record_pause(&"s1".into(), now + 4 * SECOND);
+    router.record_pause(&"s1".into(), 4 * SECOND, now);
     let retry_after = 3 * SECOND;
     let saturated = Err(SelectionError::Saturated { retry_after });
     assert_eq!(select(&mut router, 0, now), saturated);
@@ -221,7 +225,7 @@
     let mut router = router(2, 1);
     let now = Instant::now();
     for server in ["s0", "s1"] {
-        router.record_pause(&server.into(), now + 60 * SECOND);
+        router.record_pause(&server.into(), 60 * SECOND, now);
     }
     assert_eq!(select(&mut router, 0, now), Err(SelectionError::TooLate));
     let restarted = ServerLoad {
--- a/crates/sardineshore-entry/src/dispatch/attempt.rs
+++ b/crates/sardineshore-entry/src/dispatch/attempt.rs
@@ -157,9 +157,9 @@
     /// cannot be parsed is ignored.
     pub fn record_pause(&self, retry_after: &str) {
         if let Some(pause) = parse_pause(retry_after) {
-            let until = self.instance.clock.now() + pause;
+            let now = self.instance.clock.now();
             let mut router = self.instance.tables.router();
-            router.record_pause(&self.choice.server, until);
+            router.record_pause(&self.choice.server, pause, now);
         }
     }
 
--- a/crates/sardineshore-entry/src/load.rs
+++ b/crates/sardineshore-entry/src/load.rs
@@ -60,7 +60,9 @@
         instance.metrics.policy.count_notice(&notice);
         let text = notice_text(&notice);
         match notice.decision {
-            RoutingDecision::Returned => instance.event_log.info(&notice.event_kind(), text),
+            RoutingDecision::Returned | RoutingDecision::Leaving => {
+                instance.event_log.info(&notice.event_kind(), text);
+            }
             _ => instance.event_log.warn(&notice.event_kind(), text),
         }
     }
@@ -69,7 +71,7 @@
 fn notice_text(notice: &RoutingNotice) -> String {
     let RoutingNotice { server, pool, .. } = notice;
     match notice.decision {
-        RoutingDecision::Ejected { length } => {
+        RoutingDecision::Ejected { length } | RoutingDecision::Paused { length } => {
             format!(
                 "server {server} of pool {pool}, for {} ms",
                 length.as_millis()
