fix(serve): a silent server is given up only once another one can take over

Callers saw streams that were closed in the middle of the answer, without an error, although their server was sound and went on a moment later.

Cause: a stream was given up after 900 ms without an event. The connection to its server was closed first, and only then the retry budget was asked, the stages ran again and another server was chosen. If any of these failed, or the next server was full, nothing was left to answer with, and the caller's connection was closed. The class: giving up a party on silence alone before anything can take its place. It needs no disruption, as a sound server may pause for a second, and it comes more often beside a change of the configuration, when servers pause and stages wait.

Change: the limit is 1.6 s, longer than a sound server's pause. Then a retry is taken, the stages run and a connection is opened while the silent server is still listened to; whichever is ready first goes on. The retry goes back to the budget if it isn't needed. Without a replacement the silent server is waited for until the deadline. Stages of a stream that the caller has a part of are accepted whatever the load, and rejections by full servers, which have not run it, don't end such a stream before three of them.

A new counter and two log lines tell what followed a silence.

Conclusion: fixed for streams of sardine-serve; stage calls, plain requests, links of peers and sardine-entry are looked at separately.

--- a/crates/sardineshore-core/src/flow/retry_budget.rs
+++ b/crates/sardineshore-core/src/flow/retry_budget.rs
@@ -83,6 +83,13 @@
         }
         within_budget
     }
+
+    /// Gives back the latest retry, which was not sent.
+    pub fn give_back(&mut self, pool: &Name) {
+        if let Some(sends) = self.pools.get_mut(pool) {
+            let _latest = sends.retries.pop_back();
+        }
+    }
 }
 
 /// Removes the times that have left the window.
--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -472,6 +472,13 @@
         }
     }
 
+    /// Records that a server is silent in the middle of a response.
+    pub fn record_silence(&mut self, id: &str, now: Instant) {
+        if let Some(state) = self.servers.get_mut(id) {
+            state.health.record_silence(now);
+        }
+    }
+
     /// Records the load that a server reports.
     pub fn record_load(&mut self, id: &str, report: LoadReport, now: Instant) {
         if let Some(state) = self.servers.get_mut(id) {
--- a/crates/sardineshore-core/src/flow/selection/health.rs
+++ b/crates/sardineshore-core/src/flow/selection/health.rs
@@ -52,6 +52,12 @@
         (self.mean_latency_s / SLOW_LATENCY_S).clamp(1.0, MAX_SLOWDOWN)
     }
 
+    /// Records that a server is silent in the middle of a response. It may only pause, so it gets no
+    /// work for a while but doesn't count as broken.
+    pub fn record_silence(&mut self, now: Instant) {
+        self.backoff_until = self.backoff_until.max(Some(now + INITIAL_BACKOFF));
+    }
+
     /// Records the outcome of an attempt.
     pub fn record(&mut self, outcome: AttemptOutcome, now: Instant) {
         match outcome {
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -140,6 +140,12 @@
         first.is_some_and(|at| at.elapsed() >= SOUND_OUTPUT_TIME)
     }
 
+    /// Records that the server is silent in the middle of the response.
+    pub fn record_silence(&self) {
+        let mut selector = self.state.selector.borrow_mut();
+        selector.record_silence(&self.server.id, Instant::now());
+    }
+
     /// Records that the connection ended before the response did.
     pub fn record_lost_connection(&self) {
         self.connection_lost.set(true);
@@ -188,6 +194,29 @@
     }
 }
 
+/// Permission to send a request. Gives a retry back to the budget if it is dropped unused.
+#[derive(Debug)]
+pub struct SendPermit {
+    state: Rc<SharedState>,
+    pool: Name,
+    unused_retry: bool,
+}
+
+impl SendPermit {
+    /// The request is sent.
+    pub fn use_up(mut self) {
+        self.unused_retry = false;
+    }
+}
+
+impl Drop for SendPermit {
+    fn drop(&mut self) {
+        if self.unused_retry {
+            self.state.retry_budget.borrow_mut().give_back(&self.pool);
+        }
+    }
+}
+
 /// An open connection to the selected server.
 #[derive(Debug)]
 pub struct ConnectedServer {
@@ -385,17 +414,24 @@
             .unwrap_or(1)
     }
 
-    /// Counts a first send, or takes a retry from the pool's retry budget. Returns `false` if the
-    /// budget is used up; a first send is always allowed.
+    /// Counts a first send, or takes a retry from the pool's retry budget; `None` if the budget is
+    /// used up. A first send is always allowed.
     #[must_use]
-    pub fn try_acquire_send(&self, pool: &Name, is_retry: bool) -> bool {
+    pub fn try_acquire_send(&self, pool: &Name, is_retry: bool) -> Option<SendPermit> {
         let now = Instant::now();
         let mut retry_budget = self.state.retry_budget.borrow_mut();
         if is_retry {
-            return retry_budget.try_acquire(pool, self.peers.instance_count(), now);
+            if !retry_budget.try_acquire(pool, self.peers.instance_count(), now) {
+                return None;
+            }
+        } else {
+            retry_budget.record_first_send(pool, now);
         }
-        retry_budget.record_first_send(pool, now);
-        true
+        Some(SendPermit {
+            state: self.state.clone(),
+            pool: pool.clone(),
+            unused_retry: is_retry,
+        })
     }
 
     /// Sends the request to the connected server and reads the head of the response. Records the
@@ -406,34 +442,30 @@
     /// Fails if the connection breaks or the server sends no valid response head.
     pub async fn send(
         &self,
-        connected: &mut ConnectedServer,
+        server: &SelectedServer,
+        conn: &mut Conn,
         request: &AdmittedRequest<'_>,
         extra: ExtraHeaders<'_>,
     ) -> Result<Response, crate::upstream::ExchangeError> {
-        let head = self.encode_head(&connected.server, request, extra);
+        let head = self.encode_head(server, request, extra);
         let outgoing = OutgoingRequest {
             head: &head,
             body: request.body,
             echo: Some((self.dialect.header_names().request_id, request.id)),
             is_head: request.head.method == "HEAD",
         };
-        if self
-            .state
-            .selector
-            .borrow()
-            .is_leaving(&connected.server.id)
-        {
-            info!(self.log, "request goes to a server that leaves"; "request" => request.id, "server" => &*connected.server.id);
+        if self.state.selector.borrow().is_leaving(&server.id) {
+            info!(self.log, "request goes to a server that leaves"; "request" => request.id, "server" => &*server.id);
         }
-        let run = self.notices.listed_run(&connected.server.id);
-        let response = connected.conn.send(outgoing).await?;
+        let run = self.notices.listed_run(&server.id);
+        let response = conn.send(outgoing).await?;
         if let Some(run) = &run {
             self.notices.record(run, &response.head);
         }
         let load = response.head.headers.get(self.dialect.header_names().load);
         if let Some(load) = load.and_then(|text| self.dialect.parse_load(text)) {
             let mut selector = self.state.selector.borrow_mut();
-            selector.record_load(&connected.server.id, load, Instant::now());
+            selector.record_load(&server.id, load, Instant::now());
         }
         // Another server may listen at the address by now.
         if response.head.status != 421 {
@@ -442,7 +474,7 @@
                 .headers
                 .get(self.dialect.header_names().rate_limit);
             let limit = limit.and_then(|text| self.dialect.parse_rate_limit(text));
-            self.limits.record(&connected.server.id, limit);
+            self.limits.record(&server.id, limit);
         }
         Ok(response)
     }
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -20,6 +20,8 @@
     pub first_byte: HistogramVec,
     /// Requests sent to backend servers, by pool and outcome.
     pub sends: IntCounterVec,
+    /// Servers that were silent in a stream for longer than sound ones pause, by what followed.
+    pub silences: IntCounterVec,
     /// Batch calls to servers of stages, by outcome.
     pub piece_calls: IntCounterVec,
     /// Pieces of stages sent in batch calls, by cell.
@@ -53,6 +55,11 @@
             &["route", "status"],
         )?;
         let sends = counter("sardine_sends_total", "Sends to servers.", &["pool", "end"])?;
+        let silences = counter(
+            "sardine_silences_total",
+            "Servers that were silent in a stream.",
+            &["end"],
+        )?;
         let piece_calls = counter("sardine_piece_calls_total", "Calls for pieces.", &["end"])?;
         let pieces = counter("sardine_pieces_total", "Pieces sent.", &["cell"])?;
         let crashes = IntCounter::new("sardine_crashes_total", "Crashes of servers seen.")?;
@@ -81,6 +88,7 @@
             answers,
             first_byte,
             sends,
+            silences,
             piece_calls,
             pieces,
             crashes,
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -60,15 +60,17 @@
                 (Err(retry_after), None) => return not_run(request, retry_after, "no server"),
             };
             let is_retry = stats.attempts > 0;
-            if !self.dispatcher.try_acquire_send(&selection.pool, is_retry) {
+            let permit = self.dispatcher.try_acquire_send(&selection.pool, is_retry);
+            let Some(permit) = permit else {
                 return match lost {
                     Some(reason) => Outcome::Failed(ErrorResponse::OutcomeUnknown(reason)),
                     None => not_run(request, RETRY_AFTER_REJECTED, "no repeats left"),
                 };
-            }
+            };
             if let Some(refused) = self.refuse_quarantined(request, lost) {
                 return refused;
             }
+            permit.use_up();
             stats.attempts += 1;
             stats.server = Some(connected.server.id.clone());
             selection.tried.push(connected.server.id.clone());
@@ -183,9 +185,10 @@
         connected: &mut ConnectedServer,
         request: &AdmittedRequest<'_>,
     ) -> Result<(Response, Vec<u8>), ExchangeError> {
+        let (server, conn) = (&connected.server, &mut connected.conn);
         let sent = self
             .dispatcher
-            .send(connected, request, ExtraHeaders::default());
+            .send(server, conn, request, ExtraHeaders::default());
         let mut response = sent.await?;
         let body = connected.conn.read_body(&mut response).await?;
         Ok((response, body))
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -2,42 +2,48 @@
 //!
 //! The request's stages run first. Their results are inputs of the request, which then goes to a
 //! model engine. The engine's events are forwarded as they arrive. If a resumable stream breaks
-//! off, another server continues it after the last event that the caller has.
+//! off, another server continues it after the last event that the caller has. A server that is
+//! silent may only pause: it is given up once another one can take over.
 
+mod forward;
+
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use forward::ResponseSink;
 use sardineshore_core::flow::batching::{Job, JobStage};
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::selection::{AttemptOutcome, SelectionRequest};
-use tokio::io::{AsyncWrite, AsyncWriteExt};
+use sardineshore_core::flow::selection::SelectionRequest;
+use slog::info;
+use tokio::io::AsyncWrite;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{
-    Outcome, QUARANTINED, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, not_run, select_pool,
-};
+use super::{Outcome, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, not_run, select_pool};
 use crate::attempt::{
-    AdmittedRequest, ConnectedServer, Dispatcher, ExtraHeaders, RETRY_AFTER_NO_SERVER,
+    AdmittedRequest, Attempt, ConnectedServer, Dispatcher, RETRY_AFTER_NO_SERVER,
 };
-use crate::reply::{ErrorResponse, response_head, write_chunk};
+use crate::reply::ErrorResponse;
 use crate::shutdown::Phase;
 use crate::stages::ResultGuard;
-use crate::state::elapsed_ms;
+use crate::state::{elapsed_ms, whole_ms};
 use crate::stream::EventFilter;
 use crate::upstream::Response;
 
 /// Time that a model engine needs to its first output once it runs the request.
 const ENGINE_RUN_TIME: Duration = Duration::from_millis(150);
-/// Time without an event after which another server continues a resumable stream.
-const STALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Minimum time that a server gets for its first output while another server can still be tried.
-const MIN_FIRST_OUTPUT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Number of shared prompt tokens from which on the stages run in the failure domain of the server
 /// that has the tokens cached. With fewer tokens the request goes to where its inputs are.
 const MIN_SHARED_PREFIX_TOKENS: u32 = 1500;
 /// Maximum number of times that stages run again because their results were lost before the server
 /// fetched them.
 const MAX_STAGE_RERUNS: u32 = 1;
+/// Maximum number of rejections after which a stream that the caller has a part of is still sent to
+/// a further server.
+const MAX_REJECTIONS: u32 = 3;
+
+/// Why an attempt at a server without output is lost.
+const SILENT: &str = "server silent";
 
 /// How an attempt ended before the stream was complete.
 enum End {
@@ -48,21 +54,55 @@
     /// The stream broke off or never began. The server may have run the request; with the reason
     /// for the log.
     Lost(&'static str),
+    /// The server is silent, and everything is ready to go on at another one.
+    Replaced(Box<ConnectedServer>),
     /// The server sent an error response, which can be forwarded.
     Failed(Response, Vec<u8>),
     /// Writing to the caller failed.
     CallerDisconnected,
 }
 
-/// Where the stream is written to, and how much of it the caller has.
-struct ResponseSink<'w, W> {
-    wr: &'w mut W,
-    keep_alive: bool,
-    filter: EventFilter,
-    /// Whether the response head has been sent.
+/// Results of the request's stages that the server needs.
+#[derive(Default)]
+struct Inputs {
+    /// Handles of the results.
+    handles: Vec<Name>,
+    /// Keeps the results; `None` once they were released.
+    guard: Option<ResultGuard>,
+}
+
+/// The attempts at one stream.
+struct Attempts<'r, 's> {
+    request: &'r AdmittedRequest<'r>,
+    selection: SelectionRequest,
+    inputs: Inputs,
+    stats: &'s mut RequestStats,
+    /// Number of attempts that the server did not reject.
+    runs: u32,
+    /// Number of attempts that the server rejected.
+    rejections: u32,
+    /// Whether the caller has a part of the stream.
     started: bool,
-    /// Counts the stream among those that were not sent to a server yet.
-    unsent: Option<Rc<()>>,
+}
+
+/// Why an attempt can't be made.
+enum Unprepared {
+    /// The retry budget is used up.
+    NoRetriesLeft,
+    /// The stages did not run; with the outcome if the request has not run.
+    StagesFailed(Outcome),
+    /// No server takes the request; with the time after which one may.
+    NoServer(Duration),
+}
+
+/// What a server that is waited for has done.
+enum Progress<T> {
+    /// It went on.
+    Made(T),
+    /// It is silent, and another server is connected.
+    Replaced(Box<ConnectedServer>),
+    /// It is silent, and the deadline has passed.
+    DeadlinePassed,
 }
 
 impl RequestHandler {
@@ -82,7 +122,7 @@
         let prompt = headers
             .get(fields.prompt_parts)
             .map(|text| self.dialect.parse_prompt(text));
-        let mut selection = SelectionRequest {
+        let selection = SelectionRequest {
             pool,
             seed: xxh3_64(request.id.as_bytes()),
             prompt: prompt.unwrap_or_default(),
@@ -120,9 +160,16 @@
             started: false,
             unsent: Some(self.unsent_streams.clone()),
         };
-        let outcome = self
-            .run_attempts(request, &mut selection, &mut sink, stats)
-            .await;
+        let mut attempts = Attempts {
+            request,
+            selection,
+            inputs: Inputs::default(),
+            stats: &mut *stats,
+            runs: 0,
+            rejections: 0,
+            started: false,
+        };
+        let outcome = self.run_attempts(&mut attempts, &mut sink).await;
         stats.last_event_id = sink.filter.last_event_id();
         outcome
     }
@@ -130,75 +177,56 @@
     /// Makes attempts until the stream is complete or no further attempt is possible.
     async fn run_attempts<W: AsyncWrite + Unpin>(
         &self,
-        request: &AdmittedRequest<'_>,
-        selection: &mut SelectionRequest,
+        attempts: &mut Attempts<'_, '_>,
         sink: &mut ResponseSink<'_, W>,
-        stats: &mut RequestStats,
     ) -> Outcome {
+        let request = attempts.request;
         let max_attempts = request.route.max_attempts.max(1);
         let retryable = request.route.kind.is_retryable();
         let mut stage_reruns = 0;
-        let (mut inputs, mut guard) = match self.run_stages(request, selection, stats).await {
-            Ok(stage_results) => stage_results,
-            Err(outcome) => return outcome,
-        };
         // Why an earlier attempt was lost. Once set, the caller must not be told that the request
         // has not run.
         let mut lost: Option<&'static str> = None;
+        // A server that replaces a silent one.
+        let mut replacement: Option<Box<ConnectedServer>> = None;
+        if let Err(outcome) = self.run_stages(attempts).await {
+            return outcome;
+        }
         loop {
-            let is_retry = stats.attempts > 0;
-            if !self.dispatcher.try_acquire_send(&selection.pool, is_retry) {
-                return no_attempt_outcome(
-                    request,
-                    sink.started,
-                    lost,
-                    RETRY_AFTER_REJECTED,
-                    "no repeats left",
-                );
-            }
-            if guard.is_none() && !inputs.is_empty() {
-                // The results were released when output began, so a further attempt needs new ones.
-                // The server is selected afterwards: one selected before may accept no work now.
-                match self.run_stages(request, selection, stats).await {
-                    Ok(stage_results) => (inputs, guard) = stage_results,
-                    Err(_) if sink.started => return Outcome::Aborted("stages can't end in time"),
-                    Err(outcome) => return after_lost_attempt(outcome, lost),
-                }
-            }
-            let mut connected = match self.dispatcher.connect(selection, request).await {
+            let connected = match replacement.take() {
+                Some(connected) => Ok(connected),
+                None => self.prepare_attempt(attempts).await,
+            };
+            let mut connected = match connected {
                 Ok(connected) => connected,
-                Err(wait) => {
-                    return no_attempt_outcome(request, sink.started, lost, wait, "no server");
+                Err(unprepared) => {
+                    return unprepared_outcome(request, unprepared, sink.started, lost);
                 }
             };
             if let Some(refused) = self.refuse_quarantined(request, lost) {
                 return sink.refused(refused);
             }
-            stats.attempts += 1;
+            attempts.record_send(&connected);
             sink.unsent = None;
-            stats.server = Some(connected.server.id.clone());
-            selection.tried.push(connected.server.id.clone());
             // Whether another attempt may follow although this one may have run the request.
-            let may_retry = retryable && stats.attempts < max_attempts;
-            let joined_inputs = (!inputs.is_empty()).then(|| inputs.join(","));
-            let extra = ExtraHeaders {
-                inputs: joined_inputs.as_deref(),
-                last_event_id: sink.resume_point(),
-            };
+            let may_retry = retryable && attempts.runs + 1 < max_attempts;
             let forwarded = self
-                .forward(
-                    &mut connected,
-                    request,
-                    extra,
-                    sink,
-                    may_retry,
-                    &mut guard,
-                    stats,
-                )
+                .forward(attempts, &mut connected, sink, may_retry)
                 .await;
             sink.filter.discard_partial_event();
-            if let Err(End::Lost(reason)) = forwarded {
-                self.record_lost_attempt(request, &connected, reason).await;
+            attempts.started = sink.started;
+            match forwarded {
+                Err(End::Rejected | End::InputsMissing) => attempts.rejections += 1,
+                _ => attempts.runs += 1,
+            }
+            match &forwarded {
+                Err(End::Lost(reason)) => {
+                    self.record_lost_attempt(request, &connected, reason).await;
+                }
+                Err(End::Replaced(_)) => {
+                    self.record_lost_attempt(request, &connected, SILENT).await;
+                }
+                _ => {}
             }
             match forwarded {
                 Ok((status, response)) => {
@@ -207,16 +235,15 @@
                 }
                 Err(End::CallerDisconnected) => return Outcome::CallerDisconnected,
                 Err(End::InputsMissing)
-                    if stage_reruns < MAX_STAGE_RERUNS && stats.attempts < max_attempts =>
+                    if stage_reruns < MAX_STAGE_RERUNS && attempts.may_send_again(max_attempts) =>
                 {
                     stage_reruns += 1;
-                    drop(guard.take());
-                    match self.run_stages(request, selection, stats).await {
-                        Ok(stage_results) => (inputs, guard) = stage_results,
-                        Err(outcome) => return after_lost_attempt(outcome, lost),
+                    drop(attempts.inputs.guard.take());
+                    if let Err(outcome) = self.run_stages(attempts).await {
+                        return after_lost_attempt(outcome, lost);
                     }
                 }
-                Err(End::Rejected) if stats.attempts < max_attempts => {}
+                Err(End::Rejected) if attempts.may_send_again(max_attempts) => {}
                 Err(End::Rejected | End::InputsMissing) => {
                     return no_attempt_outcome(
                         request,
@@ -226,6 +253,10 @@
                         "rejected by the server",
                     );
                 }
+                Err(End::Replaced(next)) => {
+                    lost = Some(SILENT);
+                    replacement = Some(next);
+                }
                 Err(End::Failed(..) | End::Lost(_)) if may_retry => lost = Some("server failed"),
                 Err(End::Failed(response, body)) if !sink.started => {
                     return sink.forward_response(&response, &body).await;
@@ -236,17 +267,93 @@
         }
     }
 
-    /// Runs the request's stages. Returns the handles of their results, which are the request's
-    /// inputs, and the guard that keeps the results; nothing if the request has no stages.
-    async fn run_stages(
+    /// Gets all that the next attempt needs: a retry of the budget unless it is the first attempt,
+    /// the results of the stages, and a connection to a server.
+    async fn prepare_attempt(
         &self,
-        request: &AdmittedRequest<'_>,
-        selection: &mut SelectionRequest,
-        stats: &mut RequestStats,
-    ) -> Result<(Vec<Name>, Option<ResultGuard>), Outcome> {
-        let Some(job) = self.build_job(request, selection) else {
-            return Ok((Vec::new(), None));
+        attempts: &mut Attempts<'_, '_>,
+    ) -> Result<Box<ConnectedServer>, Unprepared> {
+        let is_retry = attempts.stats.attempts > 0;
+        let permit = self
+            .dispatcher
+            .try_acquire_send(&attempts.selection.pool, is_retry)
+            .ok_or(Unprepared::NoRetriesLeft)?;
+        if attempts.inputs.are_released() {
+            // The results were released when output began, so a further attempt needs new ones.
+            // The server is selected afterwards: one selected before may accept no work now.
+            let ran = self.run_stages(attempts).await;
+            ran.map_err(Unprepared::StagesFailed)?;
+        }
+        let request = attempts.request;
+        let connected = self
+            .dispatcher
+            .connect(&mut attempts.selection, request)
+            .await
+            .map_err(Unprepared::NoServer)?;
+        permit.use_up();
+        Ok(Box::new(connected))
+    }
+
+    /// Waits for the server to go on. If it is silent for `patience` and `may_retry` is set, prepares
+    /// another server in the meantime. Until one is connected, the silent server may still go on: it
+    /// alone can if there is no replacement.
+    async fn wait_for_progress<T>(
+        &self,
+        attempts: &mut Attempts<'_, '_>,
+        attempt: &Attempt,
+        progress: impl Future<Output = T>,
+        patience: Duration,
+        may_retry: bool,
+    ) -> Progress<T> {
+        let mut progress = pin!(progress);
+        let request = attempts.request;
+        let count = |end| self.metrics.silences.with_label_values(&[end]).inc();
+        let mut is_silent = false;
+        loop {
+            let wait = if may_retry { patience } else { Duration::MAX };
+            let wait = wait.min(request.time_to_deadline());
+            if let Ok(made) = tokio::time::timeout(wait, progress.as_mut()).await {
+                if is_silent {
+                    count("went on");
+                }
+                return Progress::Made(made);
+            }
+            if request.time_to_deadline().is_zero() {
+                count("deadline");
+                return Progress::DeadlinePassed;
+            }
+            is_silent = true;
+            attempt.record_silence();
+            info!(self.log, "server silent; looking for another one";
+                "request" => request.id, "server" => attempts.stats.server.as_deref(),
+                "silent_ms" => whole_ms(wait), "left_ms" => whole_ms(request.time_to_deadline()));
+            tokio::select! {
+                biased;
+                made = progress.as_mut() => {
+                    count("went on");
+                    return Progress::Made(made);
+                }
+                replacement = self.prepare_attempt(attempts) => match replacement {
+                    Ok(connected) => {
+                        count("replaced");
+                        return Progress::Replaced(connected);
+                    }
+                    Err(unprepared) => {
+                        info!(self.log, "no other server; waiting for the silent one";
+                            "request" => request.id, "reason" => unprepared.reason());
+                    }
+                },
+            }
+        }
+    }
+
+    /// Runs the request's stages, if it has any, for the next attempts.
+    async fn run_stages(&self, attempts: &mut Attempts<'_, '_>) -> Result<(), Outcome> {
+        let request = attempts.request;
+        let Some(mut job) = self.build_job(request, &attempts.selection) else {
+            return Ok(());
         };
+        job.accepted_before = attempts.started;
         let start = Instant::now();
         let running = tokio::time::timeout(request.time_to_deadline(), self.stages.run(job));
         let result = tokio::select! {
@@ -258,11 +365,15 @@
                 return Err(not_run(request, RETRY_AFTER_REJECTED, "instance stops"));
             }
         };
-        stats.stages_ms += elapsed_ms(start);
+        attempts.stats.stages_ms += elapsed_ms(start);
         match result {
             Ok(Ok((inputs, guard))) => {
-                selection.input_bytes = inputs.bytes_by_domain;
-                Ok((inputs.handles, Some(guard)))
+                attempts.selection.input_bytes = inputs.bytes_by_domain;
+                attempts.inputs = Inputs {
+                    handles: inputs.handles,
+                    guard: Some(guard),
+                };
+                Ok(())
             }
             Ok(Err(retry_after)) => Err(not_run(request, retry_after, "stages can't end in time")),
             Err(_) => Err(not_run(request, Duration::ZERO, "time over in stages")),
@@ -318,199 +429,48 @@
             accepted_before: false,
         })
     }
+}
 
-    /// Makes one attempt: sends the request and forwards the events.
-    ///
-    /// With `may_retry` it gives up a silent server early, so that another one can go on. Drops
-    /// the results' guard at the first output. Returns the status and the response, whose
-    /// connection may be reused.
-    #[expect(clippy::too_many_arguments, reason = "the state of one stream")]
-    async fn forward<W: AsyncWrite + Unpin>(
-        &self,
-        connected: &mut ConnectedServer,
-        request: &AdmittedRequest<'_>,
-        extra: ExtraHeaders<'_>,
-        sink: &mut ResponseSink<'_, W>,
-        may_retry: bool,
-        guard: &mut Option<ResultGuard>,
-        stats: &mut RequestStats,
-    ) -> Result<(u16, Response), End> {
-        let time_left = request.time_to_deadline();
-        let first_output_timeout = if may_retry {
-            (time_left / 2).max(MIN_FIRST_OUTPUT_TIMEOUT).min(time_left)
-        } else {
-            time_left
-        };
-        let sent = self.dispatcher.send(connected, request, extra);
-        let sent = tokio::time::timeout(first_output_timeout, sent).await;
-        let mut response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(_)) => {
-                connected.attempt.record_lost_connection();
-                connected.attempt.finish(AttemptOutcome::Broken);
-                return Err(End::Lost("connection broke"));
-            }
-            Err(_) => {
-                connected.attempt.finish(AttemptOutcome::Broken);
-                return Err(End::Lost("server silent"));
-            }
-        };
-        self.check_head(connected, &mut response, time_left).await?;
-        let status = response.head.status;
-        let mut pending = Vec::new();
-        let mut wait = first_output_timeout;
-        let mut last_output_at = Instant::now();
-        let mut sound_output_recorded = false;
-        loop {
-            let next = connected.conn.next_chunk(&mut response);
-            let wait_for_next = wait.min(request.time_to_deadline());
-            let data = match tokio::time::timeout(wait_for_next, next).await {
-                // A server that always has bytes ready would never time out.
-                Ok(Ok(Some(_))) if request.time_to_deadline().is_zero() => {
-                    connected.attempt.finish(AttemptOutcome::Abandoned);
-                    return Err(End::Lost("deadline passed in the stream"));
-                }
-                Ok(Ok(data)) => data,
-                Ok(Err(_)) => {
-                    connected.attempt.record_lost_connection();
-                    connected.attempt.finish(AttemptOutcome::Broken);
-                    return Err(End::Lost("stream broke off"));
-                }
-                Err(_) => {
-                    let deadline_passed = request.time_to_deadline().is_zero();
-                    connected.attempt.finish(if deadline_passed {
-                        AttemptOutcome::Abandoned
-                    } else {
-                        AttemptOutcome::Broken
-                    });
-                    return Err(End::Lost("stream stalled"));
-                }
-            };
-            let Some(data) = data else {
-                // A server that stopped before its first event may close such a response too.
-                let stopped_early =
-                    response.is_close_delimited() && !connected.attempt.has_output();
-                if sink.filter.is_inside_event() || !sink.started || stopped_early {
-                    connected.attempt.record_lost_connection();
-                    connected.attempt.finish(AttemptOutcome::Failure);
-                    return Err(End::Lost("stream ended inside an event"));
-                }
-                self.dispatcher.crashes().record_output(&request.features);
-                let written = sink.wr.write_all(b"0\r\n\r\n").await;
-                return written
-                    .map(|()| {
-                        // A stream's duration depends on its length: a fixed time is recorded.
-                        connected
-                            .attempt
-                            .finish(AttemptOutcome::Answered(Duration::from_millis(100)));
-                        (status, response)
-                    })
-                    .map_err(|_| End::CallerDisconnected);
-            };
-            sink.filter.push(&data);
-            let Ok(events) = sink.filter.take_events() else {
-                connected.attempt.finish(AttemptOutcome::Failure);
-                return Err(End::Lost("events out of order"));
-            };
-            if events.is_empty() {
-                continue;
-            }
-            if sink.started {
-                stats.max_pause_ms = stats.max_pause_ms.max(elapsed_ms(last_output_at));
-            } else {
-                pending = response_head(status, &response.head.headers, None, !sink.keep_alive);
-                sink.started = true;
-                stats.first_byte_ms = Some(elapsed_ms(request.arrived_at));
-            }
-            last_output_at = Instant::now();
-            connected.attempt.record_first_output();
-            if !sound_output_recorded && connected.attempt.is_sound() {
-                sound_output_recorded = true;
-                self.dispatcher.crashes().record_output(&request.features);
-            }
-            // The engine has fetched its inputs once it produces output.
-            drop(guard.take());
-            if may_retry {
-                wait = STALL_TIMEOUT;
-            }
-            write_chunk(sink.wr, &mut pending, &events)
-                .await
-                .map_err(|_| End::CallerDisconnected)?;
-        }
+impl Inputs {
+    /// Whether the stages have to run again before a further attempt.
+    fn are_released(&self) -> bool {
+        self.guard.is_none() && !self.handles.is_empty()
     }
 
-    /// Checks the response head: succeeds only for a signed response with a 2xx status. Records
-    /// the outcome of the attempt otherwise.
-    async fn check_head(
-        &self,
-        connected: &mut ConnectedServer,
-        response: &mut Response,
-        time_left: Duration,
-    ) -> Result<(), End> {
-        let fields = self.dialect.header_names();
-        let status = response.head.status;
-        let not_run = response.head.headers.get(fields.not_run).is_some();
-        if status == 421 || not_run {
-            connected.attempt.finish(AttemptOutcome::Rejected);
-            return Err(if status == 409 {
-                End::InputsMissing
-            } else {
-                End::Rejected
-            });
-        }
-        let signed = response.head.headers.get(fields.signature).is_some();
-        if (200..300).contains(&status) {
-            if signed {
-                return Ok(());
-            }
-            connected.attempt.finish(AttemptOutcome::Failure);
-            return Err(End::Lost("answer without signature"));
-        }
-        connected.attempt.finish(AttemptOutcome::Failure);
-        let body = tokio::time::timeout(time_left, connected.conn.read_body(response)).await;
-        // Callers read these statuses as "not run, send again". Without the header field that
-        // confirms it, the request may have run.
-        let implies_not_run = matches!(status, 408 | 421 | 429 | 503);
-        match body {
-            Ok(Ok(body)) if signed && !implies_not_run => {
-                let error_response = std::mem::replace(response, Response::empty());
-                Err(End::Failed(error_response, body))
-            }
-            _ => Err(End::Lost("failed at the server")),
-        }
+    /// The handles as a header value; `None` if there are none.
+    fn joined(&self) -> Option<String> {
+        (!self.handles.is_empty()).then(|| self.handles.join(","))
     }
 }
 
-impl<W: AsyncWrite + Unpin> ResponseSink<'_, W> {
-    /// Forwards a server's error response unchanged.
-    async fn forward_response(&mut self, response: &Response, body: &[u8]) -> Outcome {
-        let status = response.head.status;
-        let mut out = response_head(
-            status,
-            &response.head.headers,
-            Some(body.len()),
-            !self.keep_alive,
-        );
-        out.extend_from_slice(body);
-        match self.wr.write_all(&out).await {
-            Ok(()) => Outcome::Completed(status),
-            Err(_) => Outcome::CallerDisconnected,
-        }
+impl Attempts<'_, '_> {
+    /// Records that the request is sent to a server.
+    fn record_send(&mut self, connected: &ConnectedServer) {
+        let id = &connected.server.id;
+        self.stats.attempts += 1;
+        self.stats.server = Some(id.clone());
+        self.selection.tried.push(id.clone());
     }
 
-    /// Outcome of a request that is refused after earlier attempts.
-    fn refused(&self, outcome: Outcome) -> Outcome {
+    /// Whether the request may be sent to a further server after a rejection. A stream that the
+    /// caller has a part of would be cut off otherwise.
+    fn may_send_again(&self, max_attempts: u32) -> bool {
         if self.started {
-            Outcome::Aborted(QUARANTINED)
+            self.runs < max_attempts && self.rejections <= MAX_REJECTIONS
         } else {
-            outcome
+            self.stats.attempts < max_attempts
         }
     }
+}
 
-    /// Id of the event after which another server is to continue; `None` if nothing was forwarded.
-    fn resume_point(&self) -> Option<u64> {
-        let forwarded = self.filter.has_forwarded();
-        forwarded.then(|| self.filter.last_event_id()).flatten()
+impl Unprepared {
+    /// Reason for the log.
+    fn reason(&self) -> &'static str {
+        match self {
+            Self::NoRetriesLeft => "no repeats left",
+            Self::StagesFailed(_) => "stages can't end in time",
+            Self::NoServer(_) => "no server",
+        }
     }
 }
 
@@ -526,6 +486,25 @@
     })
 }
 
+/// Outcome of a request for which no attempt can be made. `lost` tells why an earlier attempt was
+/// lost.
+fn unprepared_outcome(
+    request: &AdmittedRequest<'_>,
+    unprepared: Unprepared,
+    started: bool,
+    lost: Option<&'static str>,
+) -> Outcome {
+    let reason = unprepared.reason();
+    match unprepared {
+        Unprepared::StagesFailed(_) if started => Outcome::Aborted(reason),
+        Unprepared::StagesFailed(outcome) => after_lost_attempt(outcome, lost),
+        Unprepared::NoRetriesLeft => {
+            no_attempt_outcome(request, started, lost, RETRY_AFTER_REJECTED, reason)
+        }
+        Unprepared::NoServer(wait) => no_attempt_outcome(request, started, lost, wait, reason),
+    }
+}
+
 /// Outcome of a request without output whose stages failed when they ran again. `lost` tells why an
 /// earlier attempt was lost; only without it the request counts as not run.
 fn after_lost_attempt(outcome: Outcome, lost: Option<&'static str>) -> Outcome {
--- /dev/null
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -0,0 +1,250 @@
+//! One attempt at a stream: sends the request to a server and forwards its events.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sardineshore_core::flow::selection::AttemptOutcome;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+
+use super::{Attempts, End, Progress, SILENT};
+use crate::attempt::{ConnectedServer, ExtraHeaders};
+use crate::reply::{response_head, write_chunk};
+use crate::request::{Outcome, QUARANTINED, RequestHandler};
+use crate::state::elapsed_ms;
+use crate::stream::EventFilter;
+use crate::upstream::Response;
+
+/// Time without an event after which another server is prepared to continue a resumable stream. A
+/// sound server may pause for a second or so.
+const STALL_TIMEOUT: Duration = Duration::from_millis(1600);
+/// Minimum time that a server gets for its first output before another server is prepared.
+const MIN_FIRST_OUTPUT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Where the stream is written to, and how much of it the caller has.
+pub(super) struct ResponseSink<'w, W> {
+    pub(super) wr: &'w mut W,
+    pub(super) keep_alive: bool,
+    pub(super) filter: EventFilter,
+    /// Whether the response head has been sent.
+    pub(super) started: bool,
+    /// Counts the stream among those that were not sent to a server yet.
+    pub(super) unsent: Option<Rc<()>>,
+}
+
+impl RequestHandler {
+    /// Makes one attempt: sends the request and forwards the events.
+    ///
+    /// With `may_retry` another server is prepared when this one is silent. Releases the results of
+    /// the stages at the first output. Returns the status and the response, whose connection may be
+    /// reused.
+    pub(super) async fn forward<W: AsyncWrite + Unpin>(
+        &self,
+        attempts: &mut Attempts<'_, '_>,
+        connected: &mut ConnectedServer,
+        sink: &mut ResponseSink<'_, W>,
+        may_retry: bool,
+    ) -> Result<(u16, Response), End> {
+        let request = attempts.request;
+        let mut patience = (request.time_to_deadline() / 2).max(MIN_FIRST_OUTPUT_TIMEOUT);
+        let resume_point = sink.resume_point();
+        let mut response = self
+            .open_stream(attempts, connected, resume_point, patience, may_retry)
+            .await?;
+        let status = response.head.status;
+        let mut pending = Vec::new();
+        let mut last_output_at = Instant::now();
+        let mut sound_output_recorded = false;
+        loop {
+            let next = connected.conn.next_chunk(&mut response);
+            let next = self
+                .wait_for_progress(attempts, &connected.attempt, next, patience, may_retry)
+                .await;
+            let data = match next {
+                // A server that always has bytes ready would never time out.
+                Progress::Made(Ok(Some(_))) if request.time_to_deadline().is_zero() => {
+                    connected.attempt.finish(AttemptOutcome::Abandoned);
+                    return Err(End::Lost("deadline passed in the stream"));
+                }
+                Progress::Made(Ok(data)) => data,
+                Progress::Made(Err(_)) => {
+                    connected.attempt.record_lost_connection();
+                    connected.attempt.finish(AttemptOutcome::Broken);
+                    return Err(End::Lost("stream broke off"));
+                }
+                Progress::Replaced(next) => {
+                    connected.attempt.finish(AttemptOutcome::Broken);
+                    return Err(End::Replaced(next));
+                }
+                Progress::DeadlinePassed => {
+                    connected.attempt.finish(AttemptOutcome::Abandoned);
+                    return Err(End::Lost("stream stalled"));
+                }
+            };
+            let Some(data) = data else {
+                // A server that stopped before its first event may close such a response too.
+                let stopped_early =
+                    response.is_close_delimited() && !connected.attempt.has_output();
+                if sink.filter.is_inside_event() || !sink.started || stopped_early {
+                    connected.attempt.record_lost_connection();
+                    connected.attempt.finish(AttemptOutcome::Failure);
+                    return Err(End::Lost("stream ended inside an event"));
+                }
+                self.dispatcher.crashes().record_output(&request.features);
+                let written = sink.wr.write_all(b"0\r\n\r\n").await;
+                return written
+                    .map(|()| {
+                        // A stream's duration depends on its length: a fixed time is recorded.
+                        connected
+                            .attempt
+                            .finish(AttemptOutcome::Answered(Duration::from_millis(100)));
+                        (status, response)
+                    })
+                    .map_err(|_| End::CallerDisconnected);
+            };
+            sink.filter.push(&data);
+            let Ok(events) = sink.filter.take_events() else {
+                connected.attempt.finish(AttemptOutcome::Failure);
+                return Err(End::Lost("events out of order"));
+            };
+            if events.is_empty() {
+                continue;
+            }
+            if sink.started {
+                let pause_ms = elapsed_ms(last_output_at);
+                attempts.stats.max_pause_ms = attempts.stats.max_pause_ms.max(pause_ms);
+            } else {
+                pending = response_head(status, &response.head.headers, None, !sink.keep_alive);
+                sink.started = true;
+                attempts.started = true;
+                attempts.stats.first_byte_ms = Some(elapsed_ms(request.arrived_at));
+            }
+            last_output_at = Instant::now();
+            connected.attempt.record_first_output();
+            if !sound_output_recorded && connected.attempt.is_sound() {
+                sound_output_recorded = true;
+                self.dispatcher.crashes().record_output(&request.features);
+            }
+            // The engine has fetched its inputs once it produces output.
+            drop(attempts.inputs.guard.take());
+            patience = STALL_TIMEOUT;
+            write_chunk(sink.wr, &mut pending, &events)
+                .await
+                .map_err(|_| End::CallerDisconnected)?;
+        }
+    }
+
+    /// Sends the request and reads the head of a response that brings the stream.
+    async fn open_stream(
+        &self,
+        attempts: &mut Attempts<'_, '_>,
+        connected: &mut ConnectedServer,
+        last_event_id: Option<u64>,
+        patience: Duration,
+        may_retry: bool,
+    ) -> Result<Response, End> {
+        let request = attempts.request;
+        let time_left = request.time_to_deadline();
+        let joined_inputs = attempts.inputs.joined();
+        let extra = ExtraHeaders {
+            inputs: joined_inputs.as_deref(),
+            last_event_id,
+        };
+        let (server, conn) = (&connected.server, &mut connected.conn);
+        let sent = self.dispatcher.send(server, conn, request, extra);
+        let sent = self
+            .wait_for_progress(attempts, &connected.attempt, sent, patience, may_retry)
+            .await;
+        let mut response = match sent {
+            Progress::Made(Ok(response)) => response,
+            Progress::Made(Err(_)) => {
+                connected.attempt.record_lost_connection();
+                connected.attempt.finish(AttemptOutcome::Broken);
+                return Err(End::Lost("connection broke"));
+            }
+            Progress::Replaced(next) => {
+                connected.attempt.finish(AttemptOutcome::Broken);
+                return Err(End::Replaced(next));
+            }
+            Progress::DeadlinePassed => {
+                connected.attempt.finish(AttemptOutcome::Broken);
+                return Err(End::Lost(SILENT));
+            }
+        };
+        self.check_head(connected, &mut response, time_left).await?;
+        Ok(response)
+    }
+
+    /// Checks the response head: succeeds only for a signed response with a 2xx status. Records
+    /// the outcome of the attempt otherwise.
+    async fn check_head(
+        &self,
+        connected: &mut ConnectedServer,
+        response: &mut Response,
+        time_left: Duration,
+    ) -> Result<(), End> {
+        let fields = self.dialect.header_names();
+        let status = response.head.status;
+        let not_run = response.head.headers.get(fields.not_run).is_some();
+        if status == 421 || not_run {
+            connected.attempt.finish(AttemptOutcome::Rejected);
+            return Err(if status == 409 {
+                End::InputsMissing
+            } else {
+                End::Rejected
+            });
+        }
+        let signed = response.head.headers.get(fields.signature).is_some();
+        if (200..300).contains(&status) {
+            if signed {
+                return Ok(());
+            }
+            connected.attempt.finish(AttemptOutcome::Failure);
+            return Err(End::Lost("answer without signature"));
+        }
+        connected.attempt.finish(AttemptOutcome::Failure);
+        let body = tokio::time::timeout(time_left, connected.conn.read_body(response)).await;
+        // Callers read these statuses as "not run, send again". Without the header field that
+        // confirms it, the request may have run.
+        let implies_not_run = matches!(status, 408 | 421 | 429 | 503);
+        match body {
+            Ok(Ok(body)) if signed && !implies_not_run => {
+                let error_response = std::mem::replace(response, Response::empty());
+                Err(End::Failed(error_response, body))
+            }
+            _ => Err(End::Lost("failed at the server")),
+        }
+    }
+}
+
+impl<W: AsyncWrite + Unpin> ResponseSink<'_, W> {
+    /// Forwards a server's error response unchanged.
+    pub(super) async fn forward_response(&mut self, response: &Response, body: &[u8]) -> Outcome {
+        let status = response.head.status;
+        let mut out = response_head(
+            status,
+            &response.head.headers,
+            Some(body.len()),
+            !self.keep_alive,
+        );
+        out.extend_from_slice(body);
+        match self.wr.write_all(&out).await {
+            Ok(()) => Outcome::Completed(status),
+            Err(_) => Outcome::CallerDisconnected,
+        }
+    }
+
+    /// Outcome of a request that is refused after earlier attempts.
+    pub(super) fn refused(&self, outcome: Outcome) -> Outcome {
+        if self.started {
+            Outcome::Aborted(QUARANTINED)
+        } else {
+            outcome
+        }
+    }
+
+    /// Id of the event after which another server is to continue; `None` if nothing was forwarded.
+    pub(super) fn resume_point(&self) -> Option<u64> {
+        let forwarded = self.filter.has_forwarded();
+        forwarded.then(|| self.filter.last_event_id()).flatten()
+    }
+}
