fix(serve): streams go on only at the software version that began them

Cause: the version in the servers' entries was read nowhere. Three places chose a server for a stream that had begun as if it were new: the next attempt within one answer, a stream taken up at the instance that began it, and one taken up elsewhere or after a restart. The class: work that continues what another server wrote is routed by load and cache alone. Ruled out: a mix-up of ids or addresses; each of the traced streams went on where a new one would have gone.

Change: the version is decoded, and selection can be restricted to one, or to none if it isn't known. Within an answer it is that of the server that brought the first event. For streams that are taken up it must outlive all instances: the store names a base version for each pool, and a stream that begins at another version gets a record there, written while the prompt is read and acknowledged before the first event is forwarded. A stream without a record began at the base version. So nothing is written for single streams while one version serves. The base changes only after none of its servers was listed for as long as a stream can last, under a condition on its row; after a restore it counts again only after that time. While records can't be written, streams begin at the base version if it serves. A stream whose version serves no more, or isn't known, is refused at once.

--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -24,4 +24,5 @@
 pub mod replica;
 pub mod retry_budget;
 pub mod selection;
+pub mod stream_versions;
 pub mod turns;
--- a/crates/sardineshore-core/src/flow/config.rs
+++ b/crates/sardineshore-core/src/flow/config.rs
@@ -274,6 +274,21 @@
         self.callers_by_key.get(key)
     }
 
+    /// Longest time that a stream of any route may take.
+    #[must_use]
+    pub fn longest_stream(&self) -> Duration {
+        let streams = self.config.routes.iter().filter(|r| r.kind.is_streaming());
+        streams.map(|route| route.timeout).max().unwrap_or_default()
+    }
+
+    /// Whether a route with streams that another server can resume leads to a pool.
+    #[must_use]
+    pub fn serves_streams(&self, pool: &str) -> bool {
+        let resumable = |route: &&Route| route.kind == RouteKind::ResumableStream;
+        let mut streams = self.config.routes.iter().filter(resumable);
+        streams.any(|route| route.pools.iter().any(|(name, _)| **name == *pool))
+    }
+
     /// Pool with this name.
     #[must_use]
     pub fn pool(&self, name: &str) -> Option<&PoolSpec> {
@@ -297,6 +312,8 @@
     pub address: SocketAddr,
     /// Failure domain that the server runs in.
     pub domain: Name,
+    /// Version of the server's software; `None` if it names none.
+    pub version: Option<Name>,
     /// Requests that the server runs concurrently.
     pub slots: u32,
     /// Whether the server accepts new work; false while it drains.
--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -57,6 +57,34 @@
     pub tokens: u32,
 }
 
+/// Which software versions of servers can run a request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum RequiredVersion {
+    /// All versions.
+    #[default]
+    Any,
+    /// This version, as it began the stream that the request goes on with.
+    Exactly(Name),
+    /// No server: it isn't known which version began the stream.
+    Unknown,
+}
+
+impl RequiredVersion {
+    /// Requires the version that began a stream; `None` if it isn't known.
+    #[must_use]
+    pub fn of_stream(version: Option<Name>) -> Self {
+        version.map_or(Self::Unknown, Self::Exactly)
+    }
+
+    fn allows(&self, server: &Server) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Exactly(version) => server.version.as_ref() == Some(version),
+            Self::Unknown => false,
+        }
+    }
+}
+
 /// What the selection of a server for a request depends on.
 #[derive(Debug, Clone, Default)]
 pub struct SelectionRequest {
@@ -69,6 +97,10 @@
     pub input_bytes: Vec<(Name, u64)>,
     /// Servers to exclude, as the request was already sent to them.
     pub tried: Vec<Name>,
+    /// Which software versions of servers can run the request.
+    pub version: RequiredVersion,
+    /// Software version at which the request is best run, and the cost of another one.
+    pub favored_version: Option<(Name, Duration)>,
     /// Seed that differs between requests; it spreads them over servers that are equal otherwise.
     pub seed: u64,
 }
@@ -102,6 +134,8 @@
     pub address: SocketAddr,
     /// Failure domain of the server.
     pub domain: Name,
+    /// Version of the server's software; `None` if it names none.
+    pub version: Option<Name>,
     /// Prompt tokens that the server is expected to prefill, as they are not in its cache.
     pub uncached_tokens: u32,
 }
@@ -356,14 +390,18 @@
         (rate > 0.0).then(|| rate / schedule.instances.max(1) as f64)
     }
 
-    /// Servers of the request's pool that are ready and were not tried.
+    /// Servers of the request's pool that are ready, were not tried and have a version that can run it.
     fn untried_servers<'a>(
         &'a self,
         request: &'a SelectionRequest,
     ) -> Option<impl Iterator<Item = &'a ServerState>> {
         let ids = self.pools.get(&request.pool)?;
         let servers = ids.iter().filter_map(|id| self.servers.get(id));
-        Some(servers.filter(|s| s.server.ready && !request.tried.contains(&s.server.id)))
+        Some(servers.filter(|s| {
+            s.server.ready
+                && !request.tried.contains(&s.server.id)
+                && request.version.allows(&s.server)
+        }))
     }
 
     /// Selects the server of the pool with the lowest cost for a request; `None` if no server is
@@ -399,6 +437,7 @@
                 let missed_tokens = uncached_tokens - request.own_tokens().min(uncached_tokens);
                 let request_cost = PREFIX_MISS_COST.as_secs_f64() * f64::from(missed_tokens)
                     + CROSS_DOMAIN_MB_COST.as_secs_f64() * cross_domain_bytes as f64 / 1e6
+                    + version_cost(request, &state.server).as_secs_f64()
                     + SPREADING_COST.as_secs_f64() * uniform_hash(&state.server.id, request.seed);
                 (
                     self.cost(state, uncached_tokens, now) + request_cost,
@@ -414,6 +453,7 @@
                 id: state.server.id.clone(),
                 address: state.server.address,
                 domain: state.server.domain.clone(),
+                version: state.server.version.clone(),
                 uncached_tokens,
             })
     }
@@ -486,14 +526,11 @@
         }
     }
 
-    /// Number of servers of a pool that are ready and not in back-off.
+    /// Number of servers that could run the request and are not in back-off.
     #[must_use]
-    pub fn usable_servers(&self, pool: &str, now: Instant) -> usize {
-        self.pools.get(pool).map_or(0, |ids| {
-            ids.iter()
-                .filter_map(|id| self.servers.get(id))
-                .filter(|s| s.server.ready && s.health.accepts_work(now, 0))
-                .count()
+    pub fn usable_servers(&self, request: &SelectionRequest, now: Instant) -> usize {
+        self.untried_servers(request).map_or(0, |servers| {
+            servers.filter(|s| s.health.accepts_work(now, 0)).count()
         })
     }
 
@@ -585,6 +622,14 @@
     }
 }
 
+/// Cost of a server whose version is not the favored one.
+fn version_cost(request: &SelectionRequest, server: &Server) -> Duration {
+    match &request.favored_version {
+        Some((version, cost)) if server.version.as_ref() != Some(version) => *cost,
+        _ => Duration::ZERO,
+    }
+}
+
 /// Pseudo-random number from 0 to 1 that depends only on server and seed.
 fn uniform_hash(server: &str, seed: u64) -> f64 {
     (xxh3_64_with_seed(server.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -165,6 +165,7 @@
         pool: "llm".into(),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: domain.into(),
+        version: None,
         slots: 16,
         ready: true,
         started_ms: 1,
--- a/crates/sardineshore-core/tests/notices.rs
+++ b/crates/sardineshore-core/tests/notices.rs
@@ -28,6 +28,7 @@
         pool: "p".into(),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: "d".into(),
+        version: None,
         slots: 8,
         ready: true,
         started_ms,
--- a/crates/sardineshore-core/tests/registry.rs
+++ b/crates/sardineshore-core/tests/registry.rs
@@ -19,6 +19,7 @@
             pool: "p".into(),
             address: "127.0.0.1:9".parse().unwrap(),
             domain: "d".into(),
+            version: None,
             slots: 1,
             ready: true,
             started_ms: 0,
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::notices::NoticeReader;
 use crate::peers::Peers;
 use crate::state::SharedState;
+use crate::stream_versions::VersionRecords;
 use crate::upstream::{Conn, ConnectionPool, OutgoingRequest, Response};
 
 /// Maximum time to open a connection to a server.
@@ -95,6 +96,7 @@
     crashes: Rc<CrashMonitor>,
     limits: Rc<LimitExchange>,
     notices: Rc<NoticeReader>,
+    versions: Rc<VersionRecords>,
     dialect: Rc<dyn Dialect>,
     metrics: Rc<Metrics>,
     log: Logger,
@@ -239,6 +241,7 @@
         crashes: Rc<CrashMonitor>,
         limits: Rc<LimitExchange>,
         notices: Rc<NoticeReader>,
+        versions: Rc<VersionRecords>,
         dialect: Rc<dyn Dialect>,
         metrics: Rc<Metrics>,
         log: Logger,
@@ -250,6 +253,7 @@
             crashes,
             limits,
             notices,
+            versions,
             dialect,
             metrics,
             log,
@@ -268,6 +272,12 @@
         &self.limits
     }
 
+    /// Software versions at which streams began.
+    #[must_use]
+    pub fn versions(&self) -> &Rc<VersionRecords> {
+        &self.versions
+    }
+
     /// Time for which a request must expect to wait for a turn at servers with rate limits, behind
     /// `queued` others of this instance; `None` if other servers can take it.
     #[must_use]
--- a/crates/sardineshore-serve/src/dialect.rs
+++ b/crates/sardineshore-serve/src/dialect.rs
@@ -37,6 +37,8 @@
     pub prompt_parts: &'static str,
     /// Id of the last event of a stream that the caller has received.
     pub last_event_id: &'static str,
+    /// Id of the request that brought the first event of a stream that the caller takes up.
+    pub resumes: &'static str,
     /// Present in a response if the server has not run the request.
     pub not_run: &'static str,
     /// Signature of a response; a response without it is not passed on.
@@ -90,16 +92,19 @@
     Crashes,
     /// Rate limits that servers name.
     Limits,
+    /// Software versions at which streams without a record began, by pool.
+    BaseVersions,
 }
 
 impl Table {
     /// All tables, in the order of their declaration.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Config,
         Self::Servers,
         Self::Instances,
         Self::Crashes,
         Self::Limits,
+        Self::BaseVersions,
     ];
 }
 
@@ -131,6 +136,20 @@
     fn decode_rows(&self, bytes: &[u8], era: u64) -> anyhow::Result<RowPage>;
     /// Call that writes a row.
     fn put_row_call(&self, table: Table, key: &str, value: &[u8]) -> HttpCall;
+    /// Call that writes a row if its version is still `version`; 0 if there must be no row.
+    fn replace_row_call(&self, table: Table, key: &str, value: &[u8], version: u64) -> HttpCall;
+    /// Call that reads one row.
+    fn read_row_call(&self, table: Table, key: &str) -> HttpCall;
+    /// Call that writes records of streams with their keys, which begin with the stream's id and a
+    /// slash, and removes those with the keys `expired`. All are in one partition.
+    fn put_stream_records_call(
+        &self,
+        part: &str,
+        records: &[(&str, &[u8])],
+        expired: &[&str],
+    ) -> HttpCall;
+    /// Call that reads all records of a stream.
+    fn read_stream_records_call(&self, part: &str, stream: &str) -> HttpCall;
     /// Call that removes a row.
     fn remove_row_call(&self, table: Table, key: &str) -> HttpCall;
     /// Call that runs pieces of stages in one batch.
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -24,6 +24,7 @@
 use crate::stages::StageClient;
 use crate::state::SharedState;
 use crate::store::Store;
+use crate::stream_versions::VersionRecords;
 use crate::upstream::ConnectionPool;
 use crate::watcher::StoreWatcher;
 use crate::{caller, monitoring};
@@ -99,6 +100,7 @@
         log.clone(),
     );
     let limits = LimitExchange::new(state.clone(), peers.clone(), store.clone(), log.clone());
+    let versions = VersionRecords::new(state.clone(), peers.clone(), store.clone(), log.clone());
     let dispatcher = Rc::new(Dispatcher::new(
         state.clone(),
         connections.clone(),
@@ -106,6 +108,7 @@
         crashes,
         limits,
         notices.clone(),
+        versions,
         dialect.clone(),
         metrics.clone(),
         log.clone(),
@@ -153,6 +156,9 @@
     tokio::task::spawn_local(crashes.clone().share_evidence());
     tokio::task::spawn_local(crashes.clone().receive_evidence());
     tokio::task::spawn_local(components.dispatcher.limits().clone().share());
+    let versions = components.dispatcher.versions();
+    tokio::task::spawn_local(versions.clone().write_records());
+    tokio::task::spawn_local(versions.clone().maintain());
     spawn_listener(&log, "peers", components.peers.clone().accept());
     spawn_listener(
         &log,
@@ -200,7 +206,9 @@
 /// Starts the tasks that watch the store.
 fn start_watching(components: &Components, bounds: &Bounds, log: &Logger) {
     let (state, cells) = (components.state.clone(), components.cells.clone());
+    let versions = components.dispatcher.versions().clone();
     let update_cells = Rc::new(move || {
+        versions.update();
         if let Some(config) = state.config() {
             cells.set_servers(&state.selector.borrow(), &config);
         }
--- a/crates/sardineshore-serve/src/lib.rs
+++ b/crates/sardineshore-serve/src/lib.rs
@@ -37,5 +37,6 @@
 pub mod state;
 pub mod store;
 pub mod stream;
+pub mod stream_versions;
 pub mod upstream;
 pub mod watcher;
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -14,7 +14,7 @@
 use forward::ResponseSink;
 use sardineshore_core::flow::batching::{Job, JobStage};
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::selection::SelectionRequest;
+use sardineshore_core::flow::selection::{RequiredVersion, SelectionRequest};
 use slog::info;
 use tokio::io::AsyncWrite;
 use xxhash_rust::xxh3::xxh3_64;
@@ -28,6 +28,7 @@
 use crate::stages::ResultGuard;
 use crate::state::{elapsed_ms, whole_ms};
 use crate::stream::EventFilter;
+use crate::stream_versions::PendingRecord;
 use crate::upstream::Response;
 
 /// Time that a model engine needs to its first output once it runs the request.
@@ -83,6 +84,9 @@
     rejections: u32,
     /// Whether the caller has a part of the stream.
     started: bool,
+    /// Record of the version at which the stream begins, which must be written before its first event
+    /// is forwarded.
+    record: Option<PendingRecord>,
 }
 
 /// Why an attempt can't be made.
@@ -122,10 +126,24 @@
         let prompt = headers
             .get(fields.prompt_parts)
             .map(|text| self.dialect.parse_prompt(text));
+        let resume_after = headers
+            .get(fields.last_event_id)
+            .and_then(|text| text.trim().parse().ok());
+        let taken_up = headers.get(fields.resumes).map(str::trim);
+        let is_taken_up = taken_up.is_some() || resume_after.is_some();
+        let versions = self.dispatcher.versions();
+        let is_resumable = request.route.kind.is_retryable();
+        let version = match (is_taken_up, is_resumable) {
+            (false, _) => RequiredVersion::Any,
+            (true, true) => RequiredVersion::of_stream(versions.find(&pool, taken_up).await),
+            (true, false) => RequiredVersion::Unknown,
+        };
         let selection = SelectionRequest {
+            favored_version: versions.favored(&pool).filter(|_| is_resumable),
             pool,
             seed: xxh3_64(request.id.as_bytes()),
             prompt: prompt.unwrap_or_default(),
+            version,
             ..SelectionRequest::default()
         };
         if self.shutdown.phase() >= Some(Phase::AcceptShort) {
@@ -140,9 +158,14 @@
             .state
             .selector
             .borrow()
-            .usable_servers(&selection.pool, Instant::now());
+            .usable_servers(&selection, Instant::now());
         if usable_servers == 0 {
-            return not_run(request, RETRY_AFTER_NO_SERVER, "no server");
+            let reason = match selection.version {
+                RequiredVersion::Any => "no server",
+                RequiredVersion::Exactly(_) => "no server of the stream's version",
+                RequiredVersion::Unknown => "version of the stream unknown",
+            };
+            return not_run(request, RETRY_AFTER_NO_SERVER, reason);
         }
         let queued = Rc::strong_count(&self.unsent_streams) - 1;
         if let Some(wait) = self.dispatcher.expected_wait(&selection, queued)
@@ -150,9 +173,6 @@
         {
             return not_run(request, wait, "servers at their rate limits");
         }
-        let resume_after = headers
-            .get(fields.last_event_id)
-            .and_then(|text| text.trim().parse().ok());
         let mut sink = ResponseSink {
             wr,
             keep_alive,
@@ -168,6 +188,7 @@
             runs: 0,
             rejections: 0,
             started: false,
+            record: None,
         };
         let outcome = self.run_attempts(&mut attempts, &mut sink).await;
         stats.last_event_id = sink.filter.last_event_id();
@@ -207,6 +228,12 @@
                 return sink.refused(refused);
             }
             attempts.record_send(&connected);
+            if retryable && attempts.selection.version == RequiredVersion::Any {
+                let number = attempts.stats.attempts;
+                let (pool, version) = (&attempts.selection.pool, &connected.server.version);
+                let versions = self.dispatcher.versions();
+                attempts.record = versions.begin(request.id, number, pool, version.as_ref());
+            }
             sink.unsent = None;
             // Whether another attempt may follow although this one may have run the request.
             let may_retry = retryable && attempts.runs + 1 < max_attempts;
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use sardineshore_core::flow::selection::AttemptOutcome;
+use sardineshore_core::flow::selection::{AttemptOutcome, RequiredVersion};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 
 use super::{Attempts, End, Progress, SILENT};
@@ -113,6 +113,14 @@
                 let pause_ms = elapsed_ms(last_output_at);
                 attempts.stats.max_pause_ms = attempts.stats.max_pause_ms.max(pause_ms);
             } else {
+                if let Some(record) = attempts.record.take() {
+                    self.dispatcher.versions().wait_written(record).await;
+                }
+                // No other version may go on with what this server has begun.
+                if attempts.selection.version == RequiredVersion::Any {
+                    let version = connected.server.version.clone();
+                    attempts.selection.version = RequiredVersion::of_stream(version);
+                }
                 pending = response_head(status, &response.head.headers, None, !sink.keep_alive);
                 sink.started = true;
                 attempts.started = true;
--- a/crates/sardineshore-serve/src/store.rs
+++ b/crates/sardineshore-serve/src/store.rs
@@ -137,15 +137,25 @@
     /// Writes a row, whether or not it exists.
     pub async fn put(&self, table: Table, key: &str, value: &[u8]) -> Result<(), StoreError> {
         let call = self.dialect.put_row_call(table, key, value);
-        self.send(call, Duration::ZERO).await.map(|_| ())
+        self.write(call).await
     }
 
     /// Removes a row.
     pub async fn remove(&self, table: Table, key: &str) -> Result<(), StoreError> {
         let call = self.dialect.remove_row_call(table, key);
+        self.write(call).await
+    }
+
+    /// Makes a call that writes.
+    pub async fn write(&self, call: HttpCall) -> Result<(), StoreError> {
         self.send(call, Duration::ZERO).await.map(|_| ())
     }
 
+    /// Makes a call that reads one page.
+    pub async fn read_page(&self, call: HttpCall) -> Result<RowPage, StoreError> {
+        Ok(self.fetch_page(call, Duration::ZERO).await?.page)
+    }
+
     async fn fetch_page(&self, call: HttpCall, wait: Duration) -> Result<TimedPage, StoreError> {
         let sent = boot_time();
         let (body, era) = self.send(call, wait).await?;
--- /dev/null
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -0,0 +1,411 @@
+//! Records in the store that tell at which software version streams began; see
+//! [`sardineshore_core::flow::stream_versions`].
+//!
+//! Records are written in batches, one call at a time, and removed once their stream can't be taken up
+//! any more. They are read when a caller takes up a stream that this instance doesn't remember.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sardineshore_core::flow::cells::rank_owners;
+use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::replica::TableChanges;
+use sardineshore_core::flow::stream_versions::{BaseVersion, StreamVersions, resolve};
+use slog::{Logger, info, warn};
+use tokio::sync::{Notify, oneshot};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::dialect::Table;
+use crate::peers::Peers;
+use crate::state::SharedState;
+use crate::store::{Store, StoreError};
+
+/// Number of partitions over which records are spread.
+const PARTITIONS: u64 = 16;
+/// Maximum number of records that one call writes, and of those that it removes.
+const MAX_BATCH: usize = 48;
+/// Cost of a record, in time that another server may take longer.
+const RECORD_COST: Duration = Duration::from_millis(10);
+/// The same while records can't be written: streams begin elsewhere only if there is no choice.
+const NO_RECORD_COST: Duration = Duration::from_secs(60);
+/// Back-off after a failed write.
+const WRITE_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// How often base versions are compared with the listed servers, and expired records removed.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Time that a stream's life may exceed the longest timeout of a route, for the delays until all
+/// instances know of a change.
+const LIFETIME_MARGIN: Duration = Duration::from_secs(6);
+/// How often a stream whose record is not written checks whether it has to wait for it any longer.
+const WAIT_STEP: Duration = Duration::from_millis(200);
+
+/// A record that is being written.
+#[derive(Debug)]
+pub struct PendingRecord {
+    pool: Name,
+    written: oneshot::Receiver<()>,
+}
+
+/// A record in the store.
+#[derive(Debug, Clone)]
+struct RecordKey {
+    part: String,
+    key: String,
+}
+
+#[derive(Debug)]
+struct QueuedRecord {
+    key: RecordKey,
+    value: Vec<u8>,
+    queued_at: Instant,
+    written: oneshot::Sender<()>,
+}
+
+/// Writes and reads at which versions streams began.
+#[derive(Debug)]
+pub struct VersionRecords {
+    state: Rc<SharedState>,
+    peers: Rc<Peers>,
+    store: Rc<Store>,
+    log: Logger,
+    known: RefCell<StreamVersions>,
+    /// Versions of the rows that hold base versions.
+    base_rows: RefCell<HashMap<Name, u64>>,
+    lifetime: Cell<Duration>,
+    queue: RefCell<VecDeque<QueuedRecord>>,
+    to_write: Notify,
+    /// Records of this instance in the store, oldest first, and when each was queued.
+    written: RefCell<VecDeque<(Instant, RecordKey)>>,
+    /// Whether the latest write failed.
+    is_failing: Cell<bool>,
+}
+
+impl VersionRecords {
+    /// Creates an object that knows no versions.
+    #[must_use]
+    pub fn new(
+        state: Rc<SharedState>,
+        peers: Rc<Peers>,
+        store: Rc<Store>,
+        log: Logger,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            state,
+            peers,
+            store,
+            log,
+            known: RefCell::default(),
+            base_rows: RefCell::default(),
+            lifetime: Cell::default(),
+            queue: RefCell::default(),
+            to_write: Notify::new(),
+            written: RefCell::default(),
+            is_failing: Cell::new(false),
+        })
+    }
+
+    /// Records a change of the listed servers or of the configuration.
+    pub fn update(&self) {
+        let mut known = self.known.borrow_mut();
+        let timeout = self.state.config().map(|config| config.longest_stream());
+        if let Some(timeout) = timeout {
+            self.lifetime.set(timeout + LIFETIME_MARGIN);
+            known.set_lifetime(self.lifetime.get());
+        }
+        known.set_servers(self.state.selector.borrow().servers(), Instant::now());
+    }
+
+    /// Applies changes of the base versions in the store.
+    pub fn apply(&self, changes: &TableChanges) {
+        let mut known = self.known.borrow_mut();
+        let mut rows = self.base_rows.borrow_mut();
+        known.set_era(changes.version.era, Instant::now());
+        for row in &changes.rows {
+            let base = row.value.as_deref().and_then(decode_base);
+            info!(self.log, "base version"; "pool" => &*row.key, "row" => row.version.number,
+                "version" => base.as_ref().map(|base| &*base.version));
+            known.set_base(&row.key, base);
+            rows.insert(row.key.clone(), row.version.number);
+        }
+        for pool in &changes.missing {
+            known.set_base(pool, None);
+            rows.remove(pool);
+        }
+    }
+
+    /// Version at whose servers streams of a pool need no record, and the cost of beginning one at
+    /// another version.
+    #[must_use]
+    pub fn favored(&self, pool: &str) -> Option<(Name, Duration)> {
+        let base = self.known.borrow().base(pool).cloned()?;
+        let cost = if self.is_failing.get() {
+            NO_RECORD_COST
+        } else {
+            RECORD_COST
+        };
+        Some((base, cost))
+    }
+
+    /// Remembers that an attempt at a stream was sent to a server, and queues its record if it needs
+    /// one.
+    #[must_use]
+    pub fn begin(
+        &self,
+        stream: &str,
+        attempt: u32,
+        pool: &Name,
+        version: Option<&Name>,
+    ) -> Option<PendingRecord> {
+        let now = Instant::now();
+        let mut known = self.known.borrow_mut();
+        // A record of an earlier attempt, which the server rejected, must not count.
+        let has_record = attempt > 1 && known.remembered(stream).is_some();
+        let needs_record = known.needs_record(pool, version);
+        known.remember(&stream.into(), version.cloned(), now);
+        if !needs_record && !has_record {
+            return None;
+        }
+        let value = postcard::to_stdvec(&version).ok()?;
+        let (tx, written) = oneshot::channel();
+        let key = RecordKey {
+            part: partition(stream),
+            key: format!("{stream}/{attempt:04}"),
+        };
+        self.queue.borrow_mut().push_back(QueuedRecord {
+            key,
+            value,
+            queued_at: now,
+            written: tx,
+        });
+        self.to_write.notify_one();
+        Some(PendingRecord {
+            pool: pool.clone(),
+            written,
+        })
+    }
+
+    /// Waits until a record is written. Gives up if no server could continue the stream at the version
+    /// that is assumed without the record.
+    pub async fn wait_written(&self, mut record: PendingRecord) {
+        loop {
+            let written = tokio::time::timeout(WAIT_STEP, &mut record.written).await;
+            if written.is_ok() {
+                return;
+            }
+            let base = self.known.borrow().base(&record.pool).cloned();
+            let selector = self.state.selector.borrow();
+            let mut servers = selector.servers();
+            let is_served = servers
+                .any(|server| server.pool == record.pool && server.ready && server.version == base);
+            if !is_served {
+                warn!(self.log, "stream begins without a record of its version"; "pool" => &*record.pool);
+                return;
+            }
+        }
+    }
+
+    /// Version at which a stream began that a caller takes up; `None` if it can't be found out.
+    /// `stream` is the id of the request that brought its first event, if the caller names it.
+    pub async fn find(&self, pool: &str, stream: Option<&str>) -> Option<Name> {
+        let remembered = stream.and_then(|id| self.known.borrow().remembered(id));
+        if let Some(version) = remembered {
+            return version;
+        }
+        let sole = self.known.borrow().sole_version(pool, Instant::now());
+        if sole.is_some() {
+            return sole;
+        }
+        let stream = stream?;
+        let found = match self.read(pool, stream).await {
+            Ok(found) => found,
+            Err(error) => {
+                info!(self.log, "can't read at which version a stream began"; "stream" => stream, "fault" => error.to_string());
+                return None;
+            }
+        };
+        if found.is_some() {
+            let mut known = self.known.borrow_mut();
+            known.remember(&stream.into(), found.clone(), Instant::now());
+        }
+        found
+    }
+
+    async fn read(&self, pool: &str, stream: &str) -> Result<Option<Name>, StoreError> {
+        let dialect = self.store.dialect();
+        let call = dialect.read_stream_records_call(&partition(stream), stream);
+        let records = self.store.read_page(call).await?;
+        // The base version is read later, as it changes only when all streams without a record have
+        // ended.
+        let call = dialect.read_row_call(Table::BaseVersions, pool);
+        let bases = self.store.read_page(call).await?;
+        let latest = records.rows.iter().max_by_key(|row| &row.key);
+        let record = latest.and_then(|row| row.value.as_deref());
+        let record = match record.map(postcard::from_bytes::<Option<Name>>) {
+            Some(Ok(version)) => Some(version),
+            // Nothing is known of the stream.
+            Some(Err(_)) => Some(None),
+            None => None,
+        };
+        let base = bases.rows.iter().find(|row| *row.key == *pool);
+        let base = base.and_then(|row| row.value.as_deref().and_then(decode_base));
+        let era = bases.version.era;
+        if records.version.era != era {
+            return Err(StoreError::Restored);
+        }
+        let version = resolve(record.clone(), base.as_ref(), era);
+        info!(self.log, "read at which version a stream began"; "stream" => stream,
+            "version" => version.as_deref(), "recorded" => record.is_some());
+        Ok(version)
+    }
+
+    /// Writes records, forever.
+    pub async fn write_records(self: Rc<Self>) {
+        loop {
+            let next = self.next_batch();
+            let Some((part, batch)) = next else {
+                self.to_write.notified().await;
+                continue;
+            };
+            let expired = self.take_expired(Some(&part));
+            match self.write_batch(&part, &batch, &expired).await {
+                Ok(()) => {
+                    self.is_failing.set(false);
+                    let mut written = self.written.borrow_mut();
+                    for record in batch {
+                        written.push_back((record.queued_at, record.key));
+                        // The stream may have ended.
+                        let _ended = record.written.send(());
+                    }
+                }
+                Err(error) => {
+                    if !self.is_failing.replace(true) {
+                        warn!(self.log, "can't record versions of streams; retrying"; "streams" => batch.len(), "fault" => error.to_string());
+                    }
+                    self.requeue(batch, expired);
+                    tokio::time::sleep(WRITE_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    /// The oldest queued record with others of its partition. Streams that have ended need none.
+    fn next_batch(&self) -> Option<(String, Vec<QueuedRecord>)> {
+        let mut queue = self.queue.borrow_mut();
+        let lifetime = self.lifetime.get();
+        queue.retain(|record| record.queued_at.elapsed() < lifetime);
+        let part = queue.front()?.key.part.clone();
+        let (mut batch, rest): (Vec<_>, Vec<_>) =
+            queue.drain(..).partition(|record| record.key.part == part);
+        queue.extend(rest);
+        let excess = batch.split_off(batch.len().min(MAX_BATCH));
+        for record in excess.into_iter().rev() {
+            queue.push_front(record);
+        }
+        Some((part, batch))
+    }
+
+    fn requeue(&self, batch: Vec<QueuedRecord>, expired: Vec<RecordKey>) {
+        let mut queue = self.queue.borrow_mut();
+        for record in batch.into_iter().rev() {
+            queue.push_front(record);
+        }
+        let mut written = self.written.borrow_mut();
+        for key in expired {
+            let expired_at = Instant::now().checked_sub(self.lifetime.get());
+            written.push_front((expired_at.unwrap_or_else(Instant::now), key));
+        }
+    }
+
+    /// Takes records whose streams can't be taken up any more, of one partition.
+    fn take_expired(&self, part: Option<&str>) -> Vec<RecordKey> {
+        let mut written = self.written.borrow_mut();
+        let lifetime = self.lifetime.get();
+        let oldest = written.front().filter(|(at, _)| at.elapsed() >= lifetime);
+        let Some((_, first)) = oldest else {
+            return Vec::new();
+        };
+        let part = part.unwrap_or(&first.part).to_owned();
+        let mut expired = Vec::new();
+        written.retain(|(at, key)| {
+            let taken = at.elapsed() >= lifetime && key.part == part && expired.len() < MAX_BATCH;
+            if taken {
+                expired.push(key.clone());
+            }
+            !taken
+        });
+        expired
+    }
+
+    async fn write_batch(
+        &self,
+        part: &str,
+        batch: &[QueuedRecord],
+        expired: &[RecordKey],
+    ) -> Result<(), StoreError> {
+        let records: Vec<(&str, &[u8])> = batch
+            .iter()
+            .map(|record| (record.key.key.as_str(), record.value.as_slice()))
+            .collect();
+        let expired: Vec<&str> = expired.iter().map(|key| key.key.as_str()).collect();
+        let dialect = self.store.dialect();
+        let call = dialect.put_stream_records_call(part, &records, &expired);
+        self.store.write(call).await
+    }
+
+    /// Keeps the base versions in the store up to date and removes expired records, forever.
+    pub async fn maintain(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            let expired = self.take_expired(None);
+            if let Some(first) = expired.first() {
+                let removed = self.write_batch(&first.part.clone(), &[], &expired).await;
+                if removed.is_err() {
+                    self.requeue(Vec::new(), expired);
+                }
+            }
+            for (pool, base) in self.base_changes() {
+                info!(self.log, "changing a base version"; "pool" => &*pool, "version" => &*base.version, "era" => base.era);
+                let Ok(value) = postcard::to_stdvec(&base) else {
+                    continue;
+                };
+                let row = self.base_rows.borrow().get(&pool).copied().unwrap_or(0);
+                let dialect = self.store.dialect();
+                let call = dialect.replace_row_call(Table::BaseVersions, &pool, &value, row);
+                if let Err(error) = self.store.write(call).await {
+                    info!(self.log, "can't change a base version; retrying"; "pool" => &*pool, "fault" => error.to_string());
+                }
+            }
+        }
+    }
+
+    /// Base versions that this instance has to write: each pool's are written by one instance.
+    fn base_changes(&self) -> Vec<(Name, BaseVersion)> {
+        let known = self.known.borrow();
+        let candidates = self.peers.candidates();
+        let own = &self.peers.this_instance().name;
+        let config = self.state.config();
+        let streams = |pool: &&Name| {
+            let config = config.as_ref();
+            config.is_some_and(|config| config.serves_streams(pool))
+        };
+        let mine = known
+            .pools()
+            .filter(streams)
+            .filter(|pool| rank_owners(pool, &candidates).first() == Some(own));
+        mine.filter_map(|pool| {
+            let change = known.base_change(pool, Instant::now())?;
+            Some((pool.clone(), change))
+        })
+        .collect()
+    }
+}
+
+fn decode_base(value: &[u8]) -> Option<BaseVersion> {
+    postcard::from_bytes(value).ok()
+}
+
+/// Partition of the store that holds the records of a stream.
+fn partition(stream: &str) -> String {
+    format!("{:x}", xxh3_64(stream.as_bytes()) % PARTITIONS)
+}
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -32,6 +32,7 @@
 use crate::settings::Bounds;
 use crate::state::{SharedState, boot_time};
 use crate::store::{Store, StoreError, TimedPage};
+use crate::stream_versions::VersionRecords;
 
 /// Delay before the registration of the instance is checked or tried again.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(400);
@@ -57,6 +58,7 @@
     relay: Rc<StoreRelay>,
     crashes: Rc<CrashMonitor>,
     limits: Rc<LimitExchange>,
+    versions: Rc<VersionRecords>,
     log: Logger,
     servers: RefCell<ServerRegistry>,
     instances: RefCell<BTreeMap<Name, InstanceInfo>>,
@@ -106,6 +108,7 @@
         Table::Instances => 2,
         Table::Crashes => 3,
         Table::Limits => 4,
+        Table::BaseVersions => 5,
     }
 }
 
@@ -130,6 +133,7 @@
             peers,
             crashes: dispatcher.crashes().clone(),
             limits: dispatcher.limits().clone(),
+            versions: dispatcher.versions().clone(),
             log,
             servers: RefCell::new(ServerRegistry::new(bounds.entry_lifetime)),
             instances: RefCell::default(),
@@ -190,8 +194,7 @@
             if table != Table::Config {
                 self.wait_until_reachable().await;
             }
-            let awaits_first_reader =
-                matches!(table, Table::Servers | Table::Crashes | Table::Limits);
+            let awaits_first_reader = !matches!(table, Table::Config | Table::Instances);
             if awaits_first_reader && self.version(table).is_none() {
                 self.wait_at_first_start().await;
                 if !self.relay.must_read() {
--- a/crates/sardineshore-serve/src/watcher/restore.rs
+++ b/crates/sardineshore-serve/src/watcher/restore.rs
@@ -113,7 +113,7 @@
                 self.limits.apply_restored(news);
                 Ok(())
             }
-            Table::Servers => self.apply_news(table, news),
+            Table::Servers | Table::BaseVersions => self.apply_news(table, news),
         }
     }
 }
--- a/crates/sardineshore-serve/src/watcher/tables.rs
+++ b/crates/sardineshore-serve/src/watcher/tables.rs
@@ -43,6 +43,10 @@
                 self.limits.apply(news);
                 Ok(())
             }
+            Table::BaseVersions => {
+                self.versions.apply(news);
+                Ok(())
+            }
         }
     }
 
--- a/crates/sardineshore-serve/src/watcher/waits.rs
+++ b/crates/sardineshore-serve/src/watcher/waits.rs
@@ -30,6 +30,8 @@
 const CRASHES_DELAY: Duration = Duration::from_millis(100);
 /// Delay after a change of rate limits, so that one call returns those of several servers.
 const LIMITS_DELAY: Duration = Duration::from_millis(150);
+/// Delay after a change of base versions, so that one call returns those of several pools.
+const BASE_VERSIONS_DELAY: Duration = Duration::from_millis(150);
 /// Back-off after the first failed call; it grows by this much with each further failure.
 pub(super) const BACKOFF_STEP: Duration = Duration::from_millis(100);
 /// Longest back-off.
@@ -95,7 +97,7 @@
             Table::Config => CONFIG_WAIT,
             Table::Servers => self.longest_servers_wait(),
             Table::Instances if !self.unlisted_instances.borrow().is_empty() => RESTORE_SETTLE_TIME,
-            Table::Instances | Table::Crashes | Table::Limits => LONG_WAIT,
+            Table::Instances | Table::Crashes | Table::Limits | Table::BaseVersions => LONG_WAIT,
         }
     }
 
@@ -127,6 +129,7 @@
             Table::Instances => INSTANCES_DELAY,
             Table::Crashes => CRASHES_DELAY,
             Table::Limits => LIMITS_DELAY,
+            Table::BaseVersions => BASE_VERSIONS_DELAY,
         }
     }
 
