--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -52,6 +52,10 @@
 pub struct RequestStats {
     /// Id of the backend server that the request was last sent to.
     pub server: Option<Name>,
+    /// Id of the request that began the stream, if the caller takes one up and names it.
+    pub takes_up: Option<Name>,
+    /// Software version that the stream needs; `None` if any will do or it isn't known.
+    pub version: Option<Name>,
     /// Number of times that the request was sent to a server.
     pub attempts: u32,
     /// Time that the request waited for its stages, in milliseconds.
@@ -213,6 +217,7 @@
             "reason" => reason, "ms" => elapsed_ms(incoming.arrived_at), "sends" => stats.attempts,
             "stages_ms" => stats.stages_ms, "first_ms" => stats.first_byte_ms,
             "server" => stats.server.as_deref().unwrap_or("-"),
+            "takes_up" => stats.takes_up.as_deref(), "version" => stats.version.as_deref(),
             "last_event" => stats.last_event_id, "pause_ms" => stats.max_pause_ms);
     }
 
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -138,6 +138,10 @@
             (true, true) => RequiredVersion::of_stream(versions.find(&pool, taken_up).await),
             (true, false) => RequiredVersion::Unknown,
         };
+        stats.takes_up = taken_up.map(Name::from);
+        if let RequiredVersion::Exactly(version) = &version {
+            stats.version = Some(version.clone());
+        }
         let selection = SelectionRequest {
             favored_version: versions.favored(&pool).filter(|_| is_resumable),
             pool,
