fix(serve): stages of a stream that goes on aren't refused because of load

Cause: the stages of such a request run again, and the cell's owner judged them like those of a new request: by the soft deadline of a first event, by its age if it was refused before, and against the load of that moment. The class: work that was accepted is admitted a second time. Ruled out: the version (no server of it is a reason of its own), and the servers' places (none was refused for them).

Change: a job tells whether its request goes on with a stream. It isn't refused because of load, its soft deadline is at least half the time that is left, and it goes first among the late ones of its rank.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -144,7 +144,10 @@
         }
         self.cancel(&job.id.clone(), now);
         let first_soft_deadline = self.retries.first_soft_deadline(&job, now);
-        if let Some(soft_deadline) = first_soft_deadline {
+        if job.continues {
+            let half_left = job.time_to_deadline / CONTINUED_SOFT_DEADLINE_DIVISOR;
+            job.time_to_soft_deadline = job.time_to_soft_deadline.max(half_left);
+        } else if let Some(soft_deadline) = first_soft_deadline {
             job.time_to_soft_deadline = soft_deadline
                 .saturating_duration_since(now)
                 .min(job.time_to_soft_deadline);
@@ -156,22 +159,22 @@
             };
         };
         let fair_share = self.config.soft_deadline_share - self.fairness.reduction(job.rank);
-        let share = if job.accepted_before { 1.0 } else { fair_share };
+        let share = if job.is_accepted() { 1.0 } else { fair_share };
         let late = forecast.before_late > job.time_to_soft_deadline.mul_f64(share);
-        if !job.accepted_before && first_soft_deadline.is_none() {
+        if !job.is_accepted() && first_soft_deadline.is_none() {
             self.fairness.record(job.rank, !late, now);
         }
         let wait = forecast.behind_all.saturating_sub(forecast.unloaded);
         let infeasible = wait > job.time_to_deadline.mul_f64(self.config.late_wait_share)
             || forecast.behind_all > job.time_to_deadline.mul_f64(self.config.late_finish_share);
-        let refuse_late = !job.accepted_before && (infeasible || !job.late_allowed);
+        let refuse_late = !job.is_accepted() && (infeasible || !job.late_allowed);
         if late && (refuse_late || forecast.unloaded > job.time_to_deadline) {
             let retry_after = self.retry_after(&job);
             self.next_sequence += 1;
             self.record_refusal(&job, now);
             return SubmitOutcome::Refused { retry_after };
         }
-        let first_in_rank = first_soft_deadline.is_some() || job.accepted_before;
+        let first_in_rank = first_soft_deadline.is_some() || job.is_accepted();
         self.accept(job, late, first_in_rank, now);
         SubmitOutcome::Accepted { late }
     }
@@ -355,6 +358,8 @@
     }
 }
 
+/// Share of the time to its deadline in which a stream that goes on gets its inputs, as a divisor.
+const CONTINUED_SOFT_DEADLINE_DIVISOR: u32 = 2;
 /// Longest retry delay for a job that needs a pool without servers.
 const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
 /// Share of the longest retry delay over which retries are spread, and the number of steps.
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -70,9 +70,18 @@
     pub results: Vec<StageResults>,
     /// Whether an earlier owner accepted the job. It is then not refused because of load.
     pub accepted_before: bool,
+    /// Whether the request goes on with a stream that the caller has a part of. It was accepted when
+    /// the stream began, and has no first event to be late with.
+    pub continues: bool,
 }
 
 impl Job {
+    /// Whether the job must not be refused because of load.
+    #[must_use]
+    pub fn is_accepted(&self) -> bool {
+        self.accepted_before || self.continues
+    }
+
     /// Number of pieces of a stage that are not among the earlier owner's results.
     #[must_use]
     pub fn pieces_left(&self, stage: usize) -> u32 {
--- a/crates/sardineshore-core/tests/batching.rs
+++ b/crates/sardineshore-core/tests/batching.rs
@@ -56,6 +56,7 @@
         late_allowed: true,
         results: Vec::new(),
         accepted_before: false,
+        continues: false,
     }
 }
 
@@ -586,6 +587,31 @@
     );
 }
 
+/// Guards against streams that don't go on under load although new ones begin.
+#[test]
+fn submit_accepts_job_of_started_stream_that_is_late_for_new_ones() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&[("a", "p")], now);
+    for n in 0..6 {
+        let mut urgent = job(&format!("u{n}"), vec![stage("p", &[], 4)]);
+        urgent.time_to_soft_deadline = ms(9000);
+        scheduler.submit(urgent, now);
+    }
+    let mut fresh = job("fresh", vec![stage("p", &[], 1)]);
+    fresh.time_to_soft_deadline = ms(1000);
+    fresh.time_to_deadline = ms(4000);
+    let continued = Job {
+        id: "continued".into(),
+        continues: true,
+        ..fresh.clone()
+    };
+    for (job, accepted) in [(fresh, false), (continued, true)] {
+        let outcome = scheduler.submit(job, now);
+        let on_time = SubmitOutcome::Accepted { late: false };
+        assert_eq!(outcome == on_time, accepted, "{outcome:?}");
+    }
+}
+
 #[test]
 fn submit_adopts_results_of_unfinished_stage() {
     let now = Instant::now();
--- a/crates/sardineshore-core/tests/load/replay.rs
+++ b/crates/sardineshore-core/tests/load/replay.rs
@@ -207,6 +207,7 @@
             late_allowed: true,
             results: Vec::new(),
             accepted_before: false,
+            continues: false,
         };
         match self.scheduler.submit(job, now) {
             SubmitOutcome::Accepted { .. } => {
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -84,6 +84,8 @@
     rejections: u32,
     /// Whether the caller has a part of the stream.
     started: bool,
+    /// Whether the request takes up a stream that an earlier one began.
+    is_taken_up: bool,
     /// Record of the version at which the stream begins, which must be written before its first event
     /// is forwarded.
     record: Option<PendingRecord>,
@@ -192,6 +194,7 @@
             runs: 0,
             rejections: 0,
             started: false,
+            is_taken_up,
             record: None,
         };
         let outcome = self.run_attempts(&mut attempts, &mut sink).await;
@@ -384,7 +387,7 @@
         let Some(mut job) = self.build_job(request, &attempts.selection) else {
             return Ok(());
         };
-        job.accepted_before = attempts.started;
+        job.continues = attempts.started || attempts.is_taken_up;
         let start = Instant::now();
         let running = tokio::time::timeout(request.time_to_deadline(), self.stages.run(job));
         let result = tokio::select! {
@@ -458,6 +461,7 @@
             late_allowed: true,
             results: Vec::new(),
             accepted_before: false,
+            continues: false,
         })
     }
 }
