fix(peers): a silent owner is noticed while jobs keep coming

Requests with stages waited for an owner that had fallen silent until their deadlines ended, and were then refused with 503 and no time left. The others behind them met the same.

Cause: the wait before a heartbeat began anew with every message that this instance sent. With a job or a release at least every 250 ms, no heartbeat went out, and nothing noticed the silence: writes to a frozen process succeed until its buffers are full, and from then on the write itself blocked the check.

What the heartbeat does is now decided in the core from what has arrived alone (flow::heartbeat). The link reads what has arrived first, so that an instance that was itself held up doesn't close sound links, and gives up a write that isn't taken in 0.8 s. The limits stay as they were: a heartbeat after 250 ms, closed after 800 ms.

Ruled out: keep-alive probes of TCP, which a frozen process's kernel goes on answering.

--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -17,6 +17,7 @@
 pub mod cells;
 pub mod config;
 pub mod freshness;
+pub mod heartbeat;
 pub mod notices;
 pub mod quarantine;
 pub mod readers;
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -19,6 +19,7 @@
 use sardineshore_core::flow::batching::Job;
 use sardineshore_core::flow::cells::{OwnerCandidate, rank_owners};
 use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::heartbeat::{Heartbeat, HeartbeatAction};
 use sardineshore_core::flow::quarantine::Evidence;
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream};
@@ -42,10 +43,8 @@
 const REOPEN_BACKOFF: Duration = Duration::from_millis(600);
 /// Back-off after an owner redirected a job, as it is shutting down or handed the cell over.
 const REDIRECT_BACKOFF: Duration = Duration::from_millis(1500);
-/// A link with waiting jobs sends a heartbeat after it has received nothing for this time.
-const HEARTBEAT_AFTER: Duration = Duration::from_millis(250);
-/// A link with waiting jobs is closed after it has received nothing for this time.
-const LINK_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time to write messages to a link whose other side doesn't read them.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 /// How often an owner checks whether an instance that ranks before it is reachable again.
 const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest message, in bytes.
@@ -64,7 +63,6 @@
 /// An open link to an owner of cells or a reader of the store.
 pub struct Link {
     tx: mpsc::UnboundedSender<Bytes>,
-    last_received: Cell<Instant>,
     /// Callbacks of the jobs that have not ended, by the id of the request.
     callbacks: RefCell<HashMap<Name, JobCallback>>,
 }
@@ -325,7 +323,6 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let link = Rc::new(Link {
             tx,
-            last_received: Cell::new(Instant::now()),
             callbacks: RefCell::default(),
         });
         self.set_link(&info.name, LinkState::Up(link.clone()));
@@ -558,19 +555,18 @@
     mut rx: mpsc::UnboundedReceiver<Bytes>,
     on_other: impl Fn(Message),
 ) {
-    let mut heartbeat_sent: Option<Instant> = None;
+    let mut heartbeat = Heartbeat::default();
     loop {
+        let is_waiting = !link.callbacks.borrow().is_empty();
+        let check_at = heartbeat.next_check(is_waiting, Instant::now());
+        let check_in = check_at.map(|at| at.saturating_duration_since(Instant::now()));
         tokio::select! {
-            message = rx.recv() => {
-                let Some(message) = message else { return };
-                if send_all(&mut frames, message, &mut rx).await.is_err() {
-                    return;
-                }
-            }
+            // What has arrived is read before the link counts as silent, also after this process was
+            // held up; and what is sent doesn't delay the check.
+            biased;
             frame = frames.next() => {
                 let Some(Ok(frame)) = frame else { return };
-                link.last_received.set(Instant::now());
-                heartbeat_sent = None;
+                heartbeat.record_received();
                 match Message::decode(&frame) {
                     Ok(Message::Finished { request, inputs }) => {
                         link.finish(&request, JobOutcome::Finished(inputs));
@@ -593,16 +589,18 @@
                     Err(_) => return,
                 }
             }
-            () = tokio::time::sleep(HEARTBEAT_AFTER), if !link.callbacks.borrow().is_empty() => {
-                match heartbeat_sent {
-                    None => {
-                        heartbeat_sent = Some(Instant::now());
-                        if frames.send(Message::Ping.encode()).await.is_err() {
-                            return;
-                        }
-                    }
-                    Some(at) if at.elapsed() + HEARTBEAT_AFTER > LINK_TIMEOUT => return,
-                    Some(_) => {}
+            () = tokio::time::sleep(check_in.unwrap_or_default()), if check_in.is_some() => {
+                match heartbeat.check(Instant::now()) {
+                    HeartbeatAction::Wait => {}
+                    HeartbeatAction::Send => link.send(&Message::Ping),
+                    HeartbeatAction::Close => return,
+                }
+            }
+            message = rx.recv() => {
+                let Some(message) = message else { return };
+                let sending = send_all(&mut frames, message, &mut rx);
+                if !matches!(tokio::time::timeout(WRITE_TIMEOUT, sending).await, Ok(Ok(()))) {
+                    return;
                 }
             }
         }
