fix(cells): the end of an earlier link leaves a job that was submitted again

Requests with stages waited until their deadlines although the owner of their cell had accepted their job, and were then refused with no time left.

Cause: an owner releases the jobs of a link when the link ends, and did so by the id of the request alone. After a silence on the way, the submitter closes its link and comes back over a new one before the owner sees the end of the old one, whose last packets are still being repeated. A job submitted again by then was removed with its callback, and nobody told the submitter.

Each submission now has an id of its own, and only the latest one can be released.

Looked at for the same cause: a release over the same link comes before the next submission, and the links' own callbacks belong to one link.

--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -81,6 +81,17 @@
 /// Receives the events of a job.
 pub type JobCallback = Box<dyn Fn(JobEvent)>;
 
+/// One submission of a job. The job may be submitted again under its id, over another link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SubmissionId(u64);
+
+/// The latest submission of a job that the scheduler accepted.
+struct Submission {
+    id: SubmissionId,
+    /// `None` once the job has ended.
+    callback: Option<JobCallback>,
+}
+
 /// What the runners of all cells share.
 #[derive(Debug)]
 struct Shared {
@@ -95,7 +106,8 @@
 struct CellRunner {
     cell: Name,
     sched: RefCell<BatchScheduler>,
-    callbacks: RefCell<HashMap<Name, JobCallback>>,
+    /// Until they are released, by the id of the request.
+    submissions: RefCell<HashMap<Name, Submission>>,
     wake: Notify,
     handed_over_at: Cell<Option<Instant>>,
     shared: Rc<Shared>,
@@ -107,6 +119,7 @@
     runners: RefCell<HashMap<Name, Rc<CellRunner>>>,
     servers: RefCell<HashMap<Name, Vec<BatchServer>>>,
     names: RefCell<Vec<Name>>,
+    next_submission: Cell<u64>,
     closing: Cell<bool>,
 }
 
@@ -138,6 +151,7 @@
             runners: RefCell::default(),
             servers: RefCell::default(),
             names: RefCell::default(),
+            next_submission: Cell::new(0),
             closing: Cell::new(false),
         }
     }
@@ -244,16 +258,18 @@
         }
     }
 
-    /// Submits a job to a cell; `callback` gets its events.
-    pub fn submit(&self, cell: &Name, job: Job, callback: JobCallback) {
+    /// Submits a job to a cell; `callback` gets its events. The submission has to be released.
+    pub fn submit(&self, cell: &Name, job: Job, callback: JobCallback) -> SubmissionId {
+        let submission = SubmissionId(self.next_submission.get());
+        self.next_submission.set(submission.0 + 1);
         if self.closing.get() || !self.servers.borrow().contains_key(cell) {
             callback(JobEvent::Ended(JobOutcome::Redirected { accepted: false }));
-            return;
+            return submission;
         }
         let runner = self.runner(cell);
         if runner.is_handed_over() {
             callback(JobEvent::Ended(JobOutcome::Redirected { accepted: false }));
-            return;
+            return submission;
         }
         runner.sched.borrow_mut().cancel_handover(Instant::now());
         let id = job.id.clone();
@@ -269,17 +285,29 @@
                 callback(JobEvent::Ended(outcome));
             }
             SubmitOutcome::Accepted { .. } => {
-                runner.callbacks.borrow_mut().insert(id, callback);
+                let accepted = Submission {
+                    id: submission,
+                    callback: Some(callback),
+                };
+                runner.submissions.borrow_mut().insert(id, accepted);
                 runner.wake.notify_one();
             }
         }
+        submission
     }
 
-    /// Forgets a job: its results were used, or no request waits for it any more.
-    pub fn release(&self, cell: &Name, request: &str) {
+    /// Forgets a job: its results were used, or no request waits for it any more. Does nothing if it
+    /// was submitted again since.
+    pub fn release(&self, cell: &Name, request: &str, submission: SubmissionId) {
         if let Some(runner) = self.runners.borrow().get(cell) {
-            runner.callbacks.borrow_mut().remove(request);
-            runner.sched.borrow_mut().cancel(request, Instant::now());
+            let mut submissions = runner.submissions.borrow_mut();
+            if submissions
+                .get(request)
+                .is_some_and(|latest| latest.id == submission)
+            {
+                submissions.remove(request);
+                runner.sched.borrow_mut().cancel(request, Instant::now());
+            }
         }
     }
 
@@ -295,7 +323,7 @@
             let runner = Rc::new(CellRunner {
                 cell: cell.clone(),
                 sched: RefCell::new(sched),
-                callbacks: RefCell::default(),
+                submissions: RefCell::default(),
                 wake: Notify::new(),
                 handed_over_at: Cell::new(None),
                 shared: self.shared.clone(),
@@ -308,8 +336,20 @@
 }
 
 impl CellRunner {
+    fn report_stage(&self, request: &Name, results: StageResults) {
+        let submissions = self.submissions.borrow();
+        let submission = submissions.get(request);
+        if let Some(callback) = submission.and_then(|latest| latest.callback.as_ref()) {
+            callback(JobEvent::StageFinished(results));
+        }
+    }
+
     fn finish(&self, request: &Name, outcome: JobOutcome) {
-        let callback = self.callbacks.borrow_mut().remove(request);
+        let mut submissions = self.submissions.borrow_mut();
+        let callback = submissions
+            .get_mut(request)
+            .and_then(|submission| submission.callback.take());
+        drop(submissions);
         if let Some(callback) = callback {
             callback(JobEvent::Ended(outcome));
         }
@@ -414,11 +454,7 @@
                 runner.wake.notify_one();
             });
         }
-        Action::StageEnded { request, results } => {
-            if let Some(callback) = runner.callbacks.borrow().get(&request) {
-                callback(JobEvent::StageFinished(results));
-            }
-        }
+        Action::StageEnded { request, results } => runner.report_stage(&request, results),
         Action::Finished {
             request,
             inputs: handles,
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{Notify, mpsc};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::cell::{JobCallback, JobEvent, JobOutcome, OwnedCells};
+use crate::cell::{JobCallback, JobEvent, JobOutcome, OwnedCells, SubmissionId};
 use crate::relay::{LinkEvent, StoreRelay};
 use crate::state::boot_time;
 use crate::upstream::detect_dead_peer;
@@ -434,7 +434,7 @@
         self.served.borrow_mut().insert(number, tx.clone());
         let mut served = ServedLink {
             tx,
-            cells_by_request: HashMap::new(),
+            submissions: HashMap::new(),
             subscription: None,
         };
         let result = loop {
@@ -455,8 +455,8 @@
             }
         };
         self.served.borrow_mut().remove(&number);
-        for (request, cell) in served.cells_by_request {
-            self.cells.release(&cell, &request);
+        for (request, (cell, submission)) in served.submissions {
+            self.cells.release(&cell, &request, submission);
         }
         if let Some(id) = served.subscription {
             self.relay.unsubscribe(id);
@@ -473,17 +473,17 @@
             }
             Message::Submit { cell, job } => {
                 let request = job.id.clone();
-                let cells_by_request = &mut served.cells_by_request;
-                cells_by_request.insert(request.clone(), cell.clone());
-                let tx = served.tx.clone();
+                let (id, tx) = (request.clone(), served.tx.clone());
                 let callback = Box::new(move |event| {
-                    let _closed = tx.send(event_message(request.clone(), event).encode());
+                    let _closed = tx.send(event_message(id.clone(), event).encode());
                 });
-                self.cells.submit(&cell, job, callback);
+                let submission = self.cells.submit(&cell, job, callback);
+                served.submissions.insert(request, (cell, submission));
             }
             Message::Release { cell, request } => {
-                served.cells_by_request.remove(&request);
-                self.cells.release(&cell, &request);
+                if let Some((_, submission)) = served.submissions.remove(&request) {
+                    self.cells.release(&cell, &request, submission);
+                }
             }
             Message::Ping => served.send(&Message::Pong),
             Message::Subscribe { known } => {
@@ -515,7 +515,8 @@
 /// A link that another instance opened.
 struct ServedLink {
     tx: mpsc::UnboundedSender<Bytes>,
-    cells_by_request: HashMap<Name, Name>,
+    /// Jobs submitted over the link and not released, with their cells, by the id of the request.
+    submissions: HashMap<Name, (Name, SubmissionId)>,
     /// Id of the other instance as a subscriber.
     subscription: Option<u64>,
 }
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -15,7 +15,7 @@
 use slog::{Logger, info};
 use tokio::sync::oneshot;
 
-use crate::cell::{JobCallback, JobEvent, JobOutcome, OwnedCells, RequestInputs};
+use crate::cell::{JobCallback, JobEvent, JobOutcome, OwnedCells, RequestInputs, SubmissionId};
 use crate::peers::{Link, Peers};
 
 /// Most owners to which a job is submitted in one cell.
@@ -33,7 +33,7 @@
 
 /// Owner to which a job was submitted.
 enum Owner {
-    Local(Rc<OwnedCells>),
+    Local(Rc<OwnedCells>, SubmissionId),
     Remote(Rc<Link>),
 }
 
@@ -58,7 +58,9 @@
 impl Drop for ResultGuard {
     fn drop(&mut self) {
         match &self.owner {
-            Owner::Local(cells) => cells.release(&self.cell, &self.request),
+            Owner::Local(cells, submission) => {
+                cells.release(&self.cell, &self.request, *submission);
+            }
             Owner::Remote(link) if link.is_lost() => {
                 self.cells
                     .release_results(std::mem::take(&mut self.results));
@@ -202,8 +204,8 @@
         let cell = cell.clone();
         let (callback, outcome) = job_callback(finished_stages);
         let owner = if *name == self.peers.this_instance().name {
-            self.cells.submit(&cell, job, callback);
-            Owner::Local(self.cells.clone())
+            let submission = self.cells.submit(&cell, job, callback);
+            Owner::Local(self.cells.clone(), submission)
         } else {
             let link = self.peers.link(name).await?;
             link.submit(cell.clone(), job, callback);
