fix(plain): a silent server is not given up before another one can take the request

Callers of safe routes got 502 although a sound server was about to answer: it had been silent for a second.

Cause: after twice the target latency, or half of the time left, the attempt was dropped first. Only then was another server looked for; without one that could be reached, or without a retry left in the budget, the request failed with nothing in flight.

The search now runs beside the wait for the response. The silent attempt is dropped once another server is connected and the retry is taken from the budget; until then its response counts, up to the deadline, and a request that ends there is answered 504. A request that must not be repeated looks for no other server, and a request is never at two servers at once.

Evidence: serve_silent_server_is_not_given_up_without_another_one, with one server that is silent for 1.2 s: before, 502 after 1 s; now the server's response. serve_silent_server_is_replaced_once held before and holds now. Not changed: a replacement that turns the request away leaves it with 502.

--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -3,6 +3,8 @@
 //! A request is sent again after a rejection, which proves that it has not run. After any other
 //! failure only a retryable request is sent again.
 
+use std::time::Duration;
+
 use sardineshore_core::flow::selection::{AttemptOutcome, SelectionRequest};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use xxhash_rust::xxh3::xxh3_64;
@@ -14,9 +16,12 @@
 use crate::upstream::{ExchangeError, Response};
 
 /// Multiple of the route's target latency after which a retryable request is sent to another
-/// server.
+/// server, if there is one.
 const RETRY_LATENCY_FACTOR: u32 = 2;
 
+/// Why an attempt is lost whose server sent nothing in time.
+const SERVER_SILENT: &str = "server silent";
+
 /// Result of one attempt.
 enum SendResult {
     /// The server sent a complete response that can be forwarded.
@@ -26,6 +31,16 @@
     /// There is no usable response. The server may have run the request; with the reason for the
     /// log.
     Lost(&'static str),
+    /// The server is silent, and the request can be sent to this one instead.
+    Replaced(Box<ConnectedServer>),
+}
+
+/// How the wait for a response ended.
+enum Exchanged {
+    /// With the response or a fault of the connection.
+    Ended(Result<(Response, Vec<u8>), ExchangeError>),
+    /// The server sent no complete response in time; with the server that gets the request next.
+    Silent(Option<Box<ConnectedServer>>),
 }
 
 impl RequestHandler {
@@ -50,33 +65,37 @@
         // Why an earlier attempt was lost. Once set, the caller must not be told that the request
         // has not run.
         let mut lost = None;
+        let mut replacement = None;
         loop {
-            let connected = self.dispatcher.connect(&mut selection, request).await;
-            let mut connected = match (connected, lost) {
-                (Ok(connected), _) => connected,
-                (Err(_), Some(reason)) => {
-                    return Outcome::Failed(ErrorResponse::OutcomeUnknown(reason));
+            let is_retry = stats.attempts > 0;
+            let next = match replacement.take() {
+                Some(connected) => Ok(connected),
+                None => {
+                    self.next_server(&mut selection, request, is_retry, lost)
+                        .await
                 }
-                (Err(retry_after), None) => return not_run(request, retry_after, "no server"),
             };
-            let is_retry = stats.attempts > 0;
-            if !self.dispatcher.try_acquire_send(&selection.pool, is_retry) {
-                return match lost {
-                    Some(reason) => Outcome::Failed(ErrorResponse::OutcomeUnknown(reason)),
-                    None => not_run(request, RETRY_AFTER_REJECTED, "no repeats left"),
-                };
-            }
-            if let Some(refused) = self.refuse_quarantined(request, lost) {
-                return refused;
-            }
+            let mut connected = match next {
+                Ok(connected) => connected,
+                Err(outcome) => return outcome,
+            };
             stats.attempts += 1;
             stats.server = Some(connected.server.id.clone());
             selection.tried.push(connected.server.id.clone());
             // Whether another attempt may follow although this one may have run the request.
             let may_retry = retryable && stats.attempts < max_attempts;
-            let sent = self.send_once(&mut connected, request, may_retry).await;
-            if let SendResult::Lost(reason) = sent {
-                self.record_lost_attempt(request, &connected, reason).await;
+            let sent = self
+                .send_once(&mut connected, &mut selection, request, may_retry)
+                .await;
+            match sent {
+                SendResult::Lost(reason) => {
+                    self.record_lost_attempt(request, &connected, reason).await;
+                }
+                SendResult::Replaced(_) => {
+                    self.record_lost_attempt(request, &connected, SERVER_SILENT)
+                        .await;
+                }
+                SendResult::Complete(..) | SendResult::Rejected => {}
             }
             match sent {
                 SendResult::Complete(response, body) => {
@@ -102,12 +121,20 @@
                 }
                 SendResult::Rejected if stats.attempts < max_attempts => {}
                 SendResult::Rejected => {
-                    return match lost {
-                        Some(reason) => Outcome::Failed(ErrorResponse::OutcomeUnknown(reason)),
-                        None => not_run(request, RETRY_AFTER_REJECTED, "rejected by the server"),
-                    };
+                    return unserved(
+                        request,
+                        lost,
+                        RETRY_AFTER_REJECTED,
+                        "rejected by the server",
+                    );
+                }
+                SendResult::Replaced(connected) => {
+                    lost = Some(SERVER_SILENT);
+                    replacement = Some(*connected);
+                }
+                SendResult::Lost(reason) if may_retry && !request.time_to_deadline().is_zero() => {
+                    lost = Some(reason);
                 }
-                SendResult::Lost(reason) if may_retry => lost = Some(reason),
                 SendResult::Lost(reason) => {
                     return Outcome::Failed(if request.time_to_deadline().is_zero() {
                         ErrorResponse::DeadlineExceeded
@@ -119,25 +146,51 @@
         }
     }
 
+    /// Connects to the server that gets the request next, and takes the retry from the budget if it
+    /// is one. Fails with the outcome of the request if it can't be sent.
+    async fn next_server(
+        &self,
+        selection: &mut SelectionRequest,
+        request: &AdmittedRequest<'_>,
+        is_retry: bool,
+        lost: Option<&'static str>,
+    ) -> Result<ConnectedServer, Outcome> {
+        let connected = match self.dispatcher.connect(selection, request).await {
+            Ok(connected) => connected,
+            Err(retry_after) => return Err(unserved(request, lost, retry_after, "no server")),
+        };
+        if !self.dispatcher.try_acquire_send(&selection.pool, is_retry) {
+            // Nothing was sent on the connection.
+            self.dispatcher.recycle(connected.conn, &Response::empty());
+            return Err(unserved(
+                request,
+                lost,
+                RETRY_AFTER_REJECTED,
+                "no repeats left",
+            ));
+        }
+        match self.refuse_quarantined(request, lost) {
+            Some(refused) => Err(refused),
+            None => Ok(connected),
+        }
+    }
+
     /// Sends the request once and reads the whole response. With `may_retry` it waits only so long
-    /// that another server can still respond in time.
+    /// that another server can still respond in time, but until the deadline if the request can't
+    /// be sent to another one: a sound server may be silent for a while.
     async fn send_once(
         &self,
         connected: &mut ConnectedServer,
+        selection: &mut SelectionRequest,
         request: &AdmittedRequest<'_>,
         may_retry: bool,
     ) -> SendResult {
-        let time_left = request.time_to_deadline();
-        let attempt_timeout = if may_retry {
-            (request.route.target_latency * RETRY_LATENCY_FACTOR).min(time_left / 2)
-        } else {
-            time_left
-        };
-        let exchange = self.exchange(connected, request);
-        let exchanged = tokio::time::timeout(attempt_timeout, exchange).await;
+        let exchanged = self
+            .exchange_until_replaced(connected, selection, request, may_retry)
+            .await;
         let attempt = &connected.attempt;
         match exchanged {
-            Ok(Ok((response, body))) => {
+            Exchanged::Ended(Ok((response, body))) => {
                 let status = response.head.status;
                 let fields = self.dialect.header_names();
                 let headers = &response.head.headers;
@@ -161,22 +214,52 @@
                 });
                 SendResult::Complete(response, body)
             }
-            Ok(Err(ExchangeError::InvalidResponse(_) | ExchangeError::ResponseTooLarge)) => {
+            Exchanged::Ended(Err(
+                ExchangeError::InvalidResponse(_) | ExchangeError::ResponseTooLarge,
+            )) => {
                 attempt.finish(AttemptOutcome::Failure);
                 SendResult::Lost("no answer")
             }
-            Ok(Err(_)) => {
+            Exchanged::Ended(Err(_)) => {
                 attempt.record_lost_connection();
                 attempt.finish(AttemptOutcome::Broken);
                 SendResult::Lost("connection broke")
             }
-            Err(_) => {
+            Exchanged::Silent(replacement) => {
                 attempt.finish(AttemptOutcome::Broken);
-                SendResult::Lost("server silent")
+                replacement.map_or(SendResult::Lost(SERVER_SILENT), SendResult::Replaced)
             }
         }
     }
 
+    /// Exchanges the request for its response, until the deadline or until the server has been
+    /// silent for long and another one can take the request.
+    async fn exchange_until_replaced(
+        &self,
+        connected: &mut ConnectedServer,
+        selection: &mut SelectionRequest,
+        request: &AdmittedRequest<'_>,
+        may_retry: bool,
+    ) -> Exchanged {
+        let time_left = request.time_to_deadline();
+        let exchange = tokio::time::timeout(time_left, self.exchange(connected, request));
+        tokio::pin!(exchange);
+        let replacement = async {
+            if !may_retry {
+                return None;
+            }
+            let patience = request.route.target_latency * RETRY_LATENCY_FACTOR;
+            tokio::time::sleep(patience.min(time_left / 2)).await;
+            let next = self.next_server(selection, request, true, Some(SERVER_SILENT));
+            next.await.ok()
+        };
+        tokio::select! {
+            biased;
+            exchanged = &mut exchange => exchanged.map_or(Exchanged::Silent(None), Exchanged::Ended),
+            Some(connected) = replacement => Exchanged::Silent(Some(Box::new(connected))),
+        }
+    }
+
     /// Sends the request and reads the response with its body.
     async fn exchange(
         &self,
@@ -191,3 +274,17 @@
         Ok((response, body))
     }
 }
+
+/// Outcome when no further attempt is made. `lost` tells why an earlier attempt was lost; only
+/// without it the request counts as not run.
+fn unserved(
+    request: &AdmittedRequest<'_>,
+    lost: Option<&'static str>,
+    retry_after: Duration,
+    reason: &'static str,
+) -> Outcome {
+    match lost {
+        Some(lost) => Outcome::Failed(ErrorResponse::OutcomeUnknown(lost)),
+        None => not_run(request, retry_after, reason),
+    }
+}
