fix(selection): one silence of a server counts once, however many attempts it breaks

A sound server that was silent for a second got no new work for the next four. If all servers of a pool were silent together, each instance refused streams as "no server" in that time.

Cause: every attempt that broke doubled the back-off and raised the error rate, so that a dozen streams under way at once did in one moment what a dozen failed trials are meant to do.

Attempts that break during a back-off no longer count: they were under way when it began. The back-off still doubles, up to 4 s, with each trial attempt that breaks after it.

Evidence: usable_servers_one_silence_backs_off_once_for_many_attempts breaks 30 attempts at once. Before, 2 of 3 servers were usable 600 ms later; now all 3 are, and the server is selected again. usable_servers_back_off_grows_while_trials_break (0.5, 1, 2, 4, 4 s) held before and holds now.

--- a/crates/sardineshore-core/src/flow/selection/health.rs
+++ b/crates/sardineshore-core/src/flow/selection/health.rs
@@ -1,13 +1,14 @@
 //! Health of one server, derived from the outcomes of attempts: error rate, latency and back-off.
 //!
 //! Like a circuit breaker, a server that breaks attempts gets no work during a back-off, and then
-//! one trial attempt at a time until it responds.
+//! one trial attempt at a time until it responds. Attempts that break during the back-off don't
+//! count: a short silence breaks all attempts that are under way at a sound server.
 
 use std::time::{Duration, Instant};
 
 use super::AttemptOutcome;
 
-/// Back-off after the first broken attempt; it doubles with each further one.
+/// Back-off after the first broken attempt; it doubles with each trial attempt that breaks.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(500);
 /// Longest back-off; bounds how long a server that has recovered stays unused.
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
@@ -25,7 +26,7 @@
 /// Health of a server.
 #[derive(Debug, Default)]
 pub(super) struct Health {
-    /// Broken attempts since the last answered one.
+    /// Broken attempts since the last answered one, without those that broke during a back-off.
     broken_attempts: u32,
     backoff_until: Option<Instant>,
     /// Moving average of outcomes, from 0 (all answered) to 1 (all failed or broken).
@@ -42,6 +43,11 @@
             && (self.broken_attempts == 0 || in_flight == 0)
     }
 
+    /// Whether a broken attempt keeps new work away now.
+    fn is_backing_off(&self, now: Instant) -> bool {
+        self.broken_attempts > 0 && self.backoff_until.is_some_and(|until| now < until)
+    }
+
     /// Share of recent attempts that failed or broke, from 0 to 1.
     pub fn error_rate(&self) -> f64 {
         self.error_rate
@@ -63,6 +69,7 @@
             }
             AttemptOutcome::Failure => self.error_rate += ERROR_RATE_GAIN * (1.0 - self.error_rate),
             AttemptOutcome::Rejected => self.backoff_until = Some(now + REJECTED_BACKOFF),
+            AttemptOutcome::Broken if self.is_backing_off(now) => {}
             AttemptOutcome::Broken => {
                 self.error_rate += ERROR_RATE_GAIN * (1.0 - self.error_rate);
                 self.broken_attempts += 1;
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -12,7 +12,7 @@
 use sardineshore_core::flow::freshness::Freshness;
 use sardineshore_core::flow::retry_budget::{RetryBudget, RetryBudgetConfig};
 use sardineshore_core::flow::selection::{
-    AttemptOutcome, LoadReport, PromptPart, SelectionRequest, ServerSelector,
+    AttemptOutcome, LoadReport, PromptPart, SelectedServer, SelectionRequest, ServerSelector,
 };
 
 fn ms(value: u64) -> Duration {
@@ -268,6 +268,46 @@
     );
 }
 
+/// Starts attempts at a server of a selector and breaks all of them.
+fn break_attempts(selector: &mut ServerSelector, server: &SelectedServer, count: u32, at: Instant) {
+    for _ in 0..count {
+        selector.record_start(server, &request_for("s"), at);
+    }
+    for _ in 0..count {
+        selector.record_end(server, false, AttemptOutcome::Broken, at);
+    }
+}
+
+/// Guards against seconds without work for a sound server whose streams a short silence broke.
+#[test]
+fn usable_servers_one_silence_backs_off_once_for_many_attempts() {
+    let now = Instant::now();
+    let mut selector = selector(3);
+    let silent = selector.select(&request_for("s"), now).unwrap();
+    break_attempts(&mut selector, &silent, 30, now);
+    assert_eq!(selector.usable_servers("llm", now + ms(400)), 2);
+    assert_eq!(selector.usable_servers("llm", now + ms(600)), 3);
+    let later = selector.select(&request_for("s"), now + ms(600)).unwrap();
+    assert_eq!(later.id, silent.id);
+}
+
+#[test]
+fn usable_servers_back_off_grows_while_trials_break() {
+    let mut now = Instant::now();
+    let mut selector = selector(3);
+    let broken = selector.select(&request_for("s"), now).unwrap();
+    let mut back_offs = Vec::new();
+    for _ in 0..5 {
+        break_attempts(&mut selector, &broken, 1, now);
+        let began = now;
+        while selector.usable_servers("llm", now) < 3 {
+            now += ms(100);
+        }
+        back_offs.push(now - began);
+    }
+    assert_eq!(back_offs, [500, 1000, 2000, 4000, 4000].map(ms));
+}
+
 #[test]
 fn select_draining_server_is_never_used() {
     let now = Instant::now();
