fix(batching): a server that doesn't respond in time keeps its results

When one call for pieces got no response in time, all results that the server held for jobs of the cell were computed again, at other servers, though it was sound and still had them. The first results stayed in its memory until they expired.

Cause: a call that timed out counted like one whose connection broke, which may mean that the server is gone.

A timeout is now an outcome of its own: the server is backed off from as before and its pieces go to others, but its results stay in use. If they are gone after all, the call that needs them is told so and they are computed again, as is the case when the server's entry is removed. The abandoned call may still leave results, so the free memory is queried before the next call.

A refused, reset or unusable call still counts as broken.

--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -34,12 +34,13 @@
                     server.record_failure(now);
                     broken = true;
                 }
+                CallOutcome::TimedOut => server.record_timeout(now),
             }
         }
         for (position, piece) in call.pieces.iter().enumerate() {
             let result = match outcome {
                 CallOutcome::Answered(results) => results.get(position).cloned(),
-                CallOutcome::Rejected | CallOutcome::Broken => None,
+                CallOutcome::Rejected | CallOutcome::Broken | CallOutcome::TimedOut => None,
             };
             self.piece_ended(&call, *piece, result, now);
         }
--- a/crates/sardineshore-core/src/flow/batching/messages.rs
+++ b/crates/sardineshore-core/src/flow/batching/messages.rs
@@ -71,8 +71,11 @@
     Answered(Vec<Result<Name, PieceError>>),
     /// The server answered that it did not run the call.
     Rejected,
-    /// No usable answer arrived. The server may be lost with all its results.
+    /// The connection failed or the answer can't be used. The server may be lost with all its
+    /// results.
     Broken,
+    /// No answer arrived in time. The server may be sound and have its results.
+    TimedOut,
 }
 
 /// What the caller of the scheduler has to do.
@@ -88,7 +91,7 @@
         address: SocketAddr,
         /// Pieces to compute.
         pieces: Vec<CallPiece>,
-        /// Time after which the call ends as [`CallOutcome::Broken`].
+        /// Time after which the call ends as [`CallOutcome::TimedOut`].
         timeout: Duration,
     },
     /// Report that all stages of a job finished and the request can run.
--- a/crates/sardineshore-core/src/flow/batching/server.rs
+++ b/crates/sardineshore-core/src/flow/batching/server.rs
@@ -188,11 +188,11 @@
         self.query_at.get_or_insert(now);
     }
 
-    /// Schedules a query of the free memory, and holds back calls for a short time until the report
-    /// arrives.
-    pub fn query_before_calls(&mut self, now: Instant) {
-        self.query_at = Some(now);
-        self.report_deadline = Some(now + MAX_REPORT_WAIT);
+    /// Schedules a query of the free memory, and holds back calls for a short time after it until the
+    /// report arrives.
+    pub fn query_before_calls(&mut self, at: Instant) {
+        self.query_at = Some(at);
+        self.report_deadline = Some(at + MAX_REPORT_WAIT);
     }
 
     /// Whether the free memory has to be queried now. Returns true once for each scheduled query.
@@ -247,6 +247,13 @@
         self.backoff_until = Some(now + backoff.min(MAX_BACKOFF));
     }
 
+    /// Records a call that was given up without an answer, and backs off from the server. It may still
+    /// work on the call: its free memory is queried before the next one.
+    pub fn record_timeout(&mut self, now: Instant) {
+        self.record_failure(now);
+        self.query_before_calls(self.backoff_until.unwrap_or(now));
+    }
+
     /// Whether the server has to be told of its released results now: they occupy much of its
     /// memory or were collected for `delay`.
     pub fn release_is_due(&self, now: Instant, delay: Duration) -> bool {
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -400,7 +400,7 @@
 ) {
     let failed = match outcome {
         CallOutcome::Answered(results) => results.iter().filter(|r| r.is_err()).count(),
-        CallOutcome::Rejected | CallOutcome::Broken => pieces,
+        CallOutcome::Rejected | CallOutcome::Broken | CallOutcome::TimedOut => pieces,
     };
     if failed > 0 {
         info!(shared.log, "call for pieces"; "server" => &**server, "end" => label, "pieces" => pieces, "failed" => failed, "ms" => ms);
@@ -423,11 +423,12 @@
                 let started = Instant::now();
                 let batch_call = call_batch(&runner.shared, &server, address, &pieces);
                 let called = tokio::time::timeout(timeout, batch_call).await;
-                let (outcome, limit) = called.unwrap_or((CallOutcome::Broken, None));
+                let (outcome, limit) = called.unwrap_or((CallOutcome::TimedOut, None));
                 let label = match &outcome {
                     CallOutcome::Answered(_) => "answered",
                     CallOutcome::Rejected => "rejected",
                     CallOutcome::Broken => "broken",
+                    CallOutcome::TimedOut => "timed out",
                 };
                 let shared = &runner.shared;
                 shared.metrics.piece_calls.with_label_values(&[label]).inc();
--- a/crates/sardineshore-serve/src/cell/calls.rs
+++ b/crates/sardineshore-serve/src/cell/calls.rs
@@ -1,6 +1,7 @@
 //! Calls that the owner of a cell makes to servers of stages: run a batch, release results, query
 //! free memory.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,11 +45,14 @@
         .connections
         .connect_new(address, CONNECT_TIMEOUT)
         .await;
-    let Ok(mut conn) = opened else {
-        return (CallOutcome::Broken, None);
+    let mut conn = match opened {
+        Ok(conn) => conn,
+        Err(error) => return (failed_call(&error), None),
     };
-    let Ok((response, body)) = exchange(shared, server, &mut conn, &head, &call).await else {
-        return (CallOutcome::Broken, None);
+    let exchanged = exchange(shared, server, &mut conn, &head, &call).await;
+    let (response, body) = match exchanged {
+        Ok(exchanged) => exchanged,
+        Err(error) => return (failed_call(&error), None),
     };
     let status = response.head.status;
     let headers = &response.head.headers;
@@ -70,6 +74,18 @@
     (outcome, Some(limit))
 }
 
+/// Outcome of a call whose connection failed. A timeout says only that nothing arrived.
+fn failed_call(error: &ExchangeError) -> CallOutcome {
+    match error {
+        ExchangeError::Connect(error) | ExchangeError::Io(error)
+            if error.kind() == io::ErrorKind::TimedOut =>
+        {
+            CallOutcome::TimedOut
+        }
+        _ => CallOutcome::Broken,
+    }
+}
+
 /// Releases results at a server. There is no retry: servers drop results after a while anyway.
 pub(super) async fn release_results(
     shared: Rc<Shared>,
