fix(batching): a call for pieces outlasts a short silence of its server

A sound server of a service with short calls that was silent for a second had its calls given up. It went on with them, nobody had the handles of the results, and they filled its memory until they expired.

Cause: the time for a call follows from its expected time alone: 0.6 s for a call of 1 ms.

A call now gets 2 s at least. Its pieces still go to another server as early as before, and the first result is taken, so that no request waits for the silent server where there is another one.

Calls of 200 ms had 2.2 s and keep it.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -364,6 +364,8 @@
 const REJECTED_BACKOFF: Duration = Duration::from_millis(60);
 /// A call times out after this multiple of the time after which its pieces are queued again.
 const CALL_TIMEOUT_FACTOR: u32 = 5;
+/// Least time for a call: a sound server may be silent for a second or so.
+const MIN_CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long after its deadline a finished job is kept if its results are not reported as used.
 const DELIVERED_RETENTION: Duration = Duration::from_secs(1);
 
--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -7,8 +7,8 @@
 use super::job::{PieceResult, Progress};
 use super::server::ServerState;
 use super::{
-    Action, BatchScheduler, CALL_TIMEOUT_FACTOR, CallOutcome, PieceError, REJECTED_BACKOFF,
-    RunningCall, SentPiece, call_piece, find_server, queue_key,
+    Action, BatchScheduler, CALL_TIMEOUT_FACTOR, CallOutcome, MIN_CALL_TIMEOUT, PieceError,
+    REJECTED_BACKOFF, RunningCall, SentPiece, call_piece, find_server, queue_key,
 };
 use crate::flow::config::Name;
 
@@ -282,7 +282,7 @@
             server: server.id.clone(),
             address: server.address,
             pieces,
-            timeout: slow_after * CALL_TIMEOUT_FACTOR,
+            timeout: (slow_after * CALL_TIMEOUT_FACTOR).max(MIN_CALL_TIMEOUT),
         });
         let call = RunningCall {
             pool: pool.clone(),
--- a/crates/sardineshore-core/tests/batching_silence.rs
+++ b/crates/sardineshore-core/tests/batching_silence.rs
@@ -113,3 +113,18 @@
     assert!(!queried(&scheduler.poll(ended_at)));
     assert!(queried(&scheduler.poll(ended_at + ms(400))));
 }
+
+/// A sound server may be silent for a second or so, however short its calls are.
+#[test]
+fn poll_calls_outlast_a_short_silence() {
+    let now = Instant::now();
+    for call_ms in [1, 20, 200, 1000] {
+        let mut scheduler = scheduler(call_ms, now);
+        scheduler.submit(job("1"), now);
+        let call = calls(&scheduler.poll(now)).remove(0);
+        assert!(call.3 >= ms(1500), "{call_ms} ms: {call:?}");
+        // Another server gets the piece long before.
+        let next = calls(&scheduler.poll(now + ms(150 + 2 * call_ms))).remove(0);
+        assert_eq!((&*next.1, next.2), ("b", 0));
+    }
+}
