fix(peers): a cell is handed over only to an owner that was heard of lately

Jobs were taken from an instance that worked on them and handed to one that was silent. The callers waited until its link was given up, and the instance that had handed over turned them away then.

Cause: an open link counted as a reachable owner. Heartbeats are sent only while jobs wait on a link, so the link to a frozen instance stays open for as long as its kernel answers.

An owner now hands over if something has arrived from the other instance in the last 600 ms. Otherwise it asks with a heartbeat, and the next check, 300 ms later, sees the answer.

Evidence: serve_cell_is_not_handed_over_to_silent_owner: before, the job ended as redirected although the instance was working on it; now it finishes there.

--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -47,6 +47,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 /// How often an owner checks whether an instance that ranks before it is reachable again.
 const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Time within which something has to have arrived from an instance to which a cell is handed over.
+const RESPONSIVE_TIME: Duration = Duration::from_millis(600);
 /// Longest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
@@ -63,6 +65,7 @@
 /// An open link to an owner of cells or a reader of the store.
 pub struct Link {
     tx: mpsc::UnboundedSender<Bytes>,
+    last_received: Cell<Instant>,
     /// Callbacks of the jobs that have not ended, by the id of the request.
     callbacks: RefCell<HashMap<Name, JobCallback>>,
 }
@@ -93,6 +96,15 @@
         self.tx.is_closed()
     }
 
+    /// Whether the other instance was heard of lately. If not, asks it, so that a later call can tell.
+    fn is_responsive(&self) -> bool {
+        let is_responsive = self.last_received.get().elapsed() < RESPONSIVE_TIME;
+        if !is_responsive {
+            self.send(&Message::Ping);
+        }
+        is_responsive
+    }
+
     /// Submits a job to the owner; `callback` gets its events and is dropped if the link is lost.
     pub fn submit(&self, cell: Name, job: Job, callback: JobCallback) {
         self.callbacks.borrow_mut().insert(job.id.clone(), callback);
@@ -323,6 +335,7 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let link = Rc::new(Link {
             tx,
+            last_received: Cell::new(Instant::now()),
             callbacks: RefCell::default(),
         });
         self.set_link(&info.name, LinkState::Up(link.clone()));
@@ -388,7 +401,7 @@
         }
     }
 
-    /// Hands over, forever, the cells for which a reachable instance ranks before this one.
+    /// Hands over, forever, the cells for which a responsive instance ranks before this one.
     pub async fn hand_over_cells(self: Rc<Self>) {
         loop {
             tokio::time::sleep(HANDOVER_CHECK_INTERVAL).await;
@@ -396,11 +409,13 @@
                 let preferred = rank_owners(&cell, &self.candidates())
                     .into_iter()
                     .take_while(|name| *name != self.own.name);
-                let mut is_reachable = false;
+                let mut is_responsive = false;
                 for name in preferred {
-                    is_reachable |= matches!(self.find_or_open(&name), Lookup::Up(_));
+                    if let Lookup::Up(link) = self.find_or_open(&name) {
+                        is_responsive |= link.is_responsive();
+                    }
                 }
-                if is_reachable {
+                if is_responsive {
                     self.cells.hand_over(&cell);
                 }
             }
@@ -568,6 +583,7 @@
             frame = frames.next() => {
                 let Some(Ok(frame)) = frame else { return };
                 heartbeat.record_received();
+                link.last_received.set(Instant::now());
                 match Message::decode(&frame) {
                     Ok(Message::Finished { request, inputs }) => {
                         link.finish(&request, JobOutcome::Finished(inputs));
