fix(cells): a cell that was handed over is taken back when a link is lost

For up to 1.5 s after a hand-over, requests with stages were refused with 503 although an instance and its servers could run them: the next owner was lost, and the earlier one took no jobs.

Cause: the pause after a hand-over, which keeps jobs from coming back to an owner that is being replaced, went on whatever became of the next owner. Where no third instance was left, the submitter was redirected by the last one six times in a row and gave up.

The end of any link to an instance now ends the pause. If another owner that ranks before is responsive, the next check hands the cell over again.

--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -258,6 +258,13 @@
         }
     }
 
+    /// Accepts jobs again for cells that were handed over: their next owner may be lost.
+    pub fn take_back(&self) {
+        for runner in self.runners.borrow().values() {
+            runner.handed_over_at.set(None);
+        }
+    }
+
     /// Submits a job to a cell; `callback` gets its events. The submission has to be released.
     pub fn submit(&self, cell: &Name, job: Job, callback: JobCallback) -> SubmissionId {
         let submission = SubmissionId(self.next_submission.get());
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -351,6 +351,7 @@
         })
         .await;
         self.relay.handle_link_event(&info.name, LinkEvent::Lost);
+        self.cells.take_back();
         let lost = link.callbacks.borrow_mut().drain().count();
         // A new process may listen at the same address and accept jobs.
         self.backed_off.borrow_mut().remove(&info.name);
