fix(upstream): one lost keep-alive probe doesn't end a connection

A request that waited for its answer could end with 502, or a stream in its middle, because the path to a sound server was silent for a second.

Cause: after a second without traffic one probe was sent, and the connection was reset if it had no answer a second later. A silence of any length that swallowed the one probe was enough, also one that had long ended by then.

Three probes in a row have to be lost now, so that the path was silent for two seconds at least. A host that is gone is noticed after 4 s instead of 2 s. That matters to requests that can't be sent elsewhere; the others have limits of their own.

Evidence: detect_dead_peer_outlasts_a_short_silence reads the options back from a socket; before, the silence between the first and the last probe was 0 s.

--- a/crates/sardineshore-serve/src/upstream.rs
+++ b/crates/sardineshore-serve/src/upstream.rs
@@ -33,7 +33,7 @@
 /// Time between two TCP keep-alive probes.
 const TCP_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered TCP keep-alive probes after which the connection counts as lost.
-const TCP_KEEPALIVE_RETRIES: u32 = 1;
+const TCP_KEEPALIVE_RETRIES: u32 = 3;
 /// Maximum number of responses to other requests that one exchange skips.
 const MAX_SKIPPED_RESPONSES: u32 = 3;
 
@@ -395,7 +395,11 @@
 }
 
 /// Turns on keep-alive probes, which end a connection whose other side has gone silent.
-pub(crate) fn detect_dead_peer(stream: &TcpStream) -> io::Result<()> {
+///
+/// # Errors
+///
+/// Fails if the operating system refuses the options.
+pub fn detect_dead_peer(stream: &TcpStream) -> io::Result<()> {
     let keepalive = TcpKeepalive::new()
         .with_time(TCP_KEEPALIVE_TIME)
         .with_interval(TCP_KEEPALIVE_INTERVAL)
