fix(batching): results are released again at a server that was silent

Results that nobody needed filled a sound server's memory until they expired, 4 s on some services, and calls were turned away for lack of memory there while the owner counted it as free.

Cause: the results were forgotten when the release was sent. A release that met a silent server or path was lost for good.

The scheduler now learns how a release ended. After a timeout the results count as occupied again and the server is told once more, until they expire. A refused or reset connection ends the matter as before: the server is gone, and its results with it.

--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -312,6 +312,14 @@
         }
     }
 
+    /// Records the end of a release of results. If the server was silent, it is told again later.
+    pub fn release_ended(&mut self, server: &str, handles: &[Name], timed_out: bool, now: Instant) {
+        let mut servers = self.pools.values_mut().flatten();
+        if let Some(known) = servers.find(|known| *known.id == *server) {
+            known.release_ended(handles, timed_out, now);
+        }
+    }
+
     /// Counts a failed piece or a lost input against the job's limit.
     pub(super) fn count_recomputation(&mut self, index: usize) {
         self.jobs[index].recomputations += 1;
--- a/crates/sardineshore-core/src/flow/batching/messages.rs
+++ b/crates/sardineshore-core/src/flow/batching/messages.rs
@@ -131,7 +131,8 @@
         /// Its address.
         address: SocketAddr,
     },
-    /// Tell a server that results are no longer needed.
+    /// Tell a server that results are no longer needed, and report its end with
+    /// [`super::BatchScheduler::release_ended`].
     ReleaseResults {
         /// Id of the server.
         server: Name,
--- a/crates/sardineshore-core/src/flow/batching/server.rs
+++ b/crates/sardineshore-core/src/flow/batching/server.rs
@@ -68,11 +68,14 @@
     pub backoff_until: Option<Instant>,
     /// No request of any kind is sent before this time.
     pub paused_until: Option<Instant>,
-    /// Released results of which the server has not been told yet.
-    pub pending_release: Vec<Name>,
+    /// Released results of which the server has not been told yet, with their bytes and when they
+    /// expire.
+    pending_release: Vec<(Name, u64, Instant)>,
     /// Bytes of those; they count as occupied until the server is told.
-    pub pending_release_bytes: u64,
-    pub release_pending_since: Option<Instant>,
+    pending_release_bytes: u64,
+    release_pending_since: Option<Instant>,
+    /// Results that the server was told to release and has not confirmed.
+    unconfirmed_release: HashMap<Name, (u64, Instant)>,
     /// Bytes that the server was just told to release, and until when they count as occupied.
     sent_releases: Vec<(u64, Instant)>,
     /// Bytes presumably occupied by another owner's results, and until when that is assumed.
@@ -105,6 +108,7 @@
             pending_release: Vec::new(),
             pending_release_bytes: 0,
             release_pending_since: None,
+            unconfirmed_release: HashMap::new(),
             sent_releases: Vec::new(),
             foreign: None,
             query_at: None,
@@ -271,15 +275,36 @@
         self.sent_releases
             .push((self.pending_release_bytes, now + RELEASE_LATENCY));
         self.pending_release_bytes = 0;
-        std::mem::take(&mut self.pending_release)
+        let mut handles = Vec::with_capacity(self.pending_release.len());
+        for (handle, bytes, expires_at) in self.pending_release.drain(..) {
+            self.unconfirmed_release
+                .insert(handle.clone(), (bytes, expires_at));
+            handles.push(handle);
+        }
+        handles
+    }
+
+    /// Records the end of a release. If the server was silent, it is told again later.
+    pub fn release_ended(&mut self, handles: &[Name], timed_out: bool, now: Instant) {
+        for handle in handles {
+            let unconfirmed = self.unconfirmed_release.remove(handle);
+            let remaining = unconfirmed.filter(|(_, expires_at)| timed_out && *expires_at > now);
+            if let Some((bytes, expires_at)) = remaining {
+                self.add_pending_release(handle.clone(), bytes, expires_at, now);
+            }
+        }
+    }
+
+    fn add_pending_release(&mut self, handle: Name, bytes: u64, expires_at: Instant, now: Instant) {
+        self.pending_release_bytes += bytes;
+        self.pending_release.push((handle, bytes, expires_at));
+        self.release_pending_since.get_or_insert(now);
     }
 
     /// Releases a result. The server is told later, together with other results.
     pub fn release(&mut self, handle: &Name, now: Instant) {
-        if let Some((bytes, _)) = self.stored.remove(handle) {
-            self.pending_release_bytes += bytes;
-            self.pending_release.push(handle.clone());
-            self.release_pending_since.get_or_insert(now);
+        if let Some((bytes, expires_at)) = self.stored.remove(handle) {
+            self.add_pending_release(handle.clone(), bytes, expires_at, now);
         }
     }
 }
--- a/crates/sardineshore-core/tests/batching_silence.rs
+++ b/crates/sardineshore-core/tests/batching_silence.rs
@@ -128,3 +128,32 @@
         assert_eq!((&*next.1, next.2), ("b", 0));
     }
 }
+
+/// Releases that the scheduler asks for, as the handles of each.
+fn releases(actions: Vec<Action>) -> Vec<Vec<Name>> {
+    let handles = |action| match action {
+        Action::ReleaseResults { handles, .. } => Some(handles),
+        _ => None,
+    };
+    actions.into_iter().filter_map(handles).collect()
+}
+
+#[test]
+fn release_ended_silent_server_is_told_again_until_results_expire() {
+    let now = Instant::now();
+    for (timed_out, again) in [(true, true), (false, false)] {
+        let mut scheduler = scheduler(20, now);
+        run_first_stage(&mut scheduler, now);
+        scheduler.cancel("1", now + ms(30));
+        let mut told_at = Vec::new();
+        for at in (30..6000).step_by(30).map(|at| now + ms(at)) {
+            for handles in releases(scheduler.poll(at)) {
+                told_at.push(at);
+                scheduler.release_ended("a", &handles, timed_out, at);
+            }
+        }
+        assert_eq!(told_at.len() > 1, again, "{told_at:?}");
+        let last = told_at.pop().unwrap();
+        assert!(last < now + ms(4200), "{:?}", last - now);
+    }
+}
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -7,6 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -232,8 +233,10 @@
             let server = all.iter().find(|server| server.id == id);
             let is_paused = |server: &&BatchServer| server.paused_until.is_some_and(|at| at > now);
             if let Some(server) = server.filter(|server| !is_paused(server)) {
-                let shared = self.shared.clone();
-                tokio::task::spawn_local(release_results(shared, id, server.address, handles));
+                let (shared, address) = (self.shared.clone(), server.address);
+                tokio::task::spawn_local(async move {
+                    release_results(&shared, &id, address, &handles).await;
+                });
             }
         }
     }
@@ -488,30 +491,37 @@
             address,
             handles,
         } => {
-            let shared = runner.shared.clone();
-            tokio::task::spawn_local(release_results(shared, server, address, handles));
-        }
-        Action::QueryFreeMemory { server, address } => {
             let runner = runner.clone();
             tokio::task::spawn_local(async move {
-                let shared = &runner.shared;
-                let query = query_free_memory(shared, &server, address);
-                match tokio::time::timeout(FREE_MEMORY_TIMEOUT, query).await {
-                    Ok(Ok(mem)) => {
-                        debug!(shared.log, "room left"; "server" => &*server, "bytes" => mem.min_bytes);
-                        let now = Instant::now();
-                        runner.sched.borrow_mut().set_free_memory(&server, mem, now);
-                        runner.wake.notify_one();
-                    }
-                    // Calls to the server show whether its memory is full.
-                    Ok(Err(error)) => {
-                        info!(shared.log, "room unknown"; "server" => &*server, "fault" => format!("{error:#}"));
-                    }
-                    Err(_) => {
-                        info!(shared.log, "room unknown"; "server" => &*server, "fault" => "no response in time");
-                    }
-                }
+                let releasing = release_results(&runner.shared, &server, address, &handles);
+                let timed_out = releasing.await;
+                let mut sched = runner.sched.borrow_mut();
+                sched.release_ended(&server, &handles, timed_out, Instant::now());
             });
         }
+        Action::QueryFreeMemory { server, address } => {
+            tokio::task::spawn_local(update_free_memory(runner.clone(), server, address));
+        }
+    }
+}
+
+/// Asks a server for its free memory and reports it to the scheduler.
+async fn update_free_memory(runner: Rc<CellRunner>, server: Name, address: SocketAddr) {
+    let shared = &runner.shared;
+    let query = query_free_memory(shared, &server, address);
+    match tokio::time::timeout(FREE_MEMORY_TIMEOUT, query).await {
+        Ok(Ok(mem)) => {
+            debug!(shared.log, "room left"; "server" => &*server, "bytes" => mem.min_bytes);
+            let now = Instant::now();
+            runner.sched.borrow_mut().set_free_memory(&server, mem, now);
+            runner.wake.notify_one();
+        }
+        // Calls to the server show whether its memory is full.
+        Ok(Err(error)) => {
+            info!(shared.log, "room unknown"; "server" => &*server, "fault" => format!("{error:#}"));
+        }
+        Err(_) => {
+            info!(shared.log, "room unknown"; "server" => &*server, "fault" => "no response in time");
+        }
     }
 }
--- a/crates/sardineshore-serve/src/cell/calls.rs
+++ b/crates/sardineshore-serve/src/cell/calls.rs
@@ -3,7 +3,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use sardineshore_core::flow::batching::{CallOutcome, CallPiece, FreeMemory};
@@ -86,19 +85,23 @@
     }
 }
 
-/// Releases results at a server. There is no retry: servers drop results after a while anyway.
+/// Releases results at a server. Returns whether it was silent, so that it may have the results.
 pub(super) async fn release_results(
-    shared: Rc<Shared>,
-    server: Name,
+    shared: &Shared,
+    server: &Name,
     address: SocketAddr,
-    handles: Vec<Name>,
-) {
-    let call = shared.dialect.release_results_call(&handles);
-    let releasing = send_release(&shared, &server, address, &call);
+    handles: &[Name],
+) -> bool {
+    let call = shared.dialect.release_results_call(handles);
+    let releasing = send_release(shared, server, address, &call);
     let released = tokio::time::timeout(RELEASE_TIMEOUT, releasing).await;
-    if !matches!(released, Ok(Ok(()))) {
-        debug!(shared.log, "could not release results; they expire at the server"; "server" => &*server, "results" => handles.len());
-    }
+    let timed_out = match released {
+        Ok(Ok(())) => return false,
+        Ok(Err(error)) => failed_call(&error) == CallOutcome::TimedOut,
+        Err(_) => true,
+    };
+    debug!(shared.log, "could not release results"; "server" => &**server, "results" => handles.len(), "timed_out" => timed_out);
+    timed_out
 }
 
 /// Asks a server how much memory it has left for results.
