fix(selection): a server's error rate fades while it gets no requests

After one broken attempt a sound server got no requests any more, for as long as the others had little to do. A pool was left with fewer servers for good after each silence.

Cause: the error rate changed with outcomes only. One broken attempt costs a server 75 ms, more than a dozen requests that run elsewhere; so it was never selected, and nothing could lower the rate.

The rate now halves every 4 s, the longest back-off, without new outcomes. A server that goes on failing raises it with each attempt that it gets.

Evidence: select_broken_server_gets_its_share_again breaks one attempt at one of four equal servers and selects 100 times 20 s later: before, none went there; without the broken attempt the same test holds.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -510,7 +510,8 @@
         if state.server.domain != self.domain {
             cost += CROSS_DOMAIN_COST.as_secs_f64();
         }
-        cost * state.health.slowdown() + ERROR_RATE_COST.as_secs_f64() * state.health.error_rate()
+        cost * state.health.slowdown()
+            + ERROR_RATE_COST.as_secs_f64() * state.health.error_rate(now)
     }
 }
 
--- a/crates/sardineshore-core/src/flow/selection/health.rs
+++ b/crates/sardineshore-core/src/flow/selection/health.rs
@@ -14,8 +14,10 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
 /// Back-off after a rejected attempt, in which a full server can finish requests.
 const REJECTED_BACKOFF: Duration = Duration::from_millis(150);
-/// Weight of the latest outcome in the moving average of the error rate.
+/// Weight of the latest outcome in the moving average of outcomes.
 const ERROR_RATE_GAIN: f64 = 0.15;
+/// Time in which the error rate halves without new outcomes: a server that is avoided has none.
+const ERROR_RATE_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Weight of the latest latency in the moving average of latencies.
 const LATENCY_GAIN: f64 = 0.25;
 /// Average latency above which a server counts as slow, in seconds.
@@ -29,8 +31,10 @@
     /// Broken attempts since the last answered one, without those that broke during a back-off.
     broken_attempts: u32,
     backoff_until: Option<Instant>,
-    /// Moving average of outcomes, from 0 (all answered) to 1 (all failed or broken).
+    /// Moving average of outcomes, from 0 (all answered) to 1 (all failed or broken), and when the
+    /// latest one was recorded.
     error_rate: f64,
+    error_rate_at: Option<Instant>,
     /// Moving average of the time to the first byte, in seconds.
     mean_latency_s: f64,
 }
@@ -49,8 +53,17 @@
     }
 
     /// Share of recent attempts that failed or broke, from 0 to 1.
-    pub fn error_rate(&self) -> f64 {
-        self.error_rate
+    pub fn error_rate(&self, now: Instant) -> f64 {
+        let age = self.error_rate_at.map(|at| now.duration_since(at));
+        let half_lives = age.unwrap_or_default().as_secs_f64() / ERROR_RATE_HALF_LIFE.as_secs_f64();
+        self.error_rate * (-half_lives).exp2()
+    }
+
+    /// Moves the error rate towards the latest outcome: 0 if it was answered, 1 if not.
+    fn record_error(&mut self, outcome: f64, now: Instant) {
+        let rate = self.error_rate(now);
+        self.error_rate = rate + ERROR_RATE_GAIN * (outcome - rate);
+        self.error_rate_at = Some(now);
     }
 
     /// Factor by which the server is slower than [`SLOW_LATENCY_S`], from 1 to [`MAX_SLOWDOWN`].
@@ -64,14 +77,14 @@
             AttemptOutcome::Answered(latency) => {
                 self.broken_attempts = 0;
                 self.backoff_until = None;
-                self.error_rate -= ERROR_RATE_GAIN * self.error_rate;
+                self.record_error(0.0, now);
                 self.mean_latency_s += LATENCY_GAIN * (latency.as_secs_f64() - self.mean_latency_s);
             }
-            AttemptOutcome::Failure => self.error_rate += ERROR_RATE_GAIN * (1.0 - self.error_rate),
+            AttemptOutcome::Failure => self.record_error(1.0, now),
             AttemptOutcome::Rejected => self.backoff_until = Some(now + REJECTED_BACKOFF),
             AttemptOutcome::Broken if self.is_backing_off(now) => {}
             AttemptOutcome::Broken => {
-                self.error_rate += ERROR_RATE_GAIN * (1.0 - self.error_rate);
+                self.record_error(1.0, now);
                 self.broken_attempts += 1;
                 let backoff = INITIAL_BACKOFF * 2_u32.pow(self.broken_attempts.min(4) - 1);
                 self.backoff_until = Some(now + backoff.min(MAX_BACKOFF));
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -308,6 +308,32 @@
     assert_eq!(back_offs, [500, 1000, 2000, 4000, 4000].map(ms));
 }
 
+/// Guards against a server that gets next to nothing for good, as an attempt there broke once.
+#[test]
+fn select_broken_server_gets_its_share_again() {
+    let now = Instant::now();
+    let mut selector = ServerSelector::new("d0".into());
+    let servers = (0..4).map(|n| server(&format!("s{n}"), "d0"));
+    selector.set_servers(servers.collect());
+    let broken = selector.select(&request_for("s"), now).unwrap();
+    break_attempts(&mut selector, &broken, 1, now);
+    let later = now + Duration::from_secs(20);
+    let mut count = 0;
+    for seed in 0..100 {
+        let request = SelectionRequest {
+            pool: "llm".into(),
+            seed,
+            ..SelectionRequest::default()
+        };
+        let selected = selector.select(&request, later).unwrap();
+        selector.record_start(&selected, &request, later);
+        let answered = AttemptOutcome::Answered(ms(50));
+        selector.record_end(&selected, true, answered, later);
+        count += u32::from(selected.id == broken.id);
+    }
+    assert!(count > 5, "{count} of 100");
+}
+
 #[test]
 fn select_draining_server_is_never_used() {
     let now = Instant::now();
