merge: silence of servers and links outside the streams' forwarding

Joins twelve commits on calls for pieces, releases, owners' links, hand-overs, health and plain requests with the streams' changes. Resolved by hand: plain requests take their retry as a permit, tests name the job's and the selection's new fields.

--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -7,8 +7,8 @@
 use super::job::{PieceResult, Progress};
 use super::server::ServerState;
 use super::{
-    Action, BatchScheduler, CALL_TIMEOUT_FACTOR, CallOutcome, PieceError, REJECTED_BACKOFF,
-    RunningCall, SentPiece, call_piece, find_server, queue_key,
+    Action, BatchScheduler, CALL_TIMEOUT_FACTOR, CallOutcome, MIN_CALL_TIMEOUT, PieceError,
+    REJECTED_BACKOFF, RunningCall, SentPiece, call_piece, find_server, queue_key,
 };
 use crate::flow::config::Name;
 
@@ -34,12 +34,13 @@
                     server.record_failure(now);
                     broken = true;
                 }
+                CallOutcome::TimedOut => server.record_timeout(now),
             }
         }
         for (position, piece) in call.pieces.iter().enumerate() {
             let result = match outcome {
                 CallOutcome::Answered(results) => results.get(position).cloned(),
-                CallOutcome::Rejected | CallOutcome::Broken => None,
+                CallOutcome::Rejected | CallOutcome::Broken | CallOutcome::TimedOut => None,
             };
             self.piece_ended(&call, *piece, result, now);
         }
@@ -281,7 +282,7 @@
             server: server.id.clone(),
             address: server.address,
             pieces,
-            timeout: slow_after * CALL_TIMEOUT_FACTOR,
+            timeout: (slow_after * CALL_TIMEOUT_FACTOR).max(MIN_CALL_TIMEOUT),
         });
         let call = RunningCall {
             pool: pool.clone(),
@@ -311,6 +312,14 @@
         }
     }
 
+    /// Records the end of a release of results. If the server was silent, it is told again later.
+    pub fn release_ended(&mut self, server: &str, handles: &[Name], timed_out: bool, now: Instant) {
+        let mut servers = self.pools.values_mut().flatten();
+        if let Some(known) = servers.find(|known| *known.id == *server) {
+            known.release_ended(handles, timed_out, now);
+        }
+    }
+
     /// Counts a failed piece or a lost input against the job's limit.
     pub(super) fn count_recomputation(&mut self, index: usize) {
         self.jobs[index].recomputations += 1;
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -7,6 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -81,6 +82,17 @@
 /// Receives the events of a job.
 pub type JobCallback = Box<dyn Fn(JobEvent)>;
 
+/// One submission of a job. The job may be submitted again under its id, over another link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SubmissionId(u64);
+
+/// The latest submission of a job that the scheduler accepted.
+struct Submission {
+    id: SubmissionId,
+    /// `None` once the job has ended.
+    callback: Option<JobCallback>,
+}
+
 /// What the runners of all cells share.
 #[derive(Debug)]
 struct Shared {
@@ -95,7 +107,8 @@
 struct CellRunner {
     cell: Name,
     sched: RefCell<BatchScheduler>,
-    callbacks: RefCell<HashMap<Name, JobCallback>>,
+    /// Until they are released, by the id of the request.
+    submissions: RefCell<HashMap<Name, Submission>>,
     wake: Notify,
     handed_over_at: Cell<Option<Instant>>,
     shared: Rc<Shared>,
@@ -107,6 +120,7 @@
     runners: RefCell<HashMap<Name, Rc<CellRunner>>>,
     servers: RefCell<HashMap<Name, Vec<BatchServer>>>,
     names: RefCell<Vec<Name>>,
+    next_submission: Cell<u64>,
     closing: Cell<bool>,
 }
 
@@ -138,6 +152,7 @@
             runners: RefCell::default(),
             servers: RefCell::default(),
             names: RefCell::default(),
+            next_submission: Cell::new(0),
             closing: Cell::new(false),
         }
     }
@@ -218,8 +233,10 @@
             let server = all.iter().find(|server| server.id == id);
             let is_paused = |server: &&BatchServer| server.paused_until.is_some_and(|at| at > now);
             if let Some(server) = server.filter(|server| !is_paused(server)) {
-                let shared = self.shared.clone();
-                tokio::task::spawn_local(release_results(shared, id, server.address, handles));
+                let (shared, address) = (self.shared.clone(), server.address);
+                tokio::task::spawn_local(async move {
+                    release_results(&shared, &id, address, &handles).await;
+                });
             }
         }
     }
@@ -244,16 +261,25 @@
         }
     }
 
-    /// Submits a job to a cell; `callback` gets its events.
-    pub fn submit(&self, cell: &Name, job: Job, callback: JobCallback) {
+    /// Accepts jobs again for cells that were handed over: their next owner may be lost.
+    pub fn take_back(&self) {
+        for runner in self.runners.borrow().values() {
+            runner.handed_over_at.set(None);
+        }
+    }
+
+    /// Submits a job to a cell; `callback` gets its events. The submission has to be released.
+    pub fn submit(&self, cell: &Name, job: Job, callback: JobCallback) -> SubmissionId {
+        let submission = SubmissionId(self.next_submission.get());
+        self.next_submission.set(submission.0 + 1);
         if self.closing.get() || !self.servers.borrow().contains_key(cell) {
             callback(JobEvent::Ended(JobOutcome::Redirected { accepted: false }));
-            return;
+            return submission;
         }
         let runner = self.runner(cell);
         if runner.is_handed_over() {
             callback(JobEvent::Ended(JobOutcome::Redirected { accepted: false }));
-            return;
+            return submission;
         }
         runner.sched.borrow_mut().cancel_handover(Instant::now());
         let id = job.id.clone();
@@ -269,17 +295,29 @@
                 callback(JobEvent::Ended(outcome));
             }
             SubmitOutcome::Accepted { .. } => {
-                runner.callbacks.borrow_mut().insert(id, callback);
+                let accepted = Submission {
+                    id: submission,
+                    callback: Some(callback),
+                };
+                runner.submissions.borrow_mut().insert(id, accepted);
                 runner.wake.notify_one();
             }
         }
+        submission
     }
 
-    /// Forgets a job: its results were used, or no request waits for it any more.
-    pub fn release(&self, cell: &Name, request: &str) {
+    /// Forgets a job: its results were used, or no request waits for it any more. Does nothing if it
+    /// was submitted again since.
+    pub fn release(&self, cell: &Name, request: &str, submission: SubmissionId) {
         if let Some(runner) = self.runners.borrow().get(cell) {
-            runner.callbacks.borrow_mut().remove(request);
-            runner.sched.borrow_mut().cancel(request, Instant::now());
+            let mut submissions = runner.submissions.borrow_mut();
+            if submissions
+                .get(request)
+                .is_some_and(|latest| latest.id == submission)
+            {
+                submissions.remove(request);
+                runner.sched.borrow_mut().cancel(request, Instant::now());
+            }
         }
     }
 
@@ -295,7 +333,7 @@
             let runner = Rc::new(CellRunner {
                 cell: cell.clone(),
                 sched: RefCell::new(sched),
-                callbacks: RefCell::default(),
+                submissions: RefCell::default(),
                 wake: Notify::new(),
                 handed_over_at: Cell::new(None),
                 shared: self.shared.clone(),
@@ -308,8 +346,20 @@
 }
 
 impl CellRunner {
+    fn report_stage(&self, request: &Name, results: StageResults) {
+        let submissions = self.submissions.borrow();
+        let submission = submissions.get(request);
+        if let Some(callback) = submission.and_then(|latest| latest.callback.as_ref()) {
+            callback(JobEvent::StageFinished(results));
+        }
+    }
+
     fn finish(&self, request: &Name, outcome: JobOutcome) {
-        let callback = self.callbacks.borrow_mut().remove(request);
+        let mut submissions = self.submissions.borrow_mut();
+        let callback = submissions
+            .get_mut(request)
+            .and_then(|submission| submission.callback.take());
+        drop(submissions);
         if let Some(callback) = callback {
             callback(JobEvent::Ended(outcome));
         }
@@ -360,7 +410,7 @@
 ) {
     let failed = match outcome {
         CallOutcome::Answered(results) => results.iter().filter(|r| r.is_err()).count(),
-        CallOutcome::Rejected | CallOutcome::Broken => pieces,
+        CallOutcome::Rejected | CallOutcome::Broken | CallOutcome::TimedOut => pieces,
     };
     if failed > 0 {
         info!(shared.log, "call for pieces"; "server" => &**server, "end" => label, "pieces" => pieces, "failed" => failed, "ms" => ms);
@@ -383,11 +433,12 @@
                 let started = Instant::now();
                 let batch_call = call_batch(&runner.shared, &server, address, &pieces);
                 let called = tokio::time::timeout(timeout, batch_call).await;
-                let (outcome, limit) = called.unwrap_or((CallOutcome::Broken, None));
+                let (outcome, limit) = called.unwrap_or((CallOutcome::TimedOut, None));
                 let label = match &outcome {
                     CallOutcome::Answered(_) => "answered",
                     CallOutcome::Rejected => "rejected",
                     CallOutcome::Broken => "broken",
+                    CallOutcome::TimedOut => "timed out",
                 };
                 let shared = &runner.shared;
                 shared.metrics.piece_calls.with_label_values(&[label]).inc();
@@ -414,11 +465,7 @@
                 runner.wake.notify_one();
             });
         }
-        Action::StageEnded { request, results } => {
-            if let Some(callback) = runner.callbacks.borrow().get(&request) {
-                callback(JobEvent::StageFinished(results));
-            }
-        }
+        Action::StageEnded { request, results } => runner.report_stage(&request, results),
         Action::Finished {
             request,
             inputs: handles,
@@ -444,30 +491,37 @@
             address,
             handles,
         } => {
-            let shared = runner.shared.clone();
-            tokio::task::spawn_local(release_results(shared, server, address, handles));
-        }
-        Action::QueryFreeMemory { server, address } => {
             let runner = runner.clone();
             tokio::task::spawn_local(async move {
-                let shared = &runner.shared;
-                let query = query_free_memory(shared, &server, address);
-                match tokio::time::timeout(FREE_MEMORY_TIMEOUT, query).await {
-                    Ok(Ok(mem)) => {
-                        debug!(shared.log, "room left"; "server" => &*server, "bytes" => mem.min_bytes);
-                        let now = Instant::now();
-                        runner.sched.borrow_mut().set_free_memory(&server, mem, now);
-                        runner.wake.notify_one();
-                    }
-                    // Calls to the server show whether its memory is full.
-                    Ok(Err(error)) => {
-                        info!(shared.log, "room unknown"; "server" => &*server, "fault" => format!("{error:#}"));
-                    }
-                    Err(_) => {
-                        info!(shared.log, "room unknown"; "server" => &*server, "fault" => "no response in time");
-                    }
-                }
+                let releasing = release_results(&runner.shared, &server, address, &handles);
+                let timed_out = releasing.await;
+                let mut sched = runner.sched.borrow_mut();
+                sched.release_ended(&server, &handles, timed_out, Instant::now());
             });
         }
+        Action::QueryFreeMemory { server, address } => {
+            tokio::task::spawn_local(update_free_memory(runner.clone(), server, address));
+        }
+    }
+}
+
+/// Asks a server for its free memory and reports it to the scheduler.
+async fn update_free_memory(runner: Rc<CellRunner>, server: Name, address: SocketAddr) {
+    let shared = &runner.shared;
+    let query = query_free_memory(shared, &server, address);
+    match tokio::time::timeout(FREE_MEMORY_TIMEOUT, query).await {
+        Ok(Ok(mem)) => {
+            debug!(shared.log, "room left"; "server" => &*server, "bytes" => mem.min_bytes);
+            let now = Instant::now();
+            runner.sched.borrow_mut().set_free_memory(&server, mem, now);
+            runner.wake.notify_one();
+        }
+        // Calls to the server show whether its memory is full.
+        Ok(Err(error)) => {
+            info!(shared.log, "room unknown"; "server" => &*server, "fault" => format!("{error:#}"));
+        }
+        Err(_) => {
+            info!(shared.log, "room unknown"; "server" => &*server, "fault" => "no response in time");
+        }
     }
 }
--- a/crates/sardineshore-serve/src/cell/calls.rs
+++ b/crates/sardineshore-serve/src/cell/calls.rs
@@ -1,8 +1,8 @@
 //! Calls that the owner of a cell makes to servers of stages: run a batch, release results, query
 //! free memory.
 
+use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use sardineshore_core::flow::batching::{CallOutcome, CallPiece, FreeMemory};
@@ -44,11 +44,14 @@
         .connections
         .connect_new(address, CONNECT_TIMEOUT)
         .await;
-    let Ok(mut conn) = opened else {
-        return (CallOutcome::Broken, None);
+    let mut conn = match opened {
+        Ok(conn) => conn,
+        Err(error) => return (failed_call(&error), None),
     };
-    let Ok((response, body)) = exchange(shared, server, &mut conn, &head, &call).await else {
-        return (CallOutcome::Broken, None);
+    let exchanged = exchange(shared, server, &mut conn, &head, &call).await;
+    let (response, body) = match exchanged {
+        Ok(exchanged) => exchanged,
+        Err(error) => return (failed_call(&error), None),
     };
     let status = response.head.status;
     let headers = &response.head.headers;
@@ -70,19 +73,35 @@
     (outcome, Some(limit))
 }
 
-/// Releases results at a server. There is no retry: servers drop results after a while anyway.
+/// Outcome of a call whose connection failed. A timeout says only that nothing arrived.
+fn failed_call(error: &ExchangeError) -> CallOutcome {
+    match error {
+        ExchangeError::Connect(error) | ExchangeError::Io(error)
+            if error.kind() == io::ErrorKind::TimedOut =>
+        {
+            CallOutcome::TimedOut
+        }
+        _ => CallOutcome::Broken,
+    }
+}
+
+/// Releases results at a server. Returns whether it was silent, so that it may have the results.
 pub(super) async fn release_results(
-    shared: Rc<Shared>,
-    server: Name,
+    shared: &Shared,
+    server: &Name,
     address: SocketAddr,
-    handles: Vec<Name>,
-) {
-    let call = shared.dialect.release_results_call(&handles);
-    let releasing = send_release(&shared, &server, address, &call);
+    handles: &[Name],
+) -> bool {
+    let call = shared.dialect.release_results_call(handles);
+    let releasing = send_release(shared, server, address, &call);
     let released = tokio::time::timeout(RELEASE_TIMEOUT, releasing).await;
-    if !matches!(released, Ok(Ok(()))) {
-        debug!(shared.log, "could not release results; they expire at the server"; "server" => &*server, "results" => handles.len());
-    }
+    let timed_out = match released {
+        Ok(Ok(())) => return false,
+        Ok(Err(error)) => failed_call(&error) == CallOutcome::TimedOut,
+        Err(_) => true,
+    };
+    debug!(shared.log, "could not release results"; "server" => &**server, "results" => handles.len(), "timed_out" => timed_out);
+    timed_out
 }
 
 /// Asks a server how much memory it has left for results.
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -19,13 +19,14 @@
 use sardineshore_core::flow::batching::Job;
 use sardineshore_core::flow::cells::{OwnerCandidate, rank_owners};
 use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::heartbeat::{Heartbeat, HeartbeatAction};
 use sardineshore_core::flow::quarantine::Evidence;
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::cell::{JobCallback, JobEvent, JobOutcome, OwnedCells};
+use crate::cell::{JobCallback, JobEvent, JobOutcome, OwnedCells, SubmissionId};
 use crate::relay::{LinkEvent, StoreRelay};
 use crate::state::boot_time;
 use crate::upstream::detect_dead_peer;
@@ -42,12 +43,12 @@
 const REOPEN_BACKOFF: Duration = Duration::from_millis(600);
 /// Back-off after an owner redirected a job, as it is shutting down or handed the cell over.
 const REDIRECT_BACKOFF: Duration = Duration::from_millis(1500);
-/// A link with waiting jobs sends a heartbeat after it has received nothing for this time.
-const HEARTBEAT_AFTER: Duration = Duration::from_millis(250);
-/// A link with waiting jobs is closed after it has received nothing for this time.
-const LINK_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time to write messages to a link whose other side doesn't read them.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 /// How often an owner checks whether an instance that ranks before it is reachable again.
 const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Time within which something has to have arrived from an instance to which a cell is handed over.
+const RESPONSIVE_TIME: Duration = Duration::from_millis(600);
 /// Longest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
@@ -95,6 +96,15 @@
         self.tx.is_closed()
     }
 
+    /// Whether the other instance was heard of lately. If not, asks it, so that a later call can tell.
+    fn is_responsive(&self) -> bool {
+        let is_responsive = self.last_received.get().elapsed() < RESPONSIVE_TIME;
+        if !is_responsive {
+            self.send(&Message::Ping);
+        }
+        is_responsive
+    }
+
     /// Submits a job to the owner; `callback` gets its events and is dropped if the link is lost.
     pub fn submit(&self, cell: Name, job: Job, callback: JobCallback) {
         self.callbacks.borrow_mut().insert(job.id.clone(), callback);
@@ -341,6 +351,7 @@
         })
         .await;
         self.relay.handle_link_event(&info.name, LinkEvent::Lost);
+        self.cells.take_back();
         let lost = link.callbacks.borrow_mut().drain().count();
         // A new process may listen at the same address and accept jobs.
         self.backed_off.borrow_mut().remove(&info.name);
@@ -391,7 +402,7 @@
         }
     }
 
-    /// Hands over, forever, the cells for which a reachable instance ranks before this one.
+    /// Hands over, forever, the cells for which a responsive instance ranks before this one.
     pub async fn hand_over_cells(self: Rc<Self>) {
         loop {
             tokio::time::sleep(HANDOVER_CHECK_INTERVAL).await;
@@ -399,11 +410,13 @@
                 let preferred = rank_owners(&cell, &self.candidates())
                     .into_iter()
                     .take_while(|name| *name != self.own.name);
-                let mut is_reachable = false;
+                let mut is_responsive = false;
                 for name in preferred {
-                    is_reachable |= matches!(self.find_or_open(&name), Lookup::Up(_));
+                    if let Lookup::Up(link) = self.find_or_open(&name) {
+                        is_responsive |= link.is_responsive();
+                    }
                 }
-                if is_reachable {
+                if is_responsive {
                     self.cells.hand_over(&cell);
                 }
             }
@@ -437,7 +450,7 @@
         self.served.borrow_mut().insert(number, tx.clone());
         let mut served = ServedLink {
             tx,
-            cells_by_request: HashMap::new(),
+            submissions: HashMap::new(),
             subscription: None,
         };
         let result = loop {
@@ -458,8 +471,8 @@
             }
         };
         self.served.borrow_mut().remove(&number);
-        for (request, cell) in served.cells_by_request {
-            self.cells.release(&cell, &request);
+        for (request, (cell, submission)) in served.submissions {
+            self.cells.release(&cell, &request, submission);
         }
         if let Some(id) = served.subscription {
             self.relay.unsubscribe(id);
@@ -476,17 +489,17 @@
             }
             Message::Submit { cell, job } => {
                 let request = job.id.clone();
-                let cells_by_request = &mut served.cells_by_request;
-                cells_by_request.insert(request.clone(), cell.clone());
-                let tx = served.tx.clone();
+                let (id, tx) = (request.clone(), served.tx.clone());
                 let callback = Box::new(move |event| {
-                    let _closed = tx.send(event_message(request.clone(), event).encode());
+                    let _closed = tx.send(event_message(id.clone(), event).encode());
                 });
-                self.cells.submit(&cell, job, callback);
+                let submission = self.cells.submit(&cell, job, callback);
+                served.submissions.insert(request, (cell, submission));
             }
             Message::Release { cell, request } => {
-                served.cells_by_request.remove(&request);
-                self.cells.release(&cell, &request);
+                if let Some((_, submission)) = served.submissions.remove(&request) {
+                    self.cells.release(&cell, &request, submission);
+                }
             }
             Message::Ping => served.send(&Message::Pong),
             Message::Subscribe { known } => {
@@ -518,7 +531,8 @@
 /// A link that another instance opened.
 struct ServedLink {
     tx: mpsc::UnboundedSender<Bytes>,
-    cells_by_request: HashMap<Name, Name>,
+    /// Jobs submitted over the link and not released, with their cells, by the id of the request.
+    submissions: HashMap<Name, (Name, SubmissionId)>,
     /// Id of the other instance as a subscriber.
     subscription: Option<u64>,
 }
@@ -558,19 +572,19 @@
     mut rx: mpsc::UnboundedReceiver<Bytes>,
     on_other: impl Fn(Message),
 ) {
-    let mut heartbeat_sent: Option<Instant> = None;
+    let mut heartbeat = Heartbeat::default();
     loop {
+        let is_waiting = !link.callbacks.borrow().is_empty();
+        let check_at = heartbeat.next_check(is_waiting, Instant::now());
+        let check_in = check_at.map(|at| at.saturating_duration_since(Instant::now()));
         tokio::select! {
-            message = rx.recv() => {
-                let Some(message) = message else { return };
-                if send_all(&mut frames, message, &mut rx).await.is_err() {
-                    return;
-                }
-            }
+            // What has arrived is read before the link counts as silent, also after this process was
+            // held up; and what is sent doesn't delay the check.
+            biased;
             frame = frames.next() => {
                 let Some(Ok(frame)) = frame else { return };
+                heartbeat.record_received();
                 link.last_received.set(Instant::now());
-                heartbeat_sent = None;
                 match Message::decode(&frame) {
                     Ok(Message::Finished { request, inputs }) => {
                         link.finish(&request, JobOutcome::Finished(inputs));
@@ -593,16 +607,18 @@
                     Err(_) => return,
                 }
             }
-            () = tokio::time::sleep(HEARTBEAT_AFTER), if !link.callbacks.borrow().is_empty() => {
-                match heartbeat_sent {
-                    None => {
-                        heartbeat_sent = Some(Instant::now());
-                        if frames.send(Message::Ping.encode()).await.is_err() {
-                            return;
-                        }
-                    }
-                    Some(at) if at.elapsed() + HEARTBEAT_AFTER > LINK_TIMEOUT => return,
-                    Some(_) => {}
+            () = tokio::time::sleep(check_in.unwrap_or_default()), if check_in.is_some() => {
+                match heartbeat.check(Instant::now()) {
+                    HeartbeatAction::Wait => {}
+                    HeartbeatAction::Send => link.send(&Message::Ping),
+                    HeartbeatAction::Close => return,
+                }
+            }
+            message = rx.recv() => {
+                let Some(message) = message else { return };
+                let sending = send_all(&mut frames, message, &mut rx);
+                if !matches!(tokio::time::timeout(WRITE_TIMEOUT, sending).await, Ok(Ok(()))) {
+                    return;
                 }
             }
         }
