fix(serve): a stream doesn't wait for its record where none can be missed

Callers got the first event of a stream 200 ms late while the store was away and the pool had no base version yet, as just after a first start.

Cause: such a stream waited for its record to be written. Without a base version nothing is assumed of a stream without a record: it is refused if it is taken up elsewhere. The wait protected nothing.

Evidence: serve_leaving_server_gets_no_further_requests failed once beside builds: its 19th request got 503, as 18 streams had taken 200 ms each while the store was silent, until keys weren't confirmed any more. With the change it passes, twice in the whole program's tests beside the same load.

--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -186,9 +186,9 @@
     }
 
     /// Waits until a record is written. Gives up if no server could continue the stream at the version
-    /// that is assumed without the record.
+    /// that is assumed without the record; none is if the pool has no base version.
     pub async fn wait_written(&self, mut record: PendingRecord) {
-        loop {
+        while self.known.borrow().base(&record.pool).is_some() {
             let written = tokio::time::timeout(WAIT_STEP, &mut record.written).await;
             if written.is_ok() {
                 return;
