fix(dispatch): a non-idempotent call isn't sent behind an unanswered probe

Callers saw 502, "unknown", for a booking that a sound server ran and answered: its server had been silent for 0.3 s just before the call.

Cause: before a non-idempotent call the server's incarnation is requested on the call's own connection, with a limit of 300 ms. When that passed, the call went out on the same connection nevertheless. A server that was silent for a while then sent the reply to the load query first, and this was read as the reply to the call: another attempt's answer, so the call counted as lost although it ran.

Evidence: claim_server_silent_at_probe_receives_no_call and claim_servers_silent_at_probe_passed_over fail on the code before with ("unknown", "answer-invalid"); with one server the call had been sent and ran.

Ruled out: the limits of attempts and streams themselves, which are the request's deadline; the crash check, which opens a connection of its own for each probe and now says so by the type.

Why this works: a failed probe is an error now instead of incarnation 0, so it can't pass for a server that names no incarnation. Nothing of the call has been sent at that point, so the attempt counts as not run and goes to another server, or to the same one again; a pool that stays silent gives a refusal that may be repeated. No second server can run the call, as the first never gets it.

--- a/crates/sardineshore-entry/src/claims/incarnations.rs
+++ b/crates/sardineshore-entry/src/claims/incarnations.rs
@@ -10,7 +10,7 @@
 use http_types::{Method, Request, Url};
 use sardineshore_core::ServerId;
 use sardineshore_wire::backend::LoadReport;
-use sardineshore_wire::http::Conn;
+use sardineshore_wire::http::{ClientError, Conn};
 
 use crate::instance::Instance;
 
@@ -41,16 +41,22 @@
     }
 }
 
-/// Requests the incarnation of the process at the other end of a connection; 0 if the request
-/// fails.
-pub async fn probe_incarnation(instance: &Instance, conn: &Conn, addr: &str) -> u64 {
-    let Ok(url) = Url::parse(&format!("http://{addr}/v1/load")) else {
-        return 0;
-    };
+/// Requests the incarnation of the process at the other end of a connection; 0 if its reply names
+/// none. After an error the connection must not be used again, because the reply may still come.
+pub async fn probe_incarnation(
+    instance: &Instance,
+    conn: &Conn,
+    addr: &str,
+) -> Result<u64, ClientError> {
+    let url = Url::parse(&format!("http://{addr}/v1/load"));
+    let url = url.map_err(|err| ClientError::NotSent(err.to_string()))?;
     let req = Request::new(Method::Get, url);
-    let reply = instance.client.exchange_on(conn, req, PROBE_TIMEOUT).await;
-    let body = reply.map(|reply| reply.body).unwrap_or_default();
-    serde_json::from_slice::<LoadReport>(&body).map_or(0, |report| report.incarnation)
+    let reply = instance
+        .client
+        .exchange_on(conn, req, PROBE_TIMEOUT)
+        .await?;
+    let report = serde_json::from_slice::<LoadReport>(&reply.body);
+    Ok(report.map_or(0, |report| report.incarnation))
 }
 
 /// Probes the servers of a pool that answer status queries and whose incarnation is unknown.
@@ -68,8 +74,9 @@
             sardineshore_wire::http::Reuse::Idle,
             PROBE_TIMEOUT,
         );
-        if let Ok(conn) = checkout.await {
-            let incarnation = probe_incarnation(instance, &conn, &server.addr).await;
+        if let Ok(conn) = checkout.await
+            && let Ok(incarnation) = probe_incarnation(instance, &conn, &server.addr).await
+        {
             instance.incarnations.record(&server.name, incarnation);
         }
     });
--- a/crates/sardineshore-entry/src/dispatch.rs
+++ b/crates/sardineshore-entry/src/dispatch.rs
@@ -67,7 +67,7 @@
         }
     };
     let incarnation = match call.claim {
-        Some(_) => probe_incarnation(instance, &conn, &choice.addr).await,
+        Some(_) => probe_before_call(instance, &conn, choice).await?,
         None => 0,
     };
     instance.incarnations.record(&choice.server, incarnation);
@@ -103,6 +103,20 @@
     }
 }
 
+/// Incarnation of the process that a non-idempotent call is about to be sent to; 0 if its reply
+/// names none. Fails if it doesn't reply in time: the call is not sent behind an unanswered request.
+async fn probe_before_call(
+    instance: &Instance,
+    conn: &Conn,
+    choice: &SelectedServer,
+) -> Result<u64, AttemptOutcome> {
+    let probed = probe_incarnation(instance, conn, &choice.addr).await;
+    probed.map_err(|err| {
+        let detail = format!("{} did not answer before the call: {err}", choice.server);
+        AttemptOutcome::not_run(NotRunReason::NoServer, detail)
+    })
+}
+
 /// Checks the deadline, the configuration and the server's state immediately before the send.
 fn check_before_send(
     instance: &Instance,
--- a/crates/sardineshore-entry/src/quarantine.rs
+++ b/crates/sardineshore-entry/src/quarantine.rs
@@ -247,8 +247,8 @@
             .checkout(&choice.addr, Reuse::Never, CRASH_CHECK_TIMEOUT);
         match checkout.await {
             Ok(conn) => {
-                let incarnation = probe_incarnation(&instance, &conn, &choice.addr).await;
-                if incarnation != 0 {
+                let probed = probe_incarnation(&instance, &conn, &choice.addr).await;
+                if let Ok(incarnation @ 1..) = probed {
                     instance
                         .quarantine
                         .record_contact(&instance, &choice.server, incarnation);
--- a/crates/sardineshore-entry/tests/answers/claims.rs
+++ b/crates/sardineshore-entry/tests/answers/claims.rs
@@ -282,3 +282,51 @@
         other.stop().await;
     });
 }
+
+/// Replies to no load query in time.
+fn silent_at_probe() -> ServerFaults {
+    ServerFaults {
+        late_load_ms: 2_000,
+        ..ServerFaults::default()
+    }
+}
+
+/// Guards against a call that is sent behind an unanswered probe: the probe's late reply would be
+/// taken for the reply of the call, which then counts as unknown although it runs.
+#[test]
+fn claim_server_silent_at_probe_receives_no_call() {
+    task::block_on(async {
+        let stage = Stage {
+            idempotent: false,
+            ..Stage::default()
+        };
+        let entry = TestEntry::start("silent", stage, vec![silent_at_probe()]).await;
+        let reply = entry.submit("t", Some(&fresh_key())).await;
+        assert_eq!(outcome_and_reason(&reply), not_run(NotRunReason::NoServer));
+        assert_eq!(started_attempts(&entry), 0);
+        entry.stop().await;
+    });
+}
+
+#[test]
+fn claim_servers_silent_at_probe_passed_over() {
+    task::block_on(async {
+        let stage = Stage {
+            idempotent: false,
+            ..Stage::default()
+        };
+        let mut servers = vec![silent_at_probe(); 3];
+        servers.push(ServerFaults::default());
+        let entry = TestEntry::start("pass", stage, servers).await;
+        for n in 0..4 {
+            let wanted = format!("t{n}");
+            let reply = entry.submit(&wanted, Some(&fresh_key())).await;
+            assert_eq!(
+                (outcome_and_reason(&reply), tag(&reply)),
+                (answered(), wanted)
+            );
+        }
+        assert_eq!(started_attempts(&entry), 4);
+        entry.stop().await;
+    });
+}
--- a/crates/sardineshore-fakes/src/server.rs
+++ b/crates/sardineshore-fakes/src/server.rs
@@ -24,6 +24,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use async_std::task;
 use async_trait::async_trait;
 use http_types::{Method, Request, Response, StatusCode};
 use sardineshore_core::Clock;
@@ -115,6 +116,12 @@
         }
     }
 
+    async fn load(&self) -> Response {
+        let late = self.faults().late_load_ms;
+        task::sleep(Duration::from_millis(late)).await;
+        http::json(&self.load_report())
+    }
+
     async fn cancel(&self, mut req: Request) -> Response {
         match http::parse::<CancelRequest>(&mut req).await {
             Ok(cancel) if self.cancel_registry.cancel(&cancel) => http::empty(StatusCode::Ok),
@@ -183,7 +190,7 @@
         match (method, path.as_str()) {
             (Method::Post, "/v1/run") => self.run(req).await,
             (Method::Post, "/v1/cancel") => self.cancel(req).await.into(),
-            (Method::Get, "/v1/load") => http::json(&self.load_report()).into(),
+            (Method::Get, "/v1/load") => self.load().await.into(),
             (Method::Post, "/v1/faults") => self.replace_faults(req).await.into(),
             (Method::Post, "/v1/orders") => self.order(req).await.into(),
             (Method::Get, "/v1/orders" | "/v1/cache-events") => {
--- a/crates/sardineshore-fakes/src/server/faults.rs
+++ b/crates/sardineshore-fakes/src/server/faults.rs
@@ -21,6 +21,8 @@
     pub repeat_answer: f64,
     /// Delay between the end of a run and its response, in milliseconds.
     pub late_answer_ms: u64,
+    /// Delay of the replies to load queries, in milliseconds.
+    pub late_load_ms: u64,
     /// Probability that an attempt gets an error response after it ran.
     pub fail: f64,
     /// Whether load reports say that the server shuts down.
@@ -39,6 +41,7 @@
             truncate: 0.0,
             repeat_answer: 0.0,
             late_answer_ms: 0,
+            late_load_ms: 0,
             fail: 0.0,
             leaving: false,
             pause_ms: 0,
