fix(quarantine): a server that answers no connection request is not a crash

What callers would see: 422, "quarantined", for ten minutes, on sound requests whose connection had broken shortly before two servers fell silent, for example because the network between was cut for half a second.

A refused connection shows that no process listens; the quarantine then blames each request that lost its connection to that server in the last 15 s. Silence shows nothing of the kind.

Evidence: quarantine_silent_server_is_no_crash, with a listener whose queue is full, fails on the code before: evidence of a crash of s1 against the request, from its own next attempt, whose connection timed out.

Ruled out: attempts that time out at their deadline; they start no crash check.

Why this works: the client tells a timeout of the connection apart. Such a server still counts as down where the last servers of a pool are kept from suspects, and the check of a server goes on until it refuses or reports its incarnation; a new one within the window still shows the crash.

--- a/crates/sardineshore-entry/src/dispatch.rs
+++ b/crates/sardineshore-entry/src/dispatch.rs
@@ -16,7 +16,7 @@
 use sardineshore_core::{
     AttemptReport, AttemptResult, NotRunReason, SelectedServer, ServerId, Stage,
 };
-use sardineshore_wire::http::{Conn, Reply, Reuse};
+use sardineshore_wire::http::{ClientError, Conn, Reply, Reuse};
 
 use crate::claims::Claim;
 use crate::claims::incarnations::probe_incarnation;
@@ -62,7 +62,7 @@
     let conn = match checkout.await {
         Ok(conn) => conn,
         Err(err) => {
-            record_refused_connection(instance, &choice.server);
+            record_failed_connection(instance, &choice.server, &err);
             return Err(err.into());
         }
     };
@@ -155,7 +155,7 @@
 }
 
 /// Reports a failed connection to the quarantine and to the router.
-fn record_refused_connection(instance: &Instance, server: &ServerId) {
+fn record_failed_connection(instance: &Instance, server: &ServerId, err: &ClientError) {
     let now = instance.clock.now();
     let feedback = AttemptReport {
         result: AttemptResult::Refused,
@@ -163,7 +163,7 @@
     };
     instance
         .quarantine
-        .record_connection_refused(instance, server);
+        .record_no_connection(instance, server, err);
     let mut router = instance.tables.router();
     router.record_start(server, now);
     router.record_end(server, &feedback, now);
--- a/crates/sardineshore-entry/src/dispatch/outcome.rs
+++ b/crates/sardineshore-entry/src/dispatch/outcome.rs
@@ -65,7 +65,9 @@
     fn from(err: ClientError) -> Self {
         let detail = err.to_string();
         match err {
-            ClientError::NotSent(_) => Self::not_run(NotRunReason::NoServer, detail),
+            ClientError::NotSent(_) | ClientError::ConnectTimedOut => {
+                Self::not_run(NotRunReason::NoServer, detail)
+            }
             ClientError::ReplyLost(_) => {
                 Self::may_have_run(AttemptResult::Lost, UnknownReason::ConnectionLost, detail)
             }
--- a/crates/sardineshore-entry/src/load.rs
+++ b/crates/sardineshore-entry/src/load.rs
@@ -36,10 +36,10 @@
     };
     let req = Request::new(Method::Get, url);
     let reply = instance.client.send(&polled.addr, req, POLL_TIMEOUT).await;
-    if matches!(reply, Err(ClientError::NotSent(_))) {
+    if let Err(err @ (ClientError::NotSent(_) | ClientError::ConnectTimedOut)) = &reply {
         instance
             .quarantine
-            .record_connection_refused(instance, &polled.server);
+            .record_no_connection(instance, &polled.server, err);
     }
     let report = reply
         .ok()
--- a/crates/sardineshore-entry/src/quarantine.rs
+++ b/crates/sardineshore-entry/src/quarantine.rs
@@ -42,7 +42,7 @@
 /// Maximum age of evidence that is sent to peers.
 const MAX_SHARED_EVIDENCE_AGE: Duration = Duration::from_secs(60);
 
-/// Time for which a server counts as down after it refused a connection, unless it responds.
+/// Time for which a server counts as down after a failed connection, unless it responds.
 const DOWN_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// The quarantine of one instance. At most one of its locks is held at a time.
@@ -50,7 +50,7 @@
 pub struct QuarantineTable {
     quarantine: Mutex<Quarantine>,
     prompts: Mutex<PromptCauses>,
-    /// Time of the first refused connection of each server since its last response.
+    /// Time of the first failed connection to each server since its last response.
     down_since: Mutex<HashMap<ServerId, Instant>>,
     /// Running crash checks, by server.
     crash_checks: Mutex<HashMap<ServerId, JoinHandle<()>>>,
@@ -80,8 +80,8 @@
         let now = instance.clock.now();
         let down = self.down_since.lock().expect("down lock poisoned");
         let is_up = |name: &&&ServerId| {
-            let refused = down.get(**name);
-            refused.is_none_or(|at| now.duration_since(*at) > DOWN_TIMEOUT)
+            let failed = down.get(**name);
+            failed.is_none_or(|at| now.duration_since(*at) > DOWN_TIMEOUT)
         };
         names.len() > 1 && names.iter().filter(is_up).count() < 2
     }
@@ -157,12 +157,16 @@
         }
     }
 
-    /// Records that a backend server refused a connection.
-    pub fn record_connection_refused(&self, instance: &Instance, server: &ServerId) {
+    /// Records that no connection to a backend server could be opened. Only a refused connection
+    /// shows that the server's process is gone; one that is merely silent may go on.
+    pub fn record_no_connection(&self, instance: &Instance, server: &ServerId, err: &ClientError) {
         let now = instance.clock.now();
         let mut down = self.down_since.lock().expect("down lock poisoned");
         down.entry(server.clone()).or_insert(now);
         drop(down);
+        if !matches!(err, ClientError::NotSent(_)) {
+            return;
+        }
         let strikes = self.table().connection_refused(server, now_ms(instance));
         self.prompts().record_crashes(&strikes, now);
         log_strikes(instance, &strikes);
@@ -255,13 +259,14 @@
                     return;
                 }
             }
-            Err(ClientError::NotSent(_)) => {
+            Err(err) => {
                 instance
                     .quarantine
-                    .record_connection_refused(&instance, &choice.server);
-                return;
+                    .record_no_connection(&instance, &choice.server, &err);
+                if matches!(err, ClientError::NotSent(_)) {
+                    return;
+                }
             }
-            Err(_) => {}
         }
     }
 }
--- a/crates/sardineshore-entry/tests/quarantine.rs
+++ b/crates/sardineshore-entry/tests/quarantine.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use async_std::io::ReadExt;
 use async_std::net::TcpListener;
 use async_std::task;
 use sardineshore_core::claim::fingerprint;
+use sardineshore_core::quarantine::CallOutcome;
 use sardineshore_core::{
     BackendServer, Change, Deployment, NotRunReason, Pipeline, Stage, SystemClock,
 };
@@ -154,3 +156,62 @@
         "{outcome:?}"
     );
 }
+
+/// A listener whose queue of connections is full, so that further ones stay unanswered; the
+/// connections keep it full.
+fn silent_listener() -> (std::net::TcpListener, Vec<std::net::TcpStream>) {
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+    const MAX_CONNECTIONS: usize = 8192;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let mut connections = Vec::new();
+    while let Ok(conn) = std::net::TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT) {
+        connections.push(conn);
+        assert!(connections.len() < MAX_CONNECTIONS, "the queue never fills");
+    }
+    (listener, connections)
+}
+
+/// Guards against silence that counts as a crash: requests whose connections broke before it would be
+/// quarantined.
+#[test]
+fn quarantine_silent_server_is_no_crash() {
+    task::block_on(async {
+        let (listener, _connections) = silent_listener();
+        let addr = listener.local_addr().unwrap().to_string();
+        let crashes = Arc::new(AtomicUsize::new(0));
+        let (instance, pipeline) = instance_with_crashing_servers(&[] as &[&str], &crashes).await;
+        let mut deployment = (*instance.tables.deployment()).clone();
+        for name in ["s1", "s2"] {
+            let server = BackendServer {
+                name: name.into(),
+                addr: addr.clone(),
+                pool: "pool".into(),
+                ..BackendServer::default()
+            };
+            deployment.apply(&Change::AddServer { server }).unwrap();
+        }
+        instance
+            .tables
+            .activate(Arc::new(deployment), &BTreeSet::new());
+        let job = job(&instance, &pipeline);
+        for name in ["s1", "s2"] {
+            let lost = CallOutcome::ConnectionLost { incarnation: 1 };
+            instance
+                .quarantine
+                .end_call(&instance, &job, &name.into(), lost);
+        }
+        let finished = runner::run(&instance, &job, None).await;
+        assert!(
+            matches!(
+                finished,
+                RequestOutcome::NotRun {
+                    reason: NotRunReason::NoServer,
+                    ..
+                }
+            ),
+            "{finished:?}"
+        );
+        assert_eq!(instance.quarantine.recent_evidence(0), []);
+    });
+}
--- a/crates/sardineshore-load/src/balancer.rs
+++ b/crates/sardineshore-load/src/balancer.rs
@@ -52,7 +52,7 @@
         for entry in self.in_round_robin_order() {
             match send_to(&self.client, &entry.addr, send).await {
                 Ok(outcome) => return outcome.with_entry(&entry.addr),
-                Err(ClientError::NotSent(_)) => {}
+                Err(ClientError::NotSent(_) | ClientError::ConnectTimedOut) => {}
                 Err(ClientError::ReplyLost(_)) => {
                     return SendOutcome::no_reply("connection-lost").with_entry(&entry.addr);
                 }
--- a/crates/sardineshore-wire/src/http.rs
+++ b/crates/sardineshore-wire/src/http.rs
@@ -33,6 +33,10 @@
     /// No connection could be opened, so the request was not sent.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nothing answered the connection request in time, so the request was not sent. Unlike a refused
+    /// connection, this doesn't show that no process listens.
+    #[error("not sent: connect timed out")]
+    ConnectTimedOut,
     /// The connection failed after the request may have been sent.
     #[error("reply lost: {0}")]
     ReplyLost(String),
@@ -219,7 +223,7 @@
     let stream = match async_std::future::timeout(timeout, connect).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(err)) => return Err(ClientError::NotSent(err.to_string())),
-        Err(_) => return Err(ClientError::NotSent("connect timed out".into())),
+        Err(_) => return Err(ClientError::ConnectTimedOut),
     };
     let _ = stream.set_nodelay(true);
     Ok(stream)
--- a/crates/sardineshore-wire/src/platform.rs
+++ b/crates/sardineshore-wire/src/platform.rs
@@ -104,7 +104,7 @@
     async fn call(&self, req: Request) -> Result<(u16, Vec<u8>), StoreError> {
         let result = self.client.send(&self.addr, req, self.timeout).await;
         let reply = result.map_err(|err| match err {
-            ClientError::NotSent(_) => StoreError::Unavailable,
+            ClientError::NotSent(_) | ClientError::ConnectTimedOut => StoreError::Unavailable,
             ClientError::ReplyLost(_) | ClientError::TimedOut => StoreError::Unconfirmed,
         })?;
         match reply.status {
