test(entry): streams of a server that pauses go on at that server

A stream has no limit on silence: it is read until the request's deadline, so a pause of its server can't end it or send it to another one. stream_paused_server_waited_for shows it with streams that stop for 1.5 s halfway, on servers of which each could have taken over: all are whole and each ran once.

The stand-in gets a fault that stops streams halfway.

--- a/crates/sardineshore-entry/tests/answers/streams.rs
+++ b/crates/sardineshore-entry/tests/answers/streams.rs
@@ -9,7 +9,7 @@
 use sardineshore_fakes::server::faults::ServerFaults;
 use sardineshore_wire::caller::ErrorBody;
 
-use crate::support::TestEntry;
+use crate::support::{Backend, TestEntry};
 
 fn generate() -> Stage {
     Stage {
@@ -111,3 +111,28 @@
         entry.stop().await;
     });
 }
+
+/// Guards against a stream that is given up because its server is silent for a while.
+#[test]
+fn stream_paused_server_waited_for() {
+    task::block_on(async {
+        let pausing = ServerFaults {
+            stream_pause_ms: 1_500,
+            ..ServerFaults::default()
+        };
+        let faults = vec![pausing.clone(), pausing];
+        let entry = TestEntry::start("pause", generate(), faults).await;
+        let tags: Vec<String> = (0..4).map(|n| format!("t{n}")).collect();
+        let replies = join_all(tags.iter().map(|tag| entry.submit_streamed(tag))).await;
+        for (tag, reply) in tags.iter().zip(&replies) {
+            let events = events(&reply.body);
+            let (last, data) = events.last().expect("a stream has an end");
+            assert_eq!(last, "done");
+            let tokens = data["tokens"].as_u64().expect("the end counts the tokens");
+            assert_eq!(text(&events), expected_text(tag, tokens));
+        }
+        let started_attempts: usize = entry.backends.iter().map(Backend::started_attempts).sum();
+        assert_eq!(started_attempts, tags.len());
+        entry.stop().await;
+    });
+}
--- a/crates/sardineshore-fakes/src/server/engine.rs
+++ b/crates/sardineshore-fakes/src/server/engine.rs
@@ -82,6 +82,8 @@
     pub truncate: bool,
     /// Sends one token twice.
     pub repeat: bool,
+    /// Time for which the stream stops halfway.
+    pub pause: Duration,
 }
 
 /// The receiver of a stream was dropped, or the attempt was cancelled.
@@ -149,6 +151,9 @@
             if faults.truncate && seq == middle {
                 return Ok(());
             }
+            if seq == middle {
+                task::sleep(faults.pause).await;
+            }
             task::sleep(self.token_time(generation, slots)).await;
             let text = tokens::token(tag, seq);
             let token = StreamItem::Token { seq, text };
--- a/crates/sardineshore-fakes/src/server/faults.rs
+++ b/crates/sardineshore-fakes/src/server/faults.rs
@@ -23,6 +23,8 @@
     pub late_answer_ms: u64,
     /// Delay of the replies to load queries, in milliseconds.
     pub late_load_ms: u64,
+    /// Time for which a stream stops halfway before it goes on, in milliseconds.
+    pub stream_pause_ms: u64,
     /// Probability that an attempt gets an error response after it ran.
     pub fail: f64,
     /// Whether load reports say that the server shuts down.
@@ -42,6 +44,7 @@
             repeat_answer: 0.0,
             late_answer_ms: 0,
             late_load_ms: 0,
+            stream_pause_ms: 0,
             fail: 0.0,
             leaving: false,
             pause_ms: 0,
--- a/crates/sardineshore-fakes/src/server/stream.rs
+++ b/crates/sardineshore-fakes/src/server/stream.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_std::task;
 use futures::channel::mpsc;
@@ -96,6 +97,7 @@
             truncate: self.fault_rng.random_bool(faults.truncate)
                 || self.fault_rng.random_bool(faults.fail),
             repeat: self.fault_rng.random_bool(faults.repeat_answer),
+            pause: Duration::from_millis(faults.stream_pause_ms),
         }
     }
 }
