fix(entry): a broken stream goes on only at the version that began it

Callers saw a stream that was answered and complete, but joined from two software versions of a pool's servers: the tokens up to the break from one, the rest from the other.

Cause: after a stream breaks off, the next attempt asks any other server of the pool for the tokens from there on. sardine-entry knew nothing of the servers' software versions, and servers don't check who wrote the tokens before theirs.

Change: load reports, polled and in each reply, name the version; it is optional. The stream keeps who began it. The next server is chosen among those whose last report has the same version, or that have not reported yet, and the head of its reply has to show it before a token is used; so neither an update between two reports nor an old report can join two versions. A version that isn't known counts as the same only within one run of one server. If no server of the version is left, the stream ends as failed at once instead of waiting for the deadline. Two events and a counter show both cases.

Existing tests: run_error_of_next_server_is_not_part_of_stream: its servers name a version now, as otherwise no further attempt would be made and its check of the number of requests couldn't hold; all its checks are unchanged. The stand-ins name version 1 unless told otherwise, so the tests of resumed streams run as before.

Operators: streams of servers that name no version go on only at the same run of the same server.

--- a/crates/sardineshore-core/examples/decision_time.rs
+++ b/crates/sardineshore-core/examples/decision_time.rs
@@ -62,6 +62,7 @@
             prefix: (u64::from(at) % prefixes.max(1)) * prefixes.min(1) * 7_919,
             idempotent: true,
             tried_servers: &[],
+            origin: None,
             deadline: now + Duration::from_secs(6),
         };
         black_box(router.select(black_box(&request), now)).expect("all servers are idle");
--- a/crates/sardineshore-core/examples/policy/flow.rs
+++ b/crates/sardineshore-core/examples/policy/flow.rs
@@ -157,6 +157,7 @@
             prefix: if last { request.prefix } else { 0 },
             idempotent: true,
             tried_servers: &request.tried_servers,
+            origin: None,
             deadline: self.origin + request.stage_deadline,
         };
         let selected = match instance.router.select(&selection, now) {
--- a/crates/sardineshore-core/src/event/routing.rs
+++ b/crates/sardineshore-core/src/event/routing.rs
@@ -110,6 +110,25 @@
     action: "None.",
 };
 
+/// A stream broke off and can't continue.
+pub const STREAM_NOT_CONTINUED: EventKind = EventKind {
+    number: 4024,
+    name: "stream-not-continued",
+    meaning: "A stream broke off, and no backend server of its pool has the software version that \
+              began it; it ended as failed.",
+    action: "If this happens during an update, keep servers of the old version until their streams \
+             have ended. If servers report no version, update them.",
+};
+
+/// A backend server of another software version answered the continuation of a stream.
+pub const VERSION_MISMATCH: EventKind = EventKind {
+    number: 4025,
+    name: "version-mismatch",
+    meaning: "The backend server that was to continue a stream has another software version than \
+              the one that began it, or names none; its answer was discarded.",
+    action: "None; another server is tried.",
+};
+
 /// A request waits for admission.
 pub const REQUEST_QUEUED: EventKind = EventKind {
     number: 4030,
@@ -150,6 +169,8 @@
     RETRY_WITHHELD,
     HEDGE_SENT,
     ATTEMPT_CANCELLED,
+    STREAM_NOT_CONTINUED,
+    VERSION_MISMATCH,
     REQUEST_QUEUED,
     REQUEST_SHED,
     DEADLINE_UNREACHABLE,
--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -69,6 +69,6 @@
 };
 pub use routing::{
     AttemptReport, AttemptResult, LoadPoll, Policy, Router, RoutingConfig, RoutingDecision,
-    RoutingNotice, SelectedServer, SelectionError, SelectionRequest, ServerLoad,
+    RoutingNotice, SelectedServer, SelectionError, SelectionRequest, ServerLoad, StreamOrigin,
 };
 pub use store::{Check, CommitOutcome, MemoryTable, Put, Row, StoreError, Txn};
--- a/crates/sardineshore-core/src/routing.rs
+++ b/crates/sardineshore-core/src/routing.rs
@@ -32,6 +32,7 @@
 //!     prefix: 0,
 //!     idempotent: true,
 //!     tried_servers: &[],
+//!     origin: None,
 //!     deadline: now + Duration::from_secs(6),
 //! };
 //! let selected = router.select(&request, now).unwrap();
@@ -44,6 +45,7 @@
 mod estimate;
 mod health;
 mod notice;
+mod origin;
 mod pool;
 mod score;
 mod selection;
@@ -60,6 +62,7 @@
 
 pub use config::{Policy, RoutingConfig};
 pub use notice::{RoutingDecision, RoutingNotice};
+pub use origin::StreamOrigin;
 pub use selection::{
     AttemptReport, AttemptResult, SelectedServer, SelectionError, SelectionRequest, ServerLoad,
 };
--- a/crates/sardineshore-core/src/routing/selection.rs
+++ b/crates/sardineshore-core/src/routing/selection.rs
@@ -6,6 +6,7 @@
 
 use thiserror::Error;
 
+use super::StreamOrigin;
 use crate::{PoolId, ServerId};
 
 /// An attempt that needs a backend server, with everything that the selection depends on.
@@ -24,6 +25,9 @@
     pub idempotent: bool,
     /// Backend servers that earlier attempts of this stage were sent to.
     pub tried_servers: &'a [ServerId],
+    /// Process that began the stream which this attempt continues; `None` if it begins one, or if
+    /// the answer isn't streamed.
+    pub origin: Option<&'a StreamOrigin>,
     /// When the stage must have answered.
     pub deadline: Instant,
 }
@@ -45,6 +49,9 @@
     /// No backend server of the pool accepts work, or the pool does not exist.
     #[error("no backend server of the pool may receive work")]
     NoServer,
+    /// No backend server of the pool has the software version that began the stream.
+    #[error("no backend server of the pool has the software version that began the stream")]
+    NoSameVersion,
     /// Every backend server of the pool is at its concurrency limit or wants a pause.
     #[error("every backend server is at its limit; ask again in {retry_after:?}")]
     Saturated {
@@ -89,7 +96,7 @@
 }
 
 /// Load of a backend server, as it reported it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ServerLoad {
     /// Requests running.
     pub running: u32,
@@ -103,4 +110,6 @@
     pub incarnation: u64,
     /// Whether it shuts down and wants no new work.
     pub leaving: bool,
+    /// Version of its software; `None` if it names none.
+    pub version: Option<Arc<str>>,
 }
--- a/crates/sardineshore-core/src/routing/selector.rs
+++ b/crates/sardineshore-core/src/routing/selector.rs
@@ -37,13 +37,17 @@
 enum Eligibility {
     /// Servers that are neither ejected nor tried before, and want no pause.
     Healthy,
+    /// The same for the continuation of a stream, but servers that have not reported their software
+    /// version yet. Their reply names it.
+    Unreported,
     /// All members of the pool that want no pause.
     Any,
 }
 
 impl Selector<'_> {
     /// Selects among the prefix's preferred servers and random members of the subset, then among
-    /// all healthy members of the pool, then among all members. `random` returns random numbers.
+    /// all healthy members of the pool, then among all members. A stream continues only on members
+    /// that may have the software version that began it. `random` returns random numbers.
     pub(super) fn select(
         &self,
         mut random: impl FnMut() -> u64,
@@ -51,6 +55,7 @@
         let best = self
             .best_of_sample(&mut random)
             .or_else(|| self.best_of_all(Eligibility::Healthy))
+            .or_else(|| self.best_of_all(Eligibility::Unreported))
             .or_else(|| self.best_of_ejected());
         match best {
             Some(best) => self.accept(best),
@@ -128,7 +133,21 @@
     fn is_eligible(&self, server: &Server, eligibility: Eligibility) -> bool {
         let tried = || self.request.tried_servers.contains(&server.declared.name);
         let is_healthy = || !(server.health.is_ejected(self.now) || tried());
-        server.pause_left(self.now).is_zero() && (eligibility == Eligibility::Any || is_healthy())
+        let fits = match eligibility {
+            Eligibility::Healthy => self.may_continue(server) == Some(true) && is_healthy(),
+            Eligibility::Unreported => self.may_continue(server).is_none() && is_healthy(),
+            Eligibility::Any => self.may_continue(server) != Some(false),
+        };
+        fits && server.pause_left(self.now).is_zero()
+    }
+
+    /// Whether the server may continue the stream, if the attempt continues one; `None` if its
+    /// software version is not known yet.
+    fn may_continue(&self, server: &Server) -> Option<bool> {
+        match self.request.origin {
+            Some(origin) => server.may_continue(origin),
+            None => Some(true),
+        }
     }
 
     fn accept(&self, best: Candidate) -> Result<SelectedServer, SelectionError> {
@@ -143,12 +162,15 @@
         })
     }
 
-    /// The error for a pool all of whose servers are at their limits or want a pause: the next slot is
-    /// expected after the service time divided by the number of attempts in flight.
+    /// The error for a pool none of whose servers can take the attempt. If they are at their limits or
+    /// want a pause, the next slot is expected after the service time divided by the number of attempts
+    /// in flight.
     fn saturated(&self) -> SelectionError {
         let servers = self.pool.members.iter().map(|key| &self.servers[*key]);
-        let pause = servers.map(|server| server.pause_left(self.now)).min();
-        let pause = pause.unwrap_or_default();
+        let fitting = servers.filter(|server| self.may_continue(server) != Some(false));
+        let Some(pause) = fitting.map(|server| server.pause_left(self.now)).min() else {
+            return SelectionError::NoSameVersion;
+        };
         if pause.as_secs_f64() > self.scoring.remaining {
             return SelectionError::TooLate;
         }
--- a/crates/sardineshore-core/src/routing/server.rs
+++ b/crates/sardineshore-core/src/routing/server.rs
@@ -7,7 +7,9 @@
 
 use super::estimate::{Smoothed, age_weight};
 use super::health::{Health, HealthSample};
-use super::{AttemptReport, AttemptResult, RoutingDecision, RoutingNotice, ServerLoad};
+use super::{
+    AttemptReport, AttemptResult, RoutingDecision, RoutingNotice, ServerLoad, StreamOrigin,
+};
 use crate::limits::{ConcurrencyLimit, QueueSample};
 use crate::{BackendServer, ServerRow, ServerState};
 
@@ -48,7 +50,7 @@
 }
 
 /// The last load report of a server.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Report {
     load: ServerLoad,
     /// Attempts of this instance that the reported load includes.
@@ -118,7 +120,10 @@
 
     /// Number of attempts that the server runs concurrently without queueing.
     pub(super) fn capacity(&self) -> f64 {
-        let reported = self.report.map_or(0, |report| report.load.capacity);
+        let reported = self
+            .report
+            .as_ref()
+            .map_or(0, |report| report.load.capacity);
         let capacity = if reported > 0 {
             reported
         } else {
@@ -187,8 +192,10 @@
     /// Records a load report; returns whether the server was restarted since the previous one.
     pub(super) fn record_load(&mut self, load: &ServerLoad, now: Instant) -> bool {
         let at = now.checked_sub(load.age).unwrap_or(now);
-        let previous = self.report;
+        let previous = self.report.as_ref();
         let is_outdated = previous.is_some_and(|previous| previous.at > at);
+        let restarted =
+            previous.is_some_and(|previous| previous.load.incarnation != load.incarnation);
         // Reports that overtake each other don't take back that a process shuts down.
         if load.leaving {
             self.announced_leaving = Some(load.incarnation);
@@ -199,12 +206,10 @@
             return false;
         }
         self.report = Some(Report {
-            load: *load,
+            load: load.clone(),
             own: self.in_flight,
             at,
         });
-        let restarted =
-            previous.is_some_and(|previous| previous.load.incarnation != load.incarnation);
         if restarted {
             self.service = Smoothed::default();
             self.limit = ConcurrencyLimit::new(self.declared.capacity);
@@ -214,6 +219,17 @@
         restarted
     }
 
+    /// Whether a stream of this origin may continue on the server according to its last load report;
+    /// `None` before the first report.
+    pub(super) fn may_continue(&self, origin: &StreamOrigin) -> Option<bool> {
+        let load = &self.report.as_ref()?.load;
+        Some(origin.may_continue_at(&StreamOrigin {
+            server: self.declared.name.clone(),
+            incarnation: load.incarnation,
+            version: load.version.clone(),
+        }))
+    }
+
     /// Records that the server's load is being polled.
     pub(super) fn record_poll(&mut self, now: Instant) {
         self.polled_at = Some(now);
@@ -221,7 +237,10 @@
 
     /// Time of the last load report or poll.
     pub(super) fn load_known_at(&self) -> Option<Instant> {
-        self.report.map(|report| report.at).max(self.polled_at)
+        self.report
+            .as_ref()
+            .map(|report| report.at)
+            .max(self.polled_at)
     }
 
     /// Creates a notice of a decision about the server.
@@ -235,13 +254,14 @@
 
     /// The server as a row of operators' queries.
     pub(super) fn row(&self, now: Instant) -> ServerRow {
-        let load = self.report.map(|report| report.load).unwrap_or_default();
+        let report = self.report.as_ref();
+        let load = report.map(|report| &report.load);
         ServerRow {
             server: self.declared.clone(),
             in_flight: self.in_flight,
-            running: load.running,
-            queued: load.queued,
-            report_age_ms: self.report.map(|report| age_ms(report.at, now)),
+            running: load.map_or(0, |load| load.running),
+            queued: load.map_or(0, |load| load.queued),
+            report_age_ms: report.map(|report| age_ms(report.at, now)),
             ejected: self.health.is_ejected(now),
             leaving: self.is_leaving(),
         }
--- a/crates/sardineshore-core/tests/routing.rs
+++ b/crates/sardineshore-core/tests/routing.rs
@@ -8,7 +8,7 @@
 use sardineshore_core::{
     AttemptReport, AttemptResult, BackendServer, Deployment, PoolId, Router, RoutingConfig,
     RoutingDecision, SelectedServer, SelectionError, SelectionRequest, ServerId, ServerLoad,
-    ServerState,
+    ServerState, StreamOrigin,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -49,6 +49,7 @@
         prefix,
         idempotent: true,
         tried_servers: &[],
+        origin: None,
         deadline: now + 6 * SECOND,
     };
     router.select(&request, now)
@@ -297,6 +298,7 @@
         prefix: 7,
         idempotent: true,
         tried_servers: &tried,
+        origin: None,
         deadline: now + SECOND,
     };
     for _ in 0..100 {
@@ -406,3 +408,88 @@
     let next = router.next_load_poll(SECOND, later).unwrap().server;
     assert_ne!(&*next, "s1");
 }
+
+fn origin(server: &str, incarnation: u64, version: Option<&str>) -> StreamOrigin {
+    StreamOrigin {
+        server: server.into(),
+        incarnation,
+        version: version.map(Into::into),
+    }
+}
+
+#[test]
+fn origin_unknown_version_is_same_only_within_one_run() {
+    let known = origin("s0", 1, Some("1"));
+    assert!(known.may_continue_at(&origin("s1", 9, Some("1"))));
+    assert!(!known.may_continue_at(&origin("s1", 9, Some("2"))));
+    assert!(!known.may_continue_at(&origin("s1", 9, None)));
+    let unknown = origin("s0", 1, None);
+    assert!(unknown.may_continue_at(&unknown));
+    assert!(!unknown.may_continue_at(&origin("s0", 2, None)));
+    assert!(!unknown.may_continue_at(&origin("s1", 1, None)));
+    assert!(!unknown.may_continue_at(&origin("s1", 9, Some("1"))));
+    assert!(!origin("s0", 0, None).may_continue_at(&origin("s0", 0, None)));
+}
+
+/// Guards against a stream that goes on at a server of another software version.
+#[test]
+fn select_continuation_only_at_version_of_origin() {
+    let mut router = router(5, 1);
+    let (now, pool): (_, PoolId) = (Instant::now(), "pool".into());
+    let versions = [Some("1"), Some("2"), None, Some("1")];
+    for (at, version) in versions.into_iter().enumerate() {
+        let load = ServerLoad {
+            incarnation: 1,
+            capacity: 8,
+            version: version.map(Into::into),
+            ..ServerLoad::default()
+        };
+        router.record_load(&format!("s{at}").into(), &load, now);
+    }
+    let mut tried: Vec<ServerId> = vec!["s0".into()];
+    let began = origin("s0", 1, Some("1"));
+    let mut next = |tried: &[ServerId], origin| {
+        let request = SelectionRequest {
+            pool: &pool,
+            request: "r",
+            customer: "c",
+            prefix: 7,
+            idempotent: true,
+            tried_servers: tried,
+            origin: Some(origin),
+            deadline: now + SECOND,
+        };
+        router.select(&request, now).map(|selected| selected.server)
+    };
+    for _ in 0..100 {
+        assert_eq!(next(&tried, &began), Ok("s3".into()));
+    }
+    // s4 hasn't reported its version, so its reply has to show it.
+    tried.push("s3".into());
+    assert_eq!(next(&tried, &began), Ok("s4".into()));
+    tried.push("s4".into());
+    let again = next(&tried, &began).unwrap();
+    assert!(["s0", "s3", "s4"].contains(&&*again), "{again}");
+
+    let load = ServerLoad {
+        incarnation: 1,
+        version: Some("2".into()),
+        ..ServerLoad::default()
+    };
+    router.record_load(&"s4".into(), &load, now);
+    let withdrawn = origin("s9", 1, Some("0"));
+    let request = SelectionRequest {
+        pool: &pool,
+        request: "r",
+        customer: "c",
+        prefix: 0,
+        idempotent: true,
+        tried_servers: &[],
+        origin: Some(&withdrawn),
+        deadline: now + SECOND,
+    };
+    assert_eq!(
+        router.select(&request, now),
+        Err(SelectionError::NoSameVersion)
+    );
+}
--- a/crates/sardineshore-entry/src/dispatch/attempt.rs
+++ b/crates/sardineshore-entry/src/dispatch/attempt.rs
@@ -9,7 +9,7 @@
 use sardineshore_core::flow::notices::parse_pause;
 use sardineshore_core::{
     AttemptId, AttemptReport, AttemptResult, NotRunReason, SelectedServer, ServerLoad,
-    UnknownReason,
+    StreamOrigin, UnknownReason,
 };
 use sardineshore_wire::backend::{CancelRequest, LoadReport};
 use sardineshore_wire::headers;
@@ -33,6 +33,8 @@
     sent_at: Instant,
     service: Duration,
     cached_tokens: u32,
+    /// Process that runs the attempt, as far as its replies identify it.
+    origin: StreamOrigin,
     is_finished: bool,
 }
 
@@ -65,6 +67,10 @@
             sent_at,
             service: Duration::ZERO,
             cached_tokens: 0,
+            origin: StreamOrigin {
+                server: choice.server.clone(),
+                ..StreamOrigin::default()
+            },
             is_finished: false,
         }
     }
@@ -134,6 +140,32 @@
         AttemptOutcome::may_have_run(AttemptResult::Lost, UnknownReason::AnswerInvalid, detail)
     }
 
+    /// Process that runs the attempt, as far as its replies identify it.
+    #[must_use]
+    pub fn origin(&self) -> &StreamOrigin {
+        &self.origin
+    }
+
+    /// Cancels an attempt whose server may not continue the stream; nothing of its answer is used.
+    #[must_use]
+    pub fn discard_other_version(self) -> AttemptOutcome {
+        let pool = &self.call.stage.pool;
+        self.instance
+            .metrics
+            .policy
+            .count_not_continued(pool, &routing::VERSION_MISMATCH);
+        let detail = format!(
+            "{} has not the software version that began the stream",
+            self.choice.server
+        );
+        self.instance.event_log.record_request(
+            &self.call.job.request,
+            &routing::VERSION_MISMATCH,
+            &*detail,
+        );
+        AttemptOutcome::not_run(NotRunReason::NoServer, detail)
+    }
+
     /// Records the load report in a reply's header; a header that cannot be parsed is ignored.
     pub fn record_load(&mut self, header: &str) {
         let Ok(report) = serde_json::from_str::<LoadReport>(header) else {
@@ -141,6 +173,9 @@
         };
         self.service = Duration::from_micros(report.service_us);
         self.cached_tokens = report.cached_tokens;
+        let figures = load_figures(&report);
+        self.origin.incarnation = figures.incarnation;
+        self.origin.version.clone_from(&figures.version);
         let now = self.instance.clock.now();
         self.instance.quarantine.record_contact(
             self.instance,
@@ -150,7 +185,7 @@
         self.instance
             .tables
             .router()
-            .record_load(&self.choice.server, &load_figures(&report), now);
+            .record_load(&self.choice.server, &figures, now);
     }
 
     /// Records for how long the server that turned this attempt away wants no others; a header that
@@ -280,5 +315,6 @@
         age: Duration::from_millis(report.age_ms),
         incarnation: report.incarnation,
         leaving: report.leaving,
+        version: Some(report.version.clone()).filter(|version| !version.is_empty()),
     }
 }
--- a/crates/sardineshore-entry/src/hedge.rs
+++ b/crates/sardineshore-entry/src/hedge.rs
@@ -77,6 +77,7 @@
         prefix: attempts.prefix,
         idempotent: true,
         tried_servers: attempts.tried,
+        origin: None,
         deadline: attempts.deadline,
     };
     let choice = instance.tables.router().select(&ask, now).ok()?;
--- a/crates/sardineshore-entry/src/metrics/policy.rs
+++ b/crates/sardineshore-entry/src/metrics/policy.rs
@@ -1,7 +1,7 @@
 //! Metrics of routing, admission, hedges and retries.
 
 use prometheus::{IntCounterVec, IntGauge, Registry};
-use sardineshore_core::{NoRetryReason, PoolId, RoutingNotice};
+use sardineshore_core::{EventKind, NoRetryReason, PoolId, RoutingNotice};
 
 use super::{counters, gauge};
 
@@ -13,6 +13,7 @@
     withheld: IntCounterVec,
     saturated: IntCounterVec,
     notices: IntCounterVec,
+    not_continued: IntCounterVec,
     queued: IntGauge,
 }
 
@@ -37,6 +38,11 @@
                 "Ejections and other decisions on backend servers by pool and event",
                 &["pool", "event"],
             ),
+            not_continued: counters(
+                "sardine_stream_continuations_refused_total",
+                "Continuations of streams refused for the software version, by pool and event",
+                &["pool", "event"],
+            ),
             queued: gauge(
                 "sardine_requests_queued",
                 "Requests that wait for admission",
@@ -47,12 +53,13 @@
     }
 
     fn register(&self, registry: &Registry) {
-        let all: [Box<dyn prometheus::core::Collector>; 6] = [
+        let all: [Box<dyn prometheus::core::Collector>; 7] = [
             Box::new(self.hedges.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.withheld.clone()),
             Box::new(self.saturated.clone()),
             Box::new(self.notices.clone()),
+            Box::new(self.not_continued.clone()),
             Box::new(self.queued.clone()),
         ];
         for collector in all {
@@ -90,6 +97,13 @@
             .inc();
     }
 
+    /// Counts a continuation of a stream that was refused for the server's software version.
+    pub fn count_not_continued(&self, pool: &PoolId, event: &EventKind) {
+        self.not_continued
+            .with_label_values(&[&**pool, event.name])
+            .inc();
+    }
+
     /// Sets the number of requests that wait for admission.
     pub fn set_queued(&self, n: usize) {
         self.queued.set(i64::try_from(n).unwrap_or(i64::MAX));
--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -204,6 +204,7 @@
                 prefix: self.prefix(stage),
                 idempotent: stage.idempotent,
                 tried_servers: &history.servers,
+                origin: self.sink.as_ref().and_then(TokenSink::origin),
                 deadline: history.deadline,
             };
             let chosen = self.instance.tables.router().select(&ask, now);
@@ -216,6 +217,14 @@
                     self.record_event(&events::POOL_EMPTY, &stage.pool);
                     return Err(StageError::no_server());
                 }
+                Err(SelectionError::NoSameVersion) => {
+                    self.instance
+                        .metrics
+                        .policy
+                        .count_not_continued(&stage.pool, &events::STREAM_NOT_CONTINUED);
+                    self.record_event(&events::STREAM_NOT_CONTINUED, &stage.pool);
+                    return Err(StageError::no_server());
+                }
                 Err(SelectionError::TooLate) => return Err(StageError::deadline_unreachable()),
                 Err(SelectionError::Saturated { .. }) if self.job.remaining(now).is_zero() => {
                     return Err(StageError::deadline_unreachable());
--- a/crates/sardineshore-entry/src/stream.rs
+++ b/crates/sardineshore-entry/src/stream.rs
@@ -1,5 +1,5 @@
 //! Streamed answers: forwards numbered tokens to the caller. After a failure, the next attempt on
-//! another backend server resumes where the stream stopped.
+//! another backend server of the same software version resumes where the stream stopped.
 
 use std::sync::Arc;
 
@@ -7,7 +7,7 @@
 use async_std::io::ReadExt;
 use async_std::io::prelude::BufReadExt;
 use http_types::Response;
-use sardineshore_core::{AttemptResult, NotRunReason, SelectedServer, UnknownReason};
+use sardineshore_core::{AttemptResult, NotRunReason, SelectedServer, StreamOrigin, UnknownReason};
 use sardineshore_wire::backend::StreamItem;
 use sardineshore_wire::headers;
 use sardineshore_wire::http::header;
@@ -33,18 +33,24 @@
     Ended(RequestOutcome),
 }
 
-/// Channel to the caller, with the sequence number of the next token.
+/// Channel to the caller, with the sequence number of the next token and the process that began the
+/// answer.
 #[derive(Debug)]
 pub struct TokenSink {
     tx: Sender<StreamEvent>,
     next_seq: u64,
+    origin: StreamOrigin,
 }
 
 impl TokenSink {
     /// Creates a sink for an answer of which no token was sent yet.
     #[must_use]
     pub fn new(tx: Sender<StreamEvent>) -> Self {
-        Self { tx, next_seq: 0 }
+        Self {
+            tx,
+            next_seq: 0,
+            origin: StreamOrigin::default(),
+        }
     }
 
     /// Sequence number of the next token.
@@ -53,6 +59,22 @@
         self.next_seq
     }
 
+    /// Process that began the answer; `None` while no token was sent.
+    #[must_use]
+    pub fn origin(&self) -> Option<&StreamOrigin> {
+        (self.next_seq > 0).then_some(&self.origin)
+    }
+
+    /// Begins or continues the answer with the tokens of a process; returns false if it may not
+    /// continue what the caller already has.
+    fn accept_origin(&mut self, origin: &StreamOrigin) -> bool {
+        if self.next_seq == 0 {
+            self.origin = origin.clone();
+            return true;
+        }
+        self.origin.may_continue_at(origin)
+    }
+
     /// Processes an item of a backend server's stream. Repeated tokens are dropped and a gap is an
     /// error. Returns the number of tokens when the answer is complete.
     async fn accept(&mut self, item: StreamItem) -> Result<Option<u64>, String> {
@@ -96,6 +118,9 @@
     if let Some(attempted) = check_head(&attempt, &head) {
         return attempt.finish(attempted);
     }
+    if !sink.accept_origin(attempt.origin()) {
+        return attempt.discard_other_version();
+    }
     let left = call.job.remaining(instance.clock.now());
     let read = read_items(&mut head, sink);
     let attempted = match async_std::future::timeout(left, read).await {
--- a/crates/sardineshore-entry/tests/answers/streams.rs
+++ b/crates/sardineshore-entry/tests/answers/streams.rs
@@ -8,6 +8,7 @@
 use sardineshore_core::{Stage, StageKind};
 use sardineshore_fakes::server::faults::ServerFaults;
 use sardineshore_wire::caller::ErrorBody;
+use sardineshore_wire::headers;
 
 use crate::support::{Backend, TestEntry};
 
@@ -136,3 +137,43 @@
         entry.stop().await;
     });
 }
+
+#[test]
+fn stream_truncated_resumed_beside_other_version() {
+    task::block_on(async {
+        let newer = ServerFaults {
+            reported_version: "2".into(),
+            ..ServerFaults::default()
+        };
+        let faults = vec![truncating(), newer.clone(), newer, ServerFaults::default()];
+        let entry = TestEntry::start("versions", generate(), faults).await;
+        let tags: Vec<String> = (0..12).map(|n| format!("t{n}")).collect();
+        let replies = join_all(tags.iter().map(|tag| entry.submit_streamed(tag))).await;
+        for (tag, reply) in tags.iter().zip(&replies) {
+            let events = events(&reply.body);
+            let (last, data) = events.last().expect("a stream has an end");
+            assert_eq!(last, "done");
+            let tokens = data["tokens"].as_u64().expect("the end counts the tokens");
+            assert_eq!(text(&events), expected_text(tag, tokens));
+        }
+        let started_attempts = entry.backends[0].started_attempts();
+        assert!(started_attempts > 0, "no stream met the engine that cuts");
+        entry.stop().await;
+    });
+}
+
+/// A caller can't take a stream up in the middle, so its tries are never joined here.
+#[test]
+fn stream_sent_again_begins_at_first_token() {
+    task::block_on(async {
+        let entry = TestEntry::start("again", generate(), vec![ServerFaults::default()]).await;
+        let resume = [(headers::RESUME_FROM, "3"), ("last-event-id", "2")];
+        let reply = entry.submit_streamed_with("t", &resume).await;
+        let events = events(&reply.body);
+        let (last, data) = events.last().expect("a stream has an end");
+        assert_eq!(last, "done");
+        let tokens = data["tokens"].as_u64().expect("the end counts the tokens");
+        assert_eq!(text(&events), expected_text("t", tokens));
+        entry.stop().await;
+    });
+}
--- a/crates/sardineshore-entry/tests/server_replies.rs
+++ b/crates/sardineshore-entry/tests/server_replies.rs
@@ -362,10 +362,18 @@
     });
 }
 
+/// Header with the load report of one run of a server with this software version.
+const VERSION_1: &str = r#"x-sardine-load: {"incarnation":7,"version":"1"}"#;
+
 /// A server that begins a stream and breaks it off, and replies to all further requests with these
-/// bytes, in which `ECHO` stands for the headers that it echoes. Returns its address and the number
-/// of requests.
-async fn breaking_stream(further: &'static str) -> (String, Arc<AtomicUsize>) {
+/// bytes, in which `ECHO` stands for the headers that it echoes. The stream's head has the header
+/// `load`. Returns its address and the number of requests.
+async fn breaking_stream(load: &str, further: &str) -> (String, Arc<AtomicUsize>) {
+    let begun = format!(
+        "HTTP/1.1 200 OK\r\nECHO\r\n{load}\r\n\r\n\
+         data: {{\"item\":\"token\",\"seq\":0,\"text\":\"a\"}}\n\n"
+    );
+    let further = further.to_owned();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap().to_string();
     let requests = Arc::new(AtomicUsize::new(0));
@@ -378,10 +386,8 @@
             if echo.is_empty() {
                 continue;
             }
-            let begun = "HTTP/1.1 200 OK\r\nECHO\r\n\r\n\
-                         data: {\"item\":\"token\",\"seq\":0,\"text\":\"a\"}\n\n";
             let is_first = counter.fetch_add(1, Ordering::SeqCst) == 0;
-            let reply = if is_first { begun } else { further };
+            let reply = if is_first { &begun } else { &further };
             let reply = reply.replace("ECHO", &echo);
             let _closed = stream.write_all(reply.as_bytes()).await;
         }
@@ -403,7 +409,8 @@
     ];
     task::block_on(async {
         for further in FURTHER {
-            let (addr, requests) = breaking_stream(further).await;
+            let further = further.replace("ECHO", &format!("ECHO\r\n{VERSION_1}"));
+            let (addr, requests) = breaking_stream(VERSION_1, &further).await;
             let (outcome, events) = run_request(&addr, 3, true).await;
             assert!(
                 !matches!(outcome, RequestOutcome::Answered(_)),
@@ -417,3 +424,47 @@
         }
     });
 }
+
+/// Whether a stream that begins at a server with the load report `begun` goes on at the next one,
+/// which replies with `further`, if the pool has so many servers at the address.
+async fn is_continued(begun: &str, further: &str, servers: usize) -> bool {
+    let reply = format!(
+        "HTTP/1.1 200 OK\r\nECHO\r\nx-sardine-load: {further}\r\n\r\n\
+         data: {{\"item\":\"token\",\"seq\":1,\"text\":\"b\"}}\n\n\
+         data: {{\"item\":\"done\",\"tokens\":2}}\n\n"
+    );
+    let (addr, _) = breaking_stream(&format!("x-sardine-load: {begun}"), &reply).await;
+    let (outcome, events) = run_request(&addr, servers, true).await;
+    let is_answered = matches!(outcome, RequestOutcome::Answered(_));
+    assert_eq!(events.len(), if is_answered { 2 } else { 1 }, "{events:?}");
+    is_answered
+}
+
+/// Guards against an answer that is joined from two software versions.
+#[test]
+fn run_broken_stream_goes_on_only_at_version_that_began_it() {
+    const ANY: &str = "{}";
+    const RUN_7: &str = r#"{"incarnation":7}"#;
+    const RUN_8: &str = r#"{"incarnation":8}"#;
+    const V1_RUN_7: &str = r#"{"incarnation":7,"version":"1"}"#;
+    const V1_RUN_8: &str = r#"{"incarnation":8,"version":"1"}"#;
+    const V2_RUN_8: &str = r#"{"incarnation":8,"version":"2"}"#;
+    const CASES: [(&str, &str, usize, bool); 9] = [
+        (V1_RUN_7, V1_RUN_8, 3, true),
+        (V1_RUN_7, V1_RUN_8, 1, true),
+        (V1_RUN_7, V2_RUN_8, 3, false),
+        (V1_RUN_7, V2_RUN_8, 1, false),
+        (V1_RUN_7, RUN_8, 3, false),
+        (RUN_7, V1_RUN_8, 3, false),
+        // Servers that name no version are the same only within one run of one server.
+        (RUN_7, RUN_7, 1, true),
+        (RUN_7, RUN_8, 1, false),
+        (ANY, ANY, 1, false),
+    ];
+    task::block_on(async {
+        for (begun, further, servers, wanted) in CASES {
+            let continued = is_continued(begun, further, servers).await;
+            assert_eq!(continued, wanted, "{begun}, {further}, {servers} servers");
+        }
+    });
+}
--- a/crates/sardineshore-entry/tests/support/entry.rs
+++ b/crates/sardineshore-entry/tests/support/entry.rs
@@ -210,8 +210,16 @@
 
     /// Asks for a streamed answer and reads it to its end.
     pub async fn submit_streamed(&self, tag: &str) -> Reply {
+        self.submit_streamed_with(tag, &[]).await
+    }
+
+    /// Like [`TestEntry::submit_streamed`], with further headers.
+    pub async fn submit_streamed_with(&self, tag: &str, headers: &[(&str, &str)]) -> Reply {
         let mut req = self.request(tag);
         req.insert_header("accept", "text/event-stream");
+        for (name, value) in headers {
+            req.insert_header(*name, *value);
+        }
         self.send(req).await
     }
 
--- a/crates/sardineshore-fakes/src/bin/sardine-fake-server.rs
+++ b/crates/sardineshore-fakes/src/bin/sardine-fake-server.rs
@@ -80,6 +80,12 @@
             "",
             "Name of the server",
         ))
+        .arg(setting(
+            "software-version",
+            "SARDINE_FAKE_SOFTWARE_VERSION",
+            "1",
+            "Version of its software that load reports show",
+        ))
         .arg(setting(
             "log",
             "SARDINE_FAKE_LOG",
@@ -148,6 +154,7 @@
         log: checker.text("log"),
         server: ServerSettings {
             name: checker.text("name").into(),
+            version: checker.text("software-version").into(),
             kind: checker.parse("kind"),
             service_time: checker.duration("service-time"),
             jitter: fraction(&mut checker, "jitter"),
--- a/crates/sardineshore-fakes/src/server.rs
+++ b/crates/sardineshore-fakes/src/server.rs
@@ -100,7 +100,11 @@
     }
 
     fn load_report(&self) -> LoadReport {
-        let leaving = self.faults().leaving;
+        let faults = self.faults().clone();
+        let version = match &*faults.reported_version {
+            "" => self.settings.version.clone(),
+            _ => faults.reported_version,
+        };
         let current = self.slots.occupancy();
         let mut load = self.load.lock().expect("load lock poisoned");
         let (sample, age) = load.report(current, self.clock.now());
@@ -111,7 +115,8 @@
             queued: count(sample.queued),
             capacity: count(self.settings.capacity),
             age_ms: millis(age),
-            leaving,
+            leaving: faults.leaving,
+            version,
             ..LoadReport::default()
         }
     }
--- a/crates/sardineshore-fakes/src/server/faults.rs
+++ b/crates/sardineshore-fakes/src/server/faults.rs
@@ -1,5 +1,7 @@
 //! Faults that can be injected into a fake backend server.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 /// The active faults; the default injects none.
@@ -27,6 +29,8 @@
     pub stream_pause_ms: u64,
     /// Probability that an attempt gets an error response after it ran.
     pub fail: f64,
+    /// Software version that load reports show instead of the server's own; empty for its own.
+    pub reported_version: Arc<str>,
     /// Whether load reports say that the server shuts down.
     pub leaving: bool,
     /// Pause that refusals ask for, in milliseconds; 0 asks for none.
@@ -46,6 +50,7 @@
             late_load_ms: 0,
             stream_pause_ms: 0,
             fail: 0.0,
+            reported_version: "".into(),
             leaving: false,
             pause_ms: 0,
         }
--- a/crates/sardineshore-fakes/src/server/settings.rs
+++ b/crates/sardineshore-fakes/src/server/settings.rs
@@ -11,6 +11,8 @@
 pub struct ServerSettings {
     /// Name that load reports and the execution log show.
     pub name: Arc<str>,
+    /// Version of its software that load reports show; empty for none.
+    pub version: Arc<str>,
     /// Kind of the server.
     pub kind: ServerKind,
     /// Mean service time of one attempt.
@@ -37,6 +39,7 @@
     fn default() -> Self {
         Self {
             name: "server".into(),
+            version: "1".into(),
             kind: ServerKind::default(),
             service_time: Duration::from_millis(20),
             jitter: 0.3,
--- a/crates/sardineshore-wire/src/backend.rs
+++ b/crates/sardineshore-wire/src/backend.rs
@@ -40,6 +40,9 @@
     pub cached_tokens: u32,
     /// Whether the server shuts down and wants no new work; final for this incarnation.
     pub leaving: bool,
+    /// Version of the server's software; empty if unknown. A stream continues on another server only
+    /// if both report the same version.
+    pub version: Arc<str>,
 }
 
 /// Body of `POST /v1/cancel`.
