--- a/crates/sardineshore-entry/src/dispatch.rs
+++ b/crates/sardineshore-entry/src/dispatch.rs
@@ -16,7 +16,7 @@
 use sardineshore_core::{
     AttemptReport, AttemptResult, NotRunReason, SelectedServer, ServerId, Stage,
 };
-use sardineshore_wire::http::{Conn, Reply, Reuse};
+use sardineshore_wire::http::{ClientError, Conn, Reply, Reuse};
 
 use crate::claims::Claim;
 use crate::claims::incarnations::probe_incarnation;
@@ -62,12 +62,12 @@
     let conn = match checkout.await {
         Ok(conn) => conn,
         Err(err) => {
-            record_refused_connection(instance, &choice.server);
+            record_failed_connection(instance, &choice.server, &err);
             return Err(err.into());
         }
     };
     let incarnation = match call.claim {
-        Some(_) => probe_incarnation(instance, &conn, &choice.addr).await,
+        Some(_) => probe_before_call(instance, &conn, choice).await?,
         None => 0,
     };
     instance.incarnations.record(&choice.server, incarnation);
@@ -103,6 +103,20 @@
     }
 }
 
+/// Incarnation of the process that a non-idempotent call is about to be sent to; 0 if its reply
+/// names none. Fails if it doesn't reply in time: the call is not sent behind an unanswered request.
+async fn probe_before_call(
+    instance: &Instance,
+    conn: &Conn,
+    choice: &SelectedServer,
+) -> Result<u64, AttemptOutcome> {
+    let probed = probe_incarnation(instance, conn, &choice.addr).await;
+    probed.map_err(|err| {
+        let detail = format!("{} did not answer before the call: {err}", choice.server);
+        AttemptOutcome::not_run(NotRunReason::NoServer, detail)
+    })
+}
+
 /// Checks the deadline, the configuration and the server's state immediately before the send.
 fn check_before_send(
     instance: &Instance,
@@ -141,7 +155,7 @@
 }
 
 /// Reports a failed connection to the quarantine and to the router.
-fn record_refused_connection(instance: &Instance, server: &ServerId) {
+fn record_failed_connection(instance: &Instance, server: &ServerId, err: &ClientError) {
     let now = instance.clock.now();
     let feedback = AttemptReport {
         result: AttemptResult::Refused,
@@ -149,7 +163,7 @@
     };
     instance
         .quarantine
-        .record_connection_refused(instance, server);
+        .record_no_connection(instance, server, err);
     let mut router = instance.tables.router();
     router.record_start(server, now);
     router.record_end(server, &feedback, now);
--- a/crates/sardineshore-fakes/src/server.rs
+++ b/crates/sardineshore-fakes/src/server.rs
@@ -24,6 +24,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use async_std::task;
 use async_trait::async_trait;
 use http_types::{Method, Request, Response, StatusCode};
 use sardineshore_core::Clock;
@@ -99,7 +100,11 @@
     }
 
     fn load_report(&self) -> LoadReport {
-        let leaving = self.faults().leaving;
+        let faults = self.faults().clone();
+        let version = match &*faults.reported_version {
+            "" => self.settings.version.clone(),
+            _ => faults.reported_version,
+        };
         let current = self.slots.occupancy();
         let mut load = self.load.lock().expect("load lock poisoned");
         let (sample, age) = load.report(current, self.clock.now());
@@ -110,11 +115,18 @@
             queued: count(sample.queued),
             capacity: count(self.settings.capacity),
             age_ms: millis(age),
-            leaving,
+            leaving: faults.leaving,
+            version,
             ..LoadReport::default()
         }
     }
 
+    async fn load(&self) -> Response {
+        let late = self.faults().late_load_ms;
+        task::sleep(Duration::from_millis(late)).await;
+        http::json(&self.load_report())
+    }
+
     async fn cancel(&self, mut req: Request) -> Response {
         match http::parse::<CancelRequest>(&mut req).await {
             Ok(cancel) if self.cancel_registry.cancel(&cancel) => http::empty(StatusCode::Ok),
@@ -183,7 +195,7 @@
         match (method, path.as_str()) {
             (Method::Post, "/v1/run") => self.run(req).await,
             (Method::Post, "/v1/cancel") => self.cancel(req).await.into(),
-            (Method::Get, "/v1/load") => http::json(&self.load_report()).into(),
+            (Method::Get, "/v1/load") => self.load().await.into(),
             (Method::Post, "/v1/faults") => self.replace_faults(req).await.into(),
             (Method::Post, "/v1/orders") => self.order(req).await.into(),
             (Method::Get, "/v1/orders" | "/v1/cache-events") => {
--- a/crates/sardineshore-fakes/src/server/faults.rs
+++ b/crates/sardineshore-fakes/src/server/faults.rs
@@ -1,5 +1,7 @@
 //! Faults that can be injected into a fake backend server.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 /// The active faults; the default injects none.
@@ -21,8 +23,14 @@
     pub repeat_answer: f64,
     /// Delay between the end of a run and its response, in milliseconds.
     pub late_answer_ms: u64,
+    /// Delay of the replies to load queries, in milliseconds.
+    pub late_load_ms: u64,
+    /// Time for which a stream stops halfway before it goes on, in milliseconds.
+    pub stream_pause_ms: u64,
     /// Probability that an attempt gets an error response after it ran.
     pub fail: f64,
+    /// Software version that load reports show instead of the server's own; empty for its own.
+    pub reported_version: Arc<str>,
     /// Whether load reports say that the server shuts down.
     pub leaving: bool,
     /// Pause that refusals ask for, in milliseconds; 0 asks for none.
@@ -39,7 +47,10 @@
             truncate: 0.0,
             repeat_answer: 0.0,
             late_answer_ms: 0,
+            late_load_ms: 0,
+            stream_pause_ms: 0,
             fail: 0.0,
+            reported_version: "".into(),
             leaving: false,
             pause_ms: 0,
         }
