fix(selection): streams aren't refused because all servers pause

Callers with new streams got 503 for half a second while every server of the pool that could run them was silent in a stream, as all servers of a version may be for a second.

Cause: silence was noted as a back-off, and servers in back-off don't count as usable. Found by reading, after the same was found for broken attempts.

Change: silence has a time of its own. Others are preferred in it, but the server stays usable.

Evidence: the new test failed before (2 usable servers, 3 listed), and passes.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -530,7 +530,7 @@
     #[must_use]
     pub fn usable_servers(&self, request: &SelectionRequest, now: Instant) -> usize {
         self.untried_servers(request).map_or(0, |servers| {
-            servers.filter(|s| s.health.accepts_work(now, 0)).count()
+            servers.filter(|s| s.health.is_usable(now)).count()
         })
     }
 
--- a/crates/sardineshore-core/src/flow/selection/health.rs
+++ b/crates/sardineshore-core/src/flow/selection/health.rs
@@ -31,6 +31,8 @@
     /// Broken attempts since the last answered one, without those that broke during a back-off.
     broken_attempts: u32,
     backoff_until: Option<Instant>,
+    /// Until when other servers are preferred, as this one is silent in the middle of a response.
+    silent_until: Option<Instant>,
     /// Moving average of outcomes, from 0 (all answered) to 1 (all failed or broken), and when the
     /// latest one was recorded.
     error_rate: f64,
@@ -43,10 +45,16 @@
     /// Whether the server may get new work: not during a back-off, and after a broken attempt only
     /// one attempt at a time.
     pub fn accepts_work(&self, now: Instant, in_flight: u32) -> bool {
-        self.backoff_until.is_none_or(|until| now >= until)
+        self.is_usable(now)
+            && self.silent_until.is_none_or(|until| now >= until)
             && (self.broken_attempts == 0 || in_flight == 0)
     }
 
+    /// Whether the server may get new work if there is no better one: a silent one may only pause.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.backoff_until.is_none_or(|until| now >= until)
+    }
+
     /// Whether a broken attempt keeps new work away now.
     fn is_backing_off(&self, now: Instant) -> bool {
         self.broken_attempts > 0 && self.backoff_until.is_some_and(|until| now < until)
@@ -74,7 +82,7 @@
     /// Records that a server is silent in the middle of a response. It may only pause, so it gets no
     /// work for a while but doesn't count as broken.
     pub fn record_silence(&mut self, now: Instant) {
-        self.backoff_until = self.backoff_until.max(Some(now + INITIAL_BACKOFF));
+        self.silent_until = Some(now + INITIAL_BACKOFF);
     }
 
     /// Records the outcome of an attempt.
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -292,6 +292,24 @@
     assert_eq!(later.id, silent.id);
 }
 
+/// Guards against refusals while all servers of a pool, or of a version, pause.
+#[test]
+fn usable_servers_silent_ones_count_but_others_are_preferred() {
+    let now = Instant::now();
+    let mut selector = selector(3);
+    let silent = selector.select(&request_for("s"), now).unwrap();
+    selector.record_silence(&silent.id, now);
+    assert_ne!(
+        selector.select(&request_for("s"), now).unwrap().id,
+        silent.id
+    );
+    assert_eq!(selector.usable_servers(&request_for("s"), now), 3);
+    let mut only = request_for("s");
+    only.tried = selector.servers().map(|s| s.id.clone()).collect();
+    only.tried.retain(|id| *id != silent.id);
+    assert_eq!(selector.select(&only, now).unwrap().id, silent.id);
+}
+
 #[test]
 fn usable_servers_back_off_grows_while_trials_break() {
     let mut now = Instant::now();
