fix(watcher): what others wrote doesn't decide how long a log line is

What operators saw: nothing yet; found on the search for odd entries of another writer. The line about an entry that can't be decoded quotes the odd text, up to the 64 KiB of a row, each time that the entry changes. The queue of lines holds 2048 of them, so it could take more memory than a process may.

--- a/crates/sardineshore-serve/src/watcher/tables.rs
+++ b/crates/sardineshore-serve/src/watcher/tables.rs
@@ -9,6 +9,7 @@
 
 use super::{PageError, StoreWatcher};
 use crate::dialect::{StoreRow, Table};
+use crate::logging::shorten;
 use crate::state::whole_ms;
 
 impl StoreWatcher {
@@ -139,7 +140,7 @@
             Some(value) => match self.dialect.decode_server(&row.key, value) {
                 Ok(server) => RegistryEntry::Server(server),
                 Err(error) => {
-                    warn!(self.log, "can't decode server entry; the server gets no requests"; "server" => &*row.key, "fault" => format!("{error:#}"));
+                    warn!(self.log, "can't decode server entry; the server gets no requests"; "server" => &*row.key, "fault" => shorten(format!("{error:#}")));
                     RegistryEntry::Unreadable
                 }
             },
