fix(entry): one odd entry of the instance list no longer hides the others

What operators saw: with a single entry in the instance list that is not one of ours (a field missing or of another type, a number out of range, deep nesting), instances stopped following the list: no new member, no lost one, and no notice of leaving servers, until somebody removed the entry. An entry with a port out of range, or with port 0, became a member that nobody can reach and that counts in majorities.

Cause: the list was decoded as a whole, and the address was taken as any text.

Now each entry is decoded by itself. One that names no process, or has no address that can be connected to, is left out; event 3022 list-entry-unfit tells of it when their number grows.

Ruled out: an end of the process. Backend servers' addresses come from the configuration, which accepts only IP:PORT, and the clients of peers return an error for an address that forms no URL.

Two tests get the list in its new type, with the same assertions.

--- a/crates/sardineshore-core/src/event/config.rs
+++ b/crates/sardineshore-core/src/event/config.rs
@@ -94,6 +94,14 @@
     action: "None.",
 };
 
+/// The instance list has more entries than before that name no process.
+pub const LIST_ENTRY_UNFIT: EventKind = EventKind {
+    number: 3022,
+    name: "list-entry-unfit",
+    meaning: "Entries of the instance list can't be decoded or have no address; they are ignored.",
+    action: "Find out who wrote them.",
+};
+
 /// All events of this module.
 pub const ALL: &[EventKind] = &[
     VERSION_ADOPTED,
@@ -107,4 +115,5 @@
     ENTRY_UNFIT,
     MEMBERS_CHANGED,
     LEAVING_CHANGED,
+    LIST_ENTRY_UNFIT,
 ];
--- a/crates/sardineshore-entry/src/config.rs
+++ b/crates/sardineshore-entry/src/config.rs
@@ -152,6 +152,8 @@
     pub leaving: LeavingServers,
     /// Time at which each peer last confirmed its version with the store, as it reported.
     pub peer_confirmed: BTreeMap<InstanceId, Instant>,
+    /// Number of entries of the instance list that name no process.
+    unreadable_listed: usize,
     /// A version accepted here that was not yet replicated to the instances beyond the majority.
     accepted_version: Option<Version>,
     pub(crate) phase: InstancePhase,
@@ -185,6 +187,7 @@
             membership: Membership::new(name.clone()),
             leaving: LeavingServers::default(),
             peer_confirmed: BTreeMap::new(),
+            unreadable_listed: 0,
             accepted_version: None,
             phase: InstancePhase::Running,
             fenced: true,
--- a/crates/sardineshore-entry/src/config/polling.rs
+++ b/crates/sardineshore-entry/src/config/polling.rs
@@ -36,12 +36,18 @@
         let listed = self.dependencies.list.list().await?;
         let now = self.now();
         let (entries, servers): (Vec<_>, Vec<_>) = listed
+            .processes
             .into_iter()
             .partition(|listed| listed.role == ProcessRole::Entry);
         let members: Vec<Member> = entries.into_iter().map(member).collect();
         let servers: Vec<ListedServer> = servers.into_iter().map(listed_server).collect();
         let names: Vec<_> = members.iter().map(|member| member.name.clone()).collect();
         let mut state = self.state();
+        let unreadable_before = std::mem::replace(&mut state.unreadable_listed, listed.unreadable);
+        if listed.unreadable > unreadable_before {
+            let text = format!("{} entries", listed.unreadable);
+            self.event_log.warn(&events::LIST_ENTRY_UNFIT, text);
+        }
         state.quorum.update_members(&names, started, now);
         if state.membership.update_members(members) {
             let text = format!("{} members", names.len());
--- a/crates/sardineshore-entry/tests/configuration/fleet.rs
+++ b/crates/sardineshore-entry/tests/configuration/fleet.rs
@@ -14,7 +14,9 @@
 };
 use sardineshore_entry::peers::{PeerError, PeerLink};
 use sardineshore_wire::peer::{GossipMessage, LogReply};
-use sardineshore_wire::platform::{InstanceList, ListedProcess, ObjectStore, ProcessRole, Table};
+use sardineshore_wire::platform::{
+    InstanceList, ListedProcess, Listing, ObjectStore, ProcessRole, Table,
+};
 
 /// State and faults of the platform.
 #[derive(Debug, Default)]
@@ -151,13 +153,16 @@
 
 #[async_trait]
 impl InstanceList for SimulatedNode {
-    async fn list(&self) -> Result<Vec<ListedProcess>, StoreError> {
+    async fn list(&self) -> Result<Listing, StoreError> {
         if self.simulation.is_disconnected(&self.me) {
             return Err(StoreError::Unavailable);
         }
         let mut store = self.simulation.store();
         *store.calls.entry("list").or_default() += 1;
-        Ok(store.listed.clone())
+        Ok(Listing {
+            processes: store.listed.clone(),
+            unreadable: 0,
+        })
     }
 }
 
--- a/crates/sardineshore-fakes/tests/platform.rs
+++ b/crates/sardineshore-fakes/tests/platform.rs
@@ -9,7 +9,7 @@
 use sardineshore_fakes::platform::faults::{LateWrite, Outage, PlatformFaults};
 use sardineshore_fakes::platform::{Platform, PlatformSettings};
 use sardineshore_fakes::serve::serve;
-use sardineshore_wire::platform::{InstanceList, ObjectStore, PlatformClient, Table};
+use sardineshore_wire::platform::{InstanceList, Listing, ObjectStore, PlatformClient, Table};
 
 /// Longer than any test, so that a lost response shows as a closed connection, not as a timeout.
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -124,7 +124,7 @@
         "leaving": true}]"#;
     let list = serde_json::from_str(text).unwrap();
     fixture.platform.replace_instances(list);
-    assert_eq!(fixture.client.list().await, Ok(Vec::new()));
+    assert_eq!(fixture.client.list().await, Ok(Listing::default()));
     fixture.clock.advance(Duration::from_secs(1));
-    assert!(fixture.client.list().await.unwrap()[0].leaving);
+    assert!(fixture.client.list().await.unwrap().processes[0].leaving);
 }
--- a/crates/sardineshore-wire/src/platform.rs
+++ b/crates/sardineshore-wire/src/platform.rs
@@ -6,12 +6,13 @@
 //! * `GET /v1/rows?prefix=P&after=K&limit=N`: rows in key order, after `K` if given;
 //! * `GET /v1/row?key=K`: the row, or 404;
 //! * `PUT /v1/objects/NAME`, `GET /v1/objects/NAME`: whole objects;
-//! * `GET /v1/instances`: a list of [`ListedProcess`].
+//! * `GET /v1/instances`: a list of [`ListedProcess`]; others may have left odd entries in it.
 //!
 //! Status 429 means that the request is over the rate limit, 503 that it was rejected; both have
 //! no effect. After any other 5xx status the effect is not known.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use http_types::{Method, Request, Url};
 use sardineshore_core::{CommitOutcome, DomainId, Row, StoreError, Txn};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::http::{Client, ClientError};
 
@@ -49,7 +51,16 @@
 #[async_trait]
 pub trait InstanceList: fmt::Debug + Send + Sync {
     /// Reads the whole list.
-    async fn list(&self) -> Result<Vec<ListedProcess>, StoreError>;
+    async fn list(&self) -> Result<Listing, StoreError>;
+}
+
+/// What was read of the instance list.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The listed processes.
+    pub processes: Vec<ListedProcess>,
+    /// Number of entries that name no process.
+    pub unreadable: usize,
 }
 
 /// One process in the instance list.
@@ -186,10 +197,27 @@
 
 #[async_trait]
 impl InstanceList for PlatformClient {
-    async fn list(&self) -> Result<Vec<ListedProcess>, StoreError> {
-        Ok(self
-            .get_json(self.url("/v1/instances"))
-            .await?
-            .unwrap_or_default())
+    async fn list(&self) -> Result<Listing, StoreError> {
+        let entries: Option<Vec<Box<RawValue>>> = self.get_json(self.url("/v1/instances")).await?;
+        let entries = entries.unwrap_or_default();
+        let processes: Vec<_> = entries.iter().filter_map(|e| decode_listed(e)).collect();
+        Ok(Listing {
+            unreadable: entries.len() - processes.len(),
+            processes,
+        })
     }
 }
+
+/// Decodes one entry of the instance list; `None` if it names no process. An odd entry must not hide
+/// the others, and a member that nobody can reach must not count in a majority.
+fn decode_listed(entry: &RawValue) -> Option<ListedProcess> {
+    // Serde would decode an array too.
+    let entry = entry.get();
+    let listed: ListedProcess = serde_json::from_str(entry).ok()?;
+    let addr: SocketAddr = listed.addr.parse().ok()?;
+    let is_sound = entry.starts_with('{')
+        && addr.port() != 0
+        && !addr.ip().is_unspecified()
+        && !addr.ip().is_multicast();
+    is_sound.then_some(listed)
+}
