fix(shutdown): requests that outlast a planned stop are refused or answered, not cut

What callers saw: in a planned stop, requests without a stream were taken until seven tenths of the grace period and passed on, whatever time they had. Those that a server had not answered at 0.92 of it were cut: the connection closed without an answer, also for requests that may not be repeated. Requests accepted before the stop, and bodies still on their way, ended in the same way.

Cause: the phases of the shutdown looked at the time since its beginning only, not at the longest time that a request may take; and the process ended with requests in progress, which nobody answered.

Now a request without a stream is refused at once (503, Connection: close, not run) if its deadline, the shorter one of the caller's and the route's, lies after 0.88 of the grace period. At that time every request without a byte of response gets its final answer: 503 if it was never sent to a server, 502 if it may have run. A request whose body is still arriving counts as active, and gets 503 then. The time up to 0.92 is left to write these answers. Streams are refused early in the stop as before, and one that has begun goes on until the process ends. The process ends as soon as no request is left, as before.

instance::serve_until takes what begins the shutdown, so that a test can do so without a signal that would reach all instances of the test process.

--- a/crates/sardineshore-serve/src/caller.rs
+++ b/crates/sardineshore-serve/src/caller.rs
@@ -15,7 +15,7 @@
 
 use crate::http1::{BodyDecoder, Decoded, MessageError, RequestHead, parse_request};
 use crate::reply::ErrorResponse;
-use crate::request::{IncomingRequest, RequestHandler};
+use crate::request::{IncomingRequest, RETRY_AFTER_UNREADY, RequestHandler, STOPPING};
 
 /// Maximum number of bytes that are read ahead while a request is being handled.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
@@ -145,6 +145,8 @@
     is_reused: bool,
 ) -> Result<IncomingRequest, ReadError> {
     let (head, arrived_at) = read_head(rd, buf, limits, handler, is_reused).await?;
+    let shutdown = handler.shutdown();
+    let _active = shutdown.track_request();
     let framing = head
         .framing()
         .map_err(|_| ReadError::Rejected(ErrorResponse::Malformed))?;
@@ -152,7 +154,14 @@
         let written = wr.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         written.map_err(|_| ReadError::Closed)?;
     }
-    let body = read_body(rd, buf, BodyDecoder::new(framing), limits.max_body_bytes).await?;
+    let body = tokio::select! {
+        biased;
+        body = read_body(rd, buf, BodyDecoder::new(framing), limits.max_body_bytes) => body?,
+        () = shutdown.wait_final_responses() => {
+            let refused = ErrorResponse::NotRun(RETRY_AFTER_UNREADY, STOPPING);
+            return Err(ReadError::Rejected(refused));
+        }
+    };
     Ok(IncomingRequest {
         head,
         body,
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -143,6 +143,21 @@
     settings: Settings,
     dialect: Rc<dyn Dialect>,
     log: Logger,
+) -> anyhow::Result<()> {
+    let terminated = wait_for_termination(log.clone())?;
+    serve_until(settings, dialect, log, terminated).await
+}
+
+/// Runs an instance like [`serve`], but shuts it down when `stopped` completes.
+///
+/// # Errors
+///
+/// Fails if a metric can't be registered or the instance can't listen for callers.
+pub async fn serve_until(
+    settings: Settings,
+    dialect: Rc<dyn Dialect>,
+    log: Logger,
+    stopped: impl Future<Output = ()>,
 ) -> anyhow::Result<()> {
     let components = build_components(&settings, &dialect, &log)?;
     info!(log, "start"; "domain" => &*settings.domain, "version" => env!("CARGO_PKG_VERSION"));
@@ -175,26 +190,27 @@
         }
     });
     tokio::task::spawn_local(caller::accept(listener, components.handler.clone()));
-    wait_for_termination(&components, &log).await?;
+    stopped.await;
+    info!(log, "stopping");
+    components.shutdown.begin();
+    components.cells.close();
     components.shutdown.wait_drained().await;
     info!(log, "stopped"; "store_calls" => components.store.call_count());
     Ok(())
 }
 
-/// Waits for SIGTERM, then begins the shutdown.
-async fn wait_for_termination(components: &Components, log: &Logger) -> anyhow::Result<()> {
+/// Waits for SIGTERM.
+fn wait_for_termination(log: Logger) -> std::io::Result<impl Future<Output = ()>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => info!(log, "ignoring SIGHUP; settings are read at the start only"),
+    Ok(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = hangup.recv() => info!(log, "ignoring SIGHUP; settings are read at the start only"),
+            }
         }
-    }
-    info!(log, "stopping");
-    components.shutdown.begin();
-    components.cells.close();
-    Ok(())
+    })
 }
 
 /// Starts the tasks that watch the store.
--- a/crates/sardineshore-serve/src/reply.rs
+++ b/crates/sardineshore-serve/src/reply.rs
@@ -1,6 +1,10 @@
 //! Responses to callers: error responses of this instance, and heads and chunks of forwarded
 //! responses.
 
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use tokio::io::{AsyncWrite, AsyncWriteExt};
@@ -127,7 +131,7 @@
     wr: &mut W,
     pending: &mut Vec<u8>,
     data: &[u8],
-) -> std::io::Result<()> {
+) -> io::Result<()> {
     pending.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
     pending.extend_from_slice(data);
     pending.extend_from_slice(b"\r\n");
@@ -135,3 +139,39 @@
     pending.clear();
     written
 }
+
+/// A writer that records whether anything was written.
+#[derive(Debug)]
+pub struct ObservedWriter<'a, W> {
+    inner: &'a mut W,
+    has_written: &'a Cell<bool>,
+}
+
+impl<'a, W> ObservedWriter<'a, W> {
+    /// Sets `has_written` as soon as bytes were written to `inner`.
+    pub fn new(inner: &'a mut W, has_written: &'a Cell<bool>) -> Self {
+        Self { inner, has_written }
+    }
+}
+
+impl<W: AsyncWrite + Unpin> AsyncWrite for ObservedWriter<'_, W> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut *self.inner).poll_write(cx, buf);
+        if matches!(polled, Poll::Ready(Ok(count)) if count > 0) {
+            self.has_written.set(true);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.inner).poll_shutdown(cx)
+    }
+}
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -7,6 +7,7 @@
 mod plain;
 mod streaming;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -21,18 +22,20 @@
 use crate::dialect::Dialect;
 use crate::http1::RequestHead;
 use crate::metrics::Metrics;
-use crate::reply::ErrorResponse;
+use crate::reply::{ErrorResponse, ObservedWriter};
 use crate::shutdown::{Phase, Shutdown};
 use crate::stages::StageClient;
 use crate::state::{SharedState, elapsed_ms, whole_ms};
 
 /// `Retry-After` while this instance shuts down or has no confirmed configuration; another
 /// instance may be able to serve the request at once.
-const RETRY_AFTER_UNREADY: Duration = Duration::from_millis(250);
+pub const RETRY_AFTER_UNREADY: Duration = Duration::from_millis(250);
 /// `Retry-After` when servers rejected the request because they are full, or when the instance
 /// can't take or repeat it at the moment.
 const RETRY_AFTER_REJECTED: Duration = Duration::from_millis(200);
 
+/// Why a request is refused or given up when this instance shuts down.
+pub const STOPPING: &str = "instance stops";
 /// Why a request is refused whose like have crashed servers.
 const QUARANTINED: &str = "quarantined";
 
@@ -159,11 +162,8 @@
                 let admitted = self.admitted_request(incoming, id.unwrap_or_default(), &matched);
                 let outcome = if let Some(refused) = self.refuse_quarantined(&admitted, None) {
                     refused
-                } else if matched.route.kind.is_streaming() {
-                    self.handle_stream(&admitted, wr, keep_alive, &mut stats)
-                        .await
                 } else {
-                    self.handle_plain(&admitted, wr, keep_alive, &mut stats)
+                    self.handle_admitted(&admitted, wr, keep_alive, &mut stats)
                         .await
                 };
                 (matched.route.name.clone(), outcome)
@@ -183,6 +183,48 @@
         }
     }
 
+    /// Handles an admitted request until its outcome is decided, or until the process is about to end.
+    async fn handle_admitted<W: AsyncWrite + Unpin>(
+        &self,
+        request: &AdmittedRequest<'_>,
+        wr: &mut W,
+        keep_alive: bool,
+        stats: &mut RequestStats,
+    ) -> Outcome {
+        let is_streaming = request.route.kind.is_streaming();
+        if !is_streaming && !self.shutdown.leaves_time_for(request.time_to_deadline()) {
+            return not_run(request, RETRY_AFTER_UNREADY, STOPPING);
+        }
+        let has_written = Cell::new(false);
+        let wr = &mut ObservedWriter::new(wr, &has_written);
+        let ended = {
+            let handled = async {
+                if is_streaming {
+                    self.handle_stream(request, wr, keep_alive, stats).await
+                } else {
+                    self.handle_plain(request, wr, keep_alive, stats).await
+                }
+            };
+            let process_ends = async {
+                self.shutdown.wait_final_responses().await;
+                if has_written.get() {
+                    // The response goes on for as long as the process does.
+                    std::future::pending::<()>().await;
+                }
+            };
+            tokio::select! {
+                biased;
+                outcome = handled => Some(outcome),
+                () = process_ends => None,
+            }
+        };
+        match ended {
+            Some(outcome) => outcome,
+            None if stats.attempts == 0 => not_run(request, RETRY_AFTER_UNREADY, STOPPING),
+            None => Outcome::Failed(ErrorResponse::OutcomeUnknown(STOPPING)),
+        }
+    }
+
     /// Counts the request in the metrics and writes its log line.
     fn record_outcome(
         &self,
@@ -257,7 +299,7 @@
     /// can't be handled.
     fn admit(&self, incoming: &IncomingRequest) -> Result<RouteMatch, ErrorResponse> {
         if self.shutdown.phase() == Some(Phase::RefuseAll) {
-            return Err(ErrorResponse::NotRun(RETRY_AFTER_UNREADY, "instance stops"));
+            return Err(ErrorResponse::NotRun(RETRY_AFTER_UNREADY, STOPPING));
         }
         let headers = &incoming.head.headers;
         let Some(config) = self.state.config() else {
--- a/crates/sardineshore-serve/src/shutdown.rs
+++ b/crates/sardineshore-serve/src/shutdown.rs
@@ -2,7 +2,8 @@
 //!
 //! Readiness fails as soon as the shutdown begins. The instance goes on accepting requests until
 //! the balancer has noticed, then only short ones, then none, and ends when the last request has
-//! ended or the grace period is nearly over.
+//! ended or the grace period is nearly over. A request that might not end before is refused at once,
+//! and one that has no response shortly before the end gets an error response.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -14,6 +15,9 @@
 /// Fraction of the grace period after which the process ends even if requests still run.
 const DRAIN_FRACTION: f64 = 0.92;
 
+/// Fraction of the grace period after which requests without a response get an error response. The
+/// rest, up to [`DRAIN_FRACTION`], is left to write it.
+const FINAL_RESPONSE_FRACTION: f64 = 0.88;
 /// Fraction of the grace period after which every new request is refused, as it might not end
 /// in time.
 const REFUSE_FRACTION: f64 = 0.7;
@@ -41,6 +45,13 @@
     }
 }
 
+/// Whether a request that may take `longest` from now on is sure to end in time, in a shutdown that
+/// began `elapsed` ago and may take `grace`.
+#[must_use]
+pub fn ends_in_time(elapsed: Duration, grace: Duration, longest: Duration) -> bool {
+    elapsed.saturating_add(longest) <= grace.mul_f64(FINAL_RESPONSE_FRACTION)
+}
+
 /// Progress of the shutdown and the number of requests in progress.
 #[derive(Debug, Default)]
 pub struct Shutdown {
@@ -81,6 +92,13 @@
             .map(|at| phase(at.elapsed(), self.grace))
     }
 
+    /// Whether a request that may take `longest` from now on is sure to end before the process does.
+    #[must_use]
+    pub fn leaves_time_for(&self, longest: Duration) -> bool {
+        let began = self.started_at.get();
+        began.is_none_or(|at| ends_in_time(at.elapsed(), self.grace, longest))
+    }
+
     /// Begins the shutdown; a second call has no effect.
     pub fn begin(&self) {
         if self.started_at.get().is_none() {
@@ -124,10 +142,20 @@
 
     /// Waits for [`Phase::RefuseAll`]: requests not yet sent to a server are refused then.
     pub async fn wait_refuse_all(&self) {
+        self.wait_fraction(REFUSE_FRACTION).await;
+    }
+
+    /// Waits until requests without a response get an error response, as the process ends soon.
+    pub async fn wait_final_responses(&self) {
+        self.wait_fraction(FINAL_RESPONSE_FRACTION).await;
+    }
+
+    /// Waits until this fraction of the grace period has passed.
+    async fn wait_fraction(&self, fraction: f64) {
         self.wait_begun().await;
         let began = self.started_at.get().unwrap_or_else(Instant::now);
-        let refuse_after = self.grace.mul_f64(REFUSE_FRACTION);
-        tokio::time::sleep(refuse_after.saturating_sub(began.elapsed())).await;
+        let end = self.grace.mul_f64(fraction);
+        tokio::time::sleep(end.saturating_sub(began.elapsed())).await;
     }
 
     /// Waits until the last request has ended or the grace period is nearly over.
--- a/crates/sardineshore-serve/tests/shutdown.rs
+++ b/crates/sardineshore-serve/tests/shutdown.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sardineshore_serve::shutdown::{Phase, Shutdown, phase};
+use sardineshore_serve::shutdown::{Phase, Shutdown, ends_in_time, phase};
 
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -16,6 +16,23 @@
     assert_eq!(at(7350), Phase::RefuseAll);
 }
 
+/// Guards against requests that are accepted late in the grace period and cut at its end.
+#[test]
+fn ends_in_time_counts_longest_time_of_request() {
+    let at = |elapsed, longest| {
+        let (elapsed, longest) = (
+            Duration::from_millis(elapsed),
+            Duration::from_millis(longest),
+        );
+        ends_in_time(elapsed, GRACE, longest)
+    };
+    assert!(at(0, 7000) && !at(0, 7100));
+    assert!(at(5500, 1500) && !at(5500, 1600));
+    assert!(!at(7100, 0));
+    assert!(!ends_in_time(Duration::ZERO, GRACE, Duration::MAX));
+    assert!(Shutdown::new(GRACE).leaves_time_for(Duration::MAX));
+}
+
 #[test]
 fn wait_refuse_all_returns_within_grace() {
     let runtime = tokio::runtime::Builder::new_current_thread()
