fix(entry): requests that outlast a planned stop are refused or answered, not cut

What callers saw: with a stop limit below the longest deadline, requests that arrived while the instance stopped were taken and passed on, and cut without a reply at the limit, also those of pipelines that may not be repeated. So were requests that it had taken before.

Cause: a request's deadline wasn't compared with the end of the stop, and the process ended with requests in flight that nobody answered.

Now a request whose deadline lies after the stop delay and limit is refused at once: not-run, reason stopping, connection: close. When the limit has passed, the requests in flight get their final reply: not-run while they wait for admission, unknown (502) once they may have been sent. A claimed request ends through its claim, so that others learn of it; if the claim isn't settled within 0.5 s, the caller is told unknown.

Ruled out: the default settings. The stop limit of 60 s is also the longest deadline that a caller may ask for, so nothing is cut there; refused are only requests with that deadline that come on a kept connection after the stop delay.

A claim that its server hasn't settled still counts as in flight when the process ends, as before.

--- a/crates/sardineshore-entry/src/listener.rs
+++ b/crates/sardineshore-entry/src/listener.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' connections, serves their requests and sends the replies.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -245,6 +246,10 @@
         arrived: caller_request.arrived,
         deadline: effective_deadline(caller_request, pipeline),
     };
+    if !instance.shutdown.leaves_time_until(job.deadline) {
+        let detail = "the request might not end before the instance does";
+        return Err(Rejection::new(NotRunReason::Stopping, detail));
+    }
     let text = format!("customer {} pipeline {}", job.customer, job.pipeline.name);
     instance
         .event_log
@@ -307,13 +312,41 @@
     }
 }
 
-/// Passes a request through admission control, runs it and records its outcome.
+/// Runs a request, or gives it up when the process is about to end, and records its outcome.
 async fn run(instance: Arc<Instance>, job: Job, sink: Option<TokenSink>) -> RequestOutcome {
-    let finished = match admission::admit(&instance, &job).await {
+    let is_admitted = AtomicBool::new(false);
+    let finished = {
+        let work = admit_and_run(&instance, &job, sink, &is_admitted).fuse();
+        let process_ends = instance.shutdown.wait_for_final_replies().fuse();
+        futures::pin_mut!(work, process_ends);
+        futures::select_biased! {
+            finished = work => finished,
+            () = process_ends => match (is_admitted.load(Ordering::Relaxed), job.key) {
+                (false, _) => RequestOutcome::not_run(NotRunReason::Stopping, runner::STOPPING),
+                (true, None) => runner::given_up(),
+                // The runner ends it, so that its claim is settled.
+                (true, Some(_)) => work.await,
+            },
+        }
+    };
+    record_outcome(&instance, &job, &finished);
+    finished
+}
+
+/// Passes a request through admission control and runs it. Sets `is_admitted` before it may be sent to
+/// a backend server.
+async fn admit_and_run(
+    instance: &Arc<Instance>,
+    job: &Job,
+    sink: Option<TokenSink>,
+    is_admitted: &AtomicBool,
+) -> RequestOutcome {
+    match admission::admit(instance, job).await {
         Ok(permit) => {
-            let finished = runner::run(&instance, &job, sink).await;
+            is_admitted.store(true, Ordering::Relaxed);
+            let finished = runner::run(instance, job, sink).await;
             let in_time = !job.remaining(instance.clock.now()).is_zero();
-            let service = admission::expected_service_time(&instance, &job);
+            let service = admission::expected_service_time(instance, job);
             permit.finish(
                 in_time && matches!(finished, RequestOutcome::Answered(_)),
                 service,
@@ -321,9 +354,7 @@
             finished
         }
         Err(reason) => RequestOutcome::not_run(reason, "refused at admission"),
-    };
-    record_outcome(&instance, &job, &finished);
-    finished
+    }
 }
 
 fn record_outcome(instance: &Instance, job: &Job, finished: &RequestOutcome) {
--- a/crates/sardineshore-entry/src/program.rs
+++ b/crates/sardineshore-entry/src/program.rs
@@ -47,10 +47,7 @@
     task::sleep(instance.settings.stop_delay).await;
     accept_task.cancel().await;
     instance.shutdown.close_idle();
-    let left = instance
-        .shutdown
-        .wait_until_drained(instance.settings.stop_limit)
-        .await;
+    let left = instance.shutdown.drain(instance.settings.stop_limit).await;
     expiry_task.cancel().await;
     polling_task.cancel().await;
     assembly.stop(running).await;
@@ -65,6 +62,13 @@
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signal handler")?;
     signals.next().await;
     instance.shutdown.begin();
+    let Settings {
+        stop_delay,
+        stop_limit,
+        ..
+    } = instance.settings;
+    let now = instance.clock.now();
+    instance.shutdown.set_limits(stop_delay, stop_limit, now);
     instance
         .event_log
         .info(&events::STOPPING, "signal received");
--- a/crates/sardineshore-entry/src/runner.rs
+++ b/crates/sardineshore-entry/src/runner.rs
@@ -26,6 +26,17 @@
 /// request waits for servers to recover.
 const MAX_SATURATED_WAIT: Duration = Duration::from_millis(50);
 
+/// Why a request is given up shortly before the process ends.
+pub const STOPPING: &str = "the instance ends";
+/// Longest wait for the outcome of a claim then.
+const FINAL_OUTCOME_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Outcome of a request that is given up shortly before the process ends, and may have run.
+#[must_use]
+pub fn given_up() -> RequestOutcome {
+    RequestOutcome::unknown(UnknownReason::ConnectionLost, STOPPING)
+}
+
 /// Runs a request until it has an outcome; tokens of a streamed answer are sent to `sink`.
 pub async fn run(instance: &Arc<Instance>, job: &Job, sink: Option<TokenSink>) -> RequestOutcome {
     match job.key {
@@ -46,10 +57,20 @@
     let finished = {
         let stages = Box::pin(run_stages(instance, job, sink, Some(&claim)));
         let outcome = Box::pin(claim.wait_for_outcome());
-        match select(stages, outcome).await {
-            Either::Left((finished, _)) | Either::Right((finished, _)) => finished,
+        let process_ends = Box::pin(instance.shutdown.wait_for_final_replies());
+        match select(select(stages, outcome), process_ends).await {
+            Either::Left((Either::Left((finished, _)) | Either::Right((finished, _)), _)) => {
+                Some(finished)
+            }
+            Either::Right(_) => None,
         }
     };
+    let Some(finished) = finished else {
+        claim.report_run(&given_up());
+        let outcome = claim.wait_for_outcome();
+        let told = async_std::future::timeout(FINAL_OUTCOME_TIMEOUT, outcome).await;
+        return told.unwrap_or_else(|_| given_up());
+    };
     claim.report_run(&finished);
     claim.wait_for_outcome().await
 }
--- a/crates/sardineshore-entry/src/shutdown.rs
+++ b/crates/sardineshore-entry/src/shutdown.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown: tracks readiness, open connections and requests in flight.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use async_std::channel::{Receiver, Sender, bounded};
@@ -9,6 +9,9 @@
 /// Time between two checks whether all requests have finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest time to send the final replies of requests that a stop no longer waits for.
+const FINAL_REPLY_TIME: Duration = Duration::from_secs(1);
+
 /// State of a graceful shutdown.
 #[derive(Debug)]
 pub struct Shutdown {
@@ -16,6 +19,10 @@
     stopping: AtomicBool,
     /// Channel that is closed when idle connections must close.
     idle_close: (Sender<()>, Receiver<()>),
+    /// When requests in flight get a final reply; set when the shutdown starts.
+    end: OnceLock<Instant>,
+    /// Channel that is closed then.
+    final_replies: (Sender<()>, Receiver<()>),
     in_flight: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
 }
@@ -50,6 +57,8 @@
             ready: AtomicBool::default(),
             stopping: AtomicBool::default(),
             idle_close: bounded(1),
+            end: OnceLock::new(),
+            final_replies: bounded(1),
             in_flight: Arc::default(),
             connections: Arc::default(),
         }
@@ -67,6 +76,33 @@
         !self.stopping.swap(true, Ordering::AcqRel)
     }
 
+    /// Sets how long requests in flight may take from now on: `delay` until no more connections are
+    /// accepted, and then up to `limit`, see [`Shutdown::drain`].
+    pub fn set_limits(&self, delay: Duration, limit: Duration, now: Instant) {
+        let _is_first = self.end.set(now + delay + limit);
+    }
+
+    /// Whether a request with this deadline is sure to end before the process does.
+    #[must_use]
+    pub fn leaves_time_until(&self, deadline: Instant) -> bool {
+        self.end.get().is_none_or(|end| deadline <= *end)
+    }
+
+    /// Waits until requests in flight get a final reply, as the process ends soon.
+    pub async fn wait_for_final_replies(&self) {
+        let _ = self.final_replies.1.recv().await;
+    }
+
+    /// Waits until no request is in flight, at most for `limit`. Those that remain get a final reply,
+    /// for which it waits for up to 1 s more. Returns the number that remain nevertheless.
+    pub async fn drain(&self, limit: Duration) -> usize {
+        if self.wait_until_drained(limit).await == 0 {
+            return 0;
+        }
+        self.final_replies.0.close();
+        self.wait_until_drained(FINAL_REPLY_TIME).await
+    }
+
     /// Closes all connections without a request, now and from now on.
     pub fn close_idle(&self) {
         self.idle_close.0.close();
--- a/crates/sardineshore-entry/tests/answers.rs
+++ b/crates/sardineshore-entry/tests/answers.rs
@@ -4,6 +4,8 @@
 mod claims;
 #[path = "answers/hedges.rs"]
 mod hedges;
+#[path = "answers/shutdown.rs"]
+mod shutdown;
 #[path = "answers/streams.rs"]
 mod streams;
 #[path = "support/entry.rs"]
