fix(selection): numbers out of range in loads and prompts end nothing

A server that reports running requests looked idle to this selection and got the requests, and ended a build with overflow checks; a caller's prompt with such parts did the same to the sums of its tokens.

Cause: u32 arithmetic on numbers that others write. Found while the report on odd entries was traced; the entries themselves aren't added up.

Evidence: the new test failed before (attempt to add with overflow), and passes.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -113,7 +113,7 @@
     /// Tokens of the prompt parts that are shared with other requests.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
-        self.shared_parts().iter().map(|part| part.tokens).sum()
+        sum_tokens(self.shared_parts())
     }
 
     fn own_tokens(&self) -> u32 {
@@ -121,10 +121,16 @@
     }
 
     fn tokens(&self) -> u32 {
-        self.prompt.iter().map(|part| part.tokens).sum()
+        sum_tokens(&self.prompt)
     }
 }
 
+/// Tokens of parts of a prompt. Callers name them, so the sum may be out of range.
+fn sum_tokens<'a>(parts: impl IntoIterator<Item = &'a PromptPart>) -> u32 {
+    let tokens = parts.into_iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add)
+}
+
 /// The server selected for a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SelectedServer {
@@ -549,7 +555,7 @@
             cost += FULL_LOAD_COST.as_secs_f64() * f64::from(running) / slots;
             cost += OVERLOAD_COST.as_secs_f64() * (f64::from(running) / slots - 0.9).max(0.0);
         } else {
-            cost += PLAIN_REQUEST_COST.as_secs_f64() * f64::from(running + 1) / slots.min(4.0);
+            cost += PLAIN_REQUEST_COST.as_secs_f64() * (f64::from(running) + 1.0) / slots.min(4.0);
         }
         if state.server.domain != self.domain {
             cost += CROSS_DOMAIN_COST.as_secs_f64();
@@ -607,19 +613,14 @@
     /// Prompt tokens that the server would have to prefill. A part counts as cached only if all
     /// parts before it do; at the preferred server all shared parts count as cached.
     fn uncached_tokens(&self, request: &SelectionRequest, is_preferred: bool, now: Instant) -> u32 {
-        let cached: u32 = request
-            .shared_parts()
-            .iter()
-            .take_while(|part| {
-                is_preferred
-                    || self
-                        .recent_parts
-                        .get(&part.id)
-                        .is_some_and(|at| now.duration_since(*at) < PREFIX_CACHE_TTL)
-            })
-            .map(|part| part.tokens)
-            .sum();
-        request.tokens() - cached
+        let cached = request.shared_parts().iter().take_while(|part| {
+            is_preferred
+                || self
+                    .recent_parts
+                    .get(&part.id)
+                    .is_some_and(|at| now.duration_since(*at) < PREFIX_CACHE_TTL)
+        });
+        request.tokens() - sum_tokens(cached)
     }
 }
 
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -292,6 +292,29 @@
     assert_eq!(later.id, silent.id);
 }
 
+/// Guards against the end of the process by numbers that servers and callers write.
+#[test]
+fn select_numbers_out_of_range_end_nothing() {
+    let now = Instant::now();
+    let mut selector = selector(2);
+    let mut plain = request_for("s");
+    plain.prompt.clear();
+    let loaded = selector.select(&plain, now).unwrap();
+    let load = LoadReport {
+        running: u32::MAX,
+        waiting: 0,
+        slots: 8,
+    };
+    selector.record_load(&loaded.id, load, now);
+    assert_ne!(selector.select(&plain, now).unwrap().id, loaded.id);
+    let mut long = request_for("s");
+    for part in &mut long.prompt {
+        part.tokens = u32::MAX;
+    }
+    assert!(selector.select(&long, now).is_some());
+    assert_eq!(long.shared_tokens(), u32::MAX);
+}
+
 /// Guards against refusals while all servers of a pool, or of a version, pause.
 #[test]
 fn usable_servers_silent_ones_count_but_others_are_preferred() {
