fix(serve): no error response follows a part of a stream

Callers could get the head of an error response between the events of their stream: it had begun, its server was lost, the next one answered that its inputs were gone, and the stages couldn't run again.

Cause: this path took the stages' outcome for one of a request without output.

Change: after a part of the stream it ends without its end, like on all other paths.

--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -274,7 +274,7 @@
                     stage_reruns += 1;
                     drop(attempts.inputs.guard.take());
                     if let Err(outcome) = self.run_stages(attempts).await {
-                        return after_lost_attempt(outcome, lost);
+                        return after_lost_attempt(outcome, sink.started, lost);
                     }
                 }
                 Err(End::Rejected) if attempts.may_send_again(max_attempts) => {}
@@ -531,8 +531,7 @@
 ) -> Outcome {
     let reason = unprepared.reason();
     match unprepared {
-        Unprepared::StagesFailed(_) if started => Outcome::Aborted(reason),
-        Unprepared::StagesFailed(outcome) => after_lost_attempt(outcome, lost),
+        Unprepared::StagesFailed(outcome) => after_lost_attempt(outcome, started, lost),
         Unprepared::NoRetriesLeft => {
             no_attempt_outcome(request, started, lost, RETRY_AFTER_REJECTED, reason)
         }
@@ -540,10 +539,12 @@
     }
 }
 
-/// Outcome of a request without output whose stages failed when they ran again. `lost` tells why an
-/// earlier attempt was lost; only without it the request counts as not run.
-fn after_lost_attempt(outcome: Outcome, lost: Option<&'static str>) -> Outcome {
+/// Outcome of a request whose stages failed when they ran again. An error response can't follow a part
+/// of a stream. `lost` tells why an earlier attempt was lost; only without it the request counts as not
+/// run.
+fn after_lost_attempt(outcome: Outcome, started: bool, lost: Option<&'static str>) -> Outcome {
     match lost {
+        _ if started => Outcome::Aborted("stages can't end in time"),
         Some(lost) => Outcome::Failed(ErrorResponse::OutcomeUnknown(lost)),
         None => outcome,
     }
