fix(serve): a stream isn't sent to another server after its deadline

Cause: a lost attempt was repeated without a look at the time; more often since, as silent servers are waited for until the deadline. The body's timeout was taken before the request was sent.

--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -291,7 +291,11 @@
                     lost = Some(SILENT);
                     replacement = Some(next);
                 }
-                Err(End::Failed(..) | End::Lost(_)) if may_retry => lost = Some("server failed"),
+                Err(End::Failed(..) | End::Lost(_))
+                    if may_retry && !request.time_to_deadline().is_zero() =>
+                {
+                    lost = Some("server failed");
+                }
                 Err(End::Failed(response, body)) if !sink.started => {
                     return sink.forward_response(&response, &body).await;
                 }
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 
 use super::{Attempts, End, Progress, SILENT};
-use crate::attempt::{ConnectedServer, ExtraHeaders};
+use crate::attempt::{AdmittedRequest, ConnectedServer, ExtraHeaders};
 use crate::reply::{response_head, write_chunk};
 use crate::request::{Outcome, QUARANTINED, RequestHandler};
 use crate::state::elapsed_ms;
@@ -151,7 +151,6 @@
         may_retry: bool,
     ) -> Result<Response, End> {
         let request = attempts.request;
-        let time_left = request.time_to_deadline();
         let joined_inputs = attempts.inputs.joined();
         let extra = ExtraHeaders {
             inputs: joined_inputs.as_deref(),
@@ -178,7 +177,7 @@
                 return Err(End::Lost(SILENT));
             }
         };
-        self.check_head(connected, &mut response, time_left).await?;
+        self.check_head(connected, request, &mut response).await?;
         Ok(response)
     }
 
@@ -187,8 +186,8 @@
     async fn check_head(
         &self,
         connected: &mut ConnectedServer,
+        request: &AdmittedRequest<'_>,
         response: &mut Response,
-        time_left: Duration,
     ) -> Result<(), End> {
         let fields = self.dialect.header_names();
         let status = response.head.status;
@@ -210,6 +209,7 @@
             return Err(End::Lost("answer without signature"));
         }
         connected.attempt.finish(AttemptOutcome::Failure);
+        let time_left = request.time_to_deadline();
         let body = tokio::time::timeout(time_left, connected.conn.read_body(response)).await;
         // Callers read these statuses as "not run, send again". Without the header field that
         // confirms it, the request may have run.
