fix(serve): a silent server isn't given up for a request that may not be sent

Callers' streams were closed although their server only paused, if in the meantime servers had crashed on requests of their like: the silent server was given up, and only then the quarantine forbade every other one. The retry was used up as well.

Cause: the quarantine was asked after the replacement had been chosen.

Change: it is asked while the replacement is prepared. If it forbids one, the silent server is waited for.

--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -19,7 +19,9 @@
 use tokio::io::AsyncWrite;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Outcome, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, not_run, select_pool};
+use super::{
+    Outcome, QUARANTINED, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, not_run, select_pool,
+};
 use crate::attempt::{
     AdmittedRequest, Attempt, ConnectedServer, Dispatcher, RETRY_AFTER_NO_SERVER,
 };
@@ -99,6 +101,8 @@
     StagesFailed(Outcome),
     /// No server takes the request; with the time after which one may.
     NoServer(Duration),
+    /// The like of the request have crashed servers; with the outcome if it has not run.
+    Quarantined(Outcome),
 }
 
 /// What a server that is waited for has done.
@@ -231,9 +235,6 @@
                     return unprepared_outcome(request, unprepared, sink.started, lost);
                 }
             };
-            if let Some(refused) = self.refuse_quarantined(request, lost) {
-                return sink.refused(refused);
-            }
             attempts.record_send(&connected);
             if retryable && attempts.selection.version == RequiredVersion::Any {
                 let number = attempts.stats.attempts;
@@ -328,6 +329,9 @@
             .connect(&mut attempts.selection, request)
             .await
             .map_err(Unprepared::NoServer)?;
+        if let Some(refused) = self.refuse_quarantined(request, None) {
+            return Err(Unprepared::Quarantined(refused));
+        }
         permit.use_up();
         Ok(Box::new(connected))
     }
@@ -509,6 +513,7 @@
             Self::NoRetriesLeft => "no repeats left",
             Self::StagesFailed(_) => "stages can't end in time",
             Self::NoServer(_) => "no server",
+            Self::Quarantined(_) => QUARANTINED,
         }
     }
 }
@@ -536,6 +541,11 @@
     let reason = unprepared.reason();
     match unprepared {
         Unprepared::StagesFailed(outcome) => after_lost_attempt(outcome, started, lost),
+        Unprepared::Quarantined(_) if started => Outcome::Aborted(reason),
+        Unprepared::Quarantined(outcome) => match lost {
+            Some(lost) => Outcome::Failed(ErrorResponse::OutcomeUnknown(lost)),
+            None => outcome,
+        },
         Unprepared::NoRetriesLeft => {
             no_attempt_outcome(request, started, lost, RETRY_AFTER_REJECTED, reason)
         }
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -9,7 +9,7 @@
 use super::{Attempts, End, Progress, SILENT};
 use crate::attempt::{AdmittedRequest, ConnectedServer, ExtraHeaders};
 use crate::reply::{response_head, write_chunk};
-use crate::request::{Outcome, QUARANTINED, RequestHandler};
+use crate::request::{Outcome, RequestHandler};
 use crate::state::elapsed_ms;
 use crate::stream::EventFilter;
 use crate::upstream::Response;
@@ -241,15 +241,6 @@
         }
     }
 
-    /// Outcome of a request that is refused after earlier attempts.
-    pub(super) fn refused(&self, outcome: Outcome) -> Outcome {
-        if self.started {
-            Outcome::Aborted(QUARANTINED)
-        } else {
-            outcome
-        }
-    }
-
     /// Id of the event after which another server is to continue; `None` if nothing was forwarded.
     pub(super) fn resume_point(&self) -> Option<u64> {
         let forwarded = self.filter.has_forwarded();
