fix(serve): a first event waits for its record as long as it has to, and no longer

Callers got no answer at their deadline while the store was away and servers of the base version were listed as ready but full: the first event was held until the record's queue entry ended, 11 s at a deadline of 1.5 s. The other way round, an instance that had not read the base versions yet took them for missing and didn't wait at all, so that a stream could begin elsewhere without a record.

Cause: the wait for a record ended with its entry only, and didn't tell "none" from "not read". Found by a review.

Change: the wait ends at the deadline with 504, a record that nobody waits for leaves the queue, and only a table that was read without a base version ends the wait at once.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -160,6 +160,13 @@
         self.bases.get(pool).map(|base| &base.version)
     }
 
+    /// Whether a stream of the pool that has no record may be taken for one of the base version. Not if the
+    /// store is known to have no base version.
+    #[must_use]
+    pub fn assumes_base(&self, pool: &str) -> bool {
+        self.era.is_none() || self.bases.contains_key(pool)
+    }
+
     /// Whether a stream that begins at this version needs a record.
     #[must_use]
     pub fn needs_record(&self, pool: &str, version: Option<&Name>) -> bool {
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -108,6 +108,16 @@
     assert!(known.needs_record("engine", None));
 }
 
+#[test]
+fn assumes_base_until_the_store_is_known_to_have_none() {
+    let unread = StreamVersions::default();
+    assert!(unread.assumes_base("engine"));
+    let mut known = started(&["v1"], Instant::now());
+    assert!(!known.assumes_base("engine"));
+    known.set_base(&"engine".into(), Some(base("v1", 1)));
+    assert!(known.assumes_base("engine"));
+}
+
 #[test]
 fn sole_version_needs_the_life_of_a_stream() {
     let now = Instant::now();
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -113,8 +113,13 @@
                 let pause_ms = elapsed_ms(last_output_at);
                 attempts.stats.max_pause_ms = attempts.stats.max_pause_ms.max(pause_ms);
             } else {
-                if let Some(record) = attempts.record.take() {
-                    self.dispatcher.versions().wait_written(record).await;
+                if let Some(record) = &mut attempts.record {
+                    let written = self.dispatcher.versions().wait_written(record);
+                    let written = tokio::time::timeout(request.time_to_deadline(), written).await;
+                    if written.is_err() {
+                        connected.attempt.finish(AttemptOutcome::Abandoned);
+                        return Err(End::Lost("version not recorded"));
+                    }
                 }
                 // No other version may go on with what this server has begun.
                 if attempts.selection.version == RequiredVersion::Any {
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -187,13 +187,16 @@
 
     /// Waits until a record is written. Gives up if no server could continue the stream at the version
     /// that is assumed without the record; none is if the pool has no base version.
-    pub async fn wait_written(&self, mut record: PendingRecord) {
-        while self.known.borrow().base(&record.pool).is_some() {
+    pub async fn wait_written(&self, record: &mut PendingRecord) {
+        while self.known.borrow().assumes_base(&record.pool) {
             let written = tokio::time::timeout(WAIT_STEP, &mut record.written).await;
             if written.is_ok() {
                 return;
             }
             let base = self.known.borrow().base(&record.pool).cloned();
+            if base.is_none() {
+                continue;
+            }
             let selector = self.state.selector.borrow();
             let mut servers = selector.servers();
             let is_served = servers
@@ -289,11 +292,12 @@
         }
     }
 
-    /// The oldest queued record with others of its partition. Streams that have ended need none.
+    /// The oldest queued record with others of its partition. Streams that have ended without an event
+    /// need none.
     fn next_batch(&self) -> Option<(String, Vec<QueuedRecord>)> {
         let mut queue = self.queue.borrow_mut();
         let lifetime = self.lifetime.get();
-        queue.retain(|record| record.queued_at.elapsed() < lifetime);
+        queue.retain(|record| record.queued_at.elapsed() < lifetime && !record.written.is_closed());
         let part = queue.front()?.key.part.clone();
         let (mut batch, rest): (Vec<_>, Vec<_>) =
             queue.drain(..).partition(|record| record.key.part == part);
