fix(serve): streams don't move from one silent server to another

While several servers were silent, their streams were sent again to each other: 12 of 12 in the test. That used up their attempts and retries, and prefilled their prompts again in vain; a stream whose second server stayed silent was closed at its deadline although the first one had gone on.

Cause: if no server is healthy, selection falls back to those that are not. For a replacement of a silent server that is no gain.

Change: a replacement, of a stream's or a plain request's server, has to accept work. Other requests avoid a silent server for a second from half the limit on, so that servers that fall silent at the same time aren't chosen for each other.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -97,6 +97,8 @@
     pub input_bytes: Vec<(Name, u64)>,
     /// Servers to exclude, as the request was already sent to them.
     pub tried: Vec<Name>,
+    /// Whether servers in back-off, or silent ones, are left out even if there is no other.
+    pub healthy_only: bool,
     /// Which software versions of servers can run the request.
     pub version: RequiredVersion,
     /// Software version at which the request is best run, and the cost of another one.
@@ -428,7 +430,7 @@
             .copied()
             .filter(|s| s.health.accepts_work(now, s.in_flight))
             .collect();
-        let candidates = if available.is_empty() {
+        let candidates = if available.is_empty() && !request.healthy_only {
             servers
         } else {
             available
--- a/crates/sardineshore-core/src/flow/selection/health.rs
+++ b/crates/sardineshore-core/src/flow/selection/health.rs
@@ -12,6 +12,8 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(500);
 /// Longest back-off; bounds how long a server that has recovered stays unused.
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
+/// Time for which other servers are preferred to one that is silent in a response.
+const SILENCE_BACKOFF: Duration = Duration::from_secs(1);
 /// Back-off after a rejected attempt, in which a full server can finish requests.
 const REJECTED_BACKOFF: Duration = Duration::from_millis(150);
 /// Weight of the latest outcome in the moving average of outcomes.
@@ -82,7 +84,7 @@
     /// Records that a server is silent in the middle of a response. It may only pause, so it gets no
     /// work for a while but doesn't count as broken.
     pub fn record_silence(&mut self, now: Instant) {
-        self.silent_until = Some(now + INITIAL_BACKOFF);
+        self.silent_until = Some(now + SILENCE_BACKOFF);
     }
 
     /// Records the outcome of an attempt.
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -71,6 +71,7 @@
             let next = match replacement.take() {
                 Some(connected) => Ok(connected),
                 None => {
+                    selection.healthy_only = false;
                     self.next_server(&mut selection, request, is_retry, lost)
                         .await
                 }
@@ -252,6 +253,7 @@
             }
             let patience = request.route.target_latency * RETRY_LATENCY_FACTOR;
             tokio::time::sleep(patience.min(time_left / 2)).await;
+            selection.healthy_only = true;
             let next = self.next_server(selection, request, true, Some(SERVER_SILENT));
             next.await.ok()
         };
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -227,7 +227,7 @@
         loop {
             let connected = match replacement.take() {
                 Some(connected) => Ok(connected),
-                None => self.prepare_attempt(attempts).await,
+                None => self.prepare_attempt(attempts, false).await,
             };
             let mut connected = match connected {
                 Ok(connected) => connected,
@@ -311,6 +311,7 @@
     async fn prepare_attempt(
         &self,
         attempts: &mut Attempts<'_, '_>,
+        is_replacement: bool,
     ) -> Result<Box<ConnectedServer>, Unprepared> {
         let is_retry = attempts.stats.attempts > 0;
         let permit = self
@@ -324,6 +325,8 @@
             ran.map_err(Unprepared::StagesFailed)?;
         }
         let request = attempts.request;
+        // A server that replaces a silent one must be better than that.
+        attempts.selection.healthy_only = is_replacement;
         let connected = self
             .dispatcher
             .connect(&mut attempts.selection, request)
@@ -354,7 +357,17 @@
         loop {
             let wait = if may_retry { patience } else { Duration::MAX };
             let wait = wait.min(request.time_to_deadline());
-            if let Ok(made) = tokio::time::timeout(wait, progress.as_mut()).await {
+            // Other requests avoid the server before a replacement is looked for, so that streams of
+            // several silent servers don't move from one to the other.
+            let waited = tokio::time::timeout(wait / 2, progress.as_mut()).await;
+            let waited = match waited {
+                Err(_) if !wait.is_zero() => {
+                    attempt.record_silence();
+                    tokio::time::timeout(wait / 2, progress.as_mut()).await
+                }
+                waited => waited,
+            };
+            if let Ok(made) = waited {
                 if is_silent {
                     count("went on");
                 }
@@ -375,7 +388,7 @@
                     count("went on");
                     return Progress::Made(made);
                 }
-                replacement = self.prepare_attempt(attempts) => match replacement {
+                replacement = self.prepare_attempt(attempts, true) => match replacement {
                     Ok(connected) => {
                         count("replaced");
                         return Progress::Replaced(connected);
