fix(serve): a silent server is kept until its replacement has answered

Callers' streams were closed although their server only paused, if the server that was to replace it turned them away and no other was left.

Cause: the silent server's connection was closed once another one was connected, which doesn't mean that it takes the request over.

Change: the connection is kept until the other server's response begins, for 250 ms at most, as both would work on the request after that. If it rejects the request meanwhile, the silent one is waited for again.

A plain request whose replacement rejects it still ends with 502, as its first exchange can't be kept in parts.

--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -68,13 +68,12 @@
         let mut replacement = None;
         loop {
             let is_retry = stats.attempts > 0;
-            let next = match replacement.take() {
-                Some(connected) => Ok(connected),
-                None => {
-                    selection.healthy_only = false;
-                    self.next_server(&mut selection, request, is_retry, lost)
-                        .await
-                }
+            let next = if let Some(connected) = replacement.take() {
+                Ok(connected)
+            } else {
+                selection.healthy_only = false;
+                self.next_server(&mut selection, request, is_retry, lost)
+                    .await
             };
             let mut connected = match next {
                 Ok(connected) => connected,
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -235,13 +235,7 @@
                     return unprepared_outcome(request, unprepared, sink.started, lost);
                 }
             };
-            attempts.record_send(&connected);
-            if retryable && attempts.selection.version == RequiredVersion::Any {
-                let number = attempts.stats.attempts;
-                let (pool, version) = (&attempts.selection.pool, &connected.server.version);
-                let versions = self.dispatcher.versions();
-                attempts.record = versions.begin(request.id, number, pool, version.as_ref());
-            }
+            self.record_send(attempts, &connected);
             sink.unsent = None;
             // Whether another attempt may follow although this one may have run the request.
             let may_retry = retryable && attempts.runs + 1 < max_attempts;
@@ -306,6 +300,22 @@
         }
     }
 
+    /// Records that the request is sent to a server, and queues the record of its version if the stream
+    /// may begin there.
+    fn record_send(&self, attempts: &mut Attempts<'_, '_>, connected: &ConnectedServer) {
+        let ConnectedServer { server, .. } = connected;
+        attempts.stats.attempts += 1;
+        attempts.stats.server = Some(server.id.clone());
+        attempts.selection.tried.push(server.id.clone());
+        let is_resumable = attempts.request.route.kind.is_retryable();
+        if is_resumable && attempts.selection.version == RequiredVersion::Any {
+            let (id, number) = (attempts.request.id, attempts.stats.attempts);
+            let (pool, version) = (&attempts.selection.pool, server.version.as_ref());
+            let versions = self.dispatcher.versions();
+            attempts.record = versions.begin(id, number, pool, version);
+        }
+    }
+
     /// Gets all that the next attempt needs: a retry of the budget unless it is the first attempt,
     /// the results of the stages, and a connection to a server.
     async fn prepare_attempt(
@@ -500,14 +510,6 @@
 }
 
 impl Attempts<'_, '_> {
-    /// Records that the request is sent to a server.
-    fn record_send(&mut self, connected: &ConnectedServer) {
-        let id = &connected.server.id;
-        self.stats.attempts += 1;
-        self.stats.server = Some(id.clone());
-        self.selection.tried.push(id.clone());
-    }
-
     /// Whether the request may be sent to a further server after a rejection. A stream that the
     /// caller has a part of would be cut off otherwise.
     fn may_send_again(&self, max_attempts: u32) -> bool {
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -1,5 +1,6 @@
 //! One attempt at a stream: sends the request to a server and forwards its events.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,10 @@
 /// Minimum time that a server gets for its first output before another server is prepared.
 const MIN_FIRST_OUTPUT_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Time for which a silent server is kept while the one that replaces it has not answered. Longer, and
+/// both might work on the request.
+const HANDOVER_TIME: Duration = Duration::from_millis(250);
+
 /// Where the stream is written to, and how much of it the caller has.
 pub(super) struct ResponseSink<'w, W> {
     pub(super) wr: &'w mut W,
@@ -40,9 +45,9 @@
     pub(super) async fn forward<W: AsyncWrite + Unpin>(
         &self,
         attempts: &mut Attempts<'_, '_>,
-        connected: &mut ConnectedServer,
+        connected: &mut Box<ConnectedServer>,
         sink: &mut ResponseSink<'_, W>,
-        may_retry: bool,
+        mut may_retry: bool,
     ) -> Result<(u16, Response), End> {
         let request = attempts.request;
         let mut patience = (request.time_to_deadline() / 2).max(MIN_FIRST_OUTPUT_TIMEOUT);
@@ -50,7 +55,6 @@
         let mut response = self
             .open_stream(attempts, connected, resume_point, patience, may_retry)
             .await?;
-        let status = response.head.status;
         let mut pending = Vec::new();
         let mut last_output_at = Instant::now();
         let mut sound_output_recorded = false;
@@ -72,8 +76,14 @@
                     return Err(End::Lost("stream broke off"));
                 }
                 Progress::Replaced(next) => {
-                    connected.attempt.finish(AttemptOutcome::Broken);
-                    return Err(End::Replaced(next));
+                    let resume_point = sink.resume_point();
+                    let taken_over = self.take_over(attempts, connected, next, resume_point);
+                    if let Some(next_response) = taken_over.await? {
+                        response = next_response;
+                        sink.filter.discard_partial_event();
+                        may_retry = attempts.runs + 1 < request.route.max_attempts;
+                    }
+                    continue;
                 }
                 Progress::DeadlinePassed => {
                     connected.attempt.finish(AttemptOutcome::Abandoned);
@@ -97,7 +107,7 @@
                         connected
                             .attempt
                             .finish(AttemptOutcome::Answered(Duration::from_millis(100)));
-                        (status, response)
+                        (response.head.status, response)
                     })
                     .map_err(|_| End::CallerDisconnected);
             };
@@ -113,20 +123,9 @@
                 let pause_ms = elapsed_ms(last_output_at);
                 attempts.stats.max_pause_ms = attempts.stats.max_pause_ms.max(pause_ms);
             } else {
-                if let Some(record) = &mut attempts.record {
-                    let written = self.dispatcher.versions().wait_written(record);
-                    let written = tokio::time::timeout(request.time_to_deadline(), written).await;
-                    if written.is_err() {
-                        connected.attempt.finish(AttemptOutcome::Abandoned);
-                        return Err(End::Lost("version not recorded"));
-                    }
-                }
-                // No other version may go on with what this server has begun.
-                if attempts.selection.version == RequiredVersion::Any {
-                    let version = connected.server.version.clone();
-                    attempts.selection.version = RequiredVersion::of_stream(version);
-                }
-                pending = response_head(status, &response.head.headers, None, !sink.keep_alive);
+                self.begin_forwarding(attempts, connected).await?;
+                let head = &response.head;
+                pending = response_head(head.status, &head.headers, None, !sink.keep_alive);
                 sink.started = true;
                 attempts.started = true;
                 attempts.stats.first_byte_ms = Some(elapsed_ms(request.arrived_at));
@@ -146,6 +145,72 @@
         }
     }
 
+    /// Prepares for the first event: waits for the record of its version, and requires that version
+    /// from now on.
+    async fn begin_forwarding(
+        &self,
+        attempts: &mut Attempts<'_, '_>,
+        connected: &ConnectedServer,
+    ) -> Result<(), End> {
+        let request = attempts.request;
+        if let Some(record) = &mut attempts.record {
+            let written = self.dispatcher.versions().wait_written(record);
+            let written = tokio::time::timeout(request.time_to_deadline(), written).await;
+            if written.is_err() {
+                connected.attempt.finish(AttemptOutcome::Abandoned);
+                return Err(End::Lost("version not recorded"));
+            }
+        }
+        // No other version may go on with what this server has begun.
+        if attempts.selection.version == RequiredVersion::Any {
+            let version = connected.server.version.clone();
+            attempts.selection.version = RequiredVersion::of_stream(version);
+        }
+        Ok(())
+    }
+
+    /// Sends the request to the server that replaces a silent one, and puts it in the place of that one.
+    /// Returns its response, or `None` if it rejected the request: the silent server may still go on.
+    async fn take_over(
+        &self,
+        attempts: &mut Attempts<'_, '_>,
+        silent: &mut Box<ConnectedServer>,
+        mut next: Box<ConnectedServer>,
+        resume_point: Option<u64>,
+    ) -> Result<Option<Response>, End> {
+        let request = attempts.request;
+        self.record_send(attempts, &next);
+        let mut is_aborted = false;
+        let opened = {
+            let patience = request.time_to_deadline();
+            let mut opening =
+                pin!(self.open_stream(attempts, &mut next, resume_point, patience, false));
+            let opened = tokio::time::timeout(HANDOVER_TIME, opening.as_mut()).await;
+            if let Ok(opened) = opened {
+                opened
+            } else {
+                is_aborted = true;
+                silent.conn.abort();
+                opening.await
+            }
+        };
+        if let Err(End::Rejected | End::InputsMissing) = &opened
+            && !is_aborted
+        {
+            if let Err(End::InputsMissing) = opened {
+                attempts.inputs.guard = None;
+            }
+            attempts.rejections += 1;
+            attempts.stats.server = Some(silent.server.id.clone());
+            return Ok(None);
+        }
+        silent.attempt.finish(AttemptOutcome::Broken);
+        self.record_lost_attempt(request, silent, SILENT).await;
+        *silent = next;
+        attempts.runs += 1;
+        opened.map(Some)
+    }
+
     /// Sends the request and reads the head of a response that brings the stream.
     async fn open_stream(
         &self,
--- a/crates/sardineshore-serve/src/upstream.rs
+++ b/crates/sardineshore-serve/src/upstream.rs
@@ -6,7 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -114,6 +114,13 @@
 }
 
 impl Conn {
+    /// Ends the connection at once, in both directions.
+    pub fn abort(&mut self) {
+        self.reusable = false;
+        // Fails if the other side has ended it.
+        let _ended = SockRef::from(&self.stream).shutdown(Shutdown::Both);
+    }
+
     /// Sends a request and reads the head of its response.
     ///
     /// Reads while it writes, as a server may respond before it has received the whole request.
