fix(retry): a retry that wasn't sent doesn't free one that was

Servers could get slightly more repeats than the budget allows: a retry that was prepared for a silent server and not needed took the newest retry off the count, after a preparation of seconds a later one that had been sent, and a retry counted from its preparation on, not from its sending.

Cause: gave retries back without telling them apart. Found by a review.

Change: a retry is reserved, which counts against the budget, and recorded when it is sent or cancelled.

Evidence: try_reserve_cancelled_retry_leaves_sent_ones_counted, new with its functions. The test of the budget over all instances reserves and uses retries where it took them before; its bounds are the same.

--- a/crates/sardineshore-core/src/flow/retry_budget.rs
+++ b/crates/sardineshore-core/src/flow/retry_budget.rs
@@ -39,6 +39,8 @@
 struct PoolSends {
     first_sends: VecDeque<Instant>,
     retries: VecDeque<Instant>,
+    /// Retries that may follow.
+    reserved: usize,
 }
 
 /// Retry budget of this instance, for each pool.
@@ -66,28 +68,35 @@
         expire(&mut sends.first_sends, now, window);
     }
 
-    /// Takes one retry from the budget and returns whether it may be sent.
+    /// Reserves one retry and returns whether it may be sent. [`Self::use_reserved`] or
+    /// [`Self::cancel_reserved`] has to follow.
     ///
     /// `instances` is the number of live instances that share the slack. One retry per window is
     /// always allowed.
-    pub fn try_acquire(&mut self, pool: &Name, instances: usize, now: Instant) -> bool {
+    pub fn try_reserve(&mut self, pool: &Name, instances: usize, now: Instant) -> bool {
         let config = self.config;
         let sends = self.pools.entry(pool.clone()).or_default();
         expire(&mut sends.first_sends, now, config.window);
         expire(&mut sends.retries, now, config.window);
         let share = config.slack / instances.max(1) as f64;
         let allowed = USABLE_FRACTION * (config.ratio * sends.first_sends.len() as f64 + share);
-        let within_budget = (sends.retries.len() + 1) as f64 <= allowed.max(1.0);
-        if within_budget {
-            sends.retries.push_back(now);
-        }
+        let taken = sends.retries.len() + sends.reserved;
+        let within_budget = (taken + 1) as f64 <= allowed.max(1.0);
+        sends.reserved += usize::from(within_budget);
         within_budget
     }
 
-    /// Gives back the latest retry, which was not sent.
-    pub fn give_back(&mut self, pool: &Name) {
+    /// Records that a reserved retry is sent.
+    pub fn use_reserved(&mut self, pool: &Name, now: Instant) {
+        self.cancel_reserved(pool);
+        let sends = self.pools.entry(pool.clone()).or_default();
+        sends.retries.push_back(now);
+    }
+
+    /// Records that a reserved retry is not sent.
+    pub fn cancel_reserved(&mut self, pool: &Name) {
         if let Some(sends) = self.pools.get_mut(pool) {
-            let _latest = sends.retries.pop_back();
+            sends.reserved = sends.reserved.saturating_sub(1);
         }
     }
 }
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -91,8 +91,30 @@
     assert_eq!(freshness.age(ms(4500)), Some(ms(500)));
 }
 
+/// Guards against retries that aren't counted because another one was prepared in vain.
 #[test]
-fn try_acquire_all_instances_stay_within_the_budget() {
+fn try_reserve_cancelled_retry_leaves_sent_ones_counted() {
+    let config = RetryBudgetConfig {
+        ratio: 0.0,
+        window: Duration::from_secs(10),
+        slack: 5.0,
+    };
+    let (pool, now) = (Name::from("p"), Instant::now());
+    let mut budget = RetryBudget::new(config);
+    assert!(budget.try_reserve(&pool, 1, now));
+    assert!(budget.try_reserve(&pool, 1, now));
+    let later = now + Duration::from_secs(2);
+    budget.use_reserved(&pool, later);
+    budget.cancel_reserved(&pool);
+    // The sent one counts for the whole window after it was sent.
+    let in_window = now + Duration::from_secs(11);
+    assert!(budget.try_reserve(&pool, 1, in_window));
+    assert!(budget.try_reserve(&pool, 1, in_window));
+    assert!(!budget.try_reserve(&pool, 1, in_window));
+}
+
+#[test]
+fn try_reserve_all_instances_stay_within_the_budget() {
     let config = RetryBudgetConfig {
         ratio: 0.2,
         window: Duration::from_secs(10),
@@ -107,7 +129,13 @@
             budget.record_first_send(&pool, now);
         }
         granted += (0..1000)
-            .filter(|_| budget.try_acquire(&pool, 9, now))
+            .filter(|_| {
+                let reserved = budget.try_reserve(&pool, 9, now);
+                if reserved {
+                    budget.use_reserved(&pool, now);
+                }
+                reserved
+            })
             .count();
     }
     assert!(granted as f64 <= 0.2 * 180.0 + 50.0, "{granted}");
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -201,20 +201,27 @@
 pub struct SendPermit {
     state: Rc<SharedState>,
     pool: Name,
-    unused_retry: bool,
+    is_retry: bool,
+    is_used: bool,
 }
 
 impl SendPermit {
     /// The request is sent.
     pub fn use_up(mut self) {
-        self.unused_retry = false;
+        self.is_used = true;
     }
 }
 
 impl Drop for SendPermit {
     fn drop(&mut self) {
-        if self.unused_retry {
-            self.state.retry_budget.borrow_mut().give_back(&self.pool);
+        if !self.is_retry {
+            return;
+        }
+        let mut retry_budget = self.state.retry_budget.borrow_mut();
+        if self.is_used {
+            retry_budget.use_reserved(&self.pool, Instant::now());
+        } else {
+            retry_budget.cancel_reserved(&self.pool);
         }
     }
 }
@@ -431,7 +438,7 @@
         let now = Instant::now();
         let mut retry_budget = self.state.retry_budget.borrow_mut();
         if is_retry {
-            if !retry_budget.try_acquire(pool, self.peers.instance_count(), now) {
+            if !retry_budget.try_reserve(pool, self.peers.instance_count(), now) {
                 return None;
             }
         } else {
@@ -440,7 +447,8 @@
         Some(SendPermit {
             state: self.state.clone(),
             pool: pool.clone(),
-            unused_retry: is_retry,
+            is_retry,
+            is_used: false,
         })
     }
 
