fix(serve): records of streams that killed instances left behind are removed

Records stayed in the store for good if the instance that wrote them was killed, or if a write took effect without an answer and was given up.

Cause: only the writer knew its records, and only it removed them.

Change: a record names the store's time. Every ten minutes one instance reads the first records of each partition and removes those that are older than two lives of a stream. Remembered streams aren't searched for each one that is dropped any more.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -54,6 +54,24 @@
     }
 }
 
+/// The record of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamRecord {
+    /// Version at which it began; `None` if its server named none.
+    pub version: Option<Name>,
+    /// Reading of the store's clock when it was queued; zero if unknown.
+    pub store_time: Duration,
+}
+
+impl StreamRecord {
+    /// Whether the stream has ended for longer than it can have lasted.
+    #[must_use]
+    pub fn is_expired(&self, store_time: Duration, lifetime: Duration) -> bool {
+        // A clock that runs behind the record's was started anew.
+        store_time < self.store_time || store_time > self.store_time + lifetime * 2
+    }
+}
+
 /// Software versions of the servers of one pool.
 #[derive(Debug)]
 struct PoolVersions {
@@ -84,9 +102,9 @@
     era: Option<u64>,
     /// When the store was seen to have been restored.
     restored_at: Option<Instant>,
-    /// Versions of streams by their ids; `None` if the server named none.
-    begun: HashMap<Name, Option<Name>>,
-    /// Ids of `begun`, oldest first, and when each was remembered.
+    /// Versions of streams by their ids, `None` if the server named none, and when each was remembered.
+    begun: HashMap<Name, (Option<Name>, Instant)>,
+    /// Ids of `begun` in the order in which they were remembered, some more than once.
     by_age: VecDeque<(Instant, Name)>,
 }
 
@@ -178,16 +196,17 @@
         while let Some((at, _)) = self.by_age.front()
             && now.saturating_duration_since(*at) > self.lifetime
         {
-            let (at, old) = self.by_age.pop_front().expect("the front was just read");
-            let is_renewed = self
-                .by_age
-                .iter()
-                .any(|(later, id)| *id == old && *later > at);
-            if !is_renewed {
+            let at = *at;
+            if let Some((_, old)) = self.by_age.pop_front()
+                && self
+                    .begun
+                    .get(&old)
+                    .is_some_and(|(_, latest)| *latest == at)
+            {
                 self.begun.remove(&old);
             }
         }
-        self.begun.insert(id.clone(), version);
+        self.begun.insert(id.clone(), (version, now));
         self.by_age.push_back((now, id.clone()));
     }
 
@@ -195,7 +214,7 @@
     /// none.
     #[must_use]
     pub fn remembered(&self, id: &str) -> Option<Option<Name>> {
-        self.begun.get(id).cloned()
+        self.begun.get(id).map(|(version, _)| version.clone())
     }
 
     /// The only version that any server of the pool has had for as long as a stream can last; `None` if
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::config::{Name, Server};
-use sardineshore_core::flow::stream_versions::{BaseVersion, StreamVersions, resolve};
+use sardineshore_core::flow::stream_versions::{
+    BaseVersion, StreamRecord, StreamVersions, resolve,
+};
 
 const LIFETIME: Duration = Duration::from_secs(20);
 const MOMENT: Duration = Duration::from_millis(1);
@@ -161,3 +163,15 @@
         Some("v2")
     );
 }
+
+#[test]
+fn is_expired_record_of_stopped_instance_or_of_another_clock() {
+    let record = StreamRecord {
+        version: None,
+        store_time: LIFETIME * 10,
+    };
+    assert!(!record.is_expired(LIFETIME * 10, LIFETIME));
+    assert!(!record.is_expired(LIFETIME * 12, LIFETIME));
+    assert!(record.is_expired(LIFETIME * 12 + MOMENT, LIFETIME));
+    assert!(record.is_expired(LIFETIME, LIFETIME));
+}
--- a/crates/sardineshore-serve/src/dialect.rs
+++ b/crates/sardineshore-serve/src/dialect.rs
@@ -148,8 +148,8 @@
         records: &[(&str, &[u8])],
         expired: &[&str],
     ) -> HttpCall;
-    /// Call that reads all records of a stream.
-    fn read_stream_records_call(&self, part: &str, stream: &str) -> HttpCall;
+    /// Call that reads all records of a stream, or the first ones of a partition.
+    fn read_stream_records_call(&self, part: &str, stream: Option<&str>) -> HttpCall;
     /// Call that removes a row.
     fn remove_row_call(&self, table: Table, key: &str) -> HttpCall;
     /// Call that runs pieces of stages in one batch.
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -174,6 +174,7 @@
     let versions = components.dispatcher.versions();
     tokio::task::spawn_local(versions.clone().write_records());
     tokio::task::spawn_local(versions.clone().maintain());
+    tokio::task::spawn_local(versions.clone().sweep());
     spawn_listener(&log, "peers", components.peers.clone().accept());
     spawn_listener(
         &log,
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -12,16 +12,20 @@
 use sardineshore_core::flow::cells::rank_owners;
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::replica::TableChanges;
-use sardineshore_core::flow::stream_versions::{BaseVersion, StreamVersions, resolve};
+use sardineshore_core::flow::stream_versions::{
+    BaseVersion, StreamRecord, StreamVersions, resolve,
+};
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dialect::Table;
 use crate::peers::Peers;
-use crate::state::SharedState;
+use crate::state::{SharedState, boot_time};
 use crate::store::{Store, StoreError};
 
+/// Name under which one instance is chosen to remove records that were left behind.
+const SWEEP: &str = "stream records";
 /// Number of partitions over which records are spread.
 const PARTITIONS: u64 = 16;
 /// Maximum number of records that one call writes, and of those that it removes.
@@ -34,6 +38,8 @@
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How often base versions are compared with the listed servers, and expired records removed.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// How often records are looked for that instances have left behind.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(600);
 /// Time that a stream's life may exceed the longest timeout of a route, for the delays until all
 /// instances know of a change.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(6);
@@ -166,7 +172,12 @@
         if !needs_record && !has_record {
             return None;
         }
-        let value = postcard::to_stdvec(&version).ok()?;
+        let store_time = self.state.freshness.borrow().store_time(boot_time());
+        let record = StreamRecord {
+            version: version.cloned(),
+            store_time: store_time.unwrap_or_default(),
+        };
+        let value = postcard::to_stdvec(&record).ok()?;
         let (tx, written) = oneshot::channel();
         let key = RecordKey {
             part: partition(stream),
@@ -236,7 +247,7 @@
 
     async fn read(&self, pool: &str, stream: &str) -> Result<Option<Name>, StoreError> {
         let dialect = self.store.dialect();
-        let call = dialect.read_stream_records_call(&partition(stream), stream);
+        let call = dialect.read_stream_records_call(&partition(stream), Some(stream));
         let records = self.store.read_page(call).await?;
         // The base version is read later, as it changes only when all streams without a record have
         // ended.
@@ -244,8 +255,8 @@
         let bases = self.store.read_page(call).await?;
         let latest = records.rows.iter().max_by_key(|row| &row.key);
         let record = latest.and_then(|row| row.value.as_deref());
-        let record = match record.map(postcard::from_bytes::<Option<Name>>) {
-            Some(Ok(version)) => Some(version),
+        let record = match record.map(postcard::from_bytes::<StreamRecord>) {
+            Some(Ok(record)) => Some(record.version),
             // Nothing is known of the stream.
             Some(Err(_)) => Some(None),
             None => None,
@@ -383,6 +394,45 @@
         }
     }
 
+    /// Removes records that instances have left behind, forever. One instance does so for all.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP_INTERVAL).await;
+            let owners = rank_owners(SWEEP, &self.peers.candidates());
+            if owners.first() != Some(&self.peers.this_instance().name) {
+                continue;
+            }
+            for part in (0..PARTITIONS).map(partition_name) {
+                if let Err(error) = self.sweep_partition(&part).await {
+                    info!(self.log, "can't remove old records of streams"; "fault" => error.to_string());
+                }
+            }
+        }
+    }
+
+    /// Removes the expired records among the first of a partition.
+    async fn sweep_partition(&self, part: &str) -> Result<(), StoreError> {
+        let dialect = self.store.dialect();
+        let call = dialect.read_stream_records_call(part, None);
+        let page = self.store.read_page(call).await?;
+        let now = Duration::from_millis(page.store_time_ms);
+        let lifetime = self.lifetime.get();
+        let is_expired = |value: &[u8]| {
+            let record = postcard::from_bytes::<StreamRecord>(value);
+            record.is_ok_and(|record| record.is_expired(now, lifetime))
+        };
+        let expired = page.rows.iter().filter(|row| {
+            let value = row.value.as_deref();
+            value.is_some_and(is_expired)
+        });
+        let expired: Vec<&str> = expired.map(|row| &*row.key).collect();
+        for keys in expired.chunks(MAX_BATCH) {
+            let call = dialect.put_stream_records_call(part, &[], keys);
+            self.store.write(call).await?;
+        }
+        Ok(())
+    }
+
     /// Base versions that this instance has to write: each pool's are written by one instance.
     fn base_changes(&self) -> Vec<(Name, BaseVersion)> {
         let known = self.known.borrow();
@@ -411,5 +461,9 @@
 
 /// Partition of the store that holds the records of a stream.
 fn partition(stream: &str) -> String {
-    format!("{:x}", xxh3_64(stream.as_bytes()) % PARTITIONS)
+    partition_name(xxh3_64(stream.as_bytes()) % PARTITIONS)
+}
+
+fn partition_name(number: u64) -> String {
+    format!("{number:x}")
 }
