test(review): case 2, an instance that is cut off from the store joins streams of two versions

Cause: the only software version that an instance lists counts as that of every stream, however old its list is. Done: the script of the case; the store's stand-in gets a link that can be cut.

--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -5,6 +5,7 @@
 mod drill_versions;
 mod encoded_stream;
 mod lost_event;
+mod stale_version;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -25,6 +26,7 @@
         "drill-keys" => drill_keys::run(setup),
         "encoded-stream" => encoded_stream::run(setup),
         "lost-event" => lost_event::run(setup),
+        "stale-version" => stale_version::run(setup),
         _ => Err(format!("no case {name}").into()),
     }
 }
@@ -71,9 +73,18 @@
     }
 
     fn start_instance(&mut self, name: &str, zone: &str) -> Result<Instance, Failure> {
+        self.start_instance_with(name, zone, self.store.address())
+    }
+
+    /// Starts an instance that reaches the store at an address of its own.
+    fn start_instance_with(
+        &mut self,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+    ) -> Result<Instance, Failure> {
         self.hosts += 1;
         let ip = format!("{}.{}", self.network, self.hosts);
-        let store = self.store.address();
         Ok(Instance::start(
             name,
             zone,
--- a/review/stand-in/store.rs
+++ b/review/stand-in/store.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -47,6 +48,13 @@
     record: Record,
 }
 
+/// The link of one instance to the store.
+pub struct Link {
+    pub address: SocketAddr,
+    /// Whether the link is cut.
+    pub is_cut: Arc<AtomicBool>,
+}
+
 /// An answer of the store; `None` if the connection ends instead.
 type Answer = Option<(u16, String)>;
 
@@ -66,11 +74,34 @@
             record: record.clone(),
         };
         let served = store.clone();
-        let handler = move |request: &Request, out: &mut TcpStream| served.handle(request, out);
+        let handler = move |request: &Request, out: &mut TcpStream| {
+            let answer = served.answer(request);
+            answer.map_or(Ok(false), |answer| out.write_all(&answer).map(|()| true))
+        };
         http::serve(listener, Arc::new(handler));
         Ok(store)
     }
 
+    /// Listens at one more address, for one instance. While the link is cut, calls there get no answer
+    /// and their connections stay open; they end when the link is whole again.
+    pub fn listen_at(&self, ip: &str) -> io::Result<Link> {
+        let (listener, address) = http::listen(ip)?;
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let (served, cut) = (self.clone(), is_cut.clone());
+        let handler = move |request: &Request, out: &mut TcpStream| {
+            let answer = served.answer(request);
+            let mut was_cut = false;
+            while cut.load(Ordering::Relaxed) {
+                was_cut = true;
+                std::thread::sleep(ANSWER_TIME);
+            }
+            let answer = answer.filter(|_| !was_cut);
+            answer.map_or(Ok(false), |answer| out.write_all(&answer).map(|()| true))
+        };
+        http::serve(listener, Arc::new(handler));
+        Ok(Link { address, is_cut })
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.address
     }
@@ -130,26 +161,23 @@
         changed.notify_all();
     }
 
-    fn handle(&self, request: &Request, out: &mut TcpStream) -> io::Result<bool> {
+    /// The whole answer to a call; `None` if its connection ends instead.
+    fn answer(&self, request: &Request) -> Option<Vec<u8>> {
         let target = request.head.second_word();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let answer = match path {
+        let (status, body) = match path {
             "/api/rows-get" => self.get(query),
             "/api/rows-feed" => self.feed(query),
             "/api/rows-tx" => self.transact(&request.body),
             _ => Some((404, String::new())),
-        };
-        let Some((status, body)) = answer else {
-            return Ok(false);
-        };
+        }?;
         let era = self.state.0.lock().unwrap().era;
         std::thread::sleep(ANSWER_TIME);
         let head = format!(
             "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
-        out.write_all(&[head.as_bytes(), body.as_bytes()].concat())?;
-        Ok(true)
+        Some([head.as_bytes(), body.as_bytes()].concat())
     }
 
     fn get(&self, query: &str) -> Answer {
