--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 [ -x target/review/stand-in ] && [ -x target/release/sardine-serve ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review/stand-in drill-keys "$here/record.txt" "$folder"
+target/review/stand-in drill-resume "$here/record.txt" "$folder"
