fix(serve): sound events before a spoiled one are forwarded

Cause: the event filter counted an event as the caller's when it put it into its result, and dropped the result when a later event in the same bytes had a wrong id. The next server then went on one event too late. An event that was too long dropped those before it in the same way.

Ruled out: a wrong place at the next server; it went on where it was asked to.

Change: events before a fault are returned, and the next call fails; the forwarding loop calls until nothing is left.

--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -112,36 +112,38 @@
                     .map_err(|_| End::CallerDisconnected);
             };
             sink.filter.push(&data);
-            let Ok(events) = sink.filter.take_events() else {
-                connected.attempt.finish(AttemptOutcome::Failure);
-                return Err(End::Lost("events out of order"));
-            };
-            if events.is_empty() {
-                continue;
-            }
-            if sink.started {
-                let pause_ms = elapsed_ms(last_output_at);
-                attempts.stats.max_pause_ms = attempts.stats.max_pause_ms.max(pause_ms);
-            } else {
-                self.begin_forwarding(attempts, connected).await?;
-                let head = &response.head;
-                pending = response_head(head.status, &head.headers, None, !sink.keep_alive);
-                sink.started = true;
-                attempts.started = true;
-                attempts.stats.first_byte_ms = Some(elapsed_ms(request.arrived_at));
-            }
-            last_output_at = Instant::now();
-            connected.attempt.record_first_output();
-            if !sound_output_recorded && connected.attempt.is_sound() {
-                sound_output_recorded = true;
-                self.dispatcher.crashes().record_output(&request.features);
+            loop {
+                let Ok(events) = sink.filter.take_events() else {
+                    connected.attempt.finish(AttemptOutcome::Failure);
+                    return Err(End::Lost("events out of order"));
+                };
+                if events.is_empty() {
+                    break;
+                }
+                if sink.started {
+                    let pause_ms = elapsed_ms(last_output_at);
+                    attempts.stats.max_pause_ms = attempts.stats.max_pause_ms.max(pause_ms);
+                } else {
+                    self.begin_forwarding(attempts, connected).await?;
+                    let head = &response.head;
+                    pending = response_head(head.status, &head.headers, None, !sink.keep_alive);
+                    sink.started = true;
+                    attempts.started = true;
+                    attempts.stats.first_byte_ms = Some(elapsed_ms(request.arrived_at));
+                }
+                last_output_at = Instant::now();
+                connected.attempt.record_first_output();
+                if !sound_output_recorded && connected.attempt.is_sound() {
+                    sound_output_recorded = true;
+                    self.dispatcher.crashes().record_output(&request.features);
+                }
+                // The engine has fetched its inputs once it produces output.
+                drop(attempts.inputs.guard.take());
+                patience = STALL_TIMEOUT;
+                write_chunk(sink.wr, &mut pending, &events)
+                    .await
+                    .map_err(|_| End::CallerDisconnected)?;
             }
-            // The engine has fetched its inputs once it produces output.
-            drop(attempts.inputs.guard.take());
-            patience = STALL_TIMEOUT;
-            write_chunk(sink.wr, &mut pending, &events)
-                .await
-                .map_err(|_| End::CallerDisconnected)?;
         }
     }
 
--- a/crates/sardineshore-serve/src/stream.rs
+++ b/crates/sardineshore-serve/src/stream.rs
@@ -88,15 +88,19 @@
         self.line_start = 0;
     }
 
-    /// Removes all complete events from the buffer and returns those that the caller doesn't have
-    /// yet. Events without an id are always returned.
+    /// Removes complete events from the buffer and returns those that the caller doesn't have yet;
+    /// nothing is returned if there are no more. Events without an id are always returned.
+    ///
+    /// Those returned count as received by the caller, so all of them must be forwarded.
     ///
     /// # Errors
     ///
-    /// Fails if an event is missing before the next one, or if an incomplete event is too long.
+    /// Fails if an event is missing before the next one, or if an incomplete event is too long. Events
+    /// before the fault are returned first; the next call fails.
     pub fn take_events(&mut self) -> Result<Vec<u8>, StreamError> {
         let mut out = Vec::new();
         let mut consumed = 0;
+        let mut is_faulty = false;
         while let Some(line_len) = self.buf[self.searched..].iter().position(|b| *b == b'\n') {
             let line_end = self.searched + line_len;
             let line = &self.buf[self.line_start..line_end];
@@ -106,13 +110,21 @@
             if !ends_event {
                 continue;
             }
-            let event = &self.buf[consumed..self.searched];
+            let event_start = consumed;
+            let event = &self.buf[event_start..self.searched];
             consumed = self.searched;
             match event_id(event) {
                 Some(id) => match self.last_id {
                     Some(last) if id <= last => {}
                     Some(last) if id > last + 1 => {
-                        return Err(StreamError::OutOfOrder { last, received: id });
+                        let fault = StreamError::OutOfOrder { last, received: id };
+                        if out.is_empty() {
+                            return Err(fault);
+                        }
+                        // The fault is found again once the events before it are forwarded.
+                        consumed = event_start;
+                        is_faulty = true;
+                        break;
                     }
                     _ => {
                         self.last_id = Some(id);
@@ -125,9 +137,13 @@
         }
         self.interrupted &= out.is_empty();
         self.buf.drain(..consumed);
+        if is_faulty {
+            (self.searched, self.line_start) = (0, 0);
+            return Ok(out);
+        }
         self.searched = self.buf.len();
         self.line_start -= consumed;
-        if self.buf.len() > MAX_EVENT_BYTES {
+        if out.is_empty() && self.buf.len() > MAX_EVENT_BYTES {
             return Err(StreamError::TooLong);
         }
         Ok(out)
--- a/crates/sardineshore-serve/tests/stream.rs
+++ b/crates/sardineshore-serve/tests/stream.rs
@@ -42,6 +42,35 @@
     );
 }
 
+/// Guards against a missing piece: a sound event was dropped, but counted, when a spoiled one followed in
+/// the same bytes, so that the next server went on after it.
+#[test]
+fn take_events_sound_events_before_a_fault_are_returned() {
+    let fault = Err(StreamError::OutOfOrder {
+        last: 2,
+        received: 9,
+    });
+    let sound = format!("{}{}", event(1), event(2));
+    let mut filter = EventFilter::default();
+    filter.push(format!("{sound}{}{}", event(9), event(3)).as_bytes());
+    assert_eq!(filter.take_events().unwrap(), sound.as_bytes());
+    assert_eq!(filter.last_event_id(), Some(2));
+    assert_eq!(filter.take_events(), fault);
+    filter.discard_partial_event();
+    filter.push(event(3).as_bytes());
+    assert_eq!(filter.take_events().unwrap(), event(3).as_bytes());
+}
+
+/// Guards against the same before an event that is too long.
+#[test]
+fn take_events_sound_events_before_one_too_long_are_returned() {
+    let mut filter = EventFilter::default();
+    let too_long = format!("id: 2\ndata: {}", "x".repeat(2 << 20));
+    filter.push(format!("{}{too_long}", event(1)).as_bytes());
+    assert_eq!(filter.take_events().unwrap(), event(1).as_bytes());
+    assert_eq!(filter.take_events(), Err(StreamError::TooLong));
+}
+
 #[test]
 fn take_events_event_with_crlf_line_ends_is_complete() {
     let mut filter = EventFilter::default();
@@ -68,4 +97,37 @@
         }
         prop_assert_eq!(forwarded, whole.into_bytes());
     }
+
+    /// Guards against pieces that are missing or come twice when servers spoil the ids of events and the
+    /// stream goes on after the last event that was forwarded.
+    #[test]
+    fn take_events_stream_is_whole_after_spoiled_ids(
+        spoiled in vec((2_u64..30, 1_u64..60, 1_usize..200), 0..6),
+        count in 1_u64..30,
+    ) {
+        let mut filter = EventFilter::default();
+        let mut forwarded = Vec::new();
+        for (at, id, step) in spoiled.into_iter().chain([(0, 0, 64)]) {
+            let last_id = filter.last_event_id().unwrap_or(0);
+            let events = last_id + 1..=count;
+            let sent: String = events.map(|n| event(if n == at { id } else { n })).collect();
+            'attempt: for part in sent.as_bytes().chunks(step) {
+                filter.push(part);
+                loop {
+                    match filter.take_events() {
+                        Ok(events) if events.is_empty() => break,
+                        Ok(events) => forwarded.extend(events),
+                        Err(_) => break 'attempt,
+                    }
+                }
+            }
+            filter.discard_partial_event();
+        }
+        // A spoiled id may be the right one of another piece.
+        let ids: Vec<u64> = String::from_utf8(forwarded).unwrap()
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+            .collect();
+        prop_assert_eq!(ids, (1..=count).collect::<Vec<_>>());
+    }
 }
