fix(versions): a base version holds only with proof that records are complete

Cause: an instance that starts after a restore doesn't know of it. It took the store's records of streams for complete and wrote the base version for the new era 2 s after its start, while streams whose records were lost still ran.

Ruled out: records that were never written, and readers that ignore the era.

Change: a base version that doesn't hold, because it is of another era, was withdrawn or is missing, is written only after this instance has seen for a stream's life that none holds. The first start of the whole system needs no wait. A base version whose servers have left is withdrawn before another one takes its place, so that a write that is performed late stays right. A stream that may be taken for another version always waits for its record; the wait ended before when no server of the base version was ready, and those servers may be back while the stream runs.

Tests: base_change_* cover the new rules. Three older tests changed with the protocol: a replacement in one step is now a withdrawal and a replacement, each checked at both of its bounds; assumes_base is part of must_await_record.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -4,20 +4,24 @@
 //! the streams that it began. For streams that other instances began, or this one before it restarted,
 //! the store tells:
 //!
-//! - It names a *base version* for each pool.
-//! - A stream that begins at another version gets a *record* before its first event is forwarded.
+//! - A stream gets a *record* with its version.
+//! - A pool may have a *base version*: all its streams without a record began at that version. Streams
+//!   at the base version need no record then, so nothing is written for single streams while one
+//!   version serves.
 //!
-//! A stream without a record therefore began at the base version, and nothing is written for single
-//! streams while one version serves. The base version changes only after none of its servers has been
-//! listed for as long as a stream can last: no stream without a record is left then.
+//! A base version holds for one era of the store. After a restore from a copy, records and changes of
+//! the base version may be missing, so it doesn't hold, and every stream gets a record. It holds again,
+//! or another version takes its place, once an instance has seen for a stream's life that none holds:
+//! all streams without a record have ended by then. A base version whose servers have left is
+//! withdrawn first, for the same reason.
 //!
 //! ```
 //! use sardineshore_core::flow::stream_versions::{BaseVersion, resolve};
 //!
-//! let base = BaseVersion { version: "v1".into(), era: 0 };
+//! let base = BaseVersion { version: "v1".into(), era: Some(0) };
 //! assert_eq!(resolve(None, Some(&base), 0).as_deref(), Some("v1"));
 //! assert_eq!(resolve(Some(Some("v2".into())), Some(&base), 0).as_deref(), Some("v2"));
-//! assert_eq!(resolve(None, None, 0), None);
+//! assert_eq!(resolve(None, Some(&base), 1), None);
 //! ```
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -29,27 +33,38 @@
 
 /// Longest life of a stream unless the configuration sets another one.
 pub const DEFAULT_STREAM_LIFETIME: Duration = Duration::from_secs(30);
+/// Time without a server of the base version after which it is withdrawn. Entries of servers may lapse
+/// for moments.
+const WITHDRAWAL_DELAY: Duration = Duration::from_secs(5);
 
 /// The version at which the streams of a pool began that have no record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BaseVersion {
     /// Software version.
     pub version: Name,
-    /// Era of the store in which this was written. A store that was restored from a copy since may lack
-    /// records.
-    pub era: u64,
+    /// Era of the store in which this holds; `None` if it was withdrawn. In another era, or if it was
+    /// withdrawn, streams without a record may have begun at any version.
+    pub era: Option<u64>,
+}
+
+impl BaseVersion {
+    /// Whether streams without a record began at this version, in this era of the store.
+    #[must_use]
+    pub fn holds_in(&self, era: u64) -> bool {
+        self.era == Some(era)
+    }
 }
 
 /// Version at which a stream began that this instance doesn't remember; `None` if it isn't known.
 ///
 /// `record` is the stream's record, which holds `None` if its server named no version. The base version
-/// must have been read after the record.
+/// must have been read after the record, and the record after the caller took up the stream.
 #[must_use]
 pub fn resolve(record: Option<Option<Name>>, base: Option<&BaseVersion>, era: u64) -> Option<Name> {
     match record {
         Some(version) => version,
         None => base
-            .filter(|base| base.era == era)
+            .filter(|base| base.holds_in(era))
             .map(|base| base.version.clone()),
     }
 }
@@ -72,23 +87,71 @@
     }
 }
 
+/// Listed servers of one version.
+#[derive(Debug)]
+struct Listed {
+    count: usize,
+    /// Since when there has been one at least.
+    since: Instant,
+}
+
 /// Software versions of the servers of one pool.
 #[derive(Debug)]
 struct PoolVersions {
-    /// Number of listed servers of each version.
-    listed: BTreeMap<Name, usize>,
+    /// Listed servers of each version; `None` for those that name none.
+    listed: BTreeMap<Option<Name>, Listed>,
     /// When the last server of a version was dropped from the list.
-    gone_at: HashMap<Name, Instant>,
-    /// When the pool was first seen.
+    gone_at: HashMap<Option<Name>, Instant>,
+    /// Time from which on no server can have been listed unseen.
     seen_since: Instant,
 }
 
 impl PoolVersions {
     /// The version that most servers have.
     fn most_common(&self) -> Option<&Name> {
-        let (version, _) = self.listed.iter().max_by_key(|(_, count)| **count)?;
+        let named = self.listed.iter();
+        let named = named.filter_map(|(version, listed)| Some((version.as_ref()?, listed.count)));
+        let (version, _) = named.max_by_key(|(_, count)| *count)?;
         Some(version)
     }
+
+    /// The version that all listed servers have.
+    fn only_listed(&self) -> Option<&Name> {
+        let mut versions = self.listed.keys();
+        let version = versions.next().filter(|_| versions.next().is_none())?;
+        version.as_ref()
+    }
+
+    /// Since when servers of a version have been listed; `None` if none is.
+    fn listed_since(&self, version: &Name) -> Option<Instant> {
+        let listed = self.listed.get(&Some(version.clone()))?;
+        Some(listed.since.max(self.seen_since))
+    }
+
+    /// Since when no server of a version has been listed; `None` if one is.
+    fn absent_since(&self, version: &Name) -> Option<Instant> {
+        let version = Some(version.clone());
+        if self.listed.contains_key(&version) {
+            return None;
+        }
+        let gone_at = self.gone_at.get(&version).copied();
+        Some(gone_at.map_or(self.seen_since, |at| at.max(self.seen_since)))
+    }
+}
+
+/// A stream whose version an instance remembers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownStream {
+    /// Version at which it began; `None` if its server named none.
+    pub version: Option<Name>,
+    /// Number of its record, if it has one; the highest one counts.
+    pub record: u32,
+    /// Whether records with lower numbers may name other versions.
+    has_misleading_records: bool,
+    /// When it was remembered.
+    at: Instant,
+    /// Whether it has ended, so that it needs no record.
+    has_ended: bool,
 }
 
 /// What an instance knows about the versions at which streams began.
@@ -98,12 +161,16 @@
     pools: HashMap<Name, PoolVersions>,
     /// Base versions of pools, as the store has them.
     bases: HashMap<Name, BaseVersion>,
-    /// Era of the store; `None` before the first response.
-    era: Option<u64>,
-    /// When the store was seen to have been restored.
-    restored_at: Option<Instant>,
-    /// Versions of streams by their ids, `None` if the server named none, and when each was remembered.
-    begun: HashMap<Name, (Option<Name>, Instant)>,
+    /// Since when a pool's base version is known not to hold.
+    open_since: HashMap<Name, Instant>,
+    /// Era of the store, and since when it is known; `None` before the first response.
+    era: Option<(u64, Instant)>,
+    /// Era in which base versions were read.
+    bases_read_in: Option<u64>,
+    /// Whether no stream can have begun before this instance read the store.
+    is_first_start: bool,
+    /// Streams by their ids.
+    begun: HashMap<Name, KnownStream>,
     /// Ids of `begun` in the order in which they were remembered, some more than once.
     by_age: VecDeque<(Instant, Name)>,
 }
@@ -114,8 +181,10 @@
             lifetime: DEFAULT_STREAM_LIFETIME,
             pools: HashMap::new(),
             bases: HashMap::new(),
+            open_since: HashMap::new(),
             era: None,
-            restored_at: None,
+            bases_read_in: None,
+            is_first_start: false,
             begun: HashMap::new(),
             by_age: VecDeque::new(),
         }
@@ -123,6 +192,16 @@
 }
 
 impl StreamVersions {
+    /// What an instance knows at its start; `is_first_start` tells whether the whole system starts for
+    /// the first time.
+    #[must_use]
+    pub fn new(is_first_start: bool) -> Self {
+        Self {
+            is_first_start,
+            ..Self::default()
+        }
+    }
+
     /// Sets how long a stream can last, from its first event to the last time that it is taken up.
     pub fn set_lifetime(&mut self, lifetime: Duration) {
         self.lifetime = lifetime;
@@ -130,16 +209,22 @@
 
     /// Records the listed servers, draining ones included.
     pub fn set_servers<'a>(&mut self, servers: impl Iterator<Item = &'a Server>, now: Instant) {
-        let mut listed: HashMap<Name, BTreeMap<Name, usize>> = HashMap::new();
+        let mut listed: HashMap<Name, BTreeMap<Option<Name>, Listed>> = HashMap::new();
         for server in servers {
-            let Some(version) = &server.version else {
-                continue;
-            };
             let versions = listed.entry(server.pool.clone()).or_default();
-            *versions.entry(version.clone()).or_default() += 1;
+            let first = Listed {
+                count: 0,
+                since: now,
+            };
+            let version = versions.entry(server.version.clone()).or_insert(first);
+            version.count += 1;
         }
         for (pool, known) in &mut self.pools {
-            let now_listed = listed.remove(pool).unwrap_or_default();
+            let mut now_listed = listed.remove(pool).unwrap_or_default();
+            for (version, now_listed) in &mut now_listed {
+                let before = known.listed.get(version);
+                now_listed.since = before.map_or(now, |listed| listed.since);
+            }
             let gone = known.listed.keys().filter(|v| !now_listed.contains_key(*v));
             known.gone_at.extend(gone.map(|v| (v.clone(), now)));
             known.gone_at.retain(|v, _| !now_listed.contains_key(v));
@@ -156,33 +241,68 @@
         self.pools.extend(new_pools);
     }
 
-    /// Sets the base version of a pool; `None` if the store has none.
-    pub fn set_base(&mut self, pool: &Name, base: Option<BaseVersion>) {
+    /// Records that servers may have been listed and dropped since the list was known last.
+    pub fn record_list_gap(&mut self, now: Instant) {
+        self.is_first_start = false;
+        for pool in self.pools.values_mut() {
+            pool.seen_since = now;
+        }
+    }
+
+    /// Sets the base version of a pool as the store has it since its last change; `None` if it has none.
+    pub fn set_base(&mut self, pool: &Name, base: Option<BaseVersion>, now: Instant) {
         match base {
             Some(base) => self.bases.insert(pool.clone(), base),
             None => self.bases.remove(pool),
         };
+        if self.holding_base(pool).is_some() {
+            self.open_since.remove(pool);
+        } else {
+            // It may have held between two changes that were read together.
+            self.open_since.insert(pool.clone(), now);
+        }
+    }
+
+    /// Records that all base versions were read, in this era.
+    pub fn record_bases_read(&mut self, era: u64) {
+        self.bases_read_in = Some(era);
     }
 
-    /// Records the era of the store; a later one than before means that it was restored from a copy.
-    pub fn set_era(&mut self, era: u64, now: Instant) {
-        if self.era.is_some_and(|known| era > known) {
-            self.restored_at = Some(now);
+    /// Era in which base versions were read last; `None` if they weren't.
+    #[must_use]
+    pub fn read_era(&self) -> Option<u64> {
+        self.bases_read_in
+    }
+
+    /// Records the era of the store. Returns whether the store was restored from a copy since the last
+    /// time: it may lack the records of running streams.
+    pub fn set_era(&mut self, era: u64, now: Instant) -> bool {
+        let known = self.era.map(|(known, _)| known);
+        if known.is_some_and(|known| era <= known) {
+            return false;
         }
-        self.era = Some(era);
+        self.era = Some((era, now));
+        if known.is_none() {
+            return false;
+        }
+        self.open_since.clear();
+        self.record_list_gap(now);
+        true
     }
 
-    /// Base version of a pool; `None` if the store has none.
+    /// Version that the store names for a pool, whether it holds or not; `None` if it names none.
     #[must_use]
     pub fn base(&self, pool: &str) -> Option<&Name> {
         self.bases.get(pool).map(|base| &base.version)
     }
 
-    /// Whether a stream of the pool that has no record may be taken for one of the base version. Not if the
-    /// store is known to have no base version.
+    /// Version at which all streams of a pool began that have no record, as far as this instance knows;
+    /// `None` if they may have begun at several.
     #[must_use]
-    pub fn assumes_base(&self, pool: &str) -> bool {
-        self.era.is_none() || self.bases.contains_key(pool)
+    pub fn holding_base(&self, pool: &str) -> Option<&Name> {
+        let (era, _) = self.era?;
+        let base = self.bases.get(pool).filter(|base| base.holds_in(era))?;
+        Some(&base.version)
     }
 
     /// Whether a stream that begins at this version needs a record.
@@ -191,80 +311,146 @@
         self.base(pool) != version || version.is_none()
     }
 
-    /// Remembers at which version a stream began.
-    pub fn remember(&mut self, id: &Name, version: Option<Name>, now: Instant) {
+    /// Whether the record of a stream must be written before its first event is forwarded: without it, the
+    /// stream might be taken for one of another version. Not so at the version that the store names, unless
+    /// another one may take its place just now, as it doesn't hold and its servers have not been listed for
+    /// long. If the store names none, the first one may be any, unless no server has ever had another.
+    #[must_use]
+    pub fn must_await_record(&self, pool: &str, id: &str, now: Instant) -> bool {
+        let stream = self.begun.get(id).filter(|s| !s.has_misleading_records);
+        let version = stream.and_then(|stream| stream.version.as_ref());
+        let (Some(version), Some(servers)) = (version, self.pools.get(pool)) else {
+            return true;
+        };
+        match self.base(pool) {
+            None => self.bases_read_in.is_none() || self.first_version(servers) != Some(version),
+            Some(base) if base != version => true,
+            Some(_) if self.holding_base(pool).is_some() => false,
+            Some(_) => !servers
+                .listed_since(version)
+                .is_some_and(|at| self.is_old(at, now)),
+        }
+    }
+
+    /// Remembers at which version a stream may begin; `record` is the number of its record.
+    pub fn remember(&mut self, id: &Name, version: Option<Name>, record: u32, now: Instant) {
         while let Some((at, _)) = self.by_age.front()
             && now.saturating_duration_since(*at) > self.lifetime
         {
             let at = *at;
             if let Some((_, old)) = self.by_age.pop_front()
-                && self
-                    .begun
-                    .get(&old)
-                    .is_some_and(|(_, latest)| *latest == at)
+                && self.begun.get(&old).is_some_and(|latest| latest.at == at)
             {
                 self.begun.remove(&old);
             }
         }
-        self.begun.insert(id.clone(), (version, now));
+        let has_misleading_records = self
+            .begun
+            .get(id)
+            .is_some_and(|earlier| earlier.has_misleading_records || earlier.version != version);
+        let stream = KnownStream {
+            version,
+            record,
+            has_misleading_records,
+            at: now,
+            has_ended: false,
+        };
+        self.begun.insert(id.clone(), stream);
         self.by_age.push_back((now, id.clone()));
     }
 
+    /// Records that a stream has ended, or that none has begun. Its version stays known.
+    pub fn record_end(&mut self, id: &str) {
+        if let Some(stream) = self.begun.get_mut(id) {
+            stream.has_ended = true;
+        }
+    }
+
     /// Version at which a stream began that this instance remembers; holds `None` if the server named
     /// none.
     #[must_use]
     pub fn remembered(&self, id: &str) -> Option<Option<Name>> {
-        self.begun.get(id).map(|(version, _)| version.clone())
+        self.begun.get(id).map(|stream| stream.version.clone())
+    }
+
+    /// Whether a stream that this instance remembers may still run.
+    #[must_use]
+    pub fn is_running(&self, id: &str) -> bool {
+        self.begun.get(id).is_some_and(|stream| !stream.has_ended)
     }
 
     /// The only version that any server of the pool has had for as long as a stream can last; `None` if
-    /// there were several, or this instance hasn't run for so long.
+    /// there were several, or this instance hasn't followed the list of servers for so long.
     #[must_use]
     pub fn sole_version(&self, pool: &str, now: Instant) -> Option<Name> {
+        self.settled_version(pool, now).cloned()
+    }
+
+    /// The only version that servers of a pool have had since the first start of the system.
+    fn first_version<'a>(&self, servers: &'a PoolVersions) -> Option<&'a Name> {
+        let is_first = self.is_first_start && servers.gone_at.is_empty();
+        servers.only_listed().filter(|_| is_first)
+    }
+
+    fn settled_version(&self, pool: &str, now: Instant) -> Option<&Name> {
         let pool = self.pools.get(pool)?;
-        let is_old = |at: Instant| now.saturating_duration_since(at) >= self.lifetime;
-        let mut versions = pool.listed.keys();
-        let version = versions.next().filter(|_| versions.next().is_none())?;
-        let settled = is_old(pool.seen_since) && pool.gone_at.values().all(|at| is_old(*at));
-        settled.then(|| version.clone())
+        let others_ended = pool.gone_at.values().all(|at| self.is_old(*at, now));
+        let is_settled = self.is_old(pool.seen_since, now) && others_ended;
+        pool.only_listed().filter(|_| is_settled)
     }
 
     /// The base version that the store should get for a pool; `None` if it has the right one, or it is
-    /// too early to change it.
+    /// too early to change it. It may be written only in place of what the store had for the pool when
+    /// [`StreamVersions::set_base`] was called last; it stays right however late it is written then.
     #[must_use]
     pub fn base_change(&self, pool: &str, now: Instant) -> Option<BaseVersion> {
-        let (versions, era) = (self.pools.get(pool)?, self.era?);
-        let is_old = |at: Instant| now.saturating_duration_since(at) >= self.lifetime;
-        let records_complete = self.restored_at.is_none_or(is_old);
-        let version = match self.bases.get(pool) {
-            // Streams at the only version need no record from now on, and none has begun elsewhere.
-            None => {
-                let others_ended = versions.gone_at.values().all(|at| is_old(*at));
-                let is_sole = versions.listed.len() == 1 && others_ended;
-                versions
-                    .most_common()
-                    .filter(|_| is_sole && records_complete)?
-            }
-            Some(base) if versions.listed.contains_key(&base.version) => {
-                let is_outdated = base.era != era;
-                Some(&base.version).filter(|_| is_outdated && records_complete)?
-            }
-            Some(base) => {
-                let gone_at = versions.gone_at.get(&base.version);
-                let gone_since = gone_at.copied().unwrap_or(versions.seen_since);
+        let versions = self.pools.get(pool)?;
+        let (era, era_since) = self
+            .era
+            .filter(|(era, _)| self.bases_read_in == Some(*era))?;
+        let open_since = self.open_since.get(pool).copied().unwrap_or(era_since);
+        let unrecorded_ended = self.is_old(open_since, now);
+        let holding = |version: &Name| BaseVersion {
+            version: version.clone(),
+            era: Some(era),
+        };
+        let Some(base) = self.bases.get(pool) else {
+            let has_streams = !self.is_first_start || self.open_since.contains_key(pool);
+            let sole = if has_streams {
+                self.settled_version(pool, now).filter(|_| unrecorded_ended)
+            } else {
                 versions
-                    .most_common()
-                    .filter(|_| is_old(gone_since) && records_complete)?
-            }
+                    .only_listed()
+                    .filter(|_| versions.gone_at.is_empty())
+            };
+            return sole.map(holding);
         };
-        Some(BaseVersion {
-            version: version.clone(),
-            era,
-        })
+        let absent_since = versions.absent_since(&base.version);
+        if base.holds_in(era) {
+            let absent = absent_since.filter(|_| !versions.listed.is_empty())?;
+            let is_absent = now.saturating_duration_since(absent) >= WITHDRAWAL_DELAY;
+            return is_absent.then(|| BaseVersion {
+                version: base.version.clone(),
+                era: None,
+            });
+        }
+        match absent_since {
+            _ if !unrecorded_ended => None,
+            None => Some(holding(&base.version)),
+            Some(at) => versions
+                .most_common()
+                .filter(|_| self.is_old(at, now))
+                .map(holding),
+        }
     }
 
-    /// Pools whose servers name versions.
+    /// Pools that have servers.
     pub fn pools(&self) -> impl Iterator<Item = &Name> {
         self.pools.keys()
     }
+
+    /// Whether all streams that had begun at a time have ended.
+    fn is_old(&self, at: Instant, now: Instant) -> bool {
+        now.saturating_duration_since(at) >= self.lifetime
+    }
 }
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -28,7 +28,15 @@
 fn base(version: &str, era: u64) -> BaseVersion {
     BaseVersion {
         version: version.into(),
-        era,
+        era: Some(era),
+    }
+}
+
+/// A base version that doesn't hold any more.
+fn withdrawn(version: &str) -> BaseVersion {
+    BaseVersion {
+        version: version.into(),
+        era: None,
     }
 }
 
@@ -40,15 +48,44 @@
     known.set_servers(servers.iter(), now);
 }
 
-/// What is known of a store in era 1 with servers of these versions.
-fn started(versions: &[&str], now: Instant) -> StreamVersions {
-    let mut known = StreamVersions::default();
+/// What an instance knows of a store in this era with servers of these versions and a base version.
+fn read(
+    mut known: StreamVersions,
+    era: u64,
+    versions: &[&str],
+    base: Option<BaseVersion>,
+    now: Instant,
+) -> StreamVersions {
     known.set_lifetime(LIFETIME);
-    known.set_era(1, now);
+    known.set_era(era, now);
+    if base.is_some() {
+        known.set_base(&"engine".into(), base, now);
+    }
+    known.record_bases_read(era);
     list(&mut known, versions, now);
     known
 }
 
+/// What is known at the first start of the system, of a store in era 1.
+fn started(versions: &[&str], now: Instant) -> StreamVersions {
+    read(StreamVersions::new(true), 1, versions, None, now)
+}
+
+/// The same when a base version was written since.
+fn started_with_base(versions: &[&str], base: BaseVersion, now: Instant) -> StreamVersions {
+    read(StreamVersions::new(true), 1, versions, Some(base), now)
+}
+
+/// What an instance knows that has started again.
+fn restarted(
+    era: u64,
+    versions: &[&str],
+    base: Option<BaseVersion>,
+    now: Instant,
+) -> StreamVersions {
+    read(StreamVersions::new(false), era, versions, base, now)
+}
+
 #[test]
 fn base_change_names_the_only_version_at_once() {
     let now = Instant::now();
@@ -57,29 +94,69 @@
     // Streams may have begun at either version.
     let known = started(&["v1", "v2"], now);
     assert_eq!(known.base_change("engine", now + LIFETIME * 2), None);
+    // A server without a version has another one.
+    let mut known = started(&["v1"], now);
+    list(&mut known, &["v1", ""], now);
+    assert_eq!(known.base_change("engine", now), None);
+}
+
+/// Guards against a base version without a proof: streams without a record may have begun before this
+/// instance did, and a store that was restored may lack the base version.
+#[test]
+fn base_change_of_restarted_instance_waits_for_streams_begun_before() {
+    let now = Instant::now();
+    let known = restarted(1, &["v1"], None, now);
+    assert_eq!(known.base_change("engine", now + ALMOST), None);
+    let change = known.base_change("engine", now + LIFETIME);
+    assert_eq!(change, Some(base("v1", 1)));
 }
 
+/// Guards against streams that go on at the base version though they began at another one: an instance
+/// that starts after a restore can't tell that records of running streams are lost.
 #[test]
-fn base_change_waits_until_streams_of_the_old_version_have_ended() {
+fn base_change_of_instance_started_after_restore_waits_for_lost_records() {
     let now = Instant::now();
-    let mut known = started(&["v1", "v2", "v2"], now);
-    known.set_base(&"engine".into(), Some(base("v1", 1)));
+    for is_first_start in [false, true] {
+        let known = StreamVersions::new(is_first_start);
+        let known = read(known, 2, &["v1", "v2"], Some(base("v1", 1)), now);
+        assert_eq!(known.base_change("engine", now + ALMOST), None);
+        let change = known.base_change("engine", now + LIFETIME);
+        assert_eq!(change, Some(base("v1", 2)));
+    }
+}
+
+/// Guards against a base version that is changed late: servers of the old one are back, and streams
+/// without a record have begun there.
+#[test]
+fn base_change_withdraws_the_old_version_until_its_streams_have_ended() {
+    let now = Instant::now();
+    let mut known = started_with_base(&["v1", "v2", "v2"], base("v1", 1), now);
     assert_eq!(known.base_change("engine", now + LIFETIME * 2), None);
     let gone_at = now + LIFETIME * 2;
     list(&mut known, &["v2", "v2", "v3"], gone_at);
-    let ended_at = gone_at + LIFETIME;
-    assert_eq!(known.base_change("engine", gone_at + ALMOST), None);
+    assert_eq!(known.base_change("engine", gone_at + MOMENT), None);
+    // No other version takes its place at once, however long it is gone.
+    for gone_for in [ALMOST, LIFETIME, LIFETIME * 2] {
+        let change = known.base_change("engine", gone_at + gone_for);
+        assert_eq!(change, Some(withdrawn("v1")));
+    }
+    let withdrawn_at = gone_at + LIFETIME / 2;
+    known.set_base(&"engine".into(), Some(withdrawn("v1")), withdrawn_at);
+    let ended_at = withdrawn_at + LIFETIME;
+    assert_eq!(known.base_change("engine", withdrawn_at + ALMOST), None);
     assert_eq!(known.base_change("engine", ended_at), Some(base("v2", 1)));
     // A server of the old version is back.
     list(&mut known, &["v1", "v2"], ended_at);
-    assert_eq!(known.base_change("engine", ended_at), None);
+    assert_eq!(known.base_change("engine", ended_at), Some(base("v1", 1)));
+    // It was gone for a moment only.
+    list(&mut known, &["v2"], ended_at);
+    assert_eq!(known.base_change("engine", ended_at + ALMOST), None);
 }
 
 #[test]
 fn base_change_after_start_waits_for_streams_begun_before() {
     let now = Instant::now();
-    let mut known = started(&["v2"], now);
-    known.set_base(&"engine".into(), Some(base("v1", 1)));
+    let known = restarted(1, &["v2"], Some(withdrawn("v1")), now);
     assert_eq!(known.base_change("engine", now + ALMOST), None);
     let change = known.base_change("engine", now + LIFETIME);
     assert_eq!(change, Some(base("v2", 1)));
@@ -88,62 +165,96 @@
 #[test]
 fn base_change_after_restore_waits_for_streams_whose_records_are_lost() {
     let now = Instant::now();
-    let mut known = started(&["v1", "v2"], now);
-    known.set_base(&"engine".into(), Some(base("v1", 1)));
-    known.set_era(2, now);
+    let mut known = started_with_base(&["v1", "v2"], base("v1", 1), now);
+    assert!(known.set_era(2, now));
+    assert_eq!(known.base_change("engine", now + LIFETIME), None);
+    known.record_bases_read(2);
     assert_eq!(known.base_change("engine", now + ALMOST), None);
     let change = known.base_change("engine", now + LIFETIME);
     assert_eq!(change, Some(base("v1", 2)));
+    // An era that has passed is told late.
+    assert!(!known.set_era(1, now + LIFETIME));
+    let change = known.base_change("engine", now + LIFETIME);
+    assert_eq!(change, Some(base("v1", 2)));
 }
 
 #[test]
 fn needs_record_only_for_streams_at_other_versions() {
-    let mut known = started(&["v1"], Instant::now());
+    let now = Instant::now();
+    let known = started(&["v1"], now);
     let (v1, v2): (Name, Name) = ("v1".into(), "v2".into());
     assert!(
         known.needs_record("engine", Some(&v1)),
         "base not known yet"
     );
-    known.set_base(&"engine".into(), Some(base("v1", 1)));
+    let known = started_with_base(&["v1"], base("v1", 1), now);
     assert!(!known.needs_record("engine", Some(&v1)));
     assert!(known.needs_record("engine", Some(&v2)));
     assert!(known.needs_record("engine", None));
 }
 
 #[test]
-fn assumes_base_until_the_store_is_known_to_have_none() {
+fn must_await_record_of_stream_that_may_be_taken_for_another_version() {
+    let now = Instant::now();
     let unread = StreamVersions::default();
-    assert!(unread.assumes_base("engine"));
-    let mut known = started(&["v1"], Instant::now());
-    assert!(!known.assumes_base("engine"));
-    known.set_base(&"engine".into(), Some(base("v1", 1)));
-    assert!(known.assumes_base("engine"));
+    assert!(unread.must_await_record("engine", "r1", now));
+    // Either version may become the base version, also if the other one has left since.
+    let mut known = started(&["v1", "v2"], now);
+    known.remember(&"r1".into(), Some("v1".into()), 1, now);
+    assert!(known.must_await_record("engine", "r1", now));
+    list(&mut known, &["v1"], now);
+    assert!(known.must_await_record("engine", "r1", now));
+    let mut known = restarted(1, &["v1"], None, now);
+    known.remember(&"r1".into(), Some("v1".into()), 1, now);
+    assert!(known.must_await_record("engine", "r1", now));
+    let mut known = started(&["v1"], now);
+    known.remember(&"r1".into(), Some("v1".into()), 1, now);
+    assert!(!known.must_await_record("engine", "r1", now));
+    known.set_base(&"engine".into(), Some(base("v1", 1)), now);
+    known.remember(&"r2".into(), Some("v2".into()), 1, now);
+    known.remember(&"r3".into(), None, 1, now);
+    // Its first record names another version.
+    known.remember(&"r4".into(), Some("v2".into()), 1, now);
+    known.remember(&"r4".into(), Some("v1".into()), 2, now);
+    let awaited = |known: &StreamVersions, at| {
+        ["r1", "r2", "r3", "r4"].map(|id| known.must_await_record("engine", id, at))
+    };
+    assert_eq!(awaited(&known, now), [false, true, true, true]);
+    // A base version that doesn't hold stays if its servers have been listed for long.
+    known.set_base(&"engine".into(), Some(withdrawn("v1")), now);
+    assert_eq!(awaited(&known, now), [true; 4]);
+    let later = now + LIFETIME;
+    assert_eq!(awaited(&known, later), [false, true, true, true]);
+    known.record_list_gap(later);
+    assert_eq!(awaited(&known, later), [true; 4]);
 }
 
 #[test]
 fn sole_version_needs_the_life_of_a_stream() {
     let now = Instant::now();
     let mut known = started(&["v1"], now);
-    assert_eq!(known.sole_version("engine", now + ALMOST), None);
+    let sole = |known: &StreamVersions, at| known.sole_version("engine", at);
+    assert_eq!(sole(&known, now + ALMOST), None);
     let later = now + LIFETIME;
-    assert_eq!(known.sole_version("engine", later).as_deref(), Some("v1"));
+    assert_eq!(sole(&known, later).as_deref(), Some("v1"));
     list(&mut known, &["v1", "v2"], later);
-    assert_eq!(known.sole_version("engine", later), None);
+    assert_eq!(sole(&known, later), None);
     list(&mut known, &["v2"], later);
-    assert_eq!(known.sole_version("engine", later + ALMOST), None);
-    let sole = known.sole_version("engine", later + LIFETIME);
-    assert_eq!(sole.as_deref(), Some("v2"));
+    assert_eq!(sole(&known, later + ALMOST), None);
+    assert_eq!(sole(&known, later + LIFETIME).as_deref(), Some("v2"));
+    list(&mut known, &["v2", ""], later + LIFETIME);
+    assert_eq!(sole(&known, later + LIFETIME), None);
 }
 
 #[test]
 fn remembered_versions_are_dropped_after_the_life_of_a_stream() {
     let now = Instant::now();
     let mut known = started(&["v1"], now);
-    known.remember(&"r1".into(), Some("v1".into()), now);
-    known.remember(&"r2".into(), None, now);
-    known.remember(&"r2".into(), Some("v2".into()), now + LIFETIME);
+    known.remember(&"r1".into(), Some("v1".into()), 1, now);
+    known.remember(&"r2".into(), None, 1, now);
+    known.remember(&"r2".into(), Some("v2".into()), 2, now + LIFETIME);
     assert_eq!(known.remembered("r1"), Some(Some("v1".into())));
-    known.remember(&"r3".into(), None, now + LIFETIME + MOMENT);
+    known.remember(&"r3".into(), None, 1, now + LIFETIME + MOMENT);
     assert_eq!(known.remembered("r1"), None);
     assert_eq!(known.remembered("r2"), Some(Some("v2".into())));
     assert_eq!(known.remembered("r3"), Some(None));
@@ -157,6 +268,7 @@
     );
     assert_eq!(resolve(None, Some(&base("v1", 2)), 3), None);
     assert_eq!(resolve(Some(None), Some(&base("v1", 3)), 3), None);
+    assert_eq!(resolve(None, Some(&withdrawn("v1")), 0), None);
     let record = Some(Some("v2".into()));
     assert_eq!(
         resolve(record, Some(&base("v1", 2)), 3).as_deref(),
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -100,7 +100,13 @@
         log.clone(),
     );
     let limits = LimitExchange::new(state.clone(), peers.clone(), store.clone(), log.clone());
-    let versions = VersionRecords::new(state.clone(), peers.clone(), store.clone(), log.clone());
+    let versions = VersionRecords::new(
+        settings.is_first_start,
+        state.clone(),
+        peers.clone(),
+        store.clone(),
+        log.clone(),
+    );
     let dispatcher = Rc::new(Dispatcher::new(
         state.clone(),
         connections.clone(),
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -202,6 +202,11 @@
             record: None,
         };
         let outcome = self.run_attempts(&mut attempts, &mut sink).await;
+        if !sink.started {
+            versions.end(request.id);
+        } else if let Outcome::Completed(_) = outcome {
+            versions.end(taken_up.unwrap_or(request.id));
+        }
         stats.last_event_id = sink.filter.last_event_id();
         outcome
     }
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -50,6 +50,7 @@
 #[derive(Debug)]
 pub struct PendingRecord {
     pool: Name,
+    stream: Name,
     written: oneshot::Receiver<()>,
 }
 
@@ -62,10 +63,12 @@
 
 #[derive(Debug)]
 struct QueuedRecord {
+    stream: Name,
     key: RecordKey,
     value: Vec<u8>,
     queued_at: Instant,
-    written: oneshot::Sender<()>,
+    /// Told when it is written, if someone waits for it.
+    written: Option<oneshot::Sender<()>>,
 }
 
 /// Writes and reads at which versions streams began.
@@ -88,9 +91,11 @@
 }
 
 impl VersionRecords {
-    /// Creates an object that knows no versions.
+    /// Creates an object that knows no versions. `is_first_start` tells whether the whole system starts for
+    /// the first time.
     #[must_use]
     pub fn new(
+        is_first_start: bool,
         state: Rc<SharedState>,
         peers: Rc<Peers>,
         store: Rc<Store>,
@@ -101,7 +106,7 @@
             peers,
             store,
             log,
-            known: RefCell::default(),
+            known: RefCell::new(StreamVersions::new(is_first_start)),
             base_rows: RefCell::default(),
             lifetime: Cell::default(),
             queue: RefCell::default(),
@@ -116,106 +121,129 @@
         let mut known = self.known.borrow_mut();
         let timeout = self.state.config().map(|config| config.longest_stream());
         if let Some(timeout) = timeout {
-            self.lifetime.set(timeout + LIFETIME_MARGIN);
-            known.set_lifetime(self.lifetime.get());
+            // Streams that began under longer timeouts may still run.
+            let lifetime = self.lifetime.get().max(timeout + LIFETIME_MARGIN);
+            self.lifetime.set(lifetime);
+            known.set_lifetime(lifetime);
         }
         known.set_servers(self.state.selector.borrow().servers(), Instant::now());
     }
 
+    /// Records the era of the store in a response.
+    pub fn record_era(&self, era: u64) {
+        if self.known.borrow_mut().set_era(era, Instant::now()) {
+            info!(self.log, "base versions don't hold"; "era" => era);
+        }
+    }
+
     /// Applies changes of the base versions in the store.
     pub fn apply(&self, changes: &TableChanges) {
         let mut known = self.known.borrow_mut();
         let mut rows = self.base_rows.borrow_mut();
-        known.set_era(changes.version.era, Instant::now());
+        let now = Instant::now();
         for row in &changes.rows {
             let base = row.value.as_deref().and_then(decode_base);
             info!(self.log, "base version"; "pool" => &*row.key, "row" => row.version.number,
-                "version" => base.as_ref().map(|base| &*base.version));
-            known.set_base(&row.key, base);
+                "version" => base.as_ref().map(|base| &*base.version),
+                "holds_in" => base.as_ref().and_then(|base| base.era), "era" => changes.version.era);
+            known.set_base(&row.key, base, now);
             rows.insert(row.key.clone(), row.version.number);
         }
         for pool in &changes.missing {
-            known.set_base(pool, None);
+            known.set_base(pool, None, now);
             rows.remove(pool);
         }
+        known.record_bases_read(changes.version.era);
     }
 
-    /// Version at whose servers streams of a pool need no record, and the cost of beginning one at
-    /// another version.
+    /// Version at whose servers streams of a pool need no record, or don't wait for it, and the cost of
+    /// beginning one at another version.
     #[must_use]
     pub fn favored(&self, pool: &str) -> Option<(Name, Duration)> {
-        let base = self.known.borrow().base(pool).cloned()?;
+        let known = self.known.borrow();
         let cost = if self.is_failing.get() {
             NO_RECORD_COST
         } else {
+            known.holding_base(pool)?;
             RECORD_COST
         };
-        Some((base, cost))
+        known.base(pool).map(|base| (base.clone(), cost))
     }
 
-    /// Remembers that an attempt at a stream was sent to a server, and queues its record if it needs
-    /// one.
+    /// Remembers that a stream may begin at a server of this version, and queues its record if it needs
+    /// one. `number` counts the calls for one stream from 1 on; the latest one tells the version.
     #[must_use]
     pub fn begin(
         &self,
         stream: &str,
-        attempt: u32,
+        number: u32,
         pool: &Name,
         version: Option<&Name>,
     ) -> Option<PendingRecord> {
         let now = Instant::now();
+        let stream = Name::from(stream);
         let mut known = self.known.borrow_mut();
-        // A record of an earlier attempt, which the server rejected, must not count.
-        let has_record = attempt > 1 && known.remembered(stream).is_some();
+        // A record of a server that rejected the request must not count.
+        let has_record = number > 1 && known.remembered(&stream).is_some();
         let needs_record = known.needs_record(pool, version);
-        known.remember(&stream.into(), version.cloned(), now);
+        known.remember(&stream, version.cloned(), number, now);
+        drop(known);
         if !needs_record && !has_record {
             return None;
         }
+        let written = self.queue_record(&stream, number, version.cloned())?;
+        Some(PendingRecord {
+            pool: pool.clone(),
+            stream,
+            written,
+        })
+    }
+
+    /// Records that a stream has ended, or that its request began none. Its record is not written any more.
+    pub fn end(&self, stream: &str) {
+        self.known.borrow_mut().record_end(stream);
+    }
+
+    /// Queues the record of a stream with this number.
+    fn queue_record(
+        &self,
+        stream: &Name,
+        number: u32,
+        version: Option<Name>,
+    ) -> Option<oneshot::Receiver<()>> {
         let store_time = self.state.freshness.borrow().store_time(boot_time());
         let record = StreamRecord {
-            version: version.cloned(),
+            version,
             store_time: store_time.unwrap_or_default(),
         };
         let value = postcard::to_stdvec(&record).ok()?;
         let (tx, written) = oneshot::channel();
         let key = RecordKey {
             part: partition(stream),
-            key: format!("{stream}/{attempt:04}"),
+            key: format!("{stream}/{number:04}"),
         };
         self.queue.borrow_mut().push_back(QueuedRecord {
+            stream: stream.clone(),
             key,
             value,
-            queued_at: now,
-            written: tx,
+            queued_at: Instant::now(),
+            written: Some(tx),
         });
         self.to_write.notify_one();
-        Some(PendingRecord {
-            pool: pool.clone(),
-            written,
-        })
+        Some(written)
     }
 
-    /// Waits until a record is written. Gives up if no server could continue the stream at the version
-    /// that is assumed without the record; none is if the pool has no base version.
+    /// Waits until a record is written, if the stream might be taken for one of another version without it.
     pub async fn wait_written(&self, record: &mut PendingRecord) {
-        while self.known.borrow().assumes_base(&record.pool) {
+        let must_wait = || {
+            let known = self.known.borrow();
+            known.must_await_record(&record.pool, &record.stream, Instant::now())
+        };
+        while must_wait() {
             let written = tokio::time::timeout(WAIT_STEP, &mut record.written).await;
             if written.is_ok() {
                 return;
             }
-            let base = self.known.borrow().base(&record.pool).cloned();
-            if base.is_none() {
-                continue;
-            }
-            let selector = self.state.selector.borrow();
-            let mut servers = selector.servers();
-            let is_served = servers
-                .any(|server| server.pool == record.pool && server.ready && server.version == base);
-            if !is_served {
-                warn!(self.log, "stream begins without a record of its version"; "pool" => &*record.pool);
-                return;
-            }
         }
     }
 
@@ -227,25 +255,28 @@
             return version;
         }
         let sole = self.known.borrow().sole_version(pool, Instant::now());
-        if sole.is_some() {
+        let Some(stream) = stream else {
             return sole;
-        }
-        let stream = stream?;
-        let found = match self.read(pool, stream).await {
-            Ok(found) => found,
-            Err(error) => {
-                info!(self.log, "can't read at which version a stream began"; "stream" => stream, "fault" => error.to_string());
-                return None;
-            }
         };
-        if found.is_some() {
+        let (version, number) = match sole {
+            Some(version) => (Some(version), 0),
+            None => match self.read(pool, stream).await {
+                Ok(found) => found,
+                Err(error) => {
+                    info!(self.log, "can't read at which version a stream began"; "stream" => stream, "fault" => error.to_string());
+                    return None;
+                }
+            },
+        };
+        if version.is_some() {
             let mut known = self.known.borrow_mut();
-            known.remember(&stream.into(), found.clone(), Instant::now());
+            known.remember(&stream.into(), version.clone(), number, Instant::now());
         }
-        found
+        version
     }
 
-    async fn read(&self, pool: &str, stream: &str) -> Result<Option<Name>, StoreError> {
+    /// Reads at which version a stream began, and the number of its record; 0 if it has none.
+    async fn read(&self, pool: &str, stream: &str) -> Result<(Option<Name>, u32), StoreError> {
         let dialect = self.store.dialect();
         let call = dialect.read_stream_records_call(&partition(stream), Some(stream));
         let records = self.store.read_page(call).await?;
@@ -254,6 +285,7 @@
         let call = dialect.read_row_call(Table::BaseVersions, pool);
         let bases = self.store.read_page(call).await?;
         let latest = records.rows.iter().max_by_key(|row| &row.key);
+        let number = latest.and_then(|row| row.key.rsplit_once('/')?.1.parse().ok());
         let record = latest.and_then(|row| row.value.as_deref());
         let record = match record.map(postcard::from_bytes::<StreamRecord>) {
             Some(Ok(record)) => Some(record.version),
@@ -269,8 +301,9 @@
         }
         let version = resolve(record.clone(), base.as_ref(), era);
         info!(self.log, "read at which version a stream began"; "stream" => stream,
-            "version" => version.as_deref(), "recorded" => record.is_some());
-        Ok(version)
+            "version" => version.as_deref(), "recorded" => record.is_some(), "era" => era,
+            "base" => base.as_ref().map(|base| &*base.version), "base_holds_in" => base.as_ref().and_then(|base| base.era));
+        Ok((version, number.unwrap_or_default()))
     }
 
     /// Writes records, forever.
@@ -289,7 +322,7 @@
                     for record in batch {
                         written.push_back((record.queued_at, record.key));
                         // The stream may have ended.
-                        let _ended = record.written.send(());
+                        let _ended = record.written.map(|written| written.send(()));
                     }
                 }
                 Err(error) => {
@@ -303,12 +336,15 @@
         }
     }
 
-    /// The oldest queued record with others of its partition. Streams that have ended without an event
-    /// need none.
+    /// The oldest queued record with others of its partition. Streams that have ended need none.
     fn next_batch(&self) -> Option<(String, Vec<QueuedRecord>)> {
         let mut queue = self.queue.borrow_mut();
         let lifetime = self.lifetime.get();
-        queue.retain(|record| record.queued_at.elapsed() < lifetime && !record.written.is_closed());
+        let known = self.known.borrow();
+        queue.retain(|record| {
+            record.queued_at.elapsed() < lifetime && known.is_running(&record.stream)
+        });
+        drop(known);
         let part = queue.front()?.key.part.clone();
         let (mut batch, rest): (Vec<_>, Vec<_>) =
             queue.drain(..).partition(|record| record.key.part == part);
@@ -380,7 +416,7 @@
                 }
             }
             for (pool, base) in self.base_changes() {
-                info!(self.log, "changing a base version"; "pool" => &*pool, "version" => &*base.version, "era" => base.era);
+                info!(self.log, "changing a base version"; "pool" => &*pool, "version" => &*base.version, "holds_in" => base.era);
                 let Ok(value) = postcard::to_stdvec(&base) else {
                     continue;
                 };
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -332,6 +332,7 @@
         table: Table,
         changes: TableChanges,
     ) -> Result<(TableChanges, Result<(), PageError>), ApplyError> {
+        self.versions.record_era(changes.version.era);
         let restored = self.compare_restored(table, &changes);
         let news = self.replicas.borrow_mut()[table_index(table)].apply(changes)?;
         let applied = match restored {
