fix(versions): streams get records while their base version doesn't hold

Cause: a stream at the base version got no record, but readers distrust a base version of an older era. Streams from before the drill had lost their records.

Ruled out: records that are written and not found; there were none.

Change: a stream needs a record unless the base version holds and the store confirmed that lately. An instance that learns of a restore writes the records of its running streams again. Streams that have ended are no longer recorded.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -305,10 +305,11 @@
         Some(&base.version)
     }
 
-    /// Whether a stream that begins at this version needs a record.
+    /// Whether a stream that begins at this version needs a record. `is_confirmed` tells whether the
+    /// store confirmed recently what this instance knows.
     #[must_use]
-    pub fn needs_record(&self, pool: &str, version: Option<&Name>) -> bool {
-        self.base(pool) != version || version.is_none()
+    pub fn needs_record(&self, pool: &str, version: Option<&Name>, is_confirmed: bool) -> bool {
+        !is_confirmed || version.is_none() || self.holding_base(pool) != version
     }
 
     /// Whether the record of a stream must be written before its first event is forwarded: without it, the
@@ -379,6 +380,13 @@
         self.begun.get(id).is_some_and(|stream| !stream.has_ended)
     }
 
+    /// Streams that may still run. A restored store needs their records, as it may lack those that were
+    /// written, and the base version doesn't hold.
+    pub fn running(&self, now: Instant) -> impl Iterator<Item = (&Name, &KnownStream)> {
+        let running = self.begun.iter();
+        running.filter(move |(_, stream)| !stream.has_ended && !self.is_old(stream.at, now))
+    }
+
     /// The only version that any server of the pool has had for as long as a stream can last; `None` if
     /// there were several, or this instance hasn't followed the list of servers for so long.
     #[must_use]
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -184,13 +184,46 @@
     let known = started(&["v1"], now);
     let (v1, v2): (Name, Name) = ("v1".into(), "v2".into());
     assert!(
-        known.needs_record("engine", Some(&v1)),
+        known.needs_record("engine", Some(&v1), true),
         "base not known yet"
     );
     let known = started_with_base(&["v1"], base("v1", 1), now);
-    assert!(!known.needs_record("engine", Some(&v1)));
-    assert!(known.needs_record("engine", Some(&v2)));
-    assert!(known.needs_record("engine", None));
+    assert!(!known.needs_record("engine", Some(&v1), true));
+    assert!(known.needs_record("engine", Some(&v2), true));
+    assert!(known.needs_record("engine", None, true));
+}
+
+/// Guards against streams that can't be taken up although others begin: their base version doesn't
+/// count after a restore, so that they need records too.
+#[test]
+fn needs_record_at_base_version_that_does_not_hold() {
+    let now = Instant::now();
+    let v1: Name = "v1".into();
+    let mut known = started_with_base(&["v1"], base("v1", 1), now);
+    known.set_era(2, now);
+    assert!(known.needs_record("engine", Some(&v1), true));
+    known.set_base(&"engine".into(), Some(base("v1", 2)), now);
+    assert!(!known.needs_record("engine", Some(&v1), true));
+    // Another instance may have withdrawn it.
+    assert!(known.needs_record("engine", Some(&v1), false));
+    known.set_base(&"engine".into(), Some(withdrawn("v1")), now);
+    assert!(known.needs_record("engine", Some(&v1), true));
+}
+
+#[test]
+fn running_streams_need_their_records_after_restore() {
+    let now = Instant::now();
+    let mut known = started_with_base(&["v1"], base("v1", 1), now);
+    for (id, version) in [("base", "v1"), ("other", "v2"), ("ended", "v1")] {
+        known.remember(&id.into(), Some(version.into()), 1, now);
+    }
+    known.record_end("ended");
+    assert!(known.is_running("base") && !known.is_running("ended"));
+    assert_eq!(known.remembered("ended"), Some(Some("v1".into())));
+    let mut running: Vec<&str> = known.running(now).map(|(id, _)| &**id).collect();
+    running.sort_unstable();
+    assert_eq!(running, ["base", "other"]);
+    assert_eq!(known.running(now + LIFETIME).count(), 0);
 }
 
 #[test]
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -13,7 +13,7 @@
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::replica::TableChanges;
 use sardineshore_core::flow::stream_versions::{
-    BaseVersion, StreamRecord, StreamVersions, resolve,
+    BaseVersion, KnownStream, StreamRecord, StreamVersions, resolve,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, oneshot};
@@ -38,6 +38,9 @@
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How often base versions are compared with the listed servers, and expired records removed.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Age of the store's newest confirmation from which on streams get records at any version: another
+/// instance may have withdrawn the base version. Shorter than [`LIFETIME_MARGIN`].
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(4);
 /// How often records are looked for that instances have left behind.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(600);
 /// Time that a stream's life may exceed the longest timeout of a route, for the delays until all
@@ -129,10 +132,21 @@
         known.set_servers(self.state.selector.borrow().servers(), Instant::now());
     }
 
-    /// Records the era of the store in a response.
+    /// Records the era of the store in a response. If the store was restored from a copy, the records of
+    /// running streams are written again.
     pub fn record_era(&self, era: u64) {
-        if self.known.borrow_mut().set_era(era, Instant::now()) {
-            info!(self.log, "base versions don't hold"; "era" => era);
+        let mut known = self.known.borrow_mut();
+        if !known.set_era(era, Instant::now()) {
+            return;
+        }
+        let running: Vec<(Name, KnownStream)> = known
+            .running(Instant::now())
+            .map(|(id, stream)| (id.clone(), stream.clone()))
+            .collect();
+        drop(known);
+        info!(self.log, "recording versions of running streams again"; "era" => era, "streams" => running.len());
+        for (id, stream) in running {
+            let _not_awaited = self.queue_record(&id, stream.record, stream.version);
         }
     }
 
@@ -185,7 +199,10 @@
         let mut known = self.known.borrow_mut();
         // A record of a server that rejected the request must not count.
         let has_record = number > 1 && known.remembered(&stream).is_some();
-        let needs_record = known.needs_record(pool, version);
+        let freshness = self.state.freshness.borrow();
+        let is_confirmed = freshness.within(boot_time(), MAX_CONFIRMATION_AGE);
+        drop(freshness);
+        let needs_record = known.needs_record(pool, version, is_confirmed);
         known.remember(&stream, version.cloned(), number, now);
         drop(known);
         if !needs_record && !has_record {
