fix(versions): one listed version counts only if the list is confirmed

Cause: the only version in the instance's list was taken for that of every stream, however old the list was.

Ruled out: an old record; none was read.

Change: the store must confirm the list by a call that begins after the stream was taken up; one call serves all that wait. If the store doesn't respond, the stream is refused as not run. Entries that may have come and gone unseen start the time anew for which one version must have served.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -159,6 +159,8 @@
 pub struct StreamVersions {
     lifetime: Duration,
     pools: HashMap<Name, PoolVersions>,
+    /// When the call was sent whose response last confirmed the list of servers.
+    list_confirmed_at: Option<Instant>,
     /// Base versions of pools, as the store has them.
     bases: HashMap<Name, BaseVersion>,
     /// Since when a pool's base version is known not to hold.
@@ -180,6 +182,7 @@
         Self {
             lifetime: DEFAULT_STREAM_LIFETIME,
             pools: HashMap::new(),
+            list_confirmed_at: None,
             bases: HashMap::new(),
             open_since: HashMap::new(),
             era: None,
@@ -249,6 +252,11 @@
         }
     }
 
+    /// Records that the list of servers holds all changes until the call was sent, or later ones.
+    pub fn record_list_confirmation(&mut self, sent: Instant) {
+        self.list_confirmed_at = self.list_confirmed_at.max(Some(sent));
+    }
+
     /// Sets the base version of a pool as the store has it since its last change; `None` if it has none.
     pub fn set_base(&mut self, pool: &Name, base: Option<BaseVersion>, now: Instant) {
         match base {
@@ -387,10 +395,20 @@
         running.filter(move |(_, stream)| !stream.has_ended && !self.is_old(stream.at, now))
     }
 
-    /// The only version that any server of the pool has had for as long as a stream can last; `None` if
-    /// there were several, or this instance hasn't followed the list of servers for so long.
+    /// Whether one version alone may have served for as long as a stream can last, so that a confirmation
+    /// of the list of servers would tell the version of all streams.
+    #[must_use]
+    pub fn is_sole_version_likely(&self, pool: &str, now: Instant) -> bool {
+        self.settled_version(pool, now).is_some()
+    }
+
+    /// The only version that any server of the pool has had for as long as a stream can last, for a stream
+    /// that was taken up at `taken_up`. `None` if there were several, if this instance hasn't followed the
+    /// list of servers for so long, or if the list wasn't confirmed since: an older list may lack the
+    /// server that began the stream.
     #[must_use]
-    pub fn sole_version(&self, pool: &str, now: Instant) -> Option<Name> {
+    pub fn sole_version(&self, pool: &str, taken_up: Instant, now: Instant) -> Option<Name> {
+        self.list_confirmed_at.filter(|at| *at >= taken_up)?;
         self.settled_version(pool, now).cloned()
     }
 
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -266,7 +266,8 @@
 fn sole_version_needs_the_life_of_a_stream() {
     let now = Instant::now();
     let mut known = started(&["v1"], now);
-    let sole = |known: &StreamVersions, at| known.sole_version("engine", at);
+    known.record_list_confirmation(now + LIFETIME * 4);
+    let sole = |known: &StreamVersions, at| known.sole_version("engine", at, at);
     assert_eq!(sole(&known, now + ALMOST), None);
     let later = now + LIFETIME;
     assert_eq!(sole(&known, later).as_deref(), Some("v1"));
@@ -279,6 +280,30 @@
     assert_eq!(sole(&known, later + LIFETIME), None);
 }
 
+/// Guards against streams that go on at the only version that an instance knows: it was cut off from the
+/// store, or stood still, while servers of another version began them.
+#[test]
+fn sole_version_needs_a_list_confirmed_after_the_stream_was_taken_up() {
+    let now = Instant::now();
+    let mut known = started(&["v1"], now);
+    let before = now + LIFETIME * 2;
+    let taken_up = before + MOMENT;
+    assert_eq!(known.sole_version("engine", taken_up, taken_up), None);
+    known.record_list_confirmation(before);
+    assert_eq!(known.sole_version("engine", taken_up, taken_up), None);
+    known.record_list_confirmation(taken_up);
+    // An earlier confirmation that is recorded late changes nothing.
+    known.record_list_confirmation(now);
+    let sole = known.sole_version("engine", taken_up, taken_up);
+    assert_eq!(sole.as_deref(), Some("v1"));
+    // Servers of another version may have come and gone.
+    known.record_list_gap(taken_up);
+    assert!(!known.is_sole_version_likely("engine", taken_up + ALMOST));
+    assert!(known.is_sole_version_likely("engine", taken_up + LIFETIME));
+    known.set_era(2, taken_up + LIFETIME);
+    assert!(!known.is_sole_version_likely("engine", taken_up + LIFETIME));
+}
+
 #[test]
 fn remembered_versions_are_dropped_after_the_life_of_a_stream() {
     let now = Instant::now();
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -74,6 +74,46 @@
     written: Option<oneshot::Sender<()>>,
 }
 
+/// End of a check of the list of servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListCheckEnd {
+    /// The list holds all changes until the check began.
+    Confirmed,
+    /// The store responded, but the changes are not known.
+    Incomplete,
+    /// The store did not respond.
+    Unreachable,
+}
+
+/// Checks whether the list of servers is complete. A check serves all streams that wait when it begins.
+#[derive(Debug, Default)]
+pub struct ListCheck {
+    asked: Notify,
+    ended: Notify,
+    /// When the latest check began, and how it ended.
+    latest: Cell<Option<(Instant, ListCheckEnd)>>,
+}
+
+impl ListCheck {
+    /// Waits for a check that begins from now on.
+    pub async fn run(&self) -> ListCheckEnd {
+        let asked_at = Instant::now();
+        self.asked.notify_one();
+        loop {
+            let ended = self.ended.notified();
+            if let Some((_, end)) = self.latest.get().filter(|(at, _)| *at >= asked_at) {
+                return end;
+            }
+            ended.await;
+        }
+    }
+
+    /// Waits until a check is needed.
+    pub async fn wait_asked(&self) {
+        self.asked.notified().await;
+    }
+}
+
 /// Writes and reads at which versions streams began.
 #[derive(Debug)]
 pub struct VersionRecords {
@@ -87,6 +127,7 @@
     lifetime: Cell<Duration>,
     queue: RefCell<VecDeque<QueuedRecord>>,
     to_write: Notify,
+    list_check: ListCheck,
     /// Records of this instance in the store, oldest first, and when each was queued.
     written: RefCell<VecDeque<(Instant, RecordKey)>>,
     /// Whether the latest write failed.
@@ -114,6 +155,7 @@
             lifetime: Cell::default(),
             queue: RefCell::default(),
             to_write: Notify::new(),
+            list_check: ListCheck::default(),
             written: RefCell::default(),
             is_failing: Cell::new(false),
         })
@@ -150,6 +192,26 @@
         }
     }
 
+    /// Records that entries of servers may have come and gone unseen.
+    pub fn record_list_gap(&self) {
+        self.known.borrow_mut().record_list_gap(Instant::now());
+    }
+
+    /// Checks of the list of servers that streams wait for.
+    #[must_use]
+    pub fn list_check(&self) -> &ListCheck {
+        &self.list_check
+    }
+
+    /// Records the end of a check of the list of servers that began at `began_at`.
+    pub fn record_list_check(&self, began_at: Instant, end: ListCheckEnd) {
+        if end == ListCheckEnd::Confirmed {
+            self.known.borrow_mut().record_list_confirmation(began_at);
+        }
+        self.list_check.latest.set(Some((began_at, end)));
+        self.list_check.ended.notify_waiters();
+    }
+
     /// Applies changes of the base versions in the store.
     pub fn apply(&self, changes: &TableChanges) {
         let mut known = self.known.borrow_mut();
@@ -267,11 +329,26 @@
     /// Version at which a stream began that a caller takes up; `None` if it can't be found out.
     /// `stream` is the id of the request that brought its first event, if the caller names it.
     pub async fn find(&self, pool: &str, stream: Option<&str>) -> Option<Name> {
+        let taken_up = Instant::now();
         let remembered = stream.and_then(|id| self.known.borrow().remembered(id));
         if let Some(version) = remembered {
             return version;
         }
-        let sole = self.known.borrow().sole_version(pool, Instant::now());
+        let is_sole_likely = {
+            let known = self.known.borrow();
+            known.is_sole_version_likely(pool, taken_up)
+        };
+        let mut sole = None;
+        if is_sole_likely {
+            let end = self.list_check.run().await;
+            let known = self.known.borrow();
+            sole = known.sole_version(pool, taken_up, Instant::now());
+            info!(self.log, "checked the list of servers for a stream's version"; "stream" => stream,
+                "end" => ?end, "version" => sole.as_deref());
+            if end == ListCheckEnd::Unreachable {
+                return None;
+            }
+        }
         let Some(stream) = stream else {
             return sole;
         };
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -32,7 +32,7 @@
 use crate::settings::Bounds;
 use crate::state::{SharedState, boot_time};
 use crate::store::{Store, StoreError, TimedPage};
-use crate::stream_versions::VersionRecords;
+use crate::stream_versions::{ListCheckEnd, VersionRecords};
 
 /// Delay before the registration of the instance is checked or tried again.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(400);
@@ -169,6 +169,8 @@
         tokio::task::spawn_local(async move { watcher.greet_subscribers().await });
         let watcher = self.clone();
         tokio::task::spawn_local(async move { watcher.register().await });
+        let watcher = self.clone();
+        tokio::task::spawn_local(async move { watcher.check_servers().await });
     }
 
     fn version(&self, table: Table) -> Option<StoreVersion> {
@@ -231,6 +233,11 @@
                     }
                     failures = 0;
                     let changed = !timed.page.rows.is_empty();
+                    // A check of the list may have brought later changes in the meantime.
+                    if after.is_some() && self.version(table) > after.max(Some(timed.page.version))
+                    {
+                        continue;
+                    }
                     if let Err(error) = self.apply_page(table, timed, after) {
                         warn!(self.log, "page of the store not applied; reading all rows"; "table" => ?table, "fault" => error.to_string());
                         read_all = true;
@@ -334,6 +341,9 @@
     ) -> Result<(TableChanges, Result<(), PageError>), ApplyError> {
         self.versions.record_era(changes.version.era);
         let restored = self.compare_restored(table, &changes);
+        if table == Table::Servers && self.may_have_missed_servers(&changes) {
+            self.versions.record_list_gap();
+        }
         let news = self.replicas.borrow_mut()[table_index(table)].apply(changes)?;
         let applied = match restored {
             Some(restored) => self.apply_restored(table, &news, &restored),
@@ -351,6 +361,60 @@
         Ok((news, applied))
     }
 
+    /// Whether entries of servers may have come and gone since the list was known last, so that their
+    /// versions were never seen.
+    fn may_have_missed_servers(&self, changes: &TableChanges) -> bool {
+        let replicas = self.replicas.borrow();
+        let replica = &replicas[table_index(Table::Servers)];
+        if changes.is_snapshot {
+            return replica.version().is_some();
+        }
+        let was_listed = |key: &Name| {
+            let mut rows = replica.rows();
+            rows.any(|row| row.key == *key && row.value.is_some())
+        };
+        let mut removed = changes.rows.iter().filter(|row| row.value.is_none());
+        removed.any(|row| !was_listed(&row.key))
+    }
+
+    /// Asks the store for changes of the servers whenever the version of a stream depends on it, forever.
+    async fn check_servers(&self) {
+        loop {
+            self.versions.list_check().wait_asked().await;
+            let began_at = Instant::now();
+            let end = self.check_servers_once().await;
+            self.versions.record_list_check(began_at, end);
+        }
+    }
+
+    async fn check_servers_once(&self) -> ListCheckEnd {
+        let Some(after) = self.version(Table::Servers) else {
+            return ListCheckEnd::Incomplete;
+        };
+        let checked = self
+            .store
+            .watch(Table::Servers, after, Duration::ZERO)
+            .await;
+        let applied = checked.map(|timed| self.apply_page(Table::Servers, timed, Some(after)));
+        match applied {
+            // A replica that is ahead of the response holds what the response brings.
+            Ok(Ok(()) | Err(PageError::NotApplicable(ApplyError::Stale))) => {
+                ListCheckEnd::Confirmed
+            }
+            Ok(Err(error)) => {
+                info!(self.log, "check of the servers not applied"; "fault" => error.to_string());
+                ListCheckEnd::Incomplete
+            }
+            Err(error) => {
+                info!(self.log, "can't check the servers"; "fault" => error.to_string());
+                match error {
+                    StoreError::HistoryGone | StoreError::Restored => ListCheckEnd::Incomplete,
+                    _ => ListCheckEnd::Unreachable,
+                }
+            }
+        }
+    }
+
     /// Applies what a reader of the store hands on.
     fn apply_message(&self, message: ReaderMessage, received: Duration) -> Applied {
         let ReaderMessage::Changes {
