fix(serve): a stream keeps its version when its replacement is turned away

A stream whose server was silent before its first event was remembered, and recorded, at the version of a server that was to replace that one and turned it away.

Cause: the record was queued when the request was sent to the replacement, and nothing took it back.

Change: after the rejection the version of the silent server is recorded again, under a higher number. Records are numbered apart from attempts.

Test: serve_stream_of_silent_server_keeps_its_version_after_rejection failed before (200 from a server of the wrong version) and passes now.

--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -14,7 +14,7 @@
 use forward::ResponseSink;
 use sardineshore_core::flow::batching::{Job, JobStage};
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::selection::{RequiredVersion, SelectionRequest};
+use sardineshore_core::flow::selection::{RequiredVersion, SelectedServer, SelectionRequest};
 use slog::info;
 use tokio::io::AsyncWrite;
 use xxhash_rust::xxh3::xxh3_64;
@@ -88,6 +88,8 @@
     started: bool,
     /// Whether the request takes up a stream that an earlier one began.
     is_taken_up: bool,
+    /// Number of records of the version at which the stream may begin.
+    records: u32,
     /// Record of the version at which the stream begins, which must be written before its first event
     /// is forwarded.
     record: Option<PendingRecord>,
@@ -199,6 +201,7 @@
             rejections: 0,
             started: false,
             is_taken_up,
+            records: 0,
             record: None,
         };
         let outcome = self.run_attempts(&mut attempts, &mut sink).await;
@@ -312,9 +315,16 @@
         attempts.stats.attempts += 1;
         attempts.stats.server = Some(server.id.clone());
         attempts.selection.tried.push(server.id.clone());
+        self.record_version(attempts, server);
+    }
+
+    /// Queues the record of the server's version if the stream may begin there. It takes the place of
+    /// those of other servers.
+    fn record_version(&self, attempts: &mut Attempts<'_, '_>, server: &SelectedServer) {
         let is_resumable = attempts.request.route.kind.is_retryable();
         if is_resumable && attempts.selection.version == RequiredVersion::Any {
-            let (id, number) = (attempts.request.id, attempts.stats.attempts);
+            attempts.records += 1;
+            let (id, number) = (attempts.request.id, attempts.records);
             let (pool, version) = (&attempts.selection.pool, server.version.as_ref());
             let versions = self.dispatcher.versions();
             attempts.record = versions.begin(id, number, pool, version);
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -204,6 +204,7 @@
             }
             attempts.rejections += 1;
             attempts.stats.server = Some(silent.server.id.clone());
+            self.record_version(attempts, &silent.server);
             return Ok(None);
         }
         silent.attempt.finish(AttemptOutcome::Broken);
