fix(serve): large responses of servers share a memory budget

Another operator reported a machine that kept bytes without end from a faulty server and ran out of memory, with the requests of all its other callers.

Cause here: each head, event and body was bounded, but not all together: 40 connections with bodies of 4 MB held 160 MB. Interim responses were read without end, though not kept.

Ruled out: a part of one response without a bound, by reading; chunk sizes and trailers are bounded too.

Change: what is held of responses over 16 KiB comes out of an eighth of the instance's memory, until the response is dropped. A response without room ends with its connection and counts as the server's failure. The store's connections have no part in it. At most 16 interim responses. A malformed or too long body of a stream counts as a failure, not as a crash, as for other requests.

Not done: sardine-entry bounds each body, not their sum.

--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::peers::Peers;
 use crate::state::SharedState;
 use crate::stream_versions::VersionRecords;
-use crate::upstream::{Conn, ConnectionPool, OutgoingRequest, Response};
+use crate::upstream::{Conn, ConnectionPool, ExchangeError, OutgoingRequest, Response};
 
 /// Maximum time to open a connection to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -237,6 +237,18 @@
     pub attempt: Attempt,
 }
 
+impl ConnectedServer {
+    /// Records why the server's response ended early.
+    pub fn record_fault(&self, error: &ExchangeError) {
+        if let ExchangeError::InvalidResponse(_) | ExchangeError::ResponseTooLarge = error {
+            self.attempt.finish(AttemptOutcome::Failure);
+        } else {
+            self.attempt.record_lost_connection();
+            self.attempt.finish(AttemptOutcome::Broken);
+        }
+    }
+}
+
 impl Dispatcher {
     /// Creates a dispatcher from the parts of the instance that it uses.
     #[must_use]
@@ -464,7 +476,7 @@
         conn: &mut Conn,
         request: &AdmittedRequest<'_>,
         extra: ExtraHeaders<'_>,
-    ) -> Result<Response, crate::upstream::ExchangeError> {
+    ) -> Result<Response, ExchangeError> {
         let head = self.encode_head(server, request, extra);
         let outgoing = OutgoingRequest {
             head: &head,
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -10,6 +10,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::attempt::Dispatcher;
+use crate::budget::ReceiveBudget;
 use crate::cell::OwnedCells;
 use crate::crashes::CrashMonitor;
 use crate::dialect::Dialect;
@@ -31,6 +32,8 @@
 
 /// How often connections that were idle for too long are closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Part of the memory that large responses of servers may use together.
+const RECEIVE_MEMORY_DIVISOR: usize = 8;
 
 /// Runs an instance until SIGTERM has shut it down.
 ///
@@ -51,6 +54,7 @@
     state: Rc<SharedState>,
     store: Rc<Store>,
     connections: Rc<ConnectionPool>,
+    store_connections: Rc<ConnectionPool>,
     cells: Rc<OwnedCells>,
     peers: Rc<Peers>,
     dispatcher: Rc<Dispatcher>,
@@ -66,13 +70,16 @@
     log: &Logger,
 ) -> anyhow::Result<Components> {
     let state = Rc::new(SharedState::new(settings));
-    let connections = Rc::new(ConnectionPool::default());
+    let budget = ReceiveBudget::new(settings.memory / RECEIVE_MEMORY_DIVISOR);
+    let connections = Rc::new(ConnectionPool::with_budget(Rc::new(budget)));
+    // The store must be followed while servers use up their budget.
+    let store_connections = Rc::new(ConnectionPool::default());
     let metrics = Rc::new(Metrics::new()?);
     let shutdown = Rc::new(Shutdown::new(settings.bounds.grace));
     let store = Rc::new(Store::new(
         settings.store,
         dialect.clone(),
-        connections.clone(),
+        store_connections.clone(),
     ));
     let notices = NoticeReader::new(state.clone(), dialect.clone(), log.clone());
     let notices = Rc::new(notices);
@@ -133,6 +140,7 @@
         state,
         store,
         connections,
+        store_connections,
         cells,
         peers,
         dispatcher,
@@ -195,11 +203,13 @@
         "metrics",
         monitoring::serve(settings.metrics, metrics_handler),
     );
-    let connections = components.connections.clone();
+    let pools = [&components.connections, &components.store_connections].map(Rc::clone);
     tokio::task::spawn_local(async move {
         loop {
             tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
-            connections.evict_idle();
+            for pool in &pools {
+                pool.evict_idle();
+            }
         }
     });
     tokio::task::spawn_local(caller::accept(listener, components.handler.clone()));
--- a/crates/sardineshore-serve/src/lib.rs
+++ b/crates/sardineshore-serve/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 pub mod attempt;
+pub mod budget;
 pub mod caller;
 pub mod cell;
 pub mod crashes;
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -216,16 +216,13 @@
                 });
                 SendResult::Complete(response, body)
             }
-            Exchanged::Ended(Err(
-                ExchangeError::InvalidResponse(_) | ExchangeError::ResponseTooLarge,
-            )) => {
-                attempt.finish(AttemptOutcome::Failure);
-                SendResult::Lost("no answer")
-            }
-            Exchanged::Ended(Err(_)) => {
-                attempt.record_lost_connection();
-                attempt.finish(AttemptOutcome::Broken);
-                SendResult::Lost("connection broke")
+            Exchanged::Ended(Err(error)) => {
+                connected.record_fault(&error);
+                SendResult::Lost(if attempt.has_lost_connection() {
+                    "connection broke"
+                } else {
+                    "no answer"
+                })
             }
             Exchanged::Silent(replacement) => {
                 attempt.finish(AttemptOutcome::Broken);
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -70,9 +70,8 @@
                     return Err(End::Lost("deadline passed in the stream"));
                 }
                 Progress::Made(Ok(data)) => data,
-                Progress::Made(Err(_)) => {
-                    connected.attempt.record_lost_connection();
-                    connected.attempt.finish(AttemptOutcome::Broken);
+                Progress::Made(Err(error)) => {
+                    connected.record_fault(&error);
                     return Err(End::Lost("stream broke off"));
                 }
                 Progress::Replaced(next) => {
@@ -112,6 +111,10 @@
                     .map_err(|_| End::CallerDisconnected);
             };
             sink.filter.push(&data);
+            if response.hold(sink.filter.buffered()).is_err() {
+                connected.attempt.finish(AttemptOutcome::Failure);
+                return Err(End::Lost("no memory for an event"));
+            }
             loop {
                 let Ok(events) = sink.filter.take_events() else {
                     connected.attempt.finish(AttemptOutcome::Failure);
@@ -236,9 +239,8 @@
             .await;
         let mut response = match sent {
             Progress::Made(Ok(response)) => response,
-            Progress::Made(Err(_)) => {
-                connected.attempt.record_lost_connection();
-                connected.attempt.finish(AttemptOutcome::Broken);
+            Progress::Made(Err(error)) => {
+                connected.record_fault(&error);
                 return Err(End::Lost("connection broke"));
             }
             Progress::Replaced(next) => {
--- a/crates/sardineshore-serve/src/settings.rs
+++ b/crates/sardineshore-serve/src/settings.rs
@@ -60,6 +60,8 @@
     /// Processor cores that the instance may use, often a fraction of one; an instance with more
     /// becomes the owner of more cells.
     pub processor_share: f64,
+    /// Memory that the instance may use, in bytes.
+    pub memory: usize,
     /// Whether the whole system starts for the first time: no instance has run before.
     pub is_first_start: bool,
     /// Bounds that the deployment sets.
@@ -78,6 +80,7 @@
             metrics: local(8083),
             store: local(8084),
             processor_share: 1.0,
+            memory: 256 * 1024 * 1024,
             is_first_start: false,
             bounds: Bounds::default(),
         }
--- a/crates/sardineshore-serve/src/stream.rs
+++ b/crates/sardineshore-serve/src/stream.rs
@@ -74,6 +74,12 @@
         self.forwarded
     }
 
+    /// Size of what was received and not returned, in bytes.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buf.capacity()
+    }
+
     /// Whether the stream can't end here: an event has begun, at this server or at one before it.
     #[must_use]
     pub fn is_inside_event(&self) -> bool {
--- a/crates/sardineshore-serve/src/upstream.rs
+++ b/crates/sardineshore-serve/src/upstream.rs
@@ -1,7 +1,8 @@
 //! Pool of HTTP/1.1 connections to backend servers and to the store.
 //!
 //! [`ConnectionPool`] opens connections and keeps idle ones for reuse. A [`Conn`] carries one
-//! request and its response at a time.
+//! request and its response at a time. What servers send is bounded for each response, and the large
+//! responses of one pool together, by a [`ReceiveBudget`].
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,6 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::budget::{ReceiveBudget, Reservation};
 use crate::http1::{BodyDecoder, Decoded, Framing, MessageError, ResponseHead, parse_response};
 
 /// Maximum size of a response head, in bytes.
@@ -36,6 +38,8 @@
 const TCP_KEEPALIVE_RETRIES: u32 = 3;
 /// Maximum number of responses to other requests that one exchange skips.
 const MAX_SKIPPED_RESPONSES: u32 = 3;
+/// Maximum number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 
 /// Why an exchange brought no response.
 #[derive(Debug, thiserror::Error)]
@@ -49,7 +53,7 @@
     /// The server sent no valid HTTP response to this request.
     #[error("invalid response: {0}")]
     InvalidResponse(#[from] MessageError),
-    /// The head or the body of the response is too large.
+    /// The head or the body of the response is too large, or there is no room for it beside others.
     #[error("answer over the limit")]
     ResponseTooLarge,
 }
@@ -66,6 +70,7 @@
     reusable: bool,
     /// Longest time that the connection may stay idle before it is reused.
     idle_limit: Duration,
+    budget: Rc<ReceiveBudget>,
 }
 
 impl Drop for Conn {
@@ -80,6 +85,8 @@
     /// Status line and header fields.
     pub head: ResponseHead,
     decoder: BodyDecoder,
+    /// For the bytes of the response that are held in memory.
+    reservation: Reservation,
 }
 
 impl Response {
@@ -89,9 +96,20 @@
         Self {
             head: ResponseHead::default(),
             decoder: BodyDecoder::new(Framing::Length(0)),
+            reservation: Reservation::default(),
         }
     }
 
+    /// Reserves memory for bytes of the response that are held, in place of what was reserved before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room for them beside other responses.
+    pub fn hold(&mut self, bytes: usize) -> Result<(), ExchangeError> {
+        let held = self.reservation.resize(bytes);
+        held.map_err(|_| ExchangeError::ResponseTooLarge)
+    }
+
     /// Whether only the end of the connection tells where the body ends.
     #[must_use]
     pub fn is_close_delimited(&self) -> bool {
@@ -131,14 +149,16 @@
     /// Fails if the connection breaks, if the response is malformed or its head too long, or if
     /// too many responses belong to other requests.
     pub async fn send(&mut self, request: OutgoingRequest<'_>) -> Result<Response, ExchangeError> {
+        let mut reservation = Reservation::new(&self.budget);
         let Self { stream, buf, .. } = self;
         let (mut rd, mut wr) = stream.split();
         let mut out = Buf::chain(request.head, request.body);
         let mut written = false;
         let mut skipped = 0;
+        let mut interim = 0;
         loop {
             let parsed = {
-                let read = read_head(&mut rd, buf);
+                let read = read_head(&mut rd, buf, &mut reservation);
                 tokio::pin!(read);
                 loop {
                     if written {
@@ -159,6 +179,10 @@
             let (head, head_len) = parsed?;
             buf.advance(head_len);
             if matches!(head.status, 100..=199) {
+                interim += 1;
+                if interim > MAX_INTERIM_RESPONSES {
+                    return Err(ExchangeError::ResponseTooLarge);
+                }
                 continue;
             }
             if !written {
@@ -170,7 +194,11 @@
                 .is_none_or(|(name, value)| head.headers.get(name) == Some(value));
             if echo_matches {
                 self.apply_keep_alive(&head, &decoder);
-                return Ok(Response { head, decoder });
+                return Ok(Response {
+                    head,
+                    decoder,
+                    reservation,
+                });
             }
             self.reusable = false;
             skipped += 1;
@@ -237,6 +265,7 @@
             if body.len() > MAX_BODY_BYTES {
                 return Err(ExchangeError::ResponseTooLarge);
             }
+            response.hold(body.capacity() + self.buf.len())?;
         }
         Ok(body)
     }
@@ -246,12 +275,13 @@
 async fn read_head(
     rd: &mut (impl AsyncReadExt + Unpin),
     buf: &mut BytesMut,
+    reservation: &mut Reservation,
 ) -> Result<(ResponseHead, usize), ExchangeError> {
     loop {
         if let Some(parsed) = parse_response(buf)? {
             return Ok(parsed);
         }
-        if buf.len() > MAX_HEAD_BYTES {
+        if buf.len() > MAX_HEAD_BYTES || reservation.resize(buf.len()).is_err() {
             return Err(ExchangeError::ResponseTooLarge);
         }
         if rd.read_buf(buf).await.map_err(ExchangeError::Io)? == 0 {
@@ -291,9 +321,19 @@
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
     pools: RefCell<HashMap<SocketAddr, AddressPool>>,
+    budget: Rc<ReceiveBudget>,
 }
 
 impl ConnectionPool {
+    /// A pool without connections, whose large responses share this budget.
+    #[must_use]
+    pub fn with_budget(budget: Rc<ReceiveBudget>) -> Self {
+        Self {
+            budget,
+            ..Self::default()
+        }
+    }
+
     /// Number of connections to an address: in use, idle or being opened.
     #[must_use]
     pub fn open_count(&self, address: SocketAddr) -> usize {
@@ -351,6 +391,7 @@
             open_count: guard.disarm(),
             reusable: true,
             idle_limit: DEFAULT_IDLE_LIMIT,
+            budget: self.budget.clone(),
         })
     }
 
