fix(serve): encoded streams of servers are not passed on

Cause: the check of a stream's head asked for the signature only. Other requests were checked for the field already. Ruled out: that the field is added on the way.

Change: such a response, a success or an error, is a failure of its server.

--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -256,7 +256,7 @@
         Ok(response)
     }
 
-    /// Checks the response head: succeeds only for a signed response with a 2xx status. Records
+    /// Checks the response head: succeeds only for a signed response without an encoding, with a 2xx status. Records
     /// the outcome of the attempt otherwise.
     async fn check_head(
         &self,
@@ -276,12 +276,14 @@
             });
         }
         let signed = response.head.headers.get(fields.signature).is_some();
+        // Callers ask for no encoding, so encoded bytes are not what the server was asked for.
+        let encoded = response.head.headers.get("content-encoding").is_some();
         if (200..300).contains(&status) {
-            if signed {
+            if signed && !encoded {
                 return Ok(());
             }
             connected.attempt.finish(AttemptOutcome::Failure);
-            return Err(End::Lost("answer without signature"));
+            return Err(End::Lost("answer can't be trusted"));
         }
         connected.attempt.finish(AttemptOutcome::Failure);
         let time_left = request.time_to_deadline();
@@ -290,7 +292,7 @@
         // confirms it, the request may have run.
         let implies_not_run = matches!(status, 408 | 421 | 429 | 503);
         match body {
-            Ok(Ok(body)) if signed && !implies_not_run => {
+            Ok(Ok(body)) if signed && !encoded && !implies_not_run => {
                 let error_response = std::mem::replace(response, Response::empty());
                 Err(End::Failed(error_response, body))
             }
