fix(versions): records are left behind only by the sweeping instance's own time

Records of running streams could be removed, so that those streams would be taken for ones of the base version and go on at another version.

A store whose clock starts anew would have lost all records at once; so would a writer that didn't know the store's clock, whose records said zero.

Change: the sweeping instance remembers when it first saw a record, and removes it once it has known it for two lives of a stream. Records no longer hold a time.

Test: record_sweep_removes_only_what_was_seen_for_longer_than_a_stream_lasts replaces is_expired_record_of_stopped_instance_or_of_another_clock, which asked for the removal of records with a later time.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -74,16 +74,38 @@
 pub struct StreamRecord {
     /// Version at which it began; `None` if its server named none.
     pub version: Option<Name>,
-    /// Reading of the store's clock when it was queued; zero if unknown.
-    pub store_time: Duration,
 }
 
-impl StreamRecord {
-    /// Whether the stream has ended for longer than it can have lasted.
-    #[must_use]
-    pub fn is_expired(&self, store_time: Duration, lifetime: Duration) -> bool {
-        // A clock that runs behind the record's was started anew.
-        store_time < self.store_time || store_time > self.store_time + lifetime * 2
+/// Records of streams that one instance sees in the store, to remove those that others left behind.
+///
+/// A record is old once this instance has known it for longer than a stream can last. Its writer's clock,
+/// or the store's, would be no proof: either may have started anew.
+#[derive(Debug, Default)]
+pub struct RecordSweep {
+    /// Keys by partition, and when each was first seen.
+    first_seen: HashMap<String, HashMap<Name, Instant>>,
+}
+
+impl RecordSweep {
+    /// Takes the keys that a partition has now, and returns those whose streams have ended.
+    pub fn update(
+        &mut self,
+        partition: &str,
+        keys: impl Iterator<Item = Name>,
+        lifetime: Duration,
+        now: Instant,
+    ) -> Vec<Name> {
+        let before = self.first_seen.remove(partition).unwrap_or_default();
+        let known = keys.map(|key| {
+            let first_seen = before.get(&key).copied().unwrap_or(now);
+            (key, first_seen)
+        });
+        let known: HashMap<Name, Instant> = known.collect();
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= lifetime * 2;
+        let old = known.iter().filter(|(_, at)| is_old(**at));
+        let old = old.map(|(key, _)| key.clone()).collect();
+        self.first_seen.insert(partition.to_owned(), known);
+        old
     }
 }
 
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -3,9 +3,7 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::config::{Name, Server};
-use sardineshore_core::flow::stream_versions::{
-    BaseVersion, StreamRecord, StreamVersions, resolve,
-};
+use sardineshore_core::flow::stream_versions::{BaseVersion, RecordSweep, StreamVersions, resolve};
 
 const LIFETIME: Duration = Duration::from_secs(20);
 const MOMENT: Duration = Duration::from_millis(1);
@@ -334,14 +332,25 @@
     );
 }
 
+/// Guards against the loss of records of running streams: their times came from a clock of the store that
+/// may start anew, or were unknown.
 #[test]
-fn is_expired_record_of_stopped_instance_or_of_another_clock() {
-    let record = StreamRecord {
-        version: None,
-        store_time: LIFETIME * 10,
+fn record_sweep_removes_only_what_was_seen_for_longer_than_a_stream_lasts() {
+    let now = Instant::now();
+    let mut sweep = RecordSweep::default();
+    let mut update = |partition: &str, keys: &[&str], at| {
+        let keys = keys.iter().map(|key| Name::from(*key));
+        let mut old = sweep.update(partition, keys, LIFETIME, at);
+        old.sort_unstable();
+        old
     };
-    assert!(!record.is_expired(LIFETIME * 10, LIFETIME));
-    assert!(!record.is_expired(LIFETIME * 12, LIFETIME));
-    assert!(record.is_expired(LIFETIME * 12 + MOMENT, LIFETIME));
-    assert!(record.is_expired(LIFETIME, LIFETIME));
+    assert!(update("0", &["a/0001", "b/0001"], now).is_empty());
+    assert!(update("1", &["c/0001"], now).is_empty());
+    let almost = now + LIFETIME + ALMOST;
+    assert!(update("0", &["a/0001", "b/0001", "d/0001"], almost).is_empty());
+    let later = now + LIFETIME * 2;
+    assert_eq!(update("0", &["b/0001", "d/0001"], later), ["b/0001".into()]);
+    // A key that was gone in between is a new one.
+    assert!(update("0", &["a/0001", "d/0001"], later).is_empty());
+    assert_eq!(update("1", &["c/0001"], later), ["c/0001".into()]);
 }
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -13,7 +13,7 @@
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::replica::TableChanges;
 use sardineshore_core::flow::stream_versions::{
-    BaseVersion, KnownStream, StreamRecord, StreamVersions, resolve,
+    BaseVersion, KnownStream, RecordSweep, StreamRecord, StreamVersions, resolve,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, oneshot};
@@ -290,12 +290,7 @@
         number: u32,
         version: Option<Name>,
     ) -> Option<oneshot::Receiver<()>> {
-        let store_time = self.state.freshness.borrow().store_time(boot_time());
-        let record = StreamRecord {
-            version,
-            store_time: store_time.unwrap_or_default(),
-        };
-        let value = postcard::to_stdvec(&record).ok()?;
+        let value = postcard::to_stdvec(&StreamRecord { version }).ok()?;
         let (tx, written) = oneshot::channel();
         let key = RecordKey {
             part: partition(stream),
@@ -526,37 +521,31 @@
 
     /// Removes records that instances have left behind, forever. One instance does so for all.
     pub async fn sweep(self: Rc<Self>) {
+        let mut seen = RecordSweep::default();
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
             let owners = rank_owners(SWEEP, &self.peers.candidates());
             if owners.first() != Some(&self.peers.this_instance().name) {
+                seen = RecordSweep::default();
                 continue;
             }
             for part in (0..PARTITIONS).map(partition_name) {
-                if let Err(error) = self.sweep_partition(&part).await {
+                if let Err(error) = self.sweep_partition(&part, &mut seen).await {
                     info!(self.log, "can't remove old records of streams"; "fault" => error.to_string());
                 }
             }
         }
     }
 
-    /// Removes the expired records among the first of a partition.
-    async fn sweep_partition(&self, part: &str) -> Result<(), StoreError> {
+    /// Removes the old records among the first of a partition.
+    async fn sweep_partition(&self, part: &str, seen: &mut RecordSweep) -> Result<(), StoreError> {
         let dialect = self.store.dialect();
         let call = dialect.read_stream_records_call(part, None);
         let page = self.store.read_page(call).await?;
-        let now = Duration::from_millis(page.store_time_ms);
-        let lifetime = self.lifetime.get();
-        let is_expired = |value: &[u8]| {
-            let record = postcard::from_bytes::<StreamRecord>(value);
-            record.is_ok_and(|record| record.is_expired(now, lifetime))
-        };
-        let expired = page.rows.iter().filter(|row| {
-            let value = row.value.as_deref();
-            value.is_some_and(is_expired)
-        });
-        let expired: Vec<&str> = expired.map(|row| &*row.key).collect();
-        for keys in expired.chunks(MAX_BATCH) {
+        let keys = page.rows.into_iter().map(|row| row.key);
+        let old = seen.update(part, keys, self.lifetime.get(), Instant::now());
+        let old: Vec<&str> = old.iter().map(|key| &**key).collect();
+        for keys in old.chunks(MAX_BATCH) {
             let call = dialect.put_stream_records_call(part, &[], keys);
             self.store.write(call).await?;
         }
