fix(watcher): an instance that starts after a restore waits for its configuration

An instance that runs through a restore distrusts the copy for 2 s; one that starts took its first response for a confirmation.

Change: an instance that starts reads the base versions first. One that doesn't hold shows that a restore may be recent, and the instance waits like the others.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -227,6 +227,12 @@
         }
     }
 
+    /// Whether the whole system starts for the first time, and no restore or gap has been seen since.
+    #[must_use]
+    pub fn is_first_start(&self) -> bool {
+        self.is_first_start
+    }
+
     /// Sets how long a stream can last, from its first event to the last time that it is taken up.
     pub fn set_lifetime(&mut self, lifetime: Duration) {
         self.lifetime = lifetime;
@@ -335,6 +341,15 @@
         Some(&base.version)
     }
 
+    /// Whether the store may have been restored from a copy lately: a base version doesn't hold. It is written
+    /// again a stream's life after a restore.
+    #[must_use]
+    pub fn may_be_restored_lately(&self) -> bool {
+        self.bases
+            .keys()
+            .any(|pool| self.holding_base(pool).is_none())
+    }
+
     /// Whether a stream that begins at this version needs a record. `is_confirmed` tells whether the
     /// store confirmed recently what this instance knows.
     #[must_use]
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -208,6 +208,18 @@
     assert!(known.needs_record("engine", Some(&v1), true));
 }
 
+/// Guards against an instance that starts beside a restore and takes the copy's configuration for confirmed.
+#[test]
+fn may_be_restored_lately_until_the_base_version_holds_again() {
+    let now = Instant::now();
+    assert!(!restarted(2, &["v1"], None, now).may_be_restored_lately());
+    assert!(!restarted(2, &["v1"], Some(base("v1", 2)), now).may_be_restored_lately());
+    let mut known = restarted(2, &["v1"], Some(base("v1", 1)), now);
+    assert!(known.may_be_restored_lately());
+    known.set_base(&"engine".into(), Some(base("v1", 2)), now);
+    assert!(!known.may_be_restored_lately());
+}
+
 #[test]
 fn running_streams_need_their_records_after_restore() {
     let now = Instant::now();
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -192,6 +192,18 @@
         }
     }
 
+    /// Whether the whole system starts for the first time, as far as this instance knows.
+    #[must_use]
+    pub fn is_first_start(&self) -> bool {
+        self.known.borrow().is_first_start()
+    }
+
+    /// Whether the store may have been restored from a copy lately, as far as its rows show.
+    #[must_use]
+    pub fn may_be_restored_lately(&self) -> bool {
+        self.known.borrow().may_be_restored_lately()
+    }
+
     /// Records that entries of servers may have come and gone unseen.
     pub fn record_list_gap(&self) {
         self.known.borrow_mut().record_list_gap(Instant::now());
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -49,6 +49,16 @@
     UnusableConfig,
 }
 
+/// When the store produced a response.
+#[derive(Debug, Clone, Copy)]
+struct Confirmation {
+    /// When the call was sent and its response received, as [`boot_time`].
+    sent: Duration,
+    received: Duration,
+    /// Reading of the store's clock, in milliseconds.
+    store_time_ms: u64,
+}
+
 /// Watches the tables of one store.
 pub struct StoreWatcher {
     store: Rc<Store>,
@@ -71,6 +81,10 @@
     config_usable: Cell<bool>,
     /// When a restored store may confirm the configuration; `None` if it may.
     settled_at: Cell<Option<Instant>>,
+    /// Whether the rows that show a recent restore were read, or none can have been.
+    restore_checked: Cell<bool>,
+    /// Response that confirms the configuration if there was no recent restore.
+    unchecked: Cell<Option<Confirmation>>,
     /// Instances whose rows a restored store lacks, and when they are dropped.
     unlisted_instances: RefCell<BTreeMap<Name, Instant>>,
     instances_restored: Notify,
@@ -142,6 +156,8 @@
             drain_bound: bounds.drain,
             config_usable: Cell::new(true),
             settled_at: Cell::new(None),
+            restore_checked: Cell::new(dispatcher.versions().is_first_start()),
+            unchecked: Cell::new(None),
             unlisted_instances: RefCell::default(),
             instances_restored: Notify::new(),
             started_at: Instant::now(),
@@ -316,12 +332,16 @@
         let (changes, applied) = self.apply_changes(table, changes)?;
         let mut stamp = None;
         if table == Table::Config && applied.is_ok() && self.is_settled() {
-            let mut freshness = self.state.freshness.borrow_mut();
-            freshness.record(sent, received, store_time_ms);
-            self.clock_checked_at.set(Instant::now());
-            self.store_time_ms.set(Some(store_time_ms));
-            let age = freshness.age(boot_time()).unwrap_or_default();
-            stamp = Some(Stamp { store_time_ms, age });
+            let confirmation = Confirmation {
+                sent,
+                received,
+                store_time_ms,
+            };
+            if self.restore_checked.get() {
+                stamp = Some(self.confirm(confirmation));
+            } else {
+                self.unchecked.set(Some(confirmation));
+            }
         }
         self.relay.publish(ReaderMessage::Changes {
             table,
@@ -332,6 +352,21 @@
         applied
     }
 
+    /// Records that the store confirmed the configuration.
+    fn confirm(&self, confirmation: Confirmation) -> Stamp {
+        let Confirmation {
+            sent,
+            received,
+            store_time_ms,
+        } = confirmation;
+        let mut freshness = self.state.freshness.borrow_mut();
+        freshness.record(sent, received, store_time_ms);
+        self.clock_checked_at.set(Instant::now());
+        self.store_time_ms.set(Some(store_time_ms));
+        let age = freshness.age(boot_time()).unwrap_or_default();
+        Stamp { store_time_ms, age }
+    }
+
     /// Applies changes of a table to its replica and to what depends on it. Returns those that were
     /// news, and whether they could be used.
     fn apply_changes(
--- a/crates/sardineshore-serve/src/watcher/restore.rs
+++ b/crates/sardineshore-serve/src/watcher/restore.rs
@@ -2,7 +2,8 @@
 //! written again.
 //!
 //! The active configuration stays. It is not confirmed before the operators have had time to write a
-//! newer one that was lost. What this instance wrote is written again.
+//! newer one that was lost. What this instance wrote is written again. An instance that starts just after a
+//! restore waits as long.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 
 use super::{PageError, StoreWatcher, table_index};
 use crate::dialect::{StoreRow, Table};
+use crate::state::whole_ms;
 
 /// Time after which a restored store holds again what operators, servers and instances wrote.
 pub(super) const RESTORE_SETTLE_TIME: Duration = Duration::from_secs(2);
@@ -45,6 +47,22 @@
         settled
     }
 
+    /// Finds out whether the store was restored just before this instance started: rows of an older era tell.
+    /// If not, confirms the configuration that was read before.
+    pub(super) fn check_restore(&self) {
+        if self.restore_checked.replace(true) {
+            return;
+        }
+        let unchecked = self.unchecked.take();
+        if self.versions.may_be_restored_lately() {
+            warn!(self.log, "the store may have been restored lately; waiting for a newer configuration"; "ms" => whole_ms(RESTORE_SETTLE_TIME));
+            self.settled_at
+                .set(Some(Instant::now() + RESTORE_SETTLE_TIME));
+        } else if let Some(confirmation) = unchecked {
+            self.confirm(confirmation);
+        }
+    }
+
     /// Compares the first rows of a restored store with the replica; `None` for other changes.
     pub(super) fn compare_restored(
         &self,
--- a/crates/sardineshore-serve/src/watcher/tables.rs
+++ b/crates/sardineshore-serve/src/watcher/tables.rs
@@ -17,11 +17,9 @@
     pub(super) fn apply_news(&self, table: Table, news: &TableChanges) -> Result<(), PageError> {
         match table {
             Table::Config => {
-                if news
-                    .rows
-                    .iter()
-                    .any(|row| *row.key == *self.dialect.config_key())
-                {
+                let mut rows = news.rows.iter();
+                let is_written = rows.any(|row| *row.key == *self.dialect.config_key());
+                if is_written && self.state.config().is_some() {
                     // Written since the store was restored.
                     self.settled_at.set(None);
                 }
@@ -46,6 +44,7 @@
             }
             Table::BaseVersions => {
                 self.versions.apply(news);
+                self.check_restore();
                 Ok(())
             }
         }
