fix(watcher): a restore is noticed by an instance told of a first start

Change: at a first start the first response confirms the configuration at once, as all wait for it then; a base version that doesn't hold takes that back.

--- a/crates/sardineshore-core/src/flow/freshness.rs
+++ b/crates/sardineshore-core/src/flow/freshness.rs
@@ -71,6 +71,11 @@
         Some(confirmed)
     }
 
+    /// Discards the newest confirmation: the store may have been restored from a copy before it.
+    pub fn discard_confirmation(&mut self) {
+        self.confirmed_at = None;
+    }
+
     /// Reading of the store's clock at the local time `now`, as far as it is known.
     #[must_use]
     pub fn store_time(&self, now: Duration) -> Option<Duration> {
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -81,7 +81,7 @@
     config_usable: Cell<bool>,
     /// When a restored store may confirm the configuration; `None` if it may.
     settled_at: Cell<Option<Instant>>,
-    /// Whether the rows that show a recent restore were read, or none can have been.
+    /// Whether the rows that show a recent restore were read.
     restore_checked: Cell<bool>,
     /// Response that confirms the configuration if there was no recent restore.
     unchecked: Cell<Option<Confirmation>>,
@@ -156,7 +156,7 @@
             drain_bound: bounds.drain,
             config_usable: Cell::new(true),
             settled_at: Cell::new(None),
-            restore_checked: Cell::new(dispatcher.versions().is_first_start()),
+            restore_checked: Cell::new(false),
             unchecked: Cell::new(None),
             unlisted_instances: RefCell::default(),
             instances_restored: Notify::new(),
@@ -337,7 +337,7 @@
                 received,
                 store_time_ms,
             };
-            if self.restore_checked.get() {
+            if self.restore_checked.get() || self.versions.is_first_start() {
                 stamp = Some(self.confirm(confirmation));
             } else {
                 self.unchecked.set(Some(confirmation));
--- a/crates/sardineshore-serve/src/watcher/restore.rs
+++ b/crates/sardineshore-serve/src/watcher/restore.rs
@@ -58,6 +58,7 @@
             warn!(self.log, "the store may have been restored lately; waiting for a newer configuration"; "ms" => whole_ms(RESTORE_SETTLE_TIME));
             self.settled_at
                 .set(Some(Instant::now() + RESTORE_SETTLE_TIME));
+            self.state.freshness.borrow_mut().discard_confirmation();
         } else if let Some(confirmation) = unchecked {
             self.confirm(confirmation);
         }
