fix(watcher): a starting instance can follow others before its restore check

Since the check for a recent restore, a starting instance didn't compare its clock with the store's until it had read the base versions, so that the first confirmation that a reader handed on was taken for a changed clock, and cost a call of its own.

Change: the first response sets the clocks' offset and confirms nothing yet.

Found by reading; not measured apart. All serving tests pass.

--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -256,8 +256,8 @@
         Ok(response)
     }
 
-    /// Checks the response head: succeeds only for a signed response without an encoding, with a 2xx status. Records
-    /// the outcome of the attempt otherwise.
+    /// Checks the response head: succeeds only for a signed response with a 2xx status and without an
+    /// encoding. Records the outcome of the attempt otherwise.
     async fn check_head(
         &self,
         connected: &mut ConnectedServer,
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -337,9 +337,12 @@
                 received,
                 store_time_ms,
             };
+            let confirmed = self.confirm(confirmation);
             if self.restore_checked.get() || self.versions.is_first_start() {
-                stamp = Some(self.confirm(confirmation));
+                stamp = Some(confirmed);
             } else {
+                // The clocks can be compared, which is all that what others hand on needs.
+                self.state.freshness.borrow_mut().discard_confirmation();
                 self.unchecked.set(Some(confirmation));
             }
         }
