--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -24,11 +24,15 @@
 //! assert_eq!(resolve(None, Some(&base), 1), None);
 //! ```
 
+mod sweep;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+pub use sweep::RecordSweep;
+
 use super::config::{Name, Server};
 
 /// Longest life of a stream unless the configuration sets another one.
@@ -76,39 +80,6 @@
     pub version: Option<Name>,
 }
 
-/// Records of streams that one instance sees in the store, to remove those that others left behind.
-///
-/// A record is old once this instance has known it for longer than a stream can last. Its writer's clock,
-/// or the store's, would be no proof: either may have started anew.
-#[derive(Debug, Default)]
-pub struct RecordSweep {
-    /// Keys by partition, and when each was first seen.
-    first_seen: HashMap<String, HashMap<Name, Instant>>,
-}
-
-impl RecordSweep {
-    /// Takes the keys that a partition has now, and returns those whose streams have ended.
-    pub fn update(
-        &mut self,
-        partition: &str,
-        keys: impl Iterator<Item = Name>,
-        lifetime: Duration,
-        now: Instant,
-    ) -> Vec<Name> {
-        let before = self.first_seen.remove(partition).unwrap_or_default();
-        let known = keys.map(|key| {
-            let first_seen = before.get(&key).copied().unwrap_or(now);
-            (key, first_seen)
-        });
-        let known: HashMap<Name, Instant> = known.collect();
-        let is_old = |at: Instant| now.saturating_duration_since(at) >= lifetime * 2;
-        let old = known.iter().filter(|(_, at)| is_old(**at));
-        let old = old.map(|(key, _)| key.clone()).collect();
-        self.first_seen.insert(partition.to_owned(), known);
-        old
-    }
-}
-
 /// Listed servers of one version.
 #[derive(Debug)]
 struct Listed {
@@ -304,12 +275,6 @@
         self.bases_read_in = Some(era);
     }
 
-    /// Era in which base versions were read last; `None` if they weren't.
-    #[must_use]
-    pub fn read_era(&self) -> Option<u64> {
-        self.bases_read_in
-    }
-
     /// Records the era of the store. Returns whether the store was restored from a copy since the last
     /// time: it may lack the records of running streams.
     pub fn set_era(&mut self, era: u64, now: Instant) -> bool {
--- a/crates/sardineshore-core/tests/stream_versions_search.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search.rs
@@ -100,6 +100,8 @@
     cut_until: Ms,
     confirmed_at: Option<Ms>,
     base_row: u64,
+    /// Era in which the base version was read last.
+    base_era: Option<u64>,
     list: BTreeSet<usize>,
     seen: BTreeSet<usize>,
     dropped_seen: usize,
@@ -117,6 +119,7 @@
             cut_until: 0,
             confirmed_at: None,
             base_row: 0,
+            base_era: None,
             list: BTreeSet::new(),
             seen: BTreeSet::new(),
             dropped_seen: 0,
@@ -372,7 +375,7 @@
                 instance.queue.push((stream, known.record, version));
             }
         }
-        let is_new_era = instance.known.read_era() != Some(store.era);
+        let is_new_era = instance.base_era.replace(store.era) != Some(store.era);
         let row = store.rows.base.as_ref().map_or(0, |(_, row)| *row);
         if is_new_era || row != instance.base_row {
             let base = store.rows.base.as_ref().map(|(base, _)| base.clone());
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -4,11 +4,14 @@
 //! Records are written in batches, one call at a time, and removed once their stream can't be taken up
 //! any more. They are read when a caller takes up a stream that this instance doesn't remember.
 
+mod list_check;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+pub use list_check::{ListCheck, ListCheckEnd};
 use sardineshore_core::flow::cells::rank_owners;
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::replica::TableChanges;
@@ -74,46 +77,6 @@
     written: Option<oneshot::Sender<()>>,
 }
 
-/// End of a check of the list of servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ListCheckEnd {
-    /// The list holds all changes until the check began.
-    Confirmed,
-    /// The store responded, but the changes are not known.
-    Incomplete,
-    /// The store did not respond.
-    Unreachable,
-}
-
-/// Checks whether the list of servers is complete. A check serves all streams that wait when it begins.
-#[derive(Debug, Default)]
-pub struct ListCheck {
-    asked: Notify,
-    ended: Notify,
-    /// When the latest check began, and how it ended.
-    latest: Cell<Option<(Instant, ListCheckEnd)>>,
-}
-
-impl ListCheck {
-    /// Waits for a check that begins from now on.
-    pub async fn run(&self) -> ListCheckEnd {
-        let asked_at = Instant::now();
-        self.asked.notify_one();
-        loop {
-            let ended = self.ended.notified();
-            if let Some((_, end)) = self.latest.get().filter(|(at, _)| *at >= asked_at) {
-                return end;
-            }
-            ended.await;
-        }
-    }
-
-    /// Waits until a check is needed.
-    pub async fn wait_asked(&self) {
-        self.asked.notified().await;
-    }
-}
-
 /// Writes and reads at which versions streams began.
 #[derive(Debug)]
 pub struct VersionRecords {
@@ -220,8 +183,7 @@
         if end == ListCheckEnd::Confirmed {
             self.known.borrow_mut().record_list_confirmation(began_at);
         }
-        self.list_check.latest.set(Some((began_at, end)));
-        self.list_check.ended.notify_waiters();
+        self.list_check.finish(began_at, end);
     }
 
     /// Applies changes of the base versions in the store.
