feat(serve): request lines tell an end at the deadline from a stall

A stream that its caller lost at the deadline was logged as "stream stalled", even after a pause of 193 ms, because that reason was written whenever the deadline passed while the next piece was waited for. The line held neither the deadline nor what set it, so these could not be told apart: a server that was silent, the caller's own deadline, and a timeout that a change of the configuration had shortened.

The core now decides which one it was (flow::time_limit), and finds the routes whose timeout a change has shortened. Request lines get limit_ms, limit (caller, route, shortened route) and config, the version under which the request was admitted. These are numbers and static texts; nothing is formatted for lines that aren't written. A stream is stalled if its last output is further back from the deadline than the server may be silent. 504 has a reason of its own at a shortened timeout.

--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -26,4 +26,5 @@
 pub mod retry_budget;
 pub mod selection;
 pub mod stream_versions;
+pub mod time_limit;
 pub mod turns;
--- a/crates/sardineshore-core/src/flow/config.rs
+++ b/crates/sardineshore-core/src/flow/config.rs
@@ -4,7 +4,7 @@
 //! Adapters decode their platform's documents into these types. [`ConfigIndex`] answers the
 //! look-ups that every request needs: the route of a host and path, and the caller of an API key.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -210,6 +210,8 @@
     /// Routes of each host by prefix, the longest prefix first.
     routes_by_host: HashMap<Name, Vec<(Name, Arc<Route>)>>,
     callers_by_key: HashMap<Name, Caller>,
+    /// Names of routes whose timeout was longer in an earlier configuration.
+    shortened_routes: HashSet<Name>,
 }
 
 impl ConfigIndex {
@@ -241,9 +243,32 @@
             config,
             routes_by_host,
             callers_by_key,
+            shortened_routes: HashSet::new(),
         }
     }
 
+    /// Finds the routes whose timeout is shorter than in the configuration before, or has stayed as
+    /// short as an earlier change made it.
+    pub fn compare_timeouts(&mut self, previous: &Self) {
+        let routes = previous.config.routes.iter();
+        let before: HashMap<&str, Duration> =
+            routes.map(|route| (&*route.name, route.timeout)).collect();
+        let is_shortened = |route: &&Route| {
+            before.get(&*route.name).is_some_and(|before| {
+                let was_shortened = previous.has_shortened_timeout(&route.name);
+                route.timeout < *before || (route.timeout == *before && was_shortened)
+            })
+        };
+        let shortened = self.config.routes.iter().filter(is_shortened);
+        self.shortened_routes = shortened.map(|route| route.name.clone()).collect();
+    }
+
+    /// Whether a change of the configuration has made the timeout of a route shorter.
+    #[must_use]
+    pub fn has_shortened_timeout(&self, route: &str) -> bool {
+        self.shortened_routes.contains(route)
+    }
+
     /// Version number of the configuration.
     #[must_use]
     pub fn version(&self) -> u64 {
--- /dev/null
+++ b/crates/sardineshore-core/tests/time_limit.rs
@@ -0,0 +1,66 @@
+//! Time limits of requests: what sets them, and why a request ends at one.
+
+use std::time::Duration;
+
+use sardineshore_core::flow::config::{ConfigIndex, Route, ServingConfig};
+use sardineshore_core::flow::time_limit::{Expiry, LimitSource, TimeLimit};
+
+const SOUND_SILENCE: Duration = Duration::from_millis(1600);
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+#[test]
+fn new_shorter_time_sets_the_limit() {
+    let limit = |allowed, shortened| TimeLimit::new(ms(500), shortened, allowed);
+    assert_eq!(limit(Some(ms(400)), true).source, LimitSource::Caller);
+    assert_eq!(limit(Some(ms(400)), true).duration, ms(400));
+    assert_eq!(limit(Some(ms(600)), false).source, LimitSource::Route);
+    assert_eq!(limit(None, true).source, LimitSource::ShortenedRoute);
+    assert_eq!(limit(None, true).duration, ms(500));
+}
+
+#[test]
+fn expiry_tells_silence_from_end_of_time() {
+    let by_route = |shortened| TimeLimit::new(ms(8000), shortened, None);
+    let expiry = |limit: TimeLimit, silence| limit.expiry(silence, SOUND_SILENCE);
+    assert_eq!(expiry(by_route(false), ms(193)), Expiry::Deadline);
+    assert_eq!(expiry(by_route(true), ms(193)), Expiry::ShortenedTimeout);
+    assert_eq!(expiry(by_route(true), ms(1601)), Expiry::Silence);
+    let by_caller = TimeLimit::new(ms(8000), true, Some(ms(7850)));
+    assert_eq!(expiry(by_caller, ms(193)), Expiry::Deadline);
+}
+
+/// The configuration after `previous` with one route, and whether its timeout counts as shortened.
+fn change_timeout(previous: &ConfigIndex, name: &str, timeout: u64) -> (ConfigIndex, bool) {
+    let route = Route {
+        name: name.into(),
+        timeout: ms(timeout),
+        ..Route::default()
+    };
+    let mut index = ConfigIndex::new(ServingConfig {
+        routes: vec![route],
+        ..ServingConfig::default()
+    });
+    index.compare_timeouts(previous);
+    let is_shortened = index.has_shortened_timeout(name);
+    (index, is_shortened)
+}
+
+#[test]
+fn compare_timeouts_shortened_one_stays_so_until_it_is_longer_again() {
+    let mut index = ConfigIndex::default();
+    for (name, timeout, expected) in [
+        ("a", 800, false),
+        ("a", 600, true),
+        ("a", 600, true),
+        ("a", 700, false),
+        ("a", 500, true),
+        ("b", 100, false),
+    ] {
+        let (next, is_shortened) = change_timeout(&index, name, timeout);
+        assert_eq!(is_shortened, expected, "{name} {timeout}");
+        index = next;
+    }
+}
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -10,6 +10,7 @@
 use sardineshore_core::flow::config::{Caller, Name, Route, request_rank};
 use sardineshore_core::flow::quarantine::Feature;
 use sardineshore_core::flow::selection::{AttemptOutcome, SelectedServer, SelectionRequest};
+use sardineshore_core::flow::time_limit::TimeLimit;
 use slog::{Logger, info};
 
 use crate::crashes::CrashMonitor;
@@ -55,6 +56,10 @@
     pub route: &'a Route,
     /// Who sent the request; `None` on a route that requires no key.
     pub caller: Option<&'a Caller>,
+    /// Longest time from the arrival to the complete response.
+    pub limit: TimeLimit,
+    /// Version of the configuration under which the request was admitted.
+    pub config_version: u64,
     /// When the response must be complete.
     pub deadline: Instant,
     /// When the first byte of the request was read.
--- a/crates/sardineshore-serve/src/reply.rs
+++ b/crates/sardineshore-serve/src/reply.rs
@@ -34,7 +34,8 @@
     /// The request may have run but brought no usable response; with the reason for the log.
     OutcomeUnknown(&'static str),
     /// The request may have run, but its deadline passed without a usable response.
-    DeadlineExceeded,
+    /// With the reason for the log.
+    DeadlineExceeded(&'static str),
 }
 
 impl ErrorResponse {
@@ -50,7 +51,7 @@
             Self::UnknownKey => 401,
             Self::NotRun(..) => 503,
             Self::OutcomeUnknown(_) => 502,
-            Self::DeadlineExceeded => 504,
+            Self::DeadlineExceeded(_) => 504,
         }
     }
 
@@ -64,8 +65,9 @@
             Self::BodyTooLong => "body too long",
             Self::NoRoute => "no route",
             Self::UnknownKey => "unknown key",
-            Self::NotRun(_, reason) | Self::OutcomeUnknown(reason) => reason,
-            Self::DeadlineExceeded => "time over",
+            Self::NotRun(_, reason)
+            | Self::OutcomeUnknown(reason)
+            | Self::DeadlineExceeded(reason) => reason,
         }
     }
 
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -12,8 +12,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use sardineshore_core::flow::config::{Caller, Name, Route};
+use sardineshore_core::flow::config::{Caller, ConfigIndex, Name, Route};
 use sardineshore_core::flow::quarantine::Feature;
+use sardineshore_core::flow::time_limit::{LimitSource, TimeLimit};
 use slog::{Logger, info};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -53,6 +54,10 @@
 /// Figures of one request for its log line and the metrics.
 #[derive(Debug, Default)]
 pub struct RequestStats {
+    /// Time limit of the request; `None` if it was not admitted.
+    pub limit: Option<TimeLimit>,
+    /// Version of the configuration under which the request was admitted.
+    pub config_version: Option<u64>,
     /// Id of the backend server that the request was last sent to.
     pub server: Option<Name>,
     /// Id of the request that began the stream, if the caller takes one up and names it.
@@ -105,6 +110,8 @@
     route: std::sync::Arc<Route>,
     /// `None` on a route that requires no key.
     caller: Option<Caller>,
+    /// Configuration that the route belongs to.
+    config: Rc<ConfigIndex>,
 }
 
 impl RequestHandler {
@@ -164,6 +171,8 @@
         let (route, outcome) = match self.admit(incoming) {
             Ok(matched) => {
                 let admitted = self.admitted_request(incoming, id.unwrap_or_default(), &matched);
+                stats.limit = Some(admitted.limit);
+                stats.config_version = Some(admitted.config_version);
                 let outcome = if let Some(refused) = self.refuse_quarantined(&admitted, None) {
                     refused
                 } else {
@@ -260,7 +269,10 @@
             "stages_ms" => stats.stages_ms, "first_ms" => stats.first_byte_ms,
             "server" => stats.server.as_deref().unwrap_or("-"),
             "takes_up" => stats.takes_up.as_deref(), "version" => stats.version.as_deref(),
-            "last_event" => stats.last_event_id, "pause_ms" => stats.max_pause_ms);
+            "last_event" => stats.last_event_id, "pause_ms" => stats.max_pause_ms,
+            "limit_ms" => stats.limit.map(|limit| whole_ms(limit.duration)),
+            "limit" => stats.limit.map_or("-", |limit| limit.source.label()),
+            "config" => stats.config_version);
     }
 
     /// Outcome of a request that may not be sent to servers, as its like have crashed them; `None`
@@ -334,6 +346,7 @@
             return Ok(RouteMatch {
                 route,
                 caller: None,
+                config,
             });
         }
         if !confirmed {
@@ -350,7 +363,11 @@
         if caller.is_none() {
             return Err(ErrorResponse::UnknownKey);
         }
-        Ok(RouteMatch { route, caller })
+        Ok(RouteMatch {
+            route,
+            caller,
+            config,
+        })
     }
 
     /// Joins an admitted request with its route and its deadline: the route's timeout, or the
@@ -367,8 +384,8 @@
             .get(self.dialect.header_names().time_left)
             .and_then(|text| text.trim().parse::<u64>().ok())
             .map(Duration::from_millis);
-        let route_timeout = matched.route.timeout;
-        let timeout = caller_timeout.map_or(route_timeout, |timeout| timeout.min(route_timeout));
+        let is_shortened = matched.config.has_shortened_timeout(&matched.route.name);
+        let limit = TimeLimit::new(matched.route.timeout, is_shortened, caller_timeout);
         let customer = matched.caller.as_ref().map(|caller| &*caller.customer);
         let features = self.features(incoming, customer.unwrap_or_default());
         AdmittedRequest {
@@ -377,7 +394,9 @@
             body: &incoming.body,
             route: &matched.route,
             caller: matched.caller.as_ref(),
-            deadline: incoming.arrived_at + timeout,
+            limit,
+            config_version: matched.config.version(),
+            deadline: incoming.arrived_at + limit.duration,
             arrived_at: incoming.arrived_at,
             features,
         }
@@ -419,6 +438,16 @@
     route.pools.first().map(|(pool, _)| pool.clone())
 }
 
+/// Error response to a request that may have run and whose deadline has passed.
+fn deadline_exceeded(request: &AdmittedRequest<'_>) -> ErrorResponse {
+    let is_shortened = request.limit.source == LimitSource::ShortenedRoute;
+    ErrorResponse::DeadlineExceeded(if is_shortened {
+        "shortened time over"
+    } else {
+        "time over"
+    })
+}
+
 /// Outcome of a request that has not run. The caller is asked to wait for at most a third of the
 /// time to the deadline, so that it can still send the request again.
 fn not_run(request: &AdmittedRequest<'_>, retry_after: Duration, reason: &'static str) -> Outcome {
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -9,7 +9,10 @@
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Outcome, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, not_run, select_pool};
+use super::{
+    Outcome, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, deadline_exceeded, not_run,
+    select_pool,
+};
 use crate::attempt::{AdmittedRequest, ConnectedServer, ExtraHeaders, RETRY_AFTER_NO_SERVER};
 use crate::reply::{ErrorResponse, response_head};
 use crate::state::elapsed_ms;
@@ -137,7 +140,7 @@
                 }
                 SendResult::Lost(reason) => {
                     return Outcome::Failed(if request.time_to_deadline().is_zero() {
-                        ErrorResponse::DeadlineExceeded
+                        deadline_exceeded(request)
                     } else {
                         ErrorResponse::OutcomeUnknown(reason)
                     });
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -20,7 +20,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    Outcome, QUARANTINED, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, not_run, select_pool,
+    Outcome, QUARANTINED, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, deadline_exceeded,
+    not_run, select_pool,
 };
 use crate::attempt::{
     AdmittedRequest, Attempt, ConnectedServer, Dispatcher, RETRY_AFTER_NO_SERVER,
@@ -554,7 +555,7 @@
         return Outcome::Aborted(reason);
     }
     Outcome::Failed(if request.time_to_deadline().is_zero() {
-        ErrorResponse::DeadlineExceeded
+        deadline_exceeded(request)
     } else {
         ErrorResponse::OutcomeUnknown(reason)
     })
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::selection::{AttemptOutcome, RequiredVersion};
+use sardineshore_core::flow::time_limit::Expiry;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 
 use super::{Attempts, End, Progress, SILENT};
@@ -66,8 +67,7 @@
             let data = match next {
                 // A server that always has bytes ready would never time out.
                 Progress::Made(Ok(Some(_))) if request.time_to_deadline().is_zero() => {
-                    connected.attempt.finish(AttemptOutcome::Abandoned);
-                    return Err(End::Lost("deadline passed in the stream"));
+                    return Err(end_late(connected, request, last_output_at, patience));
                 }
                 Progress::Made(Ok(data)) => data,
                 Progress::Made(Err(error)) => {
@@ -85,8 +85,7 @@
                     continue;
                 }
                 Progress::DeadlinePassed => {
-                    connected.attempt.finish(AttemptOutcome::Abandoned);
-                    return Err(End::Lost("stream stalled"));
+                    return Err(end_late(connected, request, last_output_at, patience));
                 }
             };
             let Some(data) = data else {
@@ -301,6 +300,23 @@
     }
 }
 
+/// Gives an attempt up at the deadline. Tells whether the server went on, which may be silent for
+/// `patience` after its last output.
+fn end_late(
+    connected: &ConnectedServer,
+    request: &AdmittedRequest<'_>,
+    last_output_at: Instant,
+    patience: Duration,
+) -> End {
+    connected.attempt.finish(AttemptOutcome::Abandoned);
+    let silence = request.deadline.saturating_duration_since(last_output_at);
+    End::Lost(match request.limit.expiry(silence, patience) {
+        Expiry::Silence => "stream stalled",
+        Expiry::ShortenedTimeout => "shortened timeout passed in the stream",
+        Expiry::Deadline => "deadline passed in the stream",
+    })
+}
+
 impl<W: AsyncWrite + Unpin> ResponseSink<'_, W> {
     /// Forwards a server's error response unchanged.
     pub(super) async fn forward_response(&mut self, response: &Response, body: &[u8]) -> Outcome {
--- a/crates/sardineshore-serve/src/state.rs
+++ b/crates/sardineshore-serve/src/state.rs
@@ -64,7 +64,7 @@
 
     /// Makes a configuration the active one if its version is higher than that of the current one.
     /// Returns whether it did.
-    pub fn install_config(&self, config: ConfigIndex) -> bool {
+    pub fn install_config(&self, mut config: ConfigIndex) -> bool {
         let mut current = self.config.borrow_mut();
         if current
             .as_ref()
@@ -72,6 +72,9 @@
         {
             return false;
         }
+        if let Some(previous) = current.as_ref() {
+            config.compare_timeouts(previous);
+        }
         *current = Some(Rc::new(config));
         true
     }
