feat(stages): the log tells why stages were refused

Change: the scheduler's refusals have a typed reason, which goes through the outcome of the job and the messages Aborted and Refused between instances (one byte, at the end) to the request's line (`stages`, `stages_left_ms`) and to sardine_stages_refused_total. No decision changes.

Instances of the commit before read the longer messages, as bytes behind a message are ignored; the other way the link ends and its jobs go to the next owner, as after a lost link. So a release of the two together loses no job for good.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -29,7 +29,8 @@
 pub use job::{Job, JobStage, StageResults, StoredResult};
 use job::{JobState, PieceResult, Progress};
 pub use messages::{
-    Action, BatchServer, CallOutcome, CallPiece, PieceError, PieceInput, SubmitOutcome,
+    Action, BatchServer, CallOutcome, CallPiece, PieceError, PieceInput, RefusalReason,
+    SubmitOutcome,
 };
 use retries::RetryTracker;
 pub use server::FreeMemory;
@@ -140,6 +141,7 @@
         if !job.is_valid() {
             return SubmitOutcome::Refused {
                 retry_after: job.time_to_deadline / 3,
+                reason: RefusalReason::Invalid,
             };
         }
         self.cancel(&job.id.clone(), now);
@@ -156,6 +158,7 @@
             self.record_refusal(&job, now);
             return SubmitOutcome::Refused {
                 retry_after: NO_SERVER_RETRY.min(job.time_to_deadline / 3),
+                reason: RefusalReason::NoServer,
             };
         };
         let fair_share = self.config.soft_deadline_share - self.fairness.reduction(job.rank);
@@ -168,11 +171,20 @@
         let infeasible = wait > job.time_to_deadline.mul_f64(self.config.late_wait_share)
             || forecast.behind_all > job.time_to_deadline.mul_f64(self.config.late_finish_share);
         let refuse_late = !job.is_accepted() && (infeasible || !job.late_allowed);
-        if late && (refuse_late || forecast.unloaded > job.time_to_deadline) {
+        let too_close = forecast.unloaded > job.time_to_deadline;
+        if late && (refuse_late || too_close) {
+            let reason = if too_close {
+                RefusalReason::DeadlineTooClose
+            } else {
+                RefusalReason::Overloaded
+            };
             let retry_after = self.retry_after(&job);
             self.next_sequence += 1;
             self.record_refusal(&job, now);
-            return SubmitOutcome::Refused { retry_after };
+            return SubmitOutcome::Refused {
+                retry_after,
+                reason,
+            };
         }
         let first_in_rank = first_soft_deadline.is_some() || job.is_accepted();
         self.accept(job, late, first_in_rank, now);
--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -9,8 +9,8 @@
 use super::forecast::{RANK_COUNT, forecast};
 use super::job::{Job, JobState, Progress, StageState};
 use super::{
-    Action, BatchScheduler, DELIVERED_RETENTION, RETRY_SPREAD, RETRY_SPREAD_STEPS, queue_key,
-    remaining_times,
+    Action, BatchScheduler, DELIVERED_RETENTION, RETRY_SPREAD, RETRY_SPREAD_STEPS, RefusalReason,
+    queue_key, remaining_times,
 };
 
 impl BatchScheduler {
@@ -88,17 +88,21 @@
                 .map(|stage| stage.remaining_time)
                 .max()
                 .unwrap_or_default();
-            if now + remaining > state.deadline
-                || state.recomputations > self.config.max_recomputations
-            {
+            let has_failed = state.recomputations > self.config.max_recomputations;
+            if has_failed || now + remaining > state.deadline {
                 let left = state.deadline.saturating_duration_since(now);
-                infeasible.push((state.job.id.clone(), Some(left / 3)));
+                let reason = if has_failed {
+                    RefusalReason::Failed
+                } else {
+                    RefusalReason::OutOfTime
+                };
+                infeasible.push((state.job.id.clone(), Some((left / 3, reason))));
             } else if !state.late && now + remaining > state.soft_deadline {
                 delayed.push(index);
             }
         }
-        for (request, retry_after) in infeasible {
-            let index = self.by_id.get(&request).filter(|_| retry_after.is_some());
+        for (request, refusal) in infeasible {
+            let index = self.by_id.get(&request).filter(|_| refusal.is_some());
             if let Some(state) = index.and_then(|index| self.jobs.get(*index)) {
                 let (soft_deadline, deadline) = (state.soft_deadline, state.deadline);
                 self.retries
@@ -108,10 +112,11 @@
                 }
             }
             self.cancel(&request, now);
-            if let Some(retry_after) = retry_after {
+            if let Some((retry_after, reason)) = refusal {
                 self.actions.push(Action::GivenUp {
                     request,
                     retry_after,
+                    reason,
                 });
             }
         }
@@ -222,6 +227,7 @@
             self.actions.push(Action::GivenUp {
                 request,
                 retry_after: left / 3,
+                reason: RefusalReason::Parked,
             });
         }
     }
--- a/crates/sardineshore-core/src/flow/batching/messages.rs
+++ b/crates/sardineshore-core/src/flow/batching/messages.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use super::job::StageResults;
 use crate::flow::config::{BatchSpec, Name};
 
@@ -122,6 +124,8 @@
         request: Name,
         /// Time after which the caller should retry.
         retry_after: Duration,
+        /// Why it was given up.
+        reason: RefusalReason,
     },
     /// Query how much memory a server has free for results, and report it with
     /// [`super::BatchScheduler::set_free_memory`].
@@ -155,5 +159,42 @@
     Refused {
         /// Time after which the caller should retry.
         retry_after: Duration,
+        /// Why it was refused.
+        reason: RefusalReason,
     },
 }
+
+/// Why a job was refused or given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RefusalReason {
+    /// Its stages are inconsistent or beyond their limits.
+    Invalid,
+    /// A pool that it needs has no server.
+    NoServer,
+    /// It could not finish before its deadline even without other jobs.
+    DeadlineTooClose,
+    /// It would finish too late behind the jobs that were accepted before.
+    Overloaded,
+    /// It was parked, and would finish too late behind the jobs that start before it.
+    Parked,
+    /// It was started, and can't finish before its deadline any more.
+    OutOfTime,
+    /// Its pieces failed or lost their inputs too often.
+    Failed,
+}
+
+impl RefusalReason {
+    /// Text for logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Invalid => "invalid job",
+            Self::NoServer => "no server",
+            Self::DeadlineTooClose => "deadline too close",
+            Self::Overloaded => "overloaded",
+            Self::Parked => "parked",
+            Self::OutOfTime => "out of time",
+            Self::Failed => "pieces failed",
+        }
+    }
+}
--- a/crates/sardineshore-core/tests/load/replay.rs
+++ b/crates/sardineshore-core/tests/load/replay.rs
@@ -213,7 +213,9 @@
             SubmitOutcome::Accepted { .. } => {
                 self.waiting.insert(id, attempt);
             }
-            SubmitOutcome::Refused { retry_after } => self.refuse(id, attempt, now + retry_after),
+            SubmitOutcome::Refused { retry_after, .. } => {
+                self.refuse(id, attempt, now + retry_after);
+            }
         }
     }
 
@@ -297,6 +299,7 @@
             Action::GivenUp {
                 request,
                 retry_after,
+                ..
             } => {
                 if let Some(attempt) = self.waiting.remove(&request) {
                     let counts = self.report.kinds.entry(attempt.kind.name).or_default();
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -13,8 +13,8 @@
 
 use calls::{call_batch, query_free_memory, release_results};
 use sardineshore_core::flow::batching::{
-    Action, BatchScheduler, BatchServer, CallOutcome, Job, SchedulerConfig, StageResults,
-    StoredResult, SubmitOutcome,
+    Action, BatchScheduler, BatchServer, CallOutcome, Job, RefusalReason, SchedulerConfig,
+    StageResults, StoredResult, SubmitOutcome,
 };
 use sardineshore_core::flow::cells::{GLOBAL_CELL, domain_cells};
 use sardineshore_core::flow::config::{ConfigIndex, Name, PoolKind};
@@ -54,14 +54,21 @@
 pub enum JobOutcome {
     /// All stages finished.
     Finished(RequestInputs),
-    /// Accepted but can't be completed; the request may be tried again after this time.
-    Aborted(Duration),
+    /// Accepted but can't be completed.
+    Aborted {
+        /// Time after which the request may be tried again.
+        retry_after: Duration,
+        /// Why it can't be completed.
+        reason: RefusalReason,
+    },
     /// Not accepted: try again later or in another cell.
     Refused {
         /// Time after which the request may be tried again.
         retry_after: Duration,
         /// Time that the cell needs for the work it has.
         backlog: Duration,
+        /// Why it was not accepted.
+        reason: RefusalReason,
     },
     /// This instance is not, or no longer, the owner: submit the job to another one.
     Redirected {
@@ -286,11 +293,15 @@
         let submitted = runner.sched.borrow_mut().submit(job, Instant::now());
         debug!(self.shared.log, "job"; "request" => &*id, "cell" => &**cell, "verdict" => ?submitted);
         match submitted {
-            SubmitOutcome::Refused { retry_after } => {
+            SubmitOutcome::Refused {
+                retry_after,
+                reason,
+            } => {
                 let backlog = runner.sched.borrow().backlog(Instant::now());
                 let outcome = JobOutcome::Refused {
                     retry_after,
                     backlog,
+                    reason,
                 };
                 callback(JobEvent::Ended(outcome));
             }
@@ -485,7 +496,14 @@
         Action::GivenUp {
             request,
             retry_after,
-        } => runner.finish(&request, JobOutcome::Aborted(retry_after)),
+            reason,
+        } => {
+            let outcome = JobOutcome::Aborted {
+                retry_after,
+                reason,
+            };
+            runner.finish(&request, outcome);
+        }
         Action::ReleaseResults {
             server,
             address,
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -32,6 +32,9 @@
     pub crash_causes: IntGauge,
     /// Requests not sent because their like have crashed servers.
     pub quarantined: IntCounter,
+    /// Requests whose stages were refused or given up, by reason and by whether they go on with a
+    /// stream.
+    pub stages_refused: IntCounterVec,
     /// Requests in progress.
     pub active_requests: IntGauge,
 }
@@ -49,6 +52,11 @@
             registry.register(Box::new(counter.clone()))?;
             Ok::<_, prometheus::Error>(counter)
         };
+        let stages_refused = counter(
+            "sardine_stages_refused_total",
+            "Requests whose stages were refused or given up.",
+            &["reason", "continues"],
+        )?;
         let answers = counter(
             "sardine_answers_total",
             "Answers to callers.",
@@ -94,6 +102,7 @@
             crashes,
             crash_causes,
             quarantined,
+            stages_refused,
             active_requests,
         })
     }
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -589,11 +589,12 @@
                     Ok(Message::Finished { request, inputs }) => {
                         link.finish(&request, JobOutcome::Finished(inputs));
                     }
-                    Ok(Message::Aborted { request, retry_after }) => {
-                        link.finish(&request, JobOutcome::Aborted(retry_after));
+                    Ok(Message::Aborted { request, retry_after, reason }) => {
+                        link.finish(&request, JobOutcome::Aborted { retry_after, reason });
                     }
-                    Ok(Message::Refused { request, retry_after, backlog }) => {
-                        link.finish(&request, JobOutcome::Refused { retry_after, backlog });
+                    Ok(Message::Refused { request, retry_after, backlog, reason }) => {
+                        let outcome = JobOutcome::Refused { retry_after, backlog, reason };
+                        link.finish(&request, outcome);
                     }
                     Ok(Message::Redirected { request, accepted }) => {
                         link.finish(&request, JobOutcome::Redirected { accepted });
--- a/crates/sardineshore-serve/src/peers/message.rs
+++ b/crates/sardineshore-serve/src/peers/message.rs
@@ -9,7 +9,7 @@
 
 use anyhow::{bail, ensure};
 use bytes::Bytes;
-use sardineshore_core::flow::batching::{Job, StageResults};
+use sardineshore_core::flow::batching::{Job, RefusalReason, StageResults};
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::quarantine::Evidence;
 use serde::{Deserialize, Serialize};
@@ -78,6 +78,8 @@
         request: Name,
         /// Time after which the request may be tried again.
         retry_after: Duration,
+        /// Why it can't complete it.
+        reason: RefusalReason,
     },
     /// To the submitter: the owner did not accept the job.
     Refused {
@@ -87,6 +89,8 @@
         retry_after: Duration,
         /// Time that the cell needs for the work it has.
         backlog: Duration,
+        /// Why it did not accept it.
+        reason: RefusalReason,
     },
     /// To the submitter: submit the job to another owner.
     Redirected {
@@ -145,17 +149,23 @@
     match event {
         JobEvent::StageFinished(results) => Message::StageFinished { request, results },
         JobEvent::Ended(JobOutcome::Finished(inputs)) => Message::Finished { request, inputs },
-        JobEvent::Ended(JobOutcome::Aborted(retry_after)) => Message::Aborted {
+        JobEvent::Ended(JobOutcome::Aborted {
+            retry_after,
+            reason,
+        }) => Message::Aborted {
             request,
             retry_after,
+            reason,
         },
         JobEvent::Ended(JobOutcome::Refused {
             retry_after,
             backlog,
+            reason,
         }) => Message::Refused {
             request,
             retry_after,
             backlog,
+            reason,
         },
         JobEvent::Ended(JobOutcome::Redirected { accepted }) => {
             Message::Redirected { request, accepted }
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -63,6 +63,10 @@
     pub attempts: u32,
     /// Time that the request waited for its stages, in milliseconds.
     pub stages_ms: u64,
+    /// Time left to the deadline when its stages began to run last, in milliseconds.
+    pub stages_left_ms: Option<u64>,
+    /// Why its stages were refused or given up last; `None` if they were not.
+    pub stages_refusal: Option<&'static str>,
     /// Time from arrival to the first byte of the response, in milliseconds; `None` if no response
     /// of a server was forwarded.
     pub first_byte_ms: Option<u64>,
@@ -257,7 +261,8 @@
         info!(self.log, "request";
             "request" => id.unwrap_or("-"), "route" => route, "status" => status,
             "reason" => reason, "ms" => elapsed_ms(incoming.arrived_at), "sends" => stats.attempts,
-            "stages_ms" => stats.stages_ms, "first_ms" => stats.first_byte_ms,
+            "stages_ms" => stats.stages_ms, "stages_left_ms" => stats.stages_left_ms,
+            "stages" => stats.stages_refusal, "first_ms" => stats.first_byte_ms,
             "server" => stats.server.as_deref().unwrap_or("-"),
             "takes_up" => stats.takes_up.as_deref(), "version" => stats.version.as_deref(),
             "last_event" => stats.last_event_id, "pause_ms" => stats.max_pause_ms);
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -434,7 +434,9 @@
             return Ok(());
         };
         job.continues = attempts.started || attempts.is_taken_up;
+        let continues = if job.continues { "yes" } else { "no" };
         let start = Instant::now();
+        attempts.stats.stages_left_ms = Some(whole_ms(job.time_to_deadline));
         let running = tokio::time::timeout(request.time_to_deadline(), self.stages.run(job));
         let result = tokio::select! {
             biased;
@@ -455,7 +457,15 @@
                 };
                 Ok(())
             }
-            Ok(Err(retry_after)) => Err(not_run(request, retry_after, "stages can't end in time")),
+            Ok(Err(refusal)) => {
+                self.metrics
+                    .stages_refused
+                    .with_label_values(&[refusal.reason, continues])
+                    .inc();
+                attempts.stats.stages_refusal = Some(refusal.reason);
+                let reason = "stages can't end in time";
+                Err(not_run(request, refusal.retry_after, reason))
+            }
             Err(_) => Err(not_run(request, Duration::ZERO, "time over in stages")),
         }
     }
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use sardineshore_core::flow::batching::{Job, StageResults, StoredResult};
+use sardineshore_core::flow::batching::{Job, RefusalReason, StageResults, StoredResult};
 use sardineshore_core::flow::cells::{choose_cell, rank_owners};
 use sardineshore_core::flow::config::Name;
 use slog::{Logger, info};
@@ -70,9 +70,32 @@
     }
 }
 
-/// The inputs of a request, which are kept until the guard is dropped; or the time after which the
-/// request may be tried again.
-pub type StagesResult = Result<(RequestInputs, ResultGuard), Duration>;
+/// The inputs of a request, which are kept until the guard is dropped; or why there are none.
+pub type StagesResult = Result<(RequestInputs, ResultGuard), StagesRefusal>;
+
+/// Why the stages of a request did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StagesRefusal {
+    /// Time after which the request may be tried again.
+    pub retry_after: Duration,
+    /// Reason for the log.
+    pub reason: &'static str,
+}
+
+impl StagesRefusal {
+    fn by_owner(retry_after: Duration, reason: RefusalReason) -> Self {
+        let reason = reason.as_str();
+        Self {
+            retry_after,
+            reason,
+        }
+    }
+}
+
+/// The deadline passed before an owner was reached.
+const NO_TIME_LEFT: &str = "no time left for an owner";
+/// All owners to which the job was submitted were lost or redirected it.
+const OWNERS_LOST: &str = "owners lost";
 
 impl StageClient {
     /// A client of the owners among `peers`, this instance included.
@@ -99,15 +122,15 @@
         let first = choose_cell(hash_key, &job.preferred_domain, &cells, |cell| {
             self.backlog(cell)
         });
-        let (retry_after, backlog) = match self.run_in_cell(&first, &job, start).await {
+        let (refusal, backlog) = match self.run_in_cell(&first, &job, start).await {
             Ok(finished) => return Ok(finished),
-            Err(Failure::Aborted(retry_after)) => return Err(retry_after),
-            Err(Failure::Refused(retry_after, backlog)) => (retry_after, backlog),
+            Err(Failure::Aborted(refusal)) => return Err(refusal),
+            Err(Failure::Refused(refusal, backlog)) => (refusal, backlog),
         };
         let others = cells.iter().filter(|cell| **cell != first);
         let shortest = others.min_by_key(|cell| self.backlog(cell));
         let Some(second) = shortest.filter(|cell| self.backlog(cell) < backlog) else {
-            return Err(retry_after);
+            return Err(refusal);
         };
         // The second cell accepts the job only if it can end in time; late jobs are left to the first.
         let job = Job {
@@ -116,7 +139,10 @@
         };
         match self.run_in_cell(second, &job, start).await {
             Ok(finished) => Ok(finished),
-            Err(Failure::Aborted(wait) | Failure::Refused(wait, _)) => Err(wait.min(retry_after)),
+            Err(Failure::Aborted(second) | Failure::Refused(second, _)) => Err(StagesRefusal {
+                retry_after: second.retry_after.min(refusal.retry_after),
+                ..refusal
+            }),
         }
     }
 
@@ -152,7 +178,10 @@
                 let Some(remaining) =
                     remaining_job(job, &finished_stages, accepted_before, start.elapsed())
                 else {
-                    return Err(Failure::Aborted(Duration::ZERO));
+                    return Err(Failure::Aborted(StagesRefusal {
+                        retry_after: Duration::ZERO,
+                        reason: NO_TIME_LEFT,
+                    }));
                 };
                 if let Some(submitted) = self.submit(&name, cell, remaining, &finished_stages).await
                 {
@@ -169,13 +198,21 @@
                     guard.results = used_results(&finished_stages, &inputs);
                     return Ok((inputs, guard));
                 }
-                Ok(JobOutcome::Aborted(retry_after)) => return Err(Failure::Aborted(retry_after)),
+                Ok(JobOutcome::Aborted {
+                    retry_after,
+                    reason,
+                }) => {
+                    let refusal = StagesRefusal::by_owner(retry_after, reason);
+                    return Err(Failure::Aborted(refusal));
+                }
                 Ok(JobOutcome::Refused {
                     retry_after,
                     backlog,
+                    reason,
                 }) => {
                     self.record_backlog(cell, backlog);
-                    return Err(Failure::Refused(retry_after, backlog));
+                    let refusal = StagesRefusal::by_owner(retry_after, reason);
+                    return Err(Failure::Refused(refusal, backlog));
                 }
                 Ok(JobOutcome::Redirected { accepted }) => {
                     accepted_before |= accepted;
@@ -189,7 +226,10 @@
             }
         }
         let left = job.time_to_deadline.saturating_sub(start.elapsed());
-        Err(Failure::Aborted(left / 3))
+        Err(Failure::Aborted(StagesRefusal {
+            retry_after: left / 3,
+            reason: OWNERS_LOST,
+        }))
     }
 
     /// Submits a job to an instance; `None` if there is no link to it.
@@ -222,13 +262,12 @@
     }
 }
 
-/// Why a cell did not run the stages. The first duration is the time after which the request may be
-/// tried again.
+/// Why a cell did not run the stages.
 enum Failure {
     /// The cell accepted the job and could not complete it.
-    Aborted(Duration),
-    /// The cell did not accept the job; the second duration is its backlog.
-    Refused(Duration, Duration),
+    Aborted(StagesRefusal),
+    /// The cell did not accept the job; the duration is its backlog.
+    Refused(StagesRefusal, Duration),
 }
 
 /// Results of the stages of a job that have finished, at all owners so far.
