fix(serve): requests of callers that leave have a log line

When a caller's connection ends while its request is handled, the handler was dropped: no request line was written, sardine_answers_total didn't count the request, and the gauge of requests in progress never went down again.

The line and the counts now belong to a record of the request, which is written when it ends or is dropped: "caller gone", or "instance ends" for streams that outlast the grace period.

serve_request_of_caller_that_leaves_is_logged failed before: no line within the wait.

--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -118,6 +118,84 @@
     config: Rc<ConfigIndex>,
 }
 
+/// A request in progress, with what its log line and the metrics will tell of it. It is dropped
+/// without an end if the caller closes its connection.
+struct RequestRecord<'r> {
+    handler: &'r RequestHandler,
+    incoming: &'r IncomingRequest,
+    id: Option<&'r str>,
+    /// `-` until a route is found.
+    route: Name,
+    stats: RequestStats,
+    has_ended: bool,
+}
+
+impl<'r> RequestRecord<'r> {
+    fn new(
+        handler: &'r RequestHandler,
+        incoming: &'r IncomingRequest,
+        id: Option<&'r str>,
+    ) -> Self {
+        handler.metrics.active_requests.inc();
+        Self {
+            handler,
+            incoming,
+            id,
+            route: Name::from("-"),
+            stats: RequestStats::default(),
+            has_ended: false,
+        }
+    }
+
+    /// Counts the request in the metrics and writes its log line.
+    fn end(&mut self, outcome: &Outcome) {
+        self.has_ended = true;
+        let RequestHandler { metrics, log, .. } = self.handler;
+        metrics.active_requests.dec();
+        let (status, reason) = match outcome {
+            Outcome::Completed(status) => (*status, "answered"),
+            Outcome::Failed(error) => (error.status(), error.reason()),
+            Outcome::Aborted(reason) => (0, *reason),
+            Outcome::CallerDisconnected => (0, "caller gone"),
+        };
+        let (route, stats) = (&*self.route, &self.stats);
+        let status_label = status.to_string();
+        let labels = [route, status_label.as_str()];
+        metrics.answers.with_label_values(&labels).inc();
+        if let Some(first_byte_ms) = stats.first_byte_ms {
+            let seconds = Duration::from_millis(first_byte_ms).as_secs_f64();
+            let first_byte = metrics.first_byte.with_label_values(&[route]);
+            first_byte.observe(seconds);
+        }
+        info!(log, "request";
+            "request" => self.id.unwrap_or("-"), "route" => route, "status" => status,
+            "reason" => reason, "ms" => elapsed_ms(self.incoming.arrived_at), "sends" => stats.attempts,
+            "stages_ms" => stats.stages_ms, "stages_left_ms" => stats.stages_left_ms,
+            "stages" => stats.stages_refusal, "first_ms" => stats.first_byte_ms,
+            "server" => stats.server.as_deref().unwrap_or("-"),
+            "takes_up" => stats.takes_up.as_deref(), "version" => stats.version.as_deref(),
+            "last_event" => stats.last_event_id, "pause_ms" => stats.max_pause_ms,
+            "limit_ms" => stats.limit.map(|limit| whole_ms(limit.duration)),
+            "limit" => stats.limit.map_or("-", |limit| limit.source.label()),
+            "config" => stats.config_version);
+    }
+}
+
+impl Drop for RequestRecord<'_> {
+    fn drop(&mut self) {
+        if self.has_ended {
+            return;
+        }
+        // The process ends without waiting for streams that outlast its grace period.
+        let is_process_ending = !self.handler.shutdown.leaves_time_for(Duration::ZERO);
+        self.end(&if is_process_ending {
+            Outcome::Aborted("instance ends")
+        } else {
+            Outcome::CallerDisconnected
+        });
+    }
+}
+
 impl RequestHandler {
     /// Creates a handler from the parts of the instance that it uses.
     #[must_use]
@@ -165,30 +243,28 @@
         keep_alive: bool,
     ) -> bool {
         let _active = self.shutdown.track_request();
-        self.metrics.active_requests.inc();
-        let mut stats = RequestStats::default();
         let keep_alive = keep_alive && !self.shutdown.has_begun();
         let id = incoming
             .head
             .headers
             .get(self.dialect.header_names().request_id);
-        let (route, outcome) = match self.admit(incoming) {
+        let mut record = RequestRecord::new(self, incoming, id);
+        let outcome = match self.admit(incoming) {
             Ok(matched) => {
                 let admitted = self.admitted_request(incoming, id.unwrap_or_default(), &matched);
-                stats.limit = Some(admitted.limit);
-                stats.config_version = Some(admitted.config_version);
-                let outcome = if let Some(refused) = self.refuse_quarantined(&admitted, None) {
+                record.route = matched.route.name.clone();
+                record.stats.limit = Some(admitted.limit);
+                record.stats.config_version = Some(admitted.config_version);
+                if let Some(refused) = self.refuse_quarantined(&admitted, None) {
                     refused
                 } else {
-                    self.handle_admitted(&admitted, wr, keep_alive, &mut stats)
+                    self.handle_admitted(&admitted, wr, keep_alive, &mut record.stats)
                         .await
-                };
-                (matched.route.name.clone(), outcome)
+                }
             }
-            Err(error) => (Name::from("-"), Outcome::Failed(error)),
+            Err(error) => Outcome::Failed(error),
         };
-        self.metrics.active_requests.dec();
-        self.record_outcome(incoming, id, &route, &outcome, &stats);
+        record.end(&outcome);
         match outcome {
             Outcome::Completed(_) => keep_alive,
             Outcome::Failed(error) => {
@@ -242,44 +318,6 @@
         }
     }
 
-    /// Counts the request in the metrics and writes its log line.
-    fn record_outcome(
-        &self,
-        incoming: &IncomingRequest,
-        id: Option<&str>,
-        route: &str,
-        outcome: &Outcome,
-        stats: &RequestStats,
-    ) {
-        let (status, reason) = match outcome {
-            Outcome::Completed(status) => (*status, "answered"),
-            Outcome::Failed(error) => (error.status(), error.reason()),
-            Outcome::Aborted(reason) => (0, *reason),
-            Outcome::CallerDisconnected => (0, "caller gone"),
-        };
-        let status_label = status.to_string();
-        let labels = [route, status_label.as_str()];
-        self.metrics.answers.with_label_values(&labels).inc();
-        if let Some(first_byte_ms) = stats.first_byte_ms {
-            let seconds = Duration::from_millis(first_byte_ms).as_secs_f64();
-            self.metrics
-                .first_byte
-                .with_label_values(&[route])
-                .observe(seconds);
-        }
-        info!(self.log, "request";
-            "request" => id.unwrap_or("-"), "route" => route, "status" => status,
-            "reason" => reason, "ms" => elapsed_ms(incoming.arrived_at), "sends" => stats.attempts,
-            "stages_ms" => stats.stages_ms, "stages_left_ms" => stats.stages_left_ms,
-            "stages" => stats.stages_refusal, "first_ms" => stats.first_byte_ms,
-            "server" => stats.server.as_deref().unwrap_or("-"),
-            "takes_up" => stats.takes_up.as_deref(), "version" => stats.version.as_deref(),
-            "last_event" => stats.last_event_id, "pause_ms" => stats.max_pause_ms,
-            "limit_ms" => stats.limit.map(|limit| whole_ms(limit.duration)),
-            "limit" => stats.limit.map_or("-", |limit| limit.source.label()),
-            "config" => stats.config_version);
-    }
-
     /// Outcome of a request that may not be sent to servers, as its like have crashed them; `None`
     /// if it may. `lost` tells why an earlier attempt was lost, after which it may have run.
     fn refuse_quarantined(
