fix(serve): confirm no keys in an era of the store that has not settled

What callers saw: after a drill of the store, an instance that started just then served a key that had been taken away (CONFIG): 23 bookings, 7.6 to 9.0 s after the removal was acknowledged, in a deployment without streams.

Cause: an instance that starts can't have seen the restore. It took one for granted only if a base version of an older era said so; without streams there are no base versions. Class: what an instance that starts can't have seen is taken for not having happened.

Now the store names its settled era in one row, in a table that all instances follow anyway. A response confirms the configuration if the row names its era and is not newer than the response, if the configuration was seen written in that era, or if it was produced 2 s or more after this instance learned of the era. Otherwise the instance waits, whether it ran through the restore or started after it. The row is written by an instance that has known the era for 2 s. A copy can hold only rows of earlier eras, and a late write names the era for which it was right, so that a missing or old row costs a wait and no key. This replaces the check of base versions, which was less strict; they only contradict settings that wrongly tell of a first start now.

Ruled out: waiting at every start (2 s of refusals at each restart); asking other instances (none may be left).

--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -25,5 +25,6 @@
 pub mod replica;
 pub mod retry_budget;
 pub mod selection;
+pub mod store_era;
 pub mod stream_versions;
 pub mod turns;
--- a/crates/sardineshore-core/src/flow/freshness.rs
+++ b/crates/sardineshore-core/src/flow/freshness.rs
@@ -27,9 +27,18 @@
 }
 
 impl Freshness {
-    /// Records a response of the store. `sent` and `received` are the local times of the call;
-    /// `stamp_ms` is the store's clock in the response, in milliseconds.
+    /// Records a response of the store that confirms the configuration. `sent` and `received` are the local
+    /// times of the call; `stamp_ms` is the store's clock in the response, in milliseconds.
     pub fn record(&mut self, sent: Duration, received: Duration, stamp_ms: u64) {
+        let confirmed = self.date(sent, received, stamp_ms);
+        if self.confirmed_at.is_none_or(|at| confirmed > at) {
+            self.confirmed_at = Some(confirmed);
+        }
+    }
+
+    /// Compares the clocks by a response of the store, as [`Freshness::record`] does, and returns a local
+    /// time not later than that at which the store produced it.
+    pub fn date(&mut self, sent: Duration, received: Duration, stamp_ms: u64) -> Duration {
         let offset_ms = i128::from(stamp_ms) - signed_ms(sent);
         if self.offset_ms.is_none_or(|known| offset_ms < known) {
             self.offset_ms = Some(offset_ms);
@@ -38,14 +47,11 @@
         let stamped_at = u64::try_from(stamped_at).map_or(Duration::ZERO, Duration::from_millis);
         // A stamp before `sent` or after `received` means that the offset no longer holds: the
         // store's clock may have restarted.
-        let confirmed = if stamped_at < sent || stamped_at > received {
+        if stamped_at < sent || stamped_at > received {
             self.offset_ms = Some(offset_ms);
             sent
         } else {
             stamped_at
-        };
-        if self.confirmed_at.is_none_or(|at| confirmed > at) {
-            self.confirmed_at = Some(confirmed);
         }
     }
 
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -19,6 +19,7 @@
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::registry::ServerRegistry;
 use sardineshore_core::flow::replica::{ApplyError, TableChanges, TableReplica};
+use sardineshore_core::flow::store_era::StoreEra;
 use slog::{Logger, debug, info, warn};
 use tokio::sync::Notify;
 use waits::{BACKOFF_STEP, CONFIG_WAIT, INSTANCES_DELAY, MAX_BACKOFF};
@@ -49,9 +50,11 @@
     UnusableConfig,
 }
 
-/// When the store produced a response.
+/// A response of the store with the configuration.
 #[derive(Debug, Clone, Copy)]
-struct Confirmation {
+struct ConfigResponse {
+    /// Version of the store.
+    version: StoreVersion,
     /// When the call was sent and its response received, as [`boot_time`].
     sent: Duration,
     received: Duration,
@@ -79,12 +82,10 @@
     drain_bound: Duration,
     /// Whether the newest configuration that was read is the active one.
     config_usable: Cell<bool>,
-    /// When a restored store may confirm the configuration; `None` if it may.
-    settled_at: Cell<Option<Instant>>,
-    /// Whether the rows that show a recent restore were read.
-    restore_checked: Cell<bool>,
-    /// Response that confirms the configuration if there was no recent restore.
-    unchecked: Cell<Option<Confirmation>>,
+    /// Whether the store's responses confirm the configuration. Its times are [`boot_time`].
+    era: RefCell<StoreEra>,
+    /// Latest response that did not confirm the configuration as far as was known, and when it was produced.
+    unconfirmed: Cell<Option<(ConfigResponse, Duration)>>,
     /// Instances whose rows a restored store lacks, and when they are dropped.
     unlisted_instances: RefCell<BTreeMap<Name, Instant>>,
     instances_restored: Notify,
@@ -155,9 +156,8 @@
             on_change,
             drain_bound: bounds.drain,
             config_usable: Cell::new(true),
-            settled_at: Cell::new(None),
-            restore_checked: Cell::new(false),
-            unchecked: Cell::new(None),
+            era: RefCell::new(StoreEra::new(dispatcher.versions().is_first_start())),
+            unconfirmed: Cell::new(None),
             unlisted_instances: RefCell::default(),
             instances_restored: Notify::new(),
             started_at: Instant::now(),
@@ -187,6 +187,8 @@
         tokio::task::spawn_local(async move { watcher.register().await });
         let watcher = self.clone();
         tokio::task::spawn_local(async move { watcher.check_servers().await });
+        let watcher = self.clone();
+        tokio::task::spawn_local(async move { watcher.write_settled_era().await });
     }
 
     fn version(&self, table: Table) -> Option<StoreVersion> {
@@ -320,8 +322,12 @@
             self.reachable_changed.notify_waiters();
         }
         let after_outage = self.servers.borrow().is_after_store_failure();
-        let (sent, received, store_time_ms) =
-            (timed.sent, timed.received, timed.page.store_time_ms);
+        let response = ConfigResponse {
+            version: timed.page.version,
+            sent: timed.sent,
+            received: timed.received,
+            store_time_ms: timed.page.store_time_ms,
+        };
         let changes = TableChanges {
             after: after.unwrap_or_default(),
             version: timed.page.version,
@@ -330,22 +336,11 @@
             missing: Vec::new(),
         };
         let (changes, applied) = self.apply_changes(table, changes)?;
-        let mut stamp = None;
-        if table == Table::Config && applied.is_ok() && self.is_settled() {
-            let confirmation = Confirmation {
-                sent,
-                received,
-                store_time_ms,
-            };
-            let confirmed = self.confirm(confirmation);
-            if self.restore_checked.get() || self.versions.is_first_start() {
-                stamp = Some(confirmed);
-            } else {
-                // The clocks can be compared, which is all that what others hand on needs.
-                self.state.freshness.borrow_mut().discard_confirmation();
-                self.unchecked.set(Some(confirmation));
-            }
-        }
+        let stamp = if table == Table::Config && applied.is_ok() {
+            self.handle_response(response)
+        } else {
+            None
+        };
         self.relay.publish(ReaderMessage::Changes {
             table,
             changes,
@@ -356,12 +351,13 @@
     }
 
     /// Records that the store confirmed the configuration.
-    fn confirm(&self, confirmation: Confirmation) -> Stamp {
-        let Confirmation {
+    fn confirm(&self, response: ConfigResponse) -> Stamp {
+        let ConfigResponse {
             sent,
             received,
             store_time_ms,
-        } = confirmation;
+            ..
+        } = response;
         let mut freshness = self.state.freshness.borrow_mut();
         freshness.record(sent, received, store_time_ms);
         self.clock_checked_at.set(Instant::now());
@@ -378,10 +374,13 @@
         changes: TableChanges,
     ) -> Result<(TableChanges, Result<(), PageError>), ApplyError> {
         self.versions.record_era(changes.version.era);
+        let now = boot_time();
+        self.era.borrow_mut().record_era(changes.version.era, now);
         let restored = self.compare_restored(table, &changes);
         if table == Table::Servers && self.may_have_missed_servers(&changes) {
             self.versions.record_list_gap();
         }
+        let is_first = self.version(table).is_none();
         let news = self.replicas.borrow_mut()[table_index(table)].apply(changes)?;
         let applied = match restored {
             Some(restored) => self.apply_restored(table, &news, &restored),
@@ -389,6 +388,10 @@
         };
         let own = &self.peers.this_instance().name;
         let is_listed = self.instances.borrow().contains_key(own);
+        if is_first && table == Table::Instances {
+            self.era.borrow_mut().record_first_list(is_listed);
+            self.recheck_response();
+        }
         // An instance that was not listed before has started for the first time.
         let knows_all = self.known_versions().iter().all(Option::is_some);
         if knows_all || (is_listed && self.was_unlisted.get()) {
--- a/crates/sardineshore-serve/src/watcher/tables.rs
+++ b/crates/sardineshore-serve/src/watcher/tables.rs
@@ -20,8 +20,7 @@
                 let mut rows = news.rows.iter();
                 let is_written = rows.any(|row| *row.key == *self.dialect.config_key());
                 if is_written && self.state.config().is_some() {
-                    // Written since the store was restored.
-                    self.settled_at.set(None);
+                    self.era.borrow_mut().record_config_written(news.version);
                 }
                 self.apply_config(news)
             }
@@ -43,8 +42,7 @@
                 Ok(())
             }
             Table::BaseVersions => {
-                self.versions.apply(news);
-                self.check_restore();
+                self.apply_base_versions(news);
                 Ok(())
             }
         }
--- a/crates/sardineshore-serve/src/watcher/waits.rs
+++ b/crates/sardineshore-serve/src/watcher/waits.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
+use sardineshore_core::flow::store_era::SETTLE_TIME;
 use slog::debug;
 
 use super::StoreWatcher;
-use super::restore::RESTORE_SETTLE_TIME;
 use crate::dialect::Table;
 
 /// Longest time for which one call waits for a change of the configuration. It is short because
@@ -96,7 +96,7 @@
             Table::Config if self.relay.has_subscribers() => READER_CONFIG_WAIT,
             Table::Config => CONFIG_WAIT,
             Table::Servers => self.longest_servers_wait(),
-            Table::Instances if !self.unlisted_instances.borrow().is_empty() => RESTORE_SETTLE_TIME,
+            Table::Instances if !self.unlisted_instances.borrow().is_empty() => SETTLE_TIME,
             Table::Instances | Table::Crashes | Table::Limits | Table::BaseVersions => LONG_WAIT,
         }
     }
