fix(serve): a stream that is too late to end is refused before it is sent

Callers saw a stream that began shortly before its deadline and was closed in the middle: its stages had taken nearly all of the time. An end that could be known before the engine was called is a refusal now: 503 with Retry-After, not run, reason "too late to end". Streams that have run, were taken up, or have begun are left alone.

What can be known: each route remembers how long its latest complete streams took from sending to the end (64 at most, of the last 30 s, per instance). A stream is refused if less time is left than the fastest of 16 or more. A limit that none of them would have met is tried all the same, so that a shortened timeout doesn't shut a route off for good.

Ruled out: a fixed bound of 150 ms, the run time used in the stages' forecast. An owner gives up jobs with less than 150 ms left already.

Not covered: a stream that is sent in time for the fastest ones and turns out to be longer.

--- a/crates/sardineshore-core/src/flow/config.rs
+++ b/crates/sardineshore-core/src/flow/config.rs
@@ -247,6 +247,11 @@
         }
     }
 
+    /// Names of all routes.
+    pub fn route_names(&self) -> impl Iterator<Item = &str> {
+        self.config.routes.iter().map(|route| &*route.name)
+    }
+
     /// Finds the routes whose timeout is shorter than in the configuration before, or has stayed as
     /// short as an earlier change made it.
     pub fn compare_timeouts(&mut self, previous: &Self) {
--- a/crates/sardineshore-core/src/flow/time_limit.rs
+++ b/crates/sardineshore-core/src/flow/time_limit.rs
@@ -1,6 +1,17 @@
-//! The time limit of a request: what sets it, and what it means that it has passed.
+//! The time limit of a request: what sets it, whether the request can still end within it, and what it
+//! means that it has passed.
 
-use std::time::Duration;
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use super::config::Name;
+
+/// Number of the latest streams of a route whose durations count.
+const MAX_DURATIONS: usize = 64;
+/// Number of streams of a route without which nothing is known of their durations.
+const MIN_DURATIONS: usize = 16;
+/// Longest time for which a duration counts, so that a route whose servers were slow is tried again.
+const MAX_DURATION_AGE: Duration = Duration::from_secs(30);
 
 /// What sets the time limit of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,3 +88,39 @@
         }
     }
 }
+
+/// Durations of the latest complete streams of each route, from when they were sent to a server.
+#[derive(Debug, Default)]
+pub struct StreamDurations {
+    /// Durations with the times at which the streams ended.
+    by_route: HashMap<Name, VecDeque<(Instant, Duration)>>,
+}
+
+impl StreamDurations {
+    /// Records a stream that one server ran from its first event to its last one.
+    pub fn record(&mut self, route: &Name, duration: Duration, now: Instant) {
+        let durations = self.by_route.entry(route.clone()).or_default();
+        if durations.len() == MAX_DURATIONS {
+            durations.pop_front();
+        }
+        durations.push_back((now, duration));
+    }
+
+    /// Forgets all routes but those for which `is_kept` returns true.
+    pub fn retain(&mut self, is_kept: impl Fn(&str) -> bool) {
+        self.by_route.retain(|route, _| is_kept(route));
+    }
+
+    /// Whether a stream of a route that is sent now may end before its deadline, in `left`: unless all
+    /// streams of late took longer. A limit that none of them would have met says that the caller or the
+    /// operators expect something else now.
+    #[must_use]
+    pub fn can_end(&self, route: &str, limit: TimeLimit, left: Duration, now: Instant) -> bool {
+        let durations = self.by_route.get(route).into_iter().flatten();
+        let recent = durations.filter(|(at, _)| now.duration_since(*at) <= MAX_DURATION_AGE);
+        let (count, least) = recent.fold((0, Duration::MAX), |(count, least), (_, duration)| {
+            (count + 1, least.min(*duration))
+        });
+        count < MIN_DURATIONS || left >= least || limit.duration < least
+    }
+}
--- a/crates/sardineshore-core/tests/time_limit.rs
+++ b/crates/sardineshore-core/tests/time_limit.rs
@@ -1,9 +1,9 @@
 //! Time limits of requests: what sets them, and why a request ends at one.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::config::{ConfigIndex, Route, ServingConfig};
-use sardineshore_core::flow::time_limit::{Expiry, LimitSource, TimeLimit};
+use sardineshore_core::flow::time_limit::{Expiry, LimitSource, StreamDurations, TimeLimit};
 
 const SOUND_SILENCE: Duration = Duration::from_millis(1600);
 
@@ -64,3 +64,46 @@
         index = next;
     }
 }
+
+/// A route of which this many streams have ended just now, the fastest one after 250 ms.
+fn known_durations(count: u64, now: Instant) -> StreamDurations {
+    let mut durations = StreamDurations::default();
+    for n in 0..count {
+        durations.record(&"chat".into(), ms(250 + 100 * n), now);
+    }
+    durations
+}
+
+/// Guards against a stream that begins so late that its caller gets only a part of it.
+#[test]
+fn can_end_no_stream_ended_so_fast() {
+    let now = Instant::now();
+    let durations = known_durations(16, now);
+    let can_end =
+        |left| durations.can_end("chat", TimeLimit::new(ms(8000), false, None), left, now);
+    assert!(!can_end(ms(120)));
+    assert!(!can_end(ms(249)));
+    assert!(can_end(ms(250)));
+}
+
+#[test]
+fn can_end_unless_durations_are_known() {
+    let now = Instant::now();
+    let limit = TimeLimit::new(ms(8000), false, None);
+    assert!(known_durations(15, now).can_end("chat", limit, ms(1), now));
+    let mut durations = known_durations(16, now);
+    assert!(durations.can_end("report", limit, ms(1), now));
+    assert!(durations.can_end("chat", limit, ms(1), now + ms(30_001)));
+    durations.retain(|route| route != "chat");
+    assert!(durations.can_end("chat", limit, ms(1), now));
+}
+
+/// Guards against a route that is never tried again after its timeout was shortened.
+#[test]
+fn can_end_limit_that_no_stream_would_have_met_is_tried() {
+    let now = Instant::now();
+    let durations = known_durations(64, now);
+    let limit = |timeout| TimeLimit::new(ms(timeout), true, None);
+    assert!(durations.can_end("chat", limit(240), ms(230), now));
+    assert!(!durations.can_end("chat", limit(260), ms(230), now));
+}
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -106,6 +106,8 @@
     NoServer(Duration),
     /// The like of the request have crashed servers; with the outcome if it has not run.
     Quarantined(Outcome),
+    /// The request has not run, and could not end before its deadline.
+    TooLate,
 }
 
 /// What a server that is waited for has done.
@@ -268,6 +270,11 @@
             }
             match forwarded {
                 Ok((status, response)) => {
+                    if attempts.runs == 1 && !attempts.is_taken_up {
+                        let duration = connected.attempt.elapsed();
+                        let mut durations = self.state.stream_durations.borrow_mut();
+                        durations.record(&request.route.name, duration, Instant::now());
+                    }
                     self.dispatcher.recycle(connected.conn, &response);
                     return Outcome::Completed(status);
                 }
@@ -339,6 +346,9 @@
         attempts: &mut Attempts<'_, '_>,
         is_replacement: bool,
     ) -> Result<Box<ConnectedServer>, Unprepared> {
+        if self.is_too_late(attempts) {
+            return Err(Unprepared::TooLate);
+        }
         let is_retry = attempts.stats.attempts > 0;
         let permit = self
             .dispatcher
@@ -361,10 +371,25 @@
         if let Some(refused) = self.refuse_quarantined(request, None) {
             return Err(Unprepared::Quarantined(refused));
         }
+        // It may have waited for the turn of a server.
+        if self.is_too_late(attempts) {
+            self.dispatcher.recycle(connected.conn, &Response::empty());
+            return Err(Unprepared::TooLate);
+        }
         permit.use_up();
         Ok(Box::new(connected))
     }
 
+    /// Whether a request that has not run could not end before its deadline.
+    fn is_too_late(&self, attempts: &Attempts<'_, '_>) -> bool {
+        let request = attempts.request;
+        let (route, limit) = (&request.route.name, request.limit);
+        let durations = self.state.stream_durations.borrow();
+        let left = request.time_to_deadline();
+        let is_new = attempts.runs == 0 && !attempts.is_taken_up;
+        is_new && !durations.can_end(route, limit, left, Instant::now())
+    }
+
     /// Waits for the server to go on. If it is silent for `patience` and `may_retry` is set, prepares
     /// another server in the meantime. Until one is connected, the silent server may still go on: it
     /// alone can if there is no replacement.
@@ -545,6 +570,7 @@
             Self::StagesFailed(_) => "stages can't end in time",
             Self::NoServer(_) => "no server",
             Self::Quarantined(_) => QUARANTINED,
+            Self::TooLate => "too late to end",
         }
     }
 }
@@ -577,7 +603,7 @@
             Some(lost) => Outcome::Failed(ErrorResponse::OutcomeUnknown(lost)),
             None => outcome,
         },
-        Unprepared::NoRetriesLeft => {
+        Unprepared::NoRetriesLeft | Unprepared::TooLate => {
             no_attempt_outcome(request, started, lost, RETRY_AFTER_REJECTED, reason)
         }
         Unprepared::NoServer(wait) => no_attempt_outcome(request, started, lost, wait, reason),
--- a/crates/sardineshore-serve/src/state.rs
+++ b/crates/sardineshore-serve/src/state.rs
@@ -4,6 +4,7 @@
 //! [`crate::watcher`] keeps it up to date from the store.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,7 @@
 use sardineshore_core::flow::freshness::Freshness;
 use sardineshore_core::flow::retry_budget::RetryBudget;
 use sardineshore_core::flow::selection::ServerSelector;
+use sardineshore_core::flow::time_limit::StreamDurations;
 
 use crate::settings::Settings;
 
@@ -36,6 +38,8 @@
     pub freshness: RefCell<Freshness>,
     /// Budget for sending a request to a further server.
     pub retry_budget: RefCell<RetryBudget>,
+    /// How long streams took lately.
+    pub stream_durations: RefCell<StreamDurations>,
     revocation_bound: Duration,
     fail_closed: bool,
 }
@@ -51,6 +55,7 @@
             crashes_known: Cell::new(false),
             freshness: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.bounds.repeats)),
+            stream_durations: RefCell::default(),
             revocation_bound: settings.bounds.revoke,
             fail_closed: settings.bounds.fail_closed,
         }
@@ -75,6 +80,9 @@
         if let Some(previous) = current.as_ref() {
             config.compare_timeouts(previous);
         }
+        let routes: HashSet<&str> = config.route_names().collect();
+        let mut durations = self.stream_durations.borrow_mut();
+        durations.retain(|route| routes.contains(route));
         *current = Some(Rc::new(config));
         true
     }
