fix(stages): a call that fails counts once for a job, not once a piece

Cause: a job is given up when its pieces failed or lost their inputs more than three times, and each piece of a call counted. A stage of ten pieces whose one input is gone was over the limit after one call, before anything was computed again. Presumably the inputs went with a link: its owner releases the job's results, and the submitter hands them on to the next one; not traced. Class: an event counted by its symptoms.

Ruled out: too little time (10 s and more left), pools without servers (`no server`).

Change: missing inputs count when they are dropped to be computed again, failed pieces once a call.

--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -1,7 +1,7 @@
 //! Calls of the scheduler to batch servers: forming a batch, detecting slow calls, handling the
 //! end of a call.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::time::Instant;
 
 use super::job::{PieceResult, Progress};
@@ -37,18 +37,37 @@
                 CallOutcome::TimedOut => server.record_timeout(now),
             }
         }
+        let mut failed = BTreeSet::new();
         for (position, piece) in call.pieces.iter().enumerate() {
             let result = match outcome {
                 CallOutcome::Answered(results) => results.get(position).cloned(),
                 CallOutcome::Rejected | CallOutcome::Broken | CallOutcome::TimedOut => None,
             };
+            if result == Some(Err(PieceError::Failed)) && self.is_wanted(*piece) {
+                failed.insert(piece.index);
+            }
             self.piece_ended(&call, *piece, result, now);
         }
+        for index in failed {
+            self.jobs[index].recomputations += 1;
+        }
         if broken {
             self.recompute_results_of(&call.server, now);
         }
     }
 
+    /// Whether a job still needs the result of a piece.
+    fn is_wanted(&self, sent: SentPiece) -> bool {
+        let state = self.jobs.get(sent.index);
+        // A later job under the same index may have fewer stages.
+        state
+            .filter(|state| state.sequence == sent.sequence)
+            .is_some_and(|state| {
+                let progress = &state.stages[sent.stage].pieces[sent.piece];
+                !matches!(progress, Progress::Done(_))
+            })
+    }
+
     /// Handles the outcome of one piece of a call; `result` is `None` if the call gave none.
     pub(super) fn piece_ended(
         &mut self,
@@ -63,28 +82,20 @@
             piece,
             ..
         } = sent;
-        let wanted = self
-            .jobs
-            .get(index)
-            .is_some_and(|state| state.sequence == sent.sequence)
-            && !matches!(
-                self.jobs[index].stages[stage].pieces[piece],
-                Progress::Done(_)
-            );
+        let wanted = self.is_wanted(sent);
         match result {
             Some(Ok(handle)) => self.store_result(call, sent, handle, wanted, now),
             Some(Err(error)) if wanted => {
                 self.leave_call(index, stage, piece);
                 match error {
                     PieceError::InputMissing => self.recompute_inputs(index, stage, now),
-                    PieceError::DeadlineExceeded => {}
+                    PieceError::DeadlineExceeded | PieceError::Failed => {}
                     PieceError::OutOfMemory => {
                         if let Some(server) = find_server(&mut self.pools, &call.pool, &call.server)
                         {
                             server.record_out_of_memory(now);
                         }
                     }
-                    PieceError::Failed => self.count_recomputation(index),
                 }
             }
             None if wanted => self.leave_call(index, stage, piece),
@@ -319,9 +330,4 @@
             known.release_ended(handles, timed_out, now);
         }
     }
-
-    /// Counts a failed piece or a lost input against the job's limit.
-    pub(super) fn count_recomputation(&mut self, index: usize) {
-        self.jobs[index].recomputations += 1;
-    }
 }
--- a/crates/sardineshore-core/src/flow/batching/config.rs
+++ b/crates/sardineshore-core/src/flow/batching/config.rs
@@ -24,7 +24,7 @@
     pub slow_call_slack: Duration,
     /// Longest time for which released results are collected before their server is told.
     pub release_delay: Duration,
-    /// A job is given up when its pieces failed or lost their inputs more often than this.
+    /// A job is given up after more calls than this in which its pieces failed or inputs were missing.
     pub max_recomputations: u32,
     /// Interval between checks for parked jobs that can't finish in time.
     pub parked_check_interval: Duration,
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -178,7 +178,7 @@
     /// earlier owner had accepted the job.
     pub first_in_rank: bool,
     pub stages: Vec<StageState>,
-    /// Number of failed pieces and lost inputs so far.
+    /// Number of calls so far in which pieces failed or inputs were missing.
     pub recomputations: u32,
     /// All stages have finished and [`super::Action::Finished`] was returned.
     pub delivered: bool,
--- a/crates/sardineshore-core/src/flow/batching/results.rs
+++ b/crates/sardineshore-core/src/flow/batching/results.rs
@@ -67,17 +67,20 @@
 
     /// Has all inputs of a stage computed again because one of them is missing.
     pub(super) fn recompute_inputs(&mut self, index: usize, stage: usize, now: Instant) {
-        self.count_recomputation(index);
         let state = &mut self.jobs[index];
+        let mut has_inputs = false;
         for dependency in state.job.stages[stage].depends_on.clone() {
             let pool = state.job.stages[dependency].pool.clone();
             for progress in &mut state.stages[dependency].pieces {
                 if let Progress::Done(result) = progress {
                     release_result(&mut self.pools, &pool, result, now);
                     *progress = Progress::Blocked;
+                    has_inputs = true;
                 }
             }
         }
+        // Without inputs, they are computed again already for another piece.
+        state.recomputations += u32::from(has_inputs);
         self.block_dependents(index);
     }
 
--- /dev/null
+++ b/crates/sardineshore-core/tests/batching_taken_up.rs
@@ -0,0 +1,186 @@
+//! Tests of the batch scheduler with jobs that are given up although they can still end in time.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use sardineshore_core::flow::batching::{
+    Action, BatchScheduler, BatchServer, CallOutcome, Job, JobStage, PieceError, RefusalReason,
+    SchedulerConfig,
+};
+use sardineshore_core::flow::config::{BatchSpec, Name};
+
+const CALL_OVERHEAD: Duration = ms(200);
+const TIME_PER_PIECE: Duration = ms(10);
+const RUN_TIME: Duration = ms(100);
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn scheduler(now: Instant) -> BatchScheduler {
+    let server = |pool: &str| BatchServer {
+        id: format!("server of {pool}").into(),
+        pool: pool.into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "d".into(),
+        spec: BatchSpec {
+            slots: 1,
+            max_batch: 4,
+            call_overhead: CALL_OVERHEAD,
+            time_per_piece: TIME_PER_PIECE,
+            result_memory_bytes: 10_000_000,
+            result_ttl: Duration::from_secs(4),
+        },
+        ready: true,
+        paused_until: None,
+    };
+    let mut scheduler = BatchScheduler::new(SchedulerConfig::default());
+    scheduler.set_servers(vec![server("p"), server("q")], now);
+    scheduler
+}
+
+fn stage(pool: &str, depends_on: &[usize], pieces: u32) -> JobStage {
+    JobStage {
+        pool: pool.into(),
+        depends_on: depends_on.to_vec(),
+        pieces,
+        result_bytes: 1000,
+    }
+}
+
+fn new_job(id: &str, stages: Vec<JobStage>) -> Job {
+    Job {
+        id: id.into(),
+        key: id.into(),
+        rank: 1,
+        time_to_soft_deadline: ms(6000),
+        time_to_deadline: ms(8000),
+        run_time: RUN_TIME,
+        preferred_domain: "d".into(),
+        stages,
+        late_allowed: true,
+        results: Vec::new(),
+        accepted_before: false,
+        continues: false,
+    }
+}
+
+/// Ends of jobs by their ids: when all stages finished, or why the job was given up.
+type Ends = BTreeMap<Name, Result<Duration, RefusalReason>>;
+
+/// Carries out the scheduler's actions for `length`. Each call takes its expected time.
+fn run(scheduler: &mut BatchScheduler, start: Instant, length: Duration) -> Ends {
+    let mut running: Vec<(Instant, u64, usize)> = Vec::new();
+    let mut ends = Ends::new();
+    for elapsed in (0..length.as_millis()).step_by(10) {
+        let elapsed = ms(u64::try_from(elapsed).unwrap());
+        let now = start + elapsed;
+        for (ends_at, id, count) in std::mem::take(&mut running) {
+            if ends_at > now {
+                running.push((ends_at, id, count));
+                continue;
+            }
+            let results = (0..count).map(|n| Ok(format!("{id}-{n}").into()));
+            scheduler.call_ended(id, &CallOutcome::Answered(results.collect()), now);
+        }
+        for action in scheduler.poll(now) {
+            match action {
+                Action::Call {
+                    call_id, pieces, ..
+                } => {
+                    let count = pieces.len();
+                    let took = CALL_OVERHEAD + TIME_PER_PIECE * u32::try_from(count).unwrap();
+                    running.push((now + took, call_id, count));
+                }
+                Action::Finished { request, .. } => {
+                    scheduler.cancel(&request, now);
+                    ends.insert(request, Ok(elapsed));
+                }
+                Action::GivenUp {
+                    request, reason, ..
+                } => {
+                    ends.insert(request, Err(reason));
+                }
+                _ => {}
+            }
+        }
+    }
+    ends
+}
+
+/// Ends the calls that the scheduler starts with `error` for each piece of the stages in `failing`, and
+/// returns why the job was given up, if it was, and the number of calls that failed.
+fn fail_calls(
+    scheduler: &mut BatchScheduler,
+    start: Instant,
+    error: PieceError,
+    most: u32,
+) -> (Option<RefusalReason>, u32) {
+    let (mut now, mut failed) = (start, 0);
+    for _ in 0..100 {
+        for action in scheduler.poll(now) {
+            match action {
+                Action::GivenUp { reason, .. } => return (Some(reason), failed),
+                Action::Finished { .. } => return (None, failed),
+                Action::Call {
+                    call_id, pieces, ..
+                } => {
+                    let fails = pieces.iter().any(|piece| piece.stage == 1) && failed < most;
+                    failed += u32::from(fails);
+                    let results = (0..pieces.len()).map(|n| {
+                        if fails {
+                            Err(error)
+                        } else {
+                            Ok(format!("{call_id}-{n}").into())
+                        }
+                    });
+                    let outcome = CallOutcome::Answered(results.collect());
+                    scheduler.call_ended(call_id, &outcome, now + ms(5));
+                }
+                _ => {}
+            }
+        }
+        now += ms(10);
+    }
+    panic!("the job did not end");
+}
+
+/// Guards against jobs that are given up with plenty of time left because a single call with many of
+/// their pieces failed.
+#[test]
+fn call_ended_counts_failed_call_once_for_all_pieces_of_job() {
+    let now = Instant::now();
+    for error in [PieceError::InputMissing, PieceError::Failed] {
+        let submit = || {
+            let mut scheduler = scheduler(now);
+            let stages = vec![stage("p", &[], 1), stage("q", &[0], 4)];
+            scheduler.submit(new_job("job", stages), now);
+            scheduler
+        };
+        assert_eq!(fail_calls(&mut submit(), now, error, 2), (None, 2));
+        let most = SchedulerConfig::default().max_recomputations + 1;
+        let given_up = (Some(RefusalReason::Failed), most);
+        assert_eq!(fail_calls(&mut submit(), now, error, u32::MAX), given_up);
+    }
+}
+
+/// Guards against a process that ends by itself: the call of a cancelled job ends when a job with fewer
+/// stages has its place.
+#[test]
+fn call_ended_of_cancelled_job_leaves_later_job_alone() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now);
+    let stages = vec![stage("p", &[], 0), stage("q", &[0], 4)];
+    scheduler.submit(new_job("cancelled", stages), now);
+    let calls = scheduler.poll(now);
+    let call_id = calls.iter().find_map(|action| match action {
+        Action::Call { call_id, .. } => Some(*call_id),
+        _ => None,
+    });
+    scheduler.cancel("cancelled", now);
+    scheduler.submit(new_job("later", vec![stage("p", &[], 1)]), now);
+    let failed = CallOutcome::Answered(vec![Err(PieceError::Failed); 4]);
+    scheduler.call_ended(call_id.expect("a call is started"), &failed, now + ms(250));
+    let ends = run(&mut scheduler, now + ms(250), ms(1000));
+    assert!(ends["later"].is_ok(), "{ends:?}");
+}
