fix(stages): a job isn't given up while the call that ends it in time is under way

Cause: the time that a job still needs was that of its unfinished stages as a whole, also when all pieces of the stage were in calls, so that the time since they were sent counted twice. A job with less spare time than its last call takes was always given up within that call.

Ruled out: marking jobs late by the same estimate.

Test: poll_keeps_job_whose_last_call_ends_in_time failed before: "new": Err(OutOfTime).

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -438,10 +438,13 @@
     }
 }
 
-/// Least time from the start of each stage to the end of the request: the longest chain of calls
-/// that follow it, plus the run time of the request itself.
-fn remaining_times(job: &Job, pools: &HashMap<Name, Vec<ServerState>>) -> Vec<Duration> {
-    let mut remaining_times = vec![Duration::ZERO; job.stages.len()];
+/// Least times until the end of the request from the start and from the end of each stage: the longest
+/// chain of calls, plus the run time of the request itself.
+fn remaining_times(
+    job: &Job,
+    pools: &HashMap<Name, Vec<ServerState>>,
+) -> Vec<(Duration, Duration)> {
+    let mut remaining_times = vec![(Duration::ZERO, Duration::ZERO); job.stages.len()];
     for stage_index in (0..job.stages.len()).rev() {
         let stage = &job.stages[stage_index];
         let own = pools
@@ -459,10 +462,10 @@
             .iter()
             .zip(&remaining_times[stage_index + 1..])
             .filter(|(other, _)| other.depends_on.contains(&stage_index))
-            .map(|(_, remaining)| *remaining)
+            .map(|(_, (remaining, _))| *remaining)
             .max()
             .unwrap_or(job.run_time);
-        remaining_times[stage_index] = own + next;
+        remaining_times[stage_index] = (own + next, next);
     }
     remaining_times
 }
--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -271,6 +271,7 @@
             let (_, _, sequence, stage, piece) = key;
             let state = &mut self.jobs[index];
             state.stages[stage].pieces[piece] = Progress::Running(1);
+            state.stages[stage].sent_at = Some(now);
             pieces.push(call_piece(state, stage, piece, now));
             sent.push(SentPiece {
                 index,
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -149,6 +149,10 @@
     pub pieces: Vec<Progress>,
     /// Least time from the start of this stage to the end of the request.
     pub remaining_time: Duration,
+    /// Least time from the end of this stage to the end of the request.
+    pub following_time: Duration,
+    /// When the newest call with a piece of this stage was sent.
+    pub sent_at: Option<Instant>,
     /// The stage starts no earlier than this: its results would occupy memory without being used.
     pub not_before: Instant,
     /// When its pieces were first queued.
@@ -159,6 +163,17 @@
     pub fn is_finished(&self) -> bool {
         self.pieces.iter().all(|p| matches!(p, Progress::Done(_)))
     }
+
+    /// Earliest end of the request, as far as this stage is concerned. While all of its unfinished
+    /// pieces are in calls, the time since these were sent is not counted again.
+    pub fn earliest_end(&self, now: Instant) -> Instant {
+        let sent = |p: &Progress| matches!(p, Progress::Running(_) | Progress::Done(_));
+        let sent_at = self.sent_at.filter(|_| self.pieces.iter().all(sent));
+        match sent_at {
+            Some(at) => (at + self.remaining_time).max(now + self.following_time),
+            None => now + self.remaining_time,
+        }
+    }
 }
 
 /// State of an accepted job.
--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -29,7 +29,8 @@
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let remaining_times = remaining_times(&job, &self.pools);
-        let longest = remaining_times.iter().max().copied().unwrap_or_default();
+        let longest = remaining_times.iter().map(|(remaining, _)| *remaining);
+        let longest = longest.max().unwrap_or_default();
         let has_dependents =
             |index: usize| job.stages.iter().any(|s| s.depends_on.contains(&index));
         let stages = job
@@ -37,13 +38,15 @@
             .iter()
             .zip(remaining_times)
             .enumerate()
-            .map(|(stage_index, (stage, remaining_time))| {
+            .map(|(stage_index, (stage, (remaining_time, following_time)))| {
                 let independent = stage.depends_on.is_empty() && !has_dependents(stage_index);
                 let spare =
                     longest.saturating_sub(remaining_time + self.config.deferred_start_margin);
                 StageState {
                     pieces: vec![Progress::Blocked; stage.pieces as usize],
                     remaining_time,
+                    following_time,
+                    sent_at: None,
                     not_before: if independent { now + spare } else { now },
                     queued_at: None,
                 }
@@ -81,15 +84,11 @@
                 }
                 continue;
             }
-            let remaining = state
-                .stages
-                .iter()
-                .filter(|stage| !stage.is_finished())
-                .map(|stage| stage.remaining_time)
-                .max()
-                .unwrap_or_default();
+            let unfinished = || state.stages.iter().filter(|stage| !stage.is_finished());
+            let remaining = unfinished().map(|stage| stage.remaining_time).max();
+            let earliest_end = unfinished().map(|stage| stage.earliest_end(now)).max();
             let has_failed = state.recomputations > self.config.max_recomputations;
-            if has_failed || now + remaining > state.deadline {
+            if has_failed || earliest_end > Some(state.deadline) {
                 let left = state.deadline.saturating_duration_since(now);
                 let reason = if has_failed {
                     RefusalReason::Failed
@@ -97,7 +96,7 @@
                     RefusalReason::OutOfTime
                 };
                 infeasible.push((state.job.id.clone(), Some((left / 3, reason))));
-            } else if !state.late && now + remaining > state.soft_deadline {
+            } else if !state.late && now + remaining.unwrap_or_default() > state.soft_deadline {
                 delayed.push(index);
             }
         }
--- a/crates/sardineshore-core/tests/batching_taken_up.rs
+++ b/crates/sardineshore-core/tests/batching_taken_up.rs
@@ -108,6 +108,25 @@
     ends
 }
 
+/// Guards against jobs that are given up while the call that finishes them in time is under way.
+#[test]
+fn poll_keeps_job_whose_last_call_ends_in_time() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now);
+    // The forecast assumes a wait of half a call.
+    let left = CALL_OVERHEAD * 2 + TIME_PER_PIECE * 2 + RUN_TIME;
+    for (id, left) in [("new", left), ("short", ms(100))] {
+        let mut job = new_job(id, vec![stage("p", &[], 2)]);
+        job.time_to_deadline = left;
+        scheduler.submit(job, now);
+    }
+    // Sent after most of the spare time has passed.
+    let sent_at = now + CALL_OVERHEAD;
+    let ends = run(&mut scheduler, sent_at, ms(1000));
+    assert!(ends["new"].is_ok(), "{ends:?}");
+    assert!(ends.get("short").is_none_or(Result::is_err), "{ends:?}");
+}
+
 /// Ends the calls that the scheduler starts with `error` for each piece of the stages in `failing`, and
 /// returns why the job was given up, if it was, and the number of calls that failed.
 fn fail_calls(
