fix(stages): a stream that goes on goes before other jobs, and isn't parked

Cause: the job of such a stream was excused from refusal on arrival only. Afterwards it was a late job like any other: parked behind every job that was in time, given up when the jobs before it left too little time, or left waiting until its deadline (0.7 to 4.8 s). New jobs kept arriving in time, so it never came to its turn. Class: an exception that one of several places makes, a stream that was accepted is admitted again as if it were new.

Ruled out: too little time for most of them (5 of 61 were refused as the deadline was too close, and most of the 29 out of time had waited for nearly all of it); lost owners (no refusal had that reason).

Change: streams that go on are the first class of a pool's queue, by deadline, ahead of jobs in time and late ones; they are never late or parked. The forecast of all jobs counts their pieces, so new jobs that would be late because of them are known at once. One that can't end in time behind the other streams that go on is refused on arrival. Jobs that an earlier owner accepted are handled as before: they may be many, and late.

Tests: poll_runs_stream_taken_up_before_jobs_that_are_not_late failed before ("the stream goes on: Parked"), with a check that jobs accepted before stay in time; submit_refuses_stream_taken_up_that_can_not_end_behind_others failed before (40 of 40 accepted).

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -6,8 +6,9 @@
 //! so pieces of all requests share one priority queue per pool, and a free server takes the most
 //! urgent pieces that fit into its batch and memory.
 //!
-//! A job whose forecast meets its soft deadline goes before all late jobs. A job that can't finish
-//! before its deadline is refused on arrival.
+//! A job whose forecast meets its soft deadline goes before all late jobs. The job of a stream that
+//! goes on goes before all others: its caller waits in the middle of an answer, and has less time left
+//! than others. A job that can't finish before its deadline is refused on arrival.
 
 mod calls;
 mod config;
@@ -27,7 +28,7 @@
 use fairness::Fairness;
 use forecast::{PoolLoad, forecast, rank_index};
 pub use job::{Job, JobStage, StageResults, StoredResult};
-use job::{JobState, PieceResult, Progress};
+use job::{JobState, PieceResult, Precedence, Progress};
 pub use messages::{
     Action, BatchServer, CallOutcome, CallPiece, PieceError, PieceInput, RefusalReason,
     SubmitOutcome,
@@ -39,9 +40,9 @@
 
 use super::config::Name;
 
-/// Sort key in a pool's queue, smallest first: late flag, urgency, sequence number of the job,
+/// Sort key in a pool's queue, smallest first: precedence, urgency and sequence number of the job,
 /// stage, piece.
-type QueueKey = (bool, Instant, u64, usize, usize);
+type QueueKey = (Precedence, Instant, u64, usize, usize);
 
 /// A piece in a running call. A later job can reuse `index`; `sequence` tells the two apart.
 #[derive(Debug, Clone, Copy)]
@@ -147,8 +148,7 @@
         self.cancel(&job.id.clone(), now);
         let first_soft_deadline = self.retries.first_soft_deadline(&job, now);
         if job.continues {
-            let half_left = job.time_to_deadline / CONTINUED_SOFT_DEADLINE_DIVISOR;
-            job.time_to_soft_deadline = job.time_to_soft_deadline.max(half_left);
+            job.time_to_soft_deadline = job.time_to_deadline;
         } else if let Some(soft_deadline) = first_soft_deadline {
             job.time_to_soft_deadline = soft_deadline
                 .saturating_duration_since(now)
@@ -163,7 +163,8 @@
         };
         let fair_share = self.config.soft_deadline_share - self.fairness.reduction(job.rank);
         let share = if job.is_accepted() { 1.0 } else { fair_share };
-        let late = forecast.before_late > job.time_to_soft_deadline.mul_f64(share);
+        let late =
+            !job.continues && forecast.before_late > job.time_to_soft_deadline.mul_f64(share);
         if !job.is_accepted() && first_soft_deadline.is_none() {
             self.fairness.record(job.rank, !late, now);
         }
@@ -172,7 +173,12 @@
             || forecast.behind_all > job.time_to_deadline.mul_f64(self.config.late_finish_share);
         let refuse_late = !job.is_accepted() && (infeasible || !job.late_allowed);
         let too_close = forecast.unloaded > job.time_to_deadline;
-        if late && (refuse_late || too_close) {
+        let refused = if job.continues {
+            forecast.before_late > job.time_to_deadline
+        } else {
+            late && (refuse_late || too_close)
+        };
+        if refused {
             let reason = if too_close {
                 RefusalReason::DeadlineTooClose
             } else {
@@ -349,6 +355,7 @@
                 let load = loads.entry(stage.pool.clone()).or_default();
                 load.queued += queued;
                 match (state.parked, state.late) {
+                    _ if state.job.continues => load.continued += waiting,
                     (true, _) => load.parked[rank_index(state.job.rank)] += waiting,
                     (false, true) => load.late += waiting,
                     (false, false) => load.on_time[rank_index(state.job.rank)] += waiting,
@@ -370,8 +377,6 @@
     }
 }
 
-/// Share of the time to its deadline in which a stream that goes on gets its inputs, as a divisor.
-const CONTINUED_SOFT_DEADLINE_DIVISOR: u32 = 2;
 /// Longest retry delay for a job that needs a pool without servers.
 const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
 /// Share of the longest retry delay over which retries are spread, and the number of steps.
@@ -389,7 +394,7 @@
 /// Sort key of a piece. It changes when its job becomes late.
 fn queue_key(state: &JobState, stage: usize, piece: usize) -> QueueKey {
     (
-        state.late,
+        state.precedence(),
         state.urgency(stage),
         state.sequence,
         stage,
--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeSet, HashSet};
 use std::time::Instant;
 
-use super::job::{PieceResult, Progress};
+use super::job::{PieceResult, Precedence, Progress};
 use super::server::ServerState;
 use super::{
     Action, BatchScheduler, CALL_TIMEOUT_FACTOR, CallOutcome, MIN_CALL_TIMEOUT, PieceError,
@@ -237,9 +237,9 @@
             // Pieces that prefer the server's own failure domain go first: under load a piece has
             // waited because of the load, and moving its results between domains would not make
             // any queue shorter.
-            for (late, cross_domain) in [(false, false), (false, true), (true, false), (true, true)]
-            {
-                for (key, index) in queue.iter().filter(|(key, _)| key.0 == late) {
+            let order = Precedence::ALL.map(|precedence| [(precedence, false), (precedence, true)]);
+            for (precedence, cross_domain) in order.into_iter().flatten() {
+                for (key, index) in queue.iter().filter(|(key, _)| key.0 == precedence) {
                     if taken.len() >= server.spec.max_batch.max(1) as usize {
                         break;
                     }
--- a/crates/sardineshore-core/src/flow/batching/forecast.rs
+++ b/crates/sardineshore-core/src/flow/batching/forecast.rs
@@ -11,6 +11,8 @@
 /// Accepted work of one pool, in pieces, and the speed of the pool.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct PoolLoad {
+    /// Pieces of streams that go on, not yet in a call.
+    pub continued: u64,
     /// Pieces of jobs that are not late, not yet in a call, by rank.
     pub on_time: [u64; RANK_COUNT],
     /// Pieces of late jobs that have started, not yet in a call.
@@ -29,13 +31,13 @@
 
 impl PoolLoad {
     /// Number of pieces that go before a job of this rank which is not late: those of customers
-    /// with the same or a more urgent rank.
+    /// with the same or a more urgent rank, and those of streams that go on.
     #[must_use]
     pub fn pieces_ahead(&self, rank: u32) -> u64 {
         let last = rank / RANKS_PER_CUSTOMER_PRIORITY * RANKS_PER_CUSTOMER_PRIORITY
             + RANKS_PER_CUSTOMER_PRIORITY
             - 1;
-        self.on_time[..=rank_index(last)].iter().sum()
+        self.continued + self.on_time[..=rank_index(last)].iter().sum::<u64>()
     }
 
     /// Number of pieces that go before a late job of this rank if it is parked now.
@@ -47,7 +49,7 @@
     /// Number of pieces of all jobs that are not parked.
     #[must_use]
     pub fn started(&self) -> u64 {
-        self.on_time.iter().sum::<u64>() + self.late
+        self.continued + self.on_time.iter().sum::<u64>() + self.late
     }
 
     /// Time that the pool needs for its queued pieces.
@@ -87,8 +89,15 @@
 /// Forecasts a job; `None` if a pool that it needs has no server.
 #[must_use]
 pub fn forecast(job: &Job, loads: &BTreeMap<Name, PoolLoad>) -> Option<Forecast> {
+    let pieces_ahead = |load: &PoolLoad| {
+        if job.continues {
+            load.continued
+        } else {
+            load.pieces_ahead(job.rank)
+        }
+    };
     Some(Forecast {
-        before_late: finish_time(job, loads, |load| load.pieces_ahead(job.rank))?,
+        before_late: finish_time(job, loads, pieces_ahead)?,
         unloaded: finish_time(job, loads, |_| 0)?,
         behind_all: finish_time(job, loads, |load| load.pieces_ahead_when_late(job.rank))?,
     })
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -143,6 +143,22 @@
     Done(PieceResult),
 }
 
+/// Order of jobs in the queue of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Precedence {
+    /// Streams that go on.
+    Continued,
+    /// Jobs that are expected to meet their soft deadline.
+    OnTime,
+    /// Jobs that will miss it.
+    Late,
+}
+
+impl Precedence {
+    /// All of them, the first one first.
+    pub const ALL: [Self; 3] = [Self::Continued, Self::OnTime, Self::Late];
+}
+
 /// State of one stage of an accepted job.
 #[derive(Debug)]
 pub(super) struct StageState {
@@ -200,6 +216,15 @@
 }
 
 impl JobState {
+    /// Whether its pieces go before those of other jobs.
+    pub fn precedence(&self) -> Precedence {
+        match (self.job.continues, self.late) {
+            (true, _) => Precedence::Continued,
+            (false, false) => Precedence::OnTime,
+            (false, true) => Precedence::Late,
+        }
+    }
+
     /// Priority of a stage in the queue of its pool, earliest first: its latest start plus the
     /// penalty for the customer's rank.
     pub fn urgency(&self, stage: usize) -> Instant {
--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -96,7 +96,10 @@
                     RefusalReason::OutOfTime
                 };
                 infeasible.push((state.job.id.clone(), Some((left / 3, reason))));
-            } else if !state.late && now + remaining.unwrap_or_default() > state.soft_deadline {
+            } else if !state.late
+                && !state.job.continues
+                && now + remaining.unwrap_or_default() > state.soft_deadline
+            {
                 delayed.push(index);
             }
         }
--- a/crates/sardineshore-core/tests/batching_taken_up.rs
+++ b/crates/sardineshore-core/tests/batching_taken_up.rs
@@ -1,11 +1,12 @@
-//! Tests of the batch scheduler with jobs that are given up although they can still end in time.
+//! Tests of the batch scheduler with jobs of streams that callers take up again, and of jobs that
+//! are given up although they can still end in time.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::batching::{
     Action, BatchScheduler, BatchServer, CallOutcome, Job, JobStage, PieceError, RefusalReason,
-    SchedulerConfig,
+    SchedulerConfig, SubmitOutcome,
 };
 use sardineshore_core::flow::config::{BatchSpec, Name};
 
@@ -65,6 +66,15 @@
     }
 }
 
+fn taken_up(id: &str, left: Duration) -> Job {
+    Job {
+        time_to_soft_deadline: Duration::ZERO,
+        time_to_deadline: left,
+        continues: true,
+        ..new_job(id, vec![stage("p", &[], 2)])
+    }
+}
+
 /// Ends of jobs by their ids: when all stages finished, or why the job was given up.
 type Ends = BTreeMap<Name, Result<Duration, RefusalReason>>;
 
@@ -108,6 +118,41 @@
     ends
 }
 
+/// Guards against streams that are refused when they are taken up, while new ones begin.
+#[test]
+fn poll_runs_stream_taken_up_before_jobs_that_are_not_late() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now);
+    for n in 0..8 {
+        scheduler.submit(new_job(&format!("new{n}"), vec![stage("p", &[], 4)]), now);
+    }
+    let outcome = scheduler.submit(taken_up("taken up", ms(1000)), now);
+    assert!(matches!(outcome, SubmitOutcome::Accepted { .. }));
+    let ends = run(&mut scheduler, now, ms(4000));
+    let end = ends["taken up"].expect("the stream goes on");
+    assert!(end + RUN_TIME <= ms(1000), "{end:?}");
+    // Those that were accepted before don't suffer from one more job.
+    let in_time = |n: usize| ends[&*format!("new{n}")].is_ok_and(|end| end + RUN_TIME <= ms(6000));
+    assert!((0..8).all(in_time), "{ends:?}");
+}
+
+/// A stream taken up that can't go on behind the others that are is refused at once, so that its
+/// caller doesn't wait in vain.
+#[test]
+fn submit_refuses_stream_taken_up_that_can_not_end_behind_others() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now);
+    let submit = |scheduler: &mut BatchScheduler, n: usize| {
+        scheduler.submit(taken_up(&format!("{n}"), ms(1500)), now)
+    };
+    let accepted = (0..40)
+        .filter(|n| !matches!(submit(&mut scheduler, *n), SubmitOutcome::Refused { .. }))
+        .count();
+    assert!((4..20).contains(&accepted), "{accepted}");
+    let ends = run(&mut scheduler, now, ms(2000));
+    assert_eq!(ends.len(), accepted, "{ends:?}");
+}
+
 /// Guards against jobs that are given up while the call that finishes them in time is under way.
 #[test]
 fn poll_keeps_job_whose_last_call_ends_in_time() {
