--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -143,12 +143,32 @@
     Done(PieceResult),
 }
 
+/// Order of jobs in the queue of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Precedence {
+    /// Streams that go on.
+    Continued,
+    /// Jobs that are expected to meet their soft deadline.
+    OnTime,
+    /// Jobs that will miss it.
+    Late,
+}
+
+impl Precedence {
+    /// All of them, the first one first.
+    pub const ALL: [Self; 3] = [Self::Continued, Self::OnTime, Self::Late];
+}
+
 /// State of one stage of an accepted job.
 #[derive(Debug)]
 pub(super) struct StageState {
     pub pieces: Vec<Progress>,
     /// Least time from the start of this stage to the end of the request.
     pub remaining_time: Duration,
+    /// Least time from the end of this stage to the end of the request.
+    pub following_time: Duration,
+    /// When the newest call with a piece of this stage was sent.
+    pub sent_at: Option<Instant>,
     /// The stage starts no earlier than this: its results would occupy memory without being used.
     pub not_before: Instant,
     /// When its pieces were first queued.
@@ -159,6 +179,17 @@
     pub fn is_finished(&self) -> bool {
         self.pieces.iter().all(|p| matches!(p, Progress::Done(_)))
     }
+
+    /// Earliest end of the request, as far as this stage is concerned. While all of its unfinished
+    /// pieces are in calls, the time since these were sent is not counted again.
+    pub fn earliest_end(&self, now: Instant) -> Instant {
+        let sent = |p: &Progress| matches!(p, Progress::Running(_) | Progress::Done(_));
+        let sent_at = self.sent_at.filter(|_| self.pieces.iter().all(sent));
+        match sent_at {
+            Some(at) => (at + self.remaining_time).max(now + self.following_time),
+            None => now + self.remaining_time,
+        }
+    }
 }
 
 /// State of an accepted job.
@@ -178,13 +209,22 @@
     /// earlier owner had accepted the job.
     pub first_in_rank: bool,
     pub stages: Vec<StageState>,
-    /// Number of failed pieces and lost inputs so far.
+    /// Number of calls so far in which pieces failed or inputs were missing.
     pub recomputations: u32,
     /// All stages have finished and [`super::Action::Finished`] was returned.
     pub delivered: bool,
 }
 
 impl JobState {
+    /// Whether its pieces go before those of other jobs.
+    pub fn precedence(&self) -> Precedence {
+        match (self.job.continues, self.late) {
+            (true, _) => Precedence::Continued,
+            (false, false) => Precedence::OnTime,
+            (false, true) => Precedence::Late,
+        }
+    }
+
     /// Priority of a stage in the queue of its pool, earliest first: its latest start plus the
     /// penalty for the customer's rank.
     pub fn urgency(&self, stage: usize) -> Instant {
