fix(stages): a stream that goes on waits for no server nearby

Cause: that wait saves transfers between domains for jobs with time to spare, and took the deadline of a stream that goes on for its slack.

Change: pieces of streams that go on take any free server.

Test: poll_sends_stream_taken_up_to_server_in_other_domain_at_once failed before (0 calls, 1 expected).

--- a/crates/sardineshore-core/src/flow/batching/config.rs
+++ b/crates/sardineshore-core/src/flow/batching/config.rs
@@ -63,9 +63,13 @@
 }
 
 impl SchedulerConfig {
-    /// Whether pieces of a stage still wait for a server in their preferred failure domain.
+    /// Whether pieces of a stage still wait for a server in their preferred failure domain. Those of a
+    /// stream that goes on don't, as its caller waits in the middle of an answer.
     pub(super) fn waits_for_domain(&self, state: &JobState, stage: usize, now: Instant) -> bool {
-        let Some(since) = state.stages[stage].queued_at else {
+        let Some(since) = state.stages[stage]
+            .queued_at
+            .filter(|_| !state.job.continues)
+        else {
             return false;
         };
         let slack = state
--- a/crates/sardineshore-core/tests/batching_taken_up.rs
+++ b/crates/sardineshore-core/tests/batching_taken_up.rs
@@ -18,12 +18,12 @@
     Duration::from_millis(value)
 }
 
-fn scheduler(now: Instant) -> BatchScheduler {
-    let server = |pool: &str| BatchServer {
-        id: format!("server of {pool}").into(),
+fn server(pool: &str, domain: &str) -> BatchServer {
+    BatchServer {
+        id: format!("server of {pool} in {domain}").into(),
         pool: pool.into(),
         address: "127.0.0.1:9".parse().unwrap(),
-        domain: "d".into(),
+        domain: domain.into(),
         spec: BatchSpec {
             slots: 1,
             max_batch: 4,
@@ -34,9 +34,12 @@
         },
         ready: true,
         paused_until: None,
-    };
+    }
+}
+
+fn scheduler(now: Instant) -> BatchScheduler {
     let mut scheduler = BatchScheduler::new(SchedulerConfig::default());
-    scheduler.set_servers(vec![server("p"), server("q")], now);
+    scheduler.set_servers(vec![server("p", "d"), server("q", "d")], now);
     scheduler
 }
 
@@ -75,6 +78,10 @@
     }
 }
 
+fn is_call(action: &Action) -> bool {
+    matches!(action, Action::Call { .. })
+}
+
 /// Ends of jobs by their ids: when all stages finished, or why the job was given up.
 type Ends = BTreeMap<Name, Result<Duration, RefusalReason>>;
 
@@ -136,6 +143,33 @@
     assert!((0..8).all(in_time), "{ends:?}");
 }
 
+/// Guards against streams taken up that wait for a server nearby while another one is free.
+#[test]
+fn poll_sends_stream_taken_up_to_server_in_other_domain_at_once() {
+    let now = Instant::now();
+    for (continues, calls) in [(false, 0), (true, 1)] {
+        let mut scheduler = BatchScheduler::new(SchedulerConfig::default());
+        scheduler.set_servers(vec![server("p", "d"), server("p", "e")], now);
+        let large = |id: &str, pieces| {
+            let mut job = new_job(id, vec![stage("p", &[], pieces)]);
+            job.stages[0].result_bytes = 500_000;
+            job
+        };
+        scheduler.submit(large("first", 4), now);
+        let busy = scheduler.poll(now);
+        assert_eq!(busy.iter().filter(|a| is_call(a)).count(), 1, "{busy:?}");
+        let mut second = large("second", 1);
+        second.continues = continues;
+        scheduler.submit(second, now);
+        let actions = scheduler.poll(now);
+        assert_eq!(
+            actions.iter().filter(|a| is_call(a)).count(),
+            calls,
+            "{actions:?}"
+        );
+    }
+}
+
 /// A stream taken up that can't go on behind the others that are is refused at once, so that its
 /// caller doesn't wait in vain.
 #[test]
