fix(caller): limits on callers are those in force when a request arrives

Callers saw two things after a change of the configuration, on connections that were open before it: a request within a limit that had been raised was refused with 413 (or 431), which callers don't repeat, and a connection was closed at the idle limit that a longer one had replaced, though callers use connections for four fifths of the limit they know.

Cause: the limits of a connection's next request were taken before the wait for it, which lasts for up to the idle limit. The wait now is a step of its own, and the limits are taken after it. When the idle limit passes, the limit in force then is asked for: a longer one goes on from the start of the wait. A shorter one counts from the next request on, as before, because callers may not know it yet.

--- a/crates/sardineshore-serve/src/caller.rs
+++ b/crates/sardineshore-serve/src/caller.rs
@@ -59,11 +59,7 @@
     let mut buf = BytesMut::new();
     let mut is_reused = false;
     loop {
-        let limits = handler
-            .state()
-            .config()
-            .map_or_else(CallerLimits::default, |config| config.limits());
-        let read = read_request(&mut rd, &mut wr, &mut buf, limits, handler, is_reused).await;
+        let read = read_request(&mut rd, &mut wr, &mut buf, handler, is_reused).await;
         is_reused = true;
         let request = match read {
             Ok(request) => request,
@@ -140,11 +136,12 @@
     rd: &mut ReadHalf<'_>,
     wr: &mut WriteHalf<'_>,
     buf: &mut BytesMut,
-    limits: CallerLimits,
     handler: &RequestHandler,
     is_reused: bool,
 ) -> Result<IncomingRequest, ReadError> {
-    let (head, arrived_at) = read_head(rd, buf, limits, handler, is_reused).await?;
+    let arrived_at = wait_for_request(rd, buf, handler, is_reused).await?;
+    let limits = current_limits(handler);
+    let head = read_head(rd, buf, limits, arrived_at).await?;
     let shutdown = handler.shutdown();
     let _active = shutdown.track_request();
     let framing = head
@@ -169,20 +166,59 @@
     })
 }
 
-/// Reads a request head; returns it with the time at which its first byte was available.
-async fn read_head(
+/// Limits of the configuration in force.
+fn current_limits(handler: &RequestHandler) -> CallerLimits {
+    let config = handler.state().config();
+    config.map_or_else(CallerLimits::default, |config| config.limits())
+}
+
+/// Waits for the first bytes of a request; returns when they were available. Fails once the connection
+/// has been idle for too long.
+async fn wait_for_request(
     rd: &mut ReadHalf<'_>,
     buf: &mut BytesMut,
-    limits: CallerLimits,
     handler: &RequestHandler,
     is_reused: bool,
-) -> Result<(RequestHead, Instant), ReadError> {
-    let mut first_byte_at: Option<Instant> = (!buf.is_empty()).then(Instant::now);
+) -> Result<Instant, ReadError> {
+    let idle_since = Instant::now();
+    let mut idle_timeout = current_limits(handler).idle_timeout;
+    while buf.is_empty() {
+        let left = idle_timeout.saturating_sub(idle_since.elapsed());
+        let read = tokio::select! {
+            biased;
+            read = tokio::time::timeout(left, rd.read_buf(buf)) => read,
+            // A shutdown closes idle connections, but not one that has yet to bring a request.
+            () = handler.shutdown().wait_balancer_delay(), if is_reused => return Err(ReadError::Closed),
+        };
+        match read {
+            Ok(Ok(0) | Err(_)) => return Err(ReadError::Closed),
+            Ok(Ok(_)) => {}
+            Err(_) => {
+                // Callers may know a longer limit by now. A shorter one counts from the next request
+                // on, as they may not know it yet.
+                let current = current_limits(handler).idle_timeout;
+                if current <= idle_timeout {
+                    return Err(ReadError::Closed);
+                }
+                idle_timeout = current;
+            }
+        }
+    }
+    Ok(Instant::now())
+}
+
+/// Reads a request head whose first bytes arrived at `arrived_at`.
+async fn read_head(
+    rd: &mut ReadHalf<'_>,
+    buf: &mut BytesMut,
+    limits: CallerLimits,
+    arrived_at: Instant,
+) -> Result<RequestHead, ReadError> {
     loop {
         match parse_request(buf) {
             Ok(Some((head, head_len))) if head_len <= limits.max_head_bytes => {
                 let _consumed = buf.split_to(head_len);
-                return Ok((head, first_byte_at.unwrap_or_else(Instant::now)));
+                return Ok(head);
             }
             Ok(Some(_)) => return Err(ReadError::Rejected(ErrorResponse::HeadTooLong)),
             Ok(None) if buf.len() > limits.max_head_bytes => {
@@ -193,24 +229,10 @@
                 return Err(ReadError::Rejected(ErrorResponse::Malformed));
             }
         }
-        let timeout = match first_byte_at {
-            None => limits.idle_timeout,
-            Some(at) => limits.head_timeout.saturating_sub(at.elapsed()),
-        };
-        let is_idle = first_byte_at.is_none();
-        let read = tokio::select! {
-            biased;
-            read = tokio::time::timeout(timeout, rd.read_buf(buf)) => read,
-            // A shutdown closes idle connections, but not one that has yet to bring a request.
-            () = handler.shutdown().wait_balancer_delay(), if is_idle && is_reused =>
-                return Err(ReadError::Closed),
-        };
-        match read {
+        let left = limits.head_timeout.saturating_sub(arrived_at.elapsed());
+        match tokio::time::timeout(left, rd.read_buf(buf)).await {
             Ok(Ok(0) | Err(_)) => return Err(ReadError::Closed),
-            Ok(Ok(_)) => {
-                first_byte_at.get_or_insert_with(Instant::now);
-            }
-            Err(_) if is_idle => return Err(ReadError::Closed),
+            Ok(Ok(_)) => {}
             Err(_) => return Err(ReadError::Rejected(ErrorResponse::SlowCaller)),
         }
     }
