fix(attempt): the share of a connection limit is computed, not counted up to

Callers find their connections silent, and other instances, the store's watch and the readiness check get nothing either. Time grows with the limit; at usual limits (50 to 300) it can't be noticed, so this explains no loss on the known sites.

Now the share is one product and two divisions, of whole numbers.

The class is work that a document's number makes long. The other counts that come from the configuration (slots, batch, attempts, pieces) are compared or bound a list that requests fill; no other loop runs up to one.

--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -39,8 +39,17 @@
 const TURN_PATIENCE_DIVISOR: u32 = 4;
 /// Time after the start of a turn at which a request that waits for it is sent.
 const TURN_MARGIN: Duration = Duration::from_millis(2);
-/// Fraction of a server's connection limit that all instances together use.
-const CONNECTION_FRACTION: f64 = 0.85;
+/// Part of a server's connection limit that all instances together use, in percent.
+const CONNECTION_PERCENT: usize = 85;
+
+/// Number of connections that one of several instances may have to a server: an equal share of the
+/// server's limit, at least one.
+#[must_use]
+pub fn connection_share(limit: u32, instances: usize) -> usize {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let share = limit.saturating_mul(CONNECTION_PERCENT) / 100 / instances.max(1);
+    share.max(1)
+}
 
 /// A request of a caller that has passed admission, with its route and deadline.
 #[derive(Debug)]
@@ -435,12 +444,7 @@
             .as_ref()
             .and_then(|config| config.pool(pool))
             .map_or(0, |pool| pool.max_connections);
-        let share =
-            f64::from(limit) * CONNECTION_FRACTION / self.peers.instance_count().max(1) as f64;
-        (1..limit as usize)
-            .take_while(|count| *count as f64 <= share)
-            .last()
-            .unwrap_or(1)
+        connection_share(limit, self.peers.instance_count())
     }
 
     /// Counts a first send, or takes a retry from the pool's retry budget; `None` if the budget is
