fix(serve): let one request refute a quarantine after servers crashed together

Cause: the part that the suspects of three crashes have in common is taken for the cause of the crashes. Servers that lose their power together have it in common too, and as all requests with it are refused, none can show it to be sound.

Ruled out: an output at one instance that the others don't learn of (no instance ever logs that it lifts the quarantine); further crashes by that part (none after the first 0.3 s). Treating crashes at one time as one event was weighed and not taken: it hides a bad part at a high rate and misses crashes spread over seconds.

After a wait (2 s if most servers crashed within 0.5 s, else 60 s; 30 times as long after each trial without output), one request is sent all the same. It is claimed in the store by a conditional write of one row, so the bound holds for all instances: in ten minutes two trials may run without output, and three are sent in all, one after the other; without the store none. Output on a trial lifts the quarantine as any output does. Retry-After names the time of the next result.

Evidence: serve_sound_requests_go_on_after_servers_crashed_for_another_reason failed before: 'no response begins with "HTTP/1.1 200"; the last one: HTTP/1.1 503 Service Unavailable', after 20 s of tries. The bound with a bad part, also while the store is away: serve_sends_one_request_in_all_as_trial_of_bad_part, serve_sends_no_trial_while_store_is_away, core/tests/crash_trials.rs.

Not mended: sardine-entry uses the same analysis without trials.

--- a/crates/sardineshore-core/src/flow/quarantine.rs
+++ b/crates/sardineshore-core/src/flow/quarantine.rs
@@ -5,7 +5,7 @@
 //! feature that suspects of several crashes have in common is the cause; if several features stand
 //! together in all of these crashes, only requests with all of them are refused, so that a request
 //! with some of them can tell them apart. Output on a request proves that none of its features
-//! crashes servers.
+//! crashes servers. While all of its like are refused, only a [`Trial`] can bring that output.
 //!
 //! ```
 //! use std::time::Instant;
@@ -29,6 +29,11 @@
 
 use super::config::Name;
 
+mod trials;
+
+use trials::Trials;
+pub use trials::{Refusal, Trial};
+
 /// Hash of something that a request may have in common with others.
 pub type Feature = u64;
 
@@ -36,6 +41,8 @@
 const MAX_SUSPECTS_PER_CRASH: usize = 32;
 /// Time for which an output is remembered; longer than requests wait for their output.
 const OUTPUT_RETENTION: Duration = Duration::from_secs(30);
+/// Time in which crashes that have one cause other than a request are learned of.
+const TOGETHER: Duration = Duration::from_millis(500);
 /// How often outputs that are no longer remembered are removed.
 const OUTPUT_CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
 /// Maximum number of times that the duration of a quarantine doubles.
@@ -52,6 +59,16 @@
     pub retention: Duration,
     /// Maximum number of crashes that are kept; the oldest are removed first.
     pub max_crashes: usize,
+    /// Time after the newest crash of a cause at which a request may be sent as a trial, if most of
+    /// its servers crashed together.
+    pub trial_delay: Duration,
+    /// Factor by which that time grows with each trial that brings no output, and if the servers
+    /// crashed one after the other.
+    pub trial_delay_factor: u32,
+    /// Trials in `base_duration`, of all causes, that may have run without output.
+    pub max_open_trials: usize,
+    /// The same with those that servers turned away.
+    pub max_trial_sends: usize,
 }
 
 impl Default for QuarantineConfig {
@@ -61,6 +78,10 @@
             base_duration: Duration::from_secs(10 * 60),
             retention: Duration::from_secs(24 * 60 * 60),
             max_crashes: 512,
+            trial_delay: Duration::from_secs(2),
+            trial_delay_factor: 30,
+            max_open_trials: 2,
+            max_trial_sends: 3,
         }
     }
 }
@@ -83,6 +104,8 @@
     Crashed(CrashReport),
     /// Requests with this feature got output.
     Sound(Feature),
+    /// A request is sent although its like are quarantined.
+    Trial(Trial),
 }
 
 /// Features that are held responsible for crashes: requests that have all of them are refused.
@@ -92,6 +115,11 @@
     pub features: Vec<Feature>,
     /// Number of crashes.
     pub crashes: usize,
+    /// When this instance learned of the newest crash.
+    pub last_crash_at: Instant,
+    /// Whether most of the servers crashed together. A request that crashes servers can do so only one
+    /// after the other, as it is sent to them.
+    pub is_together: bool,
     /// End of the quarantine.
     pub until: Instant,
 }
@@ -104,6 +132,8 @@
     /// Position among all crashes that this instance learned of.
     sequence: u64,
     learned_at: Instant,
+    /// Whether it crashed at about that time, not before this instance started.
+    is_timed: bool,
     suspects: Vec<Vec<Feature>>,
     /// Features of all suspects.
     features: HashSet<Feature>,
@@ -117,6 +147,7 @@
 pub struct Quarantine {
     config: QuarantineConfig,
     crashes: VecDeque<Crash>,
+    trials: Trials,
     next_sequence: u64,
     /// Clearances that all instances know.
     shared: Clearances,
@@ -165,18 +196,22 @@
     /// How long requests with these features are still refused; `None` if they are not.
     #[must_use]
     pub fn time_left(&self, features: &[Feature], now: Instant) -> Option<Duration> {
-        let applies = |cause: &&Cause| {
-            now < cause.until && cause.features.iter().all(|f| features.contains(f))
-        };
-        let until = self
-            .causes()
-            .iter()
-            .filter(applies)
-            .map(|c| c.until)
-            .max()?;
+        let causes = self.applying_causes(features, now);
+        let until = causes.map(|c| c.until).max()?;
         Some(until.duration_since(now))
     }
 
+    /// Causes for which requests with these features are refused.
+    fn applying_causes<'a>(
+        &'a self,
+        features: &'a [Feature],
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Cause> {
+        self.causes().iter().filter(move |cause| {
+            now < cause.until && cause.features.iter().all(|f| features.contains(f))
+        })
+    }
+
     /// Whether one more crash may put requests with these features under quarantine. `unconfirmed`
     /// returns the number of servers that may have crashed with a feature.
     #[must_use]
@@ -234,13 +269,23 @@
 
     /// Adds evidence of this or another instance. Returns whether it was news.
     pub fn apply(&mut self, evidence: &Evidence, now: Instant) -> bool {
+        self.add(evidence, true, now)
+    }
+
+    /// The same with evidence from before the start of this instance, of crashes at unknown times.
+    pub fn apply_earlier(&mut self, evidence: &Evidence, now: Instant) -> bool {
+        self.add(evidence, false, now)
+    }
+
+    fn add(&mut self, evidence: &Evidence, is_timed: bool, now: Instant) -> bool {
         let is_news = match evidence {
-            Evidence::Crashed(report) => self.add_crash(report, now),
+            Evidence::Crashed(report) => self.add_crash(report, is_timed, now),
             Evidence::Sound(feature) => {
                 self.local.insert(*feature, self.next_sequence);
                 let known = self.shared.insert(*feature, self.next_sequence);
                 known != Some(self.next_sequence)
             }
+            Evidence::Trial(trial) => self.add_trial(trial, now),
         };
         if is_news {
             self.analysis.take();
@@ -249,7 +294,15 @@
         is_news
     }
 
-    fn add_crash(&mut self, report: &CrashReport, now: Instant) -> bool {
+    fn add_trial(&mut self, trial: &Trial, now: Instant) -> bool {
+        self.trials.remove_old(self.config.retention, now);
+        let is_news = self.trials.add(trial, self.next_sequence, now);
+        // A later output has a higher position.
+        self.next_sequence += u64::from(is_news);
+        is_news
+    }
+
+    fn add_crash(&mut self, report: &CrashReport, is_timed: bool, now: Instant) -> bool {
         let known = self
             .crashes
             .iter_mut()
@@ -268,6 +321,7 @@
             started_ms: report.started_ms,
             sequence: self.next_sequence,
             learned_at: now,
+            is_timed,
             features: report.features.iter().copied().collect(),
             suspects: vec![report.features.clone()],
         });
@@ -361,7 +415,20 @@
         causes.extend(learned_at.map(|at| Cause {
             features: common,
             crashes: count,
+            last_crash_at: at,
+            is_together: are_together(&explained, config.min_crashes),
             until: at + duration,
         }));
     }
 }
+
+/// Whether most of these crashes, and at least `min_crashes`, happened together.
+fn are_together(crashes: &[&Crash], min_crashes: usize) -> bool {
+    let most = min_crashes.max(crashes.len() / 2 + 1);
+    let timed = crashes.iter().filter(|crash| crash.is_timed);
+    let mut times: Vec<Instant> = timed.map(|crash| crash.learned_at).collect();
+    times.sort_unstable();
+    times
+        .windows(most)
+        .any(|near| near[most - 1].duration_since(near[0]) <= TOGETHER)
+}
--- a/crates/sardineshore-entry/src/quarantine/prompts.rs
+++ b/crates/sardineshore-entry/src/quarantine/prompts.rs
@@ -88,7 +88,7 @@
             match piece {
                 Evidence::Crashed(_) => self.add(piece, now),
                 // Not handed on, as each merge would make it new again.
-                Evidence::Sound(_) => {
+                Evidence::Sound(_) | Evidence::Trial(_) => {
                     self.causes.apply(&piece, now);
                 }
             }
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -61,6 +61,8 @@
     pub arrived_at: Instant,
     /// What the request may have in common with others that crash servers.
     pub features: Vec<Feature>,
+    /// Id of the trial, if the request is sent although its like are quarantined.
+    pub trial: Cell<Option<u64>>,
 }
 
 impl AdmittedRequest<'_> {
--- a/crates/sardineshore-serve/src/crashes.rs
+++ b/crates/sardineshore-serve/src/crashes.rs
@@ -15,7 +15,9 @@
 
 use rand::Rng;
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::quarantine::{CrashReport, Evidence, Feature, Quarantine};
+use sardineshore_core::flow::quarantine::{
+    CrashReport, Evidence, Feature, Quarantine, Refusal, Trial,
+};
 use sardineshore_core::flow::selection::SelectedServer;
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
@@ -24,7 +26,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::state::{SharedState, whole_ms};
-use crate::store::Store;
+use crate::store::{Store, StoreError};
 use crate::upstream::{ConnectionPool, ExchangeError};
 
 /// Delay before the probe, in which the operating system closes the sockets of a crashed process.
@@ -48,6 +50,12 @@
 /// Maximum number of pieces of evidence that wait to be written; further ones are dropped.
 const MAX_UNWRITTEN: usize = 4096;
 
+/// Row that all instances write, with the trials that have brought no output. As each writer must
+/// have read the row as it is, no two instances send a trial without knowing of the other's.
+const TRIALS_KEY: &str = "trials";
+/// Longest time to claim a trial.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Evidence about crashes that this instance has, and its exchange with the others.
 #[derive(Debug)]
 pub struct CrashMonitor {
@@ -69,6 +77,10 @@
     next_row: Cell<u64>,
     /// Evidence in rows that were written and not read back yet, by their keys.
     unread: RefCell<HashMap<Name, Vec<Evidence>>>,
+    /// Whether a request claims a trial.
+    claiming: Cell<bool>,
+    /// Time before which no trial is claimed, after a claim that failed.
+    next_claim_at: Cell<Option<Instant>>,
     /// Version of the newest row of this instance.
     own_version: Cell<StoreVersion>,
     weak: Weak<Self>,
@@ -101,15 +113,91 @@
             sound_pending: Cell::new(false),
             next_row: Cell::new(0),
             unread: RefCell::default(),
+            claiming: Cell::new(false),
+            next_claim_at: Cell::default(),
             own_version: Cell::default(),
             weak: weak.clone(),
         })
     }
 
-    /// How long requests with these features are still refused; `None` if they are not.
+    /// Whether requests with these features are refused, and until when.
+    #[must_use]
+    pub fn refusal(&self, features: &[Feature]) -> Option<Refusal> {
+        self.quarantine.borrow().refusal(features, Instant::now())
+    }
+
+    /// Whether a request with these features, which would be refused otherwise, may claim a trial.
     #[must_use]
-    pub fn time_left(&self, features: &[Feature]) -> Option<Duration> {
-        self.quarantine.borrow().time_left(features, Instant::now())
+    pub fn is_trial_due(&self, features: &[Feature]) -> bool {
+        let now = Instant::now();
+        let is_held_back = self.claiming.get() || self.next_claim_at.get() > Some(now);
+        let refusal = self.quarantine.borrow().refusal(features, now);
+        !is_held_back && refusal.is_some_and(|refusal| refusal.trial_due)
+    }
+
+    /// Claims a trial for a request that is about to be sent; returns its id if the request may be sent
+    /// although its like are quarantined. Without the store there are no trials.
+    pub async fn claim_trial(&self, request: &str, features: &[Feature]) -> Option<u64> {
+        if !self.is_trial_due(features) {
+            return None;
+        }
+        let _claim = TrialClaim::begin(&self.claiming);
+        let write = self.write_trial(request, features);
+        let written = tokio::time::timeout(CLAIM_TIMEOUT, write).await;
+        let claimed = match written.unwrap_or(Err(StoreError::Timeout)) {
+            Ok(claimed) => claimed,
+            Err(error) => {
+                self.next_claim_at
+                    .set(Some(Instant::now() + WRITE_RETRY_DELAY));
+                info!(self.log, "can't claim a trial of quarantined requests"; "request" => request, "fault" => error.to_string());
+                None
+            }
+        };
+        if claimed.is_some() {
+            self.metrics.quarantine_trials.inc();
+        }
+        claimed
+    }
+
+    /// Records that servers turned a trial away.
+    pub fn record_trial_not_run(&self, id: u64) {
+        let trial = self.quarantine.borrow().trial(id).cloned();
+        if let Some(trial) = trial {
+            let not_run = true;
+            self.report(vec![Evidence::Trial(Trial { not_run, ..trial })]);
+        }
+    }
+
+    /// Writes a trial to the store if it is still due after those that the store has; returns its id.
+    async fn write_trial(
+        &self,
+        request: &str,
+        features: &[Feature],
+    ) -> Result<Option<u64>, StoreError> {
+        let dialect = self.store.dialect();
+        let call = dialect.read_row_call(Table::Crashes, TRIALS_KEY);
+        let mut rows = self.store.read_page(call).await?.rows;
+        rows.retain(|row| *row.key == *TRIALS_KEY);
+        self.apply_rows(&rows);
+        let version = rows.first().map_or(0, |row| row.version.number);
+        let (trial, mut trials) = {
+            let quarantine = self.quarantine.borrow();
+            let trial = quarantine.due_trial(rand::rng().random(), features, Instant::now());
+            (trial, quarantine.open_trials())
+        };
+        let Some(trial) = trial else {
+            return Ok(None);
+        };
+        let id = trial.id;
+        trials.push(trial.clone());
+        let row: Vec<Evidence> = trials.into_iter().map(Evidence::Trial).collect();
+        let value = postcard::to_stdvec(&row).map_err(StoreError::Encode)?;
+        let call = dialect.replace_row_call(Table::Crashes, TRIALS_KEY, &value, version);
+        self.store.write(call).await?;
+        info!(self.log, "trial of quarantined requests"; "request" => request, "features" => ?trial.tested);
+        let news = self.apply(vec![Evidence::Trial(trial)]);
+        self.peers.broadcast_evidence(news);
+        Ok(Some(id))
     }
 
     /// Records that a request with these features got output that shows it to be sound.
@@ -219,7 +307,14 @@
         let mut quarantine = self.quarantine.borrow_mut();
         let before = quarantine.causes().to_vec();
         let now = Instant::now();
-        evidence.retain(|piece| quarantine.apply(piece, now));
+        let is_start = !self.state.crashes_known.get();
+        evidence.retain(|piece| {
+            if is_start {
+                quarantine.apply_earlier(piece, now)
+            } else {
+                quarantine.apply(piece, now)
+            }
+        });
         for cause in quarantine.causes().iter().filter(|c| !before.contains(c)) {
             let left = cause.until.saturating_duration_since(now);
             warn!(self.log, "requests are quarantined"; "features" => ?cause.features, "crashes" => cause.crashes, "ms" => whole_ms(left));
@@ -332,9 +427,10 @@
     /// Writes evidence of this instance again that the store may have lost, given the rows that it
     /// lacks.
     pub fn rewrite(&self, lost: &[(Name, Arc<[u8]>)]) {
+        let is_own = |key: &str| (key.rsplit_once('/')).is_some_and(|(i, _)| *i == *self.instance);
         let own = lost
             .iter()
-            .filter(|(key, _)| (key.rsplit_once('/')).is_some_and(|(i, _)| *i == *self.instance));
+            .filter(|(key, _)| is_own(key) || **key == *TRIALS_KEY);
         let evidence =
             own.filter_map(|(_, value)| postcard::from_bytes::<Vec<Evidence>>(value).ok());
         let mut evidence: Vec<Evidence> = evidence.flatten().collect();
@@ -358,3 +454,20 @@
         }
     }
 }
+
+/// Holds back other claims of this instance until it is dropped.
+#[derive(Debug)]
+struct TrialClaim<'a>(&'a Cell<bool>);
+
+impl<'a> TrialClaim<'a> {
+    fn begin(claiming: &'a Cell<bool>) -> Self {
+        claiming.set(true);
+        Self(claiming)
+    }
+}
+
+impl Drop for TrialClaim<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -32,6 +32,8 @@
     pub crash_causes: IntGauge,
     /// Requests not sent because their like have crashed servers.
     pub quarantined: IntCounter,
+    /// Requests sent although their like are quarantined.
+    pub quarantine_trials: IntCounter,
     /// Requests in progress.
     pub active_requests: IntGauge,
 }
@@ -71,6 +73,11 @@
             "Requests not sent, as their like have crashed servers.",
         )?;
         registry.register(Box::new(quarantined.clone()))?;
+        let quarantine_trials = IntCounter::new(
+            "sardine_quarantine_trials_total",
+            "Requests sent although their like are quarantined.",
+        )?;
+        registry.register(Box::new(quarantine_trials.clone()))?;
         let first_byte = HistogramVec::new(
             HistogramOpts::new(
                 "sardine_first_byte_seconds",
@@ -94,6 +101,7 @@
             crashes,
             crash_causes,
             quarantined,
+            quarantine_trials,
             active_requests,
         })
     }
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -164,12 +164,16 @@
         let (route, outcome) = match self.admit(incoming) {
             Ok(matched) => {
                 let admitted = self.admitted_request(incoming, id.unwrap_or_default(), &matched);
-                let outcome = if let Some(refused) = self.refuse_quarantined(&admitted, None) {
+                let outcome = if let Some(refused) = self.refuse_on_arrival(&admitted) {
                     refused
                 } else {
                     self.handle_admitted(&admitted, wr, keep_alive, &mut stats)
                         .await
                 };
+                let is_not_run = matches!(outcome, Outcome::Failed(ErrorResponse::NotRun(..)));
+                if let Some(trial) = admitted.trial.get().filter(|_| is_not_run) {
+                    self.dispatcher.crashes().record_trial_not_run(trial);
+                }
                 (matched.route.name.clone(), outcome)
             }
             Err(error) => (Name::from("-"), Outcome::Failed(error)),
@@ -263,6 +267,31 @@
             "last_event" => stats.last_event_id, "pause_ms" => stats.max_pause_ms);
     }
 
+    /// Outcome of a request that is refused before its stages run, as its like are quarantined; `None`
+    /// if it may be sent, if only as a trial.
+    fn refuse_on_arrival(&self, request: &AdmittedRequest<'_>) -> Option<Outcome> {
+        let crashes = self.dispatcher.crashes();
+        if crashes.is_trial_due(&request.features) {
+            return None;
+        }
+        self.refuse_quarantined(request, None)
+    }
+
+    /// Outcome of a request that is refused when it would be sent for the first time; `None` if it may
+    /// be sent, which makes it a trial if its like are quarantined.
+    async fn refuse_first_send(&self, request: &AdmittedRequest<'_>) -> Option<Outcome> {
+        let crashes = self.dispatcher.crashes();
+        if request.trial.get().is_none() {
+            let claimed = crashes.claim_trial(request.id, &request.features).await;
+            request.trial.set(claimed);
+            if claimed.is_some() {
+                return None;
+            }
+        }
+        // A trial is sent once, even if the server turns it away.
+        self.refuse_quarantined(request, None)
+    }
+
     /// Outcome of a request that may not be sent to servers, as its like have crashed them; `None`
     /// if it may. `lost` tells why an earlier attempt was lost, after which it may have run.
     fn refuse_quarantined(
@@ -270,11 +299,11 @@
         request: &AdmittedRequest<'_>,
         lost: Option<&'static str>,
     ) -> Option<Outcome> {
-        let left = self.dispatcher.crashes().time_left(&request.features)?;
+        let refusal = self.dispatcher.crashes().refusal(&request.features)?;
         self.metrics.quarantined.inc();
         Some(match lost {
             Some(reason) => Outcome::Failed(ErrorResponse::OutcomeUnknown(reason)),
-            None => not_run(request, left, QUARANTINED),
+            None => not_run(request, refusal.retry_after, QUARANTINED),
         })
     }
 
@@ -380,6 +409,7 @@
             deadline: incoming.arrived_at + timeout,
             arrived_at: incoming.arrived_at,
             features,
+            trial: Cell::default(),
         }
     }
 
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -170,7 +170,12 @@
                 "no repeats left",
             ));
         };
-        if let Some(refused) = self.refuse_quarantined(request, lost) {
+        let refused = if lost.is_none() {
+            self.refuse_first_send(request).await
+        } else {
+            self.refuse_quarantined(request, lost)
+        };
+        if let Some(refused) = refused {
             return Err(refused);
         }
         permit.use_up();
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -357,7 +357,12 @@
             .connect(&mut attempts.selection, request)
             .await
             .map_err(Unprepared::NoServer)?;
-        if let Some(refused) = self.refuse_quarantined(request, None) {
+        let refused = if attempts.runs == 0 && !is_replacement {
+            self.refuse_first_send(request).await
+        } else {
+            self.refuse_quarantined(request, None)
+        };
+        if let Some(refused) = refused {
             return Err(Unprepared::Quarantined(refused));
         }
         permit.use_up();
--- a/crates/sardineshore-serve/src/store.rs
+++ b/crates/sardineshore-serve/src/store.rs
@@ -41,6 +41,9 @@
     /// The response can't be decoded.
     #[error("can't decode the response: {0:#}")]
     Decode(anyhow::Error),
+    /// A row can't be encoded.
+    #[error("can't encode a row: {0}")]
+    Encode(postcard::Error),
 }
 
 /// A page of rows with the local times between which the store produced it.
