--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -35,6 +35,8 @@
     /// Requests whose stages were refused or given up, by reason and by whether they go on with a
     /// stream.
     pub stages_refused: IntCounterVec,
+    /// Requests sent although their like are quarantined.
+    pub quarantine_trials: IntCounter,
     /// Requests in progress.
     pub active_requests: IntGauge,
 }
@@ -79,6 +81,11 @@
             "Requests not sent, as their like have crashed servers.",
         )?;
         registry.register(Box::new(quarantined.clone()))?;
+        let quarantine_trials = IntCounter::new(
+            "sardine_quarantine_trials_total",
+            "Requests sent although their like are quarantined.",
+        )?;
+        registry.register(Box::new(quarantine_trials.clone()))?;
         let first_byte = HistogramVec::new(
             HistogramOpts::new(
                 "sardine_first_byte_seconds",
@@ -103,6 +110,7 @@
             crash_causes,
             quarantined,
             stages_refused,
+            quarantine_trials,
             active_requests,
         })
     }
