fix(serve): need no keys where the configuration has no tenants

What callers saw: with a configuration that has no tenants at all, every request of a route that isn't anonymous got 401. Read in the source by the review, not tried until now; all sites have tenants.

Cause: absent tenants were decoded as an empty list, so no key was known. The configuration must be confirmed as before: a newer one may have tenants.

--- a/crates/sardineshore-core/src/flow/config.rs
+++ b/crates/sardineshore-core/src/flow/config.rs
@@ -188,8 +188,9 @@
     pub routes: Vec<Route>,
     /// Pools by name.
     pub pools: BTreeMap<Name, PoolSpec>,
-    /// Customers; requests of routes that are not anonymous need one of their keys.
-    pub customers: Vec<CustomerSpec>,
+    /// Customers; requests of routes that are not anonymous need one of their keys. `None` if requests need no
+    /// keys.
+    pub customers: Option<Vec<CustomerSpec>>,
     /// Limits on all callers.
     pub limits: CallerLimits,
 }
@@ -228,7 +229,7 @@
             routes.sort_by_key(|(prefix, _)| std::cmp::Reverse(prefix.len()));
         }
         let mut callers_by_key = HashMap::new();
-        for customer in &config.customers {
+        for customer in config.customers.iter().flatten() {
             for key in &customer.api_keys {
                 let caller = Caller {
                     customer: customer.name.clone(),
@@ -250,6 +251,12 @@
         self.config.version
     }
 
+    /// Whether requests need a key, unless their route is anonymous.
+    #[must_use]
+    pub fn requires_keys(&self) -> bool {
+        self.config.customers.is_some()
+    }
+
     /// Limits on callers.
     #[must_use]
     pub fn limits(&self) -> CallerLimits {
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -50,7 +50,7 @@
         priority: Some(2),
     };
     let index = ConfigIndex::new(ServingConfig {
-        customers: vec![customer],
+        customers: Some(vec![customer]),
         ..ServingConfig::default()
     });
     assert_eq!(index.caller("k").unwrap().priority, Some(2));
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -342,6 +342,12 @@
                 "keys not confirmed",
             ));
         }
+        if !config.requires_keys() {
+            return Ok(RouteMatch {
+                route,
+                caller: None,
+            });
+        }
         let key = headers
             .get("authorization")
             .and_then(|value| value.strip_prefix("Bearer "))
