fix(serve): don't end a stream as complete after a first event with a wrong id

What callers saw: if a server spoiled the id of the first event, the events below that id were dropped as if the caller had them, and the stream ended as complete. The same for a last event whose id became lower. Read in the source by the review, not tried until now.

Cause: an id up to the last one counted as a repetition, also at the server that had sent the last one. A server's ids increase, so only another server can repeat an event. Such an event is a fault now.

If the event right after the first one contradicts its id, it isn't known what the caller lacks, so no other server continues the stream: it ends without its end. Requiring the first id to be 1 was ruled out, as the platform names no first id.

Not covered: a first id that is spoiled to a lower number, or one whose server ends or breaks off before another event.

--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -295,7 +295,9 @@
                     replacement = Some(next);
                 }
                 Err(End::Failed(..) | End::Lost(_))
-                    if may_retry && !request.time_to_deadline().is_zero() =>
+                    if may_retry
+                        && sink.filter.can_resume()
+                        && !request.time_to_deadline().is_zero() =>
                 {
                     lost = Some("server failed");
                 }
--- a/crates/sardineshore-serve/src/stream.rs
+++ b/crates/sardineshore-serve/src/stream.rs
@@ -31,6 +31,18 @@
     TooLong,
 }
 
+/// What is known of the id of the first event that the caller got.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum FirstId {
+    /// No other event has followed.
+    #[default]
+    Unproven,
+    /// The next event had the next id.
+    Right,
+    /// The next event had no higher id.
+    Wrong,
+}
+
 /// Splits the bytes of a stream into complete events and drops those that the caller has already.
 #[derive(Debug, Default)]
 pub struct EventFilter {
@@ -41,6 +53,9 @@
     /// Start of the line that has not ended.
     line_start: usize,
     last_id: Option<u64>,
+    /// Id of the last event of the present server, whether or not the caller had it already.
+    server_last_id: Option<u64>,
+    first_id: FirstId,
     forwarded: bool,
     /// Whether a server has broken off inside an event that no other server has sent since.
     interrupted: bool,
@@ -74,6 +89,13 @@
         self.forwarded
     }
 
+    /// Whether another server can continue the stream. Not so if the first event turned out to have a wrong id:
+    /// it isn't known then which events the caller has.
+    #[must_use]
+    pub fn can_resume(&self) -> bool {
+        self.first_id != FirstId::Wrong
+    }
+
     /// Size of what was received and not returned, in bytes.
     #[must_use]
     pub fn buffered(&self) -> usize {
@@ -92,6 +114,13 @@
         self.buf.clear();
         self.searched = 0;
         self.line_start = 0;
+        self.server_last_id = None;
+    }
+
+    /// The event before which one with this id can't come; `None` if it can be the next one.
+    fn out_of_order_after(&self, id: u64) -> Option<u64> {
+        let repeated = self.server_last_id.filter(|last| id <= *last);
+        repeated.or(self.last_id.filter(|last| id > last + 1))
     }
 
     /// Removes complete events from the buffer and returns those that the caller doesn't have yet;
@@ -101,7 +130,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if an event is missing before the next one, or if an incomplete event is too long. Events
+    /// Fails if an event is missing before the next one, if the ids of a server's events don't increase, or if an
+    /// incomplete event is too long. Events
     /// before the fault are returned first; the next call fails.
     pub fn take_events(&mut self) -> Result<Vec<u8>, StreamError> {
         let mut out = Vec::new();
@@ -120,9 +150,11 @@
             let event = &self.buf[event_start..self.searched];
             consumed = self.searched;
             match event_id(event) {
-                Some(id) => match self.last_id {
-                    Some(last) if id <= last => {}
-                    Some(last) if id > last + 1 => {
+                Some(id) => {
+                    if let Some(last) = self.out_of_order_after(id) {
+                        if self.first_id == FirstId::Unproven && self.forwarded && id <= last {
+                            self.first_id = FirstId::Wrong;
+                        }
                         let fault = StreamError::OutOfOrder { last, received: id };
                         if out.is_empty() {
                             return Err(fault);
@@ -132,12 +164,16 @@
                         is_faulty = true;
                         break;
                     }
-                    _ => {
+                    self.server_last_id = Some(id);
+                    if self.last_id.is_none_or(|last| id > last) {
+                        out.extend_from_slice(event);
+                        if self.last_id.is_some() {
+                            self.first_id = FirstId::Right;
+                        }
                         self.last_id = Some(id);
                         self.forwarded = true;
-                        out.extend_from_slice(event);
                     }
-                },
+                }
                 None => out.extend_from_slice(event),
             }
         }
--- a/crates/sardineshore-serve/tests/stream.rs
+++ b/crates/sardineshore-serve/tests/stream.rs
@@ -79,6 +79,44 @@
     assert_eq!(filter.last_event_id(), Some(1));
 }
 
+/// Guards against a stream that ends as if it were complete although a server's events went back: those after
+/// a first event with a spoiled id, or a last one, were dropped as if the caller had them.
+#[test]
+fn take_events_id_that_goes_back_at_one_server_is_an_error() {
+    for (ids, forwarded) in [([7, 2, 3], 1), ([1, 2, 1], 2), ([1, 1, 2], 1)] {
+        let mut filter = EventFilter::default();
+        let events: String = ids.into_iter().map(event).collect();
+        filter.push(events.as_bytes());
+        let sound: String = ids[..forwarded].iter().map(|id| event(*id)).collect();
+        assert_eq!(filter.take_events().unwrap(), sound.as_bytes(), "{ids:?}");
+        let (last, received) = (ids[forwarded - 1], ids[forwarded]);
+        let fault = StreamError::OutOfOrder { last, received };
+        assert_eq!(filter.take_events(), Err(fault), "{ids:?}");
+    }
+    // Another server may begin with events that the caller has.
+    let mut filter = EventFilter::default();
+    filter.push(format!("{}{}", event(1), event(2)).as_bytes());
+    assert!(filter.take_events().is_ok());
+    filter.discard_partial_event();
+    filter.push(format!("{}{}{}", event(1), event(2), event(3)).as_bytes());
+    assert_eq!(filter.take_events().unwrap(), event(3).as_bytes());
+}
+
+/// Guards against a stream that another server continues after a wrong id: if the first event has one, it isn't
+/// known which events the caller lacks.
+#[test]
+fn can_resume_not_if_first_id_was_contradicted() {
+    for (ids, can_resume) in [([7, 2], false), ([1, 5], true), ([1, 2], true)] {
+        let mut filter = EventFilter::default();
+        filter.push(ids.into_iter().map(event).collect::<String>().as_bytes());
+        while filter.take_events().is_ok_and(|events| !events.is_empty()) {}
+        assert_eq!(filter.can_resume(), can_resume, "{ids:?}");
+    }
+    let mut resumed = EventFilter::resume_after(Some(4));
+    resumed.push(event(9).as_bytes());
+    assert!(resumed.take_events().is_err() && resumed.can_resume());
+}
+
 proptest! {
     #[test]
     fn take_events_stream_is_complete_after_any_number_of_breaks(
