fix(stages): a job whose missing inputs no stage computes is given up

Callers see: a stage whose server keeps answering that an input is missing, although no stage of the job computes one (a first stage, or one whose inputs were skipped), is called again and again without a pause until the deadline passes; the caller waits in vain and the calls take the servers from others.

Cause: since failed calls count once a job, a missing input counts when results are dropped to be computed again. Without any, nothing was dropped and nothing counted. Class: an event counted by its symptoms.

Ruled out: inputs that are being computed again already; their number is bounded, as each drop of them counts.

Change: a missing input that no stage computes counts as a failed piece, once a call.

Test: call_ended_gives_up_job_whose_inputs_no_stage_computes failed before: "the job did not end" after 100 polls.

--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -43,7 +43,15 @@
                 CallOutcome::Answered(results) => results.get(position).cloned(),
                 CallOutcome::Rejected | CallOutcome::Broken | CallOutcome::TimedOut => None,
             };
-            if result == Some(Err(PieceError::Failed)) && self.is_wanted(*piece) {
+            let has_failed = match result {
+                Some(Err(PieceError::Failed)) => self.is_wanted(*piece),
+                // Inputs that a stage computes count when they are dropped.
+                Some(Err(PieceError::InputMissing)) => {
+                    self.is_wanted(*piece) && !self.jobs[piece.index].has_inputs(piece.stage)
+                }
+                _ => false,
+            };
+            if has_failed {
                 failed.insert(piece.index);
             }
             self.piece_ended(&call, *piece, result, now);
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -260,6 +260,13 @@
             .any(|other| other.pieces > 0 && other.depends_on.contains(&stage))
     }
 
+    /// Whether other stages compute inputs of `stage`.
+    pub fn has_inputs(&self, stage: usize) -> bool {
+        let stages = &self.job.stages;
+        let mut dependencies = stages[stage].depends_on.iter();
+        dependencies.any(|dependency| stages[*dependency].pieces > 0)
+    }
+
     /// Handles of all results of the given stages, in order; `None` if a piece is not finished.
     pub fn handles(&self, stages: impl Iterator<Item = usize>) -> Option<Vec<Name>> {
         let mut handles = Vec::new();
--- a/crates/sardineshore-core/tests/batching_taken_up.rs
+++ b/crates/sardineshore-core/tests/batching_taken_up.rs
@@ -248,3 +248,18 @@
     let ends = run(&mut scheduler, now + ms(250), ms(1000));
     assert!(ends["later"].is_ok(), "{ends:?}");
 }
+
+/// Guards against a job that is sent again without end: a server misses an input that no stage computes.
+#[test]
+fn call_ended_gives_up_job_whose_inputs_no_stage_computes() {
+    let now = Instant::now();
+    let without_inputs = vec![stage("p", &[], 0), stage("q", &[], 4)];
+    let input_skipped = vec![stage("p", &[], 0), stage("q", &[0], 4)];
+    for stages in [without_inputs, input_skipped] {
+        let mut scheduler = scheduler(now);
+        scheduler.submit(new_job("job", stages), now);
+        let most = SchedulerConfig::default().max_recomputations + 1;
+        let ended = fail_calls(&mut scheduler, now, PieceError::InputMissing, u32::MAX);
+        assert_eq!(ended, (Some(RefusalReason::Failed), most));
+    }
+}
