fix(stages): a job isn't given up while a slow call can still end it in time

Callers see: a request, also a stream that they took up, is refused with "stages can't end in time" as soon as the last call for it counts as slow, although the call goes on and would end before the deadline.

Cause: the pieces of a slow call are queued again for another server. From then on the job needs the time of a whole further call; without it, the job was given up at once and the slow call's result was thrown away.

Ruled out: to give it up for the sake of a retry: a retry needs a call too, for which there is no time.

Change: pieces of a slow call are queued again only if there is time for another call. Without it they stay in the call, and the job is given up when that call can't end in time.

Test: poll_keeps_job_without_time_for_another_call_while_slow_one_is_under_way failed before: "assertion failed: !is_given_up". It also checks that the job is given up once the call can't end in time.

--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -203,8 +203,10 @@
             if state.sequence != sent.sequence {
                 continue;
             }
+            // Only the slow call can still end in time if another one can't.
+            let has_time = now + state.stages[stage].remaining_time <= state.deadline;
             let progress = &mut state.stages[stage].pieces[piece];
-            if matches!(progress, Progress::Running(_)) {
+            if has_time && matches!(progress, Progress::Running(_)) {
                 // Not `Queued`: its inputs may have been lost and have to be computed again first.
                 *progress = Progress::Blocked;
                 self.advance(index, now);
--- a/crates/sardineshore-core/tests/batching_taken_up.rs
+++ b/crates/sardineshore-core/tests/batching_taken_up.rs
@@ -263,3 +263,42 @@
         assert_eq!(ended, (Some(RefusalReason::Failed), most));
     }
 }
+
+/// Guards against jobs that are given up when the call that ends them in time is slow, although there is
+/// no time for another one.
+#[test]
+fn poll_keeps_job_without_time_for_another_call_while_slow_one_is_under_way() {
+    let now = Instant::now();
+    let call = CALL_OVERHEAD + TIME_PER_PIECE;
+    let config = SchedulerConfig::default();
+    let slow_at = call.mul_f64(config.slow_call_factor) + config.slow_call_slack;
+    let ends_at = slow_at + ms(50);
+    let submit = |left: Duration| {
+        let mut scheduler = scheduler(now);
+        let mut job = new_job("job", vec![stage("p", &[], 1)]);
+        job.time_to_deadline = left;
+        scheduler.submit(job, now);
+        let actions = scheduler.poll(now);
+        let Some(Action::Call { call_id, .. }) = actions.into_iter().next_back() else {
+            panic!("no call");
+        };
+        let given_up = |action: &Action| matches!(action, Action::GivenUp { .. });
+        let until = |scheduler: &mut BatchScheduler, end: Duration| {
+            let polls = (0..=end.as_millis()).step_by(10);
+            let mut times = polls.map(|at| now + ms(u64::try_from(at).unwrap()));
+            times.any(|at| scheduler.poll(at).iter().any(given_up))
+        };
+        let is_given_up = until(&mut scheduler, ends_at);
+        (scheduler, call_id, is_given_up)
+    };
+    let (mut scheduler, call_id, is_given_up) = submit(ends_at + RUN_TIME);
+    assert!(!is_given_up);
+    let results = CallOutcome::Answered(vec![Ok("handle".into())]);
+    scheduler.call_ended(call_id, &results, now + ends_at);
+    let actions = scheduler.poll(now + ends_at);
+    let is_finished = |action: &Action| matches!(action, Action::Finished { .. });
+    assert!(actions.iter().any(is_finished), "{actions:?}");
+    // Given up once the call can't end in time.
+    let (.., is_given_up) = submit(ends_at + ms(80));
+    assert!(is_given_up);
+}
