fix(stages): jobs accepted elsewhere don't count as misses of their rank

Callers see: after streams that were taken up, or jobs handed over, could not end in time, new requests of less urgent customers are treated as late although their stages have plenty of time: they are parked, or refused.

Cause: the fairness of ranks compares the requests of a rank that were accepted in time with all of them. A job that an earlier owner accepted, or of a stream that goes on, is recorded among neither; yet one that is given up, or becomes late, was taken off those in time. Many of them after kills make an urgent rank look badly served. Class: a stream (or job) that was accepted once is counted as if it were new.

Ruled out: retries of refused callers. They are not recorded either, and are left as they are: under overload there are many, and the margins were chosen with them.

Change: only jobs that were new to the owner are recorded as missed.

Test: poll_given_up_jobs_accepted_elsewhere_leave_new_less_urgent_ones_in_time failed before: left Accepted { late: true }, right Accepted { late: false }.

--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -109,7 +109,7 @@
                 let (soft_deadline, deadline) = (state.soft_deadline, state.deadline);
                 self.retries
                     .record_refusal(&state.job.key, soft_deadline, deadline, now);
-                if !state.late {
+                if !state.late && !state.job.is_accepted() {
                     self.fairness.record_miss(state.job.rank);
                 }
             }
@@ -138,7 +138,8 @@
                 }
             }
         }
-        if !std::mem::replace(&mut state.late, true) {
+        // Jobs that were accepted elsewhere were not recorded.
+        if !std::mem::replace(&mut state.late, true) && !state.job.is_accepted() {
             self.fairness.record_miss(state.job.rank);
         }
         for (stage_index, piece, old) in moved {
--- a/crates/sardineshore-core/tests/batching_taken_up.rs
+++ b/crates/sardineshore-core/tests/batching_taken_up.rs
@@ -8,7 +8,7 @@
     Action, BatchScheduler, BatchServer, CallOutcome, Job, JobStage, PieceError, RefusalReason,
     SchedulerConfig, SubmitOutcome,
 };
-use sardineshore_core::flow::config::{BatchSpec, Name};
+use sardineshore_core::flow::config::{BatchSpec, MAX_RANK, Name};
 
 const CALL_OVERHEAD: Duration = ms(200);
 const TIME_PER_PIECE: Duration = ms(10);
@@ -302,3 +302,45 @@
     let (.., is_given_up) = submit(ends_at + ms(80));
     assert!(is_given_up);
 }
+
+/// Guards against new requests that are refused after kills, as streams taken up that can't go on count
+/// as misses of their rank, but not as its requests.
+#[test]
+fn poll_given_up_jobs_accepted_elsewhere_leave_new_less_urgent_ones_in_time() {
+    let now = Instant::now();
+    for (continues, accepted_before) in [(true, false), (false, true)] {
+        let mut scheduler = scheduler(now);
+        let submit = |scheduler: &mut BatchScheduler, id: String, rank, soft_deadline| {
+            let job = Job {
+                rank,
+                time_to_soft_deadline: soft_deadline,
+                ..new_job(&id, vec![stage("p", &[], 1)])
+            };
+            let outcome = scheduler.submit(job, now);
+            scheduler.cancel(&id, now);
+            outcome
+        };
+        for (n, rank) in (0..16).flat_map(|n| [(n, 0), (n, MAX_RANK)]) {
+            let outcome = submit(&mut scheduler, format!("{n} of {rank}"), rank, ms(6000));
+            assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
+        }
+        for n in 0..16 {
+            let job = Job {
+                rank: 0,
+                time_to_soft_deadline: ms(2000),
+                time_to_deadline: ms(2000),
+                continues,
+                accepted_before,
+                ..new_job(&format!("accepted {n}"), vec![stage("p", &[], 1)])
+            };
+            let outcome = scheduler.submit(job, now);
+            assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
+        }
+        scheduler.poll(now + ms(3000));
+        assert_eq!(scheduler.job_count(), 0);
+        // Half of the time to the soft deadline.
+        let soft_deadline = (CALL_OVERHEAD + TIME_PER_PIECE * 2) * 3 / 2 + RUN_TIME;
+        let outcome = submit(&mut scheduler, "new".into(), MAX_RANK, soft_deadline * 2);
+        assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
+    }
+}
