test(stages): streams taken up before earlier soft deadlines, and new jobs behind them

Two broken variants of the precedence of streams that go on passed all tests of the batch scheduler: one that queues them among the jobs in time, by deadline, and one whose forecast of new jobs leaves their pieces out. Each now fails one test: poll_runs_stream_taken_up_before_jobs_with_earlier_soft_deadlines and submit_refuses_new_job_that_can_not_end_behind_streams_taken_up.

--- a/crates/sardineshore-core/tests/batching_taken_up.rs
+++ b/crates/sardineshore-core/tests/batching_taken_up.rs
@@ -344,3 +344,41 @@
         assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
     }
 }
+
+/// Guards against streams that wait behind new jobs whose soft deadlines are earlier.
+#[test]
+fn poll_runs_stream_taken_up_before_jobs_with_earlier_soft_deadlines() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now);
+    for n in 0..4 {
+        let job = Job {
+            rank: 0,
+            time_to_soft_deadline: ms(2500),
+            ..new_job(&format!("new{n}"), vec![stage("p", &[], 4)])
+        };
+        let outcome = scheduler.submit(job, now);
+        assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
+    }
+    scheduler.submit(taken_up("taken up", ms(5000)), now);
+    let ends = run(&mut scheduler, now, ms(4000));
+    let first = ends.iter().min_by_key(|(_, end)| end.expect("all end"));
+    assert_eq!(**first.unwrap().0, *"taken up", "{ends:?}");
+}
+
+/// Guards against new jobs that wait in vain behind streams that were taken up.
+#[test]
+fn submit_refuses_new_job_that_can_not_end_behind_streams_taken_up() {
+    let now = Instant::now();
+    let submit = |count: usize| {
+        let mut scheduler = scheduler(now);
+        for n in 0..count {
+            let outcome = scheduler.submit(taken_up(&format!("{n}"), ms(8000)), now);
+            assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
+        }
+        let mut job = new_job("new", vec![stage("p", &[], 2)]);
+        job.time_to_soft_deadline = ms(1500);
+        scheduler.submit(job, now)
+    };
+    assert_eq!(submit(1), SubmitOutcome::Accepted { late: false });
+    assert!(matches!(submit(12), SubmitOutcome::Refused { .. }));
+}
