--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -43,7 +43,15 @@
                 CallOutcome::Answered(results) => results.get(position).cloned(),
                 CallOutcome::Rejected | CallOutcome::Broken | CallOutcome::TimedOut => None,
             };
-            if result == Some(Err(PieceError::Failed)) && self.is_wanted(*piece) {
+            let has_failed = match result {
+                Some(Err(PieceError::Failed)) => self.is_wanted(*piece),
+                // Inputs that a stage computes count when they are dropped.
+                Some(Err(PieceError::InputMissing)) => {
+                    self.is_wanted(*piece) && !self.jobs[piece.index].has_inputs(piece.stage)
+                }
+                _ => false,
+            };
+            if has_failed {
                 failed.insert(piece.index);
             }
             self.piece_ended(&call, *piece, result, now);
@@ -195,8 +203,10 @@
             if state.sequence != sent.sequence {
                 continue;
             }
+            // Only the slow call can still end in time if another one can't.
+            let has_time = now + state.stages[stage].remaining_time <= state.deadline;
             let progress = &mut state.stages[stage].pieces[piece];
-            if matches!(progress, Progress::Running(_)) {
+            if has_time && matches!(progress, Progress::Running(_)) {
                 // Not `Queued`: its inputs may have been lost and have to be computed again first.
                 *progress = Progress::Blocked;
                 self.advance(index, now);
--- a/crates/sardineshore-core/tests/batching_taken_up.rs
+++ b/crates/sardineshore-core/tests/batching_taken_up.rs
@@ -8,7 +8,7 @@
     Action, BatchScheduler, BatchServer, CallOutcome, Job, JobStage, PieceError, RefusalReason,
     SchedulerConfig, SubmitOutcome,
 };
-use sardineshore_core::flow::config::{BatchSpec, Name};
+use sardineshore_core::flow::config::{BatchSpec, MAX_RANK, Name};
 
 const CALL_OVERHEAD: Duration = ms(200);
 const TIME_PER_PIECE: Duration = ms(10);
@@ -282,3 +282,137 @@
     let ends = run(&mut scheduler, now + ms(250), ms(1000));
     assert!(ends["later"].is_ok(), "{ends:?}");
 }
+
+/// Guards against a job that is sent again without end: a server misses an input that no stage computes.
+#[test]
+fn call_ended_gives_up_job_whose_inputs_no_stage_computes() {
+    let now = Instant::now();
+    let without_inputs = vec![stage("p", &[], 0), stage("q", &[], 4)];
+    let input_skipped = vec![stage("p", &[], 0), stage("q", &[0], 4)];
+    for stages in [without_inputs, input_skipped] {
+        let mut scheduler = scheduler(now);
+        scheduler.submit(new_job("job", stages), now);
+        let most = SchedulerConfig::default().max_recomputations + 1;
+        let ended = fail_calls(&mut scheduler, now, PieceError::InputMissing, u32::MAX);
+        assert_eq!(ended, (Some(RefusalReason::Failed), most));
+    }
+}
+
+/// Guards against jobs that are given up when the call that ends them in time is slow, although there is
+/// no time for another one.
+#[test]
+fn poll_keeps_job_without_time_for_another_call_while_slow_one_is_under_way() {
+    let now = Instant::now();
+    let call = CALL_OVERHEAD + TIME_PER_PIECE;
+    let config = SchedulerConfig::default();
+    let slow_at = call.mul_f64(config.slow_call_factor) + config.slow_call_slack;
+    let ends_at = slow_at + ms(50);
+    let submit = |left: Duration| {
+        let mut scheduler = scheduler(now);
+        let mut job = new_job("job", vec![stage("p", &[], 1)]);
+        job.time_to_deadline = left;
+        scheduler.submit(job, now);
+        let actions = scheduler.poll(now);
+        let Some(Action::Call { call_id, .. }) = actions.into_iter().next_back() else {
+            panic!("no call");
+        };
+        let given_up = |action: &Action| matches!(action, Action::GivenUp { .. });
+        let until = |scheduler: &mut BatchScheduler, end: Duration| {
+            let polls = (0..=end.as_millis()).step_by(10);
+            let mut times = polls.map(|at| now + ms(u64::try_from(at).unwrap()));
+            times.any(|at| scheduler.poll(at).iter().any(given_up))
+        };
+        let is_given_up = until(&mut scheduler, ends_at);
+        (scheduler, call_id, is_given_up)
+    };
+    let (mut scheduler, call_id, is_given_up) = submit(ends_at + RUN_TIME);
+    assert!(!is_given_up);
+    let results = CallOutcome::Answered(vec![Ok("handle".into())]);
+    scheduler.call_ended(call_id, &results, now + ends_at);
+    let actions = scheduler.poll(now + ends_at);
+    let is_finished = |action: &Action| matches!(action, Action::Finished { .. });
+    assert!(actions.iter().any(is_finished), "{actions:?}");
+    // Given up once the call can't end in time.
+    let (.., is_given_up) = submit(ends_at + ms(80));
+    assert!(is_given_up);
+}
+
+/// Guards against new requests that are refused after kills, as streams taken up that can't go on count
+/// as misses of their rank, but not as its requests.
+#[test]
+fn poll_given_up_jobs_accepted_elsewhere_leave_new_less_urgent_ones_in_time() {
+    let now = Instant::now();
+    for (continues, accepted_before) in [(true, false), (false, true)] {
+        let mut scheduler = scheduler(now);
+        let submit = |scheduler: &mut BatchScheduler, id: String, rank, soft_deadline| {
+            let job = Job {
+                rank,
+                time_to_soft_deadline: soft_deadline,
+                ..new_job(&id, vec![stage("p", &[], 1)])
+            };
+            let outcome = scheduler.submit(job, now);
+            scheduler.cancel(&id, now);
+            outcome
+        };
+        for (n, rank) in (0..16).flat_map(|n| [(n, 0), (n, MAX_RANK)]) {
+            let outcome = submit(&mut scheduler, format!("{n} of {rank}"), rank, ms(6000));
+            assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
+        }
+        for n in 0..16 {
+            let job = Job {
+                rank: 0,
+                time_to_soft_deadline: ms(2000),
+                time_to_deadline: ms(2000),
+                continues,
+                accepted_before,
+                ..new_job(&format!("accepted {n}"), vec![stage("p", &[], 1)])
+            };
+            let outcome = scheduler.submit(job, now);
+            assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
+        }
+        scheduler.poll(now + ms(3000));
+        assert_eq!(scheduler.job_count(), 0);
+        // Half of the time to the soft deadline.
+        let soft_deadline = (CALL_OVERHEAD + TIME_PER_PIECE * 2) * 3 / 2 + RUN_TIME;
+        let outcome = submit(&mut scheduler, "new".into(), MAX_RANK, soft_deadline * 2);
+        assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
+    }
+}
+
+/// Guards against streams that wait behind new jobs whose soft deadlines are earlier.
+#[test]
+fn poll_runs_stream_taken_up_before_jobs_with_earlier_soft_deadlines() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now);
+    for n in 0..4 {
+        let job = Job {
+            rank: 0,
+            time_to_soft_deadline: ms(2500),
+            ..new_job(&format!("new{n}"), vec![stage("p", &[], 4)])
+        };
+        let outcome = scheduler.submit(job, now);
+        assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
+    }
+    scheduler.submit(taken_up("taken up", ms(5000)), now);
+    let ends = run(&mut scheduler, now, ms(4000));
+    let first = ends.iter().min_by_key(|(_, end)| end.expect("all end"));
+    assert_eq!(**first.unwrap().0, *"taken up", "{ends:?}");
+}
+
+/// Guards against new jobs that wait in vain behind streams that were taken up.
+#[test]
+fn submit_refuses_new_job_that_can_not_end_behind_streams_taken_up() {
+    let now = Instant::now();
+    let submit = |count: usize| {
+        let mut scheduler = scheduler(now);
+        for n in 0..count {
+            let outcome = scheduler.submit(taken_up(&format!("{n}"), ms(8000)), now);
+            assert_eq!(outcome, SubmitOutcome::Accepted { late: false });
+        }
+        let mut job = new_job("new", vec![stage("p", &[], 2)]);
+        job.time_to_soft_deadline = ms(1500);
+        scheduler.submit(job, now)
+    };
+    assert_eq!(submit(1), SubmitOutcome::Accepted { late: false });
+    assert!(matches!(submit(12), SubmitOutcome::Refused { .. }));
+}
