fix(serve): a request whose caller leaves has its line

A caller that closed its connection ended the handling of its request at once, and nothing was logged: such a request left no line, and looked like one that was lost. The gauge of active requests wasn't lowered either.

The record is written once, at the end or when the handling is dropped: "caller gone", or "caller gone or instance stopped" once a shutdown has begun.

--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -114,6 +114,59 @@
     config: Rc<ConfigIndex>,
 }
 
+/// Record of a request in the log and the metrics. It is written once: by [`finish`](Self::finish), or
+/// when it is dropped, because the caller closed its connection or the process ends.
+struct RequestRecord<'a> {
+    handler: &'a RequestHandler,
+    incoming: &'a IncomingRequest,
+    id: Option<&'a str>,
+    route: Name,
+    stats: RequestStats,
+    is_finished: bool,
+}
+
+impl<'a> RequestRecord<'a> {
+    fn new(
+        handler: &'a RequestHandler,
+        incoming: &'a IncomingRequest,
+        id: Option<&'a str>,
+    ) -> Self {
+        handler.metrics.active_requests.inc();
+        Self {
+            handler,
+            incoming,
+            id,
+            route: Name::from("-"),
+            stats: RequestStats::default(),
+            is_finished: false,
+        }
+    }
+
+    fn finish(mut self, outcome: &Outcome) {
+        self.write(outcome);
+    }
+
+    fn write(&mut self, outcome: &Outcome) {
+        self.is_finished = true;
+        self.handler.metrics.active_requests.dec();
+        self.handler
+            .record_outcome(self.incoming, self.id, &self.route, outcome, &self.stats);
+    }
+}
+
+impl Drop for RequestRecord<'_> {
+    fn drop(&mut self) {
+        if self.is_finished {
+            return;
+        }
+        self.write(&if self.handler.shutdown.has_begun() {
+            Outcome::Aborted("caller gone or instance stopped")
+        } else {
+            Outcome::CallerDisconnected
+        });
+    }
+}
+
 impl RequestHandler {
     /// Creates a handler from the parts of the instance that it uses.
     #[must_use]
@@ -161,30 +214,28 @@
         keep_alive: bool,
     ) -> bool {
         let _active = self.shutdown.track_request();
-        self.metrics.active_requests.inc();
-        let mut stats = RequestStats::default();
         let keep_alive = keep_alive && !self.shutdown.has_begun();
         let id = incoming
             .head
             .headers
             .get(self.dialect.header_names().request_id);
-        let (route, outcome) = match self.admit(incoming) {
+        let mut record = RequestRecord::new(self, incoming, id);
+        let outcome = match self.admit(incoming) {
             Ok(matched) => {
+                record.route = matched.route.name.clone();
                 let admitted = self.admitted_request(incoming, id.unwrap_or_default(), &matched);
+                let stats = &mut record.stats;
                 stats.limit = Some(admitted.limit);
                 stats.config_version = Some(admitted.config_version);
-                let outcome = if let Some(refused) = self.refuse_quarantined(&admitted, None) {
+                if let Some(refused) = self.refuse_quarantined(&admitted, None) {
                     refused
                 } else {
-                    self.handle_admitted(&admitted, wr, keep_alive, &mut stats)
-                        .await
-                };
-                (matched.route.name.clone(), outcome)
+                    self.handle_admitted(&admitted, wr, keep_alive, stats).await
+                }
             }
-            Err(error) => (Name::from("-"), Outcome::Failed(error)),
+            Err(error) => Outcome::Failed(error),
         };
-        self.metrics.active_requests.dec();
-        self.record_outcome(incoming, id, &route, &outcome, &stats);
+        record.finish(&outcome);
         match outcome {
             Outcome::Completed(_) => keep_alive,
             Outcome::Failed(error) => {
