--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -432,6 +432,7 @@
             return Ok(RouteMatch {
                 route,
                 caller: None,
+                config,
             });
         }
         let key = headers
