refactor(selection): split the selector by job before parts are added

Cause: selection.rs had 650 lines with four jobs: what is asked and answered, a server as the instance sees it, the costs, and the selector.

Change: modules request, server and cost beside health; no decision changes. Ruled out: a struct for the weights, as nothing sets them yet.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -2,192 +2,28 @@
 //! unhealthy servers.
 //!
 //! [`ServerSelector::select`] estimates the cost of the request at each server of the pool and takes
-//! the server with the lowest. Costs are durations; the constants below weigh their terms. Each
-//! instance has a selector of its own, which learns from the instance's attempts and from the load
-//! that servers report. Instances agree on the preferred server of a prompt prefix without
-//! communication, by rendezvous hashing.
+//! the server with the lowest; module `cost` weighs the terms. Each instance has a selector of its
+//! own, which learns from the instance's attempts and from the load that servers report. Instances
+//! agree on the preferred server of a prompt prefix without communication, by rendezvous hashing.
 
+mod cost;
 mod health;
+mod request;
+mod server;
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::config::{Name, Server};
 use super::notices::{NoticeBoard, ServerNotice, ServerRun};
 use super::turns::{RateLimit, TurnSchedule};
-use health::Health;
-
-/// Time to prefill one prompt token that isn't cached.
-const TOKEN_PREFILL_TIME: Duration = Duration::from_micros(24);
-/// Cost of each request that waits at the server.
-const WAITING_REQUEST_COST: Duration = Duration::from_millis(40);
-/// Cost of full utilization (as many running requests as slots) at a server with prompts to
-/// prefill; proportional to the utilization.
-const FULL_LOAD_COST: Duration = Duration::from_millis(120);
-/// Cost of a server in another failure domain than this instance.
-const CROSS_DOMAIN_COST: Duration = Duration::from_millis(8);
-/// Largest pseudo-random cost. Instances don't see each other's latest sends, so this spreads
-/// requests over servers that are equal otherwise. It is less than [`CROSS_DOMAIN_COST`], so that
-/// it never outweighs the failure domain.
-const SPREADING_COST: Duration = Duration::from_millis(6);
-/// How long a prompt part counts as cached at a server after it was last sent there.
-const PREFIX_CACHE_TTL: Duration = Duration::from_secs(20);
-/// Age from which a load report is ignored.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(1500);
-/// Cost of each running request, this one included, at a server that has no prompts to prefill;
-/// divided by the server's slots, of which at most 4 count.
-const PLAIN_REQUEST_COST: Duration = Duration::from_millis(15);
-/// Cost of an error rate of 1; proportional to the error rate.
-const ERROR_RATE_COST: Duration = Duration::from_millis(500);
-
-/// Cost of prefilling a token of a shared prompt part again, in addition to [`TOKEN_PREFILL_TIME`].
-const PREFIX_MISS_COST: Duration = Duration::from_micros(60);
-/// Cost of a megabyte (10^6 bytes) of inputs from another failure domain.
-const CROSS_DOMAIN_MB_COST: Duration = Duration::from_millis(25);
-
-/// A part of a prompt. Prompts that begin with the same parts can share cached tokens.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Id of the part; equal texts have equal ids.
-    pub id: Name,
-    /// Length of the part, in tokens.
-    pub tokens: u32,
-}
-
-/// Which software versions of servers can run a request.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub enum RequiredVersion {
-    /// All versions.
-    #[default]
-    Any,
-    /// This version, as it began the stream that the request goes on with.
-    Exactly(Name),
-    /// No server: it isn't known which version began the stream.
-    Unknown,
-}
-
-impl RequiredVersion {
-    /// Requires the version that began a stream; `None` if it isn't known.
-    #[must_use]
-    pub fn of_stream(version: Option<Name>) -> Self {
-        version.map_or(Self::Unknown, Self::Exactly)
-    }
-
-    fn allows(&self, server: &Server) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Exactly(version) => server.version.as_ref() == Some(version),
-            Self::Unknown => false,
-        }
-    }
-}
-
-/// What the selection of a server for a request depends on.
-#[derive(Debug, Clone, Default)]
-pub struct SelectionRequest {
-    /// Pool whose servers can run the request.
-    pub pool: Name,
-    /// Parts of the prompt in order. The last one is specific to the request, the others are shared
-    /// with other requests.
-    pub prompt: Vec<PromptPart>,
-    /// Failure domains that store inputs of the request, each with their size in bytes.
-    pub input_bytes: Vec<(Name, u64)>,
-    /// Servers to exclude, as the request was already sent to them.
-    pub tried: Vec<Name>,
-    /// Whether servers in back-off, or silent ones, are left out even if there is no other.
-    pub healthy_only: bool,
-    /// Which software versions of servers can run the request.
-    pub version: RequiredVersion,
-    /// Software version at which the request is best run, and the cost of another one.
-    pub favored_version: Option<(Name, Duration)>,
-    /// Seed that differs between requests; it spreads them over servers that are equal otherwise.
-    pub seed: u64,
-}
-
-impl SelectionRequest {
-    fn shared_parts(&self) -> &[PromptPart] {
-        &self.prompt[..self.prompt.len().saturating_sub(1)]
-    }
-
-    /// Tokens of the prompt parts that are shared with other requests.
-    #[must_use]
-    pub fn shared_tokens(&self) -> u32 {
-        sum_tokens(self.shared_parts())
-    }
-
-    fn own_tokens(&self) -> u32 {
-        self.prompt.last().map_or(0, |part| part.tokens)
-    }
-
-    fn tokens(&self) -> u32 {
-        sum_tokens(&self.prompt)
-    }
-}
-
-/// Tokens of parts of a prompt. Callers name them, so the sum may be out of range.
-fn sum_tokens<'a>(parts: impl IntoIterator<Item = &'a PromptPart>) -> u32 {
-    let tokens = parts.into_iter().map(|part| part.tokens);
-    tokens.fold(0, u32::saturating_add)
-}
-
-/// The server selected for a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SelectedServer {
-    /// Id of the server.
-    pub id: Name,
-    /// Address of the server.
-    pub address: SocketAddr,
-    /// Failure domain of the server.
-    pub domain: Name,
-    /// Version of the server's software; `None` if it names none.
-    pub version: Option<Name>,
-    /// Prompt tokens that the server is expected to prefill, as they are not in its cache.
-    pub uncached_tokens: u32,
-}
-
-/// How an attempt at a server ended; the health of the server follows from it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptOutcome {
-    /// The server responded; the first byte arrived after this time.
-    Answered(Duration),
-    /// The server responded with an error of its own.
-    Failure,
-    /// The server rejected the request without running it, because it is full or draining.
-    Rejected,
-    /// No usable response: the connection failed or the response is invalid.
-    Broken,
-    /// The caller disconnected or the deadline passed; says nothing about the server.
-    Abandoned,
-}
-
-/// Load of a server as it reports it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Requests that are running.
-    pub running: u32,
-    /// Requests that are waiting.
-    pub waiting: u32,
-    /// Requests that the server runs concurrently at most.
-    pub slots: u32,
-}
-
-/// A server with its load and health as this instance sees them.
-#[derive(Debug)]
-struct ServerState {
-    server: Server,
-    /// Attempts of this instance that have not ended.
-    in_flight: u32,
-    /// Uncached prompt tokens of these attempts that the server has not prefilled yet.
-    prefill_tokens: u64,
-    /// Latest load report and when it arrived.
-    report: Option<(LoadReport, Instant)>,
-    health: Health,
-    /// Shared prompt parts sent to the server, and when each was last sent.
-    recent_parts: HashMap<Name, Instant>,
-}
+use cost::total_cost;
+pub use request::{
+    AttemptOutcome, LoadReport, PromptPart, RequiredVersion, SelectedServer, SelectionRequest,
+};
+use server::ServerState;
 
 /// Selects servers, based on the load and health of all servers of all pools.
 #[derive(Debug, Default)]
@@ -441,17 +277,8 @@
             .map(|state| {
                 let is_preferred = preferred.as_ref() == Some(&state.server.id);
                 let uncached_tokens = state.uncached_tokens(request, is_preferred, now);
-                let cross_domain_bytes = state.cross_domain_bytes(request);
-                let missed_tokens = uncached_tokens - request.own_tokens().min(uncached_tokens);
-                let request_cost = PREFIX_MISS_COST.as_secs_f64() * f64::from(missed_tokens)
-                    + CROSS_DOMAIN_MB_COST.as_secs_f64() * cross_domain_bytes as f64 / 1e6
-                    + version_cost(request, &state.server).as_secs_f64()
-                    + SPREADING_COST.as_secs_f64() * uniform_hash(&state.server.id, request.seed);
-                (
-                    self.cost(state, uncached_tokens, now) + request_cost,
-                    uncached_tokens,
-                    state,
-                )
+                let cost = total_cost(state, request, &self.domain, uncached_tokens, now);
+                (cost, uncached_tokens, state)
             })
             .min_by(|a, b| {
                 a.0.total_cmp(&b.0)
@@ -479,14 +306,7 @@
         if let Some(state) = self.servers.get_mut(&server.id) {
             state.in_flight += 1;
             state.prefill_tokens += u64::from(server.uncached_tokens);
-            for part in request.shared_parts() {
-                state.recent_parts.insert(part.id.clone(), now);
-            }
-            if state.recent_parts.len() > RECENT_PARTS_BEFORE_CLEANUP {
-                state
-                    .recent_parts
-                    .retain(|_, at| now.duration_since(*at) < PREFIX_CACHE_TTL);
-            }
+            state.record_parts(request, now);
         }
     }
 
@@ -541,102 +361,6 @@
             servers.filter(|s| s.health.is_usable(now)).count()
         })
     }
-
-    /// Cost of a request at a server due to load, distance and health; `uncached_tokens` are those
-    /// of the request itself.
-    fn cost(&self, state: &ServerState, uncached_tokens: u32, now: Instant) -> f64 {
-        let has_prefill = uncached_tokens > 0 || state.prefill_tokens > 0;
-        let report = state.fresh_report(now);
-        let waiting = report.map_or(0, |r| r.waiting);
-        let running = report.map_or(0, |r| r.running).max(state.in_flight);
-        let tokens = state.prefill_tokens + u64::from(uncached_tokens);
-        let mut cost = TOKEN_PREFILL_TIME.as_secs_f64() * tokens as f64;
-        cost += WAITING_REQUEST_COST.as_secs_f64() * f64::from(waiting);
-        let slots = f64::from(state.server.slots.max(1));
-        if has_prefill {
-            cost += FULL_LOAD_COST.as_secs_f64() * f64::from(running) / slots;
-            cost += OVERLOAD_COST.as_secs_f64() * (f64::from(running) / slots - 0.9).max(0.0);
-        } else {
-            cost += PLAIN_REQUEST_COST.as_secs_f64() * (f64::from(running) + 1.0) / slots.min(4.0);
-        }
-        if state.server.domain != self.domain {
-            cost += CROSS_DOMAIN_COST.as_secs_f64();
-        }
-        cost * state.health.slowdown()
-            + ERROR_RATE_COST.as_secs_f64() * state.health.error_rate(now)
-    }
-}
-
-/// Cost of a utilization (running requests per slot) that is 1 above 0.9, at a server with prompts
-/// to prefill; proportionally less below that and 0 up to 0.9.
-const OVERLOAD_COST: Duration = Duration::from_secs(5);
-/// Share of a server's slots from which on it gets no requests that other servers with a rate limit
-/// don't take.
-const SATURATED_UTILIZATION: f64 = 0.6;
-/// Number of recent prompt parts of a server above which the expired ones are removed.
-const RECENT_PARTS_BEFORE_CLEANUP: usize = 512;
-
-impl ServerState {
-    fn new(server: Server) -> Self {
-        Self {
-            server,
-            in_flight: 0,
-            prefill_tokens: 0,
-            report: None,
-            health: Health::default(),
-            recent_parts: HashMap::new(),
-        }
-    }
-
-    /// Whether its latest report shows that it has as much to do as it can well work on.
-    fn is_saturated(&self, now: Instant) -> bool {
-        let slots = f64::from(self.server.slots.max(1));
-        self.fresh_report(now).is_some_and(|report| {
-            report.waiting > 0 || f64::from(report.running) >= SATURATED_UTILIZATION * slots
-        })
-    }
-
-    /// Latest load report, unless it is too old.
-    fn fresh_report(&self, now: Instant) -> Option<LoadReport> {
-        self.report
-            .filter(|(_, at)| now.duration_since(*at) < MAX_REPORT_AGE)
-            .map(|(report, _)| report)
-    }
-
-    /// Bytes of the request's inputs that the server would fetch from other failure domains.
-    fn cross_domain_bytes(&self, request: &SelectionRequest) -> u64 {
-        let cross_domain = request
-            .input_bytes
-            .iter()
-            .filter(|(d, _)| *d != self.server.domain);
-        cross_domain.map(|(_, bytes)| *bytes).sum()
-    }
-
-    /// Prompt tokens that the server would have to prefill. A part counts as cached only if all
-    /// parts before it do; at the preferred server all shared parts count as cached.
-    fn uncached_tokens(&self, request: &SelectionRequest, is_preferred: bool, now: Instant) -> u32 {
-        let cached = request.shared_parts().iter().take_while(|part| {
-            is_preferred
-                || self
-                    .recent_parts
-                    .get(&part.id)
-                    .is_some_and(|at| now.duration_since(*at) < PREFIX_CACHE_TTL)
-        });
-        request.tokens() - sum_tokens(cached)
-    }
-}
-
-/// Cost of a server whose version is not the favored one.
-fn version_cost(request: &SelectionRequest, server: &Server) -> Duration {
-    match &request.favored_version {
-        Some((version, cost)) if server.version.as_ref() != Some(version) => *cost,
-        _ => Duration::ZERO,
-    }
-}
-
-/// Pseudo-random number from 0 to 1 that depends only on server and seed.
-fn uniform_hash(server: &str, seed: u64) -> f64 {
-    (xxh3_64_with_seed(server.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
 }
 
 /// Server that all instances prefer for a prompt prefix: the one with the highest hash of prefix
