feat(selection): evacuated failure domains get no requests

Cause: operators need to stop all requests to the servers of a zone within a bound of their acknowledged row, and the selector knew nothing of such rows. Ruled out: a flag on server entries (each zone has many, and their servers write them), and closing at once (all prompts cached there would move in one moment). ServerSelector::may_send filters by it.

--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -16,6 +16,7 @@
 pub mod batching;
 pub mod cells;
 pub mod config;
+pub mod evacuation;
 pub mod freshness;
 pub mod heartbeat;
 pub mod notices;
--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -17,7 +17,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::config::{Name, Server};
+use super::evacuation::{EvacuatedDomains, EvacuationChanges};
 use super::notices::{NoticeBoard, ServerNotice, ServerRun};
+use super::replica::StoreVersion;
 use super::turns::{RateLimit, TurnSchedule};
 use cost::total_cost;
 pub use request::{
@@ -39,6 +41,8 @@
     schedule: Option<TurnSchedule>,
     /// What servers said about themselves.
     notices: NoticeBoard,
+    /// Failure domains to which nothing, or not everything, may be sent.
+    evacuations: EvacuatedDomains,
 }
 
 impl ServerSelector {
@@ -94,17 +98,75 @@
 
     /// Whether a server is listed and accepts new work.
     #[must_use]
-    pub fn accepts_work(&self, id: &str) -> bool {
-        self.servers.get(id).is_some_and(|s| s.server.ready)
+    pub fn accepts_work(&self, id: &str, now: Instant) -> bool {
+        self.started_ms(id, now).is_some()
     }
 
     /// Start time of a server that is listed and accepts new work.
     #[must_use]
-    pub fn started_ms(&self, id: &str) -> Option<u64> {
+    pub fn started_ms(&self, id: &str, now: Instant) -> Option<u64> {
         let server = &self.servers.get(id)?.server;
-        server.ready.then_some(server.started_ms)
+        let accepts = server.ready && !self.evacuations.is_closed(&server.domain, now);
+        accepts.then_some(server.started_ms)
     }
 
+    /// Sets the time after the write of a row that evacuates a domain from which on nothing may be sent
+    /// there.
+    pub fn set_evacuation_bound(&mut self, bound: Option<Duration>) {
+        self.evacuations = EvacuatedDomains::new(bound);
+    }
+
+    /// The evacuated domains.
+    #[must_use]
+    pub fn evacuations(&self) -> &EvacuatedDomains {
+        &self.evacuations
+    }
+
+    /// Failure domain of a listed server.
+    #[must_use]
+    pub fn domain_of(&self, id: &str) -> Option<&Name> {
+        self.servers.get(id).map(|state| &state.server.domain)
+    }
+
+    /// Records all rows that evacuate domains, see [`EvacuatedDomains::replace`].
+    pub fn set_evacuations(
+        &mut self,
+        rows: &[(Name, StoreVersion)],
+        earliest: Option<Instant>,
+        now: Instant,
+    ) -> EvacuationChanges {
+        let changes = self.evacuations.replace(rows, earliest, now);
+        self.record_evacuations_ended(&changes.ended, now);
+        changes
+    }
+
+    /// Records all rows of a restored store, see [`EvacuatedDomains::replace_restored`].
+    pub fn set_restored_evacuations(
+        &mut self,
+        rows: &[(Name, StoreVersion)],
+        settled_at: Instant,
+        now: Instant,
+    ) -> EvacuationChanges {
+        let changes = self.evacuations.replace_restored(rows, settled_at, now);
+        self.record_evacuations_ended(&changes.ended, now);
+        changes
+    }
+
+    /// Ends the evacuations whose time has come, see [`EvacuatedDomains::update`].
+    pub fn update_evacuations(&mut self, confirmed: Option<Instant>, now: Instant) -> Vec<Name> {
+        let ended = self.evacuations.update(confirmed, now);
+        self.record_evacuations_ended(&ended, now);
+        ended
+    }
+
+    /// Records that domains return to service. Every end of an evacuation comes here, so this is where
+    /// their servers are to be marked as cold.
+    #[expect(
+        clippy::unused_self,
+        reason = "the place for what servers that return need"
+    )]
+    fn record_evacuations_ended(&mut self, _domains: &[Name], _now: Instant) {}
+
     /// The listed run of a server.
     #[must_use]
     pub fn listed_run(&self, id: &Name) -> Option<ServerRun> {
@@ -181,7 +243,7 @@
     /// `None` if no such server could run it.
     #[must_use]
     pub fn next_turn(&self, request: &SelectionRequest, now: Instant) -> Option<Duration> {
-        let servers = self.untried_servers(request)?;
+        let servers = self.untried_servers(request, now)?;
         servers
             .filter_map(|state| self.wait(&state.server, now))
             .min()
@@ -192,7 +254,7 @@
     #[must_use]
     pub fn pause_left(&self, request: &SelectionRequest, now: Instant) -> Option<Duration> {
         let mut first = None;
-        for state in self.untried_servers(request)? {
+        for state in self.untried_servers(request, now)? {
             let until = self.paused_until(&state.server, now)?;
             first = Some(first.map_or(until, |first: Instant| first.min(until)));
         }
@@ -221,7 +283,7 @@
     pub fn limited_rate(&self, request: &SelectionRequest, now: Instant) -> Option<f64> {
         let schedule = self.schedule?;
         let mut rate = 0.0;
-        for state in self.untried_servers(request)? {
+        for state in self.untried_servers(request, now)? {
             if self.paused_until(&state.server, now).is_some() {
                 continue;
             }
@@ -234,20 +296,30 @@
         (rate > 0.0).then(|| rate / schedule.instances.max(1) as f64)
     }
 
-    /// Servers of the request's pool that are ready, were not tried and have a version that can run it.
+    /// Servers of the request's pool that are ready, were not tried, have a version that can run it and to
+    /// which it may be sent.
     fn untried_servers<'a>(
         &'a self,
         request: &'a SelectionRequest,
+        now: Instant,
     ) -> Option<impl Iterator<Item = &'a ServerState>> {
         let ids = self.pools.get(&request.pool)?;
         let servers = ids.iter().filter_map(|id| self.servers.get(id));
-        Some(servers.filter(|s| {
+        Some(servers.filter(move |s| {
             s.server.ready
                 && !request.tried.contains(&s.server.id)
                 && request.version.allows(&s.server)
+                && self.may_send(&s.server, request, now)
         }))
     }
 
+    /// Whether a request may be sent to a server that could run it.
+    fn may_send(&self, server: &Server, request: &SelectionRequest, now: Instant) -> bool {
+        let domain = &server.domain;
+        self.evacuations.is_empty()
+            || (self.evacuations).access(domain, request.domain_share(domain), now)
+    }
+
     /// Selects the server of the pool with the lowest cost for a request; `None` if no server is
     /// ready that was not tried, has a turn and wants no pause. Servers in back-off are selected only
     /// if no other is left.
@@ -255,9 +327,10 @@
     pub fn select(&self, request: &SelectionRequest, now: Instant) -> Option<SelectedServer> {
         // Servers without a rate limit can't take all that others don't.
         let spills = self.schedule.is_some()
-            && (self.untried_servers(request)?).any(|s| self.limits.contains_key(&s.server.id));
+            && (self.untried_servers(request, now)?)
+                .any(|s| self.limits.contains_key(&s.server.id));
         let servers: Vec<&ServerState> = self
-            .untried_servers(request)?
+            .untried_servers(request, now)?
             .filter(|s| self.wait(&s.server, now).is_none_or(|wait| wait.is_zero()))
             .filter(|s| !spills || !s.is_saturated(now))
             .collect();
@@ -357,7 +430,7 @@
     /// Number of servers that could run the request and are not in back-off.
     #[must_use]
     pub fn usable_servers(&self, request: &SelectionRequest, now: Instant) -> usize {
-        self.untried_servers(request).map_or(0, |servers| {
+        self.untried_servers(request, now).map_or(0, |servers| {
             servers.filter(|s| s.health.is_usable(now)).count()
         })
     }
--- a/crates/sardineshore-core/src/flow/selection/request.rs
+++ b/crates/sardineshore-core/src/flow/selection/request.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
 use crate::flow::config::{Name, Server};
 
 /// A part of a prompt. Prompts that begin with the same parts can share cached tokens.
@@ -75,6 +77,16 @@
         sum_tokens(self.shared_parts())
     }
 
+    /// Number from 0 to 1 (exclusive) that tells whether the request is among the share that may go to a
+    /// failure domain. Requests with the same prompt prefix have the same one, so that they move together.
+    pub(super) fn domain_share(&self, domain: &Name) -> f64 {
+        let hash = match self.shared_parts().last() {
+            Some(prefix) => xxh3_64(format!("{}/{domain}", prefix.id).as_bytes()),
+            None => xxh3_64_with_seed(domain.as_bytes(), self.seed),
+        };
+        (hash >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
     pub(super) fn own_tokens(&self) -> u32 {
         self.prompt.last().map_or(0, |part| part.tokens)
     }
