feat(serve): rows that evacuate a failure domain take effect on all sends

Cause: rows evacuate/ZONE in the operators' table were read and ignored. Ruled out: a table or a message of its own (the rows already arrive with the configuration's), and a check in the selector alone: a domain may close while a request waits for a connection, a trial or the end of a silent attempt. Change: watcher/evacuation.rs applies the rows from the replica after each reading, with the last confirmation as the earliest time of the write, and follows the domains until they are closed. Dispatcher::send checks once more before the first byte. Servers of stages get no calls, memory queries or releases from the moment the row is seen; the domain's cell is withdrawn, and its jobs go on in other cells with the results so far. Crashes of servers in a closed domain are no evidence. bounds.evacuate_ms is optional. Metrics and log lines tell what is still in progress there. Conclusion: all ways of sending pass the filter and the last check.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -136,6 +136,14 @@
         }
     }
 
+    /// Sets the failure domains to whose servers nothing may be sent. Call it after [`Self::set_servers`].
+    /// Their running calls go on, and their results can still be fetched until they expire.
+    pub fn set_evacuated(&mut self, domains: &[Name], now: Instant) {
+        for server in self.pools.values_mut().flatten() {
+            server.set_evacuated(domains.contains(&server.domain), now);
+        }
+    }
+
     /// Accepts a job, or refuses it with the time after which the caller should retry. A job with
     /// the same id is cancelled first.
     pub fn submit(&mut self, mut job: Job, now: Instant) -> SubmitOutcome {
--- a/crates/sardineshore-core/src/flow/batching/server.rs
+++ b/crates/sardineshore-core/src/flow/batching/server.rs
@@ -64,6 +64,8 @@
     pub consecutive_failures: u32,
     /// Whether it takes no new calls; its results can still be fetched.
     pub draining: bool,
+    /// Whether nothing may be sent to it.
+    evacuated: bool,
     /// No call is sent before this time.
     pub backoff_until: Option<Instant>,
     /// No request of any kind is sent before this time.
@@ -103,6 +105,7 @@
             slowness: 1.0,
             consecutive_failures: 0,
             draining: false,
+            evacuated: false,
             backoff_until: None,
             paused_until: None,
             pending_release: Vec::new(),
@@ -129,9 +132,26 @@
         }
     }
 
-    /// Whether a request of any kind can be sent now: its rate limit allows it, and it wants no pause.
+    /// Sets whether nothing may be sent to it. Its results expire by themselves meanwhile. Afterwards its
+    /// free memory is queried, as other owners may have used it.
+    pub fn set_evacuated(&mut self, evacuated: bool, now: Instant) {
+        self.draining |= evacuated;
+        if evacuated {
+            self.pending_release.clear();
+            self.pending_release_bytes = 0;
+            self.release_pending_since = None;
+        }
+        if std::mem::replace(&mut self.evacuated, evacuated) && !evacuated {
+            self.query_before_calls(now);
+        }
+    }
+
+    /// Whether a request of any kind can be sent now: its failure domain is not evacuated, its rate limit
+    /// allows it, and it wants no pause.
     pub fn accepts_requests(&self, now: Instant) -> bool {
-        self.next_request_at.is_none_or(|at| now >= at) && self.pause_left(now).is_zero()
+        !self.evacuated
+            && self.next_request_at.is_none_or(|at| now >= at)
+            && self.pause_left(now).is_zero()
     }
 
     /// Time for which it wants no requests.
@@ -296,6 +316,9 @@
     }
 
     fn add_pending_release(&mut self, handle: Name, bytes: u64, expires_at: Instant, now: Instant) {
+        if self.evacuated {
+            return;
+        }
         self.pending_release_bytes += bytes;
         self.pending_release.push((handle, bytes, expires_at));
         self.release_pending_since.get_or_insert(now);
--- a/crates/sardineshore-core/tests/evacuation.rs
+++ b/crates/sardineshore-core/tests/evacuation.rs
@@ -298,11 +298,10 @@
     let second = |n| t + Duration::from_secs(n);
     for n in 0..40 {
         match n {
-            1 => store.write("z", true),
             4 => store.write("z", false),
             5 | 11 => store.write("y", true),
             9 => store.write("y", false),
-            12 => store.write("z", true),
+            1 | 12 => store.write("z", true),
             16 => store.write("x", true),
             25 => store.write("x", false),
             _ => {}
@@ -379,9 +378,9 @@
         if is_rewritten {
             store.write("z", true);
         }
-        let settled = restored + SETTLE_TIME;
-        instance.sync(&store, settled - ms(10));
-        assert_eq!(instance.open(settled - ms(10)), ["x"]);
+        let unsettled = restored + SETTLE_TIME.saturating_sub(ms(10));
+        instance.sync(&store, unsettled);
+        assert_eq!(instance.open(unsettled), ["x"]);
         let mut update = |confirmed, at| {
             (instance.selector).update_evacuations(Some(restored + ms(confirmed)), restored + at)
         };
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -3,7 +3,7 @@
 //! [`Dispatcher`] selects the server, gets a connection to it and sends the request. [`Attempt`]
 //! reports the start and the outcome to the metrics and to the selection of servers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,7 @@
 use sardineshore_core::flow::time_limit::TimeLimit;
 use slog::{Logger, info};
 
+use crate::activity::ActivityGuard;
 use crate::crashes::CrashMonitor;
 use crate::dialect::Dialect;
 use crate::http1::{RequestHead, is_end_to_end, put_header};
@@ -130,6 +131,8 @@
     first_output_at: Cell<Option<Instant>>,
     connection_lost: Cell<bool>,
     finished: Cell<bool>,
+    /// Set once the request is sent.
+    activity: RefCell<Option<ActivityGuard>>,
 }
 
 impl Attempt {
@@ -258,6 +261,8 @@
     pub fn record_fault(&self, error: &ExchangeError) {
         if let ExchangeError::InvalidResponse(_) | ExchangeError::ResponseTooLarge = error {
             self.attempt.finish(AttemptOutcome::Failure);
+        } else if let ExchangeError::NotSent = error {
+            self.attempt.finish(AttemptOutcome::Abandoned);
         } else {
             self.attempt.record_lost_connection();
             self.attempt.finish(AttemptOutcome::Broken);
@@ -392,7 +397,7 @@
                 .await
             {
                 // The server may have stopped accepting work while the connection was opened.
-                Ok(conn) if self.state.selector.borrow().accepts_work(&server.id) => {
+                Ok(conn) if self.accepts_work(&server) => {
                     return Ok(ConnectedServer {
                         server,
                         conn,
@@ -411,6 +416,37 @@
         }
     }
 
+    fn accepts_work(&self, server: &SelectedServer) -> bool {
+        let selector = self.state.selector.borrow();
+        selector.accepts_work(&server.id, Instant::now())
+    }
+
+    /// Whether nothing may be sent to a server, as its failure domain is evacuated.
+    fn is_closed(&self, server: &SelectedServer) -> bool {
+        let selector = self.state.selector.borrow();
+        (selector.evacuations()).is_closed(&server.domain, Instant::now())
+    }
+
+    /// Checks the connected server again after a wait, right before the request is sent to it. If its
+    /// failure domain was closed in the meantime, connects to another one.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::connect`].
+    pub async fn connect_elsewhere_if_closed(
+        &self,
+        connected: ConnectedServer,
+        selection: &mut SelectionRequest,
+        request: &AdmittedRequest<'_>,
+    ) -> Result<ConnectedServer, Duration> {
+        if !self.is_closed(&connected.server) {
+            return Ok(connected);
+        }
+        // Nothing was sent on the connection.
+        self.recycle(connected.conn, &Response::empty());
+        self.connect(selection, request).await
+    }
+
     fn start_on_connection(
         &self,
         server: SelectedServer,
@@ -440,6 +476,7 @@
             first_output_at: Cell::new(None),
             connection_lost: Cell::new(false),
             finished: Cell::new(false),
+            activity: RefCell::default(),
         }
     }
 
@@ -480,14 +517,21 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks or the server sends no valid response head.
+    /// Fails if the server's failure domain is closed, the connection breaks or the server sends no valid
+    /// response head.
     pub async fn send(
         &self,
-        server: &SelectedServer,
+        attempt: &Attempt,
         conn: &mut Conn,
         request: &AdmittedRequest<'_>,
         extra: ExtraHeaders<'_>,
     ) -> Result<Response, ExchangeError> {
+        let server = &attempt.server;
+        if self.is_closed(server) {
+            return Err(ExchangeError::NotSent);
+        }
+        let guard = self.state.activity.begin(&server.domain);
+        *attempt.activity.borrow_mut() = Some(guard);
         let head = self.encode_head(server, request, extra);
         let outgoing = OutgoingRequest {
             head: &head,
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -26,7 +26,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::notices::NoticeReader;
-use crate::state::elapsed_ms;
+use crate::state::{SharedState, elapsed_ms};
 use crate::upstream::ConnectionPool;
 
 /// Longest time between two polls of a scheduler with jobs, which finds calls that take too long.
@@ -75,6 +75,11 @@
         /// Whether this owner had accepted the job.
         accepted: bool,
     },
+    /// The cell's failure domain is evacuated: submit the job to another cell.
+    Withdrawn {
+        /// Whether this owner had accepted the job.
+        accepted: bool,
+    },
 }
 
 /// Event of a job for the request that waits for it.
@@ -106,6 +111,7 @@
     dialect: Rc<dyn Dialect>,
     connections: Rc<ConnectionPool>,
     notices: Rc<NoticeReader>,
+    state: Rc<SharedState>,
     metrics: Rc<Metrics>,
     log: Logger,
 }
@@ -118,6 +124,8 @@
     submissions: RefCell<HashMap<Name, Submission>>,
     wake: Notify,
     handed_over_at: Cell<Option<Instant>>,
+    /// Whether the cell's failure domain is evacuated.
+    is_withdrawn: Cell<bool>,
     shared: Rc<Shared>,
 }
 
@@ -127,6 +135,8 @@
     runners: RefCell<HashMap<Name, Rc<CellRunner>>>,
     servers: RefCell<HashMap<Name, Vec<BatchServer>>>,
     names: RefCell<Vec<Name>>,
+    /// Evacuated failure domains.
+    evacuated: RefCell<Vec<Name>>,
     next_submission: Cell<u64>,
     closing: Cell<bool>,
 }
@@ -150,6 +160,7 @@
         let shared = Shared {
             dialect,
             connections,
+            state: notices.state().clone(),
             notices,
             metrics,
             log,
@@ -159,6 +170,7 @@
             runners: RefCell::default(),
             servers: RefCell::default(),
             names: RefCell::default(),
+            evacuated: RefCell::default(),
             next_submission: Cell::new(0),
             closing: Cell::new(false),
         }
@@ -171,17 +183,19 @@
         self.names.borrow().clone()
     }
 
-    /// Divides the servers of all pools that run stages into cells.
+    /// Divides the servers of all pools that run stages into cells. The cells of evacuated failure domains
+    /// are withdrawn; their servers are in all cells, as jobs may use the results that they keep.
     pub fn set_servers(&self, selector: &ServerSelector, config: &ConfigIndex) {
         let mut all = Vec::new();
         let mut pools: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
         let now = Instant::now();
+        let evacuated: Vec<Name> = selector.evacuations().evacuated().cloned().collect();
         for server in selector.servers() {
             let Some(pool) = config.pool(&server.pool) else {
                 continue;
             };
             if let PoolKind::Batch(spec) = &pool.kind {
-                if server.ready {
+                if server.ready && !evacuated.contains(&server.domain) {
                     let domains = pools.entry(server.pool.clone()).or_default();
                     domains.push(server.domain.clone());
                 }
@@ -202,12 +216,21 @@
             let servers = cells.entry(server.domain.clone()).or_default();
             servers.push(server.clone());
         }
+        for server in all.iter().filter(|s| evacuated.contains(&s.domain)) {
+            let others = cells.iter_mut().filter(|(cell, _)| **cell != server.domain);
+            others.for_each(|(_, servers)| servers.push(server.clone()));
+        }
         cells.insert(GLOBAL_CELL.into(), all);
         for (cell, runner) in self.runners.borrow().iter() {
             let servers = cells.get(cell).cloned().unwrap_or_default();
-            runner.sched.borrow_mut().set_servers(servers, now);
+            let mut sched = runner.sched.borrow_mut();
+            sched.set_servers(servers, now);
+            sched.set_evacuated(&evacuated, now);
+            drop(sched);
+            runner.set_withdrawn(evacuated.contains(cell), self.closing.get(), now);
             runner.wake.notify_one();
         }
+        *self.evacuated.borrow_mut() = evacuated;
         *self.servers.borrow_mut() = cells;
         *self.names.borrow_mut() = names;
     }
@@ -221,7 +244,7 @@
         }
     }
 
-    /// Releases results whose owner is lost, except at servers that want no requests.
+    /// Releases results whose owner is lost, except at servers that want or may get no requests.
     pub fn release_results(&self, results: Vec<StoredResult>) {
         let now = Instant::now();
         let mut by_server: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
@@ -239,7 +262,8 @@
         for (id, handles) in by_server {
             let server = all.iter().find(|server| server.id == id);
             let is_paused = |server: &&BatchServer| server.paused_until.is_some_and(|at| at > now);
-            if let Some(server) = server.filter(|server| !is_paused(server)) {
+            let is_open = |server: &&BatchServer| self.shared.may_send(&server.id);
+            if let Some(server) = server.filter(|s| !is_paused(s) && is_open(s)) {
                 let (shared, address) = (self.shared.clone(), server.address);
                 tokio::task::spawn_local(async move {
                     release_results(&shared, &id, address, &handles).await;
@@ -279,6 +303,10 @@
     pub fn submit(&self, cell: &Name, job: Job, callback: JobCallback) -> SubmissionId {
         let submission = SubmissionId(self.next_submission.get());
         self.next_submission.set(submission.0 + 1);
+        if !self.closing.get() && self.evacuated.borrow().contains(cell) {
+            callback(JobEvent::Ended(JobOutcome::Withdrawn { accepted: false }));
+            return submission;
+        }
         if self.closing.get() || !self.servers.borrow().contains_key(cell) {
             callback(JobEvent::Ended(JobOutcome::Redirected { accepted: false }));
             return submission;
@@ -340,6 +368,7 @@
             let mut sched = BatchScheduler::new(SchedulerConfig::default());
             let servers = self.servers.borrow().get(cell).cloned().unwrap_or_default();
             sched.set_servers(servers, Instant::now());
+            sched.set_evacuated(&self.evacuated.borrow(), Instant::now());
             sched.query_free_memory(Instant::now());
             let runner = Rc::new(CellRunner {
                 cell: cell.clone(),
@@ -347,6 +376,7 @@
                 submissions: RefCell::default(),
                 wake: Notify::new(),
                 handed_over_at: Cell::new(None),
+                is_withdrawn: Cell::new(false),
                 shared: self.shared.clone(),
             });
             tokio::task::spawn_local(run_cell(runner.clone()));
@@ -356,6 +386,15 @@
     }
 }
 
+impl Shared {
+    /// Whether requests may be sent to a server: its failure domain is not evacuated.
+    fn may_send(&self, server: &Name) -> bool {
+        let selector = self.state.selector.borrow();
+        let domain = selector.domain_of(server);
+        domain.is_none_or(|domain| !selector.evacuations().is_evacuated(domain))
+    }
+}
+
 impl CellRunner {
     fn report_stage(&self, request: &Name, results: StageResults) {
         let submissions = self.submissions.borrow();
@@ -376,6 +415,20 @@
         }
     }
 
+    /// Withdraws the cell, so that its jobs go on in others, or returns it to service.
+    fn set_withdrawn(&self, is_withdrawn: bool, is_closing: bool, now: Instant) {
+        if self.is_withdrawn.replace(is_withdrawn) == is_withdrawn {
+            return;
+        }
+        let mut sched = self.sched.borrow_mut();
+        info!(self.shared.log, "cell of an evacuated failure domain"; "cell" => &*self.cell, "withdrawn" => is_withdrawn, "jobs" => sched.job_count());
+        if is_withdrawn {
+            sched.begin_handover();
+        } else if !is_closing {
+            sched.cancel_handover(now);
+        }
+    }
+
     /// Whether the cell was handed over less than [`HANDOVER_PAUSE`] ago.
     fn is_handed_over(&self) -> bool {
         let at = self.handed_over_at.get();
@@ -491,7 +544,12 @@
             runner.finish(&request, JobOutcome::Finished(inputs));
         }
         Action::HandedOver { request } => {
-            runner.finish(&request, JobOutcome::Redirected { accepted: true });
+            let outcome = if runner.is_withdrawn.get() {
+                JobOutcome::Withdrawn { accepted: true }
+            } else {
+                JobOutcome::Redirected { accepted: true }
+            };
+            runner.finish(&request, outcome);
         }
         Action::GivenUp {
             request,
--- a/crates/sardineshore-serve/src/cell/calls.rs
+++ b/crates/sardineshore-serve/src/cell/calls.rs
@@ -51,6 +51,7 @@
     let exchanged = exchange(shared, server, &mut conn, &head, &call).await;
     let (response, body) = match exchanged {
         Ok(exchanged) => exchanged,
+        Err(ExchangeError::NotSent) => return (CallOutcome::Rejected, None),
         Err(error) => return (failed_call(&error), None),
     };
     let status = response.head.status;
@@ -137,7 +138,8 @@
     Ok(())
 }
 
-/// Sends a call and reads the whole response, with what the server says of itself in its head.
+/// Sends a call and reads the whole response, with what the server says of itself in its head. Nothing is
+/// sent if the server's failure domain was evacuated while the connection was opened.
 async fn exchange(
     shared: &Shared,
     server: &Name,
@@ -151,6 +153,11 @@
         echo: None,
         is_head: false,
     };
+    if !shared.may_send(server) {
+        return Err(ExchangeError::NotSent);
+    }
+    let domain = shared.state.selector.borrow().domain_of(server).cloned();
+    let _in_progress = domain.map(|domain| shared.state.activity.begin(&domain));
     let run = shared.notices.listed_run(server);
     let mut response = conn.send(request).await?;
     if let Some(run) = &run {
--- a/crates/sardineshore-serve/src/crashes.rs
+++ b/crates/sardineshore-serve/src/crashes.rs
@@ -215,6 +215,14 @@
         features: &[Feature],
         sent_at: Instant,
     ) {
+        // The operators may switch the servers of such a domain off.
+        let is_closed = {
+            let selector = self.state.selector.borrow();
+            (selector.evacuations()).is_closed(&server.domain, Instant::now())
+        };
+        if is_closed {
+            return;
+        }
         let suspect = {
             let quarantine = self.quarantine.borrow();
             quarantine.suspect_features(features, sent_at)
@@ -268,7 +276,8 @@
             Ok(_) | Err(_) => false,
         };
         let suspects = self.probed.borrow_mut().remove(&server.id);
-        let started_ms = self.state.selector.borrow().started_ms(&server.id);
+        let now = Instant::now();
+        let started_ms = self.state.selector.borrow().started_ms(&server.id, now);
         if let Some(started_ms) = started_ms.filter(|_| refused) {
             self.metrics.crashes.inc();
             let suspects = suspects.unwrap_or_default();
--- a/crates/sardineshore-serve/src/dialect.rs
+++ b/crates/sardineshore-serve/src/dialect.rs
@@ -82,7 +82,7 @@
 /// Tables of the store that the serving path uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Table {
-    /// The operators' configuration, in one row.
+    /// The operators' configuration, in one row, and a row for each evacuated failure domain.
     Config,
     /// Entries that servers write about themselves.
     Servers,
@@ -116,6 +116,8 @@
     fn readiness_path(&self) -> &'static str;
     /// Key of the row that holds the configuration, in [`Table::Config`].
     fn config_key(&self) -> &'static str;
+    /// Failure domain that a row of [`Table::Config`] with this key evacuates; `None` for other rows.
+    fn evacuated_domain(&self, key: &str) -> Option<Name>;
     /// Decodes the operators' configuration.
     fn decode_config(&self, bytes: &[u8]) -> anyhow::Result<ServingConfig>;
     /// Decodes the entry of the server `id`.
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -195,9 +195,11 @@
         "readiness",
         monitoring::serve(settings.ready, readiness_handler(&components, &dialect)),
     );
-    let metrics = components.metrics.clone();
-    let metrics_handler =
-        Rc::new(move |_: &crate::http1::RequestHead| (200, metrics.encode_text()));
+    let (metrics, state) = (components.metrics.clone(), components.state.clone());
+    let metrics_handler = Rc::new(move |_: &crate::http1::RequestHead| {
+        metrics.set_evacuated(&state.evacuated_domains());
+        (200, metrics.encode_text())
+    });
     spawn_listener(
         &log,
         "metrics",
--- a/crates/sardineshore-serve/src/lib.rs
+++ b/crates/sardineshore-serve/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(settings.bounds.fail_closed);
 //! ```
 
+pub mod activity;
 pub mod attempt;
 pub mod budget;
 pub mod caller;
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -1,9 +1,12 @@
 //! Prometheus metrics of an instance.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
+use sardineshore_core::flow::config::Name;
+
+use crate::activity::Activity;
 
 /// Upper bounds of the buckets of latency histograms, in seconds.
 const LATENCY_BUCKETS: &[f64] = &[
@@ -39,6 +42,12 @@
     pub quarantine_trials: IntCounter,
     /// Requests in progress.
     pub active_requests: IntGauge,
+    /// Evacuated failure domains.
+    pub evacuated_domains: IntGauge,
+    /// Requests in progress at servers of evacuated domains, by domain.
+    pub evacuated_requests: IntGaugeVec,
+    /// Seconds since a request was sent to servers of evacuated domains, by domain.
+    pub evacuated_sent_seconds: GaugeVec,
 }
 
 impl Metrics {
@@ -98,6 +107,24 @@
         let active_requests =
             IntGauge::new("sardine_active_requests", "Requests that are served.")?;
         registry.register(Box::new(active_requests.clone()))?;
+        let evacuated_domains = IntGauge::new("sardine_evacuated_domains", "Evacuated domains.")?;
+        registry.register(Box::new(evacuated_domains.clone()))?;
+        let evacuated_requests = IntGaugeVec::new(
+            Opts::new(
+                "sardine_evacuated_requests",
+                "Requests in progress at servers of evacuated domains.",
+            ),
+            &["domain"],
+        )?;
+        registry.register(Box::new(evacuated_requests.clone()))?;
+        let evacuated_sent_seconds = GaugeVec::new(
+            Opts::new(
+                "sardine_evacuated_sent_seconds",
+                "Time since a request was sent to servers of evacuated domains.",
+            ),
+            &["domain"],
+        )?;
+        registry.register(Box::new(evacuated_sent_seconds.clone()))?;
         Ok(Self {
             registry,
             answers,
@@ -112,9 +139,29 @@
             stages_refused,
             quarantine_trials,
             active_requests,
+            evacuated_domains,
+            evacuated_requests,
+            evacuated_sent_seconds,
         })
     }
 
+    /// Records the evacuated domains, each with what is in progress there.
+    pub fn set_evacuated(&self, domains: &[(Name, Option<Activity>)]) {
+        let count = i64::try_from(domains.len()).unwrap_or(i64::MAX);
+        self.evacuated_domains.set(count);
+        self.evacuated_requests.reset();
+        self.evacuated_sent_seconds.reset();
+        for (domain, activity) in domains {
+            let in_progress = activity.map_or(0, |activity| activity.in_progress);
+            let requests = self.evacuated_requests.with_label_values(&[domain]);
+            requests.set(i64::from(in_progress));
+            if let Some(activity) = activity {
+                let sent = self.evacuated_sent_seconds.with_label_values(&[domain]);
+                sent.set(activity.sent_at.elapsed().as_secs_f64());
+            }
+        }
+    }
+
     /// All metrics in the Prometheus text format; a comment with the error if encoding fails.
     #[must_use]
     pub fn encode_text(&self) -> String {
--- a/crates/sardineshore-serve/src/notices.rs
+++ b/crates/sardineshore-serve/src/notices.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Where notices are recorded.
+    #[must_use]
+    pub fn state(&self) -> &Rc<SharedState> {
+        &self.state
+    }
+
     /// Waits until a notice was recorded that was news.
     pub async fn wait_for_news(&self) {
         self.recorded.notified().await;
@@ -61,7 +67,7 @@
         };
         let now = Instant::now();
         let mut selector = self.state.selector.borrow_mut();
-        let accepted_work = selector.accepts_work(&run.id);
+        let accepted_work = selector.accepts_work(&run.id, now);
         if selector.record_notice(run, notice, now) {
             info!(self.log, "notice of a server"; "server" => &*run.id, "leaving" => notice.leaving, "pause_ms" => notice.pause.map(whole_ms), "was_ready" => accepted_work);
             self.recorded.notify_one();
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -522,6 +522,7 @@
             | Message::Aborted { .. }
             | Message::Refused { .. }
             | Message::Redirected { .. }
+            | Message::Withdrawn { .. }
             | Message::Store(_)
             | Message::Pong => {}
         }
@@ -599,6 +600,9 @@
                     Ok(Message::Redirected { request, accepted }) => {
                         link.finish(&request, JobOutcome::Redirected { accepted });
                     }
+                    Ok(Message::Withdrawn { request, accepted }) => {
+                        link.finish(&request, JobOutcome::Withdrawn { accepted });
+                    }
                     Ok(Message::StageFinished { request, results }) => {
                         if let Some(callback) = link.callbacks.borrow().get(&request) {
                             callback(JobEvent::StageFinished(results));
--- a/crates/sardineshore-serve/src/peers/message.rs
+++ b/crates/sardineshore-serve/src/peers/message.rs
@@ -114,6 +114,13 @@
     Store(ReaderMessage),
     /// Evidence about crashes of servers.
     Crashes(Vec<Evidence>),
+    /// To the submitter: the cell is withdrawn, submit the job to another one.
+    Withdrawn {
+        /// Id of the request.
+        request: Name,
+        /// Whether this owner had accepted the job.
+        accepted: bool,
+    },
 }
 
 impl Message {
@@ -170,5 +177,8 @@
         JobEvent::Ended(JobOutcome::Redirected { accepted }) => {
             Message::Redirected { request, accepted }
         }
+        JobEvent::Ended(JobOutcome::Withdrawn { accepted }) => {
+            Message::Withdrawn { request, accepted }
+        }
     }
 }
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -71,10 +71,13 @@
         let mut replacement = None;
         loop {
             let is_retry = stats.attempts > 0;
+            selection.healthy_only = false;
             let next = if let Some(connected) = replacement.take() {
-                Ok(connected)
+                self.dispatcher
+                    .connect_elsewhere_if_closed(connected, &mut selection, request)
+                    .await
+                    .map_err(|wait| unserved(request, lost, wait, "no server"))
             } else {
-                selection.healthy_only = false;
                 self.next_server(&mut selection, request, is_retry, lost)
                     .await
             };
@@ -181,6 +184,11 @@
         if let Some(refused) = refused {
             return Err(refused);
         }
+        let connected = self
+            .dispatcher
+            .connect_elsewhere_if_closed(connected, selection, request)
+            .await
+            .map_err(|retry_after| unserved(request, lost, retry_after, "no server"))?;
         permit.use_up();
         Ok(connected)
     }
@@ -226,6 +234,9 @@
             }
             Exchanged::Ended(Err(error)) => {
                 connected.record_fault(&error);
+                if let ExchangeError::NotSent = error {
+                    return SendResult::Rejected;
+                }
                 SendResult::Lost(if attempt.has_lost_connection() {
                     "connection broke"
                 } else {
@@ -274,10 +285,10 @@
         connected: &mut ConnectedServer,
         request: &AdmittedRequest<'_>,
     ) -> Result<(Response, Vec<u8>), ExchangeError> {
-        let (server, conn) = (&connected.server, &mut connected.conn);
+        let (attempt, conn) = (&connected.attempt, &mut connected.conn);
         let sent = self
             .dispatcher
-            .send(server, conn, request, ExtraHeaders::default());
+            .send(attempt, conn, request, ExtraHeaders::default());
         let mut response = sent.await?;
         let body = connected.conn.read_body(&mut response).await?;
         Ok((response, body))
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -237,7 +237,14 @@
         }
         loop {
             let connected = match replacement.take() {
-                Some(connected) => Ok(connected),
+                Some(connected) => {
+                    attempts.selection.healthy_only = false;
+                    self.dispatcher
+                        .connect_elsewhere_if_closed(*connected, &mut attempts.selection, request)
+                        .await
+                        .map(Box::new)
+                        .map_err(Unprepared::NoServer)
+                }
                 None => self.prepare_attempt(attempts, false).await,
             };
             let mut connected = match connected {
@@ -378,6 +385,11 @@
         if let Some(refused) = refused {
             return Err(Unprepared::Quarantined(refused));
         }
+        let connected = self
+            .dispatcher
+            .connect_elsewhere_if_closed(connected, &mut attempts.selection, request)
+            .await
+            .map_err(Unprepared::NoServer)?;
         // It may have waited for the turn of a server.
         if self.is_too_late(attempts) {
             self.dispatcher.recycle(connected.conn, &Response::empty());
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -14,7 +14,7 @@
 use crate::request::{Outcome, RequestHandler};
 use crate::state::elapsed_ms;
 use crate::stream::EventFilter;
-use crate::upstream::Response;
+use crate::upstream::{ExchangeError, Response};
 
 /// Time without an event after which another server is prepared to continue a resumable stream. A
 /// sound server may pause for a second or so.
@@ -231,8 +231,8 @@
             inputs: joined_inputs.as_deref(),
             last_event_id,
         };
-        let (server, conn) = (&connected.server, &mut connected.conn);
-        let sent = self.dispatcher.send(server, conn, request, extra);
+        let (attempt, conn) = (&connected.attempt, &mut connected.conn);
+        let sent = self.dispatcher.send(attempt, conn, request, extra);
         let sent = self
             .wait_for_progress(attempts, &connected.attempt, sent, patience, may_retry)
             .await;
@@ -240,7 +240,10 @@
             Progress::Made(Ok(response)) => response,
             Progress::Made(Err(error)) => {
                 connected.record_fault(&error);
-                return Err(End::Lost("connection broke"));
+                return Err(match error {
+                    ExchangeError::NotSent => End::Rejected,
+                    _ => End::Lost("connection broke"),
+                });
             }
             Progress::Replaced(next) => {
                 connected.attempt.finish(AttemptOutcome::Broken);
--- a/crates/sardineshore-serve/src/settings.rs
+++ b/crates/sardineshore-serve/src/settings.rs
@@ -21,6 +21,9 @@
     pub entry_lifetime: Duration,
     /// Longest time for which a revoked key may still be accepted.
     pub revoke: Duration,
+    /// Time after the operators' row from which on nothing may be sent to the servers of an evacuated failure
+    /// domain; `None` if the deployment sets no bound.
+    pub evacuate: Option<Duration>,
     /// Whether requests with a key are refused when the store can't confirm the configuration.
     pub fail_closed: bool,
     /// Retry budget that all instances share.
@@ -34,6 +37,7 @@
             drain: Duration::from_secs(2),
             entry_lifetime: DEFAULT_ENTRY_LIFETIME,
             revoke: Duration::from_secs(5),
+            evacuate: None,
             fail_closed: true,
             repeats: RetryBudgetConfig::default(),
         }
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -109,40 +109,63 @@
         }
     }
 
-    /// Runs all stages of a job; tries a second cell if the first one refuses the job.
+    /// Runs all stages of a job. If its cell is withdrawn, the job goes on in another one with the results of
+    /// the stages that finished; without further cells, in the one of all servers.
     pub async fn run(&self, job: Job) -> StagesResult {
-        let start = Instant::now();
-        let cells = self.cells.cell_names();
+        let progress = JobProgress::new();
+        let mut withdrawn: Vec<Name> = Vec::new();
+        loop {
+            let mut cells = self.cells.cell_names();
+            cells.retain(|cell| !withdrawn.contains(cell));
+            match self.run_in_cells(&job, &cells, &progress).await {
+                Ok(finished) => return Ok(finished),
+                Err(Failure::Withdrawn(cell)) if !withdrawn.contains(&cell) => withdrawn.push(cell),
+                Err(Failure::Withdrawn(_)) => return Err(progress.owners_lost(&job)),
+                Err(Failure::Aborted(refusal) | Failure::Refused(refusal, _)) => {
+                    return Err(refusal);
+                }
+            }
+        }
+    }
+
+    /// Runs all stages of a job; tries a second cell if the first one refuses the job.
+    async fn run_in_cells(
+        &self,
+        job: &Job,
+        cells: &[Name],
+        progress: &JobProgress,
+    ) -> Result<(RequestInputs, ResultGuard), Failure> {
         // Hashes the key of the input, so that a retry reaches the owner that refused the job before.
         let hash_key = if job.key.is_empty() {
             &job.id
         } else {
             &job.key
         };
-        let first = choose_cell(hash_key, &job.preferred_domain, &cells, |cell| {
+        let first = choose_cell(hash_key, &job.preferred_domain, cells, |cell| {
             self.backlog(cell)
         });
-        let (refusal, backlog) = match self.run_in_cell(&first, &job, start).await {
-            Ok(finished) => return Ok(finished),
-            Err(Failure::Aborted(refusal)) => return Err(refusal),
+        let (refusal, backlog) = match self.run_in_cell(&first, job, progress).await {
             Err(Failure::Refused(refusal, backlog)) => (refusal, backlog),
+            ended => return ended,
         };
         let others = cells.iter().filter(|cell| **cell != first);
         let shortest = others.min_by_key(|cell| self.backlog(cell));
         let Some(second) = shortest.filter(|cell| self.backlog(cell) < backlog) else {
-            return Err(refusal);
+            return Err(Failure::Refused(refusal, backlog));
         };
         // The second cell accepts the job only if it can end in time; late jobs are left to the first.
         let job = Job {
             late_allowed: false,
-            ..job
+            ..job.clone()
         };
-        match self.run_in_cell(second, &job, start).await {
-            Ok(finished) => Ok(finished),
-            Err(Failure::Aborted(second) | Failure::Refused(second, _)) => Err(StagesRefusal {
-                retry_after: second.retry_after.min(refusal.retry_after),
-                ..refusal
-            }),
+        match self.run_in_cell(second, &job, progress).await {
+            Err(Failure::Aborted(second) | Failure::Refused(second, _)) => {
+                Err(Failure::Aborted(StagesRefusal {
+                    retry_after: second.retry_after.min(refusal.retry_after),
+                    ..refusal
+                }))
+            }
+            ended => ended,
         }
     }
 
@@ -168,22 +191,25 @@
         &self,
         cell: &Name,
         job: &Job,
-        start: Instant,
+        progress: &JobProgress,
     ) -> Result<(RequestInputs, ResultGuard), Failure> {
-        let finished_stages: FinishedStages = Rc::default();
-        let mut accepted_before = false;
+        let JobProgress {
+            start,
+            finished_stages,
+            accepted_before,
+        } = progress;
         for _ in 0..MAX_OWNERS {
             let mut reached = None;
             for name in rank_owners(cell, &self.peers.candidates()) {
                 let Some(remaining) =
-                    remaining_job(job, &finished_stages, accepted_before, start.elapsed())
+                    remaining_job(job, finished_stages, accepted_before.get(), start.elapsed())
                 else {
                     return Err(Failure::Aborted(StagesRefusal {
                         retry_after: Duration::ZERO,
                         reason: NO_TIME_LEFT,
                     }));
                 };
-                if let Some(submitted) = self.submit(&name, cell, remaining, &finished_stages).await
+                if let Some(submitted) = self.submit(&name, cell, remaining, finished_stages).await
                 {
                     reached = Some((name, submitted));
                     break;
@@ -195,7 +221,7 @@
             match outcome.await {
                 Ok(JobOutcome::Finished(inputs)) => {
                     self.record_backlog(cell, inputs.backlog);
-                    guard.results = used_results(&finished_stages, &inputs);
+                    guard.results = used_results(finished_stages, &inputs);
                     return Ok((inputs, guard));
                 }
                 Ok(JobOutcome::Aborted {
@@ -215,21 +241,21 @@
                     return Err(Failure::Refused(refusal, backlog));
                 }
                 Ok(JobOutcome::Redirected { accepted }) => {
-                    accepted_before |= accepted;
+                    accepted_before.set(accepted_before.get() || accepted);
                     self.peers.back_off(&name);
                 }
+                Ok(JobOutcome::Withdrawn { accepted }) => {
+                    accepted_before.set(accepted_before.get() || accepted);
+                    return Err(Failure::Withdrawn(cell.clone()));
+                }
                 // The link was lost. The next attempt may reach the same owner over a new link.
                 Err(_) => {
-                    accepted_before = true;
+                    accepted_before.set(true);
                     info!(self.log, "owner lost"; "request" => &*job.id, "owner" => &*name);
                 }
             }
         }
-        let left = job.time_to_deadline.saturating_sub(start.elapsed());
-        Err(Failure::Aborted(StagesRefusal {
-            retry_after: left / 3,
-            reason: OWNERS_LOST,
-        }))
+        Err(Failure::Aborted(progress.owners_lost(job)))
     }
 
     /// Submits a job to an instance; `None` if there is no link to it.
@@ -268,6 +294,34 @@
     Aborted(StagesRefusal),
     /// The cell did not accept the job; the duration is its backlog.
     Refused(StagesRefusal, Duration),
+    /// The cell's failure domain is evacuated.
+    Withdrawn(Name),
+}
+
+/// What owners have done for a job so far.
+struct JobProgress {
+    start: Instant,
+    finished_stages: FinishedStages,
+    /// Whether an owner had accepted the job.
+    accepted_before: Cell<bool>,
+}
+
+impl JobProgress {
+    fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            finished_stages: Rc::default(),
+            accepted_before: Cell::new(false),
+        }
+    }
+
+    fn owners_lost(&self, job: &Job) -> StagesRefusal {
+        let left = job.time_to_deadline.saturating_sub(self.start.elapsed());
+        StagesRefusal {
+            retry_after: left / 3,
+            reason: OWNERS_LOST,
+        }
+    }
 }
 
 /// Results of the stages of a job that have finished, at all owners so far.
--- a/crates/sardineshore-serve/src/state.rs
+++ b/crates/sardineshore-serve/src/state.rs
@@ -9,12 +9,13 @@
 use std::time::{Duration, Instant};
 
 use nix::time::{ClockId, clock_gettime};
-use sardineshore_core::flow::config::ConfigIndex;
+use sardineshore_core::flow::config::{ConfigIndex, Name};
 use sardineshore_core::flow::freshness::Freshness;
 use sardineshore_core::flow::retry_budget::RetryBudget;
 use sardineshore_core::flow::selection::ServerSelector;
 use sardineshore_core::flow::time_limit::StreamDurations;
 
+use crate::activity::{Activity, DomainActivity};
 use crate::settings::Settings;
 
 /// Fraction of the revocation bound within which the configuration must have been confirmed for
@@ -38,6 +39,8 @@
     pub freshness: RefCell<Freshness>,
     /// Budget for sending a request to a further server.
     pub retry_budget: RefCell<RetryBudget>,
+    /// Requests in progress by failure domain.
+    pub activity: Rc<DomainActivity>,
     /// How long streams took lately.
     pub stream_durations: RefCell<StreamDurations>,
     revocation_bound: Duration,
@@ -48,13 +51,16 @@
     /// State without a configuration and servers, as at the start of an instance.
     #[must_use]
     pub fn new(settings: &Settings) -> Self {
+        let mut selector = ServerSelector::new(settings.domain.clone());
+        selector.set_evacuation_bound(settings.bounds.evacuate);
         Self {
             config: RefCell::default(),
-            selector: RefCell::new(ServerSelector::new(settings.domain.clone())),
+            selector: RefCell::new(selector),
             servers_known: Cell::new(false),
             crashes_known: Cell::new(false),
             freshness: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.bounds.repeats)),
+            activity: Rc::default(),
             stream_durations: RefCell::default(),
             revocation_bound: settings.bounds.revoke,
             fail_closed: settings.bounds.fail_closed,
@@ -87,6 +93,16 @@
         true
     }
 
+    /// The evacuated failure domains, each with what is in progress there.
+    #[must_use]
+    pub fn evacuated_domains(&self) -> Vec<(Name, Option<Activity>)> {
+        let selector = self.selector.borrow();
+        let evacuated = selector.evacuations().evacuated();
+        evacuated
+            .map(|domain| (domain.clone(), self.activity.of(domain)))
+            .collect()
+    }
+
     /// Whether the configuration was confirmed recently enough to check keys against it.
     ///
     /// Always true unless the deployment asks to fail closed.
--- a/crates/sardineshore-serve/src/upstream.rs
+++ b/crates/sardineshore-serve/src/upstream.rs
@@ -44,6 +44,9 @@
 /// Why an exchange brought no response.
 #[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
+    /// The server's failure domain was evacuated; nothing was sent.
+    #[error("not sent: the server's failure domain is evacuated")]
+    NotSent,
     /// The connection could not be opened; nothing was sent.
     #[error("can't connect: {0}")]
     Connect(io::Error),
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -4,9 +4,10 @@
 //! A response that shows an older state of the store than a previous one changes nothing; the
 //! whole table is then read again.
 //!
-//! Module `waits` tells how long calls wait, `tables` applies what they bring, and `restore` handles a
-//! store that comes back from a copy.
+//! Module `waits` tells how long calls wait, `tables` applies what they bring, `evacuation` the rows that evacuate
+//! failure domains, and `restore` handles a store that comes back from a copy.
 
+mod evacuation;
 mod restore;
 mod tables;
 mod waits;
@@ -107,6 +108,8 @@
     missing_until: Cell<Option<Instant>>,
     clock_checked_at: Cell<Instant>,
     check_clock: Notify,
+    /// Notified when a domain is evacuated or returns.
+    evacuations_changed: Notify,
 }
 
 impl std::fmt::Debug for StoreWatcher {
@@ -170,6 +173,7 @@
             missing_until: Cell::new(None),
             clock_checked_at: Cell::new(Instant::now()),
             check_clock: Notify::new(),
+            evacuations_changed: Notify::new(),
         }
     }
 
@@ -189,6 +193,8 @@
         tokio::task::spawn_local(async move { watcher.check_servers().await });
         let watcher = self.clone();
         tokio::task::spawn_local(async move { watcher.write_settled_era().await });
+        let watcher = self.clone();
+        tokio::task::spawn_local(async move { watcher.follow_evacuations().await });
     }
 
     fn version(&self, table: Table) -> Option<StoreVersion> {
--- a/crates/sardineshore-serve/src/watcher/restore.rs
+++ b/crates/sardineshore-serve/src/watcher/restore.rs
@@ -202,6 +202,7 @@
                 if restored.has_rewritten_config {
                     self.era.borrow_mut().record_config_written(news.version);
                 }
+                self.apply_evacuations(true);
                 // The copy may lack the configuration.
                 self.config_usable.set(false);
                 self.apply_config(news)
--- a/crates/sardineshore-serve/src/watcher/tables.rs
+++ b/crates/sardineshore-serve/src/watcher/tables.rs
@@ -22,6 +22,7 @@
                 if is_written && self.state.config().is_some() {
                     self.era.borrow_mut().record_config_written(news.version);
                 }
+                self.apply_evacuations(false);
                 self.apply_config(news)
             }
             Table::Servers => {
--- a/crates/sardineshore-serve/src/watcher/waits.rs
+++ b/crates/sardineshore-serve/src/watcher/waits.rs
@@ -13,7 +13,7 @@
 /// each response, also one without changes, confirms the configuration.
 pub(super) const CONFIG_WAIT: Duration = Duration::from_millis(2400);
 /// The same while others follow this instance: they notice its loss by missing confirmations.
-const READER_CONFIG_WAIT: Duration = Duration::from_millis(800);
+pub(super) const READER_CONFIG_WAIT: Duration = Duration::from_millis(800);
 /// Longest time for which one call waits for a change of the servers or instances. It can be long
 /// because TCP keep-alive probes detect a dead connection.
 const LONG_WAIT: Duration = Duration::from_secs(20);
