--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -106,7 +106,7 @@
     #[must_use]
     pub fn started_ms(&self, id: &str, now: Instant) -> Option<u64> {
         let server = &self.servers.get(id)?.server;
-        let accepts = server.ready && !self.evacuations.is_closed(&server.domain, now);
+        let accepts = server.ready && self.may_send(server, now);
         accepts.then_some(server.started_ms)
     }
 
@@ -305,16 +305,25 @@
     ) -> Option<impl Iterator<Item = &'a ServerState>> {
         let ids = self.pools.get(&request.pool)?;
         let servers = ids.iter().filter_map(|id| self.servers.get(id));
-        Some(servers.filter(move |s| {
+        let servers = servers.filter(move |s| {
             s.server.ready
                 && !request.tried.contains(&s.server.id)
                 && request.version.allows(&s.server)
-                && self.may_send(&s.server, request, now)
-        }))
+                && self.may_send(&s.server, now)
+        });
+        let is_admitted = move |s: &ServerState| self.is_admitted(&s.server, request, now);
+        // Requests leave a domain gradually, and return to it so, only if there are other servers.
+        let has_admitted = self.evacuations.is_empty() || servers.clone().any(is_admitted);
+        Some(servers.filter(move |s| !has_admitted || is_admitted(s)))
+    }
+
+    /// Whether anything may be sent to a server that is ready.
+    fn may_send(&self, server: &Server, now: Instant) -> bool {
+        !self.evacuations.is_closed(&server.domain, now)
     }
 
-    /// Whether a request may be sent to a server that could run it.
-    fn may_send(&self, server: &Server, request: &SelectionRequest, now: Instant) -> bool {
+    /// Whether a request is among the share that may go to a server's failure domain.
+    fn is_admitted(&self, server: &Server, request: &SelectionRequest, now: Instant) -> bool {
         let domain = &server.domain;
         self.evacuations.is_empty()
             || (self.evacuations).access(domain, request.domain_share(domain), now)
--- a/crates/sardineshore-serve/src/watcher/evacuation.rs
+++ b/crates/sardineshore-serve/src/watcher/evacuation.rs
@@ -33,12 +33,15 @@
             selector.set_evacuations(&rows, earliest, now)
         };
         drop(selector);
+        if is_restored || !changes.is_empty() {
+            // Rows that the store lacks may lapse.
+            self.evacuations_changed.notify_one();
+        }
         if changes.is_empty() {
             return;
         }
         self.log_evacuations(&changes, confirmed, now);
         (self.on_change)();
-        self.evacuations_changed.notify_one();
     }
 
     /// The domains that rows of the store evacuate, with the versions of these rows.
