feat(selection): cold servers get a low rate that instances share

Cause: a server that has just started, or turns cold again, sustains only a low rate for some seconds and crashes well above it. Nothing told the selector; it sent such servers as much as all others.

Ruled out: RateLimit as it is. It gives each turn to one instance by its rank. With 84 instances of 1.9 requests per second each, that instance has none in most turns, and instances that know different numbers of others overlap at random.

The selector leaves out cold servers without a turn, prefers them slightly in a turn, and doesn't learn latency from them.

--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -15,6 +15,7 @@
 
 pub mod batching;
 pub mod cells;
+pub mod cold;
 pub mod config;
 pub mod freshness;
 pub mod heartbeat;
--- a/crates/sardineshore-core/src/flow/config.rs
+++ b/crates/sardineshore-core/src/flow/config.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cold::ColdSpec;
+
 /// A name or identifier, spelled as in the operators' documents. Cloning it is cheap.
 pub type Name = Arc<str>;
 
@@ -142,6 +144,8 @@
     pub max_connections: u32,
     /// Work of its servers.
     pub kind: PoolKind,
+    /// What its servers take while they are cold; `None` if they never are.
+    pub cold: Option<ColdSpec>,
 }
 
 /// A customer and the API keys of its callers.
@@ -357,4 +361,6 @@
     pub ready: bool,
     /// When this process of the server started, in Unix milliseconds; 0 if unknown.
     pub started_ms: u64,
+    /// How much longer the server is cold; `None` if its entry doesn't tell.
+    pub cold_remaining: Option<Duration>,
 }
--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -16,10 +16,11 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::cold::{ColdBound, ColdChange, ColdServers, ColdSpec};
 use super::config::{Name, Server};
 use super::notices::{NoticeBoard, ServerNotice, ServerRun};
-use super::turns::{RateLimit, TurnSchedule};
-use cost::total_cost;
+use super::turns::{RateLimit, TurnSchedule, TurnSharing};
+use cost::{COLD_TURN_BENEFIT, total_cost};
 pub use request::{
     AttemptOutcome, LoadReport, PromptPart, RequiredVersion, SelectedServer, SelectionRequest,
 };
@@ -37,6 +38,8 @@
     limits: HashMap<Name, RateLimit>,
     /// When this instance may send to servers with such a rate.
     schedule: Option<TurnSchedule>,
+    /// Servers that sustain only a low rate for some seconds.
+    cold: ColdServers,
     /// What servers said about themselves.
     notices: NoticeBoard,
 }
@@ -177,14 +180,72 @@
         self.schedule = Some(schedule);
     }
 
-    /// Time until this instance may send a request to a server that has a rate limit or wants a pause;
-    /// `None` if no such server could run it.
+    /// Sets the bound on the requests that a cold server may get.
+    pub fn set_cold_bound(&mut self, bound: ColdBound) {
+        self.cold.set_bound(bound);
+    }
+
+    /// Replaces what is known of pools whose servers may be cold.
+    pub fn set_cold_specs(&mut self, specs: impl IntoIterator<Item = (Name, ColdSpec)>) {
+        self.cold.set_specs(specs);
+    }
+
+    /// Records which servers are cold by the entries that were read, new or written again, after
+    /// [`Self::set_servers`] has got the list with them.
+    pub fn record_entries(&mut self, entries: &[Server], now: Instant) {
+        let servers = &self.servers;
+        // The list may already have a later entry than one that was read.
+        let is_listed = |entry: &&Server| {
+            servers.get(&entry.id).is_some_and(|known| {
+                let known = &known.server;
+                (known.started_ms, known.cold_remaining) == (entry.started_ms, entry.cold_remaining)
+            })
+        };
+        let entries = entries.iter().filter(is_listed);
+        self.cold
+            .record_reading(entries, |id| servers.contains_key(id), now);
+    }
+
+    /// Makes all servers of a failure domain that returns to service cold for the time after a start,
+    /// until their next entries say something else.
+    pub fn mark_domain_cold(&mut self, domain: &Name, now: Instant) {
+        self.cold.mark_domain(domain, now);
+    }
+
+    /// Number of cold servers.
+    #[must_use]
+    pub fn cold_servers(&self, now: Instant) -> usize {
+        self.cold.count(now)
+    }
+
+    /// Servers that turned cold or warm since the last call, for the log.
+    pub fn take_cold_changes(&mut self, now: Instant) -> Vec<ColdChange> {
+        self.cold.take_changes(now)
+    }
+
+    /// Sets how this instance shares the turns at cold servers with the others.
+    pub fn set_sharing(&mut self, sharing: TurnSharing, now: Instant) {
+        self.cold.set_sharing(sharing, now);
+    }
+
+    /// Whether a server that could run the request is cold.
+    #[must_use]
+    pub fn has_cold_server(&self, request: &SelectionRequest, now: Instant) -> bool {
+        self.untried_servers(request)
+            .is_some_and(|mut servers| servers.any(|s| self.cold.is_cold(&s.server.id, now)))
+    }
+
+    /// Time until this instance may send a request to a server that has a rate limit, wants a pause or
+    /// is cold; `None` if no such server could run it.
     #[must_use]
     pub fn next_turn(&self, request: &SelectionRequest, now: Instant) -> Option<Duration> {
-        let servers = self.untried_servers(request)?;
-        servers
-            .filter_map(|state| self.wait(&state.server, now))
-            .min()
+        let mut first = None;
+        for state in self.untried_servers(request)? {
+            let within = first.unwrap_or(Duration::MAX);
+            let wait = self.wait(&state.server, within, now);
+            first = wait.map(|wait| wait.min(within)).or(first);
+        }
+        first
     }
 
     /// Time until the first server that could run the request wants requests again; `None` if one
@@ -206,32 +267,46 @@
             .paused_until(&server.id, server.started_ms, now)
     }
 
-    /// Time until this instance may send to a server; `None` if it has no rate limit and wants no
-    /// pause.
-    fn wait(&self, server: &Server, now: Instant) -> Option<Duration> {
+    /// Time until this instance may send to a server; `None` if it has no rate limit, wants no pause and
+    /// is not cold. If the time is longer than `within`, it may be too short.
+    fn wait(&self, server: &Server, within: Duration, now: Instant) -> Option<Duration> {
         let pause = self.paused_until(server, now);
         let pause = pause.map(|until| until.saturating_duration_since(now));
         let limit = self.limits.get(&server.id).zip(self.schedule.as_ref());
-        pause.max(limit.map(|(limit, schedule)| limit.next_turn(schedule, now)))
+        let limit = limit.map(|(limit, schedule)| limit.next_turn(schedule, now));
+        let cold = self.cold.next_turn(&server.id, within, now);
+        pause.max(limit).max(cold)
+    }
+
+    /// Whether this instance may send a request to a server now.
+    fn may_send(&self, state: &ServerState, now: Instant) -> bool {
+        let wait = self.wait(&state.server, Duration::ZERO, now);
+        wait.is_none_or(|wait| wait.is_zero())
     }
 
     /// Requests per second that this instance may send if all servers that could run the request have
-    /// a rate limit, want a pause or are saturated; `None` if one does not, or none has a limit.
+    /// a rate limit, want a pause, are cold, or are saturated beside such with a rate limit; `None` if
+    /// one is not, or none has a limit or is cold.
     #[must_use]
     pub fn limited_rate(&self, request: &SelectionRequest, now: Instant) -> Option<f64> {
         let schedule = self.schedule?;
-        let mut rate = 0.0;
+        let (mut rate, mut has_limits, mut is_any_saturated) = (0.0, false, false);
         for state in self.untried_servers(request)? {
             if self.paused_until(&state.server, now).is_some() {
                 continue;
             }
-            match self.limits.get(&state.server.id) {
-                Some(limit) => rate += limit.rate(),
-                None if state.is_saturated(now) => {}
-                None => return None,
+            let limit = self.limits.get(&state.server.id).map(RateLimit::rate);
+            has_limits |= limit.is_some();
+            match (limit, self.cold.rate(&state.server.id, now)) {
+                (Some(limit), Some(cold)) => rate += limit.min(cold),
+                (Some(one), None) | (None, Some(one)) => rate += one,
+                (None, None) if state.is_saturated(now) => is_any_saturated = true,
+                (None, None) => return None,
             }
         }
-        (rate > 0.0).then(|| rate / schedule.instances.max(1) as f64)
+        // Saturated servers take requests that cold ones don't.
+        let is_limited = rate > 0.0 && (has_limits || !is_any_saturated);
+        is_limited.then(|| rate / schedule.instances.max(1) as f64)
     }
 
     /// Servers of the request's pool that are ready, were not tried and have a version that can run it.
@@ -256,11 +331,16 @@
         // Servers without a rate limit can't take all that others don't.
         let spills = self.schedule.is_some()
             && (self.untried_servers(request)?).any(|s| self.limits.contains_key(&s.server.id));
-        let servers: Vec<&ServerState> = self
+        let mut servers: Vec<&ServerState> = self
             .untried_servers(request)?
-            .filter(|s| self.wait(&s.server, now).is_none_or(|wait| wait.is_zero()))
+            .filter(|s| self.may_send(s, now))
             .filter(|s| !spills || !s.is_saturated(now))
             .collect();
+        let is_cold = |s: &ServerState| self.cold.is_cold(&s.server.id, now);
+        let is_warm = |s: &&ServerState| s.health.is_usable(now) && !is_cold(s);
+        if !self.cold.has_common_turns() && servers.iter().any(is_warm) {
+            servers.retain(|s| !is_cold(s));
+        }
         let available: Vec<&ServerState> = servers
             .iter()
             .copied()
@@ -271,13 +351,20 @@
         } else {
             available
         };
-        let preferred = preferred_server(request, &candidates);
+        let preferred = if candidates.iter().any(|s| is_cold(s)) {
+            self.preferred_beside_cold(request, &candidates, now)
+        } else {
+            preferred_server(request, &candidates)
+        };
         candidates
             .into_iter()
             .map(|state| {
                 let is_preferred = preferred.as_ref() == Some(&state.server.id);
                 let uncached_tokens = state.uncached_tokens(request, is_preferred, now);
-                let cost = total_cost(state, request, &self.domain, uncached_tokens, now);
+                let mut cost = total_cost(state, request, &self.domain, uncached_tokens, now);
+                if is_cold(state) {
+                    cost -= COLD_TURN_BENEFIT.as_secs_f64();
+                }
                 (cost, uncached_tokens, state)
             })
             .min_by(|a, b| {
@@ -289,10 +376,28 @@
                 address: state.server.address,
                 domain: state.server.domain.clone(),
                 version: state.server.version.clone(),
+                is_cold: self.cold.is_cold(&state.server.id, now),
                 uncached_tokens,
             })
     }
 
+    /// Preferred server for a prompt prefix if cold servers are among the candidates: one of those only
+    /// if it is preferred among all servers, so that it caches prompts which it will keep. Otherwise
+    /// prompts whose server has no turn would move from one cold server to the next.
+    fn preferred_beside_cold(
+        &self,
+        request: &SelectionRequest,
+        candidates: &[&ServerState],
+        now: Instant,
+    ) -> Option<Name> {
+        let all: Vec<&ServerState> = self.untried_servers(request)?.collect();
+        let home = preferred_server(request, &all)?;
+        let is_settled =
+            |s: &&&ServerState| s.server.id == home || !self.cold.is_cold(&s.server.id, now);
+        let settled: Vec<&ServerState> = candidates.iter().filter(is_settled).copied().collect();
+        preferred_server(request, &settled)
+    }
+
     /// Records that a request is being sent to a server.
     pub fn record_start(
         &mut self,
@@ -303,6 +408,7 @@
         if let Some((limit, schedule)) = self.limits.get_mut(&server.id).zip(self.schedule) {
             limit.record_send(&schedule, now);
         }
+        self.cold.record_send(&server.id, now);
         if let Some(state) = self.servers.get_mut(&server.id) {
             state.in_flight += 1;
             state.prefill_tokens += u64::from(server.uncached_tokens);
@@ -336,7 +442,11 @@
             if outcome == AttemptOutcome::Broken {
                 state.recent_parts.clear();
             }
-            state.health.record(outcome, now);
+            match outcome {
+                // It tells nothing of how long the server takes once it is warm.
+                AttemptOutcome::Answered(_) if server.is_cold => state.health.record_response(now),
+                outcome => state.health.record(outcome, now),
+            }
         }
     }
 
--- a/crates/sardineshore-core/src/flow/selection/health.rs
+++ b/crates/sardineshore-core/src/flow/selection/health.rs
@@ -87,13 +87,18 @@
         self.silent_until = Some(now + SILENCE_BACKOFF);
     }
 
+    /// Records that an attempt was answered, without the time that it took.
+    pub fn record_response(&mut self, now: Instant) {
+        self.broken_attempts = 0;
+        self.backoff_until = None;
+        self.record_error(0.0, now);
+    }
+
     /// Records the outcome of an attempt.
     pub fn record(&mut self, outcome: AttemptOutcome, now: Instant) {
         match outcome {
             AttemptOutcome::Answered(latency) => {
-                self.broken_attempts = 0;
-                self.backoff_until = None;
-                self.record_error(0.0, now);
+                self.record_response(now);
                 self.mean_latency_s += LATENCY_GAIN * (latency.as_secs_f64() - self.mean_latency_s);
             }
             AttemptOutcome::Failure => self.record_error(1.0, now),
--- a/crates/sardineshore-core/src/flow/selection/request.rs
+++ b/crates/sardineshore-core/src/flow/selection/request.rs
@@ -101,6 +101,8 @@
     pub domain: Name,
     /// Version of the server's software; `None` if it names none.
     pub version: Option<Name>,
+    /// Whether the server was cold when it was selected.
+    pub is_cold: bool,
     /// Prompt tokens that the server is expected to prefill, as they are not in its cache.
     pub uncached_tokens: u32,
 }
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -197,6 +197,7 @@
         slots: 16,
         ready: true,
         started_ms: 1,
+        cold_remaining: None,
     }
 }
 
--- a/crates/sardineshore-core/tests/notices.rs
+++ b/crates/sardineshore-core/tests/notices.rs
@@ -32,6 +32,7 @@
         slots: 8,
         ready: true,
         started_ms,
+        cold_remaining: None,
     }
 }
 
--- a/crates/sardineshore-core/tests/registry.rs
+++ b/crates/sardineshore-core/tests/registry.rs
@@ -23,6 +23,7 @@
             slots: 1,
             ready: true,
             started_ms: 0,
+            cold_remaining: None,
         }),
         version: at(version),
     }
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -20,6 +20,7 @@
         slots: 8,
         ready: true,
         started_ms: 1,
+        cold_remaining: None,
     }
 }
 
--- a/crates/sardineshore-core/tests/stream_versions_search.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search.rs
@@ -404,6 +404,7 @@
                 slots: 8,
                 ready: true,
                 started_ms: 1,
+                cold_remaining: None,
             })
             .collect();
         instance.known.set_servers(servers.iter(), now);
--- a/crates/sardineshore-core/tests/turns.rs
+++ b/crates/sardineshore-core/tests/turns.rs
@@ -156,5 +156,6 @@
         slots: 8,
         ready: true,
         started_ms: 1,
+        cold_remaining: None,
     }
 }
