feat(serve): cold servers are known from entries and the configuration

Cause: nothing read cold_start_s and cold_per_s of services, nor cold_remaining_ms of servers' entries.

Ruled out: fields in the structs that decode these documents.

Change: the watcher records entries that were read, the active configuration sets the rates, and the schedule of turns is updated also if only cold servers need it. Without a clock of the store or a list of instances nothing goes to cold servers while others are left. Log lines and metrics tell which servers are cold, sends to them, and requests that wait for one. A request that is refused after such a wait is told a time that counts those before it.

--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -113,6 +113,8 @@
     limits: Rc<LimitExchange>,
     notices: Rc<NoticeReader>,
     versions: Rc<VersionRecords>,
+    /// Has one more reference for each request that waits for its turn at a cold server.
+    waits_for_cold: Rc<()>,
     dialect: Rc<dyn Dialect>,
     metrics: Rc<Metrics>,
     log: Logger,
@@ -289,6 +291,7 @@
             limits,
             notices,
             versions,
+            waits_for_cold: Rc::default(),
             dialect,
             metrics,
             log,
@@ -360,6 +363,7 @@
         let mut at_limit: Vec<Name> = Vec::new();
         // Time for which the request waited until a server takes it.
         let mut waited = Duration::ZERO;
+        let mut wait_for_cold = None;
         loop {
             let mut narrowed = selection.clone();
             narrowed.tried.extend(at_limit.iter().cloned());
@@ -368,10 +372,27 @@
             let selected = self.state.selector.borrow().select(&narrowed, now);
             let Some(server) = selected else {
                 let wait = self.state.selector.borrow().next_turn(&narrowed, now);
+                let is_any_cold = {
+                    let selector = self.state.selector.borrow();
+                    wait.is_some() && selector.has_cold_server(&narrowed, now)
+                };
+                let is_first = is_any_cold && wait_for_cold.is_none();
+                if is_first {
+                    wait_for_cold = Some(self.waits_for_cold.clone());
+                }
                 let Some(wait) = wait.filter(|wait| waited + *wait <= Self::patience(request))
                 else {
-                    return Err(wait.unwrap_or_default().max(RETRY_AFTER_NO_SERVER));
+                    let wait = wait.unwrap_or_default().max(RETRY_AFTER_NO_SERVER);
+                    return Err(if is_any_cold {
+                        wait.max(self.wait_behind_others(&narrowed))
+                    } else {
+                        wait
+                    });
                 };
+                if is_first {
+                    let waits = &self.metrics.cold_waits;
+                    waits.with_label_values(&[&*narrowed.pool]).inc();
+                }
                 waited += wait + TURN_MARGIN;
                 tokio::time::sleep(wait + TURN_MARGIN).await;
                 continue;
@@ -411,6 +432,12 @@
         }
     }
 
+    /// Time that the requests of this instance which wait for cold servers need, this one included.
+    fn wait_behind_others(&self, selection: &SelectionRequest) -> Duration {
+        let queued = Rc::strong_count(&self.waits_for_cold) - 2;
+        self.expected_wait(selection, queued).unwrap_or_default()
+    }
+
     fn start_on_connection(
         &self,
         server: SelectedServer,
@@ -431,6 +458,10 @@
             .selector
             .borrow_mut()
             .record_start(server, selection, now);
+        if server.is_cold {
+            let sends = &self.metrics.cold_sends;
+            sends.with_label_values(&[&*selection.pool]).inc();
+        }
         Attempt {
             server: server.clone(),
             pool: selection.pool.clone(),
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -12,6 +12,7 @@
 use crate::attempt::Dispatcher;
 use crate::budget::ReceiveBudget;
 use crate::cell::OwnedCells;
+use crate::cold::ColdReporter;
 use crate::crashes::CrashMonitor;
 use crate::dialect::Dialect;
 use crate::limits::LimitExchange;
@@ -59,6 +60,7 @@
     peers: Rc<Peers>,
     dispatcher: Rc<Dispatcher>,
     notices: Rc<NoticeReader>,
+    cold: Rc<ColdReporter>,
     shutdown: Rc<Shutdown>,
     metrics: Rc<Metrics>,
     handler: Rc<RequestHandler>,
@@ -83,6 +85,7 @@
     ));
     let notices = NoticeReader::new(state.clone(), dialect.clone(), log.clone());
     let notices = Rc::new(notices);
+    let cold = ColdReporter::new(state.clone(), metrics.clone(), log.clone());
     let cells = Rc::new(OwnedCells::new(
         dialect.clone(),
         connections.clone(),
@@ -145,6 +148,7 @@
         peers,
         dispatcher,
         notices,
+        cold: Rc::new(cold),
         shutdown,
         metrics,
         handler,
@@ -203,6 +207,7 @@
         "metrics",
         monitoring::serve(settings.metrics, metrics_handler),
     );
+    let cold = components.cold.clone();
     let pools = [&components.connections, &components.store_connections].map(Rc::clone);
     tokio::task::spawn_local(async move {
         loop {
@@ -210,6 +215,8 @@
             for pool in &pools {
                 pool.evict_idle();
             }
+            // No entry arrives when a server turns warm as its time is over.
+            cold.report();
         }
     });
     tokio::task::spawn_local(caller::accept(listener, components.handler.clone()));
@@ -240,7 +247,9 @@
 fn start_watching(components: &Components, bounds: &Bounds, log: &Logger) {
     let (state, cells) = (components.state.clone(), components.cells.clone());
     let versions = components.dispatcher.versions().clone();
+    let cold = components.cold.clone();
     let update_cells = Rc::new(move || {
+        cold.report();
         versions.update();
         if let Some(config) = state.config() {
             cells.set_servers(&state.selector.borrow(), &config);
--- a/crates/sardineshore-serve/src/lib.rs
+++ b/crates/sardineshore-serve/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod budget;
 pub mod caller;
 pub mod cell;
+pub mod cold;
 pub mod crashes;
 pub mod dialect;
 pub mod http1;
--- a/crates/sardineshore-serve/src/limits.rs
+++ b/crates/sardineshore-serve/src/limits.rs
@@ -11,7 +11,7 @@
 use sardineshore_core::flow::cells::rank_owners;
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::replica::TableChanges;
-use sardineshore_core::flow::turns::TurnSchedule;
+use sardineshore_core::flow::turns::{TurnSchedule, TurnSharing};
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
@@ -80,19 +80,29 @@
         self.to_write.notify_one();
     }
 
-    /// Updates the order of turns if there are servers with limits.
+    /// Updates the order of turns if there are servers with limits or cold ones.
     pub fn update_schedule(&self) {
-        if !self.state.selector.borrow().has_limits() {
+        let mut selector = self.state.selector.borrow_mut();
+        let is_any_cold = selector.cold_servers(Instant::now()) > 0;
+        if !selector.has_limits() && !is_any_cold {
             return;
         }
         let now = boot_time();
         let common_time = self.state.freshness.borrow().store_time(now);
-        let schedule = TurnSchedule {
+        let clock = (Instant::now(), common_time.unwrap_or(now));
+        selector.set_schedule(TurnSchedule {
             rank: self.peers.rank(),
             instances: self.peers.instance_count(),
-            clock: (Instant::now(), common_time.unwrap_or(now)),
-        };
-        self.state.selector.borrow_mut().set_schedule(schedule);
+            clock,
+        });
+        if is_any_cold {
+            let own = &self.peers.this_instance().name;
+            let candidates = self.peers.candidates();
+            let instances = candidates.iter().map(|one| (&*one.name, &one.domain));
+            let is_common = common_time.is_some() && self.state.instances_known.get();
+            let sharing = TurnSharing::new(own, instances, clock, is_common);
+            selector.set_sharing(sharing, clock.0);
+        }
     }
 
     /// Applies changes of the rows in the store.
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -37,6 +37,12 @@
     pub stages_refused: IntCounterVec,
     /// Requests sent although their like are quarantined.
     pub quarantine_trials: IntCounter,
+    /// Servers that are cold.
+    pub cold_servers: IntGauge,
+    /// Requests sent to cold servers, by pool.
+    pub cold_sends: IntCounterVec,
+    /// Requests that waited for their turn at a cold server, by pool.
+    pub cold_waits: IntCounterVec,
     /// Requests in progress.
     pub active_requests: IntGauge,
 }
@@ -72,6 +78,18 @@
         )?;
         let piece_calls = counter("sardine_piece_calls_total", "Calls for pieces.", &["end"])?;
         let pieces = counter("sardine_pieces_total", "Pieces sent.", &["cell"])?;
+        let cold_sends = counter(
+            "sardine_cold_sends_total",
+            "Sends to cold servers.",
+            &["pool"],
+        )?;
+        let cold_waits = counter(
+            "sardine_cold_waits_total",
+            "Requests that waited for a cold server.",
+            &["pool"],
+        )?;
+        let cold_servers = IntGauge::new("sardine_cold_servers", "Servers that are cold.")?;
+        registry.register(Box::new(cold_servers.clone()))?;
         let crashes = IntCounter::new("sardine_crashes_total", "Crashes of servers seen.")?;
         registry.register(Box::new(crashes.clone()))?;
         let crash_causes = IntGauge::new("sardine_crash_causes", "Causes of known crashes.")?;
@@ -111,6 +129,9 @@
             quarantined,
             stages_refused,
             quarantine_trials,
+            cold_servers,
+            cold_sends,
+            cold_waits,
             active_requests,
         })
     }
--- a/crates/sardineshore-serve/src/settings.rs
+++ b/crates/sardineshore-serve/src/settings.rs
@@ -6,6 +6,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use sardineshore_core::flow::cold::ColdBound;
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::registry::DEFAULT_ENTRY_LIFETIME;
 use sardineshore_core::flow::retry_budget::RetryBudgetConfig;
@@ -25,6 +26,8 @@
     pub fail_closed: bool,
     /// Retry budget that all instances share.
     pub repeats: RetryBudgetConfig,
+    /// Most requests that a cold server may get from all instances together.
+    pub cold: ColdBound,
 }
 
 impl Default for Bounds {
@@ -36,6 +39,7 @@
             revoke: Duration::from_secs(5),
             fail_closed: true,
             repeats: RetryBudgetConfig::default(),
+            cold: ColdBound::default(),
         }
     }
 }
--- a/crates/sardineshore-serve/src/state.rs
+++ b/crates/sardineshore-serve/src/state.rs
@@ -32,6 +32,8 @@
     pub selector: RefCell<ServerSelector>,
     /// Whether the list of servers has been read.
     pub servers_known: Cell<bool>,
+    /// Whether the list of instances has been read.
+    pub instances_known: Cell<bool>,
     /// Whether the evidence about crashes has been read.
     pub crashes_known: Cell<bool>,
     /// When the store last confirmed that the configuration is the newest one.
@@ -48,10 +50,13 @@
     /// State without a configuration and servers, as at the start of an instance.
     #[must_use]
     pub fn new(settings: &Settings) -> Self {
+        let mut selector = ServerSelector::new(settings.domain.clone());
+        selector.set_cold_bound(settings.bounds.cold);
         Self {
             config: RefCell::default(),
-            selector: RefCell::new(ServerSelector::new(settings.domain.clone())),
+            selector: RefCell::new(selector),
             servers_known: Cell::new(false),
+            instances_known: Cell::new(false),
             crashes_known: Cell::new(false),
             freshness: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.bounds.repeats)),
@@ -83,6 +88,10 @@
         let routes: HashSet<&str> = config.route_names().collect();
         let mut durations = self.stream_durations.borrow_mut();
         durations.retain(|route| routes.contains(route));
+        let cold = config
+            .pools()
+            .filter_map(|pool| Some((pool.name.clone(), pool.cold?)));
+        self.selector.borrow_mut().set_cold_specs(cold);
         *current = Some(Rc::new(config));
         true
     }
--- a/crates/sardineshore-serve/src/watcher/tables.rs
+++ b/crates/sardineshore-serve/src/watcher/tables.rs
@@ -85,12 +85,19 @@
 
     /// Applies changes of the servers.
     fn apply_servers(&self, changes: &TableChanges) {
-        let rows = changes.rows.iter().map(|row| self.decode_entry(row));
+        let rows: Vec<_> = (changes.rows.iter())
+            .map(|row| self.decode_entry(row))
+            .collect();
+        let entries = rows.iter().filter_map(|row| match &row.entry {
+            RegistryEntry::Server(server) => Some(server.clone()),
+            _ => None,
+        });
+        let entries: Vec<_> = entries.collect();
         let mut registry = self.servers.borrow_mut();
         let (missing, version) = (changes.missing.clone(), changes.version);
         self.state.servers_known.set(true);
         let (missing_before, now) = (registry.missing_entries(), Instant::now());
-        let applied = registry.apply_changes(rows.collect(), missing, version, now);
+        let applied = registry.apply_changes(rows, missing, version, now);
         let (missing, end) = (registry.missing_entries(), registry.next_end());
         if let Some(end) = end.filter(|_| missing > missing_before) {
             let left = end.saturating_duration_since(now);
@@ -102,8 +109,14 @@
             drop(registry);
             let ready = servers.iter().filter(|server| server.ready).count();
             info!(self.log, "servers"; "listed" => servers.len(), "ready" => ready, "version" => version.number, "era" => version.era);
-            self.state.selector.borrow_mut().set_servers(servers);
+            let mut selector = self.state.selector.borrow_mut();
+            selector.set_servers(servers);
+            selector.record_entries(&entries, now);
+            drop(selector);
             (self.on_change)();
+        } else if applied == ApplyOutcome::Unchanged {
+            let mut selector = self.state.selector.borrow_mut();
+            selector.record_entries(&[], now);
         }
     }
 
@@ -119,6 +132,7 @@
                 Some(Err(_)) | None => instances.remove(&row.key),
             };
         }
+        self.state.instances_known.set(true);
         let now = Instant::now();
         let mut missing = changes.missing.clone();
         let expired = unlisted.iter().filter(|(_, until)| now >= **until);
