--- a/crates/sardineshore-core/src/flow/cold.rs
+++ b/crates/sardineshore-core/src/flow/cold.rs
@@ -273,6 +273,9 @@
 
     /// The server and the turns at it, if it is cold.
     fn find(&self, id: &str, now: Instant) -> Option<(&ServerState, SharedTurn)> {
+        if self.specs.is_empty() {
+            return None;
+        }
         let state = self.servers.get(id)?;
         let (_, turn) = self.specs.get(&state.pool)?;
         let is_cold = state.cold_until.is_some_and(|(until, _)| now < until);
@@ -288,9 +291,6 @@
     /// Number of cold servers.
     #[must_use]
     pub fn count(&self, now: Instant) -> usize {
-        if self.specs.is_empty() {
-            return 0;
-        }
         let ids = self.servers.keys();
         ids.filter(|id| self.is_cold(id, now)).count()
     }
--- a/crates/sardineshore-core/tests/cold.rs
+++ b/crates/sardineshore-core/tests/cold.rs
@@ -57,8 +57,10 @@
         let number: usize = name.trim_start_matches("front-").parse().unwrap();
         format!("d{}", number % 4).into()
     };
-    let known: Vec<_> = known.iter().map(|name| (name, domain(name))).collect();
-    let instances = known.iter().map(|(name, domain)| (name.as_str(), domain));
+    let others = known.iter().map(String::as_str).filter(|name| *name != own);
+    let known = others.chain([own]).map(|name| (name, domain(name)));
+    let known: Vec<_> = known.collect();
+    let instances = known.iter().map(|(name, domain)| (*name, domain));
     TurnSharing::new(own, instances, clock, true)
 }
 
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -382,12 +382,12 @@
                 }
                 let Some(wait) = wait.filter(|wait| waited + *wait <= Self::patience(request))
                 else {
-                    let wait = wait.unwrap_or_default().max(RETRY_AFTER_NO_SERVER);
-                    return Err(if is_any_cold {
-                        wait.max(self.wait_behind_others(&narrowed))
+                    let least = if is_any_cold {
+                        self.wait_behind_others(&narrowed)
                     } else {
-                        wait
-                    });
+                        RETRY_AFTER_NO_SERVER
+                    };
+                    return Err(wait.unwrap_or_default().max(least));
                 };
                 if is_first {
                     let waits = &self.metrics.cold_waits;
@@ -435,7 +435,8 @@
     /// Time that the requests of this instance which wait for cold servers need, this one included.
     fn wait_behind_others(&self, selection: &SelectionRequest) -> Duration {
         let queued = Rc::strong_count(&self.waits_for_cold) - 2;
-        self.expected_wait(selection, queued).unwrap_or_default()
+        let expected = self.expected_wait(selection, queued);
+        expected.unwrap_or(RETRY_AFTER_NO_SERVER)
     }
 
     fn start_on_connection(
