--- a/crates/sardineshore-core/tests/evacuation.rs
+++ b/crates/sardineshore-core/tests/evacuation.rs
@@ -156,6 +156,7 @@
         ready: true,
         address: ([127, 0, 0, 1], 1).into(),
         started_ms: 1,
+        cold_remaining: None,
     }
 }
 
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -1,12 +1,12 @@
 //! Prometheus metrics of an instance.
 
+mod evacuation;
+
+pub use evacuation::EvacuationMetrics;
 use prometheus::{
-    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
-use sardineshore_core::flow::config::Name;
-
-use crate::activity::Activity;
 
 /// Upper bounds of the buckets of latency histograms, in seconds.
 const LATENCY_BUCKETS: &[f64] = &[
@@ -40,14 +40,16 @@
     pub stages_refused: IntCounterVec,
     /// Requests sent although their like are quarantined.
     pub quarantine_trials: IntCounter,
+    /// Servers that are cold.
+    pub cold_servers: IntGauge,
+    /// Requests sent to cold servers, by pool.
+    pub cold_sends: IntCounterVec,
+    /// Requests that waited for their turn at a cold server, by pool.
+    pub cold_waits: IntCounterVec,
     /// Requests in progress.
     pub active_requests: IntGauge,
     /// Evacuated failure domains.
-    pub evacuated_domains: IntGauge,
-    /// Requests in progress at servers of evacuated domains, by domain.
-    pub evacuated_requests: IntGaugeVec,
-    /// Seconds since a request was sent to servers of evacuated domains, by domain.
-    pub evacuated_sent_seconds: GaugeVec,
+    pub evacuation: EvacuationMetrics,
 }
 
 impl Metrics {
@@ -81,6 +83,18 @@
         )?;
         let piece_calls = counter("sardine_piece_calls_total", "Calls for pieces.", &["end"])?;
         let pieces = counter("sardine_pieces_total", "Pieces sent.", &["cell"])?;
+        let cold_sends = counter(
+            "sardine_cold_sends_total",
+            "Sends to cold servers.",
+            &["pool"],
+        )?;
+        let cold_waits = counter(
+            "sardine_cold_waits_total",
+            "Requests that waited for a cold server.",
+            &["pool"],
+        )?;
+        let cold_servers = IntGauge::new("sardine_cold_servers", "Servers that are cold.")?;
+        registry.register(Box::new(cold_servers.clone()))?;
         let crashes = IntCounter::new("sardine_crashes_total", "Crashes of servers seen.")?;
         registry.register(Box::new(crashes.clone()))?;
         let crash_causes = IntGauge::new("sardine_crash_causes", "Causes of known crashes.")?;
@@ -107,24 +121,7 @@
         let active_requests =
             IntGauge::new("sardine_active_requests", "Requests that are served.")?;
         registry.register(Box::new(active_requests.clone()))?;
-        let evacuated_domains = IntGauge::new("sardine_evacuated_domains", "Evacuated domains.")?;
-        registry.register(Box::new(evacuated_domains.clone()))?;
-        let evacuated_requests = IntGaugeVec::new(
-            Opts::new(
-                "sardine_evacuated_requests",
-                "Requests in progress at servers of evacuated domains.",
-            ),
-            &["domain"],
-        )?;
-        registry.register(Box::new(evacuated_requests.clone()))?;
-        let evacuated_sent_seconds = GaugeVec::new(
-            Opts::new(
-                "sardine_evacuated_sent_seconds",
-                "Time since a request was sent to servers of evacuated domains.",
-            ),
-            &["domain"],
-        )?;
-        registry.register(Box::new(evacuated_sent_seconds.clone()))?;
+        let evacuation = EvacuationMetrics::new(&registry)?;
         Ok(Self {
             registry,
             answers,
@@ -138,30 +135,14 @@
             quarantined,
             stages_refused,
             quarantine_trials,
+            cold_servers,
+            cold_sends,
+            cold_waits,
             active_requests,
-            evacuated_domains,
-            evacuated_requests,
-            evacuated_sent_seconds,
+            evacuation,
         })
     }
 
-    /// Records the evacuated domains, each with what is in progress there.
-    pub fn set_evacuated(&self, domains: &[(Name, Option<Activity>)]) {
-        let count = i64::try_from(domains.len()).unwrap_or(i64::MAX);
-        self.evacuated_domains.set(count);
-        self.evacuated_requests.reset();
-        self.evacuated_sent_seconds.reset();
-        for (domain, activity) in domains {
-            let in_progress = activity.map_or(0, |activity| activity.in_progress);
-            let requests = self.evacuated_requests.with_label_values(&[domain]);
-            requests.set(i64::from(in_progress));
-            if let Some(activity) = activity {
-                let sent = self.evacuated_sent_seconds.with_label_values(&[domain]);
-                sent.set(activity.sent_at.elapsed().as_secs_f64());
-            }
-        }
-    }
-
     /// All metrics in the Prometheus text format; a comment with the error if encoding fails.
     #[must_use]
     pub fn encode_text(&self) -> String {
