--- a/crates/sardineshore-core/src/flow/selection/cost.rs
+++ b/crates/sardineshore-core/src/flow/selection/cost.rs
@@ -24,9 +24,9 @@
 /// requests over servers that are equal otherwise. It is less than [`CROSS_DOMAIN_COST`], so that
 /// it never outweighs the failure domain.
 const SPREADING_COST: Duration = Duration::from_millis(6);
-/// What is taken off the cost of a cold server in this instance's turn. A turn is rare, so among servers
-/// that are equal otherwise the cold one is preferred in a third of the cases; it would get next to
-/// nothing otherwise.
+/// What is taken off the cost of a cold server in this instance's turn. Turns are rare, and cold servers
+/// would get next to nothing if they were chosen in them like any other. It is a third of
+/// [`SPREADING_COST`], so about two in five of the requests that find all else equal go to the cold server.
 pub(super) const COLD_TURN_BENEFIT: Duration = Duration::from_millis(2);
 /// Cost of each running request, this one included, at a server that has no prompts to prefill;
 /// divided by the server's slots, of which at most 4 count.
