feat(evacuation): work of stages leaves and returns gradually too

Change: a cell is withdrawn when its domain closes, not when the row is seen; jobs are admitted to it by the same falling and rising share as requests. After a cut, the domain closes within 1 s instead of at once; an instance that starts still closes it at once.

--- a/crates/sardineshore-core/src/flow/evacuation.rs
+++ b/crates/sardineshore-core/src/flow/evacuation.rs
@@ -37,6 +37,9 @@
 /// Part of the deployment's bound after which the share is 0 at the latest, if that is less than
 /// [`CLOSE_TIME`].
 const CLOSE_FRACTION: f64 = 0.6;
+/// Time over which the share falls at an instance that was cut off from the store and is back. The bound holds
+/// for it only after it has been undisturbed for longer than this.
+const LATE_FALL_TIME: Duration = Duration::from_secs(1);
 
 /// Time beyond the longest wait of a call to the store within which an instance that runs undisturbed gets
 /// its response.
@@ -142,6 +145,13 @@
         }
     }
 
+    /// Time to assume for the write of a row that is read after the instance was cut off from the store, so
+    /// that the domain closes within [`LATE_FALL_TIME`].
+    #[must_use]
+    pub fn assumed_write(&self, now: Instant) -> Option<Instant> {
+        now.checked_sub(self.close_time.saturating_sub(LATE_FALL_TIME))
+    }
+
     /// Records the row of a domain. `earliest` is the last time at which the store is known not to have had
     /// it; without it the domain closes at once. Returns whether the domain was not evacuated before.
     pub fn begin(
@@ -294,7 +304,7 @@
         self.is_evacuated(domain) && self.admitted_share(domain, now) <= 0.0
     }
 
-    /// Whether the row of a domain is in force. Its servers of stages take no calls from then on.
+    /// Whether the row of a domain is in force.
     #[must_use]
     pub fn is_evacuated(&self, domain: &str) -> bool {
         self.domains.get(domain).is_some_and(Domain::is_evacuated)
@@ -306,6 +316,12 @@
         evacuated.map(|(name, _)| name)
     }
 
+    /// Domains to whose servers nothing may be sent.
+    pub fn closed(&self, now: Instant) -> impl Iterator<Item = &Name> {
+        let closed = move |domain: &&Name| self.is_closed(domain, now);
+        self.evacuated().filter(closed)
+    }
+
     /// Whether no domain is evacuated or returning, so that all requests may go anywhere.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -22,6 +22,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{Logger, debug, info};
 use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -135,7 +136,7 @@
     runners: RefCell<HashMap<Name, Rc<CellRunner>>>,
     servers: RefCell<HashMap<Name, Vec<BatchServer>>>,
     names: RefCell<Vec<Name>>,
-    /// Evacuated failure domains.
+    /// Evacuated failure domains to which nothing may be sent any more.
     evacuated: RefCell<Vec<Name>>,
     next_submission: Cell<u64>,
     closing: Cell<bool>,
@@ -176,20 +177,37 @@
         }
     }
 
-    /// Names of the cells that hold the servers of one failure domain each; empty if one cell holds
-    /// all servers.
+    /// Names of the cells that hold the servers of one failure domain each, for a job; empty if one cell holds
+    /// all servers. While a failure domain is evacuated or returns to service, its cell is
+    /// among them for a share of the jobs, chosen by the hash of `hash_key`, so that its work moves gradually.
     #[must_use]
-    pub fn cell_names(&self) -> Vec<Name> {
-        self.names.borrow().clone()
+    pub fn cells_for(&self, hash_key: &str) -> Vec<Name> {
+        let names = self.names.borrow();
+        let selector = self.shared.state.selector.borrow();
+        let (evacuations, now) = (selector.evacuations(), Instant::now());
+        if evacuations.is_empty() {
+            return names.clone();
+        }
+        let is_admitted = |domain: &&Name| {
+            let hash = xxh3_64(format!("{hash_key}/{domain}").as_bytes());
+            let share = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+            evacuations.access(domain, share, now)
+        };
+        let admitted: Vec<Name> = names.iter().filter(is_admitted).cloned().collect();
+        if admitted.is_empty() {
+            names.clone()
+        } else {
+            admitted
+        }
     }
 
-    /// Divides the servers of all pools that run stages into cells. The cells of evacuated failure domains
+    /// Divides the servers of all pools that run stages into cells. The cells of closed failure domains
     /// are withdrawn; their servers are in all cells, as jobs may use the results that they keep.
     pub fn set_servers(&self, selector: &ServerSelector, config: &ConfigIndex) {
         let mut all = Vec::new();
         let mut pools: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
         let now = Instant::now();
-        let evacuated: Vec<Name> = selector.evacuations().evacuated().cloned().collect();
+        let evacuated: Vec<Name> = selector.evacuations().closed(now).cloned().collect();
         for server in selector.servers() {
             let Some(pool) = config.pool(&server.pool) else {
                 continue;
@@ -387,11 +405,11 @@
 }
 
 impl Shared {
-    /// Whether requests may be sent to a server: its failure domain is not evacuated.
+    /// Whether requests may be sent to a server: its failure domain is not closed.
     fn may_send(&self, server: &Name) -> bool {
         let selector = self.state.selector.borrow();
         let domain = selector.domain_of(server);
-        domain.is_none_or(|domain| !selector.evacuations().is_evacuated(domain))
+        domain.is_none_or(|domain| !selector.evacuations().is_closed(domain, Instant::now()))
     }
 }
 
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -115,7 +115,7 @@
         let progress = JobProgress::new();
         let mut withdrawn: Vec<Name> = Vec::new();
         loop {
-            let mut cells = self.cells.cell_names();
+            let mut cells = self.cells.cells_for(job_hash_key(&job));
             cells.retain(|cell| !withdrawn.contains(cell));
             match self.run_in_cells(&job, &cells, &progress).await {
                 Ok(finished) => return Ok(finished),
@@ -135,12 +135,7 @@
         cells: &[Name],
         progress: &JobProgress,
     ) -> Result<(RequestInputs, ResultGuard), Failure> {
-        // Hashes the key of the input, so that a retry reaches the owner that refused the job before.
-        let hash_key = if job.key.is_empty() {
-            &job.id
-        } else {
-            &job.key
-        };
+        let hash_key = job_hash_key(job);
         let first = choose_cell(hash_key, &job.preferred_domain, cells, |cell| {
             self.backlog(cell)
         });
@@ -288,6 +283,16 @@
     }
 }
 
+/// What is hashed to choose a job's cell: the key of the input, so that a retry reaches the owner that refused
+/// the job before.
+fn job_hash_key(job: &Job) -> &str {
+    if job.key.is_empty() {
+        &job.id
+    } else {
+        &job.key
+    }
+}
+
 /// Why a cell did not run the stages.
 enum Failure {
     /// The cell accepted the job and could not complete it.
--- a/crates/sardineshore-serve/src/watcher/evacuation.rs
+++ b/crates/sardineshore-serve/src/watcher/evacuation.rs
@@ -30,6 +30,10 @@
             selector.set_restored_evacuations(&rows, now + SETTLE_TIME, now)
         } else {
             let earliest = earliest_write(confirmed, self.confirmation_interval(), now);
+            // An instance that has just started has no work there that could move gradually.
+            let was_connected = confirmed.is_some();
+            let assumed = selector.evacuations().assumed_write(now);
+            let earliest = earliest.or(assumed.filter(|_| was_connected));
             selector.set_evacuations(&rows, earliest, now)
         };
         drop(selector);
