feat(selection): servers are selected by the speed that attempts and load figures show

Cause: servers of one pool differ in speed (0.7 to 1.7 of usual) and are slow at times, but the selector used one prefill time for all and dropped the fourth figure of a load report.

Ruled out: the faster prefill as a plain cost. An instance sees a server once in 10 to 30 s, so loads are rarely known, and all instances would send to the fastest servers at once. Without a fresh load report, servers get requests in proportion to their speed instead.

Change: flow/speed.rs learns a lasting slowness for each server from first outputs and from the time between events, relative to the pool's trend over the load; a server counts as usual until the evidence is clear. A figure of this moment counts for 250 ms, then less until 600 ms, and loses its weight when attempts contradict it. Costs, the homes of prompt prefixes (weighted rendezvous hashing in steps of 1.25) and the expected time to a first output use both. Instances can exchange samples and estimates in 8 bytes for each server, at most 400 bytes per second and link.

Tests of sardineshore-core and sardineshore-platform pass.

--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -25,6 +25,7 @@
 pub mod replica;
 pub mod retry_budget;
 pub mod selection;
+pub mod speed;
 pub mod store_era;
 pub mod stream_versions;
 pub mod time_limit;
--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -12,12 +12,14 @@
 mod server;
 
 use std::collections::{HashMap, HashSet};
+use std::fmt::Write;
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::config::{Name, Server};
 use super::notices::{NoticeBoard, ServerNotice, ServerRun};
+use super::speed::ServerSpeeds;
 use super::turns::{RateLimit, TurnSchedule};
 use cost::total_cost;
 pub use request::{
@@ -39,6 +41,8 @@
     schedule: Option<TurnSchedule>,
     /// What servers said about themselves.
     notices: NoticeBoard,
+    /// How fast they are.
+    speeds: ServerSpeeds,
 }
 
 impl ServerSelector {
@@ -57,8 +61,10 @@
     pub fn set_servers(&mut self, servers: Vec<Server>) {
         let listed: HashSet<Name> = servers.iter().map(|s| s.id.clone()).collect();
         let limits = &mut self.limits;
+        let mut has_changed = false;
         self.servers.retain(|id, _| {
             let stays = listed.contains(id);
+            has_changed |= !stays;
             if !stays {
                 limits.remove(id);
             }
@@ -67,8 +73,12 @@
         for mut server in servers {
             server.ready &= !self.notices.is_leaving(&server.id, server.started_ms);
             match self.servers.get_mut(&server.id) {
-                Some(old) if old.server.started_ms == server.started_ms => old.server = server,
+                Some(old) if old.server.started_ms == server.started_ms => {
+                    has_changed |= old.server.pool != server.pool;
+                    old.server = server;
+                }
                 known => {
+                    has_changed = true;
                     if known.is_some() {
                         self.limits.remove(&server.id);
                     }
@@ -77,6 +87,13 @@
                 }
             }
         }
+        if has_changed {
+            let listed = self.servers.values().map(|state| &state.server);
+            self.speeds.set_servers(listed);
+            for (id, state) in &mut self.servers {
+                state.speed = self.speeds.slot(id);
+            }
+        }
         self.pools.clear();
         for (id, state) in &self.servers {
             let pool = self.pools.entry(state.server.pool.clone()).or_default();
@@ -271,13 +288,14 @@
         } else {
             available
         };
-        let preferred = preferred_server(request, &candidates);
+        let preferred = preferred_server(request, &candidates, &self.speeds);
         candidates
             .into_iter()
             .map(|state| {
                 let is_preferred = preferred.as_ref() == Some(&state.server.id);
                 let uncached_tokens = state.uncached_tokens(request, is_preferred, now);
-                let cost = total_cost(state, request, &self.domain, uncached_tokens, now);
+                let speed = self.speeds.view(state.speed, now);
+                let cost = total_cost(state, request, &self.domain, uncached_tokens, &speed, now);
                 (cost, uncached_tokens, state)
             })
             .min_by(|a, b| {
@@ -347,11 +365,72 @@
         }
     }
 
-    /// Records the load that a server reports.
-    pub fn record_load(&mut self, id: &str, report: LoadReport, now: Instant) {
+    /// Records the load that a server reports. Returns false if its percentage is out of range.
+    pub fn record_load(&mut self, id: &str, report: LoadReport, now: Instant) -> bool {
         if let Some(state) = self.servers.get_mut(id) {
             state.report = Some((report, now));
         }
+        let percent = report.percent;
+        percent.is_none_or(|percent| self.speeds.record_figure(id, percent, now))
+    }
+
+    /// Records the time from sending a request to its first output. Returns whether it says something
+    /// about the speed of the server.
+    pub fn record_first_output(
+        &mut self,
+        server: &SelectedServer,
+        took: Duration,
+        now: Instant,
+    ) -> bool {
+        let state = self.servers.get(&server.id);
+        // With requests that wait, the time depends on them.
+        let state = state.filter(|s| s.fresh_report(now).is_none_or(|r| r.waiting == 0));
+        state.is_some_and(|state| {
+            let utilization = state.utilization(now);
+            let tokens = server.uncached_tokens;
+            self.speeds
+                .record_first_output(&server.id, tokens, utilization, took, now)
+        })
+    }
+
+    /// Records the mean time between the events of a stream.
+    pub fn record_event_time(&mut self, id: &str, mean: Duration, now: Instant) -> bool {
+        let state = self.servers.get(id);
+        let utilization = state.map_or(0.0, |state| state.utilization(now));
+        self.speeds.record_event_time(id, utilization, mean, now)
+    }
+
+    /// How fast the servers are.
+    #[must_use]
+    pub fn speeds(&self) -> &ServerSpeeds {
+        &self.speeds
+    }
+
+    /// How fast the servers are, for the exchange between instances.
+    pub fn speeds_mut(&mut self) -> &mut ServerSpeeds {
+        &mut self.speeds
+    }
+
+    /// Expected time from sending a request to its first output, at `likely` or at any server that
+    /// could run it. `None` while the servers of the pool are not known to differ.
+    #[must_use]
+    pub fn run_time(
+        &self,
+        request: &SelectionRequest,
+        likely: Option<&SelectedServer>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let (tokens, slowness) = if let Some(server) = likely {
+            let speed = self.speeds.view(self.speeds.slot(&server.id), now);
+            (server.uncached_tokens, speed.lasting)
+        } else {
+            // Servers get work in proportion to their speed.
+            let servers = self.untried_servers(request)?;
+            let speeds = servers.map(|state| 1.0 / self.speeds.view(state.speed, now).lasting);
+            let (count, sum) = speeds.fold((0.0, 0.0), |(n, sum), speed| (n + 1.0, sum + speed));
+            (request.tokens(), count / sum)
+        };
+        self.speeds.run_time(&request.pool, tokens, slowness)
     }
 
     /// Number of servers that could run the request and are not in back-off.
@@ -363,12 +442,33 @@
     }
 }
 
-/// Server that all instances prefer for a prompt prefix: the one with the highest hash of prefix
-/// and server id. `None` if the prompt has no shared part.
-fn preferred_server(request: &SelectionRequest, servers: &[&ServerState]) -> Option<Name> {
+/// Server that all instances prefer for a prompt prefix, by rendezvous hashing: the one with the highest
+/// hash of prefix and server id, weighted by the servers' speeds. `None` if the prompt has no shared part.
+fn preferred_server(
+    request: &SelectionRequest,
+    servers: &[&ServerState],
+    speeds: &ServerSpeeds,
+) -> Option<Name> {
     let prefix = request.shared_parts().last()?;
-    servers
-        .iter()
-        .max_by_key(|s| xxh3_64(format!("{}/{}", prefix.id, s.server.id).as_bytes()))
-        .map(|s| s.server.id.clone())
+    let mut buf = String::with_capacity(prefix.id.len() + 32);
+    let mut hash = |state: &ServerState| {
+        buf.clear();
+        let _infallible = write!(buf, "{}/{}", prefix.id, state.server.id);
+        xxh3_64(buf.as_bytes())
+    };
+    let preferred = if servers.iter().all(|s| speeds.weight_steps(s.speed) == 0) {
+        servers.iter().max_by_key(|s| hash(s))
+    } else {
+        // The negative logarithm of a uniform number, divided by the weight, is lowest at each server
+        // with a probability in proportion to its weight. A change of one weight moves only prefixes
+        // to or from that server.
+        let scores = servers.iter().map(|s| {
+            let uniform = (hash(s) as f64 + 0.5) / 2_f64.powi(64);
+            let weight = ServerSpeeds::weight(speeds.weight_steps(s.speed));
+            (-uniform.ln() / weight, s)
+        });
+        let lowest = scores.min_by(|a, b| a.0.total_cmp(&b.0));
+        lowest.map(|(_, state)| state)
+    };
+    preferred.map(|s| s.server.id.clone())
 }
--- a/crates/sardineshore-core/src/flow/selection/cost.rs
+++ b/crates/sardineshore-core/src/flow/selection/cost.rs
@@ -7,9 +7,8 @@
 use super::request::SelectionRequest;
 use super::server::ServerState;
 use crate::flow::config::{Name, Server};
+use crate::flow::speed::SpeedView;
 
-/// Time to prefill one prompt token that isn't cached.
-const TOKEN_PREFILL_TIME: Duration = Duration::from_micros(24);
 /// Cost of each request that waits at the server.
 const WAITING_REQUEST_COST: Duration = Duration::from_millis(40);
 /// Cost of full utilization (as many running requests as slots) at a server with prompts to
@@ -29,18 +28,29 @@
 const PLAIN_REQUEST_COST: Duration = Duration::from_millis(15);
 /// Cost of an error rate of 1; proportional to the error rate.
 const ERROR_RATE_COST: Duration = Duration::from_millis(500);
-/// Cost of prefilling a token of a shared prompt part again, in addition to [`TOKEN_PREFILL_TIME`].
+/// Cost of prefilling a token of a shared prompt part again, in addition to its prefill time.
 const PREFIX_MISS_COST: Duration = Duration::from_micros(60);
+/// Uncached tokens from which on a prompt is long: about 50 ms of prefill, in which other streams of
+/// the server wait.
+const LONG_PROMPT_TOKENS: u32 = 2000;
+/// Slowness of this moment from which on a server gets no long prompt while others can take it.
+const SLOW_MOMENT: f64 = 1.5;
+/// Cost of a long prompt at such a server.
+const SLOW_MOMENT_COST: Duration = Duration::from_millis(400);
+/// Power of the speed with which a server's share of long prompts grows; it is 1 for others, so that
+/// servers get work in proportion to their speed.
+const LONG_PROMPT_SPEED_POWER: f64 = 2.0;
 /// Cost of a megabyte (10^6 bytes) of inputs from another failure domain.
 const CROSS_DOMAIN_MB_COST: Duration = Duration::from_millis(25);
 
 /// Cost of a request at a server, in seconds, for an instance in `domain`; `uncached_tokens` are those
-/// of the request's prompt that the server would prefill.
+/// of the request's prompt that the server would prefill, `speed` is the server's.
 pub(super) fn total_cost(
     state: &ServerState,
     request: &SelectionRequest,
     domain: &Name,
     uncached_tokens: u32,
+    speed: &SpeedView,
     now: Instant,
 ) -> f64 {
     let missed_tokens = uncached_tokens - request.own_tokens().min(uncached_tokens);
@@ -48,19 +58,25 @@
     let request_cost = PREFIX_MISS_COST.as_secs_f64() * f64::from(missed_tokens)
         + CROSS_DOMAIN_MB_COST.as_secs_f64() * cross_domain_bytes as f64 / 1e6
         + version_cost(request, &state.server).as_secs_f64()
-        + SPREADING_COST.as_secs_f64() * uniform_hash(&state.server.id, request.seed);
-    server_cost(state, domain, uncached_tokens, now) + request_cost
+        + SPREADING_COST.as_secs_f64() * spreading(state, request, uncached_tokens, speed);
+    server_cost(state, domain, uncached_tokens, speed, now) + request_cost
 }
 
 /// Cost of a request at a server due to load, distance and health; `uncached_tokens` are those
 /// of the request itself.
-fn server_cost(state: &ServerState, domain: &Name, uncached_tokens: u32, now: Instant) -> f64 {
+fn server_cost(
+    state: &ServerState,
+    domain: &Name,
+    uncached_tokens: u32,
+    speed: &SpeedView,
+    now: Instant,
+) -> f64 {
     let has_prefill = uncached_tokens > 0 || state.prefill_tokens > 0;
     let report = state.fresh_report(now);
     let waiting = report.map_or(0, |r| r.waiting);
     let running = report.map_or(0, |r| r.running).max(state.in_flight);
     let tokens = state.prefill_tokens + u64::from(uncached_tokens);
-    let mut cost = TOKEN_PREFILL_TIME.as_secs_f64() * tokens as f64;
+    let mut cost = speed.token_time * tokens as f64;
     cost += WAITING_REQUEST_COST.as_secs_f64() * f64::from(waiting);
     let slots = f64::from(state.server.slots.max(1));
     if has_prefill {
@@ -69,6 +85,18 @@
     } else {
         cost += PLAIN_REQUEST_COST.as_secs_f64() * (f64::from(running) + 1.0) / slots.min(4.0);
     }
+    let is_long = uncached_tokens >= LONG_PROMPT_TOKENS;
+    if speed.is_uneven && is_long {
+        // A long prompt competes with the running streams, and holds them up.
+        cost += speed.token_time * f64::from(uncached_tokens) * f64::from(running) / slots;
+    }
+    cost *= speed.momentary;
+    if report.is_some() {
+        cost *= speed.lasting;
+    }
+    if is_long && speed.momentary >= SLOW_MOMENT {
+        cost += SLOW_MOMENT_COST.as_secs_f64();
+    }
     if state.server.domain != *domain {
         cost += CROSS_DOMAIN_COST.as_secs_f64();
     }
@@ -83,6 +111,30 @@
     }
 }
 
+/// Pseudo-random number from 0 to 1 that is lowest at each of several servers with a probability in
+/// proportion to its speed (to a power of it for long prompts).
+///
+/// A server whose load isn't known is compared in this way only: with its faster prefill as a cost, all
+/// instances would send to the fastest servers at once. Where the load is known, both count as costs.
+fn spreading(
+    state: &ServerState,
+    request: &SelectionRequest,
+    uncached_tokens: u32,
+    speed: &SpeedView,
+) -> f64 {
+    let uniform = uniform_hash(&state.server.id, request.seed);
+    if (speed.lasting - 1.0).abs() < f64::EPSILON {
+        return uniform;
+    }
+    let power = if uncached_tokens >= LONG_PROMPT_TOKENS {
+        LONG_PROMPT_SPEED_POWER
+    } else {
+        1.0
+    };
+    // The lowest of n uniform numbers exceeds x with probability (1 - x)^n; n is the speed here.
+    1.0 - (1.0 - uniform).powf(speed.lasting.powf(power))
+}
+
 /// Pseudo-random number from 0 to 1 that depends only on server and seed.
 fn uniform_hash(server: &str, seed: u64) -> f64 {
     (xxh3_64_with_seed(server.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
--- a/crates/sardineshore-core/src/flow/selection/request.rs
+++ b/crates/sardineshore-core/src/flow/selection/request.rs
@@ -75,6 +75,13 @@
         sum_tokens(self.shared_parts())
     }
 
+    /// Bytes of the inputs that are stored in other failure domains than this one.
+    #[must_use]
+    pub fn remote_input_bytes(&self, domain: &Name) -> u64 {
+        let remote = self.input_bytes.iter().filter(|(d, _)| d != domain);
+        remote.map(|(_, bytes)| *bytes).sum()
+    }
+
     pub(super) fn own_tokens(&self) -> u32 {
         self.prompt.last().map_or(0, |part| part.tokens)
     }
@@ -129,4 +136,6 @@
     pub waiting: u32,
     /// Requests that the server runs concurrently at most.
     pub slots: u32,
+    /// How long work takes there at this moment, in percent of usual; `None` if the server doesn't say.
+    pub percent: Option<u32>,
 }
--- a/crates/sardineshore-core/src/flow/selection/server.rs
+++ b/crates/sardineshore-core/src/flow/selection/server.rs
@@ -6,6 +6,7 @@
 use super::health::Health;
 use super::request::{LoadReport, SelectionRequest, sum_tokens};
 use crate::flow::config::{Name, Server};
+use crate::flow::speed::SpeedSlot;
 
 /// How long a prompt part counts as cached at a server after it was last sent there.
 const PREFIX_CACHE_TTL: Duration = Duration::from_secs(20);
@@ -21,6 +22,8 @@
 #[derive(Debug)]
 pub(super) struct ServerState {
     pub server: Server,
+    /// Where its speed is found.
+    pub speed: SpeedSlot,
     /// Attempts of this instance that have not ended.
     pub in_flight: u32,
     /// Uncached prompt tokens of these attempts that the server has not prefilled yet.
@@ -36,6 +39,7 @@
     pub fn new(server: Server) -> Self {
         Self {
             server,
+            speed: SpeedSlot::default(),
             in_flight: 0,
             prefill_tokens: 0,
             report: None,
@@ -59,13 +63,15 @@
             .map(|(report, _)| report)
     }
 
+    /// Share of its slots that are in use, as far as this instance knows.
+    pub fn utilization(&self, now: Instant) -> f64 {
+        let running = self.fresh_report(now).map_or(0, |report| report.running);
+        f64::from(running.max(self.in_flight)) / f64::from(self.server.slots.max(1))
+    }
+
     /// Bytes of the request's inputs that the server would fetch from other failure domains.
     pub fn cross_domain_bytes(&self, request: &SelectionRequest) -> u64 {
-        let cross_domain = request
-            .input_bytes
-            .iter()
-            .filter(|(d, _)| *d != self.server.domain);
-        cross_domain.map(|(_, bytes)| *bytes).sum()
+        request.remote_input_bytes(&self.server.domain)
     }
 
     /// Prompt tokens that the server would have to prefill. A part counts as cached only if all
--- /dev/null
+++ b/crates/sardineshore-core/src/flow/speed/figure.rs
@@ -0,0 +1,119 @@
+//! What servers say about their speed at this moment, and how far that is believed.
+
+use std::time::{Duration, Instant};
+
+/// Percentages that count; others are ignored.
+const PERCENT: std::ops::RangeInclusive<u32> = 10..=1000;
+/// Time for which a figure counts fully. The slowness of a server was seen to change every 600 ms.
+const FULL_AGE: Duration = Duration::from_millis(250);
+/// Age from which a figure doesn't count any more; less and less from [`FULL_AGE`] on.
+const MAX_AGE: Duration = Duration::from_millis(600);
+/// Longest time from a figure to the first output that it explains.
+const ATTEMPT_AGE: Duration = Duration::from_millis(400);
+/// Difference from the server's own usual figure, as a logarithm, below which it counts as usual.
+const DEAD_BAND: f64 = 0.1;
+/// Limits of the difference.
+const EXCESS: (f64, f64) = (-0.7, 1.4);
+/// Difference from which on an attempt shows whether the figure was right.
+const MIN_TEST: f64 = 0.3;
+/// Trust in the figures of a server, or pool, that no attempt has tested.
+pub(super) const TRUST_AT_START: f64 = 1.0;
+/// Weight of an attempt in the trust in its server and in its pool.
+const TRUST_GAIN: (f64, f64) = (0.15, 0.03);
+/// Share of attempts that agree with their figures at which figures count not at all, and fully.
+/// Random figures agree with about a fifth of noisy attempts.
+const TRUST_RANGE: (f64, f64) = (0.3, 0.6);
+/// Step by which a server's usual figure follows each figure.
+const LEVEL_STEP: f64 = 0.04;
+/// Figures of a server before its usual one is known.
+const MIN_FIGURES: u32 = 8;
+/// Usual figure, as a logarithm, that still counts as 100.
+const LEVEL_DEAD_BAND: f64 = 0.14;
+
+/// A figure and when the server named it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Figure {
+    ln: f64,
+    at: Instant,
+}
+
+impl Figure {
+    /// `None` if the percentage is out of range.
+    pub fn new(percent: u32, now: Instant) -> Option<Self> {
+        let in_range = PERCENT.contains(&percent);
+        in_range.then(|| Self::received((f64::from(percent) / 100.0).ln(), now))
+    }
+
+    /// A figure that another instance sent.
+    pub fn received(ln: f64, at: Instant) -> Self {
+        Self {
+            ln: ln.clamp(-2.4, 2.4),
+            at,
+        }
+    }
+
+    pub fn ln(&self) -> f64 {
+        self.ln
+    }
+
+    pub fn at(&self) -> Instant {
+        self.at
+    }
+
+    /// Difference from the server's usual figure that counts now; 0 if that is none.
+    pub fn excess(&self, level: f64, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at);
+        let excess = self.ln - level;
+        if age >= MAX_AGE || excess.abs() < DEAD_BAND {
+            return 0.0;
+        }
+        let excess = excess.clamp(EXCESS.0, EXCESS.1);
+        if age <= FULL_AGE {
+            return excess;
+        }
+        let left = MAX_AGE.saturating_sub(age).as_secs_f64();
+        excess * left / MAX_AGE.saturating_sub(FULL_AGE).as_secs_f64()
+    }
+
+    /// The figure, if it can explain an attempt whose first output arrived now.
+    pub fn at_attempt(&self, now: Instant) -> Option<f64> {
+        let age = now.saturating_duration_since(self.at);
+        (age <= ATTEMPT_AGE).then_some(self.ln)
+    }
+}
+
+/// Median of a server's figures, followed in small steps.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct FigureLevel {
+    ln: f64,
+    figures: u32,
+}
+
+impl FigureLevel {
+    pub fn record(&mut self, ln: f64) {
+        self.figures = self.figures.saturating_add(1);
+        self.ln += (ln - self.ln).clamp(-LEVEL_STEP, LEVEL_STEP);
+    }
+
+    /// The usual figure; 0 until it is known to be another one.
+    pub fn value(&self) -> f64 {
+        let known = self.figures >= MIN_FIGURES && self.ln.abs() > LEVEL_DEAD_BAND;
+        if known { self.ln } else { 0.0 }
+    }
+}
+
+/// Weight of figures, from 0 to 1, when this share of attempts agreed with them.
+pub(super) fn trusted_share(agreeing: f64) -> f64 {
+    ((agreeing - TRUST_RANGE.0) / (TRUST_RANGE.1 - TRUST_RANGE.0)).clamp(0.0, 1.0)
+}
+
+/// Updates the trust in a server's and in its pool's figures: an attempt agrees if it shows at least
+/// half of the difference that the figure claims.
+pub(super) fn update_trust(server: &mut f64, pool: &mut f64, claimed: f64, shown: f64) {
+    if claimed.abs() < MIN_TEST {
+        return;
+    }
+    let agrees = f64::from(u8::from(shown / claimed > 0.5));
+    *server += TRUST_GAIN.0 * (agrees - *server);
+    *pool += TRUST_GAIN.1 * (agrees - *pool);
+}
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -332,6 +332,7 @@
         running: u32::MAX,
         waiting: 0,
         slots: 8,
+        percent: None,
     };
     selector.record_load(&loaded.id, load, now);
     assert_ne!(selector.select(&plain, now).unwrap().id, loaded.id);
@@ -447,6 +448,7 @@
         running: 16,
         waiting: 20,
         slots: 16,
+        percent: None,
     };
     selector.record_load("s0", report, now);
     assert_eq!(&*selector.select(&request, now).unwrap().id, "s1");
--- a/crates/sardineshore-core/tests/turns.rs
+++ b/crates/sardineshore-core/tests/turns.rs
@@ -121,6 +121,7 @@
         running: 8,
         waiting: 3,
         slots: 8,
+        percent: None,
     };
     selector.record_load("free", full, now);
     assert!(
@@ -140,6 +141,7 @@
         running: 1,
         waiting: 0,
         slots: 8,
+        percent: None,
     };
     selector.record_load("free", idle, now);
     assert_eq!(selector.limited_rate(&request, now), None);
