feat(serve): attempts show the speed of servers, and instances share it beside jobs

Cause: each of 78 instances sees few responses of 140 servers, so what it learns alone comes late for a lasting speed and is too old for a slow moment.

Ruled out: messages of their own (probing or broadcasts), and rows in the store. A change of the fields of job messages was avoided: a message of its own, queued behind one that is sent anyway, goes out in the same write.

Change: an attempt measures the time from sending to the first events and the mean time between events. With a job, an instance tells the owner of its cell its new samples and slow figures; with the job's events the owner tells what it knows from all. An instance that subscribes to a reader of the store gets all known speeds, so a restarted one begins with them. The run time of a job's forecast follows the servers once they are known to differ.

--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -3,7 +3,7 @@
 //! [`Dispatcher`] selects the server, gets a connection to it and sends the request. [`Attempt`]
 //! reports the start and the outcome to the metrics and to the selection of servers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -34,6 +34,10 @@
 /// Time for which a stream must go on after its first output to show that its request doesn't crash
 /// the server.
 const SOUND_OUTPUT_TIME: Duration = Duration::from_millis(500);
+/// Events of a stream from which on their mean distance says something about the server's speed.
+const MIN_PACE_EVENTS: u32 = 20;
+/// Time between two events from which on it is a pause, which says nothing about the speed.
+const MAX_EVENT_GAP: Duration = Duration::from_millis(400);
 /// `Retry-After` when a pool has no usable server.
 pub const RETRY_AFTER_NO_SERVER: Duration = Duration::from_millis(800);
 /// Share of the time left for which a request waits until a server takes it, as a divisor.
@@ -128,11 +132,64 @@
     metrics: Rc<Metrics>,
     started_at: Instant,
     first_output_at: Cell<Option<Instant>>,
+    events: RefCell<EventTimes>,
     connection_lost: Cell<bool>,
     finished: Cell<bool>,
 }
 
+/// When an attempt's request was sent and its events arrived.
+#[derive(Debug, Default)]
+struct EventTimes {
+    /// When it was sent, if the times say something about the server's speed.
+    sent_at: Option<Instant>,
+    /// Id and time of the last event.
+    last: Option<(u64, Instant)>,
+    /// Time between events and their number, without pauses.
+    between: Duration,
+    count: u64,
+}
+
+impl EventTimes {
+    /// Mean time between events; `None` if there were too few.
+    fn mean(&self) -> Option<Duration> {
+        let count = u32::try_from(self.count).ok()?;
+        (count >= MIN_PACE_EVENTS).then(|| self.between / count)
+    }
+}
+
 impl Attempt {
+    /// Records that the whole request is sent now. Its times show the server's speed if it begins a
+    /// stream and needs no inputs from afar.
+    pub fn record_sent(&self, shows_speed: bool) {
+        self.events.borrow_mut().sent_at = shows_speed.then(Instant::now);
+    }
+
+    /// Records that events arrived at a time, the last one with this id.
+    pub fn record_events(&self, last_id: Option<u64>, at: Instant) {
+        let mut events = self.events.borrow_mut();
+        let (Some(sent_at), Some(id)) = (events.sent_at, last_id) else {
+            return;
+        };
+        if let Some((last_id, last_at)) = events.last.replace((id, at)) {
+            let between = at.saturating_duration_since(last_at);
+            if between < MAX_EVENT_GAP && id > last_id {
+                events.between += between;
+                events.count += id - last_id;
+            }
+            return;
+        }
+        let took = at.saturating_duration_since(sent_at);
+        let mut selector = self.state.selector.borrow_mut();
+        if selector.record_first_output(&self.server, took, at) {
+            self.count_sample("first-output");
+        }
+    }
+
+    fn count_sample(&self, measured: &str) {
+        let samples = &self.metrics.speed_samples;
+        samples.with_label_values(&[measured]).inc();
+    }
+
     /// Records that the server's first output arrived, which means that it has read the whole
     /// prompt (prefill).
     pub fn record_first_output(&self) {
@@ -201,8 +258,14 @@
         };
         let labels = [&*self.pool, label];
         self.metrics.sends.with_label_values(&labels).inc();
+        let now = Instant::now();
         let mut selector = self.state.selector.borrow_mut();
-        selector.record_end(&self.server, self.has_output(), outcome, Instant::now());
+        if let Some(mean) = self.events.borrow().mean()
+            && selector.record_event_time(&self.server.id, mean, now)
+        {
+            self.count_sample("events");
+        }
+        selector.record_end(&self.server, self.has_output(), outcome, now);
     }
 }
 
@@ -438,6 +501,7 @@
             metrics: self.metrics.clone(),
             started_at: now,
             first_output_at: Cell::new(None),
+            events: RefCell::default(),
             connection_lost: Cell::new(false),
             finished: Cell::new(false),
         }
@@ -506,7 +570,9 @@
         let load = response.head.headers.get(self.dialect.header_names().load);
         if let Some(load) = load.and_then(|text| self.dialect.parse_load(text)) {
             let mut selector = self.state.selector.borrow_mut();
-            selector.record_load(&server.id, load, Instant::now());
+            if !selector.record_load(&server.id, load, Instant::now()) {
+                self.metrics.bad_load_figures.inc();
+            }
         }
         // Another server may listen at the address by now.
         if response.head.status != 421 {
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -22,6 +22,7 @@
 use crate::request::RequestHandler;
 use crate::settings::{Bounds, Settings};
 use crate::shutdown::Shutdown;
+use crate::speeds::SpeedExchange;
 use crate::stages::StageClient;
 use crate::state::SharedState;
 use crate::store::Store;
@@ -59,6 +60,7 @@
     peers: Rc<Peers>,
     dispatcher: Rc<Dispatcher>,
     notices: Rc<NoticeReader>,
+    speeds: Rc<SpeedExchange>,
     shutdown: Rc<Shutdown>,
     metrics: Rc<Metrics>,
     handler: Rc<RequestHandler>,
@@ -98,6 +100,8 @@
     };
     let relay = Rc::new(StoreRelay::new(settings.bounds.revoke, log.clone()));
     let peers = Peers::new(own, cells.clone(), relay, log.clone());
+    let speeds = SpeedExchange::new(state.clone(), metrics.clone(), log.clone());
+    peers.set_speeds(speeds.clone());
     let crashes = CrashMonitor::new(
         state.clone(),
         connections.clone(),
@@ -145,6 +149,7 @@
         peers,
         dispatcher,
         notices,
+        speeds,
         shutdown,
         metrics,
         handler,
@@ -185,6 +190,7 @@
     tokio::task::spawn_local(crashes.clone().share_evidence());
     tokio::task::spawn_local(crashes.clone().receive_evidence());
     tokio::task::spawn_local(components.dispatcher.limits().clone().share());
+    tokio::task::spawn_local(components.speeds.clone().report());
     let versions = components.dispatcher.versions();
     tokio::task::spawn_local(versions.clone().write_records());
     tokio::task::spawn_local(versions.clone().maintain());
--- a/crates/sardineshore-serve/src/lib.rs
+++ b/crates/sardineshore-serve/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod request;
 pub mod settings;
 pub mod shutdown;
+pub mod speeds;
 pub mod stages;
 pub mod state;
 pub mod store;
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -39,6 +39,14 @@
     pub quarantine_trials: IntCounter,
     /// Requests in progress.
     pub active_requests: IntGauge,
+    /// Attempts that said something about the speed of their server, by what was measured.
+    pub speed_samples: IntCounterVec,
+    /// Load figures out of range.
+    pub bad_load_figures: IntCounter,
+    /// Bytes about speeds sent to other instances.
+    pub speed_bytes: IntCounter,
+    /// Servers whose lasting speed is known to differ from usual.
+    pub off_speed_servers: IntGauge,
 }
 
 impl Metrics {
@@ -98,6 +106,26 @@
         let active_requests =
             IntGauge::new("sardine_active_requests", "Requests that are served.")?;
         registry.register(Box::new(active_requests.clone()))?;
+        let speed_samples = counter(
+            "sardine_speed_samples_total",
+            "Attempts that showed the speed of their server.",
+            &["measured"],
+        )?;
+        let bad_load_figures = IntCounter::new(
+            "sardine_bad_load_figures_total",
+            "Load figures of servers that were out of range.",
+        )?;
+        registry.register(Box::new(bad_load_figures.clone()))?;
+        let speed_bytes = IntCounter::new(
+            "sardine_speed_bytes_total",
+            "Bytes about speeds sent to other instances.",
+        )?;
+        registry.register(Box::new(speed_bytes.clone()))?;
+        let off_speed_servers = IntGauge::new(
+            "sardine_off_speed_servers",
+            "Servers whose lasting speed differs from usual.",
+        )?;
+        registry.register(Box::new(off_speed_servers.clone()))?;
         Ok(Self {
             registry,
             answers,
@@ -112,6 +140,10 @@
             stages_refused,
             quarantine_trials,
             active_requests,
+            speed_samples,
+            bad_load_figures,
+            speed_bytes,
+            off_speed_servers,
         })
     }
 
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -6,7 +6,7 @@
 
 mod message;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -21,6 +21,7 @@
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::heartbeat::{Heartbeat, HeartbeatAction};
 use sardineshore_core::flow::quarantine::Evidence;
+use sardineshore_core::flow::speed::SpeedDigest;
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
@@ -28,6 +29,7 @@
 
 use crate::cell::{JobCallback, JobEvent, JobOutcome, OwnedCells, SubmissionId};
 use crate::relay::{LinkEvent, StoreRelay};
+use crate::speeds::{LinkSpeeds, SpeedExchange};
 use crate::state::boot_time;
 use crate::upstream::detect_dead_peer;
 
@@ -68,6 +70,7 @@
     last_received: Cell<Instant>,
     /// Callbacks of the jobs that have not ended, by the id of the request.
     callbacks: RefCell<HashMap<Name, JobCallback>>,
+    speeds: Option<LinkSpeeds>,
 }
 
 impl std::fmt::Debug for Link {
@@ -109,6 +112,9 @@
     pub fn submit(&self, cell: Name, job: Job, callback: JobCallback) {
         self.callbacks.borrow_mut().insert(job.id.clone(), callback);
         self.send(&Message::Submit { cell, job });
+        if let Some(message) = self.speeds.as_ref().and_then(LinkSpeeds::samples) {
+            self.send(&message);
+        }
     }
 
     /// Tells the owner that the job's results were used or that no request waits for it.
@@ -143,6 +149,8 @@
     backed_off: RefCell<HashMap<Name, Instant>>,
     changed: Notify,
     relay: Rc<StoreRelay>,
+    /// Exchange of the servers' speeds; none unless it was set.
+    speeds: OnceCell<Rc<SpeedExchange>>,
     /// Links that other instances opened, by number.
     served: RefCell<HashMap<u64, mpsc::UnboundedSender<Bytes>>>,
     next_served: Cell<u64>,
@@ -175,6 +183,7 @@
             backed_off: RefCell::default(),
             changed: Notify::new(),
             relay,
+            speeds: OnceCell::new(),
             log,
             weak: weak.clone(),
         })
@@ -192,6 +201,17 @@
         &self.relay
     }
 
+    /// Sets the exchange of the servers' speeds, which goes beside messages about jobs.
+    pub fn set_speeds(&self, speeds: Rc<SpeedExchange>) {
+        let _set_before = self.speeds.set(speeds);
+    }
+
+    fn receive_speeds(&self, digest: &SpeedDigest) {
+        if let Some(speeds) = self.speeds.get() {
+            speeds.receive(digest);
+        }
+    }
+
     /// Number of known instances, this one included.
     #[must_use]
     pub fn instance_count(&self) -> usize {
@@ -337,6 +357,7 @@
             tx,
             last_received: Cell::new(Instant::now()),
             callbacks: RefCell::default(),
+            speeds: self.speeds.get().map(SpeedExchange::link),
         });
         self.set_link(&info.name, LinkState::Up(link.clone()));
         run_link(frames, &link, rx, |message| match message {
@@ -347,6 +368,7 @@
             Message::Crashes(evidence) => {
                 let _stopped = self.evidence_tx.send(evidence);
             }
+            Message::Speeds(digest) => self.receive_speeds(&digest),
             _ => {}
         })
         .await;
@@ -452,6 +474,7 @@
             tx,
             submissions: HashMap::new(),
             subscription: None,
+            speeds: self.speeds.get().map(|speeds| Rc::new(speeds.link())),
         };
         let result = loop {
             tokio::select! {
@@ -490,8 +513,12 @@
             Message::Submit { cell, job } => {
                 let request = job.id.clone();
                 let (id, tx) = (request.clone(), served.tx.clone());
+                let speeds = served.speeds.clone();
                 let callback = Box::new(move |event| {
                     let _closed = tx.send(event_message(id.clone(), event).encode());
+                    if let Some(message) = speeds.as_ref().and_then(|speeds| speeds.estimates()) {
+                        let _closed = tx.send(message.encode());
+                    }
                 });
                 let submission = self.cells.submit(&cell, job, callback);
                 served.submissions.insert(request, (cell, submission));
@@ -508,6 +535,9 @@
                 }
                 let id = self.relay.subscribe(served.tx.clone(), known);
                 served.subscription = Some(id);
+                if let Some(message) = self.speeds.get().and_then(|speeds| speeds.snapshot()) {
+                    served.send(&message);
+                }
             }
             Message::Unsubscribe => {
                 if let Some(id) = served.subscription.take() {
@@ -517,6 +547,7 @@
             Message::Crashes(evidence) => {
                 let _stopped = self.evidence_tx.send(evidence);
             }
+            Message::Speeds(digest) => self.receive_speeds(&digest),
             Message::StageFinished { .. }
             | Message::Finished { .. }
             | Message::Aborted { .. }
@@ -535,6 +566,7 @@
     submissions: HashMap<Name, (Name, SubmissionId)>,
     /// Id of the other instance as a subscriber.
     subscription: Option<u64>,
+    speeds: Option<Rc<LinkSpeeds>>,
 }
 
 impl ServedLink {
--- a/crates/sardineshore-serve/src/peers/message.rs
+++ b/crates/sardineshore-serve/src/peers/message.rs
@@ -12,6 +12,7 @@
 use sardineshore_core::flow::batching::{Job, RefusalReason, StageResults};
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::quarantine::Evidence;
+use sardineshore_core::flow::speed::SpeedDigest;
 use serde::{Deserialize, Serialize};
 
 use crate::cell::{JobEvent, JobOutcome, RequestInputs};
@@ -114,6 +115,8 @@
     Store(ReaderMessage),
     /// Evidence about crashes of servers.
     Crashes(Vec<Evidence>),
+    /// Speeds of servers; follows a message that is sent anyway.
+    Speeds(SpeedDigest),
 }
 
 impl Message {
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -34,7 +34,8 @@
 use crate::stream_versions::PendingRecord;
 use crate::upstream::Response;
 
-/// Time that a model engine needs to its first output once it runs the request.
+/// Time that a model engine needs to its first output once it runs the request, unless more is known of
+/// the speeds of the engines.
 const ENGINE_RUN_TIME: Duration = Duration::from_millis(150);
 /// Number of shared prompt tokens from which on the stages run in the failure domain of the server
 /// that has the tokens cached. With fewer tokens the request goes to where its inputs are.
@@ -538,13 +539,18 @@
         } else {
             None
         };
+        let run_time = self.state.selector.borrow().run_time(
+            selection,
+            likely_server.as_ref(),
+            Instant::now(),
+        );
         Some(Job {
             id: request.id.into(),
             key: headers.get(fields.piece_key).unwrap_or_default().into(),
             rank: request.rank(),
             time_to_soft_deadline: route.target_latency.saturating_sub(elapsed),
             time_to_deadline: request.time_to_deadline(),
-            run_time: ENGINE_RUN_TIME,
+            run_time: run_time.unwrap_or(ENGINE_RUN_TIME),
             preferred_domain: likely_server.map_or_else(|| Name::from(""), |server| server.domain),
             stages,
             late_allowed: true,
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -21,6 +21,9 @@
 const STALL_TIMEOUT: Duration = Duration::from_millis(1600);
 /// Minimum time that a server gets for its first output before another server is prepared.
 const MIN_FIRST_OUTPUT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Bytes of inputs from other failure domains up to which the time to the first output shows the
+/// server's speed: fetching them takes a few milliseconds.
+const MAX_REMOTE_BYTES: u64 = 200_000;
 
 /// Time for which a silent server is kept while the one that replaces it has not answered. Longer, and
 /// both might work on the request.
@@ -122,6 +125,10 @@
                 if events.is_empty() {
                     break;
                 }
+                let last_event_id = sink.filter.last_event_id();
+                connected
+                    .attempt
+                    .record_events(last_event_id, Instant::now());
                 if sink.started {
                     let pause_ms = elapsed_ms(last_output_at);
                     attempts.stats.max_pause_ms = attempts.stats.max_pause_ms.max(pause_ms);
@@ -232,6 +239,10 @@
             last_event_id,
         };
         let (server, conn) = (&connected.server, &mut connected.conn);
+        let remote_bytes = attempts.selection.remote_input_bytes(&server.domain);
+        let begins = last_event_id.is_none() && !attempts.is_taken_up;
+        let shows_speed = begins && remote_bytes <= MAX_REMOTE_BYTES;
+        connected.attempt.record_sent(shows_speed);
         let sent = self.dispatcher.send(server, conn, request, extra);
         let sent = self
             .wait_for_progress(attempts, &connected.attempt, sent, patience, may_retry)
--- a/crates/sardineshore-serve/tests/messages.rs
+++ b/crates/sardineshore-serve/tests/messages.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 use sardineshore_core::flow::replica::{StoreRow, StoreVersion, TableChanges};
+use sardineshore_core::flow::speed::{DigestKind, SpeedDigest, SpeedEntry};
 use sardineshore_serve::dialect::Table;
 use sardineshore_serve::peers::Message;
 use sardineshore_serve::relay::ReaderMessage;
@@ -37,6 +38,30 @@
     assert_eq!(Message::decode(&encoded).unwrap(), message);
 }
 
+/// Guards against more bytes about speeds than links account for.
+#[test]
+fn encode_speeds_is_no_longer_than_accounted() {
+    let entry = SpeedEntry {
+        key: [0xff; 4],
+        value: -1,
+        weight: 255,
+        figure: i8::MIN,
+        age: 255,
+    };
+    for count in [1, 8] {
+        let digest = SpeedDigest {
+            kind: DigestKind::Estimates,
+            entries: vec![entry; count],
+        };
+        let accounted = digest.encoded_bytes();
+        let message = Message::Speeds(digest);
+        let encoded = message.encode();
+        // The frame begins with its length.
+        assert!(encoded.len() + 4 <= accounted, "{} bytes", encoded.len());
+        assert_eq!(Message::decode(&encoded).unwrap(), message);
+    }
+}
+
 #[test]
 fn decode_claimed_size_without_limit_is_refused() {
     let mut frame = vec![1];
