feat(selection): the pace of streams tells when a server is slow, and results' releases carry it

Streams run at every server all the time.

Change: streams report their pace every 80 ms; one that is 1.65 times as slow as expected makes its server slow for that moment, in pools whose servers name figures. Samples also follow the release of a job's results, which is sent when the first output and its load arrive. The lasting speed counts as a cost where a prompt part is cached or the load is known.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -400,6 +400,14 @@
         self.speeds.record_event_time(id, utilization, mean, now)
     }
 
+    /// Records the mean time between the events of a stream over the last
+    /// [`PACE_WINDOW`](super::speed::PACE_WINDOW).
+    pub fn record_pace(&mut self, id: &str, mean: Duration, now: Instant) {
+        let state = self.servers.get(id);
+        let utilization = state.map_or(0.0, |state| state.utilization(now));
+        self.speeds.record_pace(id, utilization, mean, now);
+    }
+
     /// How fast the servers are.
     #[must_use]
     pub fn speeds(&self) -> &ServerSpeeds {
--- a/crates/sardineshore-core/src/flow/selection/cost.rs
+++ b/crates/sardineshore-core/src/flow/selection/cost.rs
@@ -36,10 +36,7 @@
 /// Slowness of this moment from which on a server gets no long prompt while others can take it.
 const SLOW_MOMENT: f64 = 1.5;
 /// Cost of a long prompt at such a server.
-const SLOW_MOMENT_COST: Duration = Duration::from_millis(400);
-/// Power of the speed with which a server's share of long prompts grows; it is 1 for others, so that
-/// servers get work in proportion to their speed.
-const LONG_PROMPT_SPEED_POWER: f64 = 2.0;
+const SLOW_MOMENT_COST: Duration = Duration::from_millis(200);
 /// Cost of a megabyte (10^6 bytes) of inputs from another failure domain.
 const CROSS_DOMAIN_MB_COST: Duration = Duration::from_millis(25);
 
@@ -58,16 +55,23 @@
     let request_cost = PREFIX_MISS_COST.as_secs_f64() * f64::from(missed_tokens)
         + CROSS_DOMAIN_MB_COST.as_secs_f64() * cross_domain_bytes as f64 / 1e6
         + version_cost(request, &state.server).as_secs_f64()
-        + SPREADING_COST.as_secs_f64() * spreading(state, request, uncached_tokens, speed);
-    server_cost(state, domain, uncached_tokens, speed, now) + request_cost
+        + SPREADING_COST.as_secs_f64() * spreading(state, request, speed);
+    // With the lasting speed as a cost, all instances would send to the fastest servers at once: nine in
+    // ten requests without a shared prompt part, and more of them late than without it. So it counts
+    // only where a server's load is known or a part is cached; else spreading alone follows it.
+    let has_cached_part = missed_tokens < request.shared_tokens();
+    let is_lasting_known = has_cached_part || state.fresh_report(now).is_some();
+    let lasting = if is_lasting_known { speed.lasting } else { 1.0 };
+    server_cost(state, domain, uncached_tokens, lasting, speed, now) + request_cost
 }
 
 /// Cost of a request at a server due to load, distance and health; `uncached_tokens` are those
-/// of the request itself.
+/// of the request itself, `lasting` the lasting slowness that counts.
 fn server_cost(
     state: &ServerState,
     domain: &Name,
     uncached_tokens: u32,
+    lasting: f64,
     speed: &SpeedView,
     now: Instant,
 ) -> f64 {
@@ -90,10 +94,7 @@
         // A long prompt competes with the running streams, and holds them up.
         cost += speed.token_time * f64::from(uncached_tokens) * f64::from(running) / slots;
     }
-    cost *= speed.momentary;
-    if report.is_some() {
-        cost *= speed.lasting;
-    }
+    cost *= lasting * speed.momentary;
     if is_long && speed.momentary >= SLOW_MOMENT {
         cost += SLOW_MOMENT_COST.as_secs_f64();
     }
@@ -112,27 +113,14 @@
 }
 
 /// Pseudo-random number from 0 to 1 that is lowest at each of several servers with a probability in
-/// proportion to its speed (to a power of it for long prompts).
-///
-/// A server whose load isn't known is compared in this way only: with its faster prefill as a cost, all
-/// instances would send to the fastest servers at once. Where the load is known, both count as costs.
-fn spreading(
-    state: &ServerState,
-    request: &SelectionRequest,
-    uncached_tokens: u32,
-    speed: &SpeedView,
-) -> f64 {
+/// proportion to its speed.
+fn spreading(state: &ServerState, request: &SelectionRequest, speed: &SpeedView) -> f64 {
     let uniform = uniform_hash(&state.server.id, request.seed);
     if (speed.lasting - 1.0).abs() < f64::EPSILON {
         return uniform;
     }
-    let power = if uncached_tokens >= LONG_PROMPT_TOKENS {
-        LONG_PROMPT_SPEED_POWER
-    } else {
-        1.0
-    };
     // The lowest of n uniform numbers exceeds x with probability (1 - x)^n; n is the speed here.
-    1.0 - (1.0 - uniform).powf(speed.lasting.powf(power))
+    1.0 - (1.0 - uniform).powf(speed.lasting)
 }
 
 /// Pseudo-random number from 0 to 1 that depends only on server and seed.
--- a/crates/sardineshore-core/src/flow/speed.rs
+++ b/crates/sardineshore-core/src/flow/speed.rs
@@ -54,6 +54,13 @@
 const MAX_LASTING: f64 = 1.2;
 /// How often what follows from the evidence is computed again.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a pool counts as one whose servers name figures.
+const FIGURES_TIME: Duration = Duration::from_secs(30);
+/// Time over which the pace of a stream is observed.
+pub const PACE_WINDOW: Duration = Duration::from_millis(80);
+/// Logarithm of the slowness of a stream from which on its server counts as slow at this moment; a
+/// prompt that is prefilled beside it may take as much of the server.
+const SLOW_PACE: f64 = 0.5;
 /// Step of the weights by which prompt prefixes are assigned, as a factor.
 const WEIGHT_STEP: f64 = 1.25;
 /// Distance from the present weight at which it changes, in steps; above a half, so that it
@@ -180,6 +187,8 @@
     is_spread: bool,
     /// Number of servers that differ.
     evident: usize,
+    /// Latest time at which a server named a figure.
+    figure_at: Option<Instant>,
     /// Latest time at which a server named a figure that isn't usual.
     uneven_figure_at: Option<Instant>,
     /// Whether some server differs, or named a figure that isn't usual lately.
@@ -242,8 +251,17 @@
         trusted_share(self.trust.min(pool.trust))
     }
 
+    /// Share of a figure that counts.
+    fn trust_in(&self, figure: &Figure, pools: &[PoolSpeed]) -> f64 {
+        if figure.is_named() {
+            self.trust(&pools[self.pool])
+        } else {
+            1.0
+        }
+    }
+
     /// Slowness at this moment as a factor of the lasting one.
-    fn momentary(&self, pool: &PoolSpeed, now: Instant) -> f64 {
+    fn momentary(&self, pools: &[PoolSpeed], now: Instant) -> f64 {
         let Some(figure) = &self.figure else {
             return 1.0;
         };
@@ -251,7 +269,7 @@
         if excess == 0.0 {
             return 1.0;
         }
-        (excess * self.trust(pool)).exp()
+        (excess * self.trust_in(figure, pools)).exp()
     }
 }
 
@@ -268,6 +286,7 @@
             is_calibrated: false,
             is_spread: false,
             evident: 0,
+            figure_at: None,
             uneven_figure_at: None,
             is_uneven: false,
         }
@@ -362,7 +381,7 @@
         let pool = &self.pools[server.pool];
         SpeedView {
             lasting: server.lasting,
-            momentary: server.momentary(pool, now),
+            momentary: server.momentary(&self.pools, now),
             token_time: pool.token_time,
             is_uneven: pool.is_uneven,
         }
@@ -427,8 +446,9 @@
         server.level.record(figure.ln());
         let excess = figure.excess(server.level.value(), now);
         server.figure = Some(figure);
+        let pool = &mut self.pools[server.pool];
+        pool.figure_at = Some(now);
         if excess != 0.0 {
-            let pool = &mut self.pools[server.pool];
             pool.uneven_figure_at = Some(now);
             pool.is_uneven = true;
         }
@@ -476,6 +496,47 @@
         self.record_sample(id, SampleKind::Events, utilization, ln.ln(), now)
     }
 
+    /// Records the mean time between the events of a stream over the last moment. In a pool whose servers
+    /// name figures, it tells more often than they do when a server is slow.
+    pub fn record_pace(&mut self, id: &str, utilization: f64, mean: Duration, now: Instant) {
+        let Some(slot) = self.by_id.get(id).copied() else {
+            return;
+        };
+        let server = &mut self.servers[slot];
+        let pool = &mut self.pools[server.pool];
+        let names_figures = pool
+            .figure_at
+            .is_some_and(|at| now.saturating_duration_since(at) < FIGURES_TIME);
+        if !names_figures || pool.events.samples() < MIN_POOL_SAMPLES {
+            return;
+        }
+        let ln = (mean.as_secs_f64() / EVENT_TIME.as_secs_f64())
+            .max(1e-3)
+            .ln();
+        let (value, weight) = server.evidence(now);
+        let known = value * weight / (weight + 2.0);
+        let excess = ln - pool.events.at(utilization) - known;
+        let level = server.level.value();
+        let is_slow = excess > SLOW_PACE;
+        let is_old = server
+            .figure
+            .is_none_or(|figure| now.saturating_duration_since(figure.at()) > PACE_WINDOW);
+        if !is_old {
+            return;
+        }
+        if is_slow {
+            server.figure = Some(Figure::observed(level + excess, now));
+            pool.uneven_figure_at = Some(now);
+            pool.is_uneven = true;
+            self.remember_slow(slot, false, now);
+        } else if server
+            .figure
+            .is_some_and(|figure| figure.excess(level, now) > 0.0)
+        {
+            server.figure = Some(Figure::observed(level, now));
+        }
+    }
+
     fn record_sample(
         &mut self,
         id: &str,
@@ -497,7 +558,11 @@
             (SampleKind::FirstOutput, Some(figure)) => figure.at_attempt(now),
             _ => None,
         };
-        let explained = trust * figure.unwrap_or(level);
+        let figure_trust = match &server.figure {
+            Some(figure) if !figure.is_named() => 1.0,
+            _ => trust,
+        };
+        let explained = figure.map_or(trust * level, |figure| figure_trust * figure);
         let (value, weight) = server.evidence(now);
         let known = value * weight / (weight + 2.0);
         let trend = match kind {
@@ -511,7 +576,9 @@
         let expected = trend.at(utilization);
         let residual = ln - explained - expected;
         pool.deviation += 0.02 * ((residual - known).abs().min(1.5) - pool.deviation);
-        if let Some(figure) = figure {
+        if let Some(figure) = figure
+            && server.figure.as_ref().is_some_and(Figure::is_named)
+        {
             let unexplained = ln - expected - known - trust * level;
             figure::update_trust(
                 &mut server.trust,
--- a/crates/sardineshore-core/src/flow/speed/exchange.rs
+++ b/crates/sardineshore-core/src/flow/speed/exchange.rs
@@ -19,6 +19,8 @@
 const MAX_SNAPSHOT_ENTRIES: usize = 400;
 /// Entries of lasting speeds of a message; the others are figures of this moment.
 const LASTING_ENTRIES: usize = 4;
+/// Difference from usual, as a logarithm, from which on a slow moment is told.
+const MIN_SLOW: f64 = 0.2;
 /// Servers with new samples from which on a message is sent for them alone.
 const MIN_SAMPLED_SERVERS: usize = 4;
 /// Servers that are looked at for one message.
@@ -253,7 +255,9 @@
             let Some(figure) = &server.figure else {
                 continue;
             };
-            if entries.iter().any(|entry| entry.key == key) {
+            let level = server.level.value();
+            let excess = figure.excess(level, now) * server.trust_in(figure, &self.pools);
+            if excess < MIN_SLOW || entries.iter().any(|entry| entry.key == key) {
                 continue;
             }
             let age = now.saturating_duration_since(figure.at());
@@ -261,7 +265,7 @@
                 key,
                 value: 0,
                 weight: 0,
-                figure: encode_ln(figure.ln()),
+                figure: encode_ln(level + excess),
                 age: u8::try_from(age.as_millis() / AGE_UNIT.as_millis()).unwrap_or(u8::MAX),
             });
         }
@@ -338,7 +342,7 @@
             return;
         };
         if server.figure.is_none_or(|known| known.at() < at) {
-            server.figure = Some(Figure::received(decode_ln(entry.figure), at));
+            server.figure = Some(Figure::observed(decode_ln(entry.figure), at));
             let pool = &mut self.pools[server.pool];
             pool.uneven_figure_at = Some(now);
             pool.is_uneven = true;
--- a/crates/sardineshore-core/src/flow/speed/figure.rs
+++ b/crates/sardineshore-core/src/flow/speed/figure.rs
@@ -30,28 +30,39 @@
 /// Usual figure, as a logarithm, that still counts as 100.
 const LEVEL_DEAD_BAND: f64 = 0.14;
 
-/// A figure and when the server named it.
+/// A figure and since when it holds.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Figure {
     ln: f64,
     at: Instant,
+    /// Whether the server named it; otherwise an instance observed it.
+    is_named: bool,
 }
 
 impl Figure {
     /// `None` if the percentage is out of range.
     pub fn new(percent: u32, now: Instant) -> Option<Self> {
         let in_range = PERCENT.contains(&percent);
-        in_range.then(|| Self::received((f64::from(percent) / 100.0).ln(), now))
+        in_range.then(|| Self {
+            ln: (f64::from(percent) / 100.0).ln(),
+            at: now,
+            is_named: true,
+        })
     }
 
-    /// A figure that another instance sent.
-    pub fn received(ln: f64, at: Instant) -> Self {
+    /// A figure that was observed, or that another instance sent, which believes in it.
+    pub fn observed(ln: f64, at: Instant) -> Self {
         Self {
             ln: ln.clamp(-2.4, 2.4),
             at,
+            is_named: false,
         }
     }
 
+    pub fn is_named(&self) -> bool {
+        self.is_named
+    }
+
     pub fn ln(&self) -> f64 {
         self.ln
     }
--- a/crates/sardineshore-core/tests/speed.rs
+++ b/crates/sardineshore-core/tests/speed.rs
@@ -81,7 +81,19 @@
     let before = Replay::new(Selection::Equal, 1).run();
     let after = Replay::new(Selection::BySpeed, 1).run();
     println!("before {before:?}\nafter  {after:?}");
-    assert!(after.late_share() < 0.75 * before.late_share());
+    assert!(after.late_share() < 0.6 * before.late_share());
+}
+
+/// Guards against all instances sending to the fastest servers at once, as each sees few loads.
+#[test]
+fn select_by_speed_without_shared_parts_uses_all_servers() {
+    let before = Replay::new(Selection::Equal, 3).without_shared_parts();
+    let after = Replay::new(Selection::BySpeed, 3).without_shared_parts();
+    let (before, after) = (before.run(), after.run());
+    println!("before {before:?}\nafter  {after:?}");
+    assert!(after.late_share() < 0.6 * before.late_share());
+    // The fast ones have 55 % of the capacity.
+    assert!((0.45..0.7).contains(&after.at_fast));
 }
 
 /// Guards against a worse service where servers have equal speeds and name no figure.
--- a/crates/sardineshore-core/tests/speed/replay.rs
+++ b/crates/sardineshore-core/tests/speed/replay.rs
@@ -24,6 +24,8 @@
 const TOKENS_PER_US: f64 = 0.0414;
 const STEP_US: f64 = 4600.0;
 const FIXED_US: u64 = 2500;
+/// Time over which streams are observed.
+const PACE_US: u64 = 80_000;
 /// Time for which a server keeps a prompt part.
 const CACHE_US: u64 = 20_000_000;
 /// Time that the stages of a request take before it is sent.
@@ -78,6 +80,8 @@
     sent_at: u64,
     budget_us: u64,
     events: u32,
+    /// Events that are still to come.
+    left: f64,
     first_at: u64,
 }
 
@@ -86,7 +90,7 @@
     Arrive,
     Send(usize),
     FirstOutput(usize),
-    End(usize),
+    Pace(usize),
 }
 
 struct Instance {
@@ -106,6 +110,7 @@
     requests: Vec<SimRequest>,
     events: BinaryHeap<Reverse<(u64, Event)>>,
     has_moments: bool,
+    has_shared_parts: bool,
     outcome: Outcome,
 }
 
@@ -164,6 +169,7 @@
             requests: Vec::new(),
             events: BinaryHeap::new(),
             has_moments: true,
+            has_shared_parts: true,
             outcome: Outcome::default(),
         }
     }
@@ -177,6 +183,12 @@
         self
     }
 
+    /// No two prompts share a part, so no server is preferred for any.
+    pub fn without_shared_parts(mut self) -> Self {
+        self.has_shared_parts = false;
+        self
+    }
+
     pub fn run(mut self) -> Outcome {
         self.push(0, Event::Arrive);
         while let Some(Reverse((at, event))) = self.events.pop() {
@@ -187,7 +199,7 @@
                 Event::Arrive => self.arrive(at),
                 Event::Send(id) => self.send(id, at),
                 Event::FirstOutput(id) => self.first_output(id, at),
-                Event::End(id) => self.end(id, at),
+                Event::Pace(id) => self.pace(id, at),
             }
         }
         let differing = self
@@ -233,6 +245,11 @@
         };
         let own = self.rng.random_range(300..3500);
         let number = self.requests.len();
+        let (subject, shared) = if self.has_shared_parts {
+            (subject, shared)
+        } else {
+            (1000 + number as u64, 1)
+        };
         let prompt = vec![
             part(format!("p{subject}"), shared),
             part(format!("r{number}"), own),
@@ -250,6 +267,7 @@
             sent_at: 0,
             budget_us: self.rng.random_range(80_000..300_000),
             events: self.rng.random_range(60..250),
+            left: 0.0,
             first_at: 0,
         });
         self.tell_owner(instance, at);
@@ -372,23 +390,42 @@
             self.outcome.mean_ms += took as f64 / 1e3;
             self.outcome.at_fast += f64::from(u8::from(server.speed > 1.0));
         }
-        let load = f64::from(server.running) / f64::from(SLOTS);
-        let step = STEP_US / server.speed * (1.0 + 0.5 * load) * self.mean_slowness();
-        self.push(at + whole(f64::from(events) * step), Event::End(id));
+        self.requests[id].left = f64::from(events);
+        self.push(at + PACE_US, Event::Pace(id));
         let selector = &mut self.instances[instance].selector;
         selector.record_load(&selected.id, report, now);
         selector.record_prefill(&selected);
         if self.selection == Selection::BySpeed {
             selector.record_first_output(&selected, Duration::from_micros(took), now);
         }
+        // The release of the results of its stages.
+        self.tell_owner(instance, at);
     }
 
-    fn mean_slowness(&self) -> f64 {
-        if self.has_moments {
-            1.0 + MOMENT.1 * (MOMENT.0 - 1.0)
-        } else {
-            1.0
+    /// Lets a stream go on for a moment.
+    fn pace(&mut self, id: usize, at: u64) {
+        let selected = self.requests[id].selected.clone().unwrap();
+        let number = self.numbers[&selected.id];
+        let server = &self.servers[number];
+        let load = f64::from(server.running) / f64::from(SLOTS);
+        // A prompt that is prefilled takes a part of the server.
+        let prefills = if server.prefilled_at > at { 1.5 } else { 1.0 };
+        let step = STEP_US / server.speed * (1.0 + 0.5 * load) * prefills * self.moment(number, at);
+        let request = &mut self.requests[id];
+        request.left -= PACE_US as f64 / step;
+        if request.left <= 0.0 {
+            self.end(id, at);
+            return;
+        }
+        if self.selection == Selection::BySpeed {
+            let (now, mean) = (
+                self.base + Duration::from_micros(at),
+                Duration::from_micros(whole(step)),
+            );
+            let selector = &mut self.instances[request.instance].selector;
+            selector.record_pace(&selected.id, mean, now);
         }
+        self.push(at + PACE_US, Event::Pace(id));
     }
 
     fn end(&mut self, id: usize, at: u64) {
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -10,6 +10,7 @@
 use sardineshore_core::flow::config::{Caller, Name, Route, request_rank};
 use sardineshore_core::flow::quarantine::Feature;
 use sardineshore_core::flow::selection::{AttemptOutcome, SelectedServer, SelectionRequest};
+use sardineshore_core::flow::speed::PACE_WINDOW;
 use sardineshore_core::flow::time_limit::TimeLimit;
 use slog::{Logger, info};
 
@@ -147,9 +148,24 @@
     /// Time between events and their number, without pauses.
     between: Duration,
     count: u64,
+    /// Start of the present window, and the number of events in it.
+    window: Option<(Instant, u64)>,
 }
 
 impl EventTimes {
+    /// Counts events that arrived at a time. Returns their mean distance once a window is over.
+    fn count_in_window(&mut self, count: u64, at: Instant) -> Option<Duration> {
+        let (start, counted) = self.window.get_or_insert((at, 0));
+        *counted += count;
+        let elapsed = at.saturating_duration_since(*start);
+        if elapsed < PACE_WINDOW {
+            return None;
+        }
+        let counted = u32::try_from(*counted).ok()?;
+        self.window = Some((at, 0));
+        (counted > 0).then(|| elapsed / counted)
+    }
+
     /// Mean time between events; `None` if there were too few.
     fn mean(&self) -> Option<Duration> {
         let count = u32::try_from(self.count).ok()?;
@@ -176,8 +192,14 @@
                 events.between += between;
                 events.count += id - last_id;
             }
+            let pace = events.count_in_window(id.saturating_sub(last_id), at);
+            if let Some(mean) = pace {
+                let mut selector = self.state.selector.borrow_mut();
+                selector.record_pace(&self.server.id, mean, at);
+            }
             return;
         }
+        events.window = Some((at, 0));
         let took = at.saturating_duration_since(sent_at);
         let mut selector = self.state.selector.borrow_mut();
         if selector.record_first_output(&self.server, took, at) {
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -112,9 +112,7 @@
     pub fn submit(&self, cell: Name, job: Job, callback: JobCallback) {
         self.callbacks.borrow_mut().insert(job.id.clone(), callback);
         self.send(&Message::Submit { cell, job });
-        if let Some(message) = self.speeds.as_ref().and_then(LinkSpeeds::samples) {
-            self.send(&message);
-        }
+        self.send_samples();
     }
 
     /// Tells the owner that the job's results were used or that no request waits for it.
@@ -122,6 +120,15 @@
         self.callbacks.borrow_mut().remove(request);
         let (cell, request) = (cell.clone(), request.clone());
         self.send(&Message::Release { cell, request });
+        // The first output has just arrived, and with it the load of its server.
+        self.send_samples();
+    }
+
+    /// Sends what this instance has seen of the servers' speeds, behind a message that is sent anyway.
+    fn send_samples(&self) {
+        if let Some(message) = self.speeds.as_ref().and_then(LinkSpeeds::samples) {
+            self.send(&message);
+        }
     }
 }
 
