--- a/crates/sardineshore-core/src/flow/speed.rs
+++ b/crates/sardineshore-core/src/flow/speed.rs
@@ -54,7 +54,7 @@
 const MAX_LASTING: f64 = 1.2;
 /// How often what follows from the evidence is computed again.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which a pool counts as one whose servers name figures.
+/// Time for which a pool counts as one whose servers name figures, after one that isn't usual.
 const FIGURES_TIME: Duration = Duration::from_secs(30);
 /// Time over which the pace of a stream is observed.
 pub const PACE_WINDOW: Duration = Duration::from_millis(80);
@@ -187,9 +187,9 @@
     is_spread: bool,
     /// Number of servers that differ.
     evident: usize,
-    /// Latest time at which a server named a figure.
-    figure_at: Option<Instant>,
     /// Latest time at which a server named a figure that isn't usual.
+    named_at: Option<Instant>,
+    /// Latest time at which a server was named or seen slow or fast for a moment.
     uneven_figure_at: Option<Instant>,
     /// Whether some server differs, or named a figure that isn't usual lately.
     is_uneven: bool,
@@ -286,7 +286,7 @@
             is_calibrated: false,
             is_spread: false,
             evident: 0,
-            figure_at: None,
+            named_at: None,
             uneven_figure_at: None,
             is_uneven: false,
         }
@@ -446,9 +446,9 @@
         server.level.record(figure.ln());
         let excess = figure.excess(server.level.value(), now);
         server.figure = Some(figure);
-        let pool = &mut self.pools[server.pool];
-        pool.figure_at = Some(now);
         if excess != 0.0 {
+            let pool = &mut self.pools[server.pool];
+            pool.named_at = Some(now);
             pool.uneven_figure_at = Some(now);
             pool.is_uneven = true;
         }
@@ -497,7 +497,7 @@
     }
 
     /// Records the mean time between the events of a stream over the last moment. In a pool whose servers
-    /// name figures, it tells more often than they do when a server is slow.
+    /// have named slow moments, it tells more often than they do when a server is slow.
     pub fn record_pace(&mut self, id: &str, utilization: f64, mean: Duration, now: Instant) {
         let Some(slot) = self.by_id.get(id).copied() else {
             return;
@@ -505,7 +505,7 @@
         let server = &mut self.servers[slot];
         let pool = &mut self.pools[server.pool];
         let names_figures = pool
-            .figure_at
+            .named_at
             .is_some_and(|at| now.saturating_duration_since(at) < FIGURES_TIME);
         if !names_figures || pool.events.samples() < MIN_POOL_SAMPLES {
             return;
