refactor(speed): a file for a server, one for a pool, and samples can be ignored

A server that is cold for some seconds would count as slow for minutes.

Change: modules server and pool; ignore_samples for servers that are slow for a known reason (not called yet: the cold servers are another part); slots follow the sorted ids of a pool. Ruled out: dropping what is known when a server turns cold, as its lasting speed stays.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -87,13 +87,6 @@
                 }
             }
         }
-        if has_changed {
-            let listed = self.servers.values().map(|state| &state.server);
-            self.speeds.set_servers(listed);
-            for (id, state) in &mut self.servers {
-                state.speed = self.speeds.slot(id);
-            }
-        }
         self.pools.clear();
         for (id, state) in &self.servers {
             let pool = self.pools.entry(state.server.pool.clone()).or_default();
@@ -102,6 +95,14 @@
         for ids in self.pools.values_mut() {
             ids.sort();
         }
+        if has_changed {
+            let listed = self.pools.values().flatten();
+            let listed = listed.filter_map(|id| self.servers.get(id));
+            self.speeds.set_servers(listed.map(|state| &state.server));
+            for (id, state) in &mut self.servers {
+                state.speed = self.speeds.slot(id);
+            }
+        }
     }
 
     /// All servers.
--- a/crates/sardineshore-core/src/flow/speed.rs
+++ b/crates/sardineshore-core/src/flow/speed.rs
@@ -10,6 +10,8 @@
 mod estimate;
 mod exchange;
 mod figure;
+mod pool;
+mod server;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -17,14 +19,12 @@
 use slab::Slab;
 
 use super::config::{Name, Server};
-use estimate::{Evidence, Spread, Trend};
+use estimate::Spread;
 pub use exchange::{DigestKind, SpeedDigest, SpeedEntry, SpeedLink};
-use figure::{Figure, FigureLevel, TRUST_AT_START, trusted_share};
+use figure::Figure;
+use pool::{FIXED_TIME, PoolSpeed, TOKEN_PREFILL_TIME};
+use server::{ServerSpeed, WEIGHT_STEP};
 
-/// Time to prefill one prompt token at a usual server, until the pool shows another one.
-const TOKEN_PREFILL_TIME: Duration = Duration::from_micros(24);
-/// Part of the time to the first output that doesn't depend on the prompt.
-const FIXED_TIME: Duration = Duration::from_millis(3);
 /// Uncached tokens from which on the time to the first output says something about the speed; with
 /// fewer, connection and scheduling times outweigh the prefill.
 const MIN_SAMPLE_TOKENS: u32 = 500;
@@ -32,26 +32,8 @@
 const EVENT_TIME: Duration = Duration::from_millis(5);
 /// Number of samples of a pool before its servers are compared with it.
 const MIN_POOL_SAMPLES: f64 = 30.0;
-/// Number of samples of a pool before its own prefill time replaces the constant.
-const MIN_PREFILL_SAMPLES: f64 = 100.0;
-/// Difference from the constant, as a logarithm, below which the constant still applies.
-const PREFILL_DEAD_BAND: f64 = 0.18;
-/// Limits of a pool's prefill time, as a factor of the constant.
-const PREFILL_FACTOR: (f64, f64) = (0.5, 4.0);
-/// Difference from usual, as a logarithm, up to which a server counts as usual: one of a pool whose
-/// servers seem equal, and one of a pool whose servers differ. Servers that many prompts prefer seem
-/// slower by up to 0.18, as their prompts wait for each other.
-const DEAD_BANDS: (f64, f64) = (0.3, 0.1);
-/// Standard deviation of the servers of a pool from which on they count as different. It was 0.07 for
-/// equal servers in the replay, and 0.43 for speeds from 0.7 to 1.7.
-const UNEVEN_SPREAD: f64 = 0.2;
 /// Weight of evidence below which a server counts as usual.
 const MIN_EVIDENCE: f64 = 6.0;
-/// Number of standard errors by which a server must differ from usual. With 2, one server in
-/// twenty of equal ones would seem to differ.
-const MIN_STANDARD_ERRORS: f64 = 2.5;
-/// Limits of a lasting slowness, as a logarithm.
-const MAX_LASTING: f64 = 1.2;
 /// How often what follows from the evidence is computed again.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a pool counts as one whose servers name figures, after one that isn't usual.
@@ -61,25 +43,12 @@
 /// Logarithm of the slowness of a stream from which on its server counts as slow at this moment; a
 /// prompt that is prefilled beside it may take as much of the server.
 const SLOW_PACE: f64 = 0.5;
-/// Step of the weights by which prompt prefixes are assigned, as a factor.
-const WEIGHT_STEP: f64 = 1.25;
-/// Distance from the present weight at which it changes, in steps; above a half, so that it
-/// doesn't change back and forth.
-const WEIGHT_HYSTERESIS: f64 = 0.75;
-/// Largest number of steps of a weight.
-const MAX_WEIGHT_STEPS: f64 = 5.0;
-/// Evidence needed to change a weight: prompts have to be read again at their new server.
-const MIN_WEIGHT_EVIDENCE: f64 = 8.0;
-/// Shortest time between two changes of a server's weight.
-const WEIGHT_DWELL: Duration = Duration::from_secs(20);
 /// Changes that wait to be logged at most; further ones are counted only.
 const MAX_CHANGES: usize = 16;
 /// Age from which a slow figure isn't passed on.
 const FIGURE_SHARE_AGE: Duration = Duration::from_millis(300);
 /// Slow figures that are remembered to be passed on.
 const MAX_SHARED_FIGURES: usize = 64;
-/// Range of the forecast of the time to the first output.
-const RUN_TIME: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(600));
 
 /// Handle of a server, for look-ups without hashing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -142,59 +111,6 @@
     },
 }
 
-/// What is known of one server.
-#[derive(Debug)]
-struct ServerSpeed {
-    id: Name,
-    started_ms: u64,
-    /// Short identification of this run of the server, in messages.
-    key: u32,
-    pool: usize,
-    /// Samples of this instance and of those that submit jobs to it.
-    seen: Evidence,
-    /// What an owner of cells knows, with this instance's samples.
-    told: Evidence,
-    /// Sum and number of this instance's samples that were not passed on.
-    unsent: (f64, u32),
-    figure: Option<Figure>,
-    level: FigureLevel,
-    trust: f64,
-    /// Whether the evidence is clear.
-    is_evident: bool,
-    /// Lasting slowness: logarithm and factor.
-    lasting_ln: f64,
-    lasting: f64,
-    /// When it was last known to differ from usual.
-    differed_at: Option<Instant>,
-    steps: i8,
-    steps_changed_at: Option<Instant>,
-}
-
-/// What is known of a pool.
-#[derive(Debug)]
-struct PoolSpeed {
-    name: Name,
-    first_output: Trend,
-    events: Trend,
-    /// Mean absolute deviation of samples from what was expected.
-    deviation: f64,
-    trust: f64,
-    logged_trust: f64,
-    /// Time to prefill a token, in seconds.
-    token_time: f64,
-    is_calibrated: bool,
-    /// Whether the servers differ by more than a few.
-    is_spread: bool,
-    /// Number of servers that differ.
-    evident: usize,
-    /// Latest time at which a server named a figure that isn't usual.
-    named_at: Option<Instant>,
-    /// Latest time at which a server was named or seen slow or fast for a moment.
-    uneven_figure_at: Option<Instant>,
-    /// Whether some server differs, or named a figure that isn't usual lately.
-    is_uneven: bool,
-}
-
 /// Speeds of all servers of all pools.
 #[derive(Debug, Default)]
 pub struct ServerSpeeds {
@@ -210,109 +126,10 @@
     refreshed_at: Option<Instant>,
     changes: Vec<SpeedChange>,
     unlogged: u64,
-    /// Servers with slow figures, when each arrived and whether an owner told it.
+    /// Servers with slow figures, when each arrived and whether an instance that submits jobs told it.
     slow_figures: VecDeque<(Instant, usize, bool)>,
 }
 
-impl ServerSpeed {
-    fn new(server: &Server, pool: usize) -> Self {
-        Self {
-            id: server.id.clone(),
-            started_ms: server.started_ms,
-            key: exchange::server_key(&server.id, server.started_ms),
-            pool,
-            seen: Evidence::default(),
-            told: Evidence::default(),
-            unsent: (0.0, 0),
-            figure: None,
-            level: FigureLevel::default(),
-            trust: TRUST_AT_START,
-            is_evident: false,
-            lasting_ln: 0.0,
-            lasting: 1.0,
-            differed_at: None,
-            steps: 0,
-            steps_changed_at: None,
-        }
-    }
-
-    /// The better founded evidence; what an owner told contains this instance's samples.
-    fn evidence(&self, now: Instant) -> (f64, f64) {
-        let (seen, told) = (self.seen.weight(now), self.told.weight(now));
-        if told > seen {
-            (self.told.value(), told)
-        } else {
-            (self.seen.value(), seen)
-        }
-    }
-
-    /// Share of figures that counts.
-    fn trust(&self, pool: &PoolSpeed) -> f64 {
-        trusted_share(self.trust.min(pool.trust))
-    }
-
-    /// Share of a figure that counts.
-    fn trust_in(&self, figure: &Figure, pools: &[PoolSpeed]) -> f64 {
-        if figure.is_named() {
-            self.trust(&pools[self.pool])
-        } else {
-            1.0
-        }
-    }
-
-    /// Slowness at this moment as a factor of the lasting one.
-    fn momentary(&self, pools: &[PoolSpeed], now: Instant) -> f64 {
-        let Some(figure) = &self.figure else {
-            return 1.0;
-        };
-        let excess = figure.excess(self.level.value(), now);
-        if excess == 0.0 {
-            return 1.0;
-        }
-        (excess * self.trust_in(figure, pools)).exp()
-    }
-}
-
-impl PoolSpeed {
-    fn new(name: Name) -> Self {
-        Self {
-            name,
-            first_output: Trend::default(),
-            events: Trend::default(),
-            deviation: 0.4,
-            trust: TRUST_AT_START,
-            logged_trust: 1.0,
-            token_time: TOKEN_PREFILL_TIME.as_secs_f64(),
-            is_calibrated: false,
-            is_spread: false,
-            evident: 0,
-            named_at: None,
-            uneven_figure_at: None,
-            is_uneven: false,
-        }
-    }
-
-    /// Replaces the constant by the pool's own prefill time once there is evidence. Returns whether
-    /// that has changed.
-    fn calibrate(&mut self) -> bool {
-        let ln = self.first_output.at(0.0);
-        let band = if self.is_calibrated {
-            PREFILL_DEAD_BAND / 2.0
-        } else {
-            PREFILL_DEAD_BAND
-        };
-        let was = self.is_calibrated;
-        self.is_calibrated = self.first_output.samples() >= MIN_PREFILL_SAMPLES && ln.abs() > band;
-        let factor = if self.is_calibrated {
-            ln.exp().clamp(PREFILL_FACTOR.0, PREFILL_FACTOR.1)
-        } else {
-            1.0
-        };
-        self.token_time = TOKEN_PREFILL_TIME.as_secs_f64() * factor;
-        was != self.is_calibrated
-    }
-}
-
 impl ServerSpeeds {
     /// Replaces the list of servers. What is known of a server is kept unless it has restarted.
     pub fn set_servers<'a>(&mut self, servers: impl Iterator<Item = &'a Server>) {
@@ -425,13 +242,7 @@
     #[must_use]
     pub fn run_time(&self, pool: &str, tokens: u32, slowness: f64) -> Option<Duration> {
         let pool = &self.pools[*self.by_pool.get(pool)?];
-        if pool.evident == 0 || pool.first_output.samples() < MIN_PREFILL_SAMPLES {
-            return None;
-        }
-        // One deviation above the mean of the logarithms: about four of five take no longer.
-        let factor = (pool.first_output.mean() + pool.deviation).exp() * slowness;
-        let prefill = TOKEN_PREFILL_TIME.mul_f64(f64::from(tokens) * factor);
-        Some((FIXED_TIME + prefill).clamp(RUN_TIME.0, RUN_TIME.1))
+        pool.run_time(tokens, slowness)
     }
 
     /// Records the percentage that a server named. Returns whether it is in range and counts.
@@ -449,8 +260,7 @@
         if excess != 0.0 {
             let pool = &mut self.pools[server.pool];
             pool.named_at = Some(now);
-            pool.uneven_figure_at = Some(now);
-            pool.is_uneven = true;
+            pool.record_uneven_figure(now);
         }
         if excess > 0.0 {
             self.remember_slow(slot, false, now);
@@ -458,11 +268,18 @@
         true
     }
 
-    fn remember_slow(&mut self, slot: usize, told: bool, now: Instant) {
+    fn remember_slow(&mut self, slot: usize, from_submitter: bool, now: Instant) {
         if self.slow_figures.len() == MAX_SHARED_FIGURES {
             self.slow_figures.pop_front();
         }
-        self.slow_figures.push_back((now, slot, told));
+        self.slow_figures.push_back((now, slot, from_submitter));
+    }
+
+    /// Ignores attempts at a server until a time, as it is slow for a reason that then ends.
+    pub fn ignore_samples(&mut self, id: &str, until: Instant) {
+        if let Some(slot) = self.by_id.get(id) {
+            self.servers[*slot].ignored_until = Some(until);
+        }
     }
 
     /// Records the time from sending a request to its first output, at a server that ran on
@@ -513,8 +330,7 @@
         let ln = (mean.as_secs_f64() / EVENT_TIME.as_secs_f64())
             .max(1e-3)
             .ln();
-        let (value, weight) = server.evidence(now);
-        let known = value * weight / (weight + 2.0);
+        let known = server.known(now);
         let excess = ln - pool.events.at(utilization) - known;
         let level = server.level.value();
         let is_slow = excess > SLOW_PACE;
@@ -526,8 +342,7 @@
         }
         if is_slow {
             server.figure = Some(Figure::observed(level + excess, now));
-            pool.uneven_figure_at = Some(now);
-            pool.is_uneven = true;
+            pool.record_uneven_figure(now);
             self.remember_slow(slot, false, now);
         } else if server
             .figure
@@ -550,6 +365,9 @@
         };
         let server = &mut self.servers[slot];
         let pool = &mut self.pools[server.pool];
+        if server.ignored_until.is_some_and(|until| now < until) {
+            return false;
+        }
         let utilization = utilization.clamp(0.0, 1.5);
         let trust = server.trust(pool);
         let level = server.level.value();
@@ -563,8 +381,7 @@
             _ => trust,
         };
         let explained = figure.map_or(trust * level, |figure| figure_trust * figure);
-        let (value, weight) = server.evidence(now);
-        let known = value * weight / (weight + 2.0);
+        let known = server.known(now);
         let trend = match kind {
             SampleKind::FirstOutput => &mut pool.first_output,
             SampleKind::Events => &mut pool.events,
@@ -587,12 +404,9 @@
                 unexplained,
             );
         }
-        server.seen.record(residual, 1.0, now);
-        server.unsent.0 += residual.clamp(-MAX_LASTING, MAX_LASTING);
-        if server.unsent.1 == 0 {
+        if server.record(residual, now) {
             self.unsent.push(slot);
         }
-        server.unsent.1 += 1;
         self.refresh_if_due(now);
         true
     }
@@ -618,23 +432,7 @@
             }
         }
         for (pool, spread) in self.pools.iter_mut().zip(spreads) {
-            let least = if pool.is_spread { 0.7 } else { 1.0 } * UNEVEN_SPREAD;
-            pool.is_spread = spread.deviation() > least;
-            pool.evident = 0;
-            if pool.calibrate() {
-                changes.push(SpeedChange::Prefill {
-                    pool: pool.name.clone(),
-                    token_time: Duration::from_secs_f64(pool.token_time),
-                });
-            }
-            let trust = trusted_share(pool.trust);
-            if (trust - pool.logged_trust).abs() >= 0.5 {
-                pool.logged_trust = trust;
-                changes.push(SpeedChange::Trust {
-                    pool: pool.name.clone(),
-                    trust,
-                });
-            }
+            pool.update(spread, &mut changes);
         }
         for (_, server) in &mut self.servers {
             let pool = &mut self.pools[server.pool];
@@ -650,10 +448,7 @@
             pool.evident += usize::from(server.lasting_ln != 0.0);
         }
         for pool in &mut self.pools {
-            let lately = pool
-                .uneven_figure_at
-                .is_some_and(|at| now.saturating_duration_since(at) < Duration::from_secs(10));
-            pool.is_uneven = pool.evident > 0 || lately;
+            pool.update_uneven(now);
         }
         for change in changes {
             if self.changes.len() < MAX_CHANGES {
@@ -670,56 +465,3 @@
         (std::mem::take(&mut self.changes), unlogged)
     }
 }
-
-impl ServerSpeed {
-    /// Updates the lasting slowness and the weight. Returns whether the change is worth a log line.
-    fn update_lasting(&mut self, pool: &PoolSpeed, now: Instant) -> bool {
-        let (value, weight) = self.evidence(now);
-        // The standard deviation is 1.25 times the mean absolute one for a normal distribution.
-        let error = 1.25 * pool.deviation / weight.max(0.01).sqrt();
-        let band = if pool.is_spread {
-            DEAD_BANDS.1
-        } else {
-            DEAD_BANDS.0
-        };
-        let was_evident = self.is_evident;
-        self.is_evident = if was_evident {
-            weight >= 1.0 && value.abs() > band / 2.0
-        } else {
-            weight >= MIN_EVIDENCE && value.abs() > band.max(MIN_STANDARD_ERRORS * error)
-        };
-        let learned = if self.is_evident { value } else { 0.0 };
-        let ln = learned + self.trust(pool) * self.level.value();
-        self.lasting_ln = ln.clamp(-MAX_LASTING, MAX_LASTING);
-        self.lasting = if self.lasting_ln == 0.0 {
-            1.0
-        } else {
-            self.lasting_ln.exp()
-        };
-        if self.lasting_ln != 0.0 {
-            self.differed_at = Some(now);
-        }
-        let changed = self.update_weight(weight, now);
-        changed || was_evident != self.is_evident
-    }
-
-    fn update_weight(&mut self, evidence: f64, now: Instant) -> bool {
-        let target = -self.lasting_ln / WEIGHT_STEP.ln();
-        let founded = evidence >= MIN_WEIGHT_EVIDENCE || self.lasting_ln == 0.0;
-        let dwelt = self
-            .steps_changed_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= WEIGHT_DWELL);
-        if !founded || !dwelt || (target - f64::from(self.steps)).abs() < WEIGHT_HYSTERESIS {
-            return false;
-        }
-        let steps = target.round().clamp(-MAX_WEIGHT_STEPS, MAX_WEIGHT_STEPS);
-        #[expect(clippy::cast_possible_truncation, reason = "clamped to a few steps")]
-        let steps = steps as i8;
-        let changed = steps != self.steps;
-        if changed {
-            self.steps = steps;
-            self.steps_changed_at = Some(now);
-        }
-        changed
-    }
-}
--- a/crates/sardineshore-core/src/flow/speed/exchange.rs
+++ b/crates/sardineshore-core/src/flow/speed/exchange.rs
@@ -344,8 +344,7 @@
         if server.figure.is_none_or(|known| known.at() < at) {
             server.figure = Some(Figure::observed(decode_ln(entry.figure), at));
             let pool = &mut self.pools[server.pool];
-            pool.uneven_figure_at = Some(now);
-            pool.is_uneven = true;
+            pool.record_uneven_figure(now);
             if kind == DigestKind::Samples {
                 self.remember_slow(slot, true, now);
             }
--- a/crates/sardineshore-core/tests/speed.rs
+++ b/crates/sardineshore-core/tests/speed.rs
@@ -184,6 +184,21 @@
     assert!((0.45..0.65).contains(&slowness), "{slowness}");
 }
 
+/// Guards against a server that counts as slow long after it has become warm.
+#[test]
+fn ignore_samples_keeps_server_usual() {
+    let mut now = Instant::now();
+    let mut speeds = speeds();
+    speeds.ignore_samples("s4", now + Duration::from_secs(60));
+    observe(
+        &mut speeds,
+        40,
+        &mut now,
+        |n, _| if n == 4 { 2.5 } else { 1.0 },
+    );
+    assert!(is_usual(speeds.slowness("s4", now)));
+}
+
 /// Guards against a server that gets nothing for good because of an old measurement.
 #[test]
 fn slowness_old_measurement_is_forgotten() {
