fix(speed): a figure counts relative to the server's own usual one

Cause: nothing says whether the fourth figure includes the lasting speed of a server. If it does, the speed counted twice: by the attempts and, until eight figures were seen, by each figure.

Change: a server's usual figure is the median of its first three, and only the difference from it counts, also between instances. The lasting speed comes from attempts alone. Ruled out: the usual figure as evidence of the lasting speed, which a wrong figure would decide.

A test guards against counting twice.

--- a/crates/sardineshore-core/src/flow/speed.rs
+++ b/crates/sardineshore-core/src/flow/speed.rs
@@ -255,7 +255,7 @@
         };
         let server = &mut self.servers[slot];
         server.level.record(figure.ln());
-        let excess = figure.excess(server.level.value(), now);
+        let excess = figure.excess(&server.level, now);
         server.figure = Some(figure);
         if excess != 0.0 {
             let pool = &mut self.pools[server.pool];
@@ -346,7 +346,7 @@
             self.remember_slow(slot, false, now);
         } else if server
             .figure
-            .is_some_and(|figure| figure.excess(level, now) > 0.0)
+            .is_some_and(|figure| figure.excess(&server.level, now) > 0.0)
         {
             server.figure = Some(Figure::observed(level, now));
         }
@@ -370,17 +370,15 @@
         }
         let utilization = utilization.clamp(0.0, 1.5);
         let trust = server.trust(pool);
-        let level = server.level.value();
         // The time between events is a mean over many moments.
-        let figure = match (kind, &server.figure) {
-            (SampleKind::FirstOutput, Some(figure)) => figure.at_attempt(now),
-            _ => None,
-        };
-        let figure_trust = match &server.figure {
-            Some(figure) if !figure.is_named() => 1.0,
-            _ => trust,
+        let (excess, is_named) = match (kind, &server.figure) {
+            (SampleKind::FirstOutput, Some(figure)) => (
+                figure.excess_at_attempt(&server.level, now),
+                figure.is_named(),
+            ),
+            _ => (0.0, false),
         };
-        let explained = figure.map_or(trust * level, |figure| figure_trust * figure);
+        let explained = if is_named { trust * excess } else { excess };
         let known = server.known(now);
         let trend = match kind {
             SampleKind::FirstOutput => &mut pool.first_output,
@@ -393,16 +391,9 @@
         let expected = trend.at(utilization);
         let residual = ln - explained - expected;
         pool.deviation += 0.02 * ((residual - known).abs().min(1.5) - pool.deviation);
-        if let Some(figure) = figure
-            && server.figure.as_ref().is_some_and(Figure::is_named)
-        {
-            let unexplained = ln - expected - known - trust * level;
-            figure::update_trust(
-                &mut server.trust,
-                &mut pool.trust,
-                figure - level,
-                unexplained,
-            );
+        if is_named {
+            let shown = ln - expected - known;
+            figure::update_trust(&mut server.trust, &mut pool.trust, excess, shown);
         }
         if server.record(residual, now) {
             self.unsent.push(slot);
--- a/crates/sardineshore-core/src/flow/speed/exchange.rs
+++ b/crates/sardineshore-core/src/flow/speed/exchange.rs
@@ -55,9 +55,10 @@
     pub value: i8,
     /// Samples on which it is based; 0: the entry has no lasting slowness.
     pub weight: u8,
-    /// Logarithm of the figure of this moment, in parts of 32; the smallest value stands for none.
+    /// Logarithm of the slowness of this moment, relative to the lasting one, in parts of 32; the smallest
+    /// value stands for none.
     pub figure: i8,
-    /// Age of that figure, in units of 4 ms.
+    /// Age of that slowness, in units of 4 ms.
     pub age: u8,
 }
 
@@ -255,8 +256,7 @@
             let Some(figure) = &server.figure else {
                 continue;
             };
-            let level = server.level.value();
-            let excess = figure.excess(level, now) * server.trust_in(figure, &self.pools);
+            let excess = figure.excess(&server.level, now) * server.trust_in(figure, &self.pools);
             if excess < MIN_SLOW || entries.iter().any(|entry| entry.key == key) {
                 continue;
             }
@@ -265,7 +265,7 @@
                 key,
                 value: 0,
                 weight: 0,
-                figure: encode_ln(level + excess),
+                figure: encode_ln(excess),
                 age: u8::try_from(age.as_millis() / AGE_UNIT.as_millis()).unwrap_or(u8::MAX),
             });
         }
@@ -342,7 +342,8 @@
             return;
         };
         if server.figure.is_none_or(|known| known.at() < at) {
-            server.figure = Some(Figure::observed(decode_ln(entry.figure), at));
+            let ln = server.level.value() + decode_ln(entry.figure);
+            server.figure = Some(Figure::observed(ln, at));
             let pool = &mut self.pools[server.pool];
             pool.record_uneven_figure(now);
             if kind == DigestKind::Samples {
--- a/crates/sardineshore-core/src/flow/speed/figure.rs
+++ b/crates/sardineshore-core/src/flow/speed/figure.rs
@@ -25,10 +25,9 @@
 const TRUST_RANGE: (f64, f64) = (0.3, 0.6);
 /// Step by which a server's usual figure follows each figure.
 const LEVEL_STEP: f64 = 0.04;
-/// Figures of a server before its usual one is known.
-const MIN_FIGURES: u32 = 8;
-/// Usual figure, as a logarithm, that still counts as 100.
-const LEVEL_DEAD_BAND: f64 = 0.14;
+/// Difference from 100, as a logarithm, below which a figure counts as usual while the server's usual
+/// one isn't known: it may include the lasting speed of the server.
+const UNKNOWN_DEAD_BAND: f64 = 0.5;
 
 /// A figure and since when it holds.
 #[derive(Debug, Clone, Copy)]
@@ -72,13 +71,12 @@
     }
 
     /// Difference from the server's usual figure that counts now; 0 if that is none.
-    pub fn excess(&self, level: f64, now: Instant) -> f64 {
+    pub fn excess(&self, level: &FigureLevel, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.at);
-        let excess = self.ln - level;
-        if age >= MAX_AGE || excess.abs() < DEAD_BAND {
+        if age >= MAX_AGE {
             return 0.0;
         }
-        let excess = excess.clamp(EXCESS.0, EXCESS.1);
+        let excess = self.full_excess(level);
         if age <= FULL_AGE {
             return excess;
         }
@@ -86,30 +84,59 @@
         excess * left / MAX_AGE.saturating_sub(FULL_AGE).as_secs_f64()
     }
 
-    /// The figure, if it can explain an attempt whose first output arrived now.
-    pub fn at_attempt(&self, now: Instant) -> Option<f64> {
+    fn full_excess(&self, level: &FigureLevel) -> f64 {
+        let excess = self.ln - level.value();
+        let band = if self.is_named && !level.is_known() {
+            UNKNOWN_DEAD_BAND
+        } else {
+            DEAD_BAND
+        };
+        if excess.abs() < band {
+            return 0.0;
+        }
+        excess.clamp(EXCESS.0, EXCESS.1)
+    }
+
+    /// Difference that explains an attempt whose first output arrived now; 0 if that is none.
+    pub fn excess_at_attempt(&self, level: &FigureLevel, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.at);
-        (age <= ATTEMPT_AGE).then_some(self.ln)
+        if age <= ATTEMPT_AGE {
+            self.full_excess(level)
+        } else {
+            0.0
+        }
     }
 }
 
-/// Median of a server's figures, followed in small steps.
+/// Usual figure of a server: the median of the first three, which then follows each one in small steps.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct FigureLevel {
+    first: [f64; 3],
+    figures: usize,
     ln: f64,
-    figures: u32,
 }
 
 impl FigureLevel {
     pub fn record(&mut self, ln: f64) {
-        self.figures = self.figures.saturating_add(1);
-        self.ln += (ln - self.ln).clamp(-LEVEL_STEP, LEVEL_STEP);
+        if let Some(first) = self.first.get_mut(self.figures) {
+            *first = ln;
+            self.figures += 1;
+            if self.is_known() {
+                self.first.sort_by(f64::total_cmp);
+                self.ln = self.first[1];
+            }
+        } else {
+            self.ln += (ln - self.ln).clamp(-LEVEL_STEP, LEVEL_STEP);
+        }
+    }
+
+    pub fn is_known(&self) -> bool {
+        self.figures == self.first.len()
     }
 
-    /// The usual figure; 0 until it is known to be another one.
+    /// The usual figure; 0 until it is known.
     pub fn value(&self) -> f64 {
-        let known = self.figures >= MIN_FIGURES && self.ln.abs() > LEVEL_DEAD_BAND;
-        if known { self.ln } else { 0.0 }
+        self.ln
     }
 }
 
--- a/crates/sardineshore-core/src/flow/speed/server.rs
+++ b/crates/sardineshore-core/src/flow/speed/server.rs
@@ -127,7 +127,7 @@
         let Some(figure) = &self.figure else {
             return 1.0;
         };
-        let excess = figure.excess(self.level.value(), now);
+        let excess = figure.excess(&self.level, now);
         if excess == 0.0 {
             return 1.0;
         }
@@ -151,8 +151,7 @@
             weight >= MIN_EVIDENCE && value.abs() > band.max(MIN_STANDARD_ERRORS * error)
         };
         let learned = if self.is_evident { value } else { 0.0 };
-        let ln = learned + self.trust(pool) * self.level.value();
-        self.lasting_ln = ln.clamp(-MAX_LASTING, MAX_LASTING);
+        self.lasting_ln = learned.clamp(-MAX_LASTING, MAX_LASTING);
         self.lasting = if self.lasting_ln == 0.0 {
             1.0
         } else {
--- a/crates/sardineshore-core/tests/speed.rs
+++ b/crates/sardineshore-core/tests/speed.rs
@@ -164,6 +164,27 @@
     assert!(slowness < 1.2, "{slowness}");
 }
 
+/// Guards against a lasting speed that counts twice where servers include it in their figures.
+#[test]
+fn slowness_usual_figure_of_a_server_is_not_a_slow_moment() {
+    let mut now = Instant::now();
+    let mut speeds = speeds();
+    let slowness = |n: usize| if n < 6 { 1.4 } else { 0.7 };
+    for _ in 0..60 {
+        observe(&mut speeds, 1, &mut now, |n, _| slowness(n));
+        for n in 0..COUNT {
+            let percent = if n < 6 { 140 } else { 70 };
+            speeds.record_figure(&format!("s{n}"), percent, now);
+        }
+    }
+    let ratio = speeds.slowness("s0", now) / speeds.slowness("s9", now);
+    assert!((1.7..2.3).contains(&ratio), "{ratio}");
+    // A figure above its own usual one is one.
+    speeds.record_figure("s9", 175, now);
+    let ratio = speeds.slowness("s0", now) / speeds.slowness("s9", now);
+    assert!((0.6..1.0).contains(&ratio), "{ratio}");
+}
+
 #[test]
 fn slowness_restarted_server_is_unknown_and_learned_again() {
     let mut now = Instant::now();
