--- a/crates/sardineshore-core/src/flow/speed.rs
+++ b/crates/sardineshore-core/src/flow/speed.rs
@@ -402,7 +402,7 @@
         true
     }
 
-    /// Computes again what follows from the evidence, at most once in [`REFRESH_INTERVAL`].
+    /// Computes again what follows from the evidence, at most once a second.
     pub fn refresh_if_due(&mut self, now: Instant) {
         let due = self
             .refreshed_at
