--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -12,6 +12,7 @@
 mod server;
 
 use std::collections::{HashMap, HashSet};
+use std::fmt::Write;
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -21,6 +22,7 @@
 use super::evacuation::{EvacuatedDomains, EvacuationChanges};
 use super::notices::{NoticeBoard, ServerNotice, ServerRun};
 use super::replica::StoreVersion;
+use super::speed::ServerSpeeds;
 use super::turns::{RateLimit, TurnSchedule, TurnSharing};
 use cost::{COLD_TURN_BENEFIT, total_cost};
 pub use request::{
@@ -46,6 +48,8 @@
     notices: NoticeBoard,
     /// Failure domains to which nothing, or not everything, may be sent.
     evacuations: EvacuatedDomains,
+    /// How fast they are.
+    speeds: ServerSpeeds,
 }
 
 impl ServerSelector {
@@ -64,8 +68,10 @@
     pub fn set_servers(&mut self, servers: Vec<Server>) {
         let listed: HashSet<Name> = servers.iter().map(|s| s.id.clone()).collect();
         let limits = &mut self.limits;
+        let mut has_changed = false;
         self.servers.retain(|id, _| {
             let stays = listed.contains(id);
+            has_changed |= !stays;
             if !stays {
                 limits.remove(id);
             }
@@ -74,8 +80,12 @@
         for mut server in servers {
             server.ready &= !self.notices.is_leaving(&server.id, server.started_ms);
             match self.servers.get_mut(&server.id) {
-                Some(old) if old.server.started_ms == server.started_ms => old.server = server,
+                Some(old) if old.server.started_ms == server.started_ms => {
+                    has_changed |= old.server.pool != server.pool;
+                    old.server = server;
+                }
                 known => {
+                    has_changed = true;
                     if known.is_some() {
                         self.limits.remove(&server.id);
                     }
@@ -92,6 +102,14 @@
         for ids in self.pools.values_mut() {
             ids.sort();
         }
+        if has_changed {
+            let listed = self.pools.values().flatten();
+            let listed = listed.filter_map(|id| self.servers.get(id));
+            self.speeds.set_servers(listed.map(|state| &state.server));
+            for (id, state) in &mut self.servers {
+                state.speed = self.speeds.slot(id);
+            }
+        }
     }
 
     /// All servers.
@@ -437,14 +455,16 @@
         let preferred = if candidates.iter().any(|s| is_cold(s)) {
             self.preferred_beside_cold(request, &candidates, now)
         } else {
-            preferred_server(request, &candidates)
+            preferred_server(request, &candidates, &self.speeds)
         };
         candidates
             .into_iter()
             .map(|state| {
                 let is_preferred = preferred.as_ref() == Some(&state.server.id);
                 let uncached_tokens = state.uncached_tokens(request, is_preferred, now);
-                let mut cost = total_cost(state, request, &self.domain, uncached_tokens, now);
+                let speed = self.speeds.view(state.speed, now);
+                let mut cost =
+                    total_cost(state, request, &self.domain, uncached_tokens, &speed, now);
                 if is_cold(state) {
                     cost -= COLD_TURN_BENEFIT.as_secs_f64();
                 }
@@ -474,11 +494,11 @@
         now: Instant,
     ) -> Option<Name> {
         let all: Vec<&ServerState> = self.untried_servers(request, now)?.collect();
-        let home = preferred_server(request, &all)?;
+        let home = preferred_server(request, &all, &self.speeds)?;
         let is_settled =
             |s: &&&ServerState| s.server.id == home || !self.cold.is_cold(&s.server.id, now);
         let settled: Vec<&ServerState> = candidates.iter().filter(is_settled).copied().collect();
-        preferred_server(request, &settled)
+        preferred_server(request, &settled, &self.speeds)
     }
 
     /// Records that a request is being sent to a server.
@@ -540,11 +560,80 @@
         }
     }
 
-    /// Records the load that a server reports.
-    pub fn record_load(&mut self, id: &str, report: LoadReport, now: Instant) {
+    /// Records the load that a server reports. Returns false if its percentage is out of range.
+    pub fn record_load(&mut self, id: &str, report: LoadReport, now: Instant) -> bool {
         if let Some(state) = self.servers.get_mut(id) {
             state.report = Some((report, now));
         }
+        let percent = report.percent;
+        percent.is_none_or(|percent| self.speeds.record_figure(id, percent, now))
+    }
+
+    /// Records the time from sending a request to its first output. Returns whether it says something
+    /// about the speed of the server.
+    pub fn record_first_output(
+        &mut self,
+        server: &SelectedServer,
+        took: Duration,
+        now: Instant,
+    ) -> bool {
+        let state = self.servers.get(&server.id);
+        // With requests that wait, the time depends on them.
+        let state = state.filter(|s| s.fresh_report(now).is_none_or(|r| r.waiting == 0));
+        state.is_some_and(|state| {
+            let utilization = state.utilization(now);
+            let tokens = server.uncached_tokens;
+            self.speeds
+                .record_first_output(&server.id, tokens, utilization, took, now)
+        })
+    }
+
+    /// Records the mean time between the events of a stream.
+    pub fn record_event_time(&mut self, id: &str, mean: Duration, now: Instant) -> bool {
+        let state = self.servers.get(id);
+        let utilization = state.map_or(0.0, |state| state.utilization(now));
+        self.speeds.record_event_time(id, utilization, mean, now)
+    }
+
+    /// Records the mean time between the events of a stream over the last
+    /// [`PACE_WINDOW`](super::speed::PACE_WINDOW).
+    pub fn record_pace(&mut self, id: &str, mean: Duration, now: Instant) {
+        let state = self.servers.get(id);
+        let utilization = state.map_or(0.0, |state| state.utilization(now));
+        self.speeds.record_pace(id, utilization, mean, now);
+    }
+
+    /// How fast the servers are.
+    #[must_use]
+    pub fn speeds(&self) -> &ServerSpeeds {
+        &self.speeds
+    }
+
+    /// How fast the servers are, for the exchange between instances.
+    pub fn speeds_mut(&mut self) -> &mut ServerSpeeds {
+        &mut self.speeds
+    }
+
+    /// Expected time from sending a request to its first output, at `likely` or at any server that
+    /// could run it. `None` while the servers of the pool are not known to differ.
+    #[must_use]
+    pub fn run_time(
+        &self,
+        request: &SelectionRequest,
+        likely: Option<&SelectedServer>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let (tokens, slowness) = if let Some(server) = likely {
+            let speed = self.speeds.view(self.speeds.slot(&server.id), now);
+            (server.uncached_tokens, speed.lasting)
+        } else {
+            // Servers get work in proportion to their speed.
+            let servers = self.untried_servers(request, now)?;
+            let speeds = servers.map(|state| 1.0 / self.speeds.view(state.speed, now).lasting);
+            let (count, sum) = speeds.fold((0.0, 0.0), |(n, sum), speed| (n + 1.0, sum + speed));
+            (request.tokens(), count / sum)
+        };
+        self.speeds.run_time(&request.pool, tokens, slowness)
     }
 
     /// Number of servers that could run the request and are not in back-off.
@@ -556,12 +645,33 @@
     }
 }
 
-/// Server that all instances prefer for a prompt prefix: the one with the highest hash of prefix
-/// and server id. `None` if the prompt has no shared part.
-fn preferred_server(request: &SelectionRequest, servers: &[&ServerState]) -> Option<Name> {
+/// Server that all instances prefer for a prompt prefix, by rendezvous hashing: the one with the highest
+/// hash of prefix and server id, weighted by the servers' speeds. `None` if the prompt has no shared part.
+fn preferred_server(
+    request: &SelectionRequest,
+    servers: &[&ServerState],
+    speeds: &ServerSpeeds,
+) -> Option<Name> {
     let prefix = request.shared_parts().last()?;
-    servers
-        .iter()
-        .max_by_key(|s| xxh3_64(format!("{}/{}", prefix.id, s.server.id).as_bytes()))
-        .map(|s| s.server.id.clone())
+    let mut buf = String::with_capacity(prefix.id.len() + 32);
+    let mut hash = |state: &ServerState| {
+        buf.clear();
+        let _infallible = write!(buf, "{}/{}", prefix.id, state.server.id);
+        xxh3_64(buf.as_bytes())
+    };
+    let preferred = if servers.iter().all(|s| speeds.weight_steps(s.speed) == 0) {
+        servers.iter().max_by_key(|s| hash(s))
+    } else {
+        // The negative logarithm of a uniform number, divided by the weight, is lowest at each server
+        // with a probability in proportion to its weight. A change of one weight moves only prefixes
+        // to or from that server.
+        let scores = servers.iter().map(|s| {
+            let uniform = (hash(s) as f64 + 0.5) / 2_f64.powi(64);
+            let weight = ServerSpeeds::weight(speeds.weight_steps(s.speed));
+            (-uniform.ln() / weight, s)
+        });
+        let lowest = scores.min_by(|a, b| a.0.total_cmp(&b.0));
+        lowest.map(|(_, state)| state)
+    };
+    preferred.map(|s| s.server.id.clone())
 }
--- a/crates/sardineshore-core/tests/cold.rs
+++ b/crates/sardineshore-core/tests/cold.rs
@@ -296,6 +296,7 @@
         running: 16,
         waiting: 3,
         slots: 16,
+        percent: None,
     };
     selector.record_load("s4", full, now);
     assert_eq!(selector.limited_rate(&request(1), now), None);
@@ -491,6 +492,7 @@
                         running: *running,
                         waiting: 0,
                         slots: 16,
+                        percent: None,
                     };
                     selector.record_load(&server.id, report, now);
                     selector.record_end(server, true, AttemptOutcome::Answered(time), now);
--- a/crates/sardineshore-core/tests/evacuation.rs
+++ b/crates/sardineshore-core/tests/evacuation.rs
@@ -431,3 +431,18 @@
     assert_eq!(instance.selector.next_turn(&request, t), None);
     assert!(instance.selector.select(&request, t).is_none());
 }
+
+/// Guards against a domain that closes at once, or too late for the bound, at an instance that was cut off from
+/// the store and is back.
+#[test]
+fn begin_after_a_cut_closes_within_a_second() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut domains = EvacuatedDomains::default();
+    let assumed = domains.assumed_write(now);
+    domains.begin(&"z".into(), StoreVersion::default(), assumed, now);
+    let half = now + Duration::from_millis(500);
+    assert!(domains.access("z", 0.4, half) && !domains.access("z", 0.6, half));
+    assert_eq!(domains.closed(half).count(), 0);
+    let end = now + Duration::from_secs(1);
+    assert_eq!(domains.closed(end).collect::<Vec<_>>(), [&Name::from("z")]);
+}
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -23,6 +23,7 @@
 use crate::request::RequestHandler;
 use crate::settings::{Bounds, Settings};
 use crate::shutdown::Shutdown;
+use crate::speeds::SpeedExchange;
 use crate::stages::StageClient;
 use crate::state::SharedState;
 use crate::store::Store;
@@ -61,6 +62,7 @@
     dispatcher: Rc<Dispatcher>,
     notices: Rc<NoticeReader>,
     cold: Rc<ColdReporter>,
+    speeds: Rc<SpeedExchange>,
     shutdown: Rc<Shutdown>,
     metrics: Rc<Metrics>,
     handler: Rc<RequestHandler>,
@@ -101,6 +103,8 @@
     };
     let relay = Rc::new(StoreRelay::new(settings.bounds.revoke, log.clone()));
     let peers = Peers::new(own, cells.clone(), relay, log.clone());
+    let speeds = SpeedExchange::new(state.clone(), metrics.clone(), log.clone());
+    peers.set_speeds(speeds.clone());
     let crashes = CrashMonitor::new(
         state.clone(),
         connections.clone(),
@@ -149,6 +153,7 @@
         dispatcher,
         notices,
         cold: Rc::new(cold),
+        speeds,
         shutdown,
         metrics,
         handler,
@@ -189,6 +194,7 @@
     tokio::task::spawn_local(crashes.clone().share_evidence());
     tokio::task::spawn_local(crashes.clone().receive_evidence());
     tokio::task::spawn_local(components.dispatcher.limits().clone().share());
+    tokio::task::spawn_local(components.speeds.clone().report());
     let versions = components.dispatcher.versions();
     tokio::task::spawn_local(versions.clone().write_records());
     tokio::task::spawn_local(versions.clone().maintain());
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -1,12 +1,14 @@
 //! Prometheus metrics of an instance.
 
 mod evacuation;
+mod speed;
 
 pub use evacuation::EvacuationMetrics;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
+pub use speed::SpeedMetrics;
 
 /// Upper bounds of the buckets of latency histograms, in seconds.
 const LATENCY_BUCKETS: &[f64] = &[
@@ -50,6 +52,8 @@
     pub active_requests: IntGauge,
     /// Evacuated failure domains.
     pub evacuation: EvacuationMetrics,
+    /// What is known of the speed of servers.
+    pub speed: SpeedMetrics,
 }
 
 impl Metrics {
@@ -122,6 +126,7 @@
             IntGauge::new("sardine_active_requests", "Requests that are served.")?;
         registry.register(Box::new(active_requests.clone()))?;
         let evacuation = EvacuationMetrics::new(&registry)?;
+        let speed = SpeedMetrics::new(&registry)?;
         Ok(Self {
             registry,
             answers,
@@ -140,6 +145,7 @@
             cold_waits,
             active_requests,
             evacuation,
+            speed,
         })
     }
 
