--- a/crates/sardineshore-core/tests/load/main.rs
+++ b/crates/sardineshore-core/tests/load/main.rs
@@ -1,9 +1,11 @@
 //! Load patterns replayed against a batch scheduler under a simulated clock.
 
+mod overload;
 mod replay;
 
 use std::time::Duration;
 
+use overload::{Burst, CONTRACT, Day, EVENT, Outcome, Trouble};
 use replay::{Kind, Phase, Replay};
 
 /// The more urgent of two kinds of request: a chain of three stages.
@@ -80,3 +82,70 @@
     let (chain, single) = (report.served("chain"), report.served("single"));
     assert!(chain > single - 0.05, "{chain} {single} {report:?}");
 }
+
+fn burst(class: Option<&'static str>, factor: f64, from_s: f64, to_s: f64) -> Burst {
+    Burst {
+        class,
+        factor,
+        from_s,
+        to_s,
+        one_customer: 0.0,
+    }
+}
+
+/// Waves, a burst of each of the two urgent kinds and of all, lost servers and slow ones.
+fn hard_day(seed: u64) -> Day {
+    let lost = |pool, servers, from_s| Trouble {
+        pool,
+        servers,
+        slowdown: f64::INFINITY,
+        from_s,
+        to_s: from_s + 5.0,
+    };
+    let slow = |pool, servers, from_s| Trouble {
+        pool,
+        servers,
+        slowdown: 2.0,
+        from_s,
+        to_s: from_s + 6.0,
+    };
+    Day {
+        seed,
+        length_s: 42.0,
+        swing: 0.55,
+        bursts: vec![
+            burst(Some(CONTRACT.name), 2.8, 5.0, 11.0),
+            burst(Some(EVENT.name), 2.8, 13.0, 19.0),
+            burst(None, 2.0, 22.0, 27.0),
+            burst(Some(EVENT.name), 2.8, 31.0, 36.0),
+        ],
+        troubles: vec![
+            slow("member-ledger", 2, 6.0),
+            lost("promo-notify", 2, 14.0),
+            lost("member-ledger", 2, 23.0),
+            slow("gate-scan", 2, 31.0),
+        ],
+    }
+}
+
+/// Sum over days that differ in their seed only.
+fn hard_days() -> Outcome {
+    let mut sum = Outcome::default();
+    for seed in 1..=3 {
+        sum.add(overload::run(hard_day(seed)));
+    }
+    sum
+}
+
+/// Prints the figures by kind, and by second if the environment has `SECONDS`.
+#[test]
+fn replay_hard_days_leave_no_request_open() {
+    let outcome = hard_days();
+    println!("{}", outcome.table());
+    if std::env::var_os("SECONDS").is_some() {
+        for ((second, kind), counts) in &outcome.seconds {
+            println!("{second:3} {kind:16} {counts:?}");
+        }
+    }
+    assert_eq!(outcome.unfinished, 0);
+}
