feat(batching): forecast chains with the calls of the present load

Cause: a forecast assumed half-full calls at any load. The queue ordered by least remaining times, which puts a chain that waits at every pool behind single stages with more time to spare. Change: recent_calls.rs averages the work of recent calls; longer queues are assumed to fill them. A stage's latest start counts typical calls and waits. As forecasts are longer now, they may take 0.88 of the time to the soft deadline in place of 0.72. Conclusion: less urgent jobs no longer overtake chains.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -18,6 +18,7 @@
 mod lifecycle;
 mod messages;
 mod piece_times;
+mod recent_calls;
 mod results;
 mod retries;
 mod server;
@@ -27,7 +28,7 @@
 
 pub use config::SchedulerConfig;
 use fairness::Fairness;
-use forecast::{PoolLoad, forecast, rank_index};
+use forecast::{PoolLoad, expected_times, forecast, rank_index};
 pub use job::{Job, JobStage, StageResults, StoredResult};
 use job::{JobState, PieceResult, Precedence, Progress};
 pub use messages::{
@@ -35,6 +36,7 @@
     SubmitOutcome,
 };
 use piece_times::{ClassCounts, PieceTimes};
+use recent_calls::RecentCalls;
 use retries::RetryTracker;
 pub use server::FreeMemory;
 use server::ServerState;
@@ -87,6 +89,7 @@
     /// Whether the cell is being handed over to another owner; no call is started meanwhile.
     handing_over: bool,
     piece_times: PieceTimes,
+    recent_calls: RecentCalls,
     retries: RetryTracker,
     fairness: Fairness,
     /// When the parked jobs are next checked for those that can't finish in time.
@@ -158,7 +161,8 @@
                 .saturating_duration_since(now)
                 .min(job.time_to_soft_deadline);
         }
-        let Some(forecast) = forecast(&job, &self.loads(now)) else {
+        let loads = self.loads(now);
+        let Some(forecast) = forecast(&job, &loads) else {
             self.record_refusal(&job, now);
             return SubmitOutcome::Refused {
                 retry_after: NO_SERVER_RETRY.min(job.time_to_deadline / 3),
@@ -197,7 +201,8 @@
             };
         }
         let first_in_rank = first_soft_deadline.is_some() || job.is_accepted();
-        self.accept(job, late, first_in_rank, now);
+        let expected_times = expected_times(&job, &loads);
+        self.accept(job, &expected_times, late, first_in_rank, now);
         SubmitOutcome::Accepted { late }
     }
 
@@ -337,11 +342,17 @@
             let mut count = 0;
             for server in usable {
                 load.rate += server.pieces_per_second();
-                load.call = server.expected_call_time(f64::from(server.spec.max_batch.div_ceil(2)));
+                let half = f64::from(server.spec.max_batch.div_ceil(2));
+                let recent = self.recent_calls.work(pool);
+                load.call = server.expected_call_time(recent.unwrap_or(half));
+                load.full_call = server.expected_call_time(f64::from(server.spec.max_batch));
+                load.call_work = f64::from(server.spec.max_batch);
                 count += 1;
             }
+            load.servers = count;
+
             let pause = active().map(|server| server.pause_left(now)).min();
-            load.server_wait = load.call / (2 * count.max(1)) + pause.unwrap_or_default();
+            load.pause = pause.unwrap_or_default();
             loads.insert(pool.clone(), load);
         }
         for (_, state) in self.jobs.iter().filter(|(_, job)| !job.delivered) {
@@ -374,6 +385,9 @@
                 }
             }
         }
+        for load in loads.values_mut() {
+            load.update_call();
+        }
         loads
     }
 
--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -332,7 +332,9 @@
             });
         }
         let classes = class_counts(&self.jobs, &sent);
-        let expected = server.expected_call_time(self.piece_times.work(&classes));
+        let work = self.piece_times.work(&classes);
+        self.recent_calls.record(pool, work);
+        let expected = server.expected_call_time(work);
         let slow_after =
             expected.mul_f64(self.config.slow_call_factor) + self.config.slow_call_slack;
         server.record_request(now);
--- a/crates/sardineshore-core/src/flow/batching/config.rs
+++ b/crates/sardineshore-core/src/flow/batching/config.rs
@@ -7,8 +7,8 @@
 /// Settings for refusing jobs, for waiting, and for repeating calls.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SchedulerConfig {
-    /// Share of the time to its soft deadline that a job's forecast may take. Below 1 because a
-    /// forecast is too short: it leaves out what happens before the job runs.
+    /// Share of the time to its soft deadline that a job's forecast may take. Below 1 because
+    /// later jobs with earlier deadlines go first, and because of what happens before the job runs.
     pub soft_deadline_share: f64,
     /// Share of the time to the deadline that a late job may spend waiting for other jobs.
     pub late_wait_share: f64,
@@ -44,7 +44,7 @@
 impl Default for SchedulerConfig {
     fn default() -> Self {
         Self {
-            soft_deadline_share: 0.72,
+            soft_deadline_share: 0.88,
             late_wait_share: 0.12,
             late_finish_share: 0.7,
             parked_finish_share: 0.95,
--- a/crates/sardineshore-core/src/flow/batching/forecast.rs
+++ b/crates/sardineshore-core/src/flow/batching/forecast.rs
@@ -23,8 +23,16 @@
     pub queued: f64,
     /// Throughput of all available servers with full batches, in pieces per second.
     pub rate: f64,
-    /// Time of a call with a typical batch: half full.
+    /// Time of a call with a typical batch: as recent ones, or fuller if more pieces are queued.
     pub call: Duration,
+    /// Time of a call with a full batch.
+    pub full_call: Duration,
+    /// Work of a full batch.
+    pub call_work: f64,
+    /// Servers that take calls.
+    pub servers: u32,
+    /// Time until a server wants requests again.
+    pub pause: Duration,
     /// Average time until a server is free.
     pub server_wait: Duration,
 }
@@ -52,6 +60,16 @@
         self.continued + self.on_time.iter().sum::<f64>() + self.late
     }
 
+    /// Adapts the typical call to the queue: servers that become free take full batches while the
+    /// queue has them.
+    pub(super) fn update_call(&mut self) {
+        let servers = f64::from(self.servers.max(1));
+        let full = (self.queued / servers / self.call_work.max(1.0)).min(1.0);
+        let more = self.full_call.saturating_sub(self.call).mul_f64(full);
+        self.call += more;
+        self.server_wait = self.call / (2 * self.servers.max(1)) + self.pause;
+    }
+
     /// Time that the pool needs for its queued pieces.
     #[must_use]
     pub fn queue_time(&self) -> Duration {
@@ -132,3 +150,26 @@
     }
     Some(ends.into_iter().max().unwrap_or_default() + job.run_time)
 }
+
+/// Expected time from the start of each stage to the end of the request: the longest chain of typical
+/// calls with the average waits for a free server, plus the run time of the request itself.
+#[must_use]
+pub fn expected_times(job: &Job, loads: &BTreeMap<Name, PoolLoad>) -> Vec<Duration> {
+    let mut times = vec![Duration::ZERO; job.stages.len()];
+    for stage_index in (0..job.stages.len()).rev() {
+        let stage = &job.stages[stage_index];
+        let own = match loads.get(&stage.pool) {
+            Some(load) if stage.pieces > 0 => load.server_wait + load.call,
+            _ => Duration::ZERO,
+        };
+        let next = job.stages[stage_index + 1..]
+            .iter()
+            .zip(&times[stage_index + 1..])
+            .filter(|(other, _)| other.depends_on.contains(&stage_index))
+            .map(|(_, time)| *time)
+            .max()
+            .unwrap_or(job.run_time);
+        times[stage_index] = own + next;
+    }
+    times
+}
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -171,6 +171,9 @@
     pub class: usize,
     /// Least time from the start of this stage to the end of the request.
     pub remaining_time: Duration,
+    /// Expected time from the start of this stage to the end of the request, waits for servers
+    /// included.
+    pub expected_time: Duration,
     /// Least time from the end of this stage to the end of the request.
     pub following_time: Duration,
     /// When the newest call with a piece of this stage was sent.
@@ -241,7 +244,7 @@
     /// Latest time at which a stage can start for the job to meet its soft deadline.
     pub fn latest_start(&self, stage: usize) -> Instant {
         self.soft_deadline
-            .checked_sub(self.stages[stage].remaining_time)
+            .checked_sub(self.stages[stage].expected_time)
             .unwrap_or(self.soft_deadline)
     }
 
--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -25,7 +25,14 @@
 
     /// Adds a job; a late one is parked. A stage that depends on no other and that no other depends
     /// on starts only when the rest of the job needs it, see [`StageState::not_before`].
-    pub(super) fn accept(&mut self, job: Job, late: bool, first_in_rank: bool, now: Instant) {
+    pub(super) fn accept(
+        &mut self,
+        job: Job,
+        expected_times: &[Duration],
+        late: bool,
+        first_in_rank: bool,
+        now: Instant,
+    ) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let classes: Vec<usize> = (0..job.stages.len())
@@ -49,6 +56,7 @@
                     pieces: vec![Progress::Blocked; stage.pieces as usize],
                     class: classes[stage_index],
                     remaining_time,
+                    expected_time: expected_times[stage_index].max(remaining_time),
                     following_time,
                     sent_at: None,
                     not_before: if independent { now + spare } else { now },
