feat(batching): reserve what more urgent ranks bring to an overloaded pool

Cause: the queue orders by latest start, so that fan-helpdesk takes a part of promo-notify in bursts of event-brief, which then gets refused. Change: demand.rs averages the work that each rank brings to a pool. While that is more than the pool can do, a job's forecast takes the work of its own rank for as much longer as more urgent ranks leave of the pool, at least 0.05 of it. Less urgent ranks that are served better wait less long as late jobs. Pools are polled in a fixed order.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -12,6 +12,7 @@
 
 mod calls;
 mod config;
+mod demand;
 mod fairness;
 pub mod forecast;
 mod job;
@@ -27,6 +28,7 @@
 use std::time::{Duration, Instant};
 
 pub use config::SchedulerConfig;
+use demand::Demand;
 use fairness::Fairness;
 use forecast::{PoolLoad, expected_times, forecast, rank_index};
 pub use job::{Job, JobStage, StageResults, StoredResult};
@@ -90,6 +92,7 @@
     handing_over: bool,
     piece_times: PieceTimes,
     recent_calls: RecentCalls,
+    demand: Demand,
     retries: RetryTracker,
     fairness: Fairness,
     /// When the parked jobs are next checked for those that can't finish in time.
@@ -161,6 +164,9 @@
                 .saturating_duration_since(now)
                 .min(job.time_to_soft_deadline);
         }
+        if !job.is_accepted() {
+            self.record_demand(&job, now);
+        }
         let loads = self.loads(now);
         let Some(forecast) = forecast(&job, &loads) else {
             self.record_refusal(&job, now);
@@ -169,7 +175,9 @@
                 reason: RefusalReason::NoServer,
             };
         };
-        let fair_share = self.config.soft_deadline_share - self.fairness.reduction(job.rank);
+        let reduction = self.fairness.reduction(job.rank);
+        let fair_share = self.config.soft_deadline_share - reduction;
+        let late_wait_share = self.config.late_wait_share * (1.0 - reduction);
         let share = if job.is_accepted() { 1.0 } else { fair_share };
         let late =
             !job.continues && forecast.before_late > job.time_to_soft_deadline.mul_f64(share);
@@ -177,7 +185,7 @@
             self.fairness.record(job.rank, !late, now);
         }
         let wait = forecast.behind_all.saturating_sub(forecast.unloaded);
-        let infeasible = wait > job.time_to_deadline.mul_f64(self.config.late_wait_share)
+        let infeasible = wait > job.time_to_deadline.mul_f64(late_wait_share)
             || forecast.behind_all > job.time_to_deadline.mul_f64(self.config.late_finish_share);
         let refuse_late = !job.is_accepted() && (infeasible || !job.late_allowed);
         let too_close = forecast.unloaded > job.time_to_deadline;
@@ -206,6 +214,21 @@
         SubmitOutcome::Accepted { late }
     }
 
+    /// Records the work that a new job brings to its pools.
+    fn record_demand(&mut self, job: &Job, now: Instant) {
+        for (index, stage) in job.stages.iter().enumerate() {
+            let servers = self.pools.get(&stage.pool);
+            let Some(server) = servers.and_then(|servers| servers.first()) else {
+                continue;
+            };
+            if stage.pieces > 0 {
+                let class = self.piece_times.class(&job.route, index);
+                let work = f64::from(stage.pieces) * self.piece_times.load(class, &server.spec);
+                self.demand.record(&stage.pool, job.rank, work, now);
+            }
+        }
+    }
+
     /// Removes a job that nobody waits for any more or whose results were used, and releases its
     /// results.
     pub fn cancel(&mut self, request: &str, now: Instant) {
@@ -236,7 +259,8 @@
             self.hand_over();
         } else {
             self.query_due_servers(now);
-            let pools: Vec<Name> = self.queues.keys().cloned().collect();
+            let mut pools: Vec<Name> = self.queues.keys().cloned().collect();
+            pools.sort_unstable();
             for pool in pools {
                 while self.start_call(&pool, now) {}
             }
@@ -350,6 +374,7 @@
                 count += 1;
             }
             load.servers = count;
+            load.demand = self.demand.of(pool, now);
 
             let pause = active().map(|server| server.pause_left(now)).min();
             load.pause = pause.unwrap_or_default();
--- a/crates/sardineshore-core/src/flow/batching/forecast.rs
+++ b/crates/sardineshore-core/src/flow/batching/forecast.rs
@@ -29,6 +29,8 @@
     pub full_call: Duration,
     /// Work of a full batch.
     pub call_work: f64,
+    /// Work that arrives per second, by rank.
+    pub demand: [f64; RANK_COUNT],
     /// Servers that take calls.
     pub servers: u32,
     /// Time until a server wants requests again.
@@ -54,6 +56,22 @@
         self.started() + self.parked[..=rank_index(rank)].iter().sum::<f64>()
     }
 
+    /// Work that goes before a job of this rank which is not late, as [`Self::pieces_ahead`], with
+    /// the part of equal and less urgent ranks stretched while more work arrives than the pool can
+    /// do: what more urgent ranks are about to bring is reserved for them.
+    #[must_use]
+    pub fn pieces_ahead_with_reserve(&self, rank: u32) -> f64 {
+        let ahead = self.pieces_ahead(rank);
+        let total: f64 = self.demand.iter().sum();
+        if total <= self.rate {
+            return ahead;
+        }
+        let more_urgent: f64 = self.demand[..rank_index(rank)].iter().sum();
+        let left = (1.0 - more_urgent / self.rate).max(MIN_SHARE);
+        let urgent_ahead = self.continued + self.on_time[..rank_index(rank)].iter().sum::<f64>();
+        urgent_ahead + (ahead - urgent_ahead) / left
+    }
+
     /// Work of all jobs that are not parked.
     #[must_use]
     pub fn started(&self) -> f64 {
@@ -83,6 +101,9 @@
     }
 }
 
+/// Least share of a pool's throughput that a forecast assumes for any rank, so that none starves.
+const MIN_SHARE: f64 = 0.05;
+
 /// Number of ranks that are counted separately; the last one includes all less urgent ranks.
 pub const RANK_COUNT: usize = MAX_RANK as usize + 1;
 
@@ -111,7 +132,7 @@
         if job.continues {
             load.continued
         } else {
-            load.pieces_ahead(job.rank)
+            load.pieces_ahead_with_reserve(job.rank)
         }
     };
     Some(Forecast {
--- a/crates/sardineshore-core/tests/batching_load.rs
+++ b/crates/sardineshore-core/tests/batching_load.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use sardineshore_core::flow::batching::forecast::PoolLoad;
 use sardineshore_core::flow::batching::{
     Action, BatchScheduler, BatchServer, CallOutcome, Job, JobStage, SchedulerConfig,
 };
@@ -98,3 +99,27 @@
     // A full call of the small pieces takes 230 ms in place of 300 ms.
     assert!((small - 10.0 * 23.0 / 30.0).abs() < 0.5, "{small}");
 }
+
+/// Less urgent jobs were admitted to a pool that more urgent ones were about to need.
+#[test]
+fn pieces_ahead_with_reserve_counts_demand_of_more_urgent_ranks() {
+    let mut load = PoolLoad {
+        rate: 100.0,
+        ..PoolLoad::default()
+    };
+    load.on_time[0] = 5.0;
+    load.on_time[2] = 10.0;
+    let mut ahead = |urgent: f64, other: f64, rank| {
+        load.demand[0] = urgent;
+        load.demand[2] = other;
+        load.pieces_ahead_with_reserve(rank)
+    };
+    let is = |value: f64, expected: f64| assert!((value - expected).abs() < 1e-6, "{value}");
+    // Without overload nothing is reserved.
+    is(ahead(50.0, 50.0, 2), 15.0);
+    // A fifth of the pool is left: the work of the rank itself takes five times as long.
+    is(ahead(80.0, 40.0, 2), 55.0);
+    is(ahead(80.0, 40.0, 0), 15.0);
+    // None starves.
+    assert!(ahead(300.0, 40.0, 2) < 1000.0);
+}
