feat(batching): retry times from the backlog, and final second refusals

Cause: every refused caller was told 0.65 to 1 times the longest wait that it follows, whatever the load, and a caller refused twice was told to come again. Jobs with the same input that arrived within 250 ms were taken for retries. Change: retry_times.rs promises the time at which the pools' backlog, beside the demand and the retries promised before, leaves capacity; without spare capacity within the time that callers follow, the delay is as before. A second refusal, and one that no later attempt could avoid, is final: Retry-After is the time to the deadline. A retry comes at least 260 ms after its refusal.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -22,6 +22,7 @@
 mod recent_calls;
 mod results;
 mod retries;
+mod retry_times;
 mod server;
 
 use std::collections::{BTreeMap, HashMap};
@@ -40,6 +41,7 @@
 use piece_times::{ClassCounts, PieceTimes};
 use recent_calls::RecentCalls;
 use retries::RetryTracker;
+use retry_times::RetryTimes;
 pub use server::FreeMemory;
 use server::ServerState;
 use slab::Slab;
@@ -94,6 +96,7 @@
     recent_calls: RecentCalls,
     demand: Demand,
     retries: RetryTracker,
+    retry_times: RetryTimes,
     fairness: Fairness,
     /// When the parked jobs are next checked for those that can't finish in time.
     next_parked_check: Option<Instant>,
@@ -197,20 +200,23 @@
         if refused {
             let reason = if too_close {
                 RefusalReason::DeadlineTooClose
+            } else if first_soft_deadline.is_some() && !job.is_accepted() {
+                RefusalReason::RefusedAgain
             } else {
                 RefusalReason::Overloaded
             };
-            let retry_after = self.retry_after(&job);
-            self.next_sequence += 1;
-            self.record_refusal(&job, now);
+            let retry_after = self.retry_after(&job, &loads, now);
+            if !reason.is_final() {
+                self.record_refusal(&job, now);
+            }
             return SubmitOutcome::Refused {
                 retry_after,
                 reason,
             };
         }
-        let first_in_rank = first_soft_deadline.is_some() || job.is_accepted();
+        let is_retry = first_soft_deadline.is_some();
         let expected_times = expected_times(&job, &loads);
-        self.accept(job, &expected_times, late, first_in_rank, now);
+        self.accept(job, &expected_times, late, is_retry, now);
         SubmitOutcome::Accepted { late }
     }
 
@@ -430,9 +436,6 @@
 
 /// Longest retry delay for a job that needs a pool without servers.
 const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
-/// Share of the longest retry delay over which retries are spread, and the number of steps.
-const RETRY_SPREAD: f64 = 0.35;
-const RETRY_SPREAD_STEPS: u64 = 16;
 /// Time without calls after a server rejected one because it is full.
 const REJECTED_BACKOFF: Duration = Duration::from_millis(60);
 /// A call times out after this multiple of the time after which its pieces are queued again.
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -214,9 +214,8 @@
     pub late: bool,
     /// Late and not started: waits until its pools have spare capacity.
     pub parked: bool,
-    /// Starts before other parked jobs of its rank, because its caller was refused before or an
-    /// earlier owner had accepted the job.
-    pub first_in_rank: bool,
+    /// Its caller was refused before.
+    pub is_retry: bool,
     pub stages: Vec<StageState>,
     /// Number of calls so far in which pieces failed or inputs were missing.
     pub recomputations: u32,
@@ -234,6 +233,12 @@
         }
     }
 
+    /// Whether it starts before other parked jobs of its rank, because its caller was refused before
+    /// or an earlier owner had accepted it.
+    pub fn is_first_in_rank(&self) -> bool {
+        self.is_retry || self.job.is_accepted()
+    }
+
     /// Priority of a stage in the queue of its pool, earliest first: its latest start plus the
     /// penalty for the customer's rank.
     pub fn urgency(&self, stage: usize) -> Instant {
--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -4,23 +4,32 @@
 //! A late job is parked: it starts when its pools have spare capacity, and is given up as soon as
 //! it can't finish before its deadline.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::forecast::{RANK_COUNT, forecast};
+use super::forecast::{PoolLoad, RANK_COUNT, forecast};
 use super::job::{Job, JobState, Progress, StageState};
 use super::{
-    Action, BatchScheduler, DELIVERED_RETENTION, RETRY_SPREAD, RETRY_SPREAD_STEPS, RefusalReason,
-    queue_key, remaining_times,
+    Action, BatchScheduler, DELIVERED_RETENTION, RefusalReason, queue_key, remaining_times,
 };
+use crate::flow::config::Name;
 
 impl BatchScheduler {
-    /// Time after which a refused caller should retry. A caller retries once and will miss its soft
-    /// deadline in any case, so the delay is as long as its deadline allows, to let the load pass.
-    /// Delays are spread so that callers don't all retry at the same time.
-    pub(super) fn retry_after(&self, job: &Job) -> Duration {
-        let offset = f64::from(u32::try_from(self.next_sequence % RETRY_SPREAD_STEPS).unwrap_or(0));
-        let share = 1.0 - RETRY_SPREAD * offset / RETRY_SPREAD_STEPS as f64;
-        (job.time_to_deadline / 3).mul_f64(share)
+    /// Time after which a refused caller should retry: when the backlog of its pools is expected to
+    /// leave capacity that is not promised to other retries.
+    pub(super) fn retry_after(
+        &mut self,
+        job: &Job,
+        loads: &BTreeMap<Name, PoolLoad>,
+        now: Instant,
+    ) -> Duration {
+        let longest = job.time_to_deadline / 3;
+        let needs = job.stages.iter().filter(|stage| stage.pieces > 0);
+        let needs = needs.filter_map(|stage| {
+            let load = loads.get(&stage.pool)?;
+            Some((&stage.pool, load, f64::from(stage.pieces)))
+        });
+        self.retry_times.promise(needs, longest, now)
     }
 
     /// Adds a job; a late one is parked. A stage that depends on no other and that no other depends
@@ -30,7 +39,7 @@
         job: Job,
         expected_times: &[Duration],
         late: bool,
-        first_in_rank: bool,
+        is_retry: bool,
         now: Instant,
     ) {
         let sequence = self.next_sequence;
@@ -71,7 +80,7 @@
             deadline: now + job.time_to_deadline,
             late,
             parked: late,
-            first_in_rank,
+            is_retry,
             stages,
             recomputations: 0,
             delivered: false,
@@ -102,7 +111,9 @@
             let has_failed = state.recomputations > self.config.max_recomputations;
             if has_failed || earliest_end > Some(state.deadline) {
                 let left = state.deadline.saturating_duration_since(now);
-                let reason = if has_failed {
+                let reason = if state.is_retry && !state.job.is_accepted() {
+                    RefusalReason::RefusedAgain
+                } else if has_failed {
                     RefusalReason::Failed
                 } else {
                     RefusalReason::OutOfTime
@@ -168,7 +179,13 @@
     /// owner first, then by soft deadline.
     fn parked_in_order(&self) -> Vec<usize> {
         let parked = self.jobs.iter().filter(|(_, state)| state.parked);
-        let key = |state: &JobState| (state.job.rank, !state.first_in_rank, state.soft_deadline);
+        let key = |state: &JobState| {
+            (
+                state.job.rank,
+                !state.is_first_in_rank(),
+                state.soft_deadline,
+            )
+        };
         let mut parked: Vec<_> = parked.map(|(index, s)| (key(s), index)).collect();
         parked.sort_unstable();
         parked.into_iter().map(|(_, index)| index).collect()
@@ -236,13 +253,18 @@
         for (index, left) in infeasible {
             let state = &self.jobs[index];
             let (request, key) = (state.job.id.clone(), state.job.key.clone());
-            self.retries
-                .record_refusal(&key, state.soft_deadline, state.deadline, now);
+            let reason = if state.is_retry {
+                RefusalReason::RefusedAgain
+            } else {
+                self.retries
+                    .record_refusal(&key, state.soft_deadline, state.deadline, now);
+                RefusalReason::Parked
+            };
             self.cancel(&request, now);
             self.actions.push(Action::GivenUp {
                 request,
                 retry_after: left / 3,
-                reason: RefusalReason::Parked,
+                reason,
             });
         }
     }
--- a/crates/sardineshore-core/src/flow/batching/messages.rs
+++ b/crates/sardineshore-core/src/flow/batching/messages.rs
@@ -181,6 +181,8 @@
     OutOfTime,
     /// Its pieces failed or lost their inputs too often.
     Failed,
+    /// It was refused before, and can't be served at its second attempt either.
+    RefusedAgain,
 }
 
 impl RefusalReason {
@@ -195,6 +197,16 @@
             Self::Parked => "parked",
             Self::OutOfTime => "out of time",
             Self::Failed => "pieces failed",
+            Self::RefusedAgain => "refused again",
         }
     }
+
+    /// Whether a further attempt of the caller would be refused as well, or end too late.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(
+            self,
+            Self::RefusedAgain | Self::DeadlineTooClose | Self::OutOfTime
+        )
+    }
 }
--- a/crates/sardineshore-core/src/flow/batching/retries.rs
+++ b/crates/sardineshore-core/src/flow/batching/retries.rs
@@ -12,6 +12,9 @@
 /// Largest difference between the deadlines of two attempts of one caller, due to network and
 /// queueing delays.
 const DEADLINE_TOLERANCE: Duration = Duration::from_millis(250);
+/// Least time from a refusal to the retry. Jobs with the same key whose deadlines differ by less than
+/// [`DEADLINE_TOLERANCE`] arrive sooner after each other than this if both are first attempts.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(260);
 /// Number of keys from which on refusals are dropped once their deadline has passed.
 const CLEANUP_THRESHOLD: usize = 256;
 
@@ -20,6 +23,7 @@
 struct Attempt {
     soft_deadline: Instant,
     deadline: Instant,
+    refused_at: Instant,
 }
 
 /// Refused jobs whose callers may retry, by the job's key.
@@ -50,6 +54,7 @@
         attempts.push(Attempt {
             soft_deadline,
             deadline,
+            refused_at: now,
         });
     }
 
@@ -62,7 +67,7 @@
                 .deadline
                 .max(deadline)
                 .duration_since(first.deadline.min(deadline));
-            difference <= DEADLINE_TOLERANCE
+            difference <= DEADLINE_TOLERANCE && now >= first.refused_at + MIN_RETRY_DELAY
         };
         let position = attempts.iter().position(same)?;
         let first = attempts.swap_remove(position);
--- a/crates/sardineshore-core/tests/batching_load.rs
+++ b/crates/sardineshore-core/tests/batching_load.rs
@@ -4,7 +4,8 @@
 
 use sardineshore_core::flow::batching::forecast::PoolLoad;
 use sardineshore_core::flow::batching::{
-    Action, BatchScheduler, BatchServer, CallOutcome, Job, JobStage, SchedulerConfig,
+    Action, BatchScheduler, BatchServer, CallOutcome, Job, JobStage, RefusalReason,
+    SchedulerConfig, SubmitOutcome,
 };
 use sardineshore_core::flow::config::BatchSpec;
 
@@ -123,3 +124,28 @@
     // None starves.
     assert!(ahead(300.0, 40.0, 2) < 1000.0);
 }
+
+/// Callers were invited to a third attempt, and callers with the same input at the same time were
+/// taken for retries.
+#[test]
+fn submit_refuses_second_attempt_finally() {
+    let start = Instant::now();
+    let mut scheduler = scheduler(&[("a", "p")], start);
+    let reason = |scheduler: &mut BatchScheduler, id: &str, after| {
+        let mut job = job(id, "r", 0, 1);
+        job.key = "key".into();
+        job.late_allowed = false;
+        job.time_to_soft_deadline = ms(100);
+        job.time_to_deadline -= after;
+        match scheduler.submit(job, start + after) {
+            SubmitOutcome::Refused { reason, .. } => reason,
+            SubmitOutcome::Accepted { .. } => panic!("accepted"),
+        }
+    };
+    let first = RefusalReason::Overloaded;
+    assert_eq!(reason(&mut scheduler, "1", ms(0)), first);
+    assert_eq!(reason(&mut scheduler, "2", ms(100)), first);
+    let second = reason(&mut scheduler, "3", ms(2000));
+    assert_eq!(second, RefusalReason::RefusedAgain);
+    assert!(second.is_final() && !first.is_final());
+}
--- a/crates/sardineshore-core/tests/load/main.rs
+++ b/crates/sardineshore-core/tests/load/main.rs
@@ -149,4 +149,6 @@
         }
     }
     assert_eq!(outcome.unfinished, 0);
+    // Refusals of second attempts don't invite a third one.
+    assert_eq!(outcome.third_tries, 0);
 }
--- a/crates/sardineshore-core/tests/load/overload.rs
+++ b/crates/sardineshore-core/tests/load/overload.rs
@@ -113,6 +113,8 @@
     pub late: u32,
     /// Refused at the first attempt.
     pub refused_once: u32,
+    /// Refused at the first attempt, and told that a second one is of no use.
+    pub refused_finally: u32,
     /// Refused at the second attempt as well.
     pub refused_twice: u32,
     /// Accepted and then given up.
@@ -178,6 +180,7 @@
             sum.late += counts.late;
             sum.refused_once += counts.refused_once;
             sum.refused_twice += counts.refused_twice;
+            sum.refused_finally += counts.refused_finally;
             sum.given_up += counts.given_up;
             sum.wasted_pieces += counts.wasted_pieces;
         }
@@ -215,7 +218,7 @@
             writeln!(
                 text,
                 "{name:16} value {:.3} served {:.3} in time {:.3} late {:.3} refused once {:.3} \
-                 twice {:.3} given up {:.3} wasted {} forecast error p10/p50/p90 \
+                 twice {:.3} finally {:.3} given up {:.3} wasted {} forecast error p10/p50/p90 \
                  {:.0}/{:.0}/{:.0} ms",
                 self.value_share(name),
                 c.served(),
@@ -223,6 +226,7 @@
                 share(c.late),
                 share(c.refused_once),
                 share(c.refused_twice),
+                share(c.refused_finally),
                 share(c.given_up),
                 c.wasted_pieces,
                 quantile(10).unwrap_or_default(),
@@ -545,17 +549,22 @@
                 caller.forecast = expected.map(|forecast| (now, forecast.before_late));
                 self.waiting.insert(id, caller);
             }
-            SubmitOutcome::Refused { retry_after, .. } => self.refuse(caller, retry_after, now),
+            SubmitOutcome::Refused {
+                retry_after,
+                reason,
+            } => self.refuse(caller, retry_after, reason.is_final(), now),
         }
     }
 
     /// A refused caller tries once more, after at most a third of the time it has left.
-    fn refuse(&mut self, caller: Caller, retry_after: Duration, now: Instant) {
+    fn refuse(&mut self, caller: Caller, retry_after: Duration, is_final: bool, now: Instant) {
         let counts = self.outcome.kinds.entry(caller.class.name).or_default();
         let left = (caller.arrived_at + caller.class.deadline).saturating_duration_since(now);
         if caller.is_retry {
             counts.refused_twice += 1;
-            self.outcome.third_tries += u32::from(retry_after < left);
+            self.outcome.third_tries += u32::from(!is_final);
+        } else if is_final {
+            counts.refused_finally += 1;
         } else {
             counts.refused_once += 1;
             let at = now + retry_after.min(left / 3) + WAY * 2;
@@ -645,13 +654,13 @@
             Action::GivenUp {
                 request,
                 retry_after,
-                ..
+                reason,
             } => {
                 if let Some(caller) = self.waiting.remove(&request) {
                     let counts = self.outcome.kinds.entry(caller.class.name).or_default();
                     counts.given_up += 1;
                     counts.wasted_pieces += caller.pieces_done;
-                    self.refuse(caller, retry_after, now);
+                    self.refuse(caller, retry_after, reason.is_final(), now);
                 }
             }
             Action::StageEnded { .. }
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -537,3 +537,9 @@
         reason,
     ))
 }
+
+/// Outcome of a request that has not run and that no further attempt would serve: the caller is asked
+/// to wait until its deadline has passed.
+fn not_run_finally(request: &AdmittedRequest<'_>, reason: &'static str) -> Outcome {
+    Outcome::Failed(ErrorResponse::NotRun(request.time_to_deadline(), reason))
+}
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -21,7 +21,7 @@
 
 use super::{
     Outcome, QUARANTINED, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, deadline_exceeded,
-    not_run, select_pool,
+    not_run, not_run_finally, select_pool,
 };
 use crate::attempt::{
     AdmittedRequest, Attempt, ConnectedServer, Dispatcher, RETRY_AFTER_NO_SERVER,
@@ -497,7 +497,11 @@
                     .inc();
                 attempts.stats.stages_refusal = Some(refusal.reason);
                 let reason = "stages can't end in time";
-                Err(not_run(request, refusal.retry_after, reason))
+                Err(if refusal.is_final {
+                    not_run_finally(request, reason)
+                } else {
+                    not_run(request, refusal.retry_after, reason)
+                })
             }
             Err(_) => Err(not_run(request, Duration::ZERO, "time over in stages")),
         }
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -80,14 +80,16 @@
     pub retry_after: Duration,
     /// Reason for the log.
     pub reason: &'static str,
+    /// Whether a further attempt of the caller would be refused as well, or end too late.
+    pub is_final: bool,
 }
 
 impl StagesRefusal {
     fn by_owner(retry_after: Duration, reason: RefusalReason) -> Self {
-        let reason = reason.as_str();
         Self {
             retry_after,
-            reason,
+            reason: reason.as_str(),
+            is_final: reason.is_final(),
         }
     }
 }
@@ -181,6 +183,7 @@
                     return Err(Failure::Aborted(StagesRefusal {
                         retry_after: Duration::ZERO,
                         reason: NO_TIME_LEFT,
+                        is_final: true,
                     }));
                 };
                 if let Some(submitted) = self.submit(&name, cell, remaining, &finished_stages).await
@@ -229,6 +232,7 @@
         Err(Failure::Aborted(StagesRefusal {
             retry_after: left / 3,
             reason: OWNERS_LOST,
+            is_final: false,
         }))
     }
 
