feat(batching): forecast all jobs again when capacity leaves or returns

Cause: jobs accepted for servers that were lost kept their place in the queue until their least time was over, ahead of jobs that could still be in time. Change: capacity.rs notices when a pool's throughput has changed by more than 0.15, at most every 100 ms. Unstarted jobs that can't meet their soft deadline behind those before them are parked, or given up at once if they can't finish; parked ones that can meet it return.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -11,6 +11,7 @@
 //! than others. A job that can't finish before its deadline is refused on arrival.
 
 mod calls;
+mod capacity;
 mod config;
 mod demand;
 mod fairness;
@@ -28,6 +29,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use capacity::CapacityWatch;
 pub use config::SchedulerConfig;
 use demand::Demand;
 use fairness::Fairness;
@@ -95,6 +97,7 @@
     piece_times: PieceTimes,
     recent_calls: RecentCalls,
     demand: Demand,
+    capacity: CapacityWatch,
     retries: RetryTracker,
     retry_times: RetryTimes,
     fairness: Fairness,
@@ -257,6 +260,7 @@
     /// caller has to carry out.
     pub fn poll(&mut self, now: Instant) -> Vec<Action> {
         self.requeue_slow_calls(now);
+        self.follow_capacity(now);
         self.give_up_infeasible(now);
         self.start_deferred(now);
         self.start_parked(now);
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -246,6 +246,19 @@
             + RANK_PENALTY * (self.job.rank.min(MAX_RANK) / RANKS_PER_CUSTOMER_PRIORITY)
     }
 
+    /// Whether any of its pieces was sent or has a result.
+    pub fn has_started(&self) -> bool {
+        let mut pieces = self.stages.iter().flat_map(|stage| &stage.pieces);
+        pieces.any(|p| matches!(p, Progress::Running(_) | Progress::Done(_)))
+            || self.stages.iter().any(|stage| stage.sent_at.is_some())
+    }
+
+    /// Priority of its earliest unfinished stage.
+    pub fn first_urgency(&self) -> Instant {
+        let unfinished = self.stages.iter().position(|stage| !stage.is_finished());
+        unfinished.map_or(self.soft_deadline, |stage| self.urgency(stage))
+    }
+
     /// Latest time at which a stage can start for the job to meet its soft deadline.
     pub fn latest_start(&self, stage: usize) -> Instant {
         self.soft_deadline
--- a/crates/sardineshore-core/tests/batching_load.rs
+++ b/crates/sardineshore-core/tests/batching_load.rs
@@ -149,3 +149,32 @@
     assert_eq!(second, RefusalReason::RefusedAgain);
     assert!(second.is_final() && !first.is_final());
 }
+
+/// Jobs that were accepted for lost servers were only given up once their time was nearly over.
+#[test]
+fn poll_gives_up_jobs_of_lost_servers_at_once() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&[("a", "p"), ("b", "p"), ("c", "p")], now);
+    for number in 0..40 {
+        let mut job = job(&format!("{number}"), "r", 0, 3);
+        job.time_to_deadline = ms(2200);
+        let outcome = scheduler.submit(job, now);
+        assert_eq!(outcome, SubmitOutcome::Accepted { late: false }, "{number}");
+    }
+    let given_up = |actions: &[Action]| {
+        let given_up = actions
+            .iter()
+            .filter(|a| matches!(a, Action::GivenUp { .. }));
+        given_up.count()
+    };
+    assert_eq!(given_up(&scheduler.poll(now)), 0);
+    scheduler.set_servers(vec![server("a", "p")], now + ms(150));
+    let lost = given_up(&scheduler.poll(now + ms(150)));
+    // The server that is left does 60 to 70 of the 110 pieces without result in the time: 13 to 17
+    // of the 40 jobs are too many.
+    assert!((13..=17).contains(&lost), "{lost}");
+    // Servers that return bring no further changes.
+    let all = ["a", "b", "c"].map(|id| server(id, "p"));
+    scheduler.set_servers(all.to_vec(), now + ms(300));
+    assert_eq!(given_up(&scheduler.poll(now + ms(300))), 0);
+}
