feat(cell): log and count who is refused and why

Cause: the metric of refused stages told the reason only, and no line told whose requests a cell refuses. Ruled out: a metric by customer (unbounded labels); a line for each refusal. Change: the scheduler counts refused and given up jobs by route, customer and reason; the owner logs the eight largest counts once a second. The metric gets the route. A refusal due to a customer's own burst has a reason of its own. Loads of piece classes are kept instead of computed for each job. Conclusion: one line a second and cell at most.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -22,6 +22,7 @@
 mod messages;
 mod piece_times;
 mod recent_calls;
+mod refusals;
 mod results;
 mod retries;
 mod retry_times;
@@ -44,6 +45,8 @@
 };
 use piece_times::{ClassCounts, PieceTimes};
 use recent_calls::RecentCalls;
+pub use refusals::RefusalCount;
+use refusals::Refusals;
 use retries::RetryTracker;
 use retry_times::RetryTimes;
 pub use server::FreeMemory;
@@ -100,6 +103,7 @@
     recent_calls: RecentCalls,
     demand: Demand,
     customers: Customers,
+    refusals: Refusals,
     capacity: CapacityWatch,
     retries: RetryTracker,
     retry_times: RetryTimes,
@@ -157,7 +161,21 @@
 
     /// Accepts a job, or refuses it with the time after which the caller should retry. A job with
     /// the same id is cancelled first.
-    pub fn submit(&mut self, mut job: Job, now: Instant) -> SubmitOutcome {
+    pub fn submit(&mut self, job: Job, now: Instant) -> SubmitOutcome {
+        let (route, customer) = (job.route.clone(), job.customer.clone());
+        let outcome = self.decide(job, now);
+        if let SubmitOutcome::Refused { reason, .. } = outcome {
+            self.refusals.record(&route, &customer, reason);
+        }
+        outcome
+    }
+
+    /// Jobs that were refused or given up since the last call.
+    pub fn take_refusals(&mut self) -> Vec<RefusalCount> {
+        self.refusals.take()
+    }
+
+    fn decide(&mut self, mut job: Job, now: Instant) -> SubmitOutcome {
         if !job.is_valid() {
             return SubmitOutcome::Refused {
                 retry_after: job.time_to_deadline / 3,
@@ -187,6 +205,8 @@
         let reduction = self.fairness.reduction(job.rank);
         let excess = self.excess_reduction(&job, &loads, now);
         let fair_share = self.config.soft_deadline_share - reduction.max(excess);
+        let without_excess =
+            (job.time_to_soft_deadline).mul_f64(self.config.soft_deadline_share - reduction);
         let late_wait_share = self.config.late_wait_share * (1.0 - reduction);
         let share = if job.is_accepted() { 1.0 } else { fair_share };
         let late =
@@ -209,6 +229,8 @@
                 RefusalReason::DeadlineTooClose
             } else if first_soft_deadline.is_some() && !job.is_accepted() {
                 RefusalReason::RefusedAgain
+            } else if excess > 0.0 && forecast.before_late <= without_excess {
+                RefusalReason::CustomerBurst
             } else {
                 RefusalReason::Overloaded
             };
@@ -253,13 +275,9 @@
     /// Records the work that a new job brings to its pools.
     fn record_demand(&mut self, job: &Job, now: Instant) {
         for (index, stage) in job.stages.iter().enumerate() {
-            let servers = self.pools.get(&stage.pool);
-            let Some(server) = servers.and_then(|servers| servers.first()) else {
-                continue;
-            };
             if stage.pieces > 0 {
                 let class = self.piece_times.class(&job.route, index);
-                let work = f64::from(stage.pieces) * self.piece_times.load(class, &server.spec);
+                let work = f64::from(stage.pieces) * self.piece_times.load(class);
                 self.demand.record(&stage.pool, job.rank, work, now);
             }
         }
@@ -429,13 +447,7 @@
                     .iter()
                     .filter(|p| matches!(p, Progress::Queued))
                     .count();
-                let spec = self
-                    .pools
-                    .get(&stage.pool)
-                    .and_then(|servers| servers.first());
-                let weight = spec.map_or(1.0, |server| {
-                    self.piece_times.load(progress.class, &server.spec)
-                });
+                let weight = self.piece_times.load(progress.class);
                 let (waiting, queued) = (waiting as f64 * weight, queued as f64 * weight);
                 let load = loads.entry(stage.pool.clone()).or_default();
                 load.queued += queued;
--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -127,8 +127,11 @@
             }
         }
         for (request, refusal) in infeasible {
-            let index = self.by_id.get(&request).filter(|_| refusal.is_some());
-            if let Some(state) = index.and_then(|index| self.jobs.get(*index)) {
+            let index = self.by_id.get(&request);
+            let state = index.and_then(|index| self.jobs.get(*index));
+            if let (Some(state), Some((_, reason))) = (state, refusal) {
+                self.refusals
+                    .record(&state.job.route, &state.job.customer, reason);
                 let (soft_deadline, deadline) = (state.soft_deadline, state.deadline);
                 self.retries
                     .record_refusal(&state.job.key, soft_deadline, deadline, now);
@@ -260,6 +263,8 @@
                     .record_refusal(&key, state.soft_deadline, state.deadline, now);
                 RefusalReason::Parked
             };
+            self.refusals
+                .record(&state.job.route, &state.job.customer, reason);
             self.cancel(&request, now);
             self.actions.push(Action::GivenUp {
                 request,
--- a/crates/sardineshore-core/src/flow/batching/messages.rs
+++ b/crates/sardineshore-core/src/flow/batching/messages.rs
@@ -165,7 +165,7 @@
 }
 
 /// Why a job was refused or given up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RefusalReason {
     /// Its stages are inconsistent or beyond their limits.
     Invalid,
@@ -183,6 +183,8 @@
     Failed,
     /// It was refused before, and can't be served at its second attempt either.
     RefusedAgain,
+    /// Its customer asks for more than usual from an overloaded pool.
+    CustomerBurst,
 }
 
 impl RefusalReason {
@@ -198,6 +200,7 @@
             Self::OutOfTime => "out of time",
             Self::Failed => "pieces failed",
             Self::RefusedAgain => "refused again",
+            Self::CustomerBurst => "customer's burst",
         }
     }
 
--- a/crates/sardineshore-core/src/flow/batching/piece_times.rs
+++ b/crates/sardineshore-core/src/flow/batching/piece_times.rs
@@ -30,6 +30,9 @@
 pub(super) struct PieceTimes {
     classes: HashMap<(Name, usize), usize>,
     factors: Vec<f64>,
+    /// Share of a server's time that a piece of each class takes in a full batch, relative to a piece
+    /// of the configured time.
+    loads: Vec<f64>,
 }
 
 impl PieceTimes {
@@ -37,6 +40,7 @@
     pub fn class(&mut self, route: &Name, stage: usize) -> usize {
         if self.factors.is_empty() {
             self.factors.push(1.0);
+            self.loads.push(1.0);
         }
         if route.is_empty() {
             return OTHER;
@@ -48,6 +52,7 @@
             return OTHER;
         }
         self.factors.push(1.0);
+        self.loads.push(1.0);
         let class = self.factors.len() - 1;
         self.classes.insert((route.clone(), stage), class);
         class
@@ -72,14 +77,8 @@
 
     /// Share of a server's time that a piece of a class takes in a full batch, relative to a piece
     /// of the configured time.
-    pub fn load(&self, class: usize, spec: &BatchSpec) -> f64 {
-        let factor = self.factor(class);
-        let fixed = spec.call_overhead.as_secs_f64() / f64::from(spec.max_batch.max(1));
-        let piece = spec.time_per_piece.as_secs_f64();
-        if fixed + piece <= 0.0 {
-            return 1.0;
-        }
-        (fixed + factor * piece) / (fixed + piece)
+    pub fn load(&self, class: usize) -> f64 {
+        self.loads.get(class).copied().unwrap_or(1.0)
     }
 
     /// Records the time of a call. The correction is divided among its classes according to their
@@ -101,6 +100,7 @@
         }
         // The bound keeps a single disturbed call from moving a factor far.
         let error = (measured - expected).clamp(-pieces, pieces);
+        let fixed = spec.call_overhead.as_secs_f64() / f64::from(spec.max_batch.max(1));
         for (class, count) in counts {
             if *class == OTHER {
                 continue;
@@ -109,6 +109,10 @@
                 *factor += LEARNING_RATE * error * f64::from(*count) / (square + 1.0);
                 *factor = factor.clamp(MIN_FACTOR, MAX_FACTOR);
             }
+            let load = (fixed + self.factor(*class) * piece) / (fixed + piece);
+            if let Some(known) = self.loads.get_mut(*class) {
+                *known = load;
+            }
         }
     }
 }
--- a/crates/sardineshore-core/tests/batching_load.rs
+++ b/crates/sardineshore-core/tests/batching_load.rs
@@ -148,6 +148,12 @@
     let second = reason(&mut scheduler, "3", ms(2000));
     assert_eq!(second, RefusalReason::RefusedAgain);
     assert!(second.is_final() && !first.is_final());
+    let refusals = scheduler.take_refusals();
+    let counts = refusals
+        .iter()
+        .map(|refusal| (refusal.reason, refusal.count));
+    assert_eq!(counts.collect::<Vec<_>>(), [(first, 2), (second, 1)]);
+    assert!(scheduler.take_refusals().is_empty());
 }
 
 /// Jobs that were accepted for lost servers were only given up once their time was nearly over.
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -35,7 +35,9 @@
 const FREE_MEMORY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a cell that was handed over accepts no jobs here.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(1500);
-/// How often the load of a cell with jobs is logged.
+/// Most combinations of route, customer and reason in a line about refusals.
+const MAX_LOGGED_REFUSALS: usize = 8;
+/// How often the load of a cell with jobs is logged, and its refusals.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Results of the stages that a request needs as its inputs.
@@ -386,11 +388,16 @@
 /// Runs a cell forever: polls its scheduler and performs the actions.
 async fn run_cell(runner: Rc<CellRunner>) {
     let mut logged_at = Instant::now();
+    let mut refusals_logged_at = logged_at;
     loop {
         let actions = runner.sched.borrow_mut().poll(Instant::now());
         for action in actions {
             perform(&runner, action);
         }
+        if refusals_logged_at.elapsed() > LOAD_LOG_INTERVAL {
+            refusals_logged_at = Instant::now();
+            log_refusals(&runner);
+        }
         let busy = runner.sched.borrow().job_count() > 0;
         if busy && logged_at.elapsed() > LOAD_LOG_INTERVAL {
             logged_at = Instant::now();
@@ -407,6 +414,29 @@
     }
 }
 
+/// Logs which customers' requests were refused most often since the last time, and why.
+fn log_refusals(runner: &CellRunner) {
+    let refusals = runner.sched.borrow_mut().take_refusals();
+    if refusals.is_empty() {
+        return;
+    }
+    let total: u32 = refusals.iter().map(|refusal| refusal.count).sum();
+    let most: Vec<String> = refusals
+        .iter()
+        .take(MAX_LOGGED_REFUSALS)
+        .map(|r| {
+            format!(
+                "{} {} {}: {}",
+                r.route,
+                r.customer,
+                r.reason.as_str(),
+                r.count
+            )
+        })
+        .collect();
+    info!(runner.shared.log, "stages refused"; "cell" => &*runner.cell, "requests" => total, "most" => most.join(", "));
+}
+
 /// Longest time between two polls of a scheduler without jobs, which releases results.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -32,8 +32,8 @@
     pub crash_causes: IntGauge,
     /// Requests not sent because their like have crashed servers.
     pub quarantined: IntCounter,
-    /// Requests whose stages were refused or given up, by reason and by whether they go on with a
-    /// stream.
+    /// Requests whose stages were refused or given up, by route, reason and whether they go on with
+    /// a stream.
     pub stages_refused: IntCounterVec,
     /// Requests sent although their like are quarantined.
     pub quarantine_trials: IntCounter,
@@ -57,7 +57,7 @@
         let stages_refused = counter(
             "sardine_stages_refused_total",
             "Requests whose stages were refused or given up.",
-            &["reason", "continues"],
+            &["route", "reason", "continues"],
         )?;
         let answers = counter(
             "sardine_answers_total",
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -493,7 +493,7 @@
             Ok(Err(refusal)) => {
                 self.metrics
                     .stages_refused
-                    .with_label_values(&[refusal.reason, continues])
+                    .with_label_values(&[&*request.route.name, refusal.reason, continues])
                     .inc();
                 attempts.stats.stages_refusal = Some(refusal.reason);
                 let reason = "stages can't end in time";
