--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -11,29 +11,44 @@
 //! than others. A job that can't finish before its deadline is refused on arrival.
 
 mod calls;
+mod capacity;
 mod config;
+mod customers;
+mod demand;
 mod fairness;
 pub mod forecast;
 mod job;
 mod lifecycle;
 mod messages;
+mod piece_times;
+mod recent_calls;
+mod refusals;
 mod results;
 mod retries;
+mod retry_times;
 mod server;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use capacity::CapacityWatch;
 pub use config::SchedulerConfig;
+use customers::Customers;
+use demand::Demand;
 use fairness::Fairness;
-use forecast::{PoolLoad, forecast, rank_index};
+use forecast::{PoolLoad, expected_times, forecast, rank_index};
 pub use job::{Job, JobStage, StageResults, StoredResult};
 use job::{JobState, PieceResult, Precedence, Progress};
 pub use messages::{
     Action, BatchServer, CallOutcome, CallPiece, PieceError, PieceInput, RefusalReason,
     SubmitOutcome,
 };
+use piece_times::{ClassCounts, PieceTimes};
+use recent_calls::RecentCalls;
+pub use refusals::RefusalCount;
+use refusals::Refusals;
 use retries::RetryTracker;
+use retry_times::RetryTimes;
 pub use server::FreeMemory;
 use server::ServerState;
 use slab::Slab;
@@ -60,6 +75,7 @@
     pool: Name,
     server: Name,
     pieces: Vec<SentPiece>,
+    classes: ClassCounts,
     reserved_bytes: u64,
     started_at: Instant,
     slow_at: Option<Instant>,
@@ -83,7 +99,14 @@
     deferred: Vec<(Instant, usize)>,
     /// Whether the cell is being handed over to another owner; no call is started meanwhile.
     handing_over: bool,
+    piece_times: PieceTimes,
+    recent_calls: RecentCalls,
+    demand: Demand,
+    customers: Customers,
+    refusals: Refusals,
+    capacity: CapacityWatch,
     retries: RetryTracker,
+    retry_times: RetryTimes,
     fairness: Fairness,
     /// When the parked jobs are next checked for those that can't finish in time.
     next_parked_check: Option<Instant>,
@@ -146,7 +169,21 @@
 
     /// Accepts a job, or refuses it with the time after which the caller should retry. A job with
     /// the same id is cancelled first.
-    pub fn submit(&mut self, mut job: Job, now: Instant) -> SubmitOutcome {
+    pub fn submit(&mut self, job: Job, now: Instant) -> SubmitOutcome {
+        let (route, customer) = (job.route.clone(), job.customer.clone());
+        let outcome = self.decide(job, now);
+        if let SubmitOutcome::Refused { reason, .. } = outcome {
+            self.refusals.record(&route, &customer, reason);
+        }
+        outcome
+    }
+
+    /// Jobs that were refused or given up since the last call.
+    pub fn take_refusals(&mut self) -> Vec<RefusalCount> {
+        self.refusals.take()
+    }
+
+    fn decide(&mut self, mut job: Job, now: Instant) -> SubmitOutcome {
         if !job.is_valid() {
             return SubmitOutcome::Refused {
                 retry_after: job.time_to_deadline / 3,
@@ -162,14 +199,23 @@
                 .saturating_duration_since(now)
                 .min(job.time_to_soft_deadline);
         }
-        let Some(forecast) = forecast(&job, &self.loads(now)) else {
+        if !job.is_accepted() {
+            self.record_demand(&job, now);
+        }
+        let loads = self.loads(now);
+        let Some(forecast) = forecast(&job, &loads) else {
             self.record_refusal(&job, now);
             return SubmitOutcome::Refused {
                 retry_after: NO_SERVER_RETRY.min(job.time_to_deadline / 3),
                 reason: RefusalReason::NoServer,
             };
         };
-        let fair_share = self.config.soft_deadline_share - self.fairness.reduction(job.rank);
+        let reduction = self.fairness.reduction(job.rank);
+        let excess = self.excess_reduction(&job, &loads, now);
+        let fair_share = self.config.soft_deadline_share - reduction.max(excess);
+        let without_excess =
+            (job.time_to_soft_deadline).mul_f64(self.config.soft_deadline_share - reduction);
+        let late_wait_share = self.config.late_wait_share * (1.0 - reduction);
         let share = if job.is_accepted() { 1.0 } else { fair_share };
         let late =
             !job.continues && forecast.before_late > job.time_to_soft_deadline.mul_f64(share);
@@ -177,7 +223,7 @@
             self.fairness.record(job.rank, !late, now);
         }
         let wait = forecast.behind_all.saturating_sub(forecast.unloaded);
-        let infeasible = wait > job.time_to_deadline.mul_f64(self.config.late_wait_share)
+        let infeasible = wait > job.time_to_deadline.mul_f64(late_wait_share)
             || forecast.behind_all > job.time_to_deadline.mul_f64(self.config.late_finish_share);
         let refuse_late = !job.is_accepted() && (infeasible || !job.late_allowed);
         let too_close = forecast.unloaded > job.time_to_deadline;
@@ -189,22 +235,62 @@
         if refused {
             let reason = if too_close {
                 RefusalReason::DeadlineTooClose
+            } else if first_soft_deadline.is_some() && !job.is_accepted() {
+                RefusalReason::RefusedAgain
+            } else if excess > 0.0 && forecast.before_late <= without_excess {
+                RefusalReason::CustomerBurst
             } else {
                 RefusalReason::Overloaded
             };
-            let retry_after = self.retry_after(&job);
-            self.next_sequence += 1;
-            self.record_refusal(&job, now);
+            let retry_after = self.retry_after(&job, &loads, now);
+            if !reason.is_final() {
+                self.record_refusal(&job, now);
+            }
             return SubmitOutcome::Refused {
                 retry_after,
                 reason,
             };
         }
-        let first_in_rank = first_soft_deadline.is_some() || job.is_accepted();
-        self.accept(job, late, first_in_rank, now);
+        let is_retry = first_soft_deadline.is_some();
+        let expected_times = expected_times(&job, &loads);
+        self.accept(job, &expected_times, late, is_retry, now);
         SubmitOutcome::Accepted { late }
     }
 
+    /// By how much to reduce the share of the time to its soft deadline that the forecast of a job may
+    /// take, because its customer asks for more than usual from an overloaded pool.
+    fn excess_reduction(
+        &mut self,
+        job: &Job,
+        loads: &BTreeMap<Name, PoolLoad>,
+        now: Instant,
+    ) -> f64 {
+        if job.is_accepted() {
+            return 0.0;
+        }
+        let mut cost = 0.0;
+        let mut is_overloaded = false;
+        for stage in job.stages.iter().filter(|stage| stage.pieces > 0) {
+            if let Some(load) = loads.get(&stage.pool) {
+                cost += f64::from(stage.pieces) / load.rate.max(0.001);
+                is_overloaded |= load.is_overloaded();
+            }
+        }
+        let reduction = self.customers.record(&job.customer, job.rank, cost, now);
+        if is_overloaded { reduction } else { 0.0 }
+    }
+
+    /// Records the work that a new job brings to its pools.
+    fn record_demand(&mut self, job: &Job, now: Instant) {
+        for (index, stage) in job.stages.iter().enumerate() {
+            if stage.pieces > 0 {
+                let class = self.piece_times.class(&job.route, index);
+                let work = f64::from(stage.pieces) * self.piece_times.load(class);
+                self.demand.record(&stage.pool, job.rank, work, now);
+            }
+        }
+    }
+
     /// Removes a job that nobody waits for any more or whose results were used, and releases its
     /// results.
     pub fn cancel(&mut self, request: &str, now: Instant) {
@@ -227,6 +313,7 @@
     /// caller has to carry out.
     pub fn poll(&mut self, now: Instant) -> Vec<Action> {
         self.requeue_slow_calls(now);
+        self.follow_capacity(now);
         self.give_up_infeasible(now);
         self.start_deferred(now);
         self.start_parked(now);
@@ -235,7 +322,8 @@
             self.hand_over();
         } else {
             self.query_due_servers(now);
-            let pools: Vec<Name> = self.queues.keys().cloned().collect();
+            let mut pools: Vec<Name> = self.queues.keys().cloned().collect();
+            pools.sort_unstable();
             for pool in pools {
                 while self.start_call(&pool, now) {}
             }
@@ -341,11 +429,18 @@
             let mut count = 0;
             for server in usable {
                 load.rate += server.pieces_per_second();
-                load.call = server.expected_call_time(server.spec.max_batch.div_ceil(2));
+                let half = f64::from(server.spec.max_batch.div_ceil(2));
+                let recent = self.recent_calls.work(pool);
+                load.call = server.expected_call_time(recent.unwrap_or(half));
+                load.full_call = server.expected_call_time(f64::from(server.spec.max_batch));
+                load.call_work = f64::from(server.spec.max_batch);
                 count += 1;
             }
+            load.servers = count;
+            load.demand = self.demand.of(pool, now);
+
             let pause = active().map(|server| server.pause_left(now)).min();
-            load.server_wait = load.call / (2 * count.max(1)) + pause.unwrap_or_default();
+            load.pause = pause.unwrap_or_default();
             loads.insert(pool.clone(), load);
         }
         for (_, state) in self.jobs.iter().filter(|(_, job)| !job.delivered) {
@@ -354,12 +449,14 @@
                     .pieces
                     .iter()
                     .filter(|p| matches!(p, Progress::Blocked | Progress::Queued))
-                    .count() as u64;
+                    .count();
                 let queued = progress
                     .pieces
                     .iter()
                     .filter(|p| matches!(p, Progress::Queued))
-                    .count() as u64;
+                    .count();
+                let weight = self.piece_times.load(progress.class);
+                let (waiting, queued) = (waiting as f64 * weight, queued as f64 * weight);
                 let load = loads.entry(stage.pool.clone()).or_default();
                 load.queued += queued;
                 match (state.parked, state.late) {
@@ -370,6 +467,9 @@
                 }
             }
         }
+        for load in loads.values_mut() {
+            load.update_call();
+        }
         loads
     }
 
@@ -387,9 +487,6 @@
 
 /// Longest retry delay for a job that needs a pool without servers.
 const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
-/// Share of the longest retry delay over which retries are spread, and the number of steps.
-const RETRY_SPREAD: f64 = 0.35;
-const RETRY_SPREAD_STEPS: u64 = 16;
 /// Time without calls after a server rejected one because it is full.
 const REJECTED_BACKOFF: Duration = Duration::from_millis(60);
 /// A call times out after this multiple of the time after which its pieces are queued again.
@@ -455,6 +552,8 @@
 /// chain of calls, plus the run time of the request itself.
 fn remaining_times(
     job: &Job,
+    classes: &[usize],
+    piece_times: &PieceTimes,
     pools: &HashMap<Name, Vec<ServerState>>,
 ) -> Vec<(Duration, Duration)> {
     let mut remaining_times = vec![(Duration::ZERO, Duration::ZERO); job.stages.len()];
@@ -464,7 +563,9 @@
             .get(&stage.pool)
             .and_then(|servers| servers.first())
             .map_or(Duration::ZERO, |server| {
-                server.expected_call_time(stage.pieces.min(server.spec.max_batch))
+                let pieces = stage.pieces.min(server.spec.max_batch);
+                let factor = piece_times.factor(classes[stage_index]);
+                server.expected_call_time(f64::from(pieces) * factor)
             });
         let own = if stage.pieces == 0 {
             Duration::ZERO
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -52,6 +52,10 @@
     pub id: Name,
     /// Key of the input of stages without dependencies; also identifies retries of a caller.
     pub key: Name,
+    /// Customer that sent the request; empty if its route needs no key.
+    pub customer: Name,
+    /// Name of the request's route.
+    pub route: Name,
     /// Rank of the request; 0 is the most urgent.
     pub rank: u32,
     /// Time within which the answer has its full value: the rest of the route's target latency.
@@ -163,8 +167,13 @@
 #[derive(Debug)]
 pub(super) struct StageState {
     pub pieces: Vec<Progress>,
+    /// Class of its pieces in [`super::piece_times::PieceTimes`].
+    pub class: usize,
     /// Least time from the start of this stage to the end of the request.
     pub remaining_time: Duration,
+    /// Expected time from the start of this stage to the end of the request, waits for servers
+    /// included.
+    pub expected_time: Duration,
     /// Least time from the end of this stage to the end of the request.
     pub following_time: Duration,
     /// When the newest call with a piece of this stage was sent.
@@ -205,9 +214,8 @@
     pub late: bool,
     /// Late and not started: waits until its pools have spare capacity.
     pub parked: bool,
-    /// Starts before other parked jobs of its rank, because its caller was refused before or an
-    /// earlier owner had accepted the job.
-    pub first_in_rank: bool,
+    /// Its caller was refused before.
+    pub is_retry: bool,
     pub stages: Vec<StageState>,
     /// Number of calls so far in which pieces failed or inputs were missing.
     pub recomputations: u32,
@@ -225,6 +233,12 @@
         }
     }
 
+    /// Whether it starts before other parked jobs of its rank, because its caller was refused before
+    /// or an earlier owner had accepted it.
+    pub fn is_first_in_rank(&self) -> bool {
+        self.is_retry || self.job.is_accepted()
+    }
+
     /// Priority of a stage in the queue of its pool, earliest first: its latest start plus the
     /// penalty for the customer's rank.
     pub fn urgency(&self, stage: usize) -> Instant {
@@ -232,10 +246,23 @@
             + RANK_PENALTY * (self.job.rank.min(MAX_RANK) / RANKS_PER_CUSTOMER_PRIORITY)
     }
 
+    /// Whether any of its pieces was sent or has a result.
+    pub fn has_started(&self) -> bool {
+        let mut pieces = self.stages.iter().flat_map(|stage| &stage.pieces);
+        pieces.any(|p| matches!(p, Progress::Running(_) | Progress::Done(_)))
+            || self.stages.iter().any(|stage| stage.sent_at.is_some())
+    }
+
+    /// Priority of its earliest unfinished stage.
+    pub fn first_urgency(&self) -> Instant {
+        let unfinished = self.stages.iter().position(|stage| !stage.is_finished());
+        unfinished.map_or(self.soft_deadline, |stage| self.urgency(stage))
+    }
+
     /// Latest time at which a stage can start for the job to meet its soft deadline.
     pub fn latest_start(&self, stage: usize) -> Instant {
         self.soft_deadline
-            .checked_sub(self.stages[stage].remaining_time)
+            .checked_sub(self.stages[stage].expected_time)
             .unwrap_or(self.soft_deadline)
     }
 
--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -4,31 +4,50 @@
 //! A late job is parked: it starts when its pools have spare capacity, and is given up as soon as
 //! it can't finish before its deadline.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::forecast::{RANK_COUNT, forecast};
+use super::forecast::{PoolLoad, RANK_COUNT, forecast};
 use super::job::{Job, JobState, Progress, StageState};
 use super::{
-    Action, BatchScheduler, DELIVERED_RETENTION, RETRY_SPREAD, RETRY_SPREAD_STEPS, RefusalReason,
-    queue_key, remaining_times,
+    Action, BatchScheduler, DELIVERED_RETENTION, RefusalReason, queue_key, remaining_times,
 };
+use crate::flow::config::Name;
 
 impl BatchScheduler {
-    /// Time after which a refused caller should retry. A caller retries once and will miss its soft
-    /// deadline in any case, so the delay is as long as its deadline allows, to let the load pass.
-    /// Delays are spread so that callers don't all retry at the same time.
-    pub(super) fn retry_after(&self, job: &Job) -> Duration {
-        let offset = f64::from(u32::try_from(self.next_sequence % RETRY_SPREAD_STEPS).unwrap_or(0));
-        let share = 1.0 - RETRY_SPREAD * offset / RETRY_SPREAD_STEPS as f64;
-        (job.time_to_deadline / 3).mul_f64(share)
+    /// Time after which a refused caller should retry: when the backlog of its pools is expected to
+    /// leave capacity that is not promised to other retries.
+    pub(super) fn retry_after(
+        &mut self,
+        job: &Job,
+        loads: &BTreeMap<Name, PoolLoad>,
+        now: Instant,
+    ) -> Duration {
+        let longest = job.time_to_deadline / 3;
+        let needs = job.stages.iter().filter(|stage| stage.pieces > 0);
+        let needs = needs.filter_map(|stage| {
+            let load = loads.get(&stage.pool)?;
+            Some((&stage.pool, load, f64::from(stage.pieces)))
+        });
+        self.retry_times.promise(needs, longest, now)
     }
 
     /// Adds a job; a late one is parked. A stage that depends on no other and that no other depends
     /// on starts only when the rest of the job needs it, see [`StageState::not_before`].
-    pub(super) fn accept(&mut self, job: Job, late: bool, first_in_rank: bool, now: Instant) {
+    pub(super) fn accept(
+        &mut self,
+        job: Job,
+        expected_times: &[Duration],
+        late: bool,
+        is_retry: bool,
+        now: Instant,
+    ) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        let remaining_times = remaining_times(&job, &self.pools);
+        let classes: Vec<usize> = (0..job.stages.len())
+            .map(|stage| self.piece_times.class(&job.route, stage))
+            .collect();
+        let remaining_times = remaining_times(&job, &classes, &self.piece_times, &self.pools);
         let longest = remaining_times.iter().map(|(remaining, _)| *remaining);
         let longest = longest.max().unwrap_or_default();
         let has_dependents =
@@ -44,7 +63,9 @@
                     longest.saturating_sub(remaining_time + self.config.deferred_start_margin);
                 StageState {
                     pieces: vec![Progress::Blocked; stage.pieces as usize],
+                    class: classes[stage_index],
                     remaining_time,
+                    expected_time: expected_times[stage_index].max(remaining_time),
                     following_time,
                     sent_at: None,
                     not_before: if independent { now + spare } else { now },
@@ -59,7 +80,7 @@
             deadline: now + job.time_to_deadline,
             late,
             parked: late,
-            first_in_rank,
+            is_retry,
             stages,
             recomputations: 0,
             delivered: false,
@@ -90,7 +111,9 @@
             let has_failed = state.recomputations > self.config.max_recomputations;
             if has_failed || earliest_end > Some(state.deadline) {
                 let left = state.deadline.saturating_duration_since(now);
-                let reason = if has_failed {
+                let reason = if state.is_retry && !state.job.is_accepted() {
+                    RefusalReason::RefusedAgain
+                } else if has_failed {
                     RefusalReason::Failed
                 } else {
                     RefusalReason::OutOfTime
@@ -104,8 +127,11 @@
             }
         }
         for (request, refusal) in infeasible {
-            let index = self.by_id.get(&request).filter(|_| refusal.is_some());
-            if let Some(state) = index.and_then(|index| self.jobs.get(*index)) {
+            let index = self.by_id.get(&request);
+            let state = index.and_then(|index| self.jobs.get(*index));
+            if let (Some(state), Some((_, reason))) = (state, refusal) {
+                self.refusals
+                    .record(&state.job.route, &state.job.customer, reason);
                 let (soft_deadline, deadline) = (state.soft_deadline, state.deadline);
                 self.retries
                     .record_refusal(&state.job.key, soft_deadline, deadline, now);
@@ -156,7 +182,13 @@
     /// owner first, then by soft deadline.
     fn parked_in_order(&self) -> Vec<usize> {
         let parked = self.jobs.iter().filter(|(_, state)| state.parked);
-        let key = |state: &JobState| (state.job.rank, !state.first_in_rank, state.soft_deadline);
+        let key = |state: &JobState| {
+            (
+                state.job.rank,
+                !state.is_first_in_rank(),
+                state.soft_deadline,
+            )
+        };
         let mut parked: Vec<_> = parked.map(|(index, s)| (key(s), index)).collect();
         parked.sort_unstable();
         parked.into_iter().map(|(_, index)| index).collect()
@@ -180,7 +212,7 @@
             }
             for stage in stages {
                 if let Some(load) = loads.get_mut(&stage.pool) {
-                    load.queued += u64::from(stage.pieces);
+                    load.queued += f64::from(stage.pieces);
                 }
             }
             self.jobs[index].parked = false;
@@ -201,7 +233,7 @@
         }
         let mut loads = self.loads(now);
         for load in loads.values_mut() {
-            load.parked = [0; RANK_COUNT];
+            load.parked = [0.0; RANK_COUNT];
         }
         let mut infeasible = Vec::new();
         for index in parked {
@@ -217,20 +249,27 @@
             }
             for stage in &remaining.stages {
                 if let Some(load) = loads.get_mut(&stage.pool) {
-                    load.late += u64::from(stage.pieces);
+                    load.late += f64::from(stage.pieces);
                 }
             }
         }
         for (index, left) in infeasible {
             let state = &self.jobs[index];
             let (request, key) = (state.job.id.clone(), state.job.key.clone());
-            self.retries
-                .record_refusal(&key, state.soft_deadline, state.deadline, now);
+            let reason = if state.is_retry {
+                RefusalReason::RefusedAgain
+            } else {
+                self.retries
+                    .record_refusal(&key, state.soft_deadline, state.deadline, now);
+                RefusalReason::Parked
+            };
+            self.refusals
+                .record(&state.job.route, &state.job.customer, reason);
             self.cancel(&request, now);
             self.actions.push(Action::GivenUp {
                 request,
                 retry_after: left / 3,
-                reason: RefusalReason::Parked,
+                reason,
             });
         }
     }
--- a/crates/sardineshore-core/src/flow/batching/messages.rs
+++ b/crates/sardineshore-core/src/flow/batching/messages.rs
@@ -165,7 +165,7 @@
 }
 
 /// Why a job was refused or given up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RefusalReason {
     /// Its stages are inconsistent or beyond their limits.
     Invalid,
@@ -181,6 +181,10 @@
     OutOfTime,
     /// Its pieces failed or lost their inputs too often.
     Failed,
+    /// It was refused before, and can't be served at its second attempt either.
+    RefusedAgain,
+    /// Its customer asks for more than usual from an overloaded pool.
+    CustomerBurst,
 }
 
 impl RefusalReason {
@@ -195,6 +199,17 @@
             Self::Parked => "parked",
             Self::OutOfTime => "out of time",
             Self::Failed => "pieces failed",
+            Self::RefusedAgain => "refused again",
+            Self::CustomerBurst => "customer's burst",
         }
     }
+
+    /// Whether a further attempt of the caller would be refused as well, or end too late.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(
+            self,
+            Self::RefusedAgain | Self::DeadlineTooClose | Self::OutOfTime
+        )
+    }
 }
--- a/crates/sardineshore-core/tests/batching_evacuated.rs
+++ b/crates/sardineshore-core/tests/batching_evacuated.rs
@@ -50,6 +50,8 @@
     Job {
         id: "r".into(),
         key: "k".into(),
+        customer: "".into(),
+        route: "".into(),
         rank: 1,
         time_to_soft_deadline: Duration::from_secs(6),
         time_to_deadline: Duration::from_secs(8),
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -21,7 +21,7 @@
 
 use super::{
     Outcome, QUARANTINED, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, deadline_exceeded,
-    not_run, select_pool,
+    not_run, not_run_finally, select_pool,
 };
 use crate::attempt::{
     AdmittedRequest, Attempt, ConnectedServer, Dispatcher, RETRY_AFTER_NO_SERVER,
@@ -506,11 +506,15 @@
             Ok(Err(refusal)) => {
                 self.metrics
                     .stages_refused
-                    .with_label_values(&[refusal.reason, continues])
+                    .with_label_values(&[&*request.route.name, refusal.reason, continues])
                     .inc();
                 attempts.stats.stages_refusal = Some(refusal.reason);
                 let reason = "stages can't end in time";
-                Err(not_run(request, refusal.retry_after, reason))
+                Err(if refusal.is_final {
+                    not_run_finally(request, reason)
+                } else {
+                    not_run(request, refusal.retry_after, reason)
+                })
             }
             Err(_) => Err(not_run(request, Duration::ZERO, "time over in stages")),
         }
@@ -559,6 +563,10 @@
         Some(Job {
             id: request.id.into(),
             key: headers.get(fields.piece_key).unwrap_or_default().into(),
+            customer: request
+                .caller
+                .map_or_else(|| Name::from(""), |caller| caller.customer.clone()),
+            route: route.name.clone(),
             rank: request.rank(),
             time_to_soft_deadline: route.target_latency.saturating_sub(elapsed),
             time_to_deadline: request.time_to_deadline(),
