feat(stages): stages end before the caller of a stream leaves

Cause: callers leave a stream that brings no event for 2 s, four times the route's target latency or eight times its longest pause, whichever is longest.

Ruled out: a shorter deadline for the whole request; a retry is recognized by its deadline.

A job has the time to the first event beside the time to its deadline; forecasts, parking and giving up go by the shorter one, Retry-After and the recognition of retries by the deadline. Routes without a longest pause are served as before.

Tests: time_to_first_event_ends_when_the_caller_leaves and submit_refuses_job_whose_caller_leaves_... fail without the change.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -193,7 +193,7 @@
         self.cancel(&job.id.clone(), now);
         let first_soft_deadline = self.retries.first_soft_deadline(&job, now);
         if job.continues {
-            job.time_to_soft_deadline = job.time_to_deadline;
+            job.time_to_soft_deadline = job.time_left();
         } else if let Some(soft_deadline) = first_soft_deadline {
             job.time_to_soft_deadline = soft_deadline
                 .saturating_duration_since(now)
@@ -223,12 +223,12 @@
             self.fairness.record(job.rank, !late, now);
         }
         let wait = forecast.behind_all.saturating_sub(forecast.unloaded);
-        let infeasible = wait > job.time_to_deadline.mul_f64(late_wait_share)
-            || forecast.behind_all > job.time_to_deadline.mul_f64(self.config.late_finish_share);
+        let infeasible = wait > job.time_left().mul_f64(late_wait_share)
+            || forecast.behind_all > job.time_left().mul_f64(self.config.late_finish_share);
         let refuse_late = !job.is_accepted() && (infeasible || !job.late_allowed);
-        let too_close = forecast.unloaded > job.time_to_deadline;
+        let too_close = forecast.unloaded > job.time_left();
         let refused = if job.continues {
-            forecast.before_late > job.time_to_deadline
+            forecast.before_late > job.time_left()
         } else {
             late && (refuse_late || too_close)
         };
--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -62,6 +62,9 @@
     pub time_to_soft_deadline: Duration,
     /// Time after which the answer has no value.
     pub time_to_deadline: Duration,
+    /// Time within which the first event has to be forwarded: a caller that gets none leaves then, maybe before
+    /// the deadline.
+    pub time_to_first_event: Duration,
     /// Estimated time that the request itself needs after its stages.
     pub run_time: Duration,
     /// Failure domain of the server that will run the request; empty if any will do.
@@ -95,6 +98,12 @@
         self.stages[stage].pieces.saturating_sub(count)
     }
 
+    /// Time within which the stages are of use.
+    #[must_use]
+    pub fn time_left(&self) -> Duration {
+        self.time_to_deadline.min(self.time_to_first_event)
+    }
+
     /// Whether each stage depends only on earlier ones and the numbers of stages and pieces are
     /// within their limits.
     #[must_use]
@@ -209,7 +218,10 @@
     /// Order of arrival; also tells apart jobs that use the same index one after the other.
     pub sequence: u64,
     pub soft_deadline: Instant,
+    /// When its results are of no use any more.
     pub deadline: Instant,
+    /// Deadline of the request, by which a retry of its caller is recognized.
+    pub request_deadline: Instant,
     /// Will miss its soft deadline; its pieces go after those of all other jobs.
     pub late: bool,
     /// Late and not started: waits until its pools have spare capacity.
--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -77,7 +77,8 @@
         let state = JobState {
             sequence,
             soft_deadline: now + job.time_to_soft_deadline,
-            deadline: now + job.time_to_deadline,
+            deadline: now + job.time_left(),
+            request_deadline: now + job.time_to_deadline,
             late,
             parked: late,
             is_retry,
@@ -100,7 +101,7 @@
         let mut delayed = Vec::new();
         for (index, state) in &self.jobs {
             if state.delivered {
-                if now > state.deadline + DELIVERED_RETENTION {
+                if now > state.request_deadline + DELIVERED_RETENTION {
                     infeasible.push((state.job.id.clone(), None));
                 }
                 continue;
@@ -110,7 +111,7 @@
             let earliest_end = unfinished().map(|stage| stage.earliest_end(now)).max();
             let has_failed = state.recomputations > self.config.max_recomputations;
             if has_failed || earliest_end > Some(state.deadline) {
-                let left = state.deadline.saturating_duration_since(now);
+                let left = state.request_deadline.saturating_duration_since(now);
                 let reason = if state.is_retry && !state.job.is_accepted() {
                     RefusalReason::RefusedAgain
                 } else if has_failed {
@@ -132,7 +133,7 @@
             if let (Some(state), Some((_, reason))) = (state, refusal) {
                 self.refusals
                     .record(&state.job.route, &state.job.customer, reason);
-                let (soft_deadline, deadline) = (state.soft_deadline, state.deadline);
+                let (soft_deadline, deadline) = (state.soft_deadline, state.request_deadline);
                 self.retries
                     .record_refusal(&state.job.key, soft_deadline, deadline, now);
                 if !state.late && !state.job.is_accepted() {
@@ -244,7 +245,7 @@
             if forecast
                 .is_some_and(|f| f.behind_all > left.mul_f64(self.config.parked_finish_share))
             {
-                infeasible.push((index, left));
+                infeasible.push(index);
                 continue;
             }
             for stage in &remaining.stages {
@@ -253,14 +254,15 @@
                 }
             }
         }
-        for (index, left) in infeasible {
+        for index in infeasible {
             let state = &self.jobs[index];
+            let left = state.request_deadline.saturating_duration_since(now);
             let (request, key) = (state.job.id.clone(), state.job.key.clone());
             let reason = if state.is_retry {
                 RefusalReason::RefusedAgain
             } else {
                 self.retries
-                    .record_refusal(&key, state.soft_deadline, state.deadline, now);
+                    .record_refusal(&key, state.soft_deadline, state.request_deadline, now);
                 RefusalReason::Parked
             };
             self.refusals
--- a/crates/sardineshore-core/src/flow/config.rs
+++ b/crates/sardineshore-core/src/flow/config.rs
@@ -85,6 +85,9 @@
     pub timeout: Duration,
     /// Soft deadline from the arrival of a request: later responses still count, but for less.
     pub target_latency: Duration,
+    /// Longest pause between the events of a stream for which the response is still in time; `None` if
+    /// the route declares none.
+    pub pause_target: Option<Duration>,
     /// Priority, 0 being the most urgent; see [`request_rank`].
     pub priority: u32,
     /// Pools that serve the route, each with its relative weight in the traffic split.
--- a/crates/sardineshore-core/src/flow/time_limit.rs
+++ b/crates/sardineshore-core/src/flow/time_limit.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use super::config::Name;
+use super::config::{Name, Route};
 
 /// Number of the latest streams of a route whose durations count.
 const MAX_DURATIONS: usize = 64;
@@ -89,6 +89,34 @@
     }
 }
 
+/// Shortest time without an event after which callers leave a stream.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+/// Time without an event after which callers leave, as a multiple of the route's target latency.
+const PATIENCE_PER_TARGET: u32 = 4;
+/// The same as a multiple of the longest pause for a response in time.
+const PATIENCE_PER_PAUSE: u32 = 8;
+
+/// Time without an event after which callers leave a stream of the route, also before its first event;
+/// `None` if the route declares no longest pause, so that this isn't known.
+#[must_use]
+pub fn caller_patience(route: &Route) -> Option<Duration> {
+    let by_pause = route.pause_target? * PATIENCE_PER_PAUSE;
+    let by_target = route.target_latency * PATIENCE_PER_TARGET;
+    Some(MIN_PATIENCE.max(by_target).max(by_pause))
+}
+
+/// Time within which the first event of a stream has to be forwarded, `elapsed` after its request arrived
+/// and `time_to_deadline` before its deadline: callers leave sooner than that if they get no event.
+#[must_use]
+pub fn time_to_first_event(
+    route: &Route,
+    elapsed: Duration,
+    time_to_deadline: Duration,
+) -> Duration {
+    let patience = caller_patience(route).map(|patience| patience.saturating_sub(elapsed));
+    patience.map_or(time_to_deadline, |left| left.min(time_to_deadline))
+}
+
 /// Durations of the latest complete streams of each route, from when they were sent to a server.
 #[derive(Debug, Default)]
 pub struct StreamDurations {
--- a/crates/sardineshore-core/tests/batching.rs
+++ b/crates/sardineshore-core/tests/batching.rs
@@ -53,6 +53,7 @@
         rank: 1,
         time_to_soft_deadline: ms(2000),
         time_to_deadline: ms(8000),
+        time_to_first_event: Duration::MAX,
         run_time: ms(100),
         preferred_domain: "d".into(),
         stages,
@@ -639,3 +640,32 @@
     let pieces: Vec<usize> = calls[0].2.iter().map(|p| p.piece).collect();
     assert_eq!(pieces, [4, 5]);
 }
+
+/// Guards against stages that run for a stream whose caller leaves before its first event could come, and
+/// against a retry of such a caller that isn't recognized.
+#[test]
+fn submit_refuses_job_whose_caller_leaves_before_its_first_event() {
+    let now = Instant::now();
+    let mut sched = scheduler(&[("s", "p")], now);
+    let stages = || vec![stage("p", &[], 1)];
+    let impatient = Job {
+        time_to_soft_deadline: ms(100),
+        time_to_first_event: ms(150),
+        ..job("a", stages())
+    };
+    let refused = sched.submit(impatient, now);
+    let SubmitOutcome::Refused { retry_after, .. } = refused else {
+        panic!("{refused:?}");
+    };
+    // The caller may still come back.
+    assert!(
+        retry_after > ms(150) && retry_after <= ms(8000) / 3,
+        "{retry_after:?}"
+    );
+    let patient = Job {
+        time_to_first_event: ms(8000),
+        ..job("b", stages())
+    };
+    let accepted = sched.submit(patient, now);
+    assert_eq!(accepted, SubmitOutcome::Accepted { late: false });
+}
--- a/crates/sardineshore-core/tests/batching_evacuated.rs
+++ b/crates/sardineshore-core/tests/batching_evacuated.rs
@@ -55,6 +55,7 @@
         rank: 1,
         time_to_soft_deadline: Duration::from_secs(6),
         time_to_deadline: Duration::from_secs(8),
+        time_to_first_event: Duration::MAX,
         run_time: Duration::from_millis(100),
         preferred_domain: "z".into(),
         stages: vec![stage(&[]), stage(&[0])],
--- a/crates/sardineshore-core/tests/batching_load.rs
+++ b/crates/sardineshore-core/tests/batching_load.rs
@@ -48,6 +48,7 @@
         rank,
         time_to_soft_deadline: ms(2000),
         time_to_deadline: ms(8000),
+        time_to_first_event: Duration::MAX,
         run_time: ms(100),
         preferred_domain: "".into(),
         stages: vec![JobStage {
--- a/crates/sardineshore-core/tests/batching_silence.rs
+++ b/crates/sardineshore-core/tests/batching_silence.rs
@@ -51,6 +51,7 @@
         rank: 1,
         time_to_soft_deadline: ms(4000),
         time_to_deadline: ms(8000),
+        time_to_first_event: Duration::MAX,
         run_time: ms(100),
         preferred_domain: "d".into(),
         stages: vec![stage(&[]), stage(&[0])],
--- a/crates/sardineshore-core/tests/batching_taken_up.rs
+++ b/crates/sardineshore-core/tests/batching_taken_up.rs
@@ -62,6 +62,7 @@
         rank: 1,
         time_to_soft_deadline: ms(6000),
         time_to_deadline: ms(8000),
+        time_to_first_event: Duration::MAX,
         run_time: RUN_TIME,
         preferred_domain: "d".into(),
         stages,
--- a/crates/sardineshore-core/tests/load/overload.rs
+++ b/crates/sardineshore-core/tests/load/overload.rs
@@ -535,6 +535,7 @@
                 elapsed
             }),
             time_to_deadline: caller.class.deadline.saturating_sub(elapsed),
+            time_to_first_event: Duration::MAX,
             run_time: ASSUMED_RUN,
             preferred_domain: "".into(),
             stages: caller.stages.clone(),
--- a/crates/sardineshore-core/tests/load/replay.rs
+++ b/crates/sardineshore-core/tests/load/replay.rs
@@ -203,6 +203,7 @@
             rank: kind.rank,
             time_to_soft_deadline: SOFT_DEADLINE.saturating_sub(elapsed),
             time_to_deadline: DEADLINE.saturating_sub(elapsed),
+            time_to_first_event: Duration::MAX,
             run_time: Duration::from_millis(100),
             preferred_domain: "".into(),
             stages: stages.collect(),
--- a/crates/sardineshore-core/tests/time_limit.rs
+++ b/crates/sardineshore-core/tests/time_limit.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::config::{ConfigIndex, Route, ServingConfig};
-use sardineshore_core::flow::time_limit::{Expiry, LimitSource, StreamDurations, TimeLimit};
+use sardineshore_core::flow::time_limit::{
+    Expiry, LimitSource, StreamDurations, TimeLimit, time_to_first_event,
+};
 
 const SOUND_SILENCE: Duration = Duration::from_millis(1600);
 
@@ -107,3 +109,27 @@
     assert!(durations.can_end("chat", limit(240), ms(230), now));
     assert!(!durations.can_end("chat", limit(260), ms(230), now));
 }
+
+/// Guards against stages that run on until the deadline of a stream whose caller has left by then.
+#[test]
+fn time_to_first_event_ends_when_the_caller_leaves() {
+    let route = |target, pause: Option<u64>| Route {
+        target_latency: ms(target),
+        pause_target: pause.map(ms),
+        ..Route::default()
+    };
+    for (target, pause, elapsed, left, expected) in [
+        (1800, Some(400), 0, 20_000, 7200),
+        (1800, Some(400), 700, 19_300, 6500),
+        (1100, Some(800), 0, 20_000, 6400),
+        (300, Some(100), 0, 20_000, 2000),
+        // The deadline is earlier, or nothing is known of the caller's patience.
+        (1900, Some(400), 0, 6000, 6000),
+        (1800, None, 0, 20_000, 20_000),
+        (1800, Some(400), 8000, 12_000, 0),
+    ] {
+        let route = route(target, pause);
+        let time = time_to_first_event(&route, ms(elapsed), ms(left));
+        assert_eq!(time, ms(expected), "{target} {pause:?} {elapsed}");
+    }
+}
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -15,6 +15,7 @@
 use sardineshore_core::flow::batching::{Job, JobStage};
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::selection::{RequiredVersion, SelectedServer, SelectionRequest};
+use sardineshore_core::flow::time_limit::time_to_first_event;
 use slog::info;
 use tokio::io::AsyncWrite;
 use xxhash_rust::xxh3::xxh3_64;
@@ -570,6 +571,7 @@
             rank: request.rank(),
             time_to_soft_deadline: route.target_latency.saturating_sub(elapsed),
             time_to_deadline: request.time_to_deadline(),
+            time_to_first_event: time_to_first_event(route, elapsed, request.time_to_deadline()),
             run_time: run_time.unwrap_or(ENGINE_RUN_TIME),
             preferred_domain: likely_server.map_or_else(|| Name::from(""), |server| server.domain),
             stages,
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -377,6 +377,7 @@
     Some(Job {
         time_to_soft_deadline: job.time_to_soft_deadline.saturating_sub(elapsed),
         time_to_deadline,
+        time_to_first_event: job.time_to_first_event.saturating_sub(elapsed),
         results: finished_stages.borrow().clone(),
         accepted_before,
         ..job.clone()
