feat(zones): decide how much work leaves a failure domain

Cause: constants decide when a request leaves its domain, whatever the load and the link. Change: flow/zones plans, from the demand by home and the queues that owners of cells measure, which share of a home's jobs leaves for which cell; PoolRoom tells the room of a pool's servers by domain. Nothing uses them yet. Ruled out: planning by queues alone, as late figures make it oscillate (design page).

--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -29,3 +29,4 @@
 pub mod stream_versions;
 pub mod time_limit;
 pub mod turns;
+pub mod zones;
--- /dev/null
+++ b/crates/sardineshore-core/src/flow/zones.rs
@@ -0,0 +1,318 @@
+//! Decides when sending work to another failure domain pays, and how much.
+//!
+//! Work leaves its home domain if it gains more time there than the way costs: the round trip, the
+//! transfer of its inputs, and what bytes are priced at. How much leaves is the share by which the
+//! home's own demand exceeds its capacity, and no domain takes more than its own callers can spare.
+//! `docs/design/leaving-the-zone.md` tells what else was weighed.
+//!
+//! [`Spillover`] decides for cells, from figures that their owners measure; [`PoolRoom`] tells the
+//! room of a pool's servers by domain and the cost of a server in another one. Figures older than
+//! [`MAX_FIGURE_AGE`] aren't used.
+
+mod figures;
+mod links;
+mod plan;
+mod pool;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::config::Name;
+pub use figures::{CAPACITY_UNIT, CellFigures, DemandMeter, PoolFigures};
+pub use links::{RoundTrips, SpilloverPrices};
+pub use plan::{DomainLoad, QUEUE_TARGET, plan_flows};
+pub use pool::{CrossingReason, PoolRoom};
+
+/// Age from which figures are not used any more.
+pub const MAX_FIGURE_AGE: Duration = Duration::from_secs(2);
+/// Time between two plans of an instance.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Figures replace known ones only if they are younger by this time. Their age doesn't include the
+/// way between instances, so figures that come back over others would seem to be newer.
+const MIN_PROGRESS: Duration = Duration::from_millis(20);
+/// Change of a share from which it is reported again.
+const REPORTED_CHANGE: f64 = 0.15;
+/// Shares below this count as none in reports.
+const REPORTED_FROM: f64 = 0.02;
+/// Least time between two reports of one pair of domains.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Round trip to a domain to which none was measured.
+const UNKNOWN_ROUND_TRIP: Duration = Duration::from_millis(8);
+/// Seed of the hash by which a request leaves or stays.
+const LEAVE_SEED: u64 = 0x1eaf;
+/// Seed of the hash by which a refused request chooses a cell.
+const REFUSED_SEED: u64 = 0x2eaf;
+
+/// A job whose cell is to be chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct SpillRequest<'a> {
+    /// Key that a retry of the request has too; decides at random whether it leaves.
+    pub hash_key: &'a str,
+    /// Cell that the request belongs to.
+    pub home: &'a Name,
+    /// Time that it costs to leave the home: inputs to transfer or prompts that are not cached.
+    pub stay_value: Duration,
+    /// Bytes that move between domains if it leaves.
+    pub bytes: u64,
+}
+
+/// Share of a home's jobs that leave for another cell, as it changed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ShareChange {
+    /// Home of the jobs.
+    pub from: Name,
+    /// Cell that they leave for.
+    pub to: Name,
+    /// Share that leaves, 0 to 1.
+    pub share: f64,
+}
+
+/// Jobs that leave a home for one other cell.
+#[derive(Debug, Clone, Default)]
+struct Flow {
+    /// Share of the home's jobs, 0 to 1; follows the plan within the age of the figures.
+    share: f64,
+    /// Seconds that a job gains which costs nothing to leave.
+    gain: f64,
+    /// What was last reported, and when.
+    reported: f64,
+    reported_at: Option<Instant>,
+}
+
+/// Chooses cells for jobs, from figures of all cells.
+#[derive(Debug, Clone, Default)]
+pub struct Spillover {
+    domain: Name,
+    prices: SpilloverPrices,
+    round_trips: RoundTrips,
+    /// Latest figures of each cell, and when they were measured.
+    known: BTreeMap<Name, (CellFigures, Instant)>,
+    /// By home and other cell.
+    flows: BTreeMap<Name, BTreeMap<Name, Flow>>,
+    planned_at: Option<Instant>,
+    changes: Vec<ShareChange>,
+}
+
+impl Spillover {
+    /// Without figures, for an instance in `domain`.
+    #[must_use]
+    pub fn new(domain: Name, prices: SpilloverPrices) -> Self {
+        Self {
+            domain,
+            prices,
+            ..Self::default()
+        }
+    }
+
+    /// Measured round trips.
+    #[must_use]
+    pub fn round_trips(&self) -> &RoundTrips {
+        &self.round_trips
+    }
+
+    /// Records how long it took to set up a connection to a domain or to get a heartbeat back.
+    pub fn record_round_trip(&mut self, domain: &Name, sample: Duration, now: Instant) {
+        self.round_trips.record(domain, sample, now);
+    }
+
+    /// Records figures that were received or measured, unless younger ones are known.
+    pub fn record(&mut self, figures: CellFigures, now: Instant) {
+        let age = Duration::from_millis(figures.age_ms.into());
+        let Some(measured_at) = now.checked_sub(age).filter(|_| age < MAX_FIGURE_AGE) else {
+            return;
+        };
+        let known = self.known.get(&figures.cell);
+        if known.is_none_or(|(_, at)| measured_at > *at + MIN_PROGRESS) {
+            self.known
+                .insert(figures.cell.clone(), (figures, measured_at));
+        }
+    }
+
+    /// Figures of all cells that were measured after the given time of their cell, with their age.
+    #[must_use]
+    pub fn figures_since(
+        &self,
+        sent: &mut BTreeMap<Name, Instant>,
+        interval: Duration,
+        now: Instant,
+    ) -> Vec<CellFigures> {
+        let mut newer = Vec::new();
+        for (cell, (figures, at)) in &self.known {
+            let age = now.saturating_duration_since(*at);
+            let is_due = sent.get(cell).is_none_or(|last| *at >= *last + interval);
+            if age < MAX_FIGURE_AGE && is_due {
+                sent.insert(cell.clone(), *at);
+                newer.push(CellFigures {
+                    age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+                    ..figures.clone()
+                });
+            }
+        }
+        newer
+    }
+
+    /// Cell that a job goes to: its home, or one of the other `cells`. `None` if nothing is known of
+    /// the home.
+    pub fn choose(
+        &mut self,
+        request: &SpillRequest<'_>,
+        cells: &[Name],
+        now: Instant,
+    ) -> Option<Name> {
+        self.load(request.home, now)?;
+        let is_due = |at| now.saturating_duration_since(at) >= PLAN_INTERVAL;
+        if self.planned_at.is_none_or(is_due) {
+            self.plan(cells, now);
+        }
+        let cost = request.stay_value + self.prices.time_worth(request.bytes);
+        let mut left = uniform_hash(request.hash_key, LEAVE_SEED);
+        for (cell, flow) in self.flows.get(request.home).into_iter().flatten() {
+            if left < flow.share {
+                let pays = flow.gain > cost.as_secs_f64() && cells.contains(cell);
+                return Some(if pays { cell } else { request.home }.clone());
+            }
+            left -= flow.share;
+        }
+        Some(request.home.clone())
+    }
+
+    /// Cell with room for a job that another cell refused, chosen at random by room; `None` if none
+    /// is known to have some.
+    #[must_use]
+    pub fn with_room(
+        &self,
+        refused_by: &Name,
+        hash_key: &str,
+        cells: &[Name],
+        now: Instant,
+    ) -> Option<Name> {
+        let others = cells.iter().filter(|cell| *cell != refused_by);
+        let rooms: Vec<(&Name, f64)> = others
+            .filter_map(|cell| Some((cell, self.load(cell, now)?.room())))
+            .filter(|(_, room)| *room > 0.0)
+            .collect();
+        let sum: f64 = rooms.iter().map(|(_, room)| room).sum();
+        let mut left = uniform_hash(hash_key, REFUSED_SEED) * sum;
+        for (cell, room) in &rooms {
+            if left < *room {
+                return Some((*cell).clone());
+            }
+            left -= room;
+        }
+        rooms.last().map(|(cell, _)| (*cell).clone())
+    }
+
+    /// Shares that changed since the last call; at most one for each pair of cells per second.
+    pub fn take_changes(&mut self) -> Vec<ShareChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Load of a cell; `None` if its figures are missing or too old.
+    fn load(&self, cell: &str, now: Instant) -> Option<DomainLoad> {
+        let (figures, at) = self.known.get(cell)?;
+        let age = now.saturating_duration_since(*at);
+        if age >= MAX_FIGURE_AGE {
+            return None;
+        }
+        let fresh = |at: &Instant| now.saturating_duration_since(*at) < MAX_FIGURE_AGE;
+        let demand: f64 = self
+            .known
+            .values()
+            .filter(|(_, at)| fresh(at))
+            .flat_map(|(figures, _)| &figures.demand)
+            .filter(|(home, _)| **home == *cell)
+            .map(|(_, rate)| f64::from(*rate))
+            .sum();
+        Some(DomainLoad {
+            capacity: f64::from(figures.capacity),
+            demand,
+            queue: Duration::from_millis(figures.queue_ms.into()),
+            age,
+        })
+    }
+
+    /// Time that it costs to send a job to a cell instead of its home, as seen from this instance.
+    fn crossing(&self, home: &str, cell: &str) -> Duration {
+        let way = |cell: &str| {
+            if *cell == *self.domain {
+                Duration::ZERO
+            } else {
+                self.round_trips.to(cell).unwrap_or(UNKNOWN_ROUND_TRIP)
+            }
+        };
+        // A job whose home is elsewhere crosses domains in any case.
+        way(cell).saturating_sub(way(home))
+    }
+
+    /// Brings the shares closer to what the figures ask for.
+    fn plan(&mut self, cells: &[Name], now: Instant) {
+        let elapsed = self.planned_at.replace(now).map_or(PLAN_INTERVAL, |at| {
+            now.saturating_duration_since(at)
+        });
+        let known: Vec<(&Name, DomainLoad)> = cells
+            .iter()
+            .filter_map(|cell| Some((cell, self.load(cell, now)?)))
+            .collect();
+        let loads: Vec<DomainLoad> = known.iter().map(|(_, load)| *load).collect();
+        let crossings: Vec<Vec<Duration>> = known
+            .iter()
+            .map(|(from, _)| known.iter().map(|(to, _)| self.crossing(from, to)).collect())
+            .collect();
+        let planned = plan_flows(&loads, |from, to| crossings[from][to]);
+        let mut flows = std::mem::take(&mut self.flows);
+        flows.retain(|home, _| cells.contains(home));
+        for (from, (home, load)) in known.iter().enumerate() {
+            let row = flows.entry((*home).clone()).or_default();
+            row.retain(|cell, _| cells.contains(cell));
+            // Figures don't tell more than what changes within their age.
+            let time = load.age.max(PLAN_INTERVAL).as_secs_f64();
+            let weight = 1.0 - (-elapsed.as_secs_f64() / time).exp();
+            for (to, (cell, other)) in known.iter().enumerate().filter(|(to, _)| *to != from) {
+                let wanted = planned[from][to] / load.demand.max(f64::EPSILON);
+                let flow = row.entry((*cell).clone()).or_default();
+                flow.share += (wanted.clamp(0.0, 1.0) - flow.share) * weight;
+                flow.gain = plan::gain(load, other, crossings[from][to]);
+                report_change(&mut self.changes, home, cell, flow, now);
+            }
+        }
+        // Nothing is known of the others: their jobs stay.
+        for (home, row) in &mut flows {
+            row.retain(|cell, _| known.iter().any(|(known, _)| *known == cell));
+            if known.iter().all(|(known, _)| *known != home) {
+                row.clear();
+            }
+        }
+        self.flows = flows;
+    }
+}
+
+/// Notes the share of a flow if it differs enough from what was reported.
+fn report_change(
+    changes: &mut Vec<ShareChange>,
+    from: &Name,
+    to: &Name,
+    flow: &mut Flow,
+    now: Instant,
+) {
+    let share = if flow.share < REPORTED_FROM {
+        0.0
+    } else {
+        flow.share
+    };
+    let is_recent = |at| now.saturating_duration_since(at) < REPORT_INTERVAL;
+    let starts_or_ends = (share > 0.0) != (flow.reported > 0.0);
+    let differs = (share - flow.reported).abs() >= REPORTED_CHANGE;
+    if (starts_or_ends || differs) && !flow.reported_at.is_some_and(is_recent) {
+        flow.reported = share;
+        flow.reported_at = Some(now);
+        let (from, to) = (from.clone(), to.clone());
+        changes.push(ShareChange { from, to, share });
+    }
+}
+
+/// Pseudo-random number from 0 to 1 that depends only on key and seed.
+fn uniform_hash(key: &str, seed: u64) -> f64 {
+    (xxh3_64_with_seed(key.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/sardineshore-core/src/flow/zones/figures.rs
@@ -0,0 +1,120 @@
+//! Figures about the load of a cell, as its owner measures them and instances pass them on.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::flow::config::Name;
+
+/// Unit of [`CellFigures`]: one capacity of all cells together is this number.
+pub const CAPACITY_UNIT: f64 = 1e6;
+/// Time over which arrivals are averaged. At 50 jobs per second in a cell, the average varies by a
+/// tenth; half the time would let one in seven figures claim an overload that isn't there.
+const AVERAGING_TIME: Duration = Duration::from_secs(1);
+/// Most failure domains of which a cell reports arrivals.
+const MAX_HOMES: usize = 16;
+
+/// Load of a cell at its busiest pool. Capacity and demand count in millionths of the nominal
+/// capacity of all cells, so that cells of different size can be compared.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CellFigures {
+    /// Name of the cell.
+    pub cell: Name,
+    /// Age of the figures when they are sent, in milliseconds.
+    pub age_ms: u32,
+    /// Time that the pool needs for the pieces that wait for a server, in milliseconds.
+    pub queue_ms: u32,
+    /// Work that the cell can do, per second.
+    pub capacity: u32,
+    /// Work that arrived for the first time, per second, by the home cell of its requests.
+    pub demand: Vec<(Name, u32)>,
+}
+
+/// Pieces that arrive at a cell, by home cell and pool.
+#[derive(Debug, Clone)]
+pub struct DemandMeter {
+    started_at: Instant,
+    /// Decayed sums of pieces and when they were last updated.
+    sums: BTreeMap<(Name, Name), (f64, Instant)>,
+}
+
+impl DemandMeter {
+    /// A meter that has seen nothing.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            started_at: now,
+            sums: BTreeMap::new(),
+        }
+    }
+
+    /// Records pieces for a pool of a request whose home is this cell or another one.
+    pub fn record(&mut self, home: &Name, pool: &Name, pieces: u32, now: Instant) {
+        let key = (home.clone(), pool.clone());
+        let (sum, at) = self.sums.entry(key).or_insert((0.0, now));
+        *sum = decayed(*sum, *at, now) + f64::from(pieces);
+        *at = now;
+    }
+
+    /// Pieces per second for a pool, by home.
+    pub fn rates<'a>(
+        &'a self,
+        pool: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = (&'a Name, f64)> {
+        // Until a few averaging times have passed since the start, the sums are of a shorter time.
+        let elapsed = now.saturating_duration_since(self.started_at);
+        let covered = 1.0 - (-elapsed.as_secs_f64() / AVERAGING_TIME.as_secs_f64()).exp();
+        let time = AVERAGING_TIME.as_secs_f64() * covered.max(0.1);
+        let of_pool = self.sums.iter().filter(move |((_, of), _)| **of == *pool);
+        of_pool.map(move |((home, _), (sum, at))| (home, decayed(*sum, *at, now) / time))
+    }
+
+    /// Figures of a cell from its pools; `None` if it has none. `pools` holds for each pool the time
+    /// of its queue, the rate at which the cell serves pieces, and the nominal rate of all cells.
+    #[must_use]
+    pub fn figures<'a>(
+        &self,
+        cell: &Name,
+        pools: impl Iterator<Item = (&'a Name, PoolFigures)>,
+        now: Instant,
+    ) -> Option<CellFigures> {
+        let load = |(pool, figures): &(&'a Name, PoolFigures)| {
+            let rate: f64 = self.rates(pool, now).map(|(_, rate)| rate).sum();
+            rate / figures.rate.max(0.001) + figures.queue.as_secs_f64()
+        };
+        let loads = pools.map(|pool| (load(&pool), pool));
+        let (_, (pool, busiest)) = loads.max_by(|a, b| a.0.total_cmp(&b.0))?;
+        let units = |rate: f64| (rate / busiest.nominal.max(0.001) * CAPACITY_UNIT) as u32;
+        let mut demand: Vec<(Name, u32)> = self
+            .rates(pool, now)
+            .map(|(home, rate)| (home.clone(), units(rate)))
+            .filter(|(_, rate)| *rate > 0)
+            .collect();
+        demand.truncate(MAX_HOMES);
+        Some(CellFigures {
+            cell: cell.clone(),
+            age_ms: 0,
+            queue_ms: u32::try_from(busiest.queue.as_millis()).unwrap_or(u32::MAX),
+            capacity: units(busiest.rate),
+            demand,
+        })
+    }
+}
+
+/// What a cell's figures depend on for each of its pools.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PoolFigures {
+    /// Time that the pool needs for the pieces that wait for a server.
+    pub queue: Duration,
+    /// Pieces per second that the cell's servers of the pool can do.
+    pub rate: f64,
+    /// Pieces per second that the pool's servers in all cells do nominally.
+    pub nominal: f64,
+}
+
+fn decayed(sum: f64, at: Instant, now: Instant) -> f64 {
+    let elapsed = now.saturating_duration_since(at);
+    sum * (-elapsed.as_secs_f64() / AVERAGING_TIME.as_secs_f64()).exp()
+}
