feat(zones): choose cells and servers by what leaving the domain gains

Cause: a fixed 8 ms for a server and a fixed 300 ms of backlog for a cell stood for the cost of another failure domain, and a refused job knew only the backlog of cells it had asked. Round trips come from connection set-up times and heartbeats. StageClient asks Spillover for the first cell and for one with room after a refusal; ServerSelector asks PoolRoom for the cost of a domain. Prices are optional settings ([spillover]). Conclusion: without figures, round trips or prices, choices are those of before.

--- a/crates/sardineshore-core/src/flow/selection.rs
+++ b/crates/sardineshore-core/src/flow/selection.rs
@@ -19,7 +19,9 @@
 use super::config::{Name, Server};
 use super::notices::{NoticeBoard, ServerNotice, ServerRun};
 use super::turns::{RateLimit, TurnSchedule};
-use cost::total_cost;
+use super::zones::{CrossingReason, PoolRoom, RoundTrips, SpilloverPrices};
+pub use cost::input_transfer_cost;
+use cost::{Crossing, total_cost, uniform_hash};
 pub use request::{
     AttemptOutcome, LoadReport, PromptPart, RequiredVersion, SelectedServer, SelectionRequest,
 };
@@ -39,6 +41,9 @@
     schedule: Option<TurnSchedule>,
     /// What servers said about themselves.
     notices: NoticeBoard,
+    /// Measured round trips to failure domains.
+    round_trips: RoundTrips,
+    prices: SpilloverPrices,
 }
 
 impl ServerSelector {
@@ -51,6 +56,34 @@
         }
     }
 
+    /// Sets the prices of traffic between failure domains and of late responses.
+    pub fn set_prices(&mut self, prices: SpilloverPrices) {
+        self.prices = prices;
+    }
+
+    /// Sets the measured round trips to failure domains.
+    pub fn set_round_trips(&mut self, round_trips: RoundTrips) {
+        self.round_trips = round_trips;
+    }
+
+    /// Why a request goes to the domain of the server that was selected for it.
+    #[must_use]
+    pub fn crossing_reason(
+        &self,
+        server: &SelectedServer,
+        request: &SelectionRequest,
+    ) -> CrossingReason {
+        if server.domain == self.domain {
+            CrossingReason::Home
+        } else if request.input_bytes.iter().any(|(d, _)| *d == server.domain) {
+            CrossingReason::Inputs
+        } else if request.shared_tokens() > 0 {
+            CrossingReason::Prompt
+        } else {
+            CrossingReason::Load
+        }
+    }
+
     /// Replaces the list of servers. A server keeps its load, its health and its notices unless its
     /// start time differs, that is, unless it has restarted. One that has said that it leaves accepts
     /// no work, whatever its entry says.
@@ -272,12 +305,15 @@
             available
         };
         let preferred = preferred_server(request, &candidates);
+        let loads = candidates.iter().map(|state| state.domain_load(now));
+        let room = PoolRoom::new(&self.domain, loads, request.crossing_draw());
         candidates
             .into_iter()
             .map(|state| {
                 let is_preferred = preferred.as_ref() == Some(&state.server.id);
                 let uncached_tokens = state.uncached_tokens(request, is_preferred, now);
-                let cost = total_cost(state, request, &self.domain, uncached_tokens, now);
+                let crossing = self.crossing(&room, state, request);
+                let cost = total_cost(state, request, crossing, uncached_tokens, now);
                 (cost, uncached_tokens, state)
             })
             .min_by(|a, b| {
@@ -293,6 +329,23 @@
             })
     }
 
+    /// What a server costs due to its failure domain.
+    fn crossing(
+        &self,
+        room: &PoolRoom<'_>,
+        state: &ServerState,
+        request: &SelectionRequest,
+    ) -> Crossing {
+        let (domain, seed) = (&state.server.domain, request.seed);
+        let (round_trips, prices) = (&self.round_trips, &self.prices);
+        let draw = |domain: &Name| uniform_hash(domain, seed);
+        let input_bytes = state.cross_domain_bytes(request);
+        Crossing {
+            domain: room.crossing_cost(domain, round_trips, prices, request.body_bytes, draw),
+            input_price: prices.time_worth(input_bytes).as_secs_f64(),
+        }
+    }
+
     /// Records that a request is being sent to a server.
     pub fn record_start(
         &mut self,
--- a/crates/sardineshore-core/src/flow/selection/cost.rs
+++ b/crates/sardineshore-core/src/flow/selection/cost.rs
@@ -6,7 +6,7 @@
 
 use super::request::SelectionRequest;
 use super::server::ServerState;
-use crate::flow::config::{Name, Server};
+use crate::flow::config::Server;
 
 /// Time to prefill one prompt token that isn't cached.
 const TOKEN_PREFILL_TIME: Duration = Duration::from_micros(24);
@@ -18,11 +18,9 @@
 /// Cost of a utilization (running requests per slot) that is 1 above 0.9, at a server with prompts
 /// to prefill; proportionally less below that and 0 up to 0.9.
 const OVERLOAD_COST: Duration = Duration::from_secs(5);
-/// Cost of a server in another failure domain than this instance.
-const CROSS_DOMAIN_COST: Duration = Duration::from_millis(8);
 /// Largest pseudo-random cost. Instances don't see each other's latest sends, so this spreads
-/// requests over servers that are equal otherwise. It is less than [`CROSS_DOMAIN_COST`], so that
-/// it never outweighs the failure domain.
+/// requests over servers that are equal otherwise. It is less than what another failure domain
+/// costs while there is room at home (`flow/zones/pool.rs`), so that it never outweighs the domain.
 const SPREADING_COST: Duration = Duration::from_millis(6);
 /// Cost of each running request, this one included, at a server that has no prompts to prefill;
 /// divided by the server's slots, of which at most 4 count.
@@ -34,12 +32,33 @@
 /// Cost of a megabyte (10^6 bytes) of inputs from another failure domain.
 const CROSS_DOMAIN_MB_COST: Duration = Duration::from_millis(25);
 
-/// Cost of a request at a server, in seconds, for an instance in `domain`; `uncached_tokens` are those
-/// of the request's prompt that the server would prefill.
+/// What a server costs due to its failure domain.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Crossing {
+    /// Cost of the domain itself, in seconds.
+    pub domain: f64,
+    /// Time that is worth the price of inputs from other domains, in seconds.
+    pub input_price: f64,
+}
+
+/// Time to transfer inputs of a request from another failure domain.
+#[must_use]
+pub fn input_transfer_cost(bytes: u64) -> Duration {
+    let seconds = CROSS_DOMAIN_MB_COST.as_secs_f64() * bytes as f64 / 1e6;
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
+
+/// Cost of prefilling shared tokens again that are cached elsewhere.
+pub(super) fn prompt_miss_cost(tokens: u32) -> Duration {
+    (TOKEN_PREFILL_TIME + PREFIX_MISS_COST).saturating_mul(tokens)
+}
+
+/// Cost of a request at a server, in seconds; `uncached_tokens` are those of the request's prompt that
+/// the server would prefill.
 pub(super) fn total_cost(
     state: &ServerState,
     request: &SelectionRequest,
-    domain: &Name,
+    crossing: Crossing,
     uncached_tokens: u32,
     now: Instant,
 ) -> f64 {
@@ -47,14 +66,15 @@
     let cross_domain_bytes = state.cross_domain_bytes(request);
     let request_cost = PREFIX_MISS_COST.as_secs_f64() * f64::from(missed_tokens)
         + CROSS_DOMAIN_MB_COST.as_secs_f64() * cross_domain_bytes as f64 / 1e6
+        + crossing.input_price
         + version_cost(request, &state.server).as_secs_f64()
         + SPREADING_COST.as_secs_f64() * uniform_hash(&state.server.id, request.seed);
-    server_cost(state, domain, uncached_tokens, now) + request_cost
+    server_cost(state, crossing, uncached_tokens, now) + request_cost
 }
 
 /// Cost of a request at a server due to load, distance and health; `uncached_tokens` are those
 /// of the request itself.
-fn server_cost(state: &ServerState, domain: &Name, uncached_tokens: u32, now: Instant) -> f64 {
+fn server_cost(state: &ServerState, crossing: Crossing, uncached_tokens: u32, now: Instant) -> f64 {
     let has_prefill = uncached_tokens > 0 || state.prefill_tokens > 0;
     let report = state.fresh_report(now);
     let waiting = report.map_or(0, |r| r.waiting);
@@ -69,9 +89,7 @@
     } else {
         cost += PLAIN_REQUEST_COST.as_secs_f64() * (f64::from(running) + 1.0) / slots.min(4.0);
     }
-    if state.server.domain != *domain {
-        cost += CROSS_DOMAIN_COST.as_secs_f64();
-    }
+    cost += crossing.domain;
     cost * state.health.slowdown() + ERROR_RATE_COST.as_secs_f64() * state.health.error_rate(now)
 }
 
@@ -83,7 +101,7 @@
     }
 }
 
-/// Pseudo-random number from 0 to 1 that depends only on server and seed.
-fn uniform_hash(server: &str, seed: u64) -> f64 {
-    (xxh3_64_with_seed(server.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
+/// Pseudo-random number from 0 to 1 that depends only on name and seed.
+pub(super) fn uniform_hash(name: &str, seed: u64) -> f64 {
+    (xxh3_64_with_seed(name.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
 }
--- a/crates/sardineshore-core/src/flow/selection/request.rs
+++ b/crates/sardineshore-core/src/flow/selection/request.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::cost::{prompt_miss_cost, uniform_hash};
 use crate::flow::config::{Name, Server};
 
 /// A part of a prompt. Prompts that begin with the same parts can share cached tokens.
@@ -52,6 +53,8 @@
     pub prompt: Vec<PromptPart>,
     /// Failure domains that store inputs of the request, each with their size in bytes.
     pub input_bytes: Vec<(Name, u64)>,
+    /// Size of the request's body, in bytes.
+    pub body_bytes: u64,
     /// Servers to exclude, as the request was already sent to them.
     pub tried: Vec<Name>,
     /// Whether servers in back-off, or silent ones, are left out even if there is no other.
@@ -75,6 +78,19 @@
         sum_tokens(self.shared_parts())
     }
 
+    /// What it costs to run the request where its shared prompt parts aren't cached.
+    #[must_use]
+    pub fn prompt_cost(&self) -> Duration {
+        prompt_miss_cost(self.shared_tokens())
+    }
+
+    /// The request's pseudo-random number, 0 to 1, by which it leaves its domain or stays; `None` if
+    /// inputs or cached prompts decide that.
+    pub(super) fn crossing_draw(&self) -> Option<f64> {
+        let is_free = self.input_bytes.is_empty() && self.shared_parts().is_empty();
+        is_free.then(|| uniform_hash("", self.seed))
+    }
+
     pub(super) fn own_tokens(&self) -> u32 {
         self.prompt.last().map_or(0, |part| part.tokens)
     }
--- a/crates/sardineshore-core/src/flow/selection/server.rs
+++ b/crates/sardineshore-core/src/flow/selection/server.rs
@@ -59,6 +59,14 @@
             .map(|(report, _)| report)
     }
 
+    /// Its domain and slots, and the requests that a fresh report shows.
+    pub fn domain_load(&self, now: Instant) -> (&Name, u32, Option<u32>) {
+        let report = self.fresh_report(now).filter(|report| report.slots > 0);
+        let slots = report.map_or(self.server.slots, |report| report.slots);
+        let requests = report.map(|report| report.running.saturating_add(report.waiting));
+        (&self.server.domain, slots, requests)
+    }
+
     /// Bytes of the request's inputs that the server would fetch from other failure domains.
     pub fn cross_domain_bytes(&self, request: &SelectionRequest) -> u64 {
         let cross_domain = request
--- a/crates/sardineshore-core/src/flow/zones.rs
+++ b/crates/sardineshore-core/src/flow/zones.rs
@@ -248,9 +248,10 @@
 
     /// Brings the shares closer to what the figures ask for.
     fn plan(&mut self, cells: &[Name], now: Instant) {
-        let elapsed = self.planned_at.replace(now).map_or(PLAN_INTERVAL, |at| {
-            now.saturating_duration_since(at)
-        });
+        let elapsed = self
+            .planned_at
+            .replace(now)
+            .map_or(PLAN_INTERVAL, |at| now.saturating_duration_since(at));
         let known: Vec<(&Name, DomainLoad)> = cells
             .iter()
             .filter_map(|cell| Some((cell, self.load(cell, now)?)))
@@ -258,7 +259,12 @@
         let loads: Vec<DomainLoad> = known.iter().map(|(_, load)| *load).collect();
         let crossings: Vec<Vec<Duration>> = known
             .iter()
-            .map(|(from, _)| known.iter().map(|(to, _)| self.crossing(from, to)).collect())
+            .map(|(from, _)| {
+                known
+                    .iter()
+                    .map(|(to, _)| self.crossing(from, to))
+                    .collect()
+            })
             .collect();
         let planned = plan_flows(&loads, |from, to| crossings[from][to]);
         let mut flows = std::mem::take(&mut self.flows);
@@ -271,8 +277,13 @@
             let weight = 1.0 - (-elapsed.as_secs_f64() / time).exp();
             for (to, (cell, other)) in known.iter().enumerate().filter(|(to, _)| *to != from) {
                 let wanted = planned[from][to] / load.demand.max(f64::EPSILON);
-                let flow = row.entry((*cell).clone()).or_default();
-                flow.share += (wanted.clamp(0.0, 1.0) - flow.share) * weight;
+                let wanted = wanted.clamp(0.0, 1.0);
+                // After figures were missing, there is no earlier share to go on from.
+                let flow = row.entry((*cell).clone()).or_insert_with(|| Flow {
+                    share: wanted,
+                    ..Flow::default()
+                });
+                flow.share += (wanted - flow.share) * weight;
                 flow.gain = plan::gain(load, other, crossings[from][to]);
                 report_change(&mut self.changes, home, cell, flow, now);
             }
--- a/crates/sardineshore-core/src/flow/zones/figures.rs
+++ b/crates/sardineshore-core/src/flow/zones/figures.rs
@@ -11,7 +11,7 @@
 pub const CAPACITY_UNIT: f64 = 1e6;
 /// Time over which arrivals are averaged. At 50 jobs per second in a cell, the average varies by a
 /// tenth; half the time would let one in seven figures claim an overload that isn't there.
-const AVERAGING_TIME: Duration = Duration::from_secs(1);
+const AVERAGING_TIME: Duration = Duration::from_millis(600);
 /// Most failure domains of which a cell reports arrivals.
 const MAX_HOMES: usize = 16;
 
--- a/crates/sardineshore-core/src/flow/zones/plan.rs
+++ b/crates/sardineshore-core/src/flow/zones/plan.rs
@@ -8,7 +8,7 @@
 /// Queue up to which a domain serves its own callers as they expect it, half the time of a call.
 pub const QUEUE_TARGET: Duration = Duration::from_millis(150);
 /// Utilization by its own callers above which work leaves a domain.
-const LEAVE_ABOVE: f64 = 0.97;
+const LEAVE_ABOVE: f64 = 0.96;
 /// Utilization up to which a domain takes the work of others. The rest is for the variation of its
 /// own arrivals.
 const HELP_UP_TO: f64 = 0.93;
@@ -16,7 +16,7 @@
 const DRAIN_TIME: f64 = 1.0;
 /// Multiple of the age of the figures that the drain time is at least. A queue that is corrected
 /// faster than about 1.6 times its delay oscillates.
-const DRAIN_TIME_PER_AGE: f64 = 4.0;
+const DRAIN_TIME_PER_AGE: f64 = 2.5;
 /// Rounds in which work that a full domain can't take is divided among the others.
 const ROUNDS: usize = 4;
 
@@ -41,8 +41,8 @@
     /// Work by which the demand and the queue exceed what the domain can do.
     fn excess(&self) -> f64 {
         let queued = self.queue.saturating_sub(QUEUE_TARGET).as_secs_f64();
-        let excess = self.demand - LEAVE_ABOVE * self.capacity
-            + queued * self.capacity / self.drain_time();
+        let excess =
+            self.demand - LEAVE_ABOVE * self.capacity + queued * self.capacity / self.drain_time();
         excess.clamp(0.0, self.demand)
     }
 
--- a/crates/sardineshore-core/src/flow/zones/pool.rs
+++ b/crates/sardineshore-core/src/flow/zones/pool.rs
@@ -130,7 +130,10 @@
         if excess <= 0.0 {
             return 0.0;
         }
-        let others = self.domains.iter().filter(|room| *room.domain != *self.home);
+        let others = self
+            .domains
+            .iter()
+            .filter(|room| *room.domain != *self.home);
         let free: f64 = others.map(free_slots).sum();
         excess.min(free) / (used * home.slots)
     }
--- a/crates/sardineshore-core/tests/zones/replay.rs
+++ b/crates/sardineshore-core/tests/zones/replay.rs
@@ -15,8 +15,14 @@
 const MEASURE_INTERVAL: u64 = 10;
 /// Least time between figures of a cell on one link.
 const LINK_INTERVAL: Duration = Duration::from_millis(200);
+/// Steps between heartbeats of a link while jobs wait.
+const HEARTBEAT_STEPS: usize = 25;
+/// Instances of a domain from which on they follow a reader of the store.
+const MIN_FOLLOWERS: usize = 4;
+/// Steps between messages of a reader.
+const RELAY_STEPS: u64 = 40;
 /// Time from a submission to its outcome, besides the queue.
-const SERVICE_TIME: Duration = Duration::from_millis(300);
+const SERVICE_TIME: Duration = Duration::from_millis(600);
 /// Expected arrivals are drawn in parts of this size, which makes them vary almost as if independent.
 const ARRIVAL_PART: f64 = 0.2;
 /// Pieces per second of a cell with all its servers.
@@ -91,7 +97,10 @@
 
 impl Random {
     fn next(&mut self) -> f64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
         (self.0 >> 11) as f64 / (1_u64 << 53) as f64
     }
 }
@@ -101,7 +110,8 @@
     let start = Instant::now();
     let dt = STEP.as_secs_f64();
     let names: Vec<Name> = (0..load.cells).map(|n| format!("z{n}").into()).collect();
-    let spillover = |n: usize| Spillover::new(names[n % load.cells].clone(), SpilloverPrices::default());
+    let spillover =
+        |n: usize| Spillover::new(names[n % load.cells].clone(), SpilloverPrices::default());
     let mut instances: Vec<Spillover> = (0..load.instances).map(spillover).collect();
     let mut cells: Vec<Cell> = Vec::new();
     for name in &names {
@@ -144,7 +154,14 @@
                 let rate = capacity * CAPACITY;
                 let queue = Duration::from_secs_f64(cells[cell].queued / rate);
                 let nominal = CAPACITY * load.cells as f64;
-                let pool = (&Name::from("pool"), PoolFigures { queue, rate, nominal });
+                let pool = (
+                    &Name::from("pool"),
+                    PoolFigures {
+                        queue,
+                        rate,
+                        nominal,
+                    },
+                );
                 let name = &cells[cell].name;
                 let figures = cells[cell].meter.figures(name, [pool].into_iter(), now);
                 let mut figures = figures.unwrap();
@@ -163,6 +180,19 @@
                 late[at].push((instance, figures));
             }
         }
+        // Readers of the store pass theirs on with the store's rows.
+        if load.instances >= MIN_FOLLOWERS * load.cells && step % RELAY_STEPS == 0 {
+            for instance in 2 * load.cells..load.instances {
+                let reader = &instances[load.cells + instance % load.cells];
+                let mut all = BTreeMap::new();
+                let figures = reader.figures_since(&mut all, LINK_INTERVAL, now);
+                if random.next() >= load.loss {
+                    let at = usize::try_from(load.delay.as_millis() / STEP.as_millis()).unwrap();
+                    late.resize(late.len().max(at + 1), Vec::new());
+                    late[at].push((instance, figures));
+                }
+            }
+        }
         for (instance, figures) in late.pop_front().unwrap_or_default() {
             for mut figures in figures {
                 figures.age_ms += u32::try_from(load.delay.as_millis()).unwrap();
@@ -196,12 +226,17 @@
                 let chosen = chosen.unwrap_or_else(|| names[home].clone());
                 let cell = names.iter().position(|name| *name == chosen).unwrap();
                 cells[cell].queued += 1.0;
-                cells[cell].meter.record(&names[home], &"pool".into(), 1, now);
+                cells[cell]
+                    .meter
+                    .record(&names[home], &"pool".into(), 1, now);
                 let rate = (load.capacity)(cell, t).max(0.01) * CAPACITY;
                 let wait = SERVICE_TIME.as_secs_f64() + cells[cell].queued / rate;
                 let at = (wait / dt) as usize;
                 outcomes.resize(outcomes.len().max(at + 1), Vec::new());
                 outcomes[at].push((instance, cell));
+                for heartbeat in (HEARTBEAT_STEPS..at).step_by(HEARTBEAT_STEPS) {
+                    outcomes[heartbeat].push((instance, cell));
+                }
                 if counts {
                     total += 1.0;
                     result.left_by_second[second] += f64::from(u8::from(cell != home)) / rate;
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -392,7 +392,10 @@
                 .await
             {
                 // The server may have stopped accepting work while the connection was opened.
-                Ok(conn) if self.state.selector.borrow().accepts_work(&server.id) => {
+                Ok(mut conn) if self.state.selector.borrow().accepts_work(&server.id) => {
+                    if let Some(time) = conn.take_setup_time() {
+                        self.peers.zones().record_round_trip(&server.domain, time);
+                    }
                     return Ok(ConnectedServer {
                         server,
                         conn,
@@ -427,10 +430,13 @@
 
     fn start_attempt(&self, server: &SelectedServer, selection: &SelectionRequest) -> Attempt {
         let now = Instant::now();
-        self.state
-            .selector
-            .borrow_mut()
-            .record_start(server, selection, now);
+        let mut selector = self.state.selector.borrow_mut();
+        selector.record_start(server, selection, now);
+        let reason = selector.crossing_reason(server, selection).as_str();
+        drop(selector);
+        let zones = self.peers.zones();
+        let home = &self.peers.this_instance().domain;
+        zones.count(&selection.pool, home, &server.domain, reason);
         Attempt {
             server: server.clone(),
             pool: selection.pool.clone(),
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -17,8 +17,9 @@
     StageResults, StoredResult, SubmitOutcome,
 };
 use sardineshore_core::flow::cells::{GLOBAL_CELL, domain_cells};
-use sardineshore_core::flow::config::{ConfigIndex, Name, PoolKind};
+use sardineshore_core::flow::config::{BatchSpec, ConfigIndex, Name, PoolKind};
 use sardineshore_core::flow::selection::ServerSelector;
+use sardineshore_core::flow::zones::{DemandMeter, PoolFigures};
 use serde::{Deserialize, Serialize};
 use slog::{Logger, debug, info};
 use tokio::sync::Notify;
@@ -28,6 +29,7 @@
 use crate::notices::NoticeReader;
 use crate::state::elapsed_ms;
 use crate::upstream::ConnectionPool;
+use crate::zones::ZoneExchange;
 
 /// Longest time between two polls of a scheduler with jobs, which finds calls that take too long.
 const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(30);
@@ -35,6 +37,10 @@
 const FREE_MEMORY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a cell that was handed over accepts no jobs here.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(1500);
+/// How often the owner of a cell measures its figures.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time since the last submission after which an instance may not own a cell any more.
+const OWNED_FOR: Duration = Duration::from_secs(2);
 /// How often the load of a cell with jobs is logged.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -106,8 +112,11 @@
     dialect: Rc<dyn Dialect>,
     connections: Rc<ConnectionPool>,
     notices: Rc<NoticeReader>,
+    zones: Rc<ZoneExchange>,
     metrics: Rc<Metrics>,
     log: Logger,
+    /// Pieces per second that all servers of a pool can do nominally.
+    nominal_rates: RefCell<BTreeMap<Name, f64>>,
 }
 
 /// One cell with its scheduler.
@@ -118,6 +127,9 @@
     submissions: RefCell<HashMap<Name, Submission>>,
     wake: Notify,
     handed_over_at: Cell<Option<Instant>>,
+    demand: RefCell<DemandMeter>,
+    submitted_at: Cell<Instant>,
+    measured_at: Cell<Instant>,
     shared: Rc<Shared>,
 }
 
@@ -144,6 +156,7 @@
         dialect: Rc<dyn Dialect>,
         connections: Rc<ConnectionPool>,
         notices: Rc<NoticeReader>,
+        zones: Rc<ZoneExchange>,
         metrics: Rc<Metrics>,
         log: Logger,
     ) -> Self {
@@ -151,8 +164,10 @@
             dialect,
             connections,
             notices,
+            zones,
             metrics,
             log,
+            nominal_rates: RefCell::default(),
         };
         Self {
             shared: Rc::new(shared),
@@ -164,6 +179,12 @@
         }
     }
 
+    /// What is known of the load of all cells.
+    #[must_use]
+    pub fn zones(&self) -> &Rc<ZoneExchange> {
+        &self.shared.zones
+    }
+
     /// Names of the cells that hold the servers of one failure domain each; empty if one cell holds
     /// all servers.
     #[must_use]
@@ -175,6 +196,7 @@
     pub fn set_servers(&self, selector: &ServerSelector, config: &ConfigIndex) {
         let mut all = Vec::new();
         let mut pools: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
+        let mut nominal_rates: BTreeMap<Name, f64> = BTreeMap::new();
         let now = Instant::now();
         for server in selector.servers() {
             let Some(pool) = config.pool(&server.pool) else {
@@ -184,6 +206,8 @@
                 if server.ready {
                     let domains = pools.entry(server.pool.clone()).or_default();
                     domains.push(server.domain.clone());
+                    let rate = nominal_rates.entry(server.pool.clone()).or_default();
+                    *rate += nominal_rate(spec);
                 }
                 all.push(BatchServer {
                     id: server.id.clone(),
@@ -208,6 +232,7 @@
             runner.sched.borrow_mut().set_servers(servers, now);
             runner.wake.notify_one();
         }
+        *self.shared.nominal_rates.borrow_mut() = nominal_rates;
         *self.servers.borrow_mut() = cells;
         *self.names.borrow_mut() = names;
     }
@@ -275,8 +300,15 @@
         }
     }
 
-    /// Submits a job to a cell; `callback` gets its events. The submission has to be released.
-    pub fn submit(&self, cell: &Name, job: Job, callback: JobCallback) -> SubmissionId {
+    /// Submits a job to a cell; `callback` gets its events. The submission has to be released. `home`
+    /// is the request's home cell, or `None` if another cell refused the job.
+    pub fn submit(
+        &self,
+        cell: &Name,
+        home: Option<&Name>,
+        job: Job,
+        callback: JobCallback,
+    ) -> SubmissionId {
         let submission = SubmissionId(self.next_submission.get());
         self.next_submission.set(submission.0 + 1);
         if self.closing.get() || !self.servers.borrow().contains_key(cell) {
@@ -289,6 +321,7 @@
             return submission;
         }
         runner.sched.borrow_mut().cancel_handover(Instant::now());
+        runner.record_demand(home, &job);
         let id = job.id.clone();
         let submitted = runner.sched.borrow_mut().submit(job, Instant::now());
         debug!(self.shared.log, "job"; "request" => &*id, "cell" => &**cell, "verdict" => ?submitted);
@@ -347,6 +380,9 @@
                 submissions: RefCell::default(),
                 wake: Notify::new(),
                 handed_over_at: Cell::new(None),
+                demand: RefCell::new(DemandMeter::new(Instant::now())),
+                submitted_at: Cell::new(Instant::now()),
+                measured_at: Cell::new(Instant::now()),
                 shared: self.shared.clone(),
             });
             tokio::task::spawn_local(run_cell(runner.clone()));
@@ -356,7 +392,50 @@
     }
 }
 
+/// Pieces per second that a server can do with full batches, if it is as fast as its pool's usual one.
+fn nominal_rate(spec: &BatchSpec) -> f64 {
+    let call = spec.call_overhead + spec.time_per_piece * spec.max_batch;
+    f64::from(spec.max_batch) / call.as_secs_f64().max(0.001)
+}
+
 impl CellRunner {
+    /// Counts the pieces of a job that was submitted, whether it is accepted or not.
+    fn record_demand(&self, home: Option<&Name>, job: &Job) {
+        let now = Instant::now();
+        self.submitted_at.set(now);
+        if let Some(home) = home.filter(|_| *self.cell != *GLOBAL_CELL && job.is_valid()) {
+            let mut demand = self.demand.borrow_mut();
+            for (stage, spec) in job.stages.iter().enumerate() {
+                let pieces = job.pieces_left(stage);
+                if pieces > 0 {
+                    demand.record(home, &spec.pool, pieces, now);
+                }
+            }
+        }
+    }
+
+    /// Measures the figures of the cell if they are due, unless another instance may own it.
+    fn measure(&self, now: Instant) {
+        let is_owner = self.submitted_at.get().elapsed() < OWNED_FOR && !self.is_handed_over();
+        let is_due = now.duration_since(self.measured_at.get()) >= MEASURE_INTERVAL;
+        if !is_owner || !is_due || *self.cell == *GLOBAL_CELL {
+            return;
+        }
+        self.measured_at.set(now);
+        let loads = self.sched.borrow().loads(now);
+        let nominal_rates = self.shared.nominal_rates.borrow();
+        let pools = loads.iter().filter_map(|(pool, load)| {
+            let figures = PoolFigures {
+                queue: load.queue_time().min(load.backlog()),
+                rate: load.rate,
+                nominal: *nominal_rates.get(pool)?,
+            };
+            Some((pool, figures))
+        });
+        let figures = self.demand.borrow().figures(&self.cell, pools, now);
+        self.shared.zones.record(figures);
+    }
+
     fn report_stage(&self, request: &Name, results: StageResults) {
         let submissions = self.submissions.borrow();
         let submission = submissions.get(request);
@@ -391,6 +470,7 @@
         for action in actions {
             perform(&runner, action);
         }
+        runner.measure(Instant::now());
         let busy = runner.sched.borrow().job_count() > 0;
         if busy && logged_at.elapsed() > LOAD_LOG_INTERVAL {
             logged_at = Instant::now();
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -28,6 +28,7 @@
 use crate::stream_versions::VersionRecords;
 use crate::upstream::ConnectionPool;
 use crate::watcher::StoreWatcher;
+use crate::zones::ZoneExchange;
 use crate::{caller, monitoring};
 
 /// How often connections that were idle for too long are closed.
@@ -83,10 +84,17 @@
     ));
     let notices = NoticeReader::new(state.clone(), dialect.clone(), log.clone());
     let notices = Rc::new(notices);
+    let zones = Rc::new(ZoneExchange::new(
+        settings.domain.clone(),
+        settings.prices,
+        metrics.clone(),
+        log.clone(),
+    ));
     let cells = Rc::new(OwnedCells::new(
         dialect.clone(),
         connections.clone(),
         notices.clone(),
+        zones,
         metrics.clone(),
         log.clone(),
     ));
@@ -203,6 +211,7 @@
         "metrics",
         monitoring::serve(settings.metrics, metrics_handler),
     );
+    let (zones, state) = (components.cells.zones().clone(), components.state.clone());
     let pools = [&components.connections, &components.store_connections].map(Rc::clone);
     tokio::task::spawn_local(async move {
         loop {
@@ -210,6 +219,8 @@
             for pool in &pools {
                 pool.evict_idle();
             }
+            let mut selector = state.selector.borrow_mut();
+            selector.set_round_trips(zones.round_trips());
         }
     });
     tokio::task::spawn_local(caller::accept(listener, components.handler.clone()));
--- a/crates/sardineshore-serve/src/lib.rs
+++ b/crates/sardineshore-serve/src/lib.rs
@@ -41,3 +41,4 @@
 pub mod stream_versions;
 pub mod upstream;
 pub mod watcher;
+pub mod zones;
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -26,6 +26,8 @@
     pub piece_calls: IntCounterVec,
     /// Pieces of stages sent in batch calls, by cell.
     pub pieces: IntCounterVec,
+    /// Requests and jobs by pool, home domain and the domain that they went to, with the reason.
+    pub crossings: IntCounterVec,
     /// Crashes of servers that this instance saw.
     pub crashes: IntCounter,
     /// Causes that the known crashes have.
@@ -72,6 +74,11 @@
         )?;
         let piece_calls = counter("sardine_piece_calls_total", "Calls for pieces.", &["end"])?;
         let pieces = counter("sardine_pieces_total", "Pieces sent.", &["cell"])?;
+        let crossings = counter(
+            "sardine_crossings_total",
+            "Requests and jobs by their home domain and where they went.",
+            &["pool", "from", "to", "reason"],
+        )?;
         let crashes = IntCounter::new("sardine_crashes_total", "Crashes of servers seen.")?;
         registry.register(Box::new(crashes.clone()))?;
         let crash_causes = IntGauge::new("sardine_crash_causes", "Causes of known crashes.")?;
@@ -106,6 +113,7 @@
             silences,
             piece_calls,
             pieces,
+            crossings,
             crashes,
             crash_causes,
             quarantined,
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -7,8 +7,7 @@
 mod message;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
@@ -30,6 +29,7 @@
 use crate::relay::{LinkEvent, StoreRelay};
 use crate::state::boot_time;
 use crate::upstream::detect_dead_peer;
+use crate::zones::{SentFigures, ZoneExchange};
 
 /// Longest time to open a link, including the handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -68,6 +68,10 @@
     last_received: Cell<Instant>,
     /// Callbacks of the jobs that have not ended, by the id of the request.
     callbacks: RefCell<HashMap<Name, JobCallback>>,
+    /// When the heartbeats were sent that have not come back.
+    heartbeats: RefCell<VecDeque<Instant>>,
+    zones: Rc<ZoneExchange>,
+    sent_figures: SentFigures,
 }
 
 impl std::fmt::Debug for Link {
@@ -100,15 +104,30 @@
     fn is_responsive(&self) -> bool {
         let is_responsive = self.last_received.get().elapsed() < RESPONSIVE_TIME;
         if !is_responsive {
-            self.send(&Message::Ping);
+            self.send_heartbeat();
         }
         is_responsive
     }
 
+    fn send_heartbeat(&self) {
+        self.heartbeats.borrow_mut().push_back(Instant::now());
+        self.send(&Message::Ping);
+    }
+
+    /// Time since the heartbeat was sent whose response arrived; `None` without one.
+    fn end_heartbeat(&self) -> Option<Duration> {
+        let sent_at = self.heartbeats.borrow_mut().pop_front();
+        sent_at.map(|at| at.elapsed())
+    }
+
     /// Submits a job to the owner; `callback` gets its events and is dropped if the link is lost.
-    pub fn submit(&self, cell: Name, job: Job, callback: JobCallback) {
+    /// `home` is the request's home cell, or `None` if another cell refused the job.
+    pub fn submit(&self, cell: Name, home: Option<Name>, job: Job, callback: JobCallback) {
         self.callbacks.borrow_mut().insert(job.id.clone(), callback);
-        self.send(&Message::Submit { cell, job });
+        if let Some(figures) = self.zones.due_message(&self.sent_figures) {
+            self.send(&figures);
+        }
+        self.send(&Message::Submit { cell, home, job });
     }
 
     /// Tells the owner that the job's results were used or that no request waits for it.
@@ -161,6 +180,7 @@
         relay: Rc<StoreRelay>,
         log: Logger,
     ) -> Rc<Self> {
+        relay.set_zones(cells.zones().clone());
         let (evidence_tx, evidence_rx) = mpsc::unbounded_channel();
         Rc::new_cyclic(|weak| Self {
             served: RefCell::default(),
@@ -192,6 +212,12 @@
         &self.relay
     }
 
+    /// What is known of the load of cells and the ways to other failure domains.
+    #[must_use]
+    pub fn zones(&self) -> &Rc<ZoneExchange> {
+        self.cells.zones()
+    }
+
     /// Number of known instances, this one included.
     #[must_use]
     pub fn instance_count(&self) -> usize {
@@ -328,7 +354,7 @@
 
     /// Opens a link and serves it until it is lost.
     async fn open(&self, info: InstanceInfo) {
-        let Some(frames) = self.connect_in_time(info.address).await else {
+        let Some(frames) = self.connect_in_time(&info).await else {
             self.set_link(&info.name, LinkState::Down(Instant::now() + REOPEN_BACKOFF));
             return;
         };
@@ -337,6 +363,9 @@
             tx,
             last_received: Cell::new(Instant::now()),
             callbacks: RefCell::default(),
+            heartbeats: RefCell::default(),
+            zones: self.cells.zones().clone(),
+            sent_figures: SentFigures::default(),
         });
         self.set_link(&info.name, LinkState::Up(link.clone()));
         run_link(frames, &link, rx, |message| match message {
@@ -347,6 +376,12 @@
             Message::Crashes(evidence) => {
                 let _stopped = self.evidence_tx.send(evidence);
             }
+            Message::Figures(figures) => self.cells.zones().record(figures),
+            Message::Pong => {
+                if let Some(time) = link.end_heartbeat() {
+                    self.cells.zones().record_round_trip(&info.domain, time);
+                }
+            }
             _ => {}
         })
         .await;
@@ -367,10 +402,10 @@
 
     /// Connects to an instance. While all instances start, one that doesn't listen yet is tried again
     /// for as long as jobs wait for the link; they would go to several owners otherwise.
-    async fn connect_in_time(&self, address: SocketAddr) -> Option<Frames> {
+    async fn connect_in_time(&self, info: &InstanceInfo) -> Option<Frames> {
         let begun_at = Instant::now();
         loop {
-            let connecting = self.connect(address);
+            let connecting = self.connect(info);
             if let Ok(Ok(frames)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
                 return Some(frames);
             }
@@ -381,8 +416,11 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> anyhow::Result<Frames> {
-        let stream = TcpStream::connect(address).await?;
+    async fn connect(&self, info: &InstanceInfo) -> anyhow::Result<Frames> {
+        let begun_at = Instant::now();
+        let stream = TcpStream::connect(info.address).await?;
+        let zones = self.cells.zones();
+        zones.record_round_trip(&info.domain, begun_at.elapsed());
         stream.set_nodelay(true)?;
         detect_dead_peer(&stream)?;
         let mut frames = frames(stream);
@@ -452,6 +490,7 @@
             tx,
             submissions: HashMap::new(),
             subscription: None,
+            sent_figures: Rc::default(),
         };
         let result = loop {
             tokio::select! {
@@ -487,13 +526,18 @@
                 self.add_instance(info);
                 served.send(&Message::Hello(self.own.clone()));
             }
-            Message::Submit { cell, job } => {
+            Message::Submit { cell, home, job } => {
                 let request = job.id.clone();
                 let (id, tx) = (request.clone(), served.tx.clone());
+                let (zones, sent_figures) =
+                    (self.cells.zones().clone(), served.sent_figures.clone());
                 let callback = Box::new(move |event| {
+                    if let Some(figures) = zones.due_message(&sent_figures) {
+                        let _closed = tx.send(figures.encode());
+                    }
                     let _closed = tx.send(event_message(id.clone(), event).encode());
                 });
-                let submission = self.cells.submit(&cell, job, callback);
+                let submission = self.cells.submit(&cell, home.as_ref(), job, callback);
                 served.submissions.insert(request, (cell, submission));
             }
             Message::Release { cell, request } => {
@@ -501,7 +545,13 @@
                     self.cells.release(&cell, &request, submission);
                 }
             }
-            Message::Ping => served.send(&Message::Pong),
+            Message::Figures(figures) => self.cells.zones().record(figures),
+            Message::Ping => {
+                if let Some(figures) = self.cells.zones().due_message(&served.sent_figures) {
+                    served.send(&figures);
+                }
+                served.send(&Message::Pong);
+            }
             Message::Subscribe { known } => {
                 if let Some(id) = served.subscription.take() {
                     self.relay.unsubscribe(id);
@@ -535,6 +585,7 @@
     submissions: HashMap<Name, (Name, SubmissionId)>,
     /// Id of the other instance as a subscriber.
     subscription: Option<u64>,
+    sent_figures: Rc<SentFigures>,
 }
 
 impl ServedLink {
@@ -611,7 +662,7 @@
             () = tokio::time::sleep(check_in.unwrap_or_default()), if check_in.is_some() => {
                 match heartbeat.check(Instant::now()) {
                     HeartbeatAction::Wait => {}
-                    HeartbeatAction::Send => link.send(&Message::Ping),
+                    HeartbeatAction::Send => link.send_heartbeat(),
                     HeartbeatAction::Close => return,
                 }
             }
--- a/crates/sardineshore-serve/src/peers/message.rs
+++ b/crates/sardineshore-serve/src/peers/message.rs
@@ -12,6 +12,7 @@
 use sardineshore_core::flow::batching::{Job, RefusalReason, StageResults};
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::quarantine::Evidence;
+use sardineshore_core::flow::zones::CellFigures;
 use serde::{Deserialize, Serialize};
 
 use crate::cell::{JobEvent, JobOutcome, RequestInputs};
@@ -48,6 +49,9 @@
     Submit {
         /// Name of the cell.
         cell: Name,
+        /// Home cell of the request if the job is submitted to a cell for the first time; `None` if
+        /// another one refused it.
+        home: Option<Name>,
         /// The job.
         job: Job,
     },
@@ -114,6 +118,8 @@
     Store(ReaderMessage),
     /// Evidence about crashes of servers.
     Crashes(Vec<Evidence>),
+    /// Loads of the cells that the sender knows. Sent only in front of another message.
+    Figures(Vec<CellFigures>),
 }
 
 impl Message {
--- a/crates/sardineshore-serve/src/relay.rs
+++ b/crates/sardineshore-serve/src/relay.rs
@@ -5,7 +5,7 @@
 //! no calls itself. [`StoreFollower`] decides which instance it follows, if any; the tables' loops
 //! in [`crate::watcher`] read the store whenever there is none.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use crate::dialect::{StoreVersion, Table};
 use crate::peers::{Message, Peers};
 use crate::state::boot_time;
+use crate::zones::{SentFigures, ZoneExchange};
 
 /// Longest time between two checks which instances may be followed.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -90,6 +91,9 @@
     changed: Notify,
     events_tx: mpsc::UnboundedSender<(Name, LinkEvent)>,
     events_rx: RefCell<Option<mpsc::UnboundedReceiver<(Name, LinkEvent)>>>,
+    /// Loads of cells, which go along with what is handed on.
+    zones: OnceCell<Rc<ZoneExchange>>,
+    sent_figures: SentFigures,
     log: Logger,
 }
 
@@ -112,6 +116,8 @@
             changed: Notify::new(),
             events_tx,
             events_rx: RefCell::new(Some(events_rx)),
+            zones: OnceCell::new(),
+            sent_figures: SentFigures::default(),
             log,
         }
     }
@@ -217,12 +223,25 @@
         let _closed = tx.send(Message::Store(message).encode());
     }
 
+    /// Sends the loads of cells along with what is handed on. Only the first call has an effect.
+    pub fn set_zones(&self, zones: Rc<ZoneExchange>) {
+        let _set_before = self.zones.set(zones);
+    }
+
     /// Sends a message to all subscribers that already got what is known.
     pub fn publish(&self, message: ReaderMessage) {
         let subscribers = self.subscribers.borrow();
         if subscribers.is_empty() {
             return;
         }
+        let zones = self.zones.get();
+        let figures = zones.and_then(|zones| zones.due_message(&self.sent_figures));
+        if let Some(figures) = figures {
+            let encoded = figures.encode();
+            for subscriber in subscribers.iter() {
+                let _closed = subscriber.tx.send(encoded.clone());
+            }
+        }
         let encoded = Message::Store(message).encode();
         for subscriber in subscribers.iter() {
             let _closed = subscriber.tx.send(encoded.clone());
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -61,6 +61,7 @@
         let mut selection = SelectionRequest {
             pool,
             seed: xxh3_64(request.id.as_bytes()),
+            body_bytes: request.body.len() as u64,
             ..SelectionRequest::default()
         };
         let max_attempts = request.route.max_attempts.max(1);
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -159,6 +159,7 @@
             seed: xxh3_64(request.id.as_bytes()),
             prompt: prompt.unwrap_or_default(),
             version,
+            body_bytes: request.body.len() as u64,
             ..SelectionRequest::default()
         };
         if self.shutdown.phase() >= Some(Phase::AcceptShort) {
@@ -470,7 +471,11 @@
         let continues = if job.continues { "yes" } else { "no" };
         let start = Instant::now();
         attempts.stats.stages_left_ms = Some(whole_ms(job.time_to_deadline));
-        let running = tokio::time::timeout(request.time_to_deadline(), self.stages.run(job));
+        let prompt_cost = attempts.selection.prompt_cost();
+        let running = tokio::time::timeout(
+            request.time_to_deadline(),
+            self.stages.run(job, prompt_cost),
+        );
         let result = tokio::select! {
             biased;
             result = running => result,
--- a/crates/sardineshore-serve/src/settings.rs
+++ b/crates/sardineshore-serve/src/settings.rs
@@ -9,6 +9,7 @@
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::registry::DEFAULT_ENTRY_LIFETIME;
 use sardineshore_core::flow::retry_budget::RetryBudgetConfig;
+use sardineshore_core::flow::zones::SpilloverPrices;
 
 /// Bounds that the deployment sets and the instance must keep.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -66,6 +67,8 @@
     pub is_first_start: bool,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
+    /// Prices of traffic between failure domains and of late responses.
+    pub prices: SpilloverPrices,
 }
 
 impl Default for Settings {
@@ -83,6 +86,7 @@
             memory: 256 * 1024 * 1024,
             is_first_start: false,
             bounds: Bounds::default(),
+            prices: SpilloverPrices::default(),
         }
     }
 }
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -10,8 +10,10 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::batching::{Job, RefusalReason, StageResults, StoredResult};
-use sardineshore_core::flow::cells::{choose_cell, rank_owners};
+use sardineshore_core::flow::cells::{choose_cell, home_cell, rank_owners};
 use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::selection::input_transfer_cost;
+use sardineshore_core::flow::zones::{MAX_FIGURE_AGE, SpillRequest};
 use slog::{Logger, info};
 use tokio::sync::oneshot;
 
@@ -109,8 +111,9 @@
         }
     }
 
-    /// Runs all stages of a job; tries a second cell if the first one refuses the job.
-    pub async fn run(&self, job: Job) -> StagesResult {
+    /// Runs all stages of a job; tries a second cell if the first one refuses the job. `prompt_cost` is
+    /// what it costs to run the request outside of the job's preferred domain instead.
+    pub async fn run(&self, job: Job, prompt_cost: Duration) -> StagesResult {
         let start = Instant::now();
         let cells = self.cells.cell_names();
         // Hashes the key of the input, so that a retry reaches the owner that refused the job before.
@@ -119,25 +122,33 @@
         } else {
             &job.key
         };
-        let first = choose_cell(hash_key, &job.preferred_domain, &cells, |cell| {
-            self.backlog(cell)
-        });
-        let (refusal, backlog) = match self.run_in_cell(&first, &job, start).await {
+        let home = home_cell(hash_key, &job.preferred_domain, &cells);
+        let first = self.choose(hash_key, &home, &cells, &job, prompt_cost);
+        let first_run = self.run_in_cell(&first, Some(&home), &job, start).await;
+        let (refusal, backlog) = match first_run {
             Ok(finished) => return Ok(finished),
             Err(Failure::Aborted(refusal)) => return Err(refusal),
             Err(Failure::Refused(refusal, backlog)) => (refusal, backlog),
         };
-        let others = cells.iter().filter(|cell| **cell != first);
-        let shortest = others.min_by_key(|cell| self.backlog(cell));
-        let Some(second) = shortest.filter(|cell| self.backlog(cell) < backlog) else {
+        // The refusal may have brought the load of other cells.
+        let with_room = self.cells.zones().with_room(&first, hash_key, &cells);
+        let second = with_room.or_else(|| {
+            let others = cells.iter().filter(|cell| **cell != first);
+            let shortest = others.min_by_key(|cell| self.backlog(cell));
+            shortest
+                .filter(|cell| self.backlog(cell) < backlog)
+                .cloned()
+        });
+        let Some(second) = second else {
             return Err(refusal);
         };
+        self.cells.zones().count_job(&home, &second, "refused");
         // The second cell accepts the job only if it can end in time; late jobs are left to the first.
         let job = Job {
             late_allowed: false,
             ..job
         };
-        match self.run_in_cell(second, &job, start).await {
+        match self.run_in_cell(&second, None, &job, start).await {
             Ok(finished) => Ok(finished),
             Err(Failure::Aborted(second) | Failure::Refused(second, _)) => Err(StagesRefusal {
                 retry_after: second.retry_after.min(refusal.retry_after),
@@ -146,10 +157,45 @@
         }
     }
 
+    /// Cell to which a job is submitted first: its home unless it gains by leaving.
+    fn choose(
+        &self,
+        hash_key: &str,
+        home: &Name,
+        cells: &[Name],
+        job: &Job,
+        prompt_cost: Duration,
+    ) -> Name {
+        let zones = self.cells.zones();
+        // Outside of its preferred domain, either the request runs without the cached prompt or its
+        // inputs are fetched from there.
+        let has_preference = *home == job.preferred_domain;
+        let bytes = if has_preference { input_bytes(job) } else { 0 };
+        let stay_value = prompt_cost.min(input_transfer_cost(bytes));
+        let request = SpillRequest {
+            hash_key,
+            home,
+            stay_value,
+            bytes,
+        };
+        let (chosen, reason) = if let Some(chosen) = zones.choose(&request, cells) {
+            (chosen, "load")
+        } else {
+            let backlog = |cell: &str| self.backlog(cell);
+            let preferred = &job.preferred_domain;
+            (choose_cell(hash_key, preferred, cells, backlog), "backlog")
+        };
+        let reason = if chosen == *home { "home" } else { reason };
+        zones.count_job(home, &chosen, reason);
+        chosen
+    }
+
     /// Time that a cell needs for its work, estimated from its last report; zero if unknown.
     fn backlog(&self, cell: &str) -> Duration {
         let backlogs = self.backlogs.borrow();
-        let known = backlogs.get(cell);
+        let known = backlogs
+            .get(cell)
+            .filter(|(_, at)| at.elapsed() < MAX_FIGURE_AGE);
         known.map_or(Duration::ZERO, |(backlog, at)| {
             backlog.saturating_sub(at.elapsed())
         })
@@ -163,10 +209,11 @@
     }
 
     /// Runs all stages in one cell, at one owner after the other as long as they redirect the job or
-    /// are lost.
+    /// are lost. `home` is the home cell unless another cell refused the job.
     async fn run_in_cell(
         &self,
         cell: &Name,
+        home: Option<&Name>,
         job: &Job,
         start: Instant,
     ) -> Result<(RequestInputs, ResultGuard), Failure> {
@@ -183,7 +230,9 @@
                         reason: NO_TIME_LEFT,
                     }));
                 };
-                if let Some(submitted) = self.submit(&name, cell, remaining, &finished_stages).await
+                if let Some(submitted) = self
+                    .submit(&name, cell, home, remaining, &finished_stages)
+                    .await
                 {
                     reached = Some((name, submitted));
                     break;
@@ -237,6 +286,7 @@
         &self,
         name: &Name,
         cell: &Name,
+        home: Option<&Name>,
         job: Job,
         finished_stages: &FinishedStages,
     ) -> Option<(ResultGuard, oneshot::Receiver<JobOutcome>)> {
@@ -244,11 +294,11 @@
         let cell = cell.clone();
         let (callback, outcome) = job_callback(finished_stages);
         let owner = if *name == self.peers.this_instance().name {
-            let submission = self.cells.submit(&cell, job, callback);
+            let submission = self.cells.submit(&cell, home, job, callback);
             Owner::Local(self.cells.clone(), submission)
         } else {
             let link = self.peers.link(name).await?;
-            link.submit(cell.clone(), job, callback);
+            link.submit(cell.clone(), home.cloned(), job, callback);
             Owner::Remote(link)
         };
         let guard = ResultGuard {
@@ -262,6 +312,19 @@
     }
 }
 
+/// Approximate bytes of the results that are inputs of the request: those that no other stage needs.
+fn input_bytes(job: &Job) -> u64 {
+    let is_input = |index: &usize| {
+        let mut stages = job.stages.iter();
+        !stages.any(|stage| stage.pieces > 0 && stage.depends_on.contains(index))
+    };
+    let inputs = (0..job.stages.len()).filter(is_input);
+    inputs
+        .map(|index| &job.stages[index])
+        .map(|stage| u64::from(stage.pieces).saturating_mul(stage.result_bytes))
+        .fold(0, u64::saturating_add)
+}
+
 /// Why a cell did not run the stages.
 enum Failure {
     /// The cell accepted the job and could not complete it.
--- a/crates/sardineshore-serve/src/state.rs
+++ b/crates/sardineshore-serve/src/state.rs
@@ -48,9 +48,11 @@
     /// State without a configuration and servers, as at the start of an instance.
     #[must_use]
     pub fn new(settings: &Settings) -> Self {
+        let mut selector = ServerSelector::new(settings.domain.clone());
+        selector.set_prices(settings.prices);
         Self {
             config: RefCell::default(),
-            selector: RefCell::new(ServerSelector::new(settings.domain.clone())),
+            selector: RefCell::new(selector),
             servers_known: Cell::new(false),
             crashes_known: Cell::new(false),
             freshness: RefCell::default(),
--- a/crates/sardineshore-serve/src/upstream.rs
+++ b/crates/sardineshore-serve/src/upstream.rs
@@ -71,6 +71,8 @@
     /// Longest time that the connection may stay idle before it is reused.
     idle_limit: Duration,
     budget: Rc<ReceiveBudget>,
+    /// How long it took to open the connection, until it is asked for.
+    setup_time: Option<Duration>,
 }
 
 impl Drop for Conn {
@@ -132,6 +134,11 @@
 }
 
 impl Conn {
+    /// How long it took to open the connection, about a round trip; `None` if asked before.
+    pub fn take_setup_time(&mut self) -> Option<Duration> {
+        self.setup_time.take()
+    }
+
     /// Ends the connection at once, in both directions.
     pub fn abort(&mut self) {
         self.reusable = false;
@@ -377,11 +384,13 @@
         };
         open_count.set(open_count.get() + 1);
         let guard = OpenCountGuard(Some(open_count));
+        let begun_at = Instant::now();
         let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(connected) => connected.map_err(ExchangeError::Connect)?,
             Err(_) => return Err(ExchangeError::Connect(io::ErrorKind::TimedOut.into())),
         };
+        let setup_time = Some(begun_at.elapsed());
         stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
         detect_dead_peer(&stream).map_err(ExchangeError::Connect)?;
         Ok(Conn {
@@ -392,6 +401,7 @@
             reusable: true,
             idle_limit: DEFAULT_IDLE_LIMIT,
             budget: self.budget.clone(),
+            setup_time,
         })
     }
 
