feat(zones): bound the figures on links and leave only the excess

Cause: figures every 250 ms on all links would come to about 5 KB per second and instance with three cells (60 bytes each), over the 3 KB that messages between instances may take. Work left from 97 % utilization on, although queues below the target cost callers nothing. Change: an owner sends its own figures each 250 ms and others each 500 ms, jobs carry them each 1 s, a reader of the store each 400 ms. Work leaves by what exceeds the whole capacity.

--- a/crates/sardineshore-core/src/flow/zones.rs
+++ b/crates/sardineshore-core/src/flow/zones.rs
@@ -128,14 +128,38 @@
     }
 }
 
+/// Figures of a cell, as this instance knows them.
+#[derive(Debug, Clone)]
+struct KnownFigures {
+    figures: CellFigures,
+    measured_at: Instant,
+    /// Whether this instance measured them.
+    is_own: bool,
+}
+
+impl KnownFigures {
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.measured_at)
+    }
+}
+
+/// Least times between two sets of a cell's figures on one link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendIntervals {
+    /// For cells that this instance owns.
+    pub own: Duration,
+    /// For all others.
+    pub other: Duration,
+}
+
 /// Chooses cells for jobs, from figures of all cells.
 #[derive(Debug, Clone, Default)]
 pub struct Spillover {
     domain: Name,
     prices: SpilloverPrices,
     round_trips: RoundTrips,
-    /// Latest figures of each cell, and when they were measured.
-    known: BTreeMap<Name, (CellFigures, Instant)>,
+    /// Latest figures of each cell.
+    known: BTreeMap<Name, KnownFigures>,
     homes: BTreeMap<Name, HomeFlows>,
     planned_at: Option<Instant>,
     changes: Vec<ShareChange>,
@@ -163,40 +187,59 @@
         self.round_trips.record(domain, sample, now);
     }
 
-    /// Records figures that were received or measured, unless younger ones are known.
+    /// Records figures that this instance measured.
+    pub fn record_own(&mut self, figures: CellFigures, now: Instant) {
+        let known = KnownFigures {
+            figures,
+            measured_at: now,
+            is_own: true,
+        };
+        self.known.insert(known.figures.cell.clone(), known);
+    }
+
+    /// Records figures that were received, unless younger ones are known.
     pub fn record(&mut self, figures: CellFigures, now: Instant) {
         let age = Duration::from_millis(figures.age_ms.into());
         let Some(measured_at) = now.checked_sub(age).filter(|_| age < MAX_FIGURE_AGE) else {
             return;
         };
         let known = self.known.get(&figures.cell);
-        if known.is_none_or(|(_, at)| measured_at > *at + MIN_PROGRESS) {
-            self.known
-                .insert(figures.cell.clone(), (figures, measured_at));
+        if known.is_none_or(|known| measured_at > known.measured_at + MIN_PROGRESS) {
+            let known = KnownFigures {
+                figures,
+                measured_at,
+                is_own: false,
+            };
+            self.known.insert(known.figures.cell.clone(), known);
         }
     }
 
-    /// Figures of all cells that were measured after the given time of their cell, with their age.
-    #[must_use]
-    pub fn figures_since(
+    /// Figures that are due on a link, with their age. `sent` holds when those that were sent there
+    /// were measured, and is updated.
+    pub fn due_figures(
         &self,
         sent: &mut BTreeMap<Name, Instant>,
-        interval: Duration,
+        intervals: SendIntervals,
         now: Instant,
     ) -> Vec<CellFigures> {
-        let mut newer = Vec::new();
-        for (cell, (figures, at)) in &self.known {
-            let age = now.saturating_duration_since(*at);
-            let is_due = sent.get(cell).is_none_or(|last| *at >= *last + interval);
-            if age < MAX_FIGURE_AGE && is_due {
-                sent.insert(cell.clone(), *at);
-                newer.push(CellFigures {
+        let mut due = Vec::new();
+        for (cell, known) in &self.known {
+            let interval = if known.is_own {
+                intervals.own
+            } else {
+                intervals.other
+            };
+            let is_due = |last: &Instant| known.measured_at >= *last + interval;
+            let age = known.age(now);
+            if age < MAX_FIGURE_AGE && sent.get(cell).is_none_or(is_due) {
+                sent.insert(cell.clone(), known.measured_at);
+                due.push(CellFigures {
                     age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-                    ..figures.clone()
+                    ..known.figures.clone()
                 });
             }
         }
-        newer
+        due
     }
 
     /// Cell that a job goes to: its home, or one of the other `cells`. `None` if nothing is known of
@@ -262,8 +305,8 @@
 
     /// Load of a cell; `None` if its figures are missing or too old.
     fn load(&self, cell: &str, now: Instant) -> Option<DomainLoad> {
-        let (figures, at) = self.known.get(cell)?;
-        let age = now.saturating_duration_since(*at);
+        let known = self.known.get(cell)?;
+        let (figures, age) = (&known.figures, known.age(now));
         if age >= MAX_FIGURE_AGE {
             return None;
         }
@@ -279,12 +322,11 @@
 
     /// Work per second of a home that arrives at other cells.
     fn left(&self, home: &str, now: Instant) -> f64 {
-        let is_fresh = |at: &Instant| now.saturating_duration_since(*at) < MAX_FIGURE_AGE;
         let others = self
             .known
             .values()
-            .filter(|(figures, at)| *figures.cell != *home && is_fresh(at));
-        let demand = others.flat_map(|(figures, _)| &figures.demand);
+            .filter(|known| *known.figures.cell != *home && known.age(now) < MAX_FIGURE_AGE);
+        let demand = others.flat_map(|known| &known.figures.demand);
         let left = demand.filter(|(of, _)| **of == *home);
         left.map(|(_, rate)| f64::from(*rate)).sum()
     }
--- a/crates/sardineshore-core/src/flow/zones/figures.rs
+++ b/crates/sardineshore-core/src/flow/zones/figures.rs
@@ -86,7 +86,7 @@
         };
         let loads = pools.map(|pool| (load(&pool), pool));
         let (_, (pool, busiest)) = loads.max_by(|a, b| a.0.total_cmp(&b.0))?;
-        let units = |rate: f64| (rate / busiest.nominal.max(0.001) * CAPACITY_UNIT) as u32;
+        let units = |rate: f64| in_units(rate / busiest.nominal.max(0.001));
         let mut demand: Vec<(Name, u32)> = self
             .rates(pool, now)
             .map(|(home, rate)| (home.clone(), units(rate)))
@@ -114,6 +114,16 @@
     pub nominal: f64,
 }
 
+/// A share of the capacity of all cells in whole units, at most the largest number.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the conversion saturates, and an invalid number becomes 0"
+)]
+fn in_units(share: f64) -> u32 {
+    (share * CAPACITY_UNIT) as u32
+}
+
 fn decayed(sum: f64, at: Instant, now: Instant) -> f64 {
     let elapsed = now.saturating_duration_since(at);
     sum * (-elapsed.as_secs_f64() / AVERAGING_TIME.as_secs_f64()).exp()
--- a/crates/sardineshore-core/src/flow/zones/plan.rs
+++ b/crates/sardineshore-core/src/flow/zones/plan.rs
@@ -7,8 +7,6 @@
 
 /// Queue up to which a domain serves its own callers as they expect it, half the time of a call.
 pub const QUEUE_TARGET: Duration = Duration::from_millis(150);
-/// Utilization by its own callers above which work leaves a domain.
-const LEAVE_ABOVE: f64 = 0.97;
 /// Utilization up to which a domain takes the work of others. The rest is for the variation of its
 /// own arrivals.
 const HELP_UP_TO: f64 = 0.93;
@@ -41,8 +39,7 @@
     /// Work by which the demand and the queue exceed what the domain can do.
     fn excess(&self) -> f64 {
         let queued = self.queue.saturating_sub(QUEUE_TARGET).as_secs_f64();
-        let excess =
-            self.demand - LEAVE_ABOVE * self.capacity + queued * self.capacity / self.drain_time();
+        let excess = self.demand - self.capacity + queued * self.capacity / self.drain_time();
         excess.clamp(0.0, self.demand)
     }
 
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -433,7 +433,9 @@
             Some((pool, figures))
         });
         let figures = self.demand.borrow().figures(&self.cell, pools, now);
-        self.shared.zones.record(figures);
+        if let Some(figures) = figures {
+            self.shared.zones.record_own(figures);
+        }
     }
 
     fn report_stage(&self, request: &Name, results: StageResults) {
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -365,7 +365,7 @@
             callbacks: RefCell::default(),
             heartbeats: RefCell::default(),
             zones: self.cells.zones().clone(),
-            sent_figures: SentFigures::default(),
+            sent_figures: SentFigures::to_owner(),
         });
         self.set_link(&info.name, LinkState::Up(link.clone()));
         run_link(frames, &link, rx, |message| match message {
@@ -490,7 +490,7 @@
             tx,
             submissions: HashMap::new(),
             subscription: None,
-            sent_figures: Rc::default(),
+            sent_figures: Rc::new(SentFigures::from_owner()),
         };
         let result = loop {
             tokio::select! {
--- a/crates/sardineshore-serve/src/relay.rs
+++ b/crates/sardineshore-serve/src/relay.rs
@@ -117,7 +117,7 @@
             events_tx,
             events_rx: RefCell::new(Some(events_rx)),
             zones: OnceCell::new(),
-            sent_figures: SentFigures::default(),
+            sent_figures: SentFigures::from_reader(),
             log,
         }
     }
--- a/crates/sardineshore-serve/src/zones.rs
+++ b/crates/sardineshore-serve/src/zones.rs
@@ -11,22 +11,68 @@
 
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::zones::{
-    CellFigures, RoundTrips, SpillRequest, Spillover, SpilloverPrices,
+    CellFigures, RoundTrips, SendIntervals, SpillRequest, Spillover, SpilloverPrices,
 };
 use slog::{Logger, info};
 
 use crate::metrics::Metrics;
 use crate::peers::Message;
 
-/// Least time between two sets of a cell's figures on one link. With 60 bytes per cell and four
-/// cells, a link carries at most 1 KB of them per second.
-const SEND_INTERVAL: Duration = Duration::from_millis(250);
+/// How often figures go along with what an owner sends to an instance. With 60 bytes per cell and
+/// three cells, that is at most 0.5 KB per second and link; those of the other cells matter less, as
+/// their owners send them too.
+const FROM_OWNER: SendIntervals = SendIntervals {
+    own: Duration::from_millis(250),
+    other: Duration::from_millis(500),
+};
+/// How often figures go along with jobs to an owner, at most 0.2 KB per second and link.
+const TO_OWNER: SendIntervals = SendIntervals {
+    own: Duration::from_secs(1),
+    other: Duration::from_secs(1),
+};
+/// How often figures go along with what a reader of the store hands on, for instances that have few
+/// jobs.
+const FROM_READER: SendIntervals = SendIntervals {
+    own: Duration::from_millis(400),
+    other: Duration::from_millis(400),
+};
 /// Label of the metrics for cells, in place of a pool.
 const STAGES_LABEL: &str = "stages";
 
-/// Figures that were sent on a link: when those of each cell were measured.
-#[derive(Debug, Default)]
-pub struct SentFigures(RefCell<BTreeMap<Name, Instant>>);
+/// Figures that were sent on a link, or to all that follow a reader: when those of each cell were
+/// measured.
+#[derive(Debug)]
+pub struct SentFigures {
+    intervals: SendIntervals,
+    sent: RefCell<BTreeMap<Name, Instant>>,
+}
+
+impl SentFigures {
+    /// None yet, from an owner to an instance.
+    #[must_use]
+    pub fn from_owner() -> Self {
+        Self::new(FROM_OWNER)
+    }
+
+    /// None yet, from an instance to an owner.
+    #[must_use]
+    pub fn to_owner() -> Self {
+        Self::new(TO_OWNER)
+    }
+
+    /// None yet, from a reader of the store to the instances that follow it.
+    #[must_use]
+    pub fn from_reader() -> Self {
+        Self::new(FROM_READER)
+    }
+
+    fn new(intervals: SendIntervals) -> Self {
+        Self {
+            intervals,
+            sent: RefCell::default(),
+        }
+    }
+}
 
 /// Loads of cells and round trips to domains, as this instance knows them.
 #[derive(Debug)]
@@ -47,7 +93,13 @@
         }
     }
 
-    /// Records figures that were measured here or received.
+    /// Records figures that were measured here.
+    pub fn record_own(&self, figures: CellFigures) {
+        let mut spillover = self.spillover.borrow_mut();
+        spillover.record_own(figures, Instant::now());
+    }
+
+    /// Records figures that were received.
     pub fn record(&self, figures: impl IntoIterator<Item = CellFigures>) {
         let now = Instant::now();
         let mut spillover = self.spillover.borrow_mut();
@@ -60,8 +112,8 @@
     #[must_use]
     pub fn due_message(&self, sent: &SentFigures) -> Option<Message> {
         let spillover = self.spillover.borrow();
-        let figures =
-            spillover.figures_since(&mut sent.0.borrow_mut(), SEND_INTERVAL, Instant::now());
+        let mut known = sent.sent.borrow_mut();
+        let figures = spillover.due_figures(&mut known, sent.intervals, Instant::now());
         (!figures.is_empty()).then_some(Message::Figures(figures))
     }
 
