--- a/crates/sardineshore-core/src/flow/zones/pool.rs
+++ b/crates/sardineshore-core/src/flow/zones/pool.rs
@@ -89,14 +89,14 @@
 impl<'a> PoolRoom<'a> {
     /// Sums up servers, each with its domain, slots, and the running and waiting requests that a
     /// fresh report shows. `draw` is the request's pseudo-random number, 0 to 1; requests that
-    /// depend on inputs or cached prompts have none, as they choose by these.
+    /// depend on inputs or cached prompts have none, as they choose by these whatever the room.
     pub fn new(
         home: &'a Name,
         servers: impl Iterator<Item = (&'a Name, u32, Option<u32>)>,
         draw: Option<f64>,
     ) -> Self {
         let mut domains: Vec<Room<'a>> = Vec::new();
-        for (domain, slots, requests) in servers {
+        for (domain, slots, requests) in servers.filter(|_| draw.is_some()) {
             let slots = f64::from(slots.max(1));
             let index = domains.iter().position(|room| *room.domain == *domain);
             let index = index.unwrap_or_else(|| {
--- a/crates/sardineshore-serve/tests/messages.rs
+++ b/crates/sardineshore-serve/tests/messages.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 use sardineshore_core::flow::replica::{StoreRow, StoreVersion, TableChanges};
+use sardineshore_core::flow::zones::CellFigures;
 use sardineshore_serve::dialect::Table;
 use sardineshore_serve::peers::Message;
 use sardineshore_serve::relay::ReaderMessage;
@@ -37,6 +38,23 @@
     assert_eq!(Message::decode(&encoded).unwrap(), message);
 }
 
+/// Figures go along with many messages; the bound of `zones.rs` counts on their size.
+#[test]
+fn encode_figures_stay_small() {
+    let homes = ["zone-a", "zone-b", "zone-c"];
+    let figures = homes.map(|cell| CellFigures {
+        cell: cell.into(),
+        age_ms: 1999,
+        queue_ms: 60_000,
+        capacity: 1_000_000,
+        demand: homes.map(|home| (home.into(), 1_000_000)).to_vec(),
+    });
+    let message = Message::Figures(figures.to_vec());
+    let encoded = message.encode();
+    assert!(encoded.len() <= 3 * 60, "{} bytes", encoded.len());
+    assert_eq!(Message::decode(&encoded).unwrap(), message);
+}
+
 #[test]
 fn decode_claimed_size_without_limit_is_refused() {
     let mut frame = vec![1];
