fix(zones): a cell that keeps up has the capacity for what arrives

Cause: capacity came from nominal times per piece; where a stage's pieces take less (0.3 of the usual time in one deployment), demand looked over capacity and jobs left without need. Ruled out: arrivals as capacity whenever there is no queue, as refused jobs make none either. Change: without a queue, the capacity is at least the rate of accepted pieces.

--- a/crates/sardineshore-core/src/flow/zones/figures.rs
+++ b/crates/sardineshore-core/src/flow/zones/figures.rs
@@ -12,6 +12,8 @@
 /// Time over which arrivals are averaged. In the replays of `tests/zones.rs`, 1 s let queues grow to
 /// 0.5 s in waves of 17 s before the figures showed them.
 pub(super) const AVERAGING_TIME: Duration = Duration::from_millis(600);
+/// Queue below which a pool keeps up with what arrives.
+const NO_QUEUE: Duration = Duration::from_millis(50);
 /// Most failure domains of which a cell reports arrivals.
 const MAX_HOMES: usize = 16;
 
@@ -37,6 +39,8 @@
     started_at: Instant,
     /// Decayed sums of pieces and when they were last updated.
     sums: BTreeMap<(Name, Name), (f64, Instant)>,
+    /// The same of the pieces of refused jobs, by pool.
+    refused: BTreeMap<Name, (f64, Instant)>,
 }
 
 impl DemandMeter {
@@ -46,15 +50,27 @@
         Self {
             started_at: now,
             sums: BTreeMap::new(),
+            refused: BTreeMap::new(),
         }
     }
 
     /// Records pieces for a pool of a request whose home is this cell or another one.
     pub fn record(&mut self, home: &Name, pool: &Name, pieces: u32, now: Instant) {
         let key = (home.clone(), pool.clone());
-        let (sum, at) = self.sums.entry(key).or_insert((0.0, now));
-        *sum = decayed(*sum, *at, now) + f64::from(pieces);
-        *at = now;
+        add(self.sums.entry(key).or_insert((0.0, now)), pieces, now);
+    }
+
+    /// Records that pieces which were recorded before are not computed, as their job was refused.
+    pub fn record_refused(&mut self, pool: &Name, pieces: u32, now: Instant) {
+        let sum = self.refused.entry(pool.clone()).or_insert((0.0, now));
+        add(sum, pieces, now);
+    }
+
+    /// Time that the sums cover: less than usual until a few averaging times after the start.
+    fn covered(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.started_at);
+        let covered = 1.0 - (-elapsed.as_secs_f64() / AVERAGING_TIME.as_secs_f64()).exp();
+        AVERAGING_TIME.as_secs_f64() * covered.max(0.1)
     }
 
     /// Pieces per second for a pool, by home.
@@ -63,10 +79,7 @@
         pool: &'a str,
         now: Instant,
     ) -> impl Iterator<Item = (&'a Name, f64)> {
-        // Until a few averaging times have passed since the start, the sums are of a shorter time.
-        let elapsed = now.saturating_duration_since(self.started_at);
-        let covered = 1.0 - (-elapsed.as_secs_f64() / AVERAGING_TIME.as_secs_f64()).exp();
-        let time = AVERAGING_TIME.as_secs_f64() * covered.max(0.1);
+        let time = self.covered(now);
         let of_pool = self.sums.iter().filter(move |((_, of), _)| **of == *pool);
         of_pool.map(move |((home, _), (sum, at))| (home, decayed(*sum, *at, now) / time))
     }
@@ -93,11 +106,21 @@
             .filter(|(_, rate)| *rate > 0)
             .collect();
         demand.truncate(MAX_HOMES);
+        // Pieces of some stages take less time than usual. Without a queue, the pool can do what it
+        // was given, whatever its nominal rate.
+        let arriving: f64 = self.rates(pool, now).map(|(_, rate)| rate).sum();
+        let refused = self.refused.get(pool);
+        let refused = refused.map_or(0.0, |(sum, at)| decayed(*sum, *at, now) / self.covered(now));
+        let rate = if busiest.queue < NO_QUEUE {
+            busiest.rate.max(arriving - refused)
+        } else {
+            busiest.rate
+        };
         Some(CellFigures {
             cell: cell.clone(),
             age_ms: 0,
             queue_ms: u32::try_from(busiest.queue.as_millis()).unwrap_or(u32::MAX),
-            capacity: units(busiest.rate),
+            capacity: units(rate),
             demand,
         })
     }
@@ -124,6 +147,10 @@
     (share * CAPACITY_UNIT) as u32
 }
 
+fn add(sum: &mut (f64, Instant), pieces: u32, now: Instant) {
+    *sum = (decayed(sum.0, sum.1, now) + f64::from(pieces), now);
+}
+
 fn decayed(sum: f64, at: Instant, now: Instant) -> f64 {
     let elapsed = now.saturating_duration_since(at);
     sum * (-elapsed.as_secs_f64() / AVERAGING_TIME.as_secs_f64()).exp()
--- a/crates/sardineshore-core/tests/zones.rs
+++ b/crates/sardineshore-core/tests/zones.rs
@@ -16,8 +16,8 @@
     LoadReport, PromptPart, SelectedServer, SelectionRequest, ServerSelector,
 };
 use sardineshore_core::flow::zones::{
-    CellFigures, DomainLoad, MAX_FIGURE_AGE, RoundTrips, SendIntervals, SpillRequest, Spillover,
-    SpilloverPrices, plan_flows,
+    CAPACITY_UNIT, CellFigures, DemandMeter, DomainLoad, MAX_FIGURE_AGE, PoolFigures, RoundTrips,
+    SendIntervals, SpillRequest, Spillover, SpilloverPrices, plan_flows,
 };
 
 /// Queue that a job bears.
@@ -332,6 +332,35 @@
     assert_eq!(round_trips.to("z"), None);
 }
 
+/// Guards against jobs that leave because their pieces take less time than the pool's usual ones, and
+/// against refusals that look as if the cell kept up.
+#[test]
+fn figures_cell_that_keeps_up_has_the_capacity_for_it() {
+    let now = Instant::now();
+    let (cell, pool) = (Name::from("x"), Name::from("pool"));
+    for (queue, refused, expected) in [(0, 0, 2.0), (200, 0, 1.0), (0, 1, 1.0)] {
+        let mut meter = DemandMeter::new(now);
+        for step in 0..400 {
+            let at = now + ms(10) * step;
+            meter.record(&cell, &pool, 2, at);
+            meter.record_refused(&pool, refused, at);
+        }
+        let figures = PoolFigures {
+            queue: ms(queue),
+            rate: 100.0,
+            nominal: 1000.0,
+        };
+        let measured = meter.figures(&cell, [(&pool, figures)].into_iter(), now + ms(4000));
+        let measured = measured.unwrap();
+        let capacity = f64::from(measured.capacity) / CAPACITY_UNIT * 10.0;
+        assert!(
+            (capacity - expected).abs() < 0.05,
+            "{queue} {refused}: {capacity}"
+        );
+        assert!(measured.demand[0].1 > 190_000, "{measured:?}");
+    }
+}
+
 /// A selector in `d0` with six servers in each of three domains, `d1` nearer than `d2`; the servers
 /// of each domain report these running requests of 16.
 fn selector(running: [u32; 3], now: Instant) -> ServerSelector {
--- a/crates/sardineshore-serve/src/cell.rs
+++ b/crates/sardineshore-serve/src/cell.rs
@@ -321,7 +321,7 @@
             return submission;
         }
         runner.sched.borrow_mut().cancel_handover(Instant::now());
-        runner.record_demand(home, &job);
+        let pieces = runner.record_demand(home, &job);
         let id = job.id.clone();
         let submitted = runner.sched.borrow_mut().submit(job, Instant::now());
         debug!(self.shared.log, "job"; "request" => &*id, "cell" => &**cell, "verdict" => ?submitted);
@@ -330,6 +330,7 @@
                 retry_after,
                 reason,
             } => {
+                runner.record_refused(&pieces);
                 let backlog = runner.sched.borrow().backlog(Instant::now());
                 let outcome = JobOutcome::Refused {
                     retry_after,
@@ -399,18 +400,31 @@
 }
 
 impl CellRunner {
-    /// Counts the pieces of a job that was submitted, whether it is accepted or not.
-    fn record_demand(&self, home: Option<&Name>, job: &Job) {
+    /// Counts the pieces of a job that was submitted, whether it is accepted or not, and returns their
+    /// numbers by pool.
+    fn record_demand(&self, home: Option<&Name>, job: &Job) -> Vec<(Name, u32)> {
         let now = Instant::now();
         self.submitted_at.set(now);
-        if let Some(home) = home.filter(|_| *self.cell != *GLOBAL_CELL && job.is_valid()) {
-            let mut demand = self.demand.borrow_mut();
-            for (stage, spec) in job.stages.iter().enumerate() {
-                let pieces = job.pieces_left(stage);
-                if pieces > 0 {
-                    demand.record(home, &spec.pool, pieces, now);
-                }
-            }
+        let Some(home) = home.filter(|_| *self.cell != *GLOBAL_CELL && job.is_valid()) else {
+            return Vec::new();
+        };
+        let stages = job.stages.iter().enumerate();
+        let pieces: Vec<(Name, u32)> = stages
+            .map(|(stage, spec)| (spec.pool.clone(), job.pieces_left(stage)))
+            .filter(|(_, pieces)| *pieces > 0)
+            .collect();
+        let mut demand = self.demand.borrow_mut();
+        for (pool, pieces) in &pieces {
+            demand.record(home, pool, *pieces, now);
+        }
+        pieces
+    }
+
+    /// Counts that pieces which were counted before are not computed.
+    fn record_refused(&self, pieces: &[(Name, u32)]) {
+        let mut demand = self.demand.borrow_mut();
+        for (pool, pieces) in pieces {
+            demand.record_refused(pool, *pieces, Instant::now());
         }
     }
 
