merge: cross-zone spillover

Beside the other parts: the home cell of a job is chosen among the cells that evacuation admits for it; the cost of another domain takes the place of a constant in the costs that speeds weigh.

--- a/crates/sardineshore-core/src/flow.rs
+++ b/crates/sardineshore-core/src/flow.rs
@@ -32,3 +32,4 @@
 pub mod stream_versions;
 pub mod time_limit;
 pub mod turns;
+pub mod zones;
--- a/crates/sardineshore-core/src/flow/selection/cost.rs
+++ b/crates/sardineshore-core/src/flow/selection/cost.rs
@@ -6,8 +6,8 @@
 
 use super::request::SelectionRequest;
 use super::server::ServerState;
-use crate::flow::config::{Name, Server};
-use crate::flow::speed::SpeedView;
+use crate::flow::config::Server;
+use crate::flow::speed::{SpeedView, TOKEN_PREFILL_TIME};
 
 /// Cost of each request that waits at the server.
 const WAITING_REQUEST_COST: Duration = Duration::from_millis(40);
@@ -17,11 +17,9 @@
 /// Cost of a utilization (running requests per slot) that is 1 above 0.9, at a server with prompts
 /// to prefill; proportionally less below that and 0 up to 0.9.
 const OVERLOAD_COST: Duration = Duration::from_secs(5);
-/// Cost of a server in another failure domain than this instance.
-const CROSS_DOMAIN_COST: Duration = Duration::from_millis(8);
 /// Largest pseudo-random cost. Instances don't see each other's latest sends, so this spreads
-/// requests over servers that are equal otherwise. It is less than [`CROSS_DOMAIN_COST`], so that
-/// it never outweighs the failure domain.
+/// requests over servers that are equal otherwise. It is less than what another failure domain
+/// costs while there is room at home (`flow/zones/pool.rs`), so that it never outweighs the domain.
 const SPREADING_COST: Duration = Duration::from_millis(6);
 /// What is taken off the cost of a cold server in this instance's turn. Turns are rare, and cold servers
 /// would get next to nothing if they were chosen in them like any other. It is a third of
@@ -44,12 +42,33 @@
 /// Cost of a megabyte (10^6 bytes) of inputs from another failure domain.
 const CROSS_DOMAIN_MB_COST: Duration = Duration::from_millis(25);
 
-/// Cost of a request at a server, in seconds, for an instance in `domain`; `uncached_tokens` are those
-/// of the request's prompt that the server would prefill, `speed` is the server's.
+/// What a server costs due to its failure domain.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Crossing {
+    /// Cost of the domain itself, in seconds.
+    pub domain: f64,
+    /// Time that is worth the price of inputs from other domains, in seconds.
+    pub input_price: f64,
+}
+
+/// Time to transfer inputs of a request from another failure domain.
+#[must_use]
+pub fn input_transfer_cost(bytes: u64) -> Duration {
+    let seconds = CROSS_DOMAIN_MB_COST.as_secs_f64() * bytes as f64 / 1e6;
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
+
+/// Cost of prefilling shared tokens again that are cached elsewhere.
+pub(super) fn prompt_miss_cost(tokens: u32) -> Duration {
+    (TOKEN_PREFILL_TIME + PREFIX_MISS_COST).saturating_mul(tokens)
+}
+
+/// Cost of a request at a server, in seconds; `uncached_tokens` are those of the request's prompt that
+/// the server would prefill, `speed` is the server's.
 pub(super) fn total_cost(
     state: &ServerState,
     request: &SelectionRequest,
-    domain: &Name,
+    crossing: Crossing,
     uncached_tokens: u32,
     speed: &SpeedView,
     now: Instant,
@@ -58,6 +77,7 @@
     let cross_domain_bytes = state.cross_domain_bytes(request);
     let request_cost = PREFIX_MISS_COST.as_secs_f64() * f64::from(missed_tokens)
         + CROSS_DOMAIN_MB_COST.as_secs_f64() * cross_domain_bytes as f64 / 1e6
+        + crossing.input_price
         + version_cost(request, &state.server).as_secs_f64()
         + SPREADING_COST.as_secs_f64() * spreading(state, request, speed);
     // With the lasting speed as a cost, all instances would send to the fastest servers at once: nine in
@@ -66,14 +86,14 @@
     let has_cached_part = missed_tokens < request.shared_tokens();
     let is_lasting_known = has_cached_part || state.fresh_report(now).is_some();
     let lasting = if is_lasting_known { speed.lasting } else { 1.0 };
-    server_cost(state, domain, uncached_tokens, lasting, speed, now) + request_cost
+    server_cost(state, crossing, uncached_tokens, lasting, speed, now) + request_cost
 }
 
 /// Cost of a request at a server due to load, distance and health; `uncached_tokens` are those
 /// of the request itself, `lasting` the lasting slowness that counts.
 fn server_cost(
     state: &ServerState,
-    domain: &Name,
+    crossing: Crossing,
     uncached_tokens: u32,
     lasting: f64,
     speed: &SpeedView,
@@ -102,9 +122,7 @@
     if is_long && speed.momentary >= SLOW_MOMENT {
         cost += SLOW_MOMENT_COST.as_secs_f64();
     }
-    if state.server.domain != *domain {
-        cost += CROSS_DOMAIN_COST.as_secs_f64();
-    }
+    cost += crossing.domain;
     cost * state.health.slowdown() + ERROR_RATE_COST.as_secs_f64() * state.health.error_rate(now)
 }
 
@@ -127,7 +145,7 @@
     1.0 - (1.0 - uniform).powf(speed.lasting)
 }
 
-/// Pseudo-random number from 0 to 1 that depends only on server and seed.
-fn uniform_hash(server: &str, seed: u64) -> f64 {
-    (xxh3_64_with_seed(server.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
+/// Pseudo-random number from 0 to 1 that depends only on name and seed.
+pub(super) fn uniform_hash(name: &str, seed: u64) -> f64 {
+    (xxh3_64_with_seed(name.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
 }
--- a/crates/sardineshore-core/src/flow/speed.rs
+++ b/crates/sardineshore-core/src/flow/speed.rs
@@ -22,7 +22,8 @@
 use estimate::Spread;
 pub use exchange::{DigestKind, SpeedDigest, SpeedEntry, SpeedLink};
 use figure::Figure;
-use pool::{FIXED_TIME, PoolSpeed, TOKEN_PREFILL_TIME};
+pub(super) use pool::TOKEN_PREFILL_TIME;
+use pool::{FIXED_TIME, PoolSpeed};
 use server::{ServerSpeed, WEIGHT_STEP};
 
 /// Uncached tokens from which on the time to the first output says something about the speed; with
--- a/crates/sardineshore-core/src/flow/speed/pool.rs
+++ b/crates/sardineshore-core/src/flow/speed/pool.rs
@@ -8,7 +8,7 @@
 use crate::flow::config::Name;
 
 /// Time to prefill one prompt token at a usual server, until the pool shows another one.
-pub(super) const TOKEN_PREFILL_TIME: Duration = Duration::from_micros(24);
+pub(in crate::flow) const TOKEN_PREFILL_TIME: Duration = Duration::from_micros(24);
 /// Part of the time to the first output that doesn't depend on the prompt.
 pub(super) const FIXED_TIME: Duration = Duration::from_millis(3);
 /// Number of samples of a pool before its own prefill time replaces the constant.
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -503,7 +503,10 @@
                 .await
             {
                 // The server may have stopped accepting work while the connection was opened.
-                Ok(conn) if self.accepts_work(&server) => {
+                Ok(mut conn) if self.accepts_work(&server) => {
+                    if let Some(time) = conn.take_setup_time() {
+                        self.peers.zones().record_round_trip(&server.domain, time);
+                    }
                     return Ok(ConnectedServer {
                         server,
                         conn,
@@ -576,10 +579,13 @@
 
     fn start_attempt(&self, server: &SelectedServer, selection: &SelectionRequest) -> Attempt {
         let now = Instant::now();
-        self.state
-            .selector
-            .borrow_mut()
-            .record_start(server, selection, now);
+        let mut selector = self.state.selector.borrow_mut();
+        selector.record_start(server, selection, now);
+        let reason = selector.crossing_reason(server, selection).as_str();
+        drop(selector);
+        let zones = self.peers.zones();
+        let home = &self.peers.this_instance().domain;
+        zones.count(&selection.pool, home, &server.domain, reason);
         if server.is_cold {
             let sends = &self.metrics.cold_sends;
             sends.with_label_values(&[&*selection.pool]).inc();
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -30,6 +30,7 @@
 use crate::stream_versions::VersionRecords;
 use crate::upstream::ConnectionPool;
 use crate::watcher::StoreWatcher;
+use crate::zones::ZoneExchange;
 use crate::{caller, monitoring};
 
 /// How often connections that were idle for too long are closed.
@@ -88,10 +89,17 @@
     let notices = NoticeReader::new(state.clone(), dialect.clone(), log.clone());
     let notices = Rc::new(notices);
     let cold = ColdReporter::new(state.clone(), metrics.clone(), log.clone());
+    let zones = Rc::new(ZoneExchange::new(
+        settings.domain.clone(),
+        settings.prices,
+        metrics.clone(),
+        log.clone(),
+    ));
     let cells = Rc::new(OwnedCells::new(
         dialect.clone(),
         connections.clone(),
         notices.clone(),
+        zones,
         metrics.clone(),
         log.clone(),
     ));
@@ -216,6 +224,7 @@
         monitoring::serve(settings.metrics, metrics_handler),
     );
     let cold = components.cold.clone();
+    let (zones, state) = (components.cells.zones().clone(), components.state.clone());
     let pools = [&components.connections, &components.store_connections].map(Rc::clone);
     tokio::task::spawn_local(async move {
         loop {
@@ -225,6 +234,8 @@
             }
             // No entry arrives when a server turns warm as its time is over.
             cold.report();
+            let mut selector = state.selector.borrow_mut();
+            selector.set_round_trips(zones.round_trips());
         }
     });
     tokio::task::spawn_local(caller::accept(listener, components.handler.clone()));
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -7,8 +7,7 @@
 mod message;
 
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
@@ -22,6 +21,7 @@
 use sardineshore_core::flow::heartbeat::{Heartbeat, HeartbeatAction};
 use sardineshore_core::flow::quarantine::Evidence;
 use sardineshore_core::flow::speed::SpeedDigest;
+use sardineshore_core::flow::zones::SendIntervals;
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
@@ -32,6 +32,7 @@
 use crate::speeds::{LinkSpeeds, SpeedExchange};
 use crate::state::boot_time;
 use crate::upstream::detect_dead_peer;
+use crate::zones::{SentFigures, ZoneExchange};
 
 /// Longest time to open a link, including the handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -71,6 +72,10 @@
     /// Callbacks of the jobs that have not ended, by the id of the request.
     callbacks: RefCell<HashMap<Name, JobCallback>>,
     speeds: Option<LinkSpeeds>,
+    /// When the heartbeats were sent that have not come back.
+    heartbeats: RefCell<VecDeque<Instant>>,
+    zones: Rc<ZoneExchange>,
+    sent_figures: SentFigures,
 }
 
 impl std::fmt::Debug for Link {
@@ -103,15 +108,30 @@
     fn is_responsive(&self) -> bool {
         let is_responsive = self.last_received.get().elapsed() < RESPONSIVE_TIME;
         if !is_responsive {
-            self.send(&Message::Ping);
+            self.send_heartbeat();
         }
         is_responsive
     }
 
+    fn send_heartbeat(&self) {
+        self.heartbeats.borrow_mut().push_back(Instant::now());
+        self.send(&Message::Ping);
+    }
+
+    /// Time since the heartbeat was sent whose response arrived; `None` without one.
+    fn end_heartbeat(&self) -> Option<Duration> {
+        let sent_at = self.heartbeats.borrow_mut().pop_front();
+        sent_at.map(|at| at.elapsed())
+    }
+
     /// Submits a job to the owner; `callback` gets its events and is dropped if the link is lost.
-    pub fn submit(&self, cell: Name, job: Job, callback: JobCallback) {
+    /// `home` is the request's home cell, or `None` if another cell refused the job.
+    pub fn submit(&self, cell: Name, home: Option<Name>, job: Job, callback: JobCallback) {
         self.callbacks.borrow_mut().insert(job.id.clone(), callback);
-        self.send(&Message::Submit { cell, job });
+        if let Some(figures) = self.zones.due_message(&self.sent_figures) {
+            self.send(&figures);
+        }
+        self.send(&Message::Submit { cell, home, job });
         self.send_samples();
     }
 
@@ -176,6 +196,7 @@
         relay: Rc<StoreRelay>,
         log: Logger,
     ) -> Rc<Self> {
+        relay.set_zones(cells.zones().clone());
         let (evidence_tx, evidence_rx) = mpsc::unbounded_channel();
         Rc::new_cyclic(|weak| Self {
             served: RefCell::default(),
@@ -219,6 +240,12 @@
         }
     }
 
+    /// What is known of the load of cells and the ways to other failure domains.
+    #[must_use]
+    pub fn zones(&self) -> &Rc<ZoneExchange> {
+        self.cells.zones()
+    }
+
     /// Number of known instances, this one included.
     #[must_use]
     pub fn instance_count(&self) -> usize {
@@ -309,6 +336,16 @@
         }
     }
 
+    /// Whether the link to an instance could not be opened and isn't to be tried again yet.
+    #[must_use]
+    pub fn is_unreachable(&self, name: &Name) -> bool {
+        match self.links.borrow().get(name) {
+            Some(LinkState::Down(until)) => Instant::now() < *until,
+            Some(LinkState::Reopening) => true,
+            Some(LinkState::Opening(_) | LinkState::Up(_)) | None => false,
+        }
+    }
+
     /// Finds a link or starts to open it.
     fn find_or_open(&self, name: &Name) -> Lookup {
         let now = Instant::now();
@@ -355,7 +392,7 @@
 
     /// Opens a link and serves it until it is lost.
     async fn open(&self, info: InstanceInfo) {
-        let Some(frames) = self.connect_in_time(info.address).await else {
+        let Some(frames) = self.connect_in_time(&info).await else {
             self.set_link(&info.name, LinkState::Down(Instant::now() + REOPEN_BACKOFF));
             return;
         };
@@ -365,6 +402,9 @@
             last_received: Cell::new(Instant::now()),
             callbacks: RefCell::default(),
             speeds: self.speeds.get().map(SpeedExchange::link),
+            heartbeats: RefCell::default(),
+            zones: self.cells.zones().clone(),
+            sent_figures: SentFigures::new(SendIntervals::TO_OWNER),
         });
         self.set_link(&info.name, LinkState::Up(link.clone()));
         run_link(frames, &link, rx, |message| match message {
@@ -376,6 +416,12 @@
                 let _stopped = self.evidence_tx.send(evidence);
             }
             Message::Speeds(digest) => self.receive_speeds(&digest),
+            Message::Figures(figures) => self.cells.zones().record(figures),
+            Message::Pong => {
+                if let Some(time) = link.end_heartbeat() {
+                    self.cells.zones().record_round_trip(&info.domain, time);
+                }
+            }
             _ => {}
         })
         .await;
@@ -396,10 +442,10 @@
 
     /// Connects to an instance. While all instances start, one that doesn't listen yet is tried again
     /// for as long as jobs wait for the link; they would go to several owners otherwise.
-    async fn connect_in_time(&self, address: SocketAddr) -> Option<Frames> {
+    async fn connect_in_time(&self, info: &InstanceInfo) -> Option<Frames> {
         let begun_at = Instant::now();
         loop {
-            let connecting = self.connect(address);
+            let connecting = self.connect(info);
             if let Ok(Ok(frames)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
                 return Some(frames);
             }
@@ -410,8 +456,11 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> anyhow::Result<Frames> {
-        let stream = TcpStream::connect(address).await?;
+    async fn connect(&self, info: &InstanceInfo) -> anyhow::Result<Frames> {
+        let begun_at = Instant::now();
+        let stream = TcpStream::connect(info.address).await?;
+        let zones = self.cells.zones();
+        zones.record_round_trip(&info.domain, begun_at.elapsed());
         stream.set_nodelay(true)?;
         detect_dead_peer(&stream)?;
         let mut frames = frames(stream);
@@ -482,6 +531,7 @@
             submissions: HashMap::new(),
             subscription: None,
             speeds: self.speeds.get().map(|speeds| Rc::new(speeds.link())),
+            sent_figures: Rc::new(SentFigures::new(SendIntervals::FROM_OWNER)),
         };
         let result = loop {
             tokio::select! {
@@ -517,17 +567,22 @@
                 self.add_instance(info);
                 served.send(&Message::Hello(self.own.clone()));
             }
-            Message::Submit { cell, job } => {
+            Message::Submit { cell, home, job } => {
                 let request = job.id.clone();
                 let (id, tx) = (request.clone(), served.tx.clone());
                 let speeds = served.speeds.clone();
+                let (zones, sent_figures) =
+                    (self.cells.zones().clone(), served.sent_figures.clone());
                 let callback = Box::new(move |event| {
+                    if let Some(figures) = zones.due_message(&sent_figures) {
+                        let _closed = tx.send(figures.encode());
+                    }
                     let _closed = tx.send(event_message(id.clone(), event).encode());
                     if let Some(message) = speeds.as_ref().and_then(|speeds| speeds.estimates()) {
                         let _closed = tx.send(message.encode());
                     }
                 });
-                let submission = self.cells.submit(&cell, job, callback);
+                let submission = self.cells.submit(&cell, home.as_ref(), job, callback);
                 served.submissions.insert(request, (cell, submission));
             }
             Message::Release { cell, request } => {
@@ -535,7 +590,13 @@
                     self.cells.release(&cell, &request, submission);
                 }
             }
-            Message::Ping => served.send(&Message::Pong),
+            Message::Figures(figures) => self.cells.zones().record(figures),
+            Message::Ping => {
+                if let Some(figures) = self.cells.zones().due_message(&served.sent_figures) {
+                    served.send(&figures);
+                }
+                served.send(&Message::Pong);
+            }
             Message::Subscribe { known } => {
                 if let Some(id) = served.subscription.take() {
                     self.relay.unsubscribe(id);
@@ -575,6 +636,7 @@
     /// Id of the other instance as a subscriber.
     subscription: Option<u64>,
     speeds: Option<Rc<LinkSpeeds>>,
+    sent_figures: Rc<SentFigures>,
 }
 
 impl ServedLink {
@@ -654,7 +716,7 @@
             () = tokio::time::sleep(check_in.unwrap_or_default()), if check_in.is_some() => {
                 match heartbeat.check(Instant::now()) {
                     HeartbeatAction::Wait => {}
-                    HeartbeatAction::Send => link.send(&Message::Ping),
+                    HeartbeatAction::Send => link.send_heartbeat(),
                     HeartbeatAction::Close => return,
                 }
             }
--- a/crates/sardineshore-serve/src/peers/message.rs
+++ b/crates/sardineshore-serve/src/peers/message.rs
@@ -13,6 +13,7 @@
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::quarantine::Evidence;
 use sardineshore_core::flow::speed::SpeedDigest;
+use sardineshore_core::flow::zones::CellFigures;
 use serde::{Deserialize, Serialize};
 
 use crate::cell::{JobEvent, JobOutcome, RequestInputs};
@@ -49,6 +50,9 @@
     Submit {
         /// Name of the cell.
         cell: Name,
+        /// Home cell of the request if the job is submitted to a cell for the first time; `None` if
+        /// another one refused it.
+        home: Option<Name>,
         /// The job.
         job: Job,
     },
@@ -124,6 +128,8 @@
     },
     /// Speeds of servers; follows a message that is sent anyway.
     Speeds(SpeedDigest),
+    /// Loads of the cells that the sender knows. Sent only in front of another message.
+    Figures(Vec<CellFigures>),
 }
 
 impl Message {
--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -10,8 +10,10 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::batching::{Job, RefusalReason, StageResults, StoredResult};
-use sardineshore_core::flow::cells::{choose_cell, rank_owners};
+use sardineshore_core::flow::cells::{choose_cell, home_cell, rank_owners};
 use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::selection::input_transfer_cost;
+use sardineshore_core::flow::zones::{MAX_FIGURE_AGE, SpillRequest};
 use slog::{Logger, info};
 use tokio::sync::oneshot;
 
@@ -112,14 +114,18 @@
     }
 
     /// Runs all stages of a job. If its cell is withdrawn, the job goes on in another one with the results of
-    /// the stages that finished; without further cells, in the one of all servers.
-    pub async fn run(&self, job: Job) -> StagesResult {
+    /// the stages that finished; without further cells, in the one of all servers. `prompt_cost` is what it
+    /// costs to run the request outside of the job's preferred domain instead.
+    pub async fn run(&self, job: Job, prompt_cost: Duration) -> StagesResult {
         let progress = JobProgress::new();
         let mut withdrawn: Vec<Name> = Vec::new();
         loop {
             let mut cells = self.cells.cells_for(job_hash_key(&job));
             cells.retain(|cell| !withdrawn.contains(cell));
-            match self.run_in_cells(&job, &cells, &progress).await {
+            match self
+                .run_in_cells(&job, &cells, prompt_cost, &progress)
+                .await
+            {
                 Ok(finished) => return Ok(finished),
                 Err(Failure::Withdrawn(cell)) if !withdrawn.contains(&cell) => withdrawn.push(cell),
                 Err(Failure::Withdrawn(_)) => return Err(progress.owners_lost(&job)),
@@ -135,27 +141,37 @@
         &self,
         job: &Job,
         cells: &[Name],
+        prompt_cost: Duration,
         progress: &JobProgress,
     ) -> Result<(RequestInputs, ResultGuard), Failure> {
         let hash_key = job_hash_key(job);
-        let first = choose_cell(hash_key, &job.preferred_domain, cells, |cell| {
-            self.backlog(cell)
-        });
-        let (refusal, backlog) = match self.run_in_cell(&first, job, progress).await {
+        let home = home_cell(hash_key, &job.preferred_domain, cells);
+        let first = self.choose(hash_key, &home, cells, job, prompt_cost);
+        let first_run = self.run_in_cell(&first, Some(&home), job, progress).await;
+        let (refusal, backlog) = match first_run {
             Err(Failure::Refused(refusal, backlog)) => (refusal, backlog),
             ended => return ended,
         };
-        let others = cells.iter().filter(|cell| **cell != first);
-        let shortest = others.min_by_key(|cell| self.backlog(cell));
-        let Some(second) = shortest.filter(|cell| self.backlog(cell) < backlog) else {
+        // The refusal may have brought the load of other cells.
+        let with_room = self.cells.zones().with_room(&first, hash_key, cells);
+        let with_room = with_room.filter(|cell| self.is_reachable(cell));
+        let second = with_room.or_else(|| {
+            let others = cells.iter().filter(|cell| **cell != first);
+            let shortest = others.min_by_key(|cell| self.backlog(cell));
+            shortest
+                .filter(|cell| self.backlog(cell) < backlog)
+                .cloned()
+        });
+        let Some(second) = second else {
             return Err(Failure::Refused(refusal, backlog));
         };
+        self.cells.zones().count_job(&home, &second, "refused");
         // The second cell accepts the job only if it can end in time; late jobs are left to the first.
         let job = Job {
             late_allowed: false,
             ..job.clone()
         };
-        match self.run_in_cell(second, &job, progress).await {
+        match self.run_in_cell(&second, None, &job, progress).await {
             Err(Failure::Aborted(second) | Failure::Refused(second, _)) => {
                 Err(Failure::Aborted(StagesRefusal {
                     retry_after: second.retry_after.min(refusal.retry_after),
@@ -166,10 +182,55 @@
         }
     }
 
+    /// Cell to which a job is submitted first: its home unless it gains by leaving.
+    fn choose(
+        &self,
+        hash_key: &str,
+        home: &Name,
+        cells: &[Name],
+        job: &Job,
+        prompt_cost: Duration,
+    ) -> Name {
+        let zones = self.cells.zones();
+        // Outside of its preferred domain, either the request runs without the cached prompt or its
+        // inputs are fetched from there.
+        let has_preference = *home == job.preferred_domain;
+        let bytes = if has_preference { input_bytes(job) } else { 0 };
+        let stay_value = prompt_cost.min(input_transfer_cost(bytes));
+        let request = SpillRequest {
+            hash_key,
+            home,
+            stay_value,
+            bytes,
+        };
+        let (chosen, reason) = if let Some(chosen) = zones.choose(&request, cells) {
+            // The way to one other domain may be cut while others still report its load.
+            let is_usable = chosen == *home || self.is_reachable(&chosen);
+            (if is_usable { chosen } else { home.clone() }, "load")
+        } else {
+            let backlog = |cell: &str| self.backlog(cell);
+            let preferred = &job.preferred_domain;
+            (choose_cell(hash_key, preferred, cells, backlog), "backlog")
+        };
+        let reason = if chosen == *home { "home" } else { reason };
+        zones.count_job(home, &chosen, reason);
+        chosen
+    }
+
+    /// Whether nothing is known to be wrong with the link to the first owner of a cell.
+    fn is_reachable(&self, cell: &str) -> bool {
+        let owners = rank_owners(cell, &self.peers.candidates());
+        owners
+            .first()
+            .is_some_and(|name| !self.peers.is_unreachable(name))
+    }
+
     /// Time that a cell needs for its work, estimated from its last report; zero if unknown.
     fn backlog(&self, cell: &str) -> Duration {
         let backlogs = self.backlogs.borrow();
-        let known = backlogs.get(cell);
+        let known = backlogs
+            .get(cell)
+            .filter(|(_, at)| at.elapsed() < MAX_FIGURE_AGE);
         known.map_or(Duration::ZERO, |(backlog, at)| {
             backlog.saturating_sub(at.elapsed())
         })
@@ -183,10 +244,11 @@
     }
 
     /// Runs all stages in one cell, at one owner after the other as long as they redirect the job or
-    /// are lost.
+    /// are lost. `home` is the home cell unless another cell refused the job.
     async fn run_in_cell(
         &self,
         cell: &Name,
+        home: Option<&Name>,
         job: &Job,
         progress: &JobProgress,
     ) -> Result<(RequestInputs, ResultGuard), Failure> {
@@ -207,7 +269,9 @@
                         is_final: true,
                     }));
                 };
-                if let Some(submitted) = self.submit(&name, cell, remaining, finished_stages).await
+                if let Some(submitted) = self
+                    .submit(&name, cell, home, remaining, finished_stages)
+                    .await
                 {
                     reached = Some((name, submitted));
                     break;
@@ -261,6 +325,7 @@
         &self,
         name: &Name,
         cell: &Name,
+        home: Option<&Name>,
         job: Job,
         finished_stages: &FinishedStages,
     ) -> Option<(ResultGuard, oneshot::Receiver<JobOutcome>)> {
@@ -268,11 +333,11 @@
         let cell = cell.clone();
         let (callback, outcome) = job_callback(finished_stages);
         let owner = if *name == self.peers.this_instance().name {
-            let submission = self.cells.submit(&cell, job, callback);
+            let submission = self.cells.submit(&cell, home, job, callback);
             Owner::Local(self.cells.clone(), submission)
         } else {
             let link = self.peers.link(name).await?;
-            link.submit(cell.clone(), job, callback);
+            link.submit(cell.clone(), home.cloned(), job, callback);
             Owner::Remote(link)
         };
         let guard = ResultGuard {
@@ -296,6 +361,19 @@
     }
 }
 
+/// Approximate bytes of the results that are inputs of the request: those that no other stage needs.
+fn input_bytes(job: &Job) -> u64 {
+    let is_input = |index: &usize| {
+        let mut stages = job.stages.iter();
+        !stages.any(|stage| stage.pieces > 0 && stage.depends_on.contains(index))
+    };
+    let inputs = (0..job.stages.len()).filter(is_input);
+    inputs
+        .map(|index| &job.stages[index])
+        .map(|stage| u64::from(stage.pieces).saturating_mul(stage.result_bytes))
+        .fold(0, u64::saturating_add)
+}
+
 /// Why a cell did not run the stages.
 enum Failure {
     /// The cell accepted the job and could not complete it.
--- a/crates/sardineshore-serve/src/state.rs
+++ b/crates/sardineshore-serve/src/state.rs
@@ -56,6 +56,7 @@
         let mut selector = ServerSelector::new(settings.domain.clone());
         selector.set_evacuation_bound(settings.bounds.evacuate);
         selector.set_cold_bound(settings.bounds.cold);
+        selector.set_prices(settings.prices);
         Self {
             config: RefCell::default(),
             selector: RefCell::new(selector),
