feat(batching): late jobs of a rank that is served worse may wait longer

Cause: event-brief is served less often than contract-digest by 0.057 of the requests that have stages, as its bottleneck is the one that is overloaded. Change: a job may wait up to 0.15 of its time longer as a late one in proportion to how much worse its rank is served than a less urgent one.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -207,7 +207,9 @@
         let fair_share = self.config.soft_deadline_share - reduction.max(excess);
         let without_excess =
             (job.time_to_soft_deadline).mul_f64(self.config.soft_deadline_share - reduction);
-        let late_wait_share = self.config.late_wait_share * (1.0 - reduction);
+        let deficit = self.fairness.deficit(job.rank);
+        let late_wait_share = self.config.late_wait_share * (1.0 - reduction)
+            + self.config.more_late_wait_share * deficit;
         let share = if job.is_accepted() { 1.0 } else { fair_share };
         let late =
             !job.continues && forecast.before_late > job.time_to_soft_deadline.mul_f64(share);
--- a/crates/sardineshore-core/src/flow/batching/config.rs
+++ b/crates/sardineshore-core/src/flow/batching/config.rs
@@ -12,6 +12,9 @@
     pub soft_deadline_share: f64,
     /// Share of the time to the deadline that a late job may spend waiting for other jobs.
     pub late_wait_share: f64,
+    /// Further share that it may wait if jobs of its rank are in time less often than less urgent
+    /// ones.
+    pub more_late_wait_share: f64,
     /// Share of the time to the deadline within which a new late job has to finish.
     pub late_finish_share: f64,
     /// Share of the time to the deadline within which a parked job has to finish, or it is given
@@ -46,6 +49,7 @@
         Self {
             soft_deadline_share: 0.88,
             late_wait_share: 0.12,
+            more_late_wait_share: 0.15,
             late_finish_share: 0.7,
             parked_finish_share: 0.95,
             slow_call_factor: 1.6,
--- a/crates/sardineshore-core/src/flow/batching/fairness.rs
+++ b/crates/sardineshore-core/src/flow/batching/fairness.rs
@@ -60,6 +60,16 @@
         count.on_time = (count.on_time - 1.0).max(0.0);
     }
 
+    /// How much worse a rank is served than the less urgent rank that is served best, from 0 to 1.
+    pub fn deficit(&self, rank: u32) -> f64 {
+        let index = rank_index(rank);
+        let Some(own) = share(&self.counts[index]) else {
+            return 0.0;
+        };
+        let less_urgent = self.counts[index + 1..].iter().filter_map(share);
+        (REDUCTION_GAIN * (less_urgent.fold(0.0, f64::max) - own)).clamp(0.0, 1.0)
+    }
+
     /// How much to subtract, for a job of this rank, from the share of the time to its soft deadline
     /// that the forecast may take; from 0 to [`MAX_REDUCTION`].
     pub fn reduction(&self, rank: u32) -> f64 {
--- a/crates/sardineshore-core/tests/load/main.rs
+++ b/crates/sardineshore-core/tests/load/main.rs
@@ -140,7 +140,7 @@
 
 /// Prints the figures by kind, and by second if the environment has `SECONDS`.
 #[test]
-fn replay_hard_days_leave_no_request_open() {
+fn replay_hard_days_serve_most_urgent_kind_like_others() {
     let outcome = hard_days();
     println!("{}", outcome.table());
     if std::env::var_os("SECONDS").is_some() {
@@ -149,6 +149,15 @@
         }
     }
     assert_eq!(outcome.unfinished, 0);
+    let served = |class: Class| outcome.kinds[class.name].served_with_stages();
+    let (event, contract) = (served(EVENT), served(CONTRACT));
+    assert!(event > contract - 0.05, "{event} {contract}");
+    let value = |class: Class| outcome.value_share(class.name);
+    assert!(value(EVENT) > value(CONTRACT) - 0.15);
+    // Before piece times, reserves and the rest were taken into account: 0.808.
+    assert!(outcome.total_share() > 0.82, "{}", outcome.total_share());
+    // The least urgent kind doesn't starve.
+    assert!(outcome.kinds["fan-helpdesk"].served() > 0.9);
     // Refusals of second attempts don't invite a third one.
     assert_eq!(outcome.third_tries, 0);
 }
--- a/crates/sardineshore-core/tests/load/overload.rs
+++ b/crates/sardineshore-core/tests/load/overload.rs
@@ -109,6 +109,8 @@
 #[derive(Debug, Default, Clone)]
 pub struct Counts {
     pub requests: u32,
+    /// Those without stages, which are all in time.
+    pub without_stages: u32,
     pub in_time: u32,
     pub late: u32,
     /// Refused at the first attempt.
@@ -124,6 +126,12 @@
 }
 
 impl Counts {
+    /// Share of the requests with stages that were served.
+    pub fn served_with_stages(&self) -> f64 {
+        let requests = self.requests - self.without_stages;
+        f64::from(self.in_time + self.late - self.without_stages) / f64::from(requests.max(1))
+    }
+
     pub fn served(&self) -> f64 {
         f64::from(self.in_time + self.late) / f64::from(self.requests.max(1))
     }
@@ -176,6 +184,7 @@
         for (name, counts) in other.kinds {
             let sum = self.kinds.entry(name).or_default();
             sum.requests += counts.requests;
+            sum.without_stages += counts.without_stages;
             sum.in_time += counts.in_time;
             sum.late += counts.late;
             sum.refused_once += counts.refused_once;
@@ -435,6 +444,7 @@
                 let urgent = u32::from(class.rank < HELPDESK.rank);
                 self.outcome.customers.entry(customer).or_default().0 += urgent;
                 if stages.is_empty() {
+                    counts.without_stages += 1;
                     counts.in_time += 1;
                     self.outcome
                         .seconds
