--- a/crates/sardineshore-core/src/flow/batching/fairness.rs
+++ b/crates/sardineshore-core/src/flow/batching/fairness.rs
@@ -3,7 +3,8 @@
 //! Routes of customers of equal rank share the servers by soft deadline alone, because strict
 //! priorities would delay jobs that are accepted already. More urgent requests can then still meet
 //! their soft deadlines less often, as they have longer stages or tighter soft deadlines. In that
-//! case the scheduler becomes stricter with less urgent ones until both are served equally.
+//! case the scheduler becomes stricter with less urgent ones until both are served equally, and late
+//! jobs of the more urgent one may wait longer.
 
 use std::time::{Duration, Instant};
 
