fix(stages): a stream that goes on leaves a cell whose owner is lost

The next owner of a cell finds its servers at work on the lost owner's calls and full of its results, so a stage of 0.3 s takes over a second.

Change: a job of a stream that goes on leaves a cell whose first owner can't be reached or is lost, if there is another cell. Other jobs stay: they would crowd the other cells.

--- a/crates/sardineshore-serve/src/stages.rs
+++ b/crates/sardineshore-serve/src/stages.rs
@@ -119,9 +119,11 @@
     pub async fn run(&self, job: Job, prompt_cost: Duration) -> StagesResult {
         let progress = JobProgress::new();
         let mut withdrawn: Vec<Name> = Vec::new();
+        // Cells whose owner was lost.
+        let mut left: Vec<Name> = Vec::new();
         loop {
             let mut cells = self.cells.cells_for(job_hash_key(&job));
-            cells.retain(|cell| !withdrawn.contains(cell));
+            cells.retain(|cell| !withdrawn.contains(cell) && !left.contains(cell));
             match self
                 .run_in_cells(&job, &cells, prompt_cost, &progress)
                 .await
@@ -129,6 +131,10 @@
                 Ok(finished) => return Ok(finished),
                 Err(Failure::Withdrawn(cell)) if !withdrawn.contains(&cell) => withdrawn.push(cell),
                 Err(Failure::Withdrawn(_)) => return Err(progress.owners_lost(&job)),
+                Err(Failure::OwnerLost(cell)) => {
+                    info!(self.log, "job leaves a cell whose owner is lost"; "request" => &*job.id, "cell" => &*cell);
+                    left.push(cell);
+                }
                 Err(Failure::Aborted(refusal) | Failure::Refused(refusal, _)) => {
                     return Err(refusal);
                 }
@@ -145,9 +151,14 @@
         progress: &JobProgress,
     ) -> Result<(RequestInputs, ResultGuard), Failure> {
         let hash_key = job_hash_key(job);
+        // The caller of a stream that goes on waits in the middle of an answer. In a cell whose owner was lost
+        // it would wait for about a second: the lost owner's calls occupy the servers, its results their memory.
+        let may_leave = job.continues && cells.len() > 1;
         let home = home_cell(hash_key, &job.preferred_domain, cells);
         let first = self.choose(hash_key, &home, cells, job, prompt_cost);
-        let first_run = self.run_in_cell(&first, Some(&home), job, progress).await;
+        let first_run = self
+            .run_in_cell(&first, Some(&home), job, may_leave, progress)
+            .await;
         let (refusal, backlog) = match first_run {
             Err(Failure::Refused(refusal, backlog)) => (refusal, backlog),
             ended => return ended,
@@ -171,7 +182,7 @@
             late_allowed: false,
             ..job.clone()
         };
-        match self.run_in_cell(&second, None, &job, progress).await {
+        match self.run_in_cell(&second, None, &job, false, progress).await {
             Err(Failure::Aborted(second) | Failure::Refused(second, _)) => {
                 Err(Failure::Aborted(StagesRefusal {
                     retry_after: second.retry_after.min(refusal.retry_after),
@@ -250,6 +261,7 @@
         cell: &Name,
         home: Option<&Name>,
         job: &Job,
+        may_leave: bool,
         progress: &JobProgress,
     ) -> Result<(RequestInputs, ResultGuard), Failure> {
         let JobProgress {
@@ -276,6 +288,9 @@
                     reached = Some((name, submitted));
                     break;
                 }
+                if may_leave {
+                    return Err(Failure::OwnerLost(cell.clone()));
+                }
             }
             let Some((name, (mut guard, outcome))) = reached else {
                 continue;
@@ -314,6 +329,9 @@
                 Err(_) => {
                     accepted_before.set(true);
                     info!(self.log, "owner lost"; "request" => &*job.id, "owner" => &*name);
+                    if may_leave {
+                        return Err(Failure::OwnerLost(cell.clone()));
+                    }
                 }
             }
         }
@@ -376,6 +394,8 @@
 
 /// Why a cell did not run the stages.
 enum Failure {
+    /// The first owner of the cell is lost, and the job may run in another one.
+    OwnerLost(Name),
     /// The cell accepted the job and could not complete it.
     Aborted(StagesRefusal),
     /// The cell did not accept the job; the duration is its backlog.
