fix(batching): recognize retries of callers with little time

Cause: a retry counted only from 260 ms after its refusal; callers with less than about 1.2 s left are told to come back sooner, so that their retries passed for first attempts. Ruled out: no least delay at all, which takes jobs with the same input at the same time for retries.

--- a/crates/sardineshore-core/src/flow/batching/retries.rs
+++ b/crates/sardineshore-core/src/flow/batching/retries.rs
@@ -12,9 +12,12 @@
 /// Largest difference between the deadlines of two attempts of one caller, due to network and
 /// queueing delays.
 const DEADLINE_TOLERANCE: Duration = Duration::from_millis(250);
-/// Least time from a refusal to the retry. Jobs with the same key whose deadlines differ by less than
-/// [`DEADLINE_TOLERANCE`] arrive sooner after each other than this if both are first attempts.
+/// Least time from a refusal to the retry, if the caller has much time left. Jobs with the same key
+/// whose deadlines differ by less than [`DEADLINE_TOLERANCE`] arrive sooner after each other than this
+/// if both are first attempts.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(260);
+/// Share of the time left before which no retry comes: callers are told to wait for longer.
+const MIN_RETRY_SHARE: f64 = 0.15;
 /// Number of keys from which on refusals are dropped once their deadline has passed.
 const CLEANUP_THRESHOLD: usize = 256;
 
@@ -23,7 +26,7 @@
 struct Attempt {
     soft_deadline: Instant,
     deadline: Instant,
-    refused_at: Instant,
+    earliest_retry: Instant,
 }
 
 /// Refused jobs whose callers may retry, by the job's key.
@@ -50,11 +53,13 @@
                 !attempts.is_empty()
             });
         }
+        let left = deadline.saturating_duration_since(now);
+        let delay = MIN_RETRY_DELAY.min(left.mul_f64(MIN_RETRY_SHARE));
         let attempts = self.refused.entry(key.clone()).or_default();
         attempts.push(Attempt {
             soft_deadline,
             deadline,
-            refused_at: now,
+            earliest_retry: now + delay,
         });
     }
 
@@ -67,7 +72,7 @@
                 .deadline
                 .max(deadline)
                 .duration_since(first.deadline.min(deadline));
-            difference <= DEADLINE_TOLERANCE && now >= first.refused_at + MIN_RETRY_DELAY
+            difference <= DEADLINE_TOLERANCE && now >= first.earliest_retry
         };
         let position = attempts.iter().position(same)?;
         let first = attempts.swap_remove(position);
