--- a/crates/sardineshore-core/src/flow/evacuation.rs
+++ b/crates/sardineshore-core/src/flow/evacuation.rs
@@ -146,7 +146,7 @@
     }
 
     /// Time to assume for the write of a row that is read after the instance was cut off from the store, so
-    /// that the domain closes within [`LATE_FALL_TIME`].
+    /// that the domain closes within a second.
     #[must_use]
     pub fn assumed_write(&self, now: Instant) -> Option<Instant> {
         now.checked_sub(self.close_time.saturating_sub(LATE_FALL_TIME))
