fix(stages): streams that go on aren't refused by their callers' patience

Ruled out: a fault of admission by rank, as streams that go on are exempt from it.

Change: the time to the first event bounds the stages of new streams only, as before for those that go on.

--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -482,6 +482,10 @@
             return Ok(());
         };
         job.continues = attempts.started || attempts.is_taken_up;
+        if job.continues {
+            // A forecast may be too long, and a refusal ends what the caller has a part of.
+            job.time_to_first_event = job.time_to_deadline;
+        }
         let continues = if job.continues { "yes" } else { "no" };
         let start = Instant::now();
         attempts.stats.stages_left_ms = Some(whole_ms(job.time_to_deadline));
