--- a/review/stand-in-2/fleet.rs
+++ b/review/stand-in-2/fleet.rs
@@ -1,11 +1,11 @@
-//! Processes of the program under review, started as the deploy file says, and what the platform does for
-//! them: it starts those that ended again after a short delay.
+//! Processes of the program under review, started as the deploy file says, and what the platform does to
+//! them: it kills one that exceeds its memory, and starts those that ended again after a short delay.
 
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,8 @@
 const PROGRAM: &str = "target/release/sardine-serve";
 /// Delay before a process that ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(800);
+/// `memory_mb` of the settings.
+const MEMORY_MB: u64 = 260;
 
 pub struct Instance {
     pub name: String,
@@ -26,8 +28,10 @@
     child: Mutex<Option<Child>>,
     /// Set while the script itself ends the process.
     pub is_disturbed: AtomicBool,
-    /// When the process ended by itself.
+    /// When the process ended by itself, or was killed as it exceeded its memory.
     pub own_ends: Mutex<Vec<u128>>,
+    /// Most memory that it had in use, in bytes.
+    pub peak_bytes: AtomicU64,
 }
 
 pub struct Fleet {
@@ -53,6 +57,14 @@
     }
 }
 
+/// Memory that a process has in use, in bytes; 0 if it has ended.
+fn memory_in_use(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
+
 impl Fleet {
     /// Starts one instance for each of the zones, and waits until all are ready.
     pub fn start(zones: &[&str], store: SocketAddr, record: &Arc<Record>) -> Option<Arc<Self>> {
@@ -72,6 +84,7 @@
                 child: Mutex::default(),
                 is_disturbed: AtomicBool::new(false),
                 own_ends: Mutex::default(),
+                peak_bytes: AtomicU64::new(0),
             }));
         }
         known.sort();
@@ -128,7 +141,7 @@
 [limits]
 cpu_share = 0.25
 cores = 1
-memory_mb = 260
+memory_mb = {MEMORY_MB}
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -195,6 +208,16 @@
         while !self.is_closing.load(Ordering::SeqCst) {
             for instance in &self.instances {
                 let mut child = instance.child.lock().expect("child");
+                if let Some(process) = child.as_mut() {
+                    let used = memory_in_use(process.id());
+                    instance.peak_bytes.fetch_max(used, Ordering::SeqCst);
+                    if used > MEMORY_MB * 1_000_000 {
+                        let name = &instance.name;
+                        self.record.add(format!("{name} uses {used} bytes, more than memory_mb: the platform kills it"));
+                        let _killed = process.kill();
+                        std::thread::sleep(Duration::from_millis(20));
+                    }
+                }
                 let ended = child.as_mut().and_then(|child| child.try_wait().ok().flatten());
                 let Some(status) = ended else { continue };
                 *child = None;
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `stand-in CASE RECORD` exits with 1 if the case's rule was broken, 0 if it held, 2 if it couldn't run.
 
+mod case_bodies;
 mod case_owner;
 mod engine;
 mod fleet;
@@ -29,6 +30,7 @@
     let record = record::Record::new();
     record.add(format!("case {case}, trouble: {has_trouble}"));
     let verdict = match case.as_str() {
+        "bodies" => case_bodies::run(has_trouble, &record),
         "owner" => case_owner::run(has_trouble, &record),
         _ => Verdict::NotRun("unknown case"),
     };
