--- a/review/stand-in-2/engine.rs
+++ b/review/stand-in-2/engine.rs
@@ -3,11 +3,13 @@
 use std::collections::{HashMap, HashSet};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::BufReader;
+use std::net::Shutdown;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{Message, response, serve};
+use crate::http::{Message, read_message, response};
 use crate::json::{Json, parse};
 use crate::record::Record;
 
@@ -27,9 +29,16 @@
     pub zone: String,
     pub address: SocketAddr,
     work: Work,
+    /// Version of its software and Unix millisecond of its start; they change with a restart.
+    run: Mutex<(String, u128)>,
+    /// None while it is down.
+    listener: Mutex<Option<TcpListener>>,
+    connections: Mutex<Vec<TcpStream>>,
     /// Held by the call that is being worked on, at a server of stages.
     slot: Mutex<()>,
     calls: AtomicUsize,
+    /// Requests that are running.
+    running: AtomicUsize,
     next_handle: AtomicU64,
     handles: Mutex<HashSet<String>>,
     silent_until: Mutex<Option<Instant>>,
@@ -41,34 +50,102 @@
 impl Engine {
     pub fn start(id: &str, service: &str, zone: &str, work: Work, record: &Arc<Record>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
+        listener.set_nonblocking(true).expect("set");
         let engine = Arc::new(Self {
             id: id.into(),
             service: service.into(),
             zone: zone.into(),
             address: listener.local_addr().expect("address"),
             work,
+            run: Mutex::new(("v1".to_owned(), unix_ms())),
+            listener: Mutex::default(),
+            connections: Mutex::default(),
             slot: Mutex::default(),
             calls: AtomicUsize::new(0),
+            running: AtomicUsize::new(0),
             next_handle: AtomicU64::new(0x51f2_9a00),
             handles: Mutex::default(),
             silent_until: Mutex::default(),
             begun: Mutex::default(),
             record: record.clone(),
         });
-        let served = engine.clone();
-        serve(listener, move |request, stream| served.handle(request, stream).is_ok());
+        *engine.listener.lock().expect("listener") = Some(listener);
+        let accepting = engine.clone();
+        std::thread::spawn(move || accepting.accept());
         engine
     }
 
+    fn accept(self: Arc<Self>) {
+        loop {
+            let accepted = self.listener.lock().expect("listener").as_ref().map(TcpListener::accept);
+            let Some(Ok((stream, _))) = accepted else {
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let Ok(kept) = stream.try_clone() else { continue };
+            self.connections.lock().expect("connections").push(kept);
+            let engine = self.clone();
+            std::thread::spawn(move || engine.serve(stream));
+        }
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let is_set = stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true));
+        let Ok(read_half) = is_set.and_then(|()| stream.try_clone()) else { return };
+        let mut rd = BufReader::new(read_half);
+        while let Some(request) = read_message(&mut rd) {
+            if self.handle(&request, &mut stream).is_err() {
+                break;
+            }
+        }
+        let _ended = stream.shutdown(Shutdown::Both);
+    }
+
+    /// Crashes: all its connections end, and new ones are refused.
+    pub fn crash(&self) {
+        self.record.add(format!("{} crashes", self.id));
+        self.listener.lock().expect("listener").take();
+        for stream in self.connections.lock().expect("connections").drain(..) {
+            let _ended = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// A new run of the engine with its id and address, which takes no requests yet.
+    pub fn begin_run(&self, version: &str) {
+        *self.run.lock().expect("run") = (version.to_owned(), unix_ms());
+    }
+
+    /// Takes requests again.
+    pub fn listen(&self) {
+        let listener = TcpListener::bind(self.address).expect("listen");
+        listener.set_nonblocking(true).expect("set");
+        *self.listener.lock().expect("listener") = Some(listener);
+        let version = self.version();
+        self.record.add(format!("{} takes requests, version {version}", self.id));
+    }
+
+    fn version(&self) -> String {
+        self.run.lock().expect("run").0.clone()
+    }
+
     /// Its entry in the store.
     pub fn entry(&self, state: &str) -> String {
         let Self { service, address, zone, .. } = self;
-        let slots = if let Work::Stage(..) = self.work { 1 } else { 64 };
+        let slots = self.slots();
+        let (version, born) = self.run.lock().expect("run").clone();
         format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"{state}","cold_remaining_ms":0,"sequence":1}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":{slots},"state":"{state}","cold_remaining_ms":0,"sequence":1,"born":{born}}}"#
         )
     }
 
+    fn slots(&self) -> u32 {
+        match self.work {
+            Work::Plain(_) => 64,
+            Work::Stream(..) => 32,
+            Work::Stage(..) => 1,
+        }
+    }
+
     /// Sends nothing until then.
     pub fn fall_silent(&self, until: Instant) {
         *self.silent_until.lock().expect("silence") = Some(until);
@@ -106,10 +183,21 @@
                 let headers = [("X-Engine-Id", self.id.clone())];
                 stream.write_all(&response(200, &headers, b""))
             }
-            _ => self.run_request(request, stream),
+            _ => {
+                self.running.fetch_add(1, Ordering::SeqCst);
+                let ended = self.run_request(request, stream);
+                self.running.fetch_sub(1, Ordering::SeqCst);
+                ended
+            }
         }
     }
 
+    /// The load that it tells in its answers.
+    fn load(&self) -> String {
+        let (running, slots) = (self.running.load(Ordering::SeqCst), self.slots());
+        format!("{running},0,{slots}")
+    }
+
     fn run_stage(&self, request: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
         let Work::Stage(call_ms, item_ms) = self.work else {
             return stream.write_all(&response(404, &[], b""));
@@ -155,14 +243,17 @@
             }
             Work::Stream(events, ms) => {
                 let head = format!(
-                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: {}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-                    seal.1
+                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: {}\r\nX-Engine-Load: {}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    seal.1,
+                    self.load()
                 );
                 stream.write_all(head.as_bytes())?;
-                for number in 1..=events {
+                let last = request.header("last-event-id").and_then(|id| id.parse().ok());
+                let version = self.version();
+                for number in last.unwrap_or(0) + 1..=events {
                     std::thread::sleep(Duration::from_millis(ms));
                     self.pause();
-                    let event = format!("id: {number}\ndata: {id} {number}\n\n");
+                    let event = format!("id: {number}\ndata: {number} by {} {version}\n\n", self.id);
                     stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
                 }
                 stream.write_all(b"0\r\n\r\n")
@@ -171,3 +262,8 @@
         }
     }
 }
+
+fn unix_ms() -> u128 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis()
+}
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -4,6 +4,7 @@
 
 mod case_bodies;
 mod case_owner;
+mod case_restart;
 mod engine;
 mod fleet;
 mod http;
@@ -31,6 +32,7 @@
     record.add(format!("case {case}, trouble: {has_trouble}"));
     let verdict = match case.as_str() {
         "bodies" => case_bodies::run(has_trouble, &record),
+        "restart" => case_restart::run(has_trouble, &record),
         "owner" => case_owner::run(has_trouble, &record),
         _ => Verdict::NotRun("unknown case"),
     };
