--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -3,6 +3,7 @@
 //! `stand-in CASE RECORD` exits with 1 if the case's rule was broken, 0 if it held, 2 if it couldn't run.
 
 mod case_bodies;
+mod case_drill;
 mod case_owner;
 mod case_restart;
 mod engine;
@@ -33,6 +34,7 @@
     let verdict = match case.as_str() {
         "bodies" => case_bodies::run(has_trouble, &record),
         "restart" => case_restart::run(has_trouble, &record),
+        "drill" => case_drill::run(has_trouble, &record),
         "owner" => case_owner::run(has_trouble, &record),
         _ => Verdict::NotRun("unknown case"),
     };
--- a/review/stand-in-2/store.rs
+++ b/review/stand-in-2/store.rs
@@ -1,4 +1,5 @@
-//! The platform's store: rows in tables, with conditional writes and a feed of changes.
+//! The platform's store: rows in tables, with conditional writes and a feed of changes. In a drill it is away for
+//! a moment and comes back from a copy.
 
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -11,8 +12,12 @@
 
 type RowName = (String, String, String);
 
-#[derive(Default)]
-struct Rows {
+#[derive(Default, Clone)]
+pub struct Rows {
+    /// Number of times that it came back from a copy.
+    era: u64,
+    /// Whether it answers nobody.
+    is_away: bool,
     ver: u64,
     rows: BTreeMap<RowName, (String, u64)>,
     /// All changes: version, name, value or `None` for a removal.
@@ -48,7 +53,27 @@
         self.changed.notify_all();
     }
 
+    /// A copy of all rows.
+    pub fn copy(&self) -> Rows {
+        self.rows.lock().expect("rows").clone()
+    }
+
+    /// Answers nobody from now on.
+    pub fn leave(&self) {
+        self.rows.lock().expect("rows").is_away = true;
+        self.changed.notify_all();
+    }
+
+    /// Is back, with the rows of a copy.
+    pub fn come_back(&self, copy: Rows) {
+        let mut rows = self.rows.lock().expect("rows");
+        let era = rows.era + 1;
+        *rows = Rows { era, is_away: false, ..copy };
+        self.changed.notify_all();
+    }
+
     fn handle(&self, request: &Message, stream: &mut TcpStream) -> bool {
+        let era = self.rows.lock().expect("rows").era;
         let path = request.target().split('?').next().unwrap_or_default();
         let (status, body) = match (request.method(), path) {
             ("GET", "/api/rows-get") => self.get(request),
@@ -57,7 +82,20 @@
             _ => (404, String::new()),
         };
         std::thread::sleep(Duration::from_millis(4));
-        let headers = [("Content-Type", "application/json".to_owned())];
+        let mut rows = self.rows.lock().expect("rows");
+        let was_away = rows.is_away;
+        while rows.is_away {
+            rows = self.changed.wait(rows).expect("rows");
+        }
+        if was_away || rows.era != era {
+            // The answer is lost, and the connection delivers nothing further.
+            return false;
+        }
+        drop(rows);
+        let headers = [
+            ("Content-Type", "application/json".to_owned()),
+            ("Store-Era", era.to_string()),
+        ];
         stream.write_all(&response(status, &headers, body.as_bytes())).is_ok()
     }
 
@@ -89,7 +127,12 @@
         let (table, after) = (field("table"), field("after").parse().unwrap_or(0));
         let until = Instant::now() + Duration::from_millis(field("wait_ms").parse().unwrap_or(0));
         let mut rows = self.rows.lock().expect("rows");
+        let era = rows.era;
         loop {
+            // A version that it doesn't have.
+            if after > rows.ver || rows.era != era {
+                return (410, String::new());
+            }
             let mut changes: BTreeMap<&RowName, (u64, &Option<String>)> = BTreeMap::new();
             for (ver, name, value) in &rows.log {
                 if *ver > after && name.0 == table {
@@ -97,7 +140,7 @@
                 }
             }
             let left = until.saturating_duration_since(Instant::now());
-            if !changes.is_empty() || left.is_zero() {
+            if !changes.is_empty() || left.is_zero() || rows.is_away {
                 let mut changes: Vec<_> = changes.into_iter().collect();
                 changes.sort_by_key(|(_, (ver, _))| *ver);
                 let encoded: Vec<String> = changes
