--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -6,6 +6,7 @@
 mod case_drill;
 mod case_owner;
 mod case_restart;
+mod case_takeup;
 mod engine;
 mod fleet;
 mod http;
@@ -35,6 +36,7 @@
         "bodies" => case_bodies::run(has_trouble, &record),
         "restart" => case_restart::run(has_trouble, &record),
         "drill" => case_drill::run(has_trouble, &record),
+        "takeup" => case_takeup::run(has_trouble, &record),
         "owner" => case_owner::run(has_trouble, &record),
         _ => Verdict::NotRun("unknown case"),
     };
