--- a/review/stand-in-2/case_bodies.rs
+++ b/review/stand-in-2/case_bodies.rs
@@ -78,7 +78,11 @@
                 if answer.status() == 200 {
                     self.answered.fetch_add(1, Ordering::SeqCst);
                 } else {
-                    self.record.add(format!("request {id} to {}: {}", instance.name, answer.status()));
+                    self.record.add(format!(
+                        "request {id} to {}: {}",
+                        instance.name,
+                        answer.status()
+                    ));
                 }
                 is_kept = true;
                 std::thread::sleep(Duration::from_millis(5));
@@ -106,17 +110,22 @@
         let end = match client.receive() {
             Some(answer) => {
                 let is_whole = answer.status() == 200;
-                self.whole_streams.fetch_add(usize::from(is_whole), Ordering::SeqCst);
+                self.whole_streams
+                    .fetch_add(usize::from(is_whole), Ordering::SeqCst);
                 answer.status().to_string()
             }
             None => "closed without a whole answer".to_owned(),
         };
         let (name, ms, bytes) = (&instance.name, sent_at.elapsed().as_millis(), body.len());
-        self.record.add(format!("stream {id} of {bytes} bytes to {name}: {end} after {ms} ms"));
+        self.record.add(format!(
+            "stream {id} of {bytes} bytes to {name}: {end} after {ms} ms"
+        ));
     }
 
     fn was_begun(&self, id: &str) -> bool {
-        self.engines.iter().any(|engine| engine.begun.lock().expect("begun").contains_key(id))
+        self.engines
+            .iter()
+            .any(|engine| engine.begun.lock().expect("begun").contains_key(id))
     }
 }
 
@@ -124,9 +133,21 @@
     let (store, store_address) = Store::start();
     let mut engines = Vec::new();
     for number in 1..=4 {
-        engines.push(Engine::start(&format!("i-shop-{number}"), "shop", "z-a", Work::Plain(200), record));
+        engines.push(Engine::start(
+            &format!("i-shop-{number}"),
+            "shop",
+            "z-a",
+            Work::Plain(200),
+            record,
+        ));
         // 82 events, each of three tokens at 20 ms.
-        engines.push(Engine::start(&format!("i-model-{number}"), "model", "z-a", Work::Stream(82, 60), record));
+        engines.push(Engine::start(
+            &format!("i-model-{number}"),
+            "model",
+            "z-a",
+            Work::Stream(82, 60),
+            record,
+        ));
     }
     store.write("op", "config", Some(CONFIG));
     for engine in &engines {
@@ -154,7 +175,10 @@
     }
     std::thread::sleep(Duration::from_secs(5));
     record.add("the burst begins".to_owned());
-    let body = Arc::new(vec![b'a'; if has_trouble { LARGE_BODY } else { USUAL_BODY }]);
+    let body = Arc::new(vec![
+        b'a';
+        if has_trouble { LARGE_BODY } else { USUAL_BODY }
+    ]);
     let mut streams = Vec::new();
     for _ in 0..STREAMS {
         let (world, body) = (world.clone(), body.clone());
@@ -179,12 +203,20 @@
 /// connection without an answer, more than three times. A process that ends by itself counts as running.
 fn judge(world: &World) -> Verdict {
     let (answered, streams) = (&world.answered, &world.whole_streams);
-    let (answered, streams) = (answered.load(Ordering::SeqCst), streams.load(Ordering::SeqCst));
-    world.record.add(format!("{answered} plain requests answered, {streams} of {STREAMS} streams whole"));
+    let (answered, streams) = (
+        answered.load(Ordering::SeqCst),
+        streams.load(Ordering::SeqCst),
+    );
+    world.record.add(format!(
+        "{answered} plain requests answered, {streams} of {STREAMS} streams whole"
+    ));
     let closed = world.closed.lock().expect("closed");
     let mut is_broken = false;
     for instance in &world.fleet.instances {
-        let closed = closed.get(&instance.name).map(Vec::as_slice).unwrap_or_default();
+        let closed = closed
+            .get(&instance.name)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
         let lost = closed.iter().filter(|id| world.was_begun(id)).count();
         let own_ends = instance.own_ends.lock().expect("ends").len();
         let peak = instance.peak_bytes.load(Ordering::SeqCst);
@@ -197,5 +229,9 @@
     if answered < 100 {
         return Verdict::NotRun("too few requests were answered");
     }
-    if is_broken { Verdict::Broken } else { Verdict::Held }
+    if is_broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand-in-2/case_drill.rs
+++ b/review/stand-in-2/case_drill.rs
@@ -54,17 +54,30 @@
             ("Host", "shop.example".to_owned()),
             ("X-Attempt-Id", id.clone()),
             ("X-Deadline-Ms", "1500".to_owned()),
-            ("Authorization", format!("Bearer {}", if is_revoked { REVOKED_KEY } else { KEPT_KEY })),
+            (
+                "Authorization",
+                format!("Bearer {}", if is_revoked { REVOKED_KEY } else { KEPT_KEY }),
+            ),
         ];
         if is_revoked {
-            self.sent.lock().expect("sent").insert(id.clone(), Instant::now());
+            self.sent
+                .lock()
+                .expect("sent")
+                .insert(id.clone(), Instant::now());
         }
         client.send("POST", "/order/1", &headers, b"one");
         let status = client.receive().map_or(0, |answer| answer.status());
-        *self.answers.lock().expect("answers").entry((is_revoked, status)).or_default() += 1;
+        *self
+            .answers
+            .lock()
+            .expect("answers")
+            .entry((is_revoked, status))
+            .or_default() += 1;
         if is_revoked {
             let name = &instance.name;
-            self.record.add(format!("request {id} with the revoked key to {name}: {status}"));
+            self.record.add(format!(
+                "request {id} with the revoked key to {name}: {status}"
+            ));
         }
     }
 
@@ -80,7 +93,13 @@
     let (store, store_address) = Store::start();
     let mut engines = Vec::new();
     for number in 1..=4 {
-        engines.push(Engine::start(&format!("i-shop-{number}"), "shop", "z-a", Work::Plain(20), record));
+        engines.push(Engine::start(
+            &format!("i-shop-{number}"),
+            "shop",
+            "z-a",
+            Work::Plain(20),
+            record,
+        ));
     }
     let newest = config(8, &[KEPT_KEY]);
     store.write("op", "config", Some(&config(7, &[KEPT_KEY, REVOKED_KEY])));
@@ -103,7 +122,9 @@
     for instance in &world.fleet.instances {
         for is_revoked in [false, true] {
             let (world, instance) = (world.clone(), instance.clone());
-            callers.push(std::thread::spawn(move || world.call_often(&instance, is_revoked)));
+            callers.push(std::thread::spawn(move || {
+                world.call_often(&instance, is_revoked)
+            }));
         }
     }
     std::thread::sleep(Duration::from_secs(5));
@@ -146,20 +167,41 @@
 /// CONFIG: where `fail_closed` is true, a request sent later than `revoke_ms` after the acknowledgement of a
 /// configuration that took its key away runs. This holds for all machines, in touch or not.
 fn judge(world: &World, revoked_at: Instant) -> Verdict {
-    let mut answers: Vec<_> = world.answers.lock().expect("answers").clone().into_iter().collect();
+    let mut answers: Vec<_> = world
+        .answers
+        .lock()
+        .expect("answers")
+        .clone()
+        .into_iter()
+        .collect();
     answers.sort_unstable();
     for ((is_revoked, status), count) in &answers {
         let key = if *is_revoked { "revoked" } else { "kept" };
-        world.record.add(format!("{count} requests with the {key} key: {status}"));
+        world
+            .record
+            .add(format!("{count} requests with the {key} key: {status}"));
     }
     let sent = world.sent.lock().expect("sent");
     let late = sent.iter().filter(|(_, at)| **at > revoked_at + REVOKE);
-    let ran = late.filter(|(id, _)| world.engines.iter().any(|e| e.begun.lock().expect("begun").contains_key(*id)));
+    let ran = late.filter(|(id, _)| {
+        world
+            .engines
+            .iter()
+            .any(|e| e.begun.lock().expect("begun").contains_key(*id))
+    });
     let ran = ran.count();
-    world.record.add(format!("{ran} requests ran that were sent later than {REVOKE:?} after the key was taken away"));
-    let is_served = answers.iter().any(|((is_revoked, status), count)| !is_revoked && *status == 200 && *count > 100);
+    world.record.add(format!(
+        "{ran} requests ran that were sent later than {REVOKE:?} after the key was taken away"
+    ));
+    let is_served = answers
+        .iter()
+        .any(|((is_revoked, status), count)| !is_revoked && *status == 200 && *count > 100);
     if !is_served {
         return Verdict::NotRun("too few requests were answered");
     }
-    if ran > 0 { Verdict::Broken } else { Verdict::Held }
+    if ran > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand-in-2/case_owner.rs
+++ b/review/stand-in-2/case_owner.rs
@@ -26,7 +26,7 @@
 {"name":"shop","health_path":"/healthz","max_connections":400,"protocol":"h1","tls":false},
 {"name":"model","health_path":"/healthz","max_connections":400,"protocol":"h1","tls":false,"engine":{"slots":64,"kv_capacity":327170,"kv_token_bytes":163840,"link_mbps":180000.0,"stride":3,"models":[{"name":"m"}]}},
 {"name":"encode","health_path":"/healthz","max_connections":400,"protocol":"h1","tls":false,"pieces":{"slots":1,"queue":2,"batch":8,"call_ms":200.0,"item_ms":5.0,"headroom_mb":400.0,"handle_s":4.0,"link_mbps":10000}},
-{"name":"rank","health_path":"/healthz","max_connections":400,"protocol":"h1","tls":false,"pieces":{"slots":1,"queue":2,"batch":8,"call_ms":200.0,"item_ms":5.0,"headroom_mb":400.0,"handle_s":4.0,"link_mbps":10000}}],
+{"name":"rank","health_path":"/healthz","max_connections":400,"protocol":"h1","tls":false,"pieces":{"slots":1,"queue":2,"batch":8,"call_ms":200.0,"item_ms":20.0,"headroom_mb":400.0,"handle_s":4.0,"link_mbps":10000}}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":"bozi300","api_keys":["9dnn2ctnfzs989anu6ws"],"priority":1}]}"#;
 
@@ -82,7 +82,11 @@
                 if answer.status() == 200 {
                     self.seen.lock().expect("seen").answered += 1;
                 } else {
-                    self.record.add(format!("request {id} to {}: {}", instance.name, answer.status()));
+                    self.record.add(format!(
+                        "request {id} to {}: {}",
+                        instance.name,
+                        answer.status()
+                    ));
                 }
                 is_kept = true;
                 std::thread::sleep(Duration::from_millis(5));
@@ -114,12 +118,14 @@
             None => "closed without a whole answer".to_owned(),
         };
         let (name, ms) = (&instance.name, sent_at.elapsed().as_millis());
-        self.record.add(format!("request {id} with stages to {name}: {end} after {ms} ms"));
+        self.record.add(format!(
+            "request {id} with stages to {name}: {end} after {ms} ms"
+        ));
     }
 
-    /// Sends `count` requests with stages to instances other than that of the first zone.
-    fn burst(self: &Arc<Self>, count: usize) {
-        for number in 0..count {
+    /// Sends `count` requests with stages to instances other than that of the first zone, in turn from `first` on.
+    fn burst(self: &Arc<Self>, first: usize, count: usize) {
+        for number in first..first + count {
             let world = self.clone();
             std::thread::spawn(move || {
                 let others = &world.fleet.instances[1..];
@@ -129,7 +135,9 @@
     }
 
     fn was_begun(&self, id: &str) -> bool {
-        self.engines.iter().any(|engine| engine.begun.lock().expect("begun").contains_key(id))
+        self.engines
+            .iter()
+            .any(|engine| engine.begun.lock().expect("begun").contains_key(id))
     }
 }
 
@@ -141,7 +149,7 @@
             ("shop", 1, Work::Plain(200)),
             ("model", 1, Work::Stream(3, 30)),
             ("encode", ENCODERS[index], Work::Stage(200, 5)),
-            ("rank", 2, Work::Stage(200, 5)),
+            ("rank", 2, Work::Stage(200, 20)),
         ] {
             for number in 1..=count {
                 let id = format!("i-{service}-{zone}-{number}");
@@ -171,9 +179,11 @@
             callers.push(std::thread::spawn(move || world.call_plainly(&instance)));
         }
     }
+    // All instances know of each other by then.
+    std::thread::sleep(Duration::from_secs(4));
     // Steady requests with stages, until all machines have long been in touch.
-    for _ in 0..80 {
-        world.burst(1);
+    for number in 0..80 {
+        world.burst(number, 1);
         std::thread::sleep(Duration::from_millis(100));
     }
     drill(has_trouble, &world, &store);
@@ -191,16 +201,21 @@
 
 fn drill(has_trouble: bool, world: &Arc<World>, store: &Store) {
     let in_first_zone = |service: &str| {
-        let engines = world.engines.iter().filter(|e| e.zone == ZONES[0] && e.service == service);
+        let engines = world
+            .engines
+            .iter()
+            .filter(|e| e.zone == ZONES[0] && e.service == service);
         engines.cloned().collect::<Vec<Arc<Engine>>>()
     };
     world.record.add("the drill begins".to_owned());
-    world.burst(24);
+    world.burst(0, 24);
     // The first stage of these requests has ended by then, and the second one runs.
     std::thread::sleep(Duration::from_millis(330));
     for engine in in_first_zone("rank") {
         engine.fall_silent(Instant::now() + Duration::from_millis(800));
-        world.record.add(format!("{} falls silent for 800 ms", engine.id));
+        world
+            .record
+            .add(format!("{} falls silent for 800 ms", engine.id));
     }
     std::thread::sleep(Duration::from_millis(150));
     if !has_trouble {
@@ -208,9 +223,11 @@
     }
     for engine in in_first_zone("encode") {
         store.write("servers", &engine.id, Some(&engine.entry("draining")));
-        world.record.add(format!("{} says that it drains", engine.id));
+        world
+            .record
+            .add(format!("{} says that it drains", engine.id));
     }
-    std::thread::sleep(Duration::from_millis(180));
+    std::thread::sleep(Duration::from_millis(160));
     let owner = &world.fleet.instances[0];
     owner.is_disturbed.store(true, Ordering::SeqCst);
     world.fleet.signal(owner, "KILL");
@@ -220,14 +237,23 @@
 /// connection without an answer, more than three times. A process that ends by itself counts as running.
 fn judge(world: &World) -> Verdict {
     let seen = world.seen.lock().expect("seen");
-    world.record.add(format!("{} plain requests answered", seen.answered));
+    world
+        .record
+        .add(format!("{} plain requests answered", seen.answered));
     let mut is_broken = false;
     for instance in &world.fleet.instances {
         if instance.is_disturbed.load(Ordering::SeqCst) {
-            world.record.add(format!("{} was killed by the script and does not count", instance.name));
+            world.record.add(format!(
+                "{} was killed by the script and does not count",
+                instance.name
+            ));
             continue;
         }
-        let closed = seen.closed.get(&instance.name).map(Vec::as_slice).unwrap_or_default();
+        let closed = seen
+            .closed
+            .get(&instance.name)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
         let lost = closed.iter().filter(|id| world.was_begun(id)).count();
         let own_ends = instance.own_ends.lock().expect("ends").len();
         world.record.add(format!(
@@ -239,5 +265,9 @@
     if seen.answered < 200 {
         return Verdict::NotRun("too few requests were answered");
     }
-    if is_broken { Verdict::Broken } else { Verdict::Held }
+    if is_broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand-in-2/case_restart.rs
+++ b/review/stand-in-2/case_restart.rs
@@ -48,7 +48,8 @@
         let number = self.next_id.fetch_add(1, Ordering::SeqCst);
         let id = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let Some((status, events, is_whole)) = self.read_stream(instance, &id, number) else {
-            self.record.add(format!("stream {id} at {}: no answer", instance.name));
+            self.record
+                .add(format!("stream {id} at {}: no answer", instance.name));
             return;
         };
         // An event tells by its data which engine made it, at which version.
@@ -59,18 +60,28 @@
         seen.whole += usize::from(is_whole);
         if makers.len() > 1 || !is_whole {
             let (name, count) = (&instance.name, events.len());
-            self.record.add(format!("stream {id} at {name}: {status}, {count} events, whole: {is_whole}, by {makers:?}"));
+            self.record.add(format!(
+                "stream {id} at {name}: {status}, {count} events, whole: {is_whole}, by {makers:?}"
+            ));
         }
         if versions.len() > 1 {
-            self.record.add(format!("stream {id}: EVENTS FROM TWO VERSIONS"));
+            self.record
+                .add(format!("stream {id}: EVENTS FROM TWO VERSIONS"));
             seen.mixed.push(id);
         }
     }
 
     /// Status, data of the events, and whether the answer is complete.
-    fn read_stream(&self, instance: &Instance, id: &str, number: u64) -> Option<(u16, Vec<String>, bool)> {
+    fn read_stream(
+        &self,
+        instance: &Instance,
+        id: &str,
+        number: u64,
+    ) -> Option<(u16, Vec<String>, bool)> {
         let mut stream = TcpStream::connect(instance.front).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(16))).ok()?;
+        stream
+            .set_read_timeout(Some(Duration::from_secs(16)))
+            .ok()?;
         let request = format!(
             "POST /chat/1 HTTP/1.1\r\nHost: chat.example\r\nX-Attempt-Id: {id}\r\nX-Model: m\r\nX-Token-Usage: 9190,246\r\nX-Prompt-Prefix: 5c1e07a2:2520,{:08x}:3780,{}:2890\r\nX-Deadline-Ms: 15000\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 3\r\n\r\nask",
             number % 24 + 0x91bd_3f06,
@@ -88,7 +99,10 @@
         let (mut text, mut is_whole) = (Vec::new(), false);
         loop {
             line.clear();
-            let size = rd.read_line(&mut line).ok().and_then(|_| usize::from_str_radix(line.trim(), 16).ok());
+            let size = rd
+                .read_line(&mut line)
+                .ok()
+                .and_then(|_| usize::from_str_radix(line.trim(), 16).ok());
             let Some(size) = size else { break };
             let mut chunk = vec![0; size + 2];
             if rd.read_exact(&mut chunk).is_err() {
@@ -112,8 +126,20 @@
     for zone in ["z-a", "z-b", "z-c"] {
         for number in 1..=2 {
             let work = Work::Stream(EVENTS, EVENT_MS);
-            engines.push(Engine::start(&format!("i-model-{zone}-{number}"), "model", zone, work, record));
-            engines.push(Engine::start(&format!("i-shop-{zone}-{number}"), "shop", zone, Work::Plain(20), record));
+            engines.push(Engine::start(
+                &format!("i-model-{zone}-{number}"),
+                "model",
+                zone,
+                work,
+                record,
+            ));
+            engines.push(Engine::start(
+                &format!("i-shop-{zone}-{number}"),
+                "shop",
+                zone,
+                Work::Plain(20),
+                record,
+            ));
         }
     }
     store.write("op", "config", Some(CONFIG));
@@ -168,7 +194,11 @@
     model.begin_run("v2");
     // It takes requests only when the store has acknowledged its new entry.
     store.write("servers", &model.id, Some(&model.entry("ready")));
-    record.add(format!("{} has written its entry, version v2, {} ms later", model.id, begun_at.elapsed().as_millis()));
+    record.add(format!(
+        "{} has written its entry, version v2, {} ms later",
+        model.id,
+        begun_at.elapsed().as_millis()
+    ));
     model.listen();
     std::thread::sleep(Duration::from_millis(1900));
     model.crash();
@@ -183,9 +213,15 @@
 fn judge(world: &World) -> Verdict {
     let seen = world.seen.lock().expect("seen");
     let (whole, mixed) = (seen.whole, seen.mixed.len());
-    world.record.add(format!("{whole} streams whole, {mixed} with events from two versions"));
+    world.record.add(format!(
+        "{whole} streams whole, {mixed} with events from two versions"
+    ));
     if whole < 100 {
         return Verdict::NotRun("too few streams");
     }
-    if mixed > 2 { Verdict::Broken } else { Verdict::Held }
+    if mixed > 2 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand-in-2/case_takeup.rs
+++ b/review/stand-in-2/case_takeup.rs
@@ -60,11 +60,18 @@
         format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15))
     }
 
-    fn ask(&self, instance: &Instance, id: &str, resumed: Option<(&str, u64)>, left: Duration) -> Option<Answer> {
+    fn ask(
+        &self,
+        instance: &Instance,
+        id: &str,
+        resumed: Option<(&str, u64)>,
+        left: Duration,
+    ) -> Option<Answer> {
         let mut stream = TcpStream::connect(instance.front).ok()?;
         // A client leaves a stream after a gap of four times the objective.
         stream.set_read_timeout(Some(Duration::from_secs(4))).ok()?;
-        let resumed = resumed.map(|(first, last)| format!("Resumes: {first}\r\nLast-Event-Id: {last}\r\n"));
+        let resumed =
+            resumed.map(|(first, last)| format!("Resumes: {first}\r\nLast-Event-Id: {last}\r\n"));
         let request = format!(
             "POST /chat/1 HTTP/1.1\r\nHost: chat.example\r\nX-Attempt-Id: {id}\r\nX-Model: m\r\nX-Token-Usage: 715,270\r\nX-Prompt-Prefix: 5c1e07a2:172,{}:543\r\nX-Deadline-Ms: {}\r\nAuthorization: Bearer {KEY}\r\n{}Content-Length: 3\r\n\r\nask",
             &id[..8],
@@ -80,10 +87,17 @@
             line.clear();
             rd.read_line(&mut line).ok()?;
         }
-        let mut answer = Answer { status, last_event: 0, is_whole: false };
+        let mut answer = Answer {
+            status,
+            last_event: 0,
+            is_whole: false,
+        };
         while status == 200 {
             line.clear();
-            let size = rd.read_line(&mut line).ok().and_then(|_| usize::from_str_radix(line.trim(), 16).ok());
+            let size = rd
+                .read_line(&mut line)
+                .ok()
+                .and_then(|_| usize::from_str_radix(line.trim(), 16).ok());
             let Some(size) = size else { break };
             let mut chunk = vec![0; size + 2];
             if rd.read_exact(&mut chunk).is_err() {
@@ -94,7 +108,9 @@
                 break;
             }
             let text = String::from_utf8_lossy(&chunk).into_owned();
-            let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
+            let ids = text
+                .lines()
+                .filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
             answer.last_event = ids.last().unwrap_or(answer.last_event);
         }
         Some(answer)
@@ -105,19 +121,31 @@
         let (first, second) = (&self.fleet.instances[0], &self.fleet.instances[1]);
         let until = Instant::now() + DEADLINE;
         let id = self.new_id();
-        let Some(answer) = self.ask(first, &id, None, DEADLINE) else { return };
+        let Some(answer) = self.ask(first, &id, None, DEADLINE) else {
+            return;
+        };
         if answer.is_whole || answer.last_event == 0 {
-            self.record.add(format!("stream {id}: {}, not cut", answer.status));
+            self.record
+                .add(format!("stream {id}: {}, not cut", answer.status));
             return;
         }
         let again = self.new_id();
         let left = until.saturating_duration_since(Instant::now());
         let last = answer.last_event;
-        self.record.add(format!("stream {id} was cut after event {last}; {again} takes it up"));
+        self.record.add(format!(
+            "stream {id} was cut after event {last}; {again} takes it up"
+        ));
         let answer = self.ask(second, &again, Some((&id, last)), left);
-        let answer = answer.unwrap_or(Answer { status: 0, last_event: 0, is_whole: false });
+        let answer = answer.unwrap_or(Answer {
+            status: 0,
+            last_event: 0,
+            is_whole: false,
+        });
         let (status, is_whole) = (answer.status, answer.is_whole);
-        self.record.add(format!("stream {again}: {status}, last event {}, whole: {is_whole}", answer.last_event));
+        self.record.add(format!(
+            "stream {again}: {status}, last event {}, whole: {is_whole}",
+            answer.last_event
+        ));
         let mut seen = self.seen.lock().expect("seen");
         seen.taken_up += 1;
         seen.went_on += usize::from(answer.last_event > last);
@@ -141,7 +169,13 @@
     let mut engines = Vec::new();
     for number in 1..=4 {
         let work = Work::Stream(EVENTS, EVENT_MS);
-        engines.push(Engine::start(&format!("i-model-{number}"), "model", "z-a", work, record));
+        engines.push(Engine::start(
+            &format!("i-model-{number}"),
+            "model",
+            "z-a",
+            work,
+            record,
+        ));
     }
     store.write("op", "config", Some(CONFIG));
     for engine in &engines {
@@ -190,7 +224,10 @@
     std::thread::sleep(Duration::from_millis(3300));
     // All is in touch from here on; the machine has power again, and its process starts anew.
     let stable_ms = back_at.elapsed().saturating_sub(STABLE).as_millis();
-    record.add(format!("{} has power again, {stable_ms} ms after the store became stable", dark.name));
+    record.add(format!(
+        "{} has power again, {stable_ms} ms after the store became stable",
+        dark.name
+    ));
     world.fleet.signal(&dark, "KILL");
     for _ in 0..STREAMS {
         let world = world.clone();
@@ -211,11 +248,21 @@
 /// software version serve, the share that goes on is under half of the share of new streams that begin.
 fn judge(world: &World) -> Verdict {
     let seen = world.seen.lock().expect("seen");
-    let Seen { taken_up, went_on, whole, new, begun } = *seen;
+    let Seen {
+        taken_up,
+        went_on,
+        whole,
+        new,
+        begun,
+    } = *seen;
     world.record.add(format!("{went_on} of {taken_up} streams that were taken up went on, {whole} were whole; {begun} of {new} new ones began"));
     if taken_up < 12 || new < 12 {
         return Verdict::NotRun("too few streams were taken up");
     }
     let (share, share_of_new) = (went_on as f64 / taken_up as f64, begun as f64 / new as f64);
-    if share < share_of_new / 2.0 { Verdict::Broken } else { Verdict::Held }
+    if share < share_of_new / 2.0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/stand-in-2/engine.rs
+++ b/review/stand-in-2/engine.rs
@@ -1,10 +1,10 @@
 //! Engines: plain servers, model engines and servers of stages.
 
 use std::collections::{HashMap, HashSet};
-use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::io::BufReader;
+use std::io::Write;
 use std::net::Shutdown;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -48,7 +48,13 @@
 }
 
 impl Engine {
-    pub fn start(id: &str, service: &str, zone: &str, work: Work, record: &Arc<Record>) -> Arc<Self> {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        work: Work,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
         listener.set_nonblocking(true).expect("set");
         let engine = Arc::new(Self {
@@ -77,12 +83,19 @@
 
     fn accept(self: Arc<Self>) {
         loop {
-            let accepted = self.listener.lock().expect("listener").as_ref().map(TcpListener::accept);
+            let accepted = self
+                .listener
+                .lock()
+                .expect("listener")
+                .as_ref()
+                .map(TcpListener::accept);
             let Some(Ok((stream, _))) = accepted else {
                 std::thread::sleep(Duration::from_millis(1));
                 continue;
             };
-            let Ok(kept) = stream.try_clone() else { continue };
+            let Ok(kept) = stream.try_clone() else {
+                continue;
+            };
             self.connections.lock().expect("connections").push(kept);
             let engine = self.clone();
             std::thread::spawn(move || engine.serve(stream));
@@ -90,8 +103,12 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
-        let is_set = stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true));
-        let Ok(read_half) = is_set.and_then(|()| stream.try_clone()) else { return };
+        let is_set = stream
+            .set_nonblocking(false)
+            .and_then(|()| stream.set_nodelay(true));
+        let Ok(read_half) = is_set.and_then(|()| stream.try_clone()) else {
+            return;
+        };
         let mut rd = BufReader::new(read_half);
         while let Some(request) = read_message(&mut rd) {
             if self.handle(&request, &mut stream).is_err() {
@@ -121,7 +138,8 @@
         listener.set_nonblocking(true).expect("set");
         *self.listener.lock().expect("listener") = Some(listener);
         let version = self.version();
-        self.record.add(format!("{} takes requests, version {version}", self.id));
+        self.record
+            .add(format!("{} takes requests, version {version}", self.id));
     }
 
     fn version(&self) -> String {
@@ -130,7 +148,12 @@
 
     /// Its entry in the store.
     pub fn entry(&self, state: &str) -> String {
-        let Self { service, address, zone, .. } = self;
+        let Self {
+            service,
+            address,
+            zone,
+            ..
+        } = self;
         let slots = self.slots();
         let (version, born) = self.run.lock().expect("run").clone();
         format!(
@@ -160,7 +183,10 @@
     fn handle(&self, request: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
         let expected = request.header("x-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
-            let headers = [("X-Engine-Id", self.id.clone()), ("X-Not-Executed", "1".into())];
+            let headers = [
+                ("X-Engine-Id", self.id.clone()),
+                ("X-Not-Executed", "1".into()),
+            ];
             return stream.write_all(&response(421, &headers, b""));
         }
         match request.target() {
@@ -209,7 +235,9 @@
         let body = parse(&request.body).unwrap_or(Json::Null);
         let items = body.list("items");
         let slot = self.slot.lock().expect("slot");
-        std::thread::sleep(Duration::from_millis(call_ms + item_ms * items.len() as u64));
+        std::thread::sleep(Duration::from_millis(
+            call_ms + item_ms * items.len() as u64,
+        ));
         let mut results = Vec::new();
         for item in items {
             let (id, stage, piece) = (item.text("id"), item.number("stage"), item.number("piece"));
@@ -218,7 +246,10 @@
             self.handles.lock().expect("handles").insert(handle.clone());
             results.push(format!(r#"{{"handle":"{handle}"}}"#));
             let (stage, piece) = (stage.unwrap_or(0), piece.unwrap_or(0));
-            self.record.add(format!("piece {id} stage {stage} piece {piece} computed by {}", self.id));
+            self.record.add(format!(
+                "piece {id} stage {stage} piece {piece} computed by {}",
+                self.id
+            ));
         }
         drop(slot);
         self.calls.fetch_sub(1, Ordering::SeqCst);
@@ -229,10 +260,19 @@
     }
 
     fn run_request(&self, request: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
-        let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
+        let id = request
+            .header("x-attempt-id")
+            .unwrap_or_default()
+            .to_owned();
         let echo = ("X-Attempt-Id", id.clone());
-        *self.begun.lock().expect("begun").entry(id.clone()).or_default() += 1;
-        self.record.add(format!("request {id} begun by {}", self.id));
+        *self
+            .begun
+            .lock()
+            .expect("begun")
+            .entry(id.clone())
+            .or_default() += 1;
+        self.record
+            .add(format!("request {id} begun by {}", self.id));
         let seal = ("X-Response-Seal", format!("3e1b.{id}"));
         match self.work {
             Work::Plain(ms) => {
@@ -248,12 +288,15 @@
                     self.load()
                 );
                 stream.write_all(head.as_bytes())?;
-                let last = request.header("last-event-id").and_then(|id| id.parse().ok());
+                let last = request
+                    .header("last-event-id")
+                    .and_then(|id| id.parse().ok());
                 let version = self.version();
                 for number in last.unwrap_or(0) + 1..=events {
                     std::thread::sleep(Duration::from_millis(ms));
                     self.pause();
-                    let event = format!("id: {number}\ndata: {number} by {} {version}\n\n", self.id);
+                    let event =
+                        format!("id: {number}\ndata: {number} by {} {version}\n\n", self.id);
                     stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
                 }
                 stream.write_all(b"0\r\n\r\n")
--- a/review/stand-in-2/fleet.rs
+++ b/review/stand-in-2/fleet.rs
@@ -61,7 +61,8 @@
 fn memory_in_use(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok());
+    let kilobytes =
+        line.and_then(|line| line.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok());
     kilobytes.unwrap_or(0) * 1024
 }
 
@@ -114,8 +115,19 @@
     }
 
     fn settings(&self, instance: &Instance, is_first_start: bool) -> String {
-        let zones: String = self.zones.iter().map(|zone| format!("{zone} = \"north\"\n")).collect();
-        let Instance { name, zone, front, ready, internal_port, .. } = instance;
+        let zones: String = self
+            .zones
+            .iter()
+            .map(|zone| format!("{zone} = \"north\"\n"))
+            .collect();
+        let Instance {
+            name,
+            zone,
+            front,
+            ready,
+            internal_port,
+            ..
+        } = instance;
         let last_port = internal_port + 1;
         let store = self.store;
         format!(
@@ -197,7 +209,8 @@
             .stderr(log)
             .spawn()
             .ok()?;
-        self.record.add(format!("{} started, process {}", instance.name, child.id()));
+        self.record
+            .add(format!("{} started, process {}", instance.name, child.id()));
         *instance.child.lock().expect("child") = Some(child);
         Some(())
     }
@@ -213,18 +226,27 @@
                     instance.peak_bytes.fetch_max(used, Ordering::SeqCst);
                     if used > MEMORY_MB * 1_000_000 {
                         let name = &instance.name;
-                        self.record.add(format!("{name} uses {used} bytes, more than memory_mb: the platform kills it"));
+                        self.record.add(format!(
+                            "{name} uses {used} bytes, more than memory_mb: the platform kills it"
+                        ));
                         let _killed = process.kill();
                         std::thread::sleep(Duration::from_millis(20));
                     }
                 }
-                let ended = child.as_mut().and_then(|child| child.try_wait().ok().flatten());
+                let ended = child
+                    .as_mut()
+                    .and_then(|child| child.try_wait().ok().flatten());
                 let Some(status) = ended else { continue };
                 *child = None;
                 drop(child);
                 if !instance.is_disturbed.load(Ordering::SeqCst) {
-                    self.record.add(format!("{} ENDED BY ITSELF: {status}", instance.name));
-                    instance.own_ends.lock().expect("ends").push(self.record.now_ms());
+                    self.record
+                        .add(format!("{} ENDED BY ITSELF: {status}", instance.name));
+                    instance
+                        .own_ends
+                        .lock()
+                        .expect("ends")
+                        .push(self.record.now_ms());
                 }
                 due.push((Instant::now() + RESTART_DELAY, instance.clone()));
             }
@@ -240,9 +262,12 @@
     pub fn signal(&self, instance: &Instance, signal: &str) {
         let child = instance.child.lock().expect("child");
         let Some(child) = child.as_ref() else { return };
-        self.record.add(format!("{} gets SIG{signal}", instance.name));
+        self.record
+            .add(format!("{} gets SIG{signal}", instance.name));
         let id = child.id().to_string();
-        let _sent = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+        let _sent = Command::new("kill")
+            .args([&format!("-{signal}"), &id])
+            .status();
     }
 
     /// Lines of the instances' logs that contain a text.
@@ -280,7 +305,9 @@
         let client = Client::connect(self.ready, Duration::from_millis(500));
         client.is_some_and(|mut client| {
             client.send("GET", "/api/ready", &[("Host", "ready".into())], b"")
-                && client.receive().is_some_and(|answer| answer.status() == 200)
+                && client
+                    .receive()
+                    .is_some_and(|answer| answer.status() == 200)
         })
     }
 }
--- a/review/stand-in-2/http.rs
+++ b/review/stand-in-2/http.rs
@@ -16,7 +16,9 @@
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut fields = self.headers.iter();
-        fields.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+        fields
+            .find(|(n, _)| n.eq_ignore_ascii_case(name))
+            .map(|(_, v)| v.as_str())
     }
 
     pub fn method(&self) -> &str {
@@ -35,7 +37,9 @@
     pub fn query(&self, name: &str) -> Option<String> {
         let (_, query) = self.target().split_once('?')?;
         let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-        fields.find(|(n, _)| *n == name).map(|(_, value)| decode(value))
+        fields
+            .find(|(n, _)| *n == name)
+            .map(|(_, value)| decode(value))
     }
 }
 
@@ -43,7 +47,9 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let hex = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let hex = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         if let Some(byte) = hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             out.push(byte);
             at += 3;
@@ -57,14 +63,19 @@
 
 /// Reads a message; `None` if the connection ends before it does.
 pub fn read_message(rd: &mut impl BufRead) -> Option<Message> {
-    let mut message = Message { first_line: read_line(rd)?, ..Message::default() };
+    let mut message = Message {
+        first_line: read_line(rd)?,
+        ..Message::default()
+    };
     loop {
         let line = read_line(rd)?;
         if line.is_empty() {
             break;
         }
         let (name, value) = line.split_once(':')?;
-        message.headers.push((name.to_owned(), value.trim().to_owned()));
+        message
+            .headers
+            .push((name.to_owned(), value.trim().to_owned()));
     }
     if message.header("transfer-encoding").is_some() {
         loop {
@@ -78,7 +89,9 @@
             }
         }
     }
-    let length = message.header("content-length").and_then(|text| text.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|text| text.parse().ok());
     message.body = vec![0; length.unwrap_or(0)];
     rd.read_exact(&mut message.body).ok()?;
     Some(message)
@@ -114,7 +127,9 @@
             let _set = stream.set_nodelay(true);
             let handle = handle.clone();
             std::thread::spawn(move || {
-                let Ok(read_half) = stream.try_clone() else { return };
+                let Ok(read_half) = stream.try_clone() else {
+                    return;
+                };
                 let mut rd = BufReader::new(read_half);
                 while let Some(request) = read_message(&mut rd) {
                     if !handle(&request, &mut stream) {
@@ -142,7 +157,13 @@
     }
 
     /// Sends a request; returns whether that succeeded.
-    pub fn send(&mut self, method: &str, target: &str, headers: &[(&str, String)], body: &[u8]) -> bool {
+    pub fn send(
+        &mut self,
+        method: &str,
+        target: &str,
+        headers: &[(&str, String)],
+        body: &[u8],
+    ) -> bool {
         let mut out = format!("{method} {target} HTTP/1.1\r\n");
         for (name, value) in headers {
             out.push_str(&format!("{name}: {value}\r\n"));
--- a/review/stand-in-2/json.rs
+++ b/review/stand-in-2/json.rs
@@ -96,7 +96,11 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -130,7 +134,8 @@
                         b'u' => {
                             let hex = self.bytes.get(self.at..self.at + 4)?;
                             self.at += 4;
-                            let code = u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
                             let mut buf = [0; 4];
                             let text = char::from_u32(code)?.encode_utf8(&mut buf);
                             out.extend_from_slice(text.as_bytes());
--- a/review/stand-in-2/record.rs
+++ b/review/stand-in-2/record.rs
@@ -10,7 +10,10 @@
 
 impl Record {
     pub fn new() -> Arc<Self> {
-        Arc::new(Self { started_at: Instant::now(), lines: Mutex::default() })
+        Arc::new(Self {
+            started_at: Instant::now(),
+            lines: Mutex::default(),
+        })
     }
 
     pub fn add(&self, line: String) {
@@ -24,7 +27,9 @@
 
     pub fn write(&self, path: &str) {
         let lines = self.lines.lock().expect("lines");
-        let lines = lines.iter().map(|(at, line)| format!("{:>7} {line}\n", at.as_millis()));
+        let lines = lines
+            .iter()
+            .map(|(at, line)| format!("{:>7} {line}\n", at.as_millis()));
         if let Err(error) = std::fs::write(path, lines.collect::<String>()) {
             eprintln!("can't write the record: {error}");
         }
--- a/review/stand-in-2/store.rs
+++ b/review/stand-in-2/store.rs
@@ -40,7 +40,9 @@
             started_at: Instant::now(),
         });
         let served = store.clone();
-        serve(listener, move |request, stream| served.handle(request, stream));
+        serve(listener, move |request, stream| {
+            served.handle(request, stream)
+        });
         (store, address)
     }
 
@@ -68,7 +70,11 @@
     pub fn come_back(&self, copy: Rows) {
         let mut rows = self.rows.lock().expect("rows");
         let era = rows.era + 1;
-        *rows = Rows { era, is_away: false, ..copy };
+        *rows = Rows {
+            era,
+            is_away: false,
+            ..copy
+        };
         self.changed.notify_all();
     }
 
@@ -96,7 +102,9 @@
             ("Content-Type", "application/json".to_owned()),
             ("Store-Era", era.to_string()),
         ];
-        stream.write_all(&response(status, &headers, body.as_bytes())).is_ok()
+        stream
+            .write_all(&response(status, &headers, body.as_bytes()))
+            .is_ok()
     }
 
     fn now_ms(&self) -> u128 {
@@ -159,7 +167,10 @@
         };
         let name = |row: &Json| (row.text("table"), row.text("part"), row.text("key"));
         let changed = call.list("set_keys").iter().chain(call.list("remove"));
-        if changed.clone().any(|row| ["op", "servers"].contains(&row.text("table").as_str())) {
+        if changed
+            .clone()
+            .any(|row| ["op", "servers"].contains(&row.text("table").as_str()))
+        {
             return (403, String::new());
         }
         let mut rows = self.rows.lock().expect("rows");
@@ -170,7 +181,9 @@
         if !holds {
             let known = call.list("expect").iter().filter_map(|row| {
                 let name = name(row);
-                rows.rows.get(&name).map(|(value, ver)| encode(&name, Some(value), *ver))
+                rows.rows
+                    .get(&name)
+                    .map(|(value, ver)| encode(&name, Some(value), *ver))
             });
             let known: Vec<String> = known.collect();
             return (412, self.page(&known, false, rows.ver));
