fix(batching): a retry time is worked out for pools without throughput

Cause: RetryTimes::promise divided the backlog of each pool by its spare throughput, also for stages that an earlier owner had finished. Where the pool of such a stage has no server that takes work and the owner has seen no demand for it, this is 0/0, and Duration::from_secs_f64 panics.

Change: only pieces that are left count for retry times, for the demand and for a customer's excess. Durations from measured figures are worked out by `core::duration`, which is total: no rate gives no time, and nothing exceeds a year. It replaces from_secs_f64 in core, and mul_f64 where the factor is measured.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -36,7 +36,7 @@
 use customers::Customers;
 use demand::Demand;
 use fairness::Fairness;
-use forecast::{PoolLoad, expected_times, forecast, rank_index};
+use forecast::{MIN_RATE, PoolLoad, expected_times, forecast, rank_index};
 pub use job::{Job, JobStage, StageResults, StoredResult};
 use job::{JobState, PieceResult, Precedence, Progress};
 pub use messages::{
@@ -54,6 +54,7 @@
 use slab::Slab;
 
 use super::config::Name;
+use crate::duration::multiplied;
 
 /// Sort key in a pool's queue, smallest first: precedence, urgency and sequence number of the job,
 /// stage, piece.
@@ -213,20 +214,22 @@
         let reduction = self.fairness.reduction(job.rank);
         let excess = self.excess_reduction(&job, &loads, now);
         let fair_share = self.config.soft_deadline_share - reduction.max(excess);
-        let without_excess =
-            (job.time_to_soft_deadline).mul_f64(self.config.soft_deadline_share - reduction);
+        let without_excess = multiplied(
+            job.time_to_soft_deadline,
+            self.config.soft_deadline_share - reduction,
+        );
         let deficit = self.fairness.deficit(job.rank);
         let late_wait_share = self.config.late_wait_share * (1.0 - reduction)
             + self.config.more_late_wait_share * deficit;
         let share = if job.is_accepted() { 1.0 } else { fair_share };
         let late =
-            !job.continues && forecast.before_late > job.time_to_soft_deadline.mul_f64(share);
+            !job.continues && forecast.before_late > multiplied(job.time_to_soft_deadline, share);
         if !job.is_accepted() && first_soft_deadline.is_none() {
             self.fairness.record(job.rank, !late, now);
         }
         let wait = forecast.behind_all.saturating_sub(forecast.unloaded);
-        let infeasible = wait > job.time_left().mul_f64(late_wait_share)
-            || forecast.behind_all > job.time_left().mul_f64(self.config.late_finish_share);
+        let infeasible = wait > multiplied(job.time_left(), late_wait_share)
+            || forecast.behind_all > multiplied(job.time_left(), self.config.late_finish_share);
         let refuse_late = !job.is_accepted() && (infeasible || !job.late_allowed);
         let too_close = forecast.unloaded > job.time_left();
         let refused = if job.continues {
@@ -272,9 +275,10 @@
         }
         let mut cost = 0.0;
         let mut is_overloaded = false;
-        for stage in job.stages.iter().filter(|stage| stage.pieces > 0) {
-            if let Some(load) = loads.get(&stage.pool) {
-                cost += f64::from(stage.pieces) / load.rate.max(0.001);
+        for (index, stage) in job.stages.iter().enumerate() {
+            let pieces = job.pieces_left(index);
+            if let Some(load) = loads.get(&stage.pool).filter(|_| pieces > 0) {
+                cost += f64::from(pieces) / load.rate.max(MIN_RATE);
                 is_overloaded |= load.is_overloaded();
             }
         }
@@ -285,9 +289,10 @@
     /// Records the work that a new job brings to its pools.
     fn record_demand(&mut self, job: &Job, now: Instant) {
         for (index, stage) in job.stages.iter().enumerate() {
-            if stage.pieces > 0 {
+            let pieces = job.pieces_left(index);
+            if pieces > 0 {
                 let class = self.piece_times.class(&job.route, index);
-                let work = f64::from(stage.pieces) * self.piece_times.load(class);
+                let work = f64::from(pieces) * self.piece_times.load(class);
                 self.demand.record(&stage.pool, job.rank, work, now);
             }
         }
--- a/crates/sardineshore-core/src/flow/batching/calls.rs
+++ b/crates/sardineshore-core/src/flow/batching/calls.rs
@@ -13,6 +13,7 @@
     Action, BatchScheduler, CALL_TIMEOUT_FACTOR, CallOutcome, MIN_CALL_TIMEOUT, PieceError,
     REJECTED_BACKOFF, RunningCall, SentPiece, call_piece, find_server, queue_key,
 };
+use crate::duration::multiplied;
 use crate::flow::config::Name;
 
 /// Piece times are not learned from calls of servers that are this much slower or faster than the
@@ -336,7 +337,7 @@
         self.recent_calls.record(pool, work);
         let expected = server.expected_call_time(work);
         let slow_after =
-            expected.mul_f64(self.config.slow_call_factor) + self.config.slow_call_slack;
+            multiplied(expected, self.config.slow_call_factor) + self.config.slow_call_slack;
         server.record_request(now);
         server.running_calls += 1;
         server.reserved_bytes += reserved_bytes;
--- a/crates/sardineshore-core/src/flow/batching/capacity.rs
+++ b/crates/sardineshore-core/src/flow/batching/capacity.rs
@@ -11,6 +11,7 @@
 use super::job::{JobState, Progress};
 use super::server::ServerState;
 use super::{BatchScheduler, queue_key};
+use crate::duration::multiplied;
 use crate::flow::config::Name;
 
 /// A change of a pool's throughput by more than this share has all jobs forecast again. Averages of
@@ -92,7 +93,7 @@
             } else {
                 1.0
             };
-            let in_time = forecast.before_late <= left.mul_f64(share) || state.has_started();
+            let in_time = forecast.before_late <= multiplied(left, share) || state.has_started();
             if in_time {
                 for stage in &remaining.stages {
                     if let Some(load) = loads.get_mut(&stage.pool) {
--- a/crates/sardineshore-core/src/flow/batching/config.rs
+++ b/crates/sardineshore-core/src/flow/batching/config.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::job::JobState;
+use crate::duration::multiplied;
 
 /// Settings for refusing jobs, for waiting, and for repeating calls.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -79,9 +80,7 @@
         let slack = state
             .latest_start(stage)
             .saturating_duration_since(since + self.domain_wait_reserve);
-        let wait = slack
-            .mul_f64(self.domain_wait_share)
-            .min(self.max_domain_wait);
+        let wait = multiplied(slack, self.domain_wait_share).min(self.max_domain_wait);
         now < since + wait
     }
 }
--- a/crates/sardineshore-core/src/flow/batching/forecast.rs
+++ b/crates/sardineshore-core/src/flow/batching/forecast.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::job::Job;
+use crate::duration::{LONGEST, multiplied, time_at_rate};
 use crate::flow::config::{MAX_RANK, Name, RANKS_PER_CUSTOMER_PRIORITY};
 
 /// Accepted work of one pool, in pieces of the configured time, and the speed of the pool.
@@ -88,24 +89,28 @@
     pub(super) fn update_call(&mut self) {
         let servers = f64::from(self.servers.max(1));
         let full = (self.queued / servers / self.call_work.max(1.0)).min(1.0);
-        let more = self.full_call.saturating_sub(self.call).mul_f64(full);
+        let more = multiplied(self.full_call.saturating_sub(self.call), full);
         self.call += more;
         self.server_wait = self.call / (2 * self.servers.max(1)) + self.pause;
     }
 
-    /// Time that the pool needs for its queued pieces.
+    /// Time that the pool needs for its queued pieces. A pool without throughput needs none for no
+    /// pieces, and very long for any.
     #[must_use]
     pub fn queue_time(&self) -> Duration {
-        Duration::from_secs_f64(self.queued / self.rate.max(0.001))
+        time_at_rate(self.queued, self.rate.max(MIN_RATE)).unwrap_or(LONGEST)
     }
 
-    /// Time that the pool needs for the pieces of all jobs that are not parked.
+    /// Time that the pool needs for the pieces of all jobs that are not parked; as
+    /// [`Self::queue_time`] for a pool without throughput.
     #[must_use]
     pub fn backlog(&self) -> Duration {
-        Duration::from_secs_f64(self.started() / self.rate.max(0.001))
+        time_at_rate(self.started(), self.rate.max(MIN_RATE)).unwrap_or(LONGEST)
     }
 }
 
+/// Throughput that a pool without any counts with, in pieces per second.
+pub(super) const MIN_RATE: f64 = 0.001;
 /// Least share of a pool's throughput that a forecast assumes for any rank, so that none starves.
 const MIN_SHARE: f64 = 0.05;
 
@@ -168,10 +173,7 @@
             continue;
         }
         let load = loads.get(&stage.pool)?;
-        if load.rate <= 0.0 {
-            return None;
-        }
-        let ahead = Duration::from_secs_f64(waiting(load) / load.rate);
+        let ahead = time_at_rate(waiting(load), load.rate)?;
         ends.push(start.max(ahead) + load.server_wait + load.call);
     }
     Some(ends.into_iter().max().unwrap_or_default() + job.run_time)
--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -12,11 +12,12 @@
 use super::{
     Action, BatchScheduler, DELIVERED_RETENTION, RefusalReason, queue_key, remaining_times,
 };
+use crate::duration::multiplied;
 use crate::flow::config::Name;
 
 impl BatchScheduler {
-    /// Time after which a refused caller should retry: when the backlog of its pools is expected to
-    /// leave capacity that is not promised to other retries.
+    /// Time after which a refused caller should retry: when the backlog of the pools that its job still
+    /// needs is expected to leave capacity that is not promised to other retries.
     pub(super) fn retry_after(
         &mut self,
         job: &Job,
@@ -24,10 +25,11 @@
         now: Instant,
     ) -> Duration {
         let longest = job.time_to_deadline / 3;
-        let needs = job.stages.iter().filter(|stage| stage.pieces > 0);
-        let needs = needs.filter_map(|stage| {
-            let load = loads.get(&stage.pool)?;
-            Some((&stage.pool, load, f64::from(stage.pieces)))
+        let needs = job.stages.iter().enumerate();
+        let needs = needs.filter_map(|(index, stage)| {
+            let pieces = job.pieces_left(index);
+            let load = loads.get(&stage.pool).filter(|_| pieces > 0)?;
+            Some((&stage.pool, load, f64::from(pieces)))
         });
         self.retry_times.promise(needs, longest, now)
     }
@@ -243,7 +245,7 @@
             let remaining = state.remaining_job();
             let forecast = forecast(&remaining, &loads);
             if forecast
-                .is_some_and(|f| f.behind_all > left.mul_f64(self.config.parked_finish_share))
+                .is_some_and(|f| f.behind_all > multiplied(left, self.config.parked_finish_share))
             {
                 infeasible.push(index);
                 continue;
--- a/crates/sardineshore-core/src/flow/batching/retries.rs
+++ b/crates/sardineshore-core/src/flow/batching/retries.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::job::Job;
+use crate::duration::multiplied;
 use crate::flow::config::Name;
 
 /// Largest difference between the deadlines of two attempts of one caller, due to network and
@@ -54,7 +55,7 @@
             });
         }
         let left = deadline.saturating_duration_since(now);
-        let delay = MIN_RETRY_DELAY.min(left.mul_f64(MIN_RETRY_SHARE));
+        let delay = MIN_RETRY_DELAY.min(multiplied(left, MIN_RETRY_SHARE));
         let attempts = self.refused.entry(key.clone()).or_default();
         attempts.push(Attempt {
             soft_deadline,
--- a/crates/sardineshore-core/src/flow/batching/retry_times.rs
+++ b/crates/sardineshore-core/src/flow/batching/retry_times.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::forecast::PoolLoad;
+use crate::duration::{multiplied, time_at_rate};
 use crate::flow::config::Name;
 
 /// Share of the longest delay over which retries are spread that no time could be promised to, and
@@ -29,8 +30,9 @@
 }
 
 impl RetryTimes {
-    /// Delay after which a caller should retry whose job needs this many pieces of these pools; at
-    /// most `longest`, which is as long as callers follow.
+    /// Delay after which a caller should retry whose job still needs this many pieces of these pools; at
+    /// most `longest`, which is as long as callers follow. No time is promised while a pool has no
+    /// throughput to spare, or none at all.
     pub fn promise<'a>(
         &mut self,
         needs: impl Iterator<Item = (&'a Name, &'a PoolLoad, f64)>,
@@ -46,11 +48,14 @@
                 return self.spread(longest);
             }
             let parked: f64 = load.parked.iter().sum();
-            let backlog = Duration::from_secs_f64((load.started() + parked) / spare);
+            let Some(backlog) = time_at_rate(load.started() + parked, spare) else {
+                return self.spread(longest);
+            };
             let free_at = self.promised_until.get(pool).copied().unwrap_or(now);
             let free_at = free_at.max(now + backlog);
             at = at.max(free_at);
-            promised.push((pool, Duration::from_secs_f64(pieces / spare)));
+            let own_time = time_at_rate(pieces, spare).unwrap_or_default();
+            promised.push((pool, own_time));
         }
         if at > now + longest {
             return self.spread(longest);
@@ -65,6 +70,6 @@
     fn spread(&mut self, longest: Duration) -> Duration {
         self.next_step = (self.next_step + 1) % SPREAD_STEPS;
         let share = 1.0 - SPREAD * f64::from(self.next_step) / f64::from(SPREAD_STEPS);
-        longest.mul_f64(share)
+        multiplied(longest, share)
     }
 }
--- a/crates/sardineshore-core/src/flow/batching/server.rs
+++ b/crates/sardineshore-core/src/flow/batching/server.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::duration::{from_secs, multiplied};
 use crate::flow::config::{BatchSpec, Name};
 
 /// Time without calls after a server's first failure; it doubles with each further failure up to
@@ -164,7 +165,7 @@
     pub fn record_request(&mut self, now: Instant) {
         self.next_request_at = self
             .rate_limit
-            .map(|per_second| now + Duration::from_secs_f64(1.0 / per_second.max(MIN_RATE)));
+            .map(|per_second| now + from_secs(1.0 / per_second.max(MIN_RATE)));
     }
 
     /// Pieces per second that it can work on in full batches.
@@ -194,7 +195,7 @@
 
     /// Expected time of a call with this much work, in pieces of the configured time.
     pub fn expected_call_time(&self, work: f64) -> Duration {
-        self.spec.call_overhead + self.spec.time_per_piece.mul_f64(work)
+        self.spec.call_overhead + multiplied(self.spec.time_per_piece, work)
     }
 
     /// Free memory for further results, in bytes, as far as it is known.
--- a/crates/sardineshore-core/src/flow/cold.rs
+++ b/crates/sardineshore-core/src/flow/cold.rs
@@ -18,6 +18,7 @@
 
 use super::config::{Name, Server};
 use super::turns::{SharedLimit, SharedTurn, TurnSharing};
+use crate::duration;
 
 /// Shortest turn at a cold server. Instances with one or two requests per second would miss most of
 /// shorter ones; in longer ones, more requests could arrive at once.
@@ -80,7 +81,7 @@
         let most = allowed.min(sustained);
         let more = (2..=u16::MAX).take_while(|requests| f64::from(*requests) <= most);
         let requests = more.last().unwrap_or(1);
-        let length = Duration::from_secs_f64(f64::from(requests) / rate);
+        let length = duration::from_secs(f64::from(requests) / rate);
         SharedTurn {
             length: length.max(MIN_TURN),
             requests: requests.into(),
--- a/crates/sardineshore-core/src/flow/speed.rs
+++ b/crates/sardineshore-core/src/flow/speed.rs
@@ -19,6 +19,7 @@
 use slab::Slab;
 
 use super::config::{Name, Server};
+use crate::duration;
 use estimate::Spread;
 pub use exchange::{DigestKind, SpeedDigest, SpeedEntry, SpeedLink};
 use figure::Figure;
@@ -217,7 +218,7 @@
     pub fn prefill_time(&self, id: &str, tokens: u32, now: Instant) -> Duration {
         let view = self.view(self.slot(id), now);
         let time = view.token_time * view.lasting * view.momentary * f64::from(tokens);
-        Duration::from_secs_f64(time)
+        duration::from_secs(time)
     }
 
     /// Coarse steps of a server's weight for prompt prefixes; 0 is usual.
--- a/crates/sardineshore-core/src/flow/speed/pool.rs
+++ b/crates/sardineshore-core/src/flow/speed/pool.rs
@@ -5,6 +5,7 @@
 use super::SpeedChange;
 use super::estimate::{Spread, Trend};
 use super::figure::{TRUST_AT_START, trusted_share};
+use crate::duration;
 use crate::flow::config::Name;
 
 /// Time to prefill one prompt token at a usual server, until the pool shows another one.
@@ -98,7 +99,7 @@
         if self.calibrate() {
             changes.push(SpeedChange::Prefill {
                 pool: self.name.clone(),
-                token_time: Duration::from_secs_f64(self.token_time),
+                token_time: duration::from_secs(self.token_time),
             });
         }
         let trust = trusted_share(self.trust);
@@ -132,7 +133,7 @@
         }
         // One deviation above the mean of the logarithms: about four of five take no longer.
         let factor = (self.first_output.mean() + self.deviation).exp() * slowness;
-        let prefill = TOKEN_PREFILL_TIME.mul_f64(f64::from(tokens) * factor);
+        let prefill = duration::multiplied(TOKEN_PREFILL_TIME, f64::from(tokens) * factor);
         Some((FIXED_TIME + prefill).clamp(RUN_TIME.0, RUN_TIME.1))
     }
 }
--- a/crates/sardineshore-core/src/flow/turns.rs
+++ b/crates/sardineshore-core/src/flow/turns.rs
@@ -20,6 +20,7 @@
 use std::time::{Duration, Instant};
 
 use super::config::Name;
+use crate::duration;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Shortest turn; requests would often miss shorter ones.
@@ -131,7 +132,7 @@
     }
 
     fn turn_length(&self) -> Duration {
-        Duration::from_secs_f64(self.quota() / self.rate())
+        duration::from_secs(self.quota() / self.rate())
     }
 
     /// Requests in one turn, a whole number.
--- a/crates/sardineshore-core/src/lib.rs
+++ b/crates/sardineshore-core/src/lib.rs
@@ -25,6 +25,7 @@
 
 pub mod deployment;
 pub mod diagnostic;
+pub mod duration;
 pub mod event;
 
 pub mod flow;
--- a/crates/sardineshore-core/src/limits/pipeline.rs
+++ b/crates/sardineshore-core/src/limits/pipeline.rs
@@ -4,6 +4,7 @@
 
 use super::fair_queue::FairQueue;
 use super::{AdmissionConfig, AdmissionRequest, Completion};
+use crate::duration;
 
 /// Weight of a new sample in smoothed values.
 const SAMPLE_WEIGHT: f64 = 0.1;
@@ -57,9 +58,7 @@
 
     /// Time that a request needs to run: its estimate or the smoothed latency, whichever is longer.
     pub(super) fn time_needed(&self, request: &AdmissionRequest) -> Duration {
-        request
-            .cost_estimate
-            .max(Duration::from_secs_f64(self.latency))
+        request.cost_estimate.max(duration::from_secs(self.latency))
     }
 
     /// Expected time until a request at the end of its customer's queue runs.
@@ -70,7 +69,7 @@
         let queued = self.queue.len() as f64;
         let own_queued = (self.queue.len_of(&request.customer) + 1) as f64;
         let share = 1.0 + self.queue.active_weight() / request.weight.max(f64::EPSILON);
-        Duration::from_secs_f64(self.end_interval * queued.min(own_queued * share))
+        duration::from_secs(self.end_interval * queued.min(own_queued * share))
     }
 
     /// Records the end of a running request.
--- a/crates/sardineshore-core/src/membership.rs
+++ b/crates/sardineshore-core/src/membership.rs
@@ -14,6 +14,7 @@
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
+use crate::duration;
 use crate::quorum::peer_status::Roster;
 use crate::{DomainId, InstanceId};
 
@@ -147,9 +148,10 @@
 }
 
 /// Interval at which each of `members` instances repeats a call, so that all together make at most
-/// `budget` calls per second. It is at least `shortest`.
+/// `budget` calls per second. It is at least `shortest`, and very long without a budget.
 #[must_use]
 pub fn per_member_interval(members: usize, budget: f64, shortest: Duration) -> Duration {
-    let interval = Duration::from_secs_f64(members.max(1) as f64 / budget);
+    let interval =
+        duration::time_at_rate(members.max(1) as f64, budget).unwrap_or(duration::LONGEST);
     interval.max(shortest)
 }
--- a/crates/sardineshore-core/src/routing/server.rs
+++ b/crates/sardineshore-core/src/routing/server.rs
@@ -10,6 +10,7 @@
 use super::{
     AttemptReport, AttemptResult, RoutingDecision, RoutingNotice, ServerLoad, StreamOrigin,
 };
+use crate::duration;
 use crate::limits::{ConcurrencyLimit, QueueSample};
 use crate::{BackendServer, ServerRow, ServerState};
 
@@ -178,7 +179,7 @@
         match attempt.result {
             AttemptResult::Answered => self.record_answer(attempt, in_flight, now),
             AttemptResult::Refused => {
-                let service = Duration::from_secs_f64(self.service(usual_service, now));
+                let service = duration::from_secs(self.service(usual_service, now));
                 self.limit.record_refusal(service, now);
             }
             AttemptResult::Failed => self.last_progress_at = Some(now),
@@ -297,7 +298,7 @@
         let known = self.network.unwrap_or(excess);
         let network = excess.min(known + NETWORK_RISE_WEIGHT * (excess - known));
         self.network = Some(network);
-        Duration::from_secs_f64(network)
+        duration::from_secs(network)
     }
 }
 
