fix(batching): parked jobs don't wait for pools of their finished stages

Callers of late jobs that a new owner took over were refused although the servers they still needed were idle.

Cause: start_parked asked for a short queue in the pools of all stages, and counted the pieces of finished ones as queued. A finished stage whose pool has no throughput held the job until it was given up.

Change: only unfinished pieces count.

Test: poll_starts_parked_job_whose_finished_stage_has_no_server; it failed before (no call was made).

--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -205,7 +205,7 @@
         }
         let mut loads = self.loads(now);
         for index in parked {
-            let stages = &self.jobs[index].job.stages;
+            let stages = self.jobs[index].remaining_job().stages;
             let spare = stages.iter().filter(|stage| stage.pieces > 0).all(|stage| {
                 let load = loads.get(&stage.pool);
                 load.is_some_and(|load| load.queue_time() < self.config.spare_queue_time)
@@ -213,7 +213,7 @@
             if !spare {
                 continue;
             }
-            for stage in stages {
+            for stage in &stages {
                 if let Some(load) = loads.get_mut(&stage.pool) {
                     load.queued += f64::from(stage.pieces);
                 }
--- a/crates/sardineshore-core/tests/batching_new_owner.rs
+++ b/crates/sardineshore-core/tests/batching_new_owner.rs
@@ -8,7 +8,7 @@
     Action, BatchScheduler, BatchServer, CallOutcome, Job, JobStage, PieceError, SchedulerConfig,
     StageResults, StoredResult, SubmitOutcome,
 };
-use sardineshore_core::flow::config::BatchSpec;
+use sardineshore_core::flow::config::{BatchSpec, Name};
 
 const POOLS: [&str; 3] = ["encode", "retrieve", "rerank"];
 
@@ -101,6 +101,43 @@
     );
 }
 
+/// Guards against a parked job that waits for the pool of a stage which is finished.
+#[test]
+fn poll_starts_parked_job_whose_finished_stage_has_no_server() {
+    let now = Instant::now();
+    let servers = vec![server("encode", false), server("retrieve", true)];
+    let mut sched = new_owner(servers, now);
+    // Waits for a server of the first pool, which has none: accepted before it was drained.
+    sched.set_servers(vec![server("encode", true), server("retrieve", true)], now);
+    let waiting = Job {
+        results: Vec::new(),
+        time_to_soft_deadline: ms(3900),
+        ..half_done("waiting", ms(4000))
+    };
+    assert_eq!(
+        sched.submit(waiting, now),
+        SubmitOutcome::Accepted { late: false }
+    );
+    sched.set_servers(vec![server("encode", false), server("retrieve", true)], now);
+    let late = Job {
+        time_to_soft_deadline: ms(10),
+        ..half_done("late", ms(4000))
+    };
+    assert_eq!(
+        sched.submit(late, now),
+        SubmitOutcome::Accepted { late: true }
+    );
+    let called: Vec<Name> = sched
+        .poll(now)
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Call { pieces, .. } => Some(pieces[0].request.clone()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(called, ["late".into()]);
+}
+
 /// One event at the owner of a cell.
 #[derive(Debug, Clone)]
 enum Event {
