--- a/crates/sardineshore-core/examples/policy/simulation.rs
+++ b/crates/sardineshore-core/examples/policy/simulation.rs
@@ -6,6 +6,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use sardineshore_core::duration;
 use sardineshore_core::{Objective, ServerId, Ticket};
 use slotmap::{SlotMap, new_key_type};
 
@@ -153,7 +154,7 @@
         } else {
             CROSS_DOMAIN_MS
         };
-        Duration::from_secs_f64(base * self.rng.random_range(0.8..1.6) / 1e3)
+        duration::from_secs(base * self.rng.random_range(0.8..1.6) / 1e3)
     }
 
     fn handle(&mut self, event: Event) {
@@ -178,7 +179,7 @@
         let all = each * (CUSTOMERS as f64 - 1.0 + self.scenario.greedy);
         let wait = -self.rng.random::<f64>().max(1e-12).ln() / all;
         if self.now < RUN_LENGTH {
-            self.after(Duration::from_secs_f64(wait), Event::Arrive);
+            self.after(duration::from_secs(wait), Event::Arrive);
             let pick = self.rng.random_range(0.0..all / each);
             let customer = (1..CUSTOMERS).find(|at| pick < *at as f64).unwrap_or(0);
             self.offer(customer);
@@ -231,7 +232,7 @@
             1.0
         };
         let spent = if fails { 0.5 } else { 1.0 };
-        let service = Duration::from_secs_f64(server.service_ms * draw * cached * spent / 1e3);
+        let service = duration::from_secs(server.service_ms * draw * cached * spent / 1e3);
         let attempt = &mut self.attempts[key];
         attempt.service_started_at = Some(self.now);
         attempt.cached = cached < 1.0;
--- a/crates/sardineshore-core/tests/duration.rs
+++ b/crates/sardineshore-core/tests/duration.rs
@@ -40,7 +40,7 @@
         let time = from_secs(seconds);
         assert!(time <= LONGEST, "{seconds}");
         assert!(Instant::now().checked_add(time).is_some(), "{seconds}");
-        assert_eq!(time.is_zero(), !(seconds >= 1e-9), "{seconds}");
+        assert_eq!(!time.is_zero(), seconds >= 1e-9, "{seconds}");
     }
 }
 
--- a/crates/sardineshore-core/tests/load/overload.rs
+++ b/crates/sardineshore-core/tests/load/overload.rs
@@ -6,6 +6,7 @@
 use std::fmt::Write;
 use std::time::{Duration, Instant};
 
+use sardineshore_core::duration;
 use sardineshore_core::flow::batching::forecast::forecast;
 use sardineshore_core::flow::batching::{
     Action, BatchScheduler, BatchServer, CallOutcome, CallPiece, Job, JobStage, SchedulerConfig,
@@ -371,7 +372,7 @@
         let servers = self.servers.clone();
         self.scheduler.set_servers(servers, self.start);
         let mut now = self.start;
-        let end = self.start + Duration::from_secs_f64(self.day.length_s);
+        let end = self.start + duration::from_secs(self.day.length_s);
         while now < end + Duration::from_secs(30) {
             if now < end {
                 self.arrive(now);
@@ -432,7 +433,7 @@
                 } else {
                     self.random.below(8) as usize
                 };
-                let delay = Duration::from_secs_f64(self.random.between(0.0, 0.03));
+                let delay = duration::from_secs(self.random.between(0.0, 0.03));
                 let stages = self.stages(class);
                 self.next_id += 1;
                 let counts = self.outcome.kinds.entry(class.name).or_default();
@@ -639,7 +640,7 @@
                     return;
                 };
                 let (least, most) = RUN_MS;
-                let run = Duration::from_secs_f64(self.random.between(least, most) / 1000.0);
+                let run = duration::from_secs(self.random.between(least, most) / 1000.0);
                 let ends_at = now + run;
                 self.running.push((ends_at, request));
                 let counts = self.outcome.kinds.entry(caller.class.name).or_default();
--- a/crates/sardineshore-core/tests/zones/replay.rs
+++ b/crates/sardineshore-core/tests/zones/replay.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use sardineshore_core::duration;
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::zones::{
     CellFigures, DemandMeter, PoolFigures, SendIntervals, SpillRequest, Spillover, SpilloverPrices,
@@ -173,7 +174,7 @@
     }
 
     fn queue(&self, cell: usize) -> Duration {
-        Duration::from_secs_f64(self.cells[cell].queued / self.rate(cell))
+        duration::from_secs(self.cells[cell].queued / self.rate(cell))
     }
 
     fn owner(&self, cell: usize) -> usize {
--- a/crates/sardineshore-load/src/schedule.rs
+++ b/crates/sardineshore-load/src/schedule.rs
@@ -10,6 +10,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1};
+use sardineshore_core::duration;
 
 use crate::workload::Workload;
 
@@ -128,7 +129,7 @@
         let mix = &self.workload.pipelines[pipeline];
         let poison = mix.is_idempotent() && self.is_poison(number);
         Arrival {
-            due: Duration::from_secs_f64(self.elapsed_s),
+            due: duration::from_secs(self.elapsed_s),
             customer: self.customers.sample(&mut self.rng),
             pipeline,
             tag: format!("{}-{}-{number}", self.workload.name, self.settings.seed).into(),
--- a/xtask/src/bench/usage.rs
+++ b/xtask/src/bench/usage.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 use nix::unistd::{SysconfVar, sysconf};
+use sardineshore_core::duration;
 
 // Positions after the program name, which is the second field of a stat file.
 const UTIME_FIELD: usize = 11;
@@ -21,7 +22,7 @@
     };
     let per_second = sysconf(SysconfVar::CLK_TCK)?.context("clock ticks per second")?;
     let ticks = ticks(UTIME_FIELD)? + ticks(STIME_FIELD)?;
-    Ok(Duration::from_secs_f64(ticks as f64 / per_second as f64))
+    Ok(duration::from_secs(ticks as f64 / per_second as f64))
 }
 
 /// Resident memory of a process in KiB, from `/proc/PID/status`.
--- a/xtask/src/demo/scenario.rs
+++ b/xtask/src/demo/scenario.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{Context, bail};
 use async_std::task;
+use sardineshore_core::duration;
 use sardineshore_load::audit::{Audit, AuditLogs, AuditResult};
 use sardineshore_load::report::Report;
 use sardineshore_load::workload::Workload;
@@ -65,7 +66,7 @@
     ) -> anyhow::Result<Outcome> {
         let workloads = layout::workloads();
         let each = self.requests.div_ceil(workloads.len()).max(1);
-        let duration = Duration::from_secs_f64(each as f64 / ARRIVALS_PER_SECOND);
+        let duration = duration::from_secs(each as f64 / ARRIVALS_PER_SECOND);
         let targets = Targets {
             entries: fleet.entries.len(),
             servers: fleet.servers.len(),
