--- a/crates/sardineshore-core/src/flow/batching/job.rs
+++ b/crates/sardineshore-core/src/flow/batching/job.rs
@@ -198,6 +198,13 @@
         self.pieces.iter().all(|p| matches!(p, Progress::Done(_)))
     }
 
+    /// Number of pieces without a result.
+    pub fn unfinished_pieces(&self) -> u32 {
+        let unfinished = self.pieces.iter();
+        let unfinished = unfinished.filter(|p| !matches!(p, Progress::Done(_)));
+        u32::try_from(unfinished.count()).unwrap_or(u32::MAX)
+    }
+
     /// Earliest end of the request, as far as this stage is concerned. While all of its unfinished
     /// pieces are in calls, the time since these were sent is not counted again.
     pub fn earliest_end(&self, now: Instant) -> Instant {
@@ -278,15 +285,18 @@
             .unwrap_or(self.soft_deadline)
     }
 
+    /// Pools with pieces that are not finished, and the numbers of these pieces, by stage.
+    pub fn unfinished_pools(&self) -> impl Iterator<Item = (&Name, u32)> {
+        let stages = self.job.stages.iter().zip(&self.stages);
+        let pools = stages.map(|(stage, state)| (&stage.pool, state.unfinished_pieces()));
+        pools.filter(|(_, pieces)| *pieces > 0)
+    }
+
     /// A copy of the job with only its unfinished pieces.
     pub fn remaining_job(&self) -> Job {
         let mut job = self.job.clone();
         for (stage, state) in job.stages.iter_mut().zip(&self.stages) {
-            let unfinished = state
-                .pieces
-                .iter()
-                .filter(|p| !matches!(p, Progress::Done(_)));
-            stage.pieces = u32::try_from(unfinished.count()).unwrap_or(u32::MAX);
+            stage.pieces = state.unfinished_pieces();
         }
         job
     }
--- a/crates/sardineshore-core/src/flow/batching/lifecycle.rs
+++ b/crates/sardineshore-core/src/flow/batching/lifecycle.rs
@@ -205,17 +205,17 @@
         }
         let mut loads = self.loads(now);
         for index in parked {
-            let stages = self.jobs[index].remaining_job().stages;
-            let spare = stages.iter().filter(|stage| stage.pieces > 0).all(|stage| {
-                let load = loads.get(&stage.pool);
+            let state = &self.jobs[index];
+            let spare = state.unfinished_pools().all(|(pool, _)| {
+                let load = loads.get(pool);
                 load.is_some_and(|load| load.queue_time() < self.config.spare_queue_time)
             });
             if !spare {
                 continue;
             }
-            for stage in &stages {
-                if let Some(load) = loads.get_mut(&stage.pool) {
-                    load.queued += f64::from(stage.pieces);
+            for (pool, pieces) in state.unfinished_pools() {
+                if let Some(load) = loads.get_mut(pool) {
+                    load.queued += f64::from(pieces);
                 }
             }
             self.jobs[index].parked = false;
