fix(serve): a panic in a cell or a connection ends that alone

Cause: the panic hook aborted always, as a process with a task less serves only part of what it should.

Change: work whose state is dropped with it or can be built anew is contained. A cell starts anew and redirects its jobs; the job that made it panic on arrival is refused and goes to no other owner. A caller's connection and a link end alone. Logs and a counter tell of each.

--- a/crates/sardineshore-core/src/flow/batching.rs
+++ b/crates/sardineshore-core/src/flow/batching.rs
@@ -124,6 +124,17 @@
         }
     }
 
+    /// A scheduler without jobs and servers that takes the place of this one. It numbers its calls and jobs
+    /// on, so that what belongs to this one isn't taken for its own.
+    #[must_use]
+    pub fn successor(&self) -> Self {
+        Self {
+            next_call_id: self.next_call_id,
+            next_sequence: self.next_sequence,
+            ..Self::new(self.config)
+        }
+    }
+
     /// Replaces the list of servers. Results that only a removed server stored are computed again
     /// if a job still needs them.
     pub fn set_servers(&mut self, servers: Vec<BatchServer>, now: Instant) {
--- a/crates/sardineshore-serve/src/caller.rs
+++ b/crates/sardineshore-serve/src/caller.rs
@@ -13,6 +13,7 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::containment::contain_future;
 use crate::http1::{BodyDecoder, Decoded, MessageError, RequestHead, parse_request};
 use crate::reply::ErrorResponse;
 use crate::request::{IncomingRequest, RETRY_AFTER_UNREADY, RequestHandler, STOPPING};
@@ -35,7 +36,12 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let handler = handler.clone();
-                tokio::task::spawn_local(async move { serve_connection(stream, &handler).await });
+                tokio::task::spawn_local(async move {
+                    if let Err(panicked) = contain_future(serve_connection(stream, &handler)).await
+                    {
+                        handler.record_panic(&panicked);
+                    }
+                });
             }
             // The process is out of file descriptors, or the caller closed at once.
             Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
--- a/crates/sardineshore-serve/src/cell/runner.rs
+++ b/crates/sardineshore-serve/src/cell/runner.rs
@@ -8,17 +8,18 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::batching::{
-    Action, BatchScheduler, BatchServer, CallOutcome, Job, SchedulerConfig, StageResults,
-    SubmitOutcome,
+    Action, BatchScheduler, BatchServer, CallOutcome, Job, RefusalReason, SchedulerConfig,
+    StageResults, SubmitOutcome,
 };
 use sardineshore_core::flow::cells::GLOBAL_CELL;
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::zones::{DemandMeter, PoolFigures};
-use slog::{debug, info};
+use slog::{debug, error, info};
 use tokio::sync::Notify;
 
 use super::calls::{call_batch, query_free_memory, release_results};
 use super::{JobCallback, JobEvent, JobOutcome, RequestInputs, Shared, SubmissionId};
+use crate::containment::{Panicked, contain};
 use crate::state::elapsed_ms;
 
 /// Longest time between two polls of a scheduler with jobs, which finds calls that take too long.
@@ -47,6 +48,8 @@
 pub(super) struct CellRunner {
     cell: Name,
     sched: RefCell<BatchScheduler>,
+    /// The servers that the scheduler was told of, and the evacuated failure domains.
+    servers: RefCell<(Vec<BatchServer>, Vec<Name>)>,
     /// Until they are released, by the id of the request.
     submissions: RefCell<HashMap<Name, Submission>>,
     wake: Notify,
@@ -69,13 +72,10 @@
         shared: Rc<Shared>,
     ) -> Rc<Self> {
         let now = Instant::now();
-        let mut sched = BatchScheduler::new(SchedulerConfig::default());
-        sched.set_servers(servers, now);
-        sched.set_evacuated(evacuated, now);
-        sched.query_free_memory(now);
         let runner = Rc::new(Self {
             cell,
-            sched: RefCell::new(sched),
+            sched: RefCell::new(BatchScheduler::new(SchedulerConfig::default())),
+            servers: RefCell::default(),
             submissions: RefCell::default(),
             wake: Notify::new(),
             handed_over_at: Cell::new(None),
@@ -85,10 +85,57 @@
             measured_at: Cell::new(now),
             shared,
         });
+        runner.set_servers(servers, evacuated, now);
+        runner.with_sched(|sched| sched.query_free_memory(now));
         tokio::task::spawn_local(run_cell(runner.clone()));
         runner
     }
 
+    /// Does something with the scheduler; `None` if that panics. The cell then starts anew, and its jobs
+    /// are redirected: other owners may be able to complete them.
+    fn with_sched<T>(&self, work: impl FnOnce(&mut BatchScheduler) -> T) -> Option<T> {
+        match contain(|| work(&mut self.sched.borrow_mut())) {
+            Ok(result) => Some(result),
+            Err(panicked) => {
+                self.start_anew(&panicked);
+                None
+            }
+        }
+    }
+
+    /// Replaces the scheduler after a panic, and redirects its jobs.
+    fn start_anew(&self, panicked: &Panicked) {
+        let waiting: Vec<Name> = self.submissions.borrow().keys().cloned().collect();
+        error!(self.shared.log, "panic in a cell, which starts anew"; "cell" => &*self.cell, "fault" => panicked.to_string(), "jobs" => waiting.len());
+        self.shared
+            .metrics
+            .contained_panics
+            .with_label_values(&["cell"])
+            .inc();
+        let mut next = self.sched.borrow().successor();
+        let (servers, evacuated) = &*self.servers.borrow();
+        let now = Instant::now();
+        let is_ready = contain(|| {
+            next.set_servers(servers.clone(), now);
+            next.set_evacuated(evacuated, now);
+            next.query_free_memory(now);
+        });
+        if is_ready.is_err() {
+            // Without servers it refuses all jobs until there is another list.
+            next = next.successor();
+        }
+        *self.sched.borrow_mut() = next;
+        for request in waiting {
+            self.finish(&request, JobOutcome::Redirected { accepted: true });
+        }
+    }
+
+    /// Time that the cell needs for the work it has.
+    fn backlog(&self) -> Duration {
+        self.with_sched(|sched| sched.backlog(Instant::now()))
+            .unwrap_or_default()
+    }
+
     /// Name of the cell.
     pub fn cell(&self) -> &Name {
         &self.cell
@@ -96,10 +143,11 @@
 
     /// Replaces the list of servers and the failure domains to whose servers nothing may be sent.
     pub fn set_servers(&self, servers: Vec<BatchServer>, evacuated: &[Name], now: Instant) {
-        let mut sched = self.sched.borrow_mut();
-        sched.set_servers(servers, now);
-        sched.set_evacuated(evacuated, now);
-        drop(sched);
+        *self.servers.borrow_mut() = (servers.clone(), evacuated.to_vec());
+        self.with_sched(|sched| {
+            sched.set_servers(servers, now);
+            sched.set_evacuated(evacuated, now);
+        });
         self.wake.notify_one();
     }
 
@@ -110,7 +158,7 @@
 
     /// Accepts no further jobs and hands over the others.
     pub fn begin_handover(&self) {
-        self.sched.borrow_mut().begin_handover();
+        self.with_sched(BatchScheduler::begin_handover);
         self.wake.notify_one();
     }
 
@@ -133,10 +181,15 @@
         job: Job,
         callback: JobCallback,
     ) {
-        self.sched.borrow_mut().cancel_handover(Instant::now());
+        self.with_sched(|sched| sched.cancel_handover(Instant::now()));
         let pieces = self.record_demand(home, &job);
-        let id = job.id.clone();
-        let submitted = self.sched.borrow_mut().submit(job, Instant::now());
+        let (id, deadline) = (job.id.clone(), job.time_to_deadline);
+        let submitted = self.with_sched(|sched| sched.submit(job, Instant::now()));
+        // No other owner is to get a job that makes the scheduler panic.
+        let submitted = submitted.unwrap_or(SubmitOutcome::Refused {
+            retry_after: deadline / 3,
+            reason: RefusalReason::Failed,
+        });
         debug!(self.shared.log, "job"; "request" => &*id, "cell" => &*self.cell, "verdict" => ?submitted);
         match submitted {
             SubmitOutcome::Refused {
@@ -146,7 +199,7 @@
                 self.record_refused(&pieces);
                 let outcome = JobOutcome::Refused {
                     retry_after,
-                    backlog: self.sched.borrow().backlog(Instant::now()),
+                    backlog: self.backlog(),
                     reason,
                 };
                 callback(JobEvent::Ended(outcome));
@@ -166,10 +219,12 @@
     pub fn release(&self, request: &str, submission: SubmissionId) {
         let mut submissions = self.submissions.borrow_mut();
         let latest = submissions.get(request);
-        if latest.is_some_and(|latest| latest.id == submission) {
-            submissions.remove(request);
-            self.sched.borrow_mut().cancel(request, Instant::now());
+        if latest.is_none_or(|latest| latest.id != submission) {
+            return;
         }
+        submissions.remove(request);
+        drop(submissions);
+        self.with_sched(|sched| sched.cancel(request, Instant::now()));
     }
 
     /// Counts the pieces of a job that was submitted, whether it is accepted or not, and returns their
@@ -208,7 +263,9 @@
             return;
         }
         self.measured_at.set(now);
-        let loads = self.sched.borrow().loads(now);
+        let Some(loads) = self.with_sched(|sched| sched.loads(now)) else {
+            return;
+        };
         let nominal_rates = self.shared.nominal_rates.borrow();
         let pools = loads.iter().filter_map(|(pool, load)| {
             let figures = PoolFigures {
@@ -248,12 +305,11 @@
         if self.is_withdrawn.replace(is_withdrawn) == is_withdrawn {
             return;
         }
-        let mut sched = self.sched.borrow_mut();
-        info!(self.shared.log, "cell of an evacuated failure domain"; "cell" => &*self.cell, "withdrawn" => is_withdrawn, "jobs" => sched.job_count());
+        info!(self.shared.log, "cell of an evacuated failure domain"; "cell" => &*self.cell, "withdrawn" => is_withdrawn, "jobs" => self.job_count());
         if is_withdrawn {
-            sched.begin_handover();
+            self.with_sched(BatchScheduler::begin_handover);
         } else if !is_closing {
-            sched.cancel_handover(now);
+            self.with_sched(|sched| sched.cancel_handover(now));
         }
     }
 
@@ -269,8 +325,8 @@
     let mut logged_at = Instant::now();
     let mut refusals_logged_at = logged_at;
     loop {
-        let actions = runner.sched.borrow_mut().poll(Instant::now());
-        for action in actions {
+        let actions = runner.with_sched(|sched| sched.poll(Instant::now()));
+        for action in actions.unwrap_or_default() {
             perform(&runner, action);
         }
         if refusals_logged_at.elapsed() > LOAD_LOG_INTERVAL {
@@ -278,12 +334,12 @@
             log_refusals(&runner);
         }
         runner.measure(Instant::now());
-        let busy = runner.sched.borrow().job_count() > 0;
+        let busy = runner.job_count() > 0;
         if busy && logged_at.elapsed() > LOAD_LOG_INTERVAL {
             logged_at = Instant::now();
-            let loads = runner.sched.borrow().loads(logged_at);
-            let jobs = runner.sched.borrow().job_count();
-            let text = format!("{loads:?}");
+            let loads = runner.with_sched(|sched| sched.loads(logged_at));
+            let jobs = runner.job_count();
+            let text = format!("{:?}", loads.unwrap_or_default());
             debug!(runner.shared.log, "cell"; "cell" => &*runner.cell, "jobs" => jobs, "loads" => text);
         }
         if busy {
@@ -377,12 +433,12 @@
                     elapsed_ms(started),
                 );
                 let now = Instant::now();
-                let mut sched = runner.sched.borrow_mut();
-                if let Some(limit) = limit {
-                    sched.set_rate_limit(&server, limit, now);
-                }
-                sched.call_ended(call_id, &outcome, now);
-                drop(sched);
+                runner.with_sched(|sched| {
+                    if let Some(limit) = limit {
+                        sched.set_rate_limit(&server, limit, now);
+                    }
+                    sched.call_ended(call_id, &outcome, now);
+                });
                 runner.wake.notify_one();
             });
         }
@@ -392,7 +448,7 @@
             inputs: handles,
             bytes_by_domain,
         } => {
-            let backlog = runner.sched.borrow().backlog(Instant::now());
+            let backlog = runner.backlog();
             let inputs = RequestInputs {
                 handles,
                 bytes_by_domain,
@@ -428,8 +484,9 @@
             tokio::task::spawn_local(async move {
                 let releasing = release_results(&runner.shared, &server, address, &handles);
                 let timed_out = releasing.await;
-                let mut sched = runner.sched.borrow_mut();
-                sched.release_ended(&server, &handles, timed_out, Instant::now());
+                runner.with_sched(|sched| {
+                    sched.release_ended(&server, &handles, timed_out, Instant::now());
+                });
             });
         }
         Action::QueryFreeMemory { server, address } => {
@@ -446,7 +503,7 @@
         Ok(Ok(mem)) => {
             debug!(shared.log, "room left"; "server" => &*server, "bytes" => mem.min_bytes);
             let now = Instant::now();
-            runner.sched.borrow_mut().set_free_memory(&server, mem, now);
+            runner.with_sched(|sched| sched.set_free_memory(&server, mem, now));
             runner.wake.notify_one();
         }
         // Calls to the server show whether its memory is full.
--- a/crates/sardineshore-serve/src/lib.rs
+++ b/crates/sardineshore-serve/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod caller;
 pub mod cell;
 pub mod cold;
+pub mod containment;
 pub mod crashes;
 pub mod dialect;
 pub mod http1;
--- a/crates/sardineshore-serve/src/metrics.rs
+++ b/crates/sardineshore-serve/src/metrics.rs
@@ -52,6 +52,8 @@
     pub cold_waits: IntCounterVec,
     /// Requests in progress.
     pub active_requests: IntGauge,
+    /// Panics that ended one piece of work, by what was done.
+    pub contained_panics: IntCounterVec,
     /// Evacuated failure domains.
     pub evacuation: EvacuationMetrics,
     /// What is known of the speed of servers.
@@ -132,6 +134,11 @@
         let active_requests =
             IntGauge::new("sardine_active_requests", "Requests that are served.")?;
         registry.register(Box::new(active_requests.clone()))?;
+        let contained_panics = counter(
+            "sardine_contained_panics_total",
+            "Panics that ended one piece of work.",
+            &["work"],
+        )?;
         let evacuation = EvacuationMetrics::new(&registry)?;
         let speed = SpeedMetrics::new(&registry)?;
         Ok(Self {
@@ -152,6 +159,7 @@
             cold_sends,
             cold_waits,
             active_requests,
+            contained_panics,
             evacuation,
             speed,
         })
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -22,12 +22,13 @@
 use sardineshore_core::flow::quarantine::Evidence;
 use sardineshore_core::flow::speed::SpeedDigest;
 use sardineshore_core::flow::zones::SendIntervals;
-use slog::{Logger, info};
+use slog::{Logger, error, info};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::cell::{JobCallback, JobEvent, JobOutcome, OwnedCells, SubmissionId};
+use crate::containment::{contain, contain_future};
 use crate::relay::{LinkEvent, StoreRelay};
 use crate::speeds::{LinkSpeeds, SpeedExchange};
 use crate::state::boot_time;
@@ -407,7 +408,7 @@
             sent_figures: SentFigures::new(SendIntervals::TO_OWNER),
         });
         self.set_link(&info.name, LinkState::Up(link.clone()));
-        run_link(frames, &link, rx, |message| match message {
+        let running = run_link(frames, &link, rx, |message| match message {
             Message::Store(message) => {
                 let event = LinkEvent::Received(message, boot_time());
                 self.relay.handle_link_event(&info.name, event);
@@ -423,8 +424,10 @@
                 }
             }
             _ => {}
-        })
-        .await;
+        });
+        if let Err(panicked) = contain_future(running).await {
+            error!(self.log, "panic in a link to an owner"; "owner" => &*info.name, "fault" => panicked.to_string());
+        }
         self.relay.handle_link_event(&info.name, LinkEvent::Lost);
         self.cells.take_back();
         let lost = link.callbacks.borrow_mut().drain().count();
@@ -542,7 +545,11 @@
                 }
                 frame = frames.next() => match frame {
                     Some(Ok(frame)) => match Message::decode(&frame) {
-                        Ok(message) => self.handle(message, &mut served),
+                        Ok(message) => {
+                            if let Err(panicked) = contain(|| self.handle(message, &mut served)) {
+                                break Err(panicked.into());
+                            }
+                        }
                         Err(error) => break Err(error),
                     },
                     Some(Err(error)) => break Err(error.into()),
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -15,11 +15,12 @@
 use sardineshore_core::flow::config::{Caller, ConfigIndex, Name, Route};
 use sardineshore_core::flow::quarantine::Feature;
 use sardineshore_core::flow::time_limit::{LimitSource, TimeLimit};
-use slog::{Logger, info};
+use slog::{Logger, error, info};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::attempt::{AdmittedRequest, ConnectedServer, Dispatcher};
+use crate::containment::Panicked;
 use crate::dialect::Dialect;
 use crate::http1::RequestHead;
 use crate::metrics::Metrics;
@@ -197,6 +198,15 @@
 }
 
 impl RequestHandler {
+    /// Records that a panic ended a caller's connection.
+    pub(crate) fn record_panic(&self, panicked: &Panicked) {
+        error!(self.log, "panic in a caller's connection"; "fault" => panicked.to_string());
+        self.metrics
+            .contained_panics
+            .with_label_values(&["caller"])
+            .inc();
+    }
+
     /// Creates a handler from the parts of the instance that it uses.
     #[must_use]
     pub fn new(
