fix(versions): streams of a lost instance go on after a restore

Cause: at a restore an instance took everything for unknown that it knew of the servers. Keeping it alone would have been wrong: a server of another version can have been listed, used and lost since the list was last read, and its streams' records with the restore.

Change: records that name another version than the base version are written 4 s after their instance first saw it listed, and instances note until when their list was complete. What lost records name had then been listed before that. A stream without a record began at the base version if the list shows no other one across each restore.

Ruled out: the list alone (followed for 14.6 s of the 21 s that a stream lasts); the record (none was written).

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -15,6 +15,12 @@
 //! all streams without a record have ended by then. A base version whose servers have left is
 //! withdrawn first, for the same reason.
 //!
+//! Until then, an instance may still know that no server of another version can have begun a stream. A
+//! record is lost in a restore only if it was written before, and one that names another version than the
+//! base version is written no sooner than [`NEW_VERSION_DELAY`] after its instance has seen a server of
+//! that version listed. An instance whose list was complete that long before it learned of the restore, or
+//! later, has therefore seen all versions that lost records name. See [`StreamVersions::began_at_base`].
+//!
 //! ```
 //! use sardineshore_core::flow::stream_versions::{BaseVersion, resolve};
 //!
@@ -41,6 +47,11 @@
 /// for moments.
 const WITHDRAWAL_DELAY: Duration = Duration::from_secs(5);
 
+/// Time for which an instance has known that servers of a version are listed before it writes records that
+/// name it, unless it is the base version. Longer than the time between two confirmations of the list and a
+/// short outage of the store together.
+pub const NEW_VERSION_DELAY: Duration = Duration::from_secs(4);
+
 /// The version at which the streams of a pool began that have no record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BaseVersion {
@@ -97,6 +108,9 @@
     gone_at: HashMap<Option<Name>, Instant>,
     /// Time from which on no server can have been listed unseen.
     seen_since: Instant,
+    /// Time from which on no server can have begun a stream unseen whose record isn't in the store. Not
+    /// later than `seen_since`.
+    followed_since: Instant,
 }
 
 impl PoolVersions {
@@ -164,6 +178,10 @@
     bases_read_in: Option<u64>,
     /// Whether no stream can have begun before this instance read the store.
     is_first_start: bool,
+    /// The same, and `followed_since` holds from then on.
+    is_followed_from_first_start: bool,
+    /// When the list was last read without the changes before it, as the store was restored.
+    reread_at: Option<Instant>,
     /// Streams by their ids.
     begun: HashMap<Name, KnownStream>,
     /// Ids of `begun` in the order in which they were remembered, some more than once.
@@ -181,6 +199,8 @@
             era: None,
             bases_read_in: None,
             is_first_start: false,
+            is_followed_from_first_start: false,
+            reread_at: None,
             begun: HashMap::new(),
             by_age: VecDeque::new(),
         }
@@ -194,6 +214,7 @@
     pub fn new(is_first_start: bool) -> Self {
         Self {
             is_first_start,
+            is_followed_from_first_start: is_first_start,
             ..Self::default()
         }
     }
@@ -237,6 +258,7 @@
                 listed,
                 gone_at: HashMap::new(),
                 seen_since: now,
+                followed_since: now,
             };
             (pool, versions)
         });
@@ -245,7 +267,19 @@
 
     /// Records that servers may have been listed and dropped since the list was known last.
     pub fn record_list_gap(&mut self, now: Instant) {
+        self.record_list_reread(now);
+        self.reread_at = None;
+        self.is_followed_from_first_start = false;
+        for pool in self.pools.values_mut() {
+            pool.followed_since = now;
+        }
+    }
+
+    /// Records that all servers were read from a restored store. Servers may have been listed and dropped
+    /// unseen since the list was known last, but [`Self::set_era`] has judged what can have begun there.
+    pub fn record_list_reread(&mut self, now: Instant) {
         self.is_first_start = false;
+        self.reread_at = Some(now);
         for pool in self.pools.values_mut() {
             pool.seen_since = now;
         }
@@ -258,6 +292,9 @@
 
     /// Sets the base version of a pool as the store has it since its last change; `None` if it has none.
     pub fn set_base(&mut self, pool: &Name, base: Option<BaseVersion>, now: Instant) {
+        if base.is_some() && self.bases_read_in.is_none() {
+            self.record_earlier_run();
+        }
         match base {
             Some(base) => self.bases.insert(pool.clone(), base),
             None => self.bases.remove(pool),
@@ -270,6 +307,11 @@
         }
     }
 
+    /// Records that the system has run before this instance read the store, whatever it was told.
+    pub fn record_earlier_run(&mut self) {
+        self.is_followed_from_first_start = false;
+    }
+
     /// Records that all base versions were read, in this era.
     pub fn record_bases_read(&mut self, era: u64) {
         self.bases_read_in = Some(era);
@@ -277,7 +319,11 @@
 
     /// Records the era of the store. Returns whether the store was restored from a copy since the last
     /// time: it may lack the records of running streams.
-    pub fn set_era(&mut self, era: u64, now: Instant) -> bool {
+    ///
+    /// `list_age` is the time since the list of servers was known to hold all changes, in the era before;
+    /// it must include times in which the machine was suspended. After two restores within a stream's life, the
+    /// list counts as unknown before the second one.
+    pub fn set_era(&mut self, era: u64, list_age: Option<Duration>, now: Instant) -> bool {
         let known = self.era.map(|(known, _)| known);
         if known.is_some_and(|known| era <= known) {
             return false;
@@ -287,7 +333,14 @@
             return false;
         }
         self.open_since.clear();
-        self.record_list_gap(now);
+        self.list_confirmed_at = None;
+        let is_followed = list_age.is_some_and(|age| age <= NEW_VERSION_DELAY)
+            && self.reread_at.is_none_or(|at| self.is_old(at, now));
+        if is_followed {
+            self.record_list_reread(now);
+        } else {
+            self.record_list_gap(now);
+        }
         true
     }
 
@@ -343,6 +396,38 @@
         }
     }
 
+    /// Time for which the record of a stream that begins now at this version has to wait: see
+    /// [`NEW_VERSION_DELAY`].
+    #[must_use]
+    pub fn record_delay(&self, pool: &str, version: Option<&Name>, now: Instant) -> Duration {
+        let servers = self.pools.get(pool);
+        let needs_none = if let Some(base) = self.base(pool) {
+            version == Some(base)
+        } else {
+            let first = servers.and_then(|servers| self.first_version(servers));
+            version.is_none() || version == first
+        };
+        if needs_none {
+            return Duration::ZERO;
+        }
+        let listed = servers.and_then(|servers| servers.listed.get(&version.cloned()));
+        listed.map_or(NEW_VERSION_DELAY, |listed| {
+            NEW_VERSION_DELAY.saturating_sub(now.saturating_duration_since(listed.since))
+        })
+    }
+
+    /// Versions of a pool's servers at which streams have to wait for their records, and for how long.
+    #[must_use]
+    pub fn record_delays(&self, pool: &str, now: Instant) -> Vec<(Option<Name>, Duration)> {
+        let versions = self.pools.get(pool).into_iter();
+        let versions = versions.flat_map(|servers| servers.listed.keys());
+        let delays = versions.map(|version| {
+            let delay = self.record_delay(pool, version.as_ref(), now);
+            (version.clone(), delay)
+        });
+        delays.filter(|(_, delay)| !delay.is_zero()).collect()
+    }
+
     /// Remembers at which version a stream may begin; `record` is the number of its record.
     pub fn remember(&mut self, id: &Name, version: Option<Name>, record: u32, now: Instant) {
         while let Some((at, _)) = self.by_age.front()
@@ -390,6 +475,14 @@
         self.begun.get(id).is_some_and(|stream| !stream.has_ended)
     }
 
+    /// Whether the record with this number is to be written: the stream may still run, and no later request
+    /// has taken the place of the one that the record is about.
+    #[must_use]
+    pub fn is_current_record(&self, id: &str, record: u32) -> bool {
+        let stream = self.begun.get(id);
+        stream.is_some_and(|stream| !stream.has_ended && stream.record == record)
+    }
+
     /// Streams that may still run. A restored store needs their records, as it may lack those that were
     /// written, and the base version doesn't hold.
     pub fn running(&self, now: Instant) -> impl Iterator<Item = (&Name, &KnownStream)> {
@@ -414,6 +507,41 @@
         self.settled_version(pool, now).cloned()
     }
 
+    /// Whether a stream without a record in the store, that was taken up at `taken_up`, began at the version
+    /// that a base version names which doesn't hold. So it did if no server of another version can have begun
+    /// it and had its record lost in a restore: this instance has followed the list of servers for a stream's
+    /// life, or from the first start of the system, and they all had this version. The record and the base
+    /// version must have been read, and the list confirmed, in this era of the store and after `taken_up`.
+    #[must_use]
+    pub fn began_at_base(
+        &self,
+        pool: &str,
+        base: &BaseVersion,
+        taken_up: Instant,
+        now: Instant,
+    ) -> bool {
+        let Some(servers) = self.pools.get(pool) else {
+            return false;
+        };
+        let is_followed =
+            self.is_followed_from_first_start || self.is_old(servers.followed_since, now);
+        self.list_confirmed_at.is_some_and(|at| at >= taken_up)
+            && is_followed
+            && self.have_others_ended(servers, now)
+            && servers.only_listed() == Some(&base.version)
+    }
+
+    /// Era of the store; `None` before its first response.
+    #[must_use]
+    pub fn era(&self) -> Option<u64> {
+        self.era.map(|(era, _)| era)
+    }
+
+    /// Whether all streams have ended that servers of versions began which are listed no more.
+    fn have_others_ended(&self, servers: &PoolVersions, now: Instant) -> bool {
+        servers.gone_at.values().all(|at| self.is_old(*at, now))
+    }
+
     /// The only version that servers of a pool have had since the first start of the system.
     fn first_version<'a>(&self, servers: &'a PoolVersions) -> Option<&'a Name> {
         let is_first = self.is_first_start && servers.gone_at.is_empty();
@@ -422,8 +550,7 @@
 
     fn settled_version(&self, pool: &str, now: Instant) -> Option<&Name> {
         let pool = self.pools.get(pool)?;
-        let others_ended = pool.gone_at.values().all(|at| self.is_old(*at, now));
-        let is_settled = self.is_old(pool.seen_since, now) && others_ended;
+        let is_settled = self.is_old(pool.seen_since, now) && self.have_others_ended(pool, now);
         pool.only_listed().filter(|_| is_settled)
     }
 
@@ -467,7 +594,9 @@
             None => Some(holding(&base.version)),
             Some(at) => versions
                 .most_common()
-                .filter(|_| self.is_old(at, now))
+                .filter(|version| {
+                    self.is_old(at, now) && self.record_delay(pool, Some(version), now).is_zero()
+                })
                 .map(holding),
         }
     }
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::config::{Name, Server};
-use sardineshore_core::flow::stream_versions::{BaseVersion, RecordSweep, StreamVersions, resolve};
+use sardineshore_core::flow::stream_versions::{
+    BaseVersion, NEW_VERSION_DELAY, RecordSweep, StreamVersions, resolve,
+};
 
 const LIFETIME: Duration = Duration::from_secs(20);
 const MOMENT: Duration = Duration::from_millis(1);
@@ -56,7 +58,7 @@
     now: Instant,
 ) -> StreamVersions {
     known.set_lifetime(LIFETIME);
-    known.set_era(era, now);
+    known.set_era(era, None, now);
     if base.is_some() {
         known.set_base(&"engine".into(), base, now);
     }
@@ -165,14 +167,14 @@
 fn base_change_after_restore_waits_for_streams_whose_records_are_lost() {
     let now = Instant::now();
     let mut known = started_with_base(&["v1", "v2"], base("v1", 1), now);
-    assert!(known.set_era(2, now));
+    assert!(known.set_era(2, None, now));
     assert_eq!(known.base_change("engine", now + LIFETIME), None);
     known.record_bases_read(2);
     assert_eq!(known.base_change("engine", now + ALMOST), None);
     let change = known.base_change("engine", now + LIFETIME);
     assert_eq!(change, Some(base("v1", 2)));
     // An era that has passed is told late.
-    assert!(!known.set_era(1, now + LIFETIME));
+    assert!(!known.set_era(1, None, now + LIFETIME));
     let change = known.base_change("engine", now + LIFETIME);
     assert_eq!(change, Some(base("v1", 2)));
 }
@@ -199,7 +201,7 @@
     let now = Instant::now();
     let v1: Name = "v1".into();
     let mut known = started_with_base(&["v1"], base("v1", 1), now);
-    known.set_era(2, now);
+    known.set_era(2, None, now);
     assert!(known.needs_record("engine", Some(&v1), true));
     known.set_base(&"engine".into(), Some(base("v1", 2)), now);
     assert!(!known.needs_record("engine", Some(&v1), true));
@@ -311,10 +313,159 @@
     known.record_list_gap(taken_up);
     assert!(!known.is_sole_version_likely("engine", taken_up + ALMOST));
     assert!(known.is_sole_version_likely("engine", taken_up + LIFETIME));
-    known.set_era(2, taken_up + LIFETIME);
+    known.set_era(2, None, taken_up + LIFETIME);
     assert!(!known.is_sole_version_likely("engine", taken_up + LIFETIME));
 }
 
+/// What an instance knows that has run since the first start of the system, in which v1 became the base
+/// version of era 1.
+fn followed_from_start(now: Instant) -> StreamVersions {
+    let mut known = started(&["v1"], now);
+    known.set_base(&"engine".into(), Some(base("v1", 1)), now);
+    known
+}
+
+/// Records a restore of the store, and that the list was read from it and confirmed.
+fn restore(
+    known: &mut StreamVersions,
+    era: u64,
+    list_age: Duration,
+    versions: &[&str],
+    now: Instant,
+) {
+    assert!(known.set_era(era, Some(list_age), now));
+    known.record_list_reread(now);
+    known.record_bases_read(era);
+    list(known, versions, now);
+    known.record_list_confirmation(now);
+}
+
+/// Guards against streams of a lost instance that are refused for a stream's life after a restore, though no
+/// other version can have begun them.
+#[test]
+fn began_at_base_if_list_was_followed_across_restore() {
+    let now = Instant::now();
+    let old = base("v1", 1);
+    let mut known = followed_from_start(now);
+    let later = now + Duration::from_secs(9);
+    restore(&mut known, 2, NEW_VERSION_DELAY, &["v1"], later);
+    assert!(known.began_at_base("engine", &old, later, later));
+    // The list is known only until it was confirmed.
+    assert!(!known.began_at_base("engine", &old, later + MOMENT, later + MOMENT));
+    assert!(!known.began_at_base("engine", &base("v2", 1), later, later));
+    assert!(!known.began_at_base("other", &old, later, later));
+    // What was confirmed in the era before says nothing of this one.
+    let mut known = followed_from_start(now);
+    known.record_list_confirmation(later);
+    known.set_era(2, Some(MOMENT), later);
+    assert!(!known.began_at_base("engine", &old, later, later));
+}
+
+/// Guards against streams that go on at the base version though one at another version may have lost its
+/// record in a restore.
+#[test]
+fn began_at_base_is_unknown_if_another_version_may_have_served() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(9);
+    let old = base("v1", 1);
+    let is_known = |known: &StreamVersions, at| known.began_at_base("engine", &old, at, at);
+    // Servers of another version may have been listed for long enough since the list was complete.
+    let mut known = followed_from_start(now);
+    let too_old = NEW_VERSION_DELAY + MOMENT;
+    restore(&mut known, 2, too_old, &["v1"], later);
+    assert!(!is_known(&known, later));
+    known.record_list_confirmation(later + LIFETIME);
+    assert!(!is_known(&known, later + ALMOST) && is_known(&known, later + LIFETIME));
+    // Another version is listed, or has been.
+    let mut known = followed_from_start(now);
+    restore(&mut known, 2, MOMENT, &["v1", "v2"], later);
+    assert!(!is_known(&known, later));
+    let mut known = followed_from_start(now);
+    list(&mut known, &["v1", "v2"], now + MOMENT);
+    list(&mut known, &["v1"], now + MOMENT);
+    restore(&mut known, 2, MOMENT, &["v1"], later);
+    assert!(!is_known(&known, later));
+    // Entries came and went unseen.
+    let mut known = followed_from_start(now);
+    known.record_list_gap(now + MOMENT);
+    restore(&mut known, 2, MOMENT, &["v1"], later);
+    assert!(!is_known(&known, later));
+    // What came and went around one restore isn't in the list when the next one follows.
+    let mut known = followed_from_start(now);
+    restore(&mut known, 2, MOMENT, &["v1"], now + MOMENT);
+    assert!(is_known(&known, now + MOMENT));
+    restore(&mut known, 3, MOMENT, &["v1"], later);
+    assert!(!is_known(&known, later));
+    let mut known = followed_from_start(now);
+    restore(&mut known, 2, MOMENT, &["v1"], now + MOMENT);
+    restore(&mut known, 3, MOMENT, &["v1"], now + MOMENT + LIFETIME);
+    assert!(is_known(&known, now + MOMENT + LIFETIME));
+}
+
+/// Guards against an instance that takes its own start for that of the system.
+#[test]
+fn began_at_base_of_restarted_instance_needs_the_life_of_a_stream() {
+    let now = Instant::now();
+    let old = base("v1", 1);
+    let mut listed_before = followed_from_start(now);
+    listed_before.record_earlier_run();
+    for mut known in [
+        restarted(1, &["v1"], Some(old.clone()), now),
+        // Its settings say wrongly that the system starts for the first time.
+        started_with_base(&["v1"], old.clone(), now),
+        listed_before,
+    ] {
+        let early = now + ALMOST;
+        restore(&mut known, 2, MOMENT, &["v1"], early);
+        assert!(!known.began_at_base("engine", &old, early, early));
+        let late = now + LIFETIME;
+        assert!(known.began_at_base("engine", &old, early, late));
+    }
+}
+
+/// Guards against a record that is lost in a restore before other instances can have seen its version listed.
+#[test]
+fn record_delay_of_version_that_was_listed_lately() {
+    let now = Instant::now();
+    let (v1, v2) = (Name::from("v1"), Name::from("v2"));
+    let mut known = followed_from_start(now);
+    list(&mut known, &["v1", "v2"], now + LIFETIME);
+    let delay = |known: &StreamVersions, version: Option<&Name>, at| {
+        known.record_delay("engine", version, at)
+    };
+    let listed = now + LIFETIME;
+    assert_eq!(delay(&known, Some(&v1), listed), Duration::ZERO);
+    assert_eq!(delay(&known, Some(&v2), listed), NEW_VERSION_DELAY);
+    assert_eq!(delay(&known, None, listed), NEW_VERSION_DELAY);
+    let later = listed + MOMENT;
+    let left = NEW_VERSION_DELAY.saturating_sub(MOMENT);
+    assert_eq!(
+        known.record_delays("engine", later),
+        [(Some(v2.clone()), left)]
+    );
+    assert_eq!(
+        delay(&known, Some(&v2), listed + NEW_VERSION_DELAY),
+        Duration::ZERO
+    );
+    // A restore doesn't begin the delay anew.
+    known.set_era(2, Some(MOMENT), later);
+    assert_eq!(delay(&known, Some(&v2), later), left);
+    // The base version needs none, whether it holds or not, nor does the first version of all.
+    let after_restart = restarted(1, &["v1", "v2"], Some(withdrawn("v1")), now);
+    assert_eq!(delay(&after_restart, Some(&v1), now), Duration::ZERO);
+    assert_eq!(delay(&after_restart, Some(&v2), now), NEW_VERSION_DELAY);
+    assert_eq!(
+        delay(&started(&["v1"], now), Some(&v1), now),
+        Duration::ZERO
+    );
+    assert_eq!(
+        delay(&started(&["v1", "v2"], now), Some(&v1), now),
+        NEW_VERSION_DELAY
+    );
+    // Without versions there is no base version to mistake a stream for.
+    assert_eq!(delay(&started(&[""], now), None, now), Duration::ZERO);
+}
+
 #[test]
 fn remembered_versions_are_dropped_after_the_life_of_a_stream() {
     let now = Instant::now();
--- a/crates/sardineshore-core/tests/stream_versions_search.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search.rs
@@ -15,7 +15,7 @@
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
 const INSTANCES: usize = 4;
 /// Number of seeds, unless the environment variable `SEARCH_SEEDS` sets another one.
-const SEEDS: u64 = 40;
+const SEEDS: u64 = 60;
 
 /// Times of the simulation, in milliseconds.
 type Ms = u64;
@@ -45,7 +45,8 @@
     version: u64,
     /// With the version of its row.
     base: Option<(BaseVersion, u64)>,
-    records: BTreeMap<RecordKey, Name>,
+    /// Versions that records name; `None` for those that only take the place of earlier ones.
+    records: BTreeMap<RecordKey, Option<Name>>,
     /// Numbers of the listed servers.
     servers: BTreeSet<usize>,
 }
@@ -99,13 +100,16 @@
     frozen_until: Ms,
     cut_until: Ms,
     confirmed_at: Option<Ms>,
+    /// When the list was last read; the instance doesn't tell the time while it is frozen.
+    listed_at: Option<Ms>,
     base_row: u64,
     /// Era in which the base version was read last.
     base_era: Option<u64>,
     list: BTreeSet<usize>,
     seen: BTreeSet<usize>,
     dropped_seen: usize,
-    queue: Vec<(usize, u32, Name)>,
+    /// Records that are to be written, and when at the earliest.
+    queue: Vec<(usize, u32, Option<Name>, Ms)>,
     checks_base_at: Ms,
 }
 
@@ -118,6 +122,7 @@
             frozen_until: 0,
             cut_until: 0,
             confirmed_at: None,
+            listed_at: None,
             base_row: 0,
             base_era: None,
             list: BTreeSet::new(),
@@ -155,6 +160,10 @@
 
 struct Simulation {
     rng: StdRng,
+    /// Whether one version serves, but for servers of others that come and go around restores of the store.
+    has_one_version: bool,
+    /// When the store is restored next.
+    restored_at: Ms,
     origin: Instant,
     now: Ms,
     store: Store,
@@ -175,6 +184,8 @@
     fn new(seed: u64) -> Self {
         let mut simulation = Self {
             rng: StdRng::seed_from_u64(seed),
+            has_one_version: seed % 2 == 1,
+            restored_at: Ms::MAX,
             origin: Instant::now(),
             now: 0,
             store: Store::default(),
@@ -240,6 +251,48 @@
     }
 
     fn step_engines(&mut self) {
+        if self.has_one_version {
+            self.step_short_engines();
+        } else {
+            self.step_releases();
+        }
+        if self.now < self.store.away_until {
+            return;
+        }
+        for id in 0..self.engines.len() {
+            let engine = &self.engines[id];
+            if self.now >= engine.unlisted_at {
+                self.store.drop_server(id);
+            } else if self.now >= engine.lists_at && engine.ends_at == Ms::MAX {
+                self.engines[id].lists_at = Ms::MAX;
+                self.store.rows.version += 1;
+                self.store.rows.servers.insert(id);
+            }
+        }
+    }
+
+    /// Servers of another version start some time before a restore, and crash around it.
+    fn step_short_engines(&mut self) {
+        if self.restored_at == Ms::MAX && self.happens(12_000) {
+            self.restored_at = self.now + self.rng.random_range(0..9_000);
+            if self.rng.random_bool(0.7) {
+                self.add_engine(VERSIONS[1]);
+            }
+        }
+        let ends = self.now + 500 >= self.restored_at && self.happens(400);
+        if !ends && !self.happens(20_000) {
+            return;
+        }
+        let (now, lapse) = (self.now, self.rng.random_range(0..=ENTRY_LIFETIME));
+        let serving = self.engines.iter_mut().filter(|e| e.ends_at == Ms::MAX);
+        for engine in serving.filter(|e| *e.version == *VERSIONS[1]) {
+            engine.ends_at = now;
+            engine.unlisted_at = now + lapse;
+        }
+    }
+
+    /// Servers of all versions start and leave.
+    fn step_releases(&mut self) {
         if self.happens(5_000) {
             let version = *VERSIONS.choose(&mut self.rng).unwrap();
             for _ in 0..self.rng.random_range(1..3) {
@@ -262,19 +315,6 @@
                 engine.unlisted_at = if crashes { now + lapse } else { now };
             }
         }
-        if self.now < self.store.away_until {
-            return;
-        }
-        for id in 0..self.engines.len() {
-            let engine = &self.engines[id];
-            if self.now >= engine.unlisted_at {
-                self.store.drop_server(id);
-            } else if self.now >= engine.lists_at && engine.ends_at == Ms::MAX {
-                self.engines[id].lists_at = Ms::MAX;
-                self.store.rows.version += 1;
-                self.store.rows.servers.insert(id);
-            }
-        }
     }
 
     fn step_store(&mut self) {
@@ -299,8 +339,18 @@
 
     fn disrupt(&mut self) {
         let now = self.now;
-        if now >= self.store.away_until && self.happens(20_000) {
+        let is_due = if self.has_one_version {
+            now >= self.restored_at
+        } else {
+            self.happens(20_000)
+        };
+        if now >= self.store.away_until && is_due {
             let away = self.rng.random_range(0..3_000);
+            self.restored_at = Ms::MAX;
+            if self.has_one_version && self.rng.random_bool(0.4) {
+                self.restored_at = now + away + self.rng.random_range(0..9_000);
+                self.add_engine(VERSIONS[1]);
+            }
             self.store.away_until = now + away;
             self.store.disrupted_at = now + away;
             let copy = self.rng.random_range(0..self.store.copies.len().max(1));
@@ -313,6 +363,10 @@
                     engine.lists_at = now + away + self.rng.random_range(0..2_000);
                     engine.unlisted_at = engine.unlisted_at.max(now + away);
                 }
+                if self.has_one_version && self.rng.random_bool(0.5) {
+                    let instance = self.rng.random_range(0..INSTANCES);
+                    self.restart(instance);
+                }
             }
         }
         if !self.happens(DISRUPTION_INTERVAL / 3) {
@@ -348,7 +402,9 @@
 
     fn step_instance(&mut self, id: usize) {
         if self.is_in_touch(id) {
-            if self.rng.random_bool(0.05) {
+            // Where one version serves, what matters is what an instance hasn't read yet.
+            let share = if self.has_one_version { 0.02 } else { 0.05 };
+            if self.rng.random_bool(share) {
                 self.sync(id);
             }
             if self.rng.random_bool(0.5) {
@@ -368,12 +424,19 @@
     fn sync(&mut self, id: usize) {
         let now = self.instant();
         let (store, instance) = (&self.store, &mut self.instances[id]);
-        if instance.known.set_era(store.era, now) {
+        let list_age = instance.listed_at.map(|at| self.now - at);
+        let list_age = list_age.map(Duration::from_millis);
+        if instance.known.set_era(store.era, list_age, now) {
             for (stream, known) in instance.known.running(now) {
-                let version = known.version.clone().unwrap();
+                let version = known.version.clone();
                 let stream = stream.parse().unwrap();
-                instance.queue.push((stream, known.record, version));
+                instance
+                    .queue
+                    .push((stream, known.record, version, self.now));
             }
+            // A restored store doesn't tell what was listed and dropped before it is read anew.
+            instance.known.record_list_reread(now);
+            instance.dropped_seen = store.dropped.len();
         }
         let is_new_era = instance.base_era.replace(store.era) != Some(store.era);
         let row = store.rows.base.as_ref().map_or(0, |(_, row)| *row);
@@ -410,12 +473,19 @@
         instance.known.set_servers(servers.iter(), now);
         instance.known.record_list_confirmation(now);
         instance.confirmed_at = Some(self.now);
+        instance.listed_at = Some(self.now);
     }
 
     fn write_records(&mut self, id: usize) {
         let (store, instance) = (&mut self.store, &mut self.instances[id]);
-        for (stream, record, version) in instance.queue.drain(..) {
-            if instance.known.is_running(&stream_name(stream)) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut instance.queue)
+            .into_iter()
+            .partition(|(.., due_at)| *due_at <= now);
+        instance.queue = later;
+        for (stream, record, version, _) in due {
+            let name = stream_name(stream);
+            if instance.known.is_current_record(&name, record) {
                 store.rows.version += 1;
                 store.rows.records.insert((stream, record), version);
             }
@@ -462,8 +532,14 @@
             instance
                 .known
                 .remember(&name, Some(version.clone()), record, now);
+            let delay = instance.known.record_delay(POOL, Some(&version), now);
+            let due_at = self.now + u64::try_from(delay.as_millis()).unwrap();
+            if record > 1 && due_at > self.now {
+                instance.queue.push((stream, record, None, self.now));
+            }
             if needed || record > 1 {
-                instance.queue.push((stream, record, version.clone()));
+                let version = Some(version.clone());
+                instance.queue.push((stream, record, version, due_at));
             }
         }
         self.live.push(stream);
@@ -487,7 +563,7 @@
                 Phase::Running if stream.owner.is_some() && self.now >= stream.ends_at => {
                     self.end_stream(id);
                 }
-                Phase::Running if self.rng.random_bool(0.002) => self.take_up(id),
+                Phase::Running if self.rng.random_bool(self.take_up_share(id)) => self.take_up(id),
                 Phase::Running => {}
             }
         }
@@ -495,6 +571,15 @@
         self.live.retain(|id| streams[*id].phase != Phase::Ended);
     }
 
+    /// Share of the steps in which a stream is taken up: often once its instance is gone.
+    fn take_up_share(&self, id: usize) -> f64 {
+        if self.streams[id].owner.is_none() {
+            0.01
+        } else {
+            0.002
+        }
+    }
+
     fn end_stream(&mut self, id: usize) {
         let stream = &mut self.streams[id];
         stream.phase = Phase::Ended;
@@ -564,8 +649,17 @@
             let record = records.next_back();
             let number = record.map_or(0, |((_, number), _)| *number);
             let base = rows.base.as_ref().map(|(base, _)| base);
-            let record = record.map(|(_, version)| Some(version.clone()));
-            (resolve(record, base, self.store.era), number)
+            let record = record.map(|(_, version)| version.clone());
+            let version = resolve(record.clone(), base, self.store.era);
+            let base = base
+                .filter(|_| version.is_none() && record.is_none())
+                .cloned();
+            let unrecorded = base.filter(|base| {
+                self.sync(id);
+                let known = &self.instances[id].known;
+                known.began_at_base(POOL, base, now, now)
+            });
+            (version.or(unrecorded.map(|base| base.version)), number)
         } else {
             (None, 0)
         };
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -24,7 +24,7 @@
 
 use crate::dialect::Table;
 use crate::peers::Peers;
-use crate::state::{SharedState, boot_time};
+use crate::state::{SharedState, boot_time, whole_ms};
 use crate::store::{Store, StoreError};
 
 /// Name under which one instance is chosen to remove records that were left behind.
@@ -70,9 +70,12 @@
 #[derive(Debug)]
 struct QueuedRecord {
     stream: Name,
+    number: u32,
     key: RecordKey,
     value: Vec<u8>,
     queued_at: Instant,
+    /// It is not written before this time.
+    due_at: Instant,
     /// Told when it is written, if someone waits for it.
     written: Option<oneshot::Sender<()>>,
 }
@@ -91,6 +94,9 @@
     queue: RefCell<VecDeque<QueuedRecord>>,
     to_write: Notify,
     list_check: ListCheck,
+    /// When the list of servers was last known to hold all changes, by the clock that also runs while the
+    /// machine is suspended. `None` if that is not known in the present era of the store.
+    list_complete_at: Cell<Option<Duration>>,
     /// Records of this instance in the store, oldest first, and when each was queued.
     written: RefCell<VecDeque<(Instant, RecordKey)>>,
     /// Whether the latest write failed.
@@ -119,6 +125,7 @@
             queue: RefCell::default(),
             to_write: Notify::new(),
             list_check: ListCheck::default(),
+            list_complete_at: Cell::new(None),
             written: RefCell::default(),
             is_failing: Cell::new(false),
         })
@@ -141,17 +148,22 @@
     /// running streams are written again.
     pub fn record_era(&self, era: u64) {
         let mut known = self.known.borrow_mut();
-        if !known.set_era(era, Instant::now()) {
+        let list_age = self.list_complete_at.get();
+        let list_age = list_age.map(|at| boot_time().saturating_sub(at));
+        if !known.set_era(era, list_age, Instant::now()) {
             return;
         }
+        self.list_complete_at.set(None);
         let running: Vec<(Name, KnownStream)> = known
             .running(Instant::now())
             .map(|(id, stream)| (id.clone(), stream.clone()))
             .collect();
         drop(known);
-        info!(self.log, "recording versions of running streams again"; "era" => era, "streams" => running.len());
+        info!(self.log, "recording versions of running streams again"; "era" => era,
+            "streams" => running.len(), "list_age_ms" => list_age.map(whole_ms));
         for (id, stream) in running {
-            let _not_awaited = self.queue_record(&id, stream.record, stream.version);
+            let _not_awaited =
+                self.queue_record(&id, stream.record, stream.version, Duration::ZERO);
         }
     }
 
@@ -172,6 +184,32 @@
         self.known.borrow_mut().record_list_gap(Instant::now());
     }
 
+    /// Records that all servers were read from a restored store.
+    pub fn record_list_reread(&self) {
+        self.known.borrow_mut().record_list_reread(Instant::now());
+    }
+
+    /// Records that the system has run before this instance read the store.
+    pub fn record_earlier_run(&self) {
+        self.known.borrow_mut().record_earlier_run();
+    }
+
+    /// Records that the list of servers holds all changes until `at`, in this era of the store. `at` is a
+    /// reading of the clock that also runs while the machine is suspended.
+    pub fn record_list_complete(&self, era: u64, at: Duration) {
+        if self.known.borrow().era() == Some(era) {
+            let latest = self.list_complete_at.get().max(Some(at));
+            self.list_complete_at.set(latest);
+        }
+    }
+
+    /// Time since the list of servers was last known to hold all changes.
+    #[must_use]
+    pub fn list_age(&self) -> Duration {
+        let complete_at = self.list_complete_at.get();
+        complete_at.map_or(Duration::MAX, |at| boot_time().saturating_sub(at))
+    }
+
     /// Checks of the list of servers that streams wait for.
     #[must_use]
     pub fn list_check(&self) -> &ListCheck {
@@ -220,6 +258,12 @@
         known.base(pool).map(|base| (base.clone(), cost))
     }
 
+    /// Versions at whose servers streams of a pool have to wait for their records, and for how long.
+    #[must_use]
+    pub fn record_delays(&self, pool: &str) -> Vec<(Option<Name>, Duration)> {
+        self.known.borrow().record_delays(pool, Instant::now())
+    }
+
     /// Remembers that a stream may begin at a server of this version, and queues its record if it needs
     /// one. `number` counts the calls for one stream from 1 on; the latest one tells the version.
     #[must_use]
@@ -240,11 +284,20 @@
         drop(freshness);
         let needs_record = known.needs_record(pool, version, is_confirmed);
         known.remember(&stream, version.cloned(), number, now);
+        let delay = known.record_delay(pool, version, now);
         drop(known);
         if !needs_record && !has_record {
             return None;
         }
-        let written = self.queue_record(&stream, number, version.cloned())?;
+        if has_record && !delay.is_zero() {
+            // A copy of the store must not hold the record of the rejected request alone for so long.
+            let _not_awaited = self.queue_record(&stream, number, None, Duration::ZERO);
+        }
+        let written = self.queue_record(&stream, number, version.cloned(), delay)?;
+        if !delay.is_zero() {
+            info!(self.log, "stream waits to be recorded at a version that was listed lately"; "stream" => &*stream,
+                "pool" => &**pool, "version" => version.map(|version| &**version), "ms" => whole_ms(delay));
+        }
         Some(PendingRecord {
             pool: pool.clone(),
             stream,
@@ -257,12 +310,13 @@
         self.known.borrow_mut().record_end(stream);
     }
 
-    /// Queues the record of a stream with this number.
+    /// Queues the record of a stream with this number, to be written after `delay`.
     fn queue_record(
         &self,
         stream: &Name,
         number: u32,
         version: Option<Name>,
+        delay: Duration,
     ) -> Option<oneshot::Receiver<()>> {
         let value = postcard::to_stdvec(&StreamRecord { version }).ok()?;
         let (tx, written) = oneshot::channel();
@@ -272,9 +326,11 @@
         };
         self.queue.borrow_mut().push_back(QueuedRecord {
             stream: stream.clone(),
+            number,
             key,
             value,
             queued_at: Instant::now(),
+            due_at: Instant::now() + delay,
             written: Some(tx),
         });
         self.to_write.notify_one();
@@ -323,7 +379,7 @@
         };
         let (version, number) = match sole {
             Some(version) => (Some(version), 0),
-            None => match self.read(pool, stream).await {
+            None => match self.read(pool, stream, taken_up).await {
                 Ok(found) => found,
                 Err(error) => {
                     info!(self.log, "can't read at which version a stream began"; "stream" => stream, "fault" => error.to_string());
@@ -338,8 +394,14 @@
         version
     }
 
-    /// Reads at which version a stream began, and the number of its record; 0 if it has none.
-    async fn read(&self, pool: &str, stream: &str) -> Result<(Option<Name>, u32), StoreError> {
+    /// Reads at which version a stream began that was taken up at `taken_up`, and the number of its record;
+    /// 0 if it has none.
+    async fn read(
+        &self,
+        pool: &str,
+        stream: &str,
+        taken_up: Instant,
+    ) -> Result<(Option<Name>, u32), StoreError> {
         let dialect = self.store.dialect();
         let call = dialect.read_stream_records_call(&partition(stream), Some(stream));
         let records = self.store.read_page(call).await?;
@@ -366,16 +428,46 @@
         info!(self.log, "read at which version a stream began"; "stream" => stream,
             "version" => version.as_deref(), "recorded" => record.is_some(), "era" => era,
             "base" => base.as_ref().map(|base| &*base.version), "base_holds_in" => base.as_ref().and_then(|base| base.era));
+        if let (None, None, Some(base)) = (&version, &record, base) {
+            let version = self
+                .unrecorded_version(pool, stream, &base, era, taken_up)
+                .await;
+            return Ok((version, 0));
+        }
         Ok((version, number.unwrap_or_default()))
     }
 
+    /// Version at which a stream began that has no record in this era, though the base version doesn't hold;
+    /// `None` if it isn't known.
+    async fn unrecorded_version(
+        &self,
+        pool: &str,
+        stream: &str,
+        base: &BaseVersion,
+        era: u64,
+        taken_up: Instant,
+    ) -> Option<Name> {
+        let end = self.list_check.run().await;
+        let known = self.known.borrow();
+        // A restore since the record was looked for would make the list say less.
+        let is_known =
+            known.era() == Some(era) && known.began_at_base(pool, base, taken_up, Instant::now());
+        info!(self.log, "checked which versions can have begun a stream"; "stream" => stream, "end" => ?end,
+            "version" => is_known.then_some(&*base.version));
+        is_known.then(|| base.version.clone())
+    }
+
     /// Writes records, forever.
     pub async fn write_records(self: Rc<Self>) {
         loop {
-            let next = self.next_batch();
-            let Some((part, batch)) = next else {
-                self.to_write.notified().await;
-                continue;
+            let (part, batch) = match self.next_batch() {
+                Ok(next) => next,
+                Err(due_at) => {
+                    let due_in = due_at.map(|at| at.saturating_duration_since(Instant::now()));
+                    let due_in = due_in.unwrap_or(CHECK_INTERVAL);
+                    let _due = tokio::time::timeout(due_in, self.to_write.notified()).await;
+                    continue;
+                }
             };
             let expired = self.take_expired(Some(&part));
             match self.write_batch(&part, &batch, &expired).await {
@@ -399,24 +491,30 @@
         }
     }
 
-    /// The oldest queued record with others of its partition. Streams that have ended need none.
-    fn next_batch(&self) -> Option<(String, Vec<QueuedRecord>)> {
+    /// The oldest due record with others of its partition. Without one, the time at which the next one is
+    /// due. Streams that have ended need none, nor do requests that others have taken the place of.
+    fn next_batch(&self) -> Result<(String, Vec<QueuedRecord>), Option<Instant>> {
         let mut queue = self.queue.borrow_mut();
         let lifetime = self.lifetime.get();
         let known = self.known.borrow();
         queue.retain(|record| {
-            record.queued_at.elapsed() < lifetime && known.is_running(&record.stream)
+            let is_current = known.is_current_record(&record.stream, record.number);
+            record.queued_at.elapsed() < lifetime && is_current
         });
         drop(known);
-        let part = queue.front()?.key.part.clone();
-        let (mut batch, rest): (Vec<_>, Vec<_>) =
-            queue.drain(..).partition(|record| record.key.part == part);
+        let now = Instant::now();
+        let Some(first) = queue.iter().find(|record| record.due_at <= now) else {
+            return Err(queue.iter().map(|record| record.due_at).min());
+        };
+        let part = first.key.part.clone();
+        let is_next = |record: &QueuedRecord| record.key.part == part && record.due_at <= now;
+        let (mut batch, rest): (Vec<_>, Vec<_>) = queue.drain(..).partition(is_next);
         queue.extend(rest);
         let excess = batch.split_off(batch.len().min(MAX_BATCH));
         for record in excess.into_iter().rev() {
             queue.push_front(record);
         }
-        Some((part, batch))
+        Ok((part, batch))
     }
 
     fn requeue(&self, batch: Vec<QueuedRecord>, expired: Vec<RecordKey>) {
--- a/crates/sardineshore-serve/src/stream_versions/list_check.rs
+++ b/crates/sardineshore-serve/src/stream_versions/list_check.rs
@@ -26,10 +26,15 @@
 }
 
 impl ListCheck {
+    /// Has the list checked soon.
+    pub fn request(&self) {
+        self.asked.notify_one();
+    }
+
     /// Waits for a check that begins from now on.
     pub async fn run(&self) -> ListCheckEnd {
         let asked_at = Instant::now();
-        self.asked.notify_one();
+        self.request();
         loop {
             let ended = self.ended.notified();
             if let Some((_, end)) = self.latest.get().filter(|(at, _)| *at >= asked_at) {
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -51,6 +51,11 @@
     UnusableConfig,
 }
 
+/// Age from which on the list of servers is checked at the next response with the configuration, unless that
+/// shows that the list is complete. Far below
+/// [`sardineshore_core::flow::stream_versions::NEW_VERSION_DELAY`].
+const MAX_LIST_AGE: Duration = Duration::from_millis(1500);
+
 /// A response of the store with the configuration.
 #[derive(Debug, Clone, Copy)]
 struct ConfigResponse {
@@ -347,6 +352,9 @@
         } else {
             None
         };
+        if matches!(table, Table::Config | Table::Servers) {
+            self.follow_list(response);
+        }
         self.relay.publish(ReaderMessage::Changes {
             table,
             changes,
@@ -383,8 +391,12 @@
         let now = boot_time();
         self.era.borrow_mut().record_era(changes.version.era, now);
         let restored = self.compare_restored(table, &changes);
-        if table == Table::Servers && self.may_have_missed_servers(&changes) {
-            self.versions.record_list_gap();
+        if table == Table::Servers {
+            if restored.is_some() {
+                self.versions.record_list_reread();
+            } else if self.may_have_missed_servers(&changes) {
+                self.versions.record_list_gap();
+            }
         }
         let is_first = self.version(table).is_none();
         let news = self.replicas.borrow_mut()[table_index(table)].apply(changes)?;
@@ -396,6 +408,9 @@
         let is_listed = self.instances.borrow().contains_key(own);
         if is_first && table == Table::Instances {
             self.era.borrow_mut().record_first_list(is_listed);
+            if is_listed {
+                self.versions.record_earlier_run();
+            }
             self.recheck_response();
         }
         // An instance that was not listed before has started for the first time.
@@ -424,6 +439,30 @@
         removed.any(|row| !was_listed(&row.key))
     }
 
+    /// Records that the list of servers was complete at a time, if it holds all changes up to this version of
+    /// the store.
+    fn record_list_complete(&self, version: StoreVersion, at: Duration) -> bool {
+        let listed = self.version(Table::Servers);
+        let is_complete =
+            listed.is_some_and(|listed| listed.era == version.era && listed >= version);
+        if is_complete {
+            self.versions.record_list_complete(version.era, at);
+        }
+        is_complete
+    }
+
+    /// Records until when the list of servers is known to be complete, by a response about it or about the
+    /// configuration. Has it checked if that was too long ago.
+    fn follow_list(&self, response: ConfigResponse) {
+        let mut freshness = self.state.freshness.borrow_mut();
+        let produced = freshness.date(response.sent, response.received, response.store_time_ms);
+        drop(freshness);
+        let is_complete = self.record_list_complete(response.version, produced);
+        if !is_complete && self.versions.list_age() > MAX_LIST_AGE {
+            self.versions.list_check().request();
+        }
+    }
+
     /// Asks the store for changes of the servers whenever the version of a stream depends on it, forever.
     async fn check_servers(&self) {
         loop {
@@ -476,6 +515,7 @@
         if table == Table::Servers && after_outage {
             self.servers.borrow_mut().record_store_failure();
         }
+        let version = changes.version;
         match self.apply_changes(table, changes) {
             Ok((_, Ok(()))) => {}
             Ok((_, Err(_))) | Err(ApplyError::Stale) => return Applied::Unconfirmed,
@@ -492,6 +532,8 @@
             return Applied::Unconfirmed;
         };
         self.store_time_ms.set(Some(store_time_ms));
+        drop(freshness);
+        self.record_list_complete(version, confirmed_at);
         Applied::Confirmed(confirmed_at)
     }
 
