fix(http1): a status outside of 100 to 599 is no response

Cause: the parser takes any three digits for a status. Change: such a head is malformed, like other bytes that are no response. Test: parse_response_status_out_of_range_is_rejected failed before.

--- a/crates/sardineshore-serve/src/http1.rs
+++ b/crates/sardineshore-serve/src/http1.rs
@@ -12,6 +12,8 @@
 //! assert_eq!(head.framing().unwrap(), Framing::Length(0));
 //! ```
 
+use std::ops::RangeInclusive;
+
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Maximum number of header fields in a message.
@@ -166,6 +168,9 @@
     Ok(Some(Framing::Length(length)))
 }
 
+/// Status codes that a response can have.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 fn copy_headers(parsed: &[httparse::Header<'_>]) -> Headers {
     let fields = parsed
         .iter()
@@ -204,14 +209,19 @@
 ///
 /// # Errors
 ///
-/// Fails if the bytes are malformed or there are too many header fields.
+/// Fails if the bytes are malformed, the status is none of the protocol's or there are too many header
+/// fields.
 pub fn parse_response(buf: &[u8]) -> Result<Option<(ResponseHead, usize)>, MessageError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut fields);
     match response.parse(buf) {
         Ok(httparse::Status::Complete(head_len)) => {
+            let status = response.code.unwrap_or_default();
+            if !STATUSES.contains(&status) {
+                return Err(MessageError::Malformed);
+            }
             let head = ResponseHead {
-                status: response.code.unwrap_or_default(),
+                status,
                 minor_version: response.version.unwrap_or(1),
                 headers: copy_headers(response.headers),
             };
--- a/crates/sardineshore-serve/tests/http1.rs
+++ b/crates/sardineshore-serve/tests/http1.rs
@@ -48,6 +48,21 @@
     assert_eq!(head.framing(true), Ok(Framing::Length(0)));
 }
 
+/// Guards against bytes that are no response in the protocol and reach the caller as one.
+#[test]
+fn parse_response_status_out_of_range_is_rejected() {
+    for status in ["000", "001", "099", "600", "999"] {
+        let response = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+        let parsed = parse_response(response.as_bytes());
+        assert_eq!(parsed, Err(MessageError::Malformed), "{status}");
+    }
+    for status in [100, 200, 599] {
+        let response = format!("HTTP/1.1 {status} X\r\n\r\n");
+        let (head, _) = parse_response(response.as_bytes()).unwrap().unwrap();
+        assert_eq!(head.status, status);
+    }
+}
+
 #[test]
 fn parse_request_space_before_colon_or_folded_field_is_rejected() {
     assert!(parse_request(b"GET / HTTP/1.1\r\nHost : a\r\n\r\n").is_err());
