fix(upstream): a reset beside an upload doesn't complete a response

Cause: the reset is reported once. If the write gets it, reading returns what arrived and then ends as if the server had closed, which ends a body without a length. Change: after a failed write that end is an error, also for the store and the stages, which read by the same code.

--- a/crates/sardineshore-serve/src/upstream.rs
+++ b/crates/sardineshore-serve/src/upstream.rs
@@ -71,6 +71,9 @@
     open_count: Rc<Cell<usize>>,
     /// Whether another request may follow on this connection.
     reusable: bool,
+    /// Whether writing has failed or the connection was aborted. Its end then says nothing of a response: a
+    /// reset is reported only once, and reading afterwards ends as if the server had closed.
+    is_broken: bool,
     /// Longest time that the connection may stay idle before it is reused.
     idle_limit: Duration,
     budget: Rc<ReceiveBudget>,
@@ -145,6 +148,7 @@
     /// Ends the connection at once, in both directions.
     pub fn abort(&mut self) {
         self.reusable = false;
+        self.is_broken = true;
         // Fails if the other side has ended it.
         let _ended = SockRef::from(&self.stream).shutdown(Shutdown::Both);
     }
@@ -181,6 +185,7 @@
                             // On a failed write go on reading: the server may have responded
                             // before it closed the connection.
                             self.reusable &= done.is_ok();
+                            self.is_broken |= done.is_err();
                         }
                         parsed = &mut read => break parsed,
                     }
@@ -255,7 +260,7 @@
                 .await
                 .map_err(ExchangeError::Io)?;
             if count == 0 {
-                if response.decoder.is_close_delimited() {
+                if response.decoder.is_close_delimited() && !self.is_broken {
                     return Ok(None);
                 }
                 return Err(ExchangeError::Io(io::ErrorKind::UnexpectedEof.into()));
@@ -402,6 +407,7 @@
             address,
             open_count: guard.disarm(),
             reusable: true,
+            is_broken: false,
             idle_limit: DEFAULT_IDLE_LIMIT,
             budget: self.budget.clone(),
             setup_time,
