fix(versions): streams at a new version aren't kept from its servers

Cause: the wait for a record counted as cost when a server was chosen, so that all streams of 4 s went to the old version's servers, where the take-ups had to go too ("no server of the stream's version", 19 of 83).

Change: it doesn't count, and is 2.5 s; instances that read the store check their list every 0.9 s in return, rather than at the next response with the configuration.

--- a/crates/sardineshore-core/src/flow/selection/cost.rs
+++ b/crates/sardineshore-core/src/flow/selection/cost.rs
@@ -126,15 +126,12 @@
     cost * state.health.slowdown() + ERROR_RATE_COST.as_secs_f64() * state.health.error_rate(now)
 }
 
-/// Cost of a server whose version is not the favored one, or at which the request would have to wait.
+/// Cost of a server whose version is not the favored one.
 fn version_cost(request: &SelectionRequest, server: &Server) -> Duration {
-    let cost = match &request.favored_version {
+    match &request.favored_version {
         Some((version, cost)) if server.version.as_ref() != Some(version) => *cost,
         _ => Duration::ZERO,
-    };
-    let mut delays = request.version_delays.iter();
-    let delay = delays.find(|(version, _)| *version == server.version);
-    cost + delay.map_or(Duration::ZERO, |(_, delay)| *delay)
+    }
 }
 
 /// Pseudo-random number from 0 to 1 that is lowest at each of several servers with a probability in
--- a/crates/sardineshore-core/src/flow/selection/request.rs
+++ b/crates/sardineshore-core/src/flow/selection/request.rs
@@ -65,8 +65,6 @@
     pub version: RequiredVersion,
     /// Software version at which the request is best run, and the cost of another one.
     pub favored_version: Option<(Name, Duration)>,
-    /// Software versions at which the request would have to wait, and for how long.
-    pub version_delays: Vec<(Option<Name>, Duration)>,
     /// Seed that differs between requests; it spreads them over servers that are equal otherwise.
     pub seed: u64,
 }
--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -48,9 +48,9 @@
 const WITHDRAWAL_DELAY: Duration = Duration::from_secs(5);
 
 /// Time for which an instance has known that servers of a version are listed before it writes records that
-/// name it, unless it is the base version. Longer than the time between two confirmations of the list and a
-/// short outage of the store together.
-pub const NEW_VERSION_DELAY: Duration = Duration::from_secs(4);
+/// name it, unless it is the base version. Longer than the time between two checks of the list and a short
+/// outage of the store together; not so long that callers leave before their first event.
+pub const NEW_VERSION_DELAY: Duration = Duration::from_millis(2500);
 
 /// The version at which the streams of a pool began that have no record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -416,18 +416,6 @@
         })
     }
 
-    /// Versions of a pool's servers at which streams have to wait for their records, and for how long.
-    #[must_use]
-    pub fn record_delays(&self, pool: &str, now: Instant) -> Vec<(Option<Name>, Duration)> {
-        let versions = self.pools.get(pool).into_iter();
-        let versions = versions.flat_map(|servers| servers.listed.keys());
-        let delays = versions.map(|version| {
-            let delay = self.record_delay(pool, version.as_ref(), now);
-            (version.clone(), delay)
-        });
-        delays.filter(|(_, delay)| !delay.is_zero()).collect()
-    }
-
     /// Remembers at which version a stream may begin; `record` is the number of its record.
     pub fn remember(&mut self, id: &Name, version: Option<Name>, record: u32, now: Instant) {
         while let Some((at, _)) = self.by_age.front()
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -439,10 +439,7 @@
     assert_eq!(delay(&known, None, listed), NEW_VERSION_DELAY);
     let later = listed + MOMENT;
     let left = NEW_VERSION_DELAY.saturating_sub(MOMENT);
-    assert_eq!(
-        known.record_delays("engine", later),
-        [(Some(v2.clone()), left)]
-    );
+    assert_eq!(delay(&known, Some(&v2), later), left);
     assert_eq!(
         delay(&known, Some(&v2), listed + NEW_VERSION_DELAY),
         Duration::ZERO
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -155,14 +155,8 @@
         if let RequiredVersion::Exactly(version) = &version {
             stats.version = Some(version.clone());
         }
-        let may_begin = is_resumable && version == RequiredVersion::Any;
         let selection = SelectionRequest {
             favored_version: versions.favored(&pool).filter(|_| is_resumable),
-            version_delays: if may_begin {
-                versions.record_delays(&pool)
-            } else {
-                Vec::new()
-            },
             pool,
             seed: xxh3_64(request.id.as_bytes()),
             prompt: prompt.unwrap_or_default(),
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -258,12 +258,6 @@
         known.base(pool).map(|base| (base.clone(), cost))
     }
 
-    /// Versions at whose servers streams of a pool have to wait for their records, and for how long.
-    #[must_use]
-    pub fn record_delays(&self, pool: &str) -> Vec<(Option<Name>, Duration)> {
-        self.known.borrow().record_delays(pool, Instant::now())
-    }
-
     /// Remembers that a stream may begin at a server of this version, and queues its record if it needs
     /// one. `number` counts the calls for one stream from 1 on; the latest one tells the version.
     #[must_use]
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -51,10 +51,12 @@
     UnusableConfig,
 }
 
-/// Age from which on the list of servers is checked at the next response with the configuration, unless that
-/// shows that the list is complete. Far below
+/// Time after which an instance that reads the store has its list of servers checked, unless a response
+/// with the configuration has shown that the list is complete. Far below
 /// [`sardineshore_core::flow::stream_versions::NEW_VERSION_DELAY`].
-const MAX_LIST_AGE: Duration = Duration::from_millis(1500);
+const MAX_LIST_AGE: Duration = Duration::from_millis(900);
+/// How often that time is looked at.
+const LIST_AGE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A response of the store with the configuration.
 #[derive(Debug, Clone, Copy)]
@@ -197,6 +199,8 @@
         let watcher = self.clone();
         tokio::task::spawn_local(async move { watcher.check_servers().await });
         let watcher = self.clone();
+        tokio::task::spawn_local(async move { watcher.keep_list_complete().await });
+        let watcher = self.clone();
         tokio::task::spawn_local(async move { watcher.write_settled_era().await });
         let watcher = self.clone();
         tokio::task::spawn_local(async move { watcher.follow_evacuations().await });
@@ -353,7 +357,11 @@
             None
         };
         if matches!(table, Table::Config | Table::Servers) {
-            self.follow_list(response);
+            let mut freshness = self.state.freshness.borrow_mut();
+            let (sent, received) = (response.sent, response.received);
+            let produced = freshness.date(sent, received, response.store_time_ms);
+            drop(freshness);
+            self.record_list_complete(response.version, produced);
         }
         self.relay.publish(ReaderMessage::Changes {
             table,
@@ -441,25 +449,24 @@
 
     /// Records that the list of servers was complete at a time, if it holds all changes up to this version of
     /// the store.
-    fn record_list_complete(&self, version: StoreVersion, at: Duration) -> bool {
+    fn record_list_complete(&self, version: StoreVersion, at: Duration) {
         let listed = self.version(Table::Servers);
         let is_complete =
             listed.is_some_and(|listed| listed.era == version.era && listed >= version);
         if is_complete {
             self.versions.record_list_complete(version.era, at);
         }
-        is_complete
     }
 
-    /// Records until when the list of servers is known to be complete, by a response about it or about the
-    /// configuration. Has it checked if that was too long ago.
-    fn follow_list(&self, response: ConfigResponse) {
-        let mut freshness = self.state.freshness.borrow_mut();
-        let produced = freshness.date(response.sent, response.received, response.store_time_ms);
-        drop(freshness);
-        let is_complete = self.record_list_complete(response.version, produced);
-        if !is_complete && self.versions.list_age() > MAX_LIST_AGE {
-            self.versions.list_check().request();
+    /// Has the list of servers checked whenever it was last known to be complete too long ago, forever.
+    async fn keep_list_complete(&self) {
+        loop {
+            tokio::time::sleep(LIST_AGE_INTERVAL).await;
+            let is_reachable = self.reachable.get().is_some();
+            let is_read = self.version(Table::Servers).is_some() && self.relay.must_read();
+            if is_reachable && is_read && self.versions.list_age() > MAX_LIST_AGE {
+                self.versions.list_check().request();
+            }
         }
     }
 
