test(review): streams of a split route go on at another version

Cause: the service of a split route is chosen by the id of the client attempt, also for one that takes a stream up; the version of the stream is then looked up in the wrong service, and remembered for the stream whatever its service.

Nothing was fixed.

--- a/review/stand-in-3/engine.rs
+++ b/review/stand-in-3/engine.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
     /// Events of a stream, and the time between two; 0 for an engine of plain requests.
     pub events: u64,
     pub gap: Duration,
+    pub has_exited: Arc<AtomicBool>,
 }
 
 /// What engines have run: events by the id of the client's request.
@@ -46,11 +48,18 @@
         let (engine, runs, record) = (self.clone(), runs.clone(), record.clone());
         let places = Places::default();
         http::serve(listener, move |conn| {
-            let _closed = engine.serve(conn, &places, &runs, &record);
+            if !engine.has_exited.load(Ordering::Relaxed) {
+                let _closed = engine.serve(conn, &places, &runs, &record);
+            }
         });
         Ok(address)
     }
 
+    /// Ends the engine: its connections close, and it takes no more.
+    pub fn exit(&self) {
+        self.has_exited.store(true, Ordering::Relaxed);
+    }
+
     /// Its entry in the store.
     pub fn entry(&self, address: SocketAddr) -> String {
         let Self {
@@ -66,7 +75,13 @@
         )
     }
 
-    fn serve(&self, mut conn: Conn, places: &Places, runs: &Runs, record: &Record) -> io::Result<()> {
+    fn serve(
+        &self,
+        mut conn: Conn,
+        places: &Places,
+        runs: &Runs,
+        record: &Record,
+    ) -> io::Result<()> {
         loop {
             let head = conn.head(None)?;
             let id = head.get("x-attempt-id").unwrap_or_default().to_owned();
@@ -75,7 +90,10 @@
                 conn.write(&response(200, &fields, ""))?;
                 continue;
             }
-            if head.get("x-expect-instance").is_some_and(|expected| expected != self.id) {
+            if head
+                .get("x-expect-instance")
+                .is_some_and(|expected| expected != self.id)
+            {
                 conn.body(&head, None)?;
                 conn.write(&response(421, &fields, ""))?;
                 continue;
@@ -102,12 +120,25 @@
 
     fn load(&self, places: &Places) -> String {
         let load = places.0.lock().unwrap_or_else(PoisonError::into_inner);
-        format!("X-Engine-Load: {},{},{}\r\n", load.running, load.waiting, self.slots)
+        format!(
+            "X-Engine-Load: {},{},{}\r\n",
+            load.running, load.waiting, self.slots
+        )
     }
 
     /// Streams the events after the last one that the client has.
-    fn stream(&self, conn: &mut Conn, head: &Head, id: &str, places: &Places, runs: &Runs) -> io::Result<()> {
-        let last: u64 = head.get("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
+    fn stream(
+        &self,
+        conn: &mut Conn,
+        head: &Head,
+        id: &str,
+        places: &Places,
+        runs: &Runs,
+    ) -> io::Result<()> {
+        let last: u64 = head
+            .get("last-event-id")
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(0);
         let load = self.load(places);
         let answer = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s.{id}\r\n{load}\
@@ -115,7 +146,13 @@
         );
         conn.write(answer.as_bytes())?;
         for event in last + 1..=self.events {
-            let text = format!("id: {event}\ndata: {} {} {event}\n\n", self.service, self.version);
+            if self.has_exited.load(Ordering::Relaxed) {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            let text = format!(
+                "id: {event}\ndata: {} {} {event}\n\n",
+                self.service, self.version
+            );
             conn.write(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
             let mut runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
             let ran = format!("{} {} {event}", self.service, self.version);
@@ -172,4 +209,3 @@
         ended.notify_all();
     }
 }
-
--- a/review/stand-in-3/fleet.rs
+++ b/review/stand-in-3/fleet.rs
@@ -8,6 +8,12 @@
 
 use crate::http::Conn;
 
+const SIGTERM: i32 = 15;
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// Program that `deploy/system.toml` names, from the root of the repository.
 const PROGRAM: &str = "target/release/sardine-serve";
 
@@ -88,15 +94,23 @@
 
     /// Starts the process; its log goes to a file of its own.
     pub fn start(&mut self) -> std::io::Result<()> {
-        let log = File::options().create(true).append(true).open(self.dir.join("log"))?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.dir.join("log"))?;
         let mut command = Command::new(PROGRAM);
-        command.env_clear().env("SARDINESHORE_CONFIG", &self.settings);
+        command
+            .env_clear()
+            .env("SARDINESHORE_CONFIG", &self.settings);
         for name in ["PATH", "HOME", "LANG"] {
             if let Some(value) = std::env::var_os(name) {
                 command.env(name, value);
             }
         }
-        command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        command
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log);
         self.child = Some(command.spawn()?);
         Ok(())
     }
@@ -119,7 +133,9 @@
     pub fn memory(&mut self) -> Option<u64> {
         let pid = self.pid()?;
         let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
         let kilobytes: u64 = line.trim().trim_end_matches(" kB").trim().parse().ok()?;
         Some(kilobytes * 1024)
     }
@@ -132,6 +148,20 @@
         self.start()
     }
 
+    /// SIGTERM, and SIGKILL after `grace`. Returns the time until the process ended.
+    pub fn stop(&mut self, grace: Duration) -> Duration {
+        let began = Instant::now();
+        if let Some(pid) = self.pid().and_then(|pid| i32::try_from(pid).ok()) {
+            // SAFETY: sends a signal to a process that this one started and has not waited for.
+            unsafe { kill(pid, SIGTERM) };
+        }
+        while self.pid().is_some() && began.elapsed() < grace {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.kill();
+        began.elapsed()
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -162,7 +192,8 @@
 /// Starts all machines at about the same time and waits until they are ready.
 pub fn start_all(nodes: &mut [Node]) -> Result<(), String> {
     for node in nodes.iter_mut() {
-        node.start().map_err(|error| format!("can't start {PROGRAM}: {error}"))?;
+        node.start()
+            .map_err(|error| format!("can't start {PROGRAM}: {error}"))?;
     }
     let deadline = Instant::now() + Duration::from_secs(15);
     while Instant::now() < deadline {
--- a/review/stand-in-3/http.rs
+++ b/review/stand-in-3/http.rs
@@ -16,7 +16,10 @@
 impl Head {
     /// Value of a field; `None` if there is none.
     pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .fields
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
--- a/review/stand-in-3/store.rs
+++ b/review/stand-in-3/store.rs
@@ -68,10 +68,28 @@
         ver
     }
 
+    /// Drops a row, as an engine that leaves has its entry dropped.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut state = self.lock();
+        state.ver += 1;
+        let ver = state.ver;
+        let id = (table.to_owned(), String::new(), key.to_owned());
+        state.rows.insert(id, Row { value: None, ver });
+        drop(state);
+        self.changed.notify_all();
+    }
+
     fn serve(&self, mut conn: Conn) {
         while let Ok(head) = conn.head(None) {
-            let Ok(body) = conn.body(&head, None) else { return };
-            let path = head.target().split('?').next().unwrap_or_default().to_owned();
+            let Ok(body) = conn.body(&head, None) else {
+                return;
+            };
+            let path = head
+                .target()
+                .split('?')
+                .next()
+                .unwrap_or_default()
+                .to_owned();
             std::thread::sleep(ANSWER_TIME);
             let (status, text) = match path.as_str() {
                 "/api/rows-get" => (200, self.get(head.target())),
@@ -95,11 +113,20 @@
 
     fn get(&self, target: &str) -> String {
         let argument = |name| parameter(target, name).unwrap_or_default();
-        let (table, part, from, to) = (argument("table"), argument("part"), argument("from"), argument("to"));
+        let (table, part, from, to) = (
+            argument("table"),
+            argument("part"),
+            argument("from"),
+            argument("to"),
+        );
         let limit: usize = argument("limit").parse().unwrap_or(PAGE_ROWS);
         let state = self.lock();
         let rows = state.rows.iter().filter(|((t, p, key), row)| {
-            *t == table && *p == part && *key >= from && (to.is_empty() || *key < to) && row.value.is_some()
+            *t == table
+                && *p == part
+                && *key >= from
+                && (to.is_empty() || *key < to)
+                && row.value.is_some()
         });
         let rows: Vec<_> = rows.collect();
         let limit = limit.min(PAGE_ROWS);
@@ -138,11 +165,18 @@
             return (400, String::from("{}"));
         };
         let id = |entry: &Json| -> RowId {
-            (entry.text("table").into(), entry.text("part").into(), entry.text("key").into())
+            (
+                entry.text("table").into(),
+                entry.text("part").into(),
+                entry.text("key").into(),
+            )
         };
         let mut state = self.lock();
         let writes = call.list("set_keys").iter().chain(call.list("remove"));
-        if writes.clone().any(|entry| ["op", "servers"].contains(&entry.text("table"))) {
+        if writes
+            .clone()
+            .any(|entry| ["op", "servers"].contains(&entry.text("table")))
+        {
             return (403, String::from("{}"));
         }
         let holds = call.list("expect").iter().all(|entry| {
@@ -171,7 +205,12 @@
 }
 
 fn row_json((table, part, key): &RowId, row: &Row) -> String {
-    let place = format!("\"table\":{},\"part\":{},\"key\":{}", quote(table), quote(part), quote(key));
+    let place = format!(
+        "\"table\":{},\"part\":{},\"key\":{}",
+        quote(table),
+        quote(part),
+        quote(key)
+    );
     match &row.value {
         Some(value) => format!("{{{place},\"value\":{},\"ver\":{}}}", quote(value), row.ver),
         None => format!("{{{place},\"ver\":{},\"tombstone\":true}}", row.ver),
@@ -187,7 +226,11 @@
         for digit in 0..4 {
             let index = (bits >> (18 - 6 * digit)) & 63;
             let is_padding = digit > group.len();
-            out.push(if is_padding { '=' } else { char::from(DIGITS[index as usize]) });
+            out.push(if is_padding {
+                '='
+            } else {
+                char::from(DIGITS[index as usize])
+            });
         }
     }
     out
