test(review): streams of a lost machine after a drill, at two versions

Cause: the version at which a stream began is known to its own instance and to one record in the store. A drill that loses the record while the instance is gone leaves nobody who knows, unless one version has served alone.

--- a/review/stand-in-3/fleet.rs
+++ b/review/stand-in-3/fleet.rs
@@ -9,6 +9,7 @@
 use crate::http::Conn;
 
 const SIGTERM: i32 = 15;
+const SIGSTOP: i32 = 19;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -129,17 +130,6 @@
         runs.then(|| child.id())
     }
 
-    /// Memory that the process occupies, in bytes.
-    pub fn memory(&mut self) -> Option<u64> {
-        let pid = self.pid()?;
-        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:"))?;
-        let kilobytes: u64 = line.trim().trim_end_matches(" kB").trim().parse().ok()?;
-        Some(kilobytes * 1024)
-    }
-
     /// Starts the process again, as the platform does: the whole system doesn't start for the first time.
     pub fn restart(&mut self) -> std::io::Result<()> {
         let text = fs::read_to_string(&self.settings)?;
@@ -148,6 +138,14 @@
         self.start()
     }
 
+    /// SIGSTOP: the machine is dark.
+    pub fn freeze(&mut self) {
+        if let Some(pid) = self.pid().and_then(|pid| i32::try_from(pid).ok()) {
+            // SAFETY: as in `stop`.
+            unsafe { kill(pid, SIGSTOP) };
+        }
+    }
+
     /// SIGTERM, and SIGKILL after `grace`. Returns the time until the process ended.
     pub fn stop(&mut self, grace: Duration) -> Duration {
         let began = Instant::now();
--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -5,10 +5,10 @@
 //! with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. `TROUBLE=0` leaves the
 //! disruption out.
 
+mod case_drill;
 mod case_order;
 mod case_split;
 mod case_timeouts;
-mod case_uploads;
 mod client;
 mod engine;
 mod fleet;
@@ -34,10 +34,10 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::new();
     let played = match case.as_str() {
+        "drill" => case_drill::play(&record, has_trouble),
         "order" => case_order::play(&record, has_trouble),
         "split" => case_split::play(&record, has_trouble),
         "timeouts" => case_timeouts::play(&record, has_trouble),
-        "uploads" => case_uploads::play(&record, has_trouble),
         other => Err(format!("no case {other:?}")),
     };
     let code = match &played {
--- a/review/stand-in-3/store.rs
+++ b/review/stand-in-3/store.rs
@@ -22,12 +22,20 @@
     ver: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct State {
     rows: BTreeMap<RowId, Row>,
     ver: u64,
+    /// Number of times that the store came back from a copy.
+    era: u64,
+    /// Whether the store is away: it does nothing, and says so.
+    is_away: bool,
 }
 
+/// A copy of the store's rows.
+#[derive(Debug, Clone)]
+pub struct Copy(State);
+
 /// A store that stays up.
 #[derive(Debug)]
 pub struct Store {
@@ -68,6 +76,35 @@
         ver
     }
 
+    /// A copy of all rows as they are.
+    pub fn copy(&self) -> Copy {
+        Copy(self.lock().clone())
+    }
+
+    /// Answers 503 from now on.
+    pub fn go_away(&self) {
+        self.lock().is_away = true;
+        self.changed.notify_all();
+    }
+
+    /// Comes back with the rows of a copy, in the next era.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.lock();
+        let era = state.era + 1;
+        *state = copy.0;
+        (state.era, state.is_away) = (era, false);
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Number of rows that a table has.
+    pub fn count(&self, table: &str) -> usize {
+        let state = self.lock();
+        let rows = state.rows.iter();
+        rows.filter(|((t, _, _), row)| t == table && row.value.is_some())
+            .count()
+    }
+
     /// Drops a row, as an engine that leaves has its entry dropped.
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = self.lock();
@@ -92,13 +129,15 @@
                 .to_owned();
             std::thread::sleep(ANSWER_TIME);
             let (status, text) = match path.as_str() {
+                _ if self.lock().is_away => (503, String::from("{}")),
                 "/api/rows-get" => (200, self.get(head.target())),
                 "/api/rows-feed" => self.feed(head.target()),
                 "/api/rows-tx" => self.transact(&String::from_utf8_lossy(&body)),
                 _ => (404, String::from("{}")),
             };
-            let fields = "Content-Type: application/json\r\nStore-Era: 1\r\n";
-            if conn.write(&response(status, fields, &text)).is_err() {
+            let era = self.lock().era;
+            let fields = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+            if conn.write(&response(status, &fields, &text)).is_err() {
                 return;
             }
         }
@@ -142,6 +181,9 @@
         let until = Instant::now() + wait.min(Duration::from_secs(30));
         let mut state = self.lock();
         loop {
+            if state.is_away {
+                return (503, String::from("{}"));
+            }
             if after > state.ver {
                 return (410, String::from("{}"));
             }
