test(review): streams over several tries go on at another version

Cause: the record of a stream's version is removed, and the memory of it ends, when the longest timeout of a route and 6 s have passed since it began. The timeout bounds one client attempt; clients take a stream up over several.

--- a/review/stand-in-3/case_drill.rs
+++ b/review/stand-in-3/case_drill.rs
@@ -41,7 +41,10 @@
         };
         let at = engine.start(&runs, record).map_err(fault)?;
         store.put("servers", &engine.id, &engine.entry(at));
-        record.line(&format!("engine {}, version {}, at {at}", engine.id, engine.version));
+        record.line(&format!(
+            "engine {}, version {}, at {at}",
+            engine.id, engine.version
+        ));
     }
     store.put("op", "config", &config(&[("chat", 280)]));
     let deployment = Deployment {
@@ -57,11 +60,22 @@
     let copy = store.copy();
     sleep(Duration::from_millis(500));
     let mut ids = Ids::new();
-    let streams: Vec<Stream> = (0..STREAMS).map(|n| begin(nodes[0].front, n, &mut ids)).collect();
+    let streams: Vec<Stream> = (0..STREAMS)
+        .map(|n| begin(nodes[0].front, n, &mut ids))
+        .collect();
     sleep(COPY_AGE - Duration::from_millis(500));
-    let begun = streams.iter().filter(|s| !lock(&s.got).events.is_empty()).count();
-    record.say(&format!("streams begun at {}: {begun} of {STREAMS}", nodes[0].name));
-    record.say(&format!("rows with versions of streams in the store: {}", store.count("sardine-streams")));
+    let begun = streams
+        .iter()
+        .filter(|s| !lock(&s.got).events.is_empty())
+        .count();
+    record.say(&format!(
+        "streams begun at {}: {begun} of {STREAMS}",
+        nodes[0].name
+    ));
+    record.say(&format!(
+        "rows with versions of streams in the store: {}",
+        store.count("sardine-streams")
+    ));
     record.say(&format!("{} loses power", nodes[0].name));
     nodes[0].freeze();
     sleep(Duration::from_millis(50));
@@ -70,12 +84,18 @@
         sleep(AWAY);
         store.come_back(copy);
         record.say(&format!("the store is back from a copy, away for {AWAY:?}"));
-        record.say(&format!("rows with versions of streams in the store: {}", store.count("sardine-streams")));
+        record.say(&format!(
+            "rows with versions of streams in the store: {}",
+            store.count("sardine-streams")
+        ));
     }
     sleep(DARK.saturating_sub(if has_trouble { AWAY } else { Duration::ZERO }));
     nodes[0].kill();
     nodes[0].restart().map_err(fault)?;
-    record.say(&format!("the connections of {} end; its process starts again", nodes[0].name));
+    record.say(&format!(
+        "the connections of {} end; its process starts again",
+        nodes[0].name
+    ));
     let mut taken_up = Vec::new();
     for stream in streams {
         let _ended = stream.reader.join();
@@ -84,7 +104,8 @@
         let id = ids.next();
         let fields = format!("Last-Event-Id: {last}\r\nResumes: {}\r\n", stream.first_id);
         let got = Arc::<Mutex<Got>>::default();
-        let (filled, node, until, session) = (got.clone(), nodes[1].front, stream.until, stream.session);
+        let (filled, node, until, session) =
+            (got.clone(), nodes[1].front, stream.until, stream.session);
         let sent = id.clone();
         let reader = std::thread::spawn(move || ask(node, &sent, session, &fields, until, &filled));
         taken_up.push((stream.first_id, id, last, maker, got, reader));
@@ -103,17 +124,30 @@
             Some((_, next_maker)) => format!("of {maker}: goes on at {next_maker}"),
             None => format!("of {maker}: answered {}", got.status),
         };
-        record.line(&format!("stream {first}, events up to {last}, taken up as {id}, {end}"));
+        record.line(&format!(
+            "stream {first}, events up to {last}, taken up as {id}, {end}"
+        ));
         *ends.entry(end).or_default() += 1;
     }
     for (end, count) in &ends {
         record.say(&format!("{count:3} taken up {end}"));
     }
     let count = taken_up.len();
-    let new_begun = new_streams.iter().filter(|s| !lock(&s.got).events.is_empty()).count();
-    record.say(&format!("streams taken up: {count}, of which {went_on} go on"));
-    record.say(&format!("new streams: {STREAMS}, of which {new_begun} began"));
-    for line in nodes[1].log_lines("version of the stream unknown").iter().take(2) {
+    let new_begun = new_streams
+        .iter()
+        .filter(|s| !lock(&s.got).events.is_empty())
+        .count();
+    record.say(&format!(
+        "streams taken up: {count}, of which {went_on} go on"
+    ));
+    record.say(&format!(
+        "new streams: {STREAMS}, of which {new_begun} began"
+    ));
+    for line in nodes[1]
+        .log_lines("version of the stream unknown")
+        .iter()
+        .take(2)
+    {
         record.line(&format!("log of {}: {line}", nodes[1].name));
     }
     let share = went_on as f64 / count.max(1) as f64;
--- a/review/stand-in-3/case_timeouts.rs
+++ b/review/stand-in-3/case_timeouts.rs
@@ -22,7 +22,8 @@
 /// Streams with events of two versions of which the rule speaks not yet.
 const ALLOWED: usize = 2;
 
-fn config(version: u32, timeout_ms: u32) -> String {
+/// A configuration with one route of streams.
+pub fn config(version: u32, timeout_ms: u32) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-chat\",\"host\":\"chat.example\",\"prefix\":\"/chat/\",\
          \"route_type\":\"streaming\",\"timeout_ms\":{timeout_ms},\"target_latency_ms\":2000,\"priority\":1,\
--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -6,6 +6,7 @@
 //! disruption out.
 
 mod case_drill;
+mod case_long;
 mod case_order;
 mod case_split;
 mod case_timeouts;
@@ -35,6 +36,7 @@
     let record = Record::new();
     let played = match case.as_str() {
         "drill" => case_drill::play(&record, has_trouble),
+        "long" => case_long::play(&record, has_trouble),
         "order" => case_order::play(&record, has_trouble),
         "split" => case_split::play(&record, has_trouble),
         "timeouts" => case_timeouts::play(&record, has_trouble),
