--- a/review/stand-in-3/case_drill.rs
+++ b/review/stand-in-3/case_drill.rs
@@ -19,8 +19,8 @@
 /// Age of the copy, and time for which the store is away.
 const COPY_AGE: Duration = Duration::from_secs(5);
 const AWAY: Duration = Duration::from_millis(200);
-/// Time from the loss of power until the connections of the machine end.
-const DARK: Duration = Duration::from_millis(3550);
+/// Time from just before the drill until the connections of the machine end: 3.5 s after it lost power.
+const DARK: Duration = Duration::from_millis(3450);
 
 /// Plays the case; returns whether the rule held. Without trouble the machine loses power, without the drill.
 pub fn play(record: &Record, has_trouble: bool) -> Played {
