docs(stream-versions): what may be concluded about a stream's pool and version

The page now lists each fact that a conclusion may rest on, who states it, where it is kept and how long it holds, and what follows at each event.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -1,5 +1,8 @@
 //! Which software version of a pool's servers began a stream, so that no other version continues it.
 //!
+//! `docs/design/stream-versions.md` lists what may be concluded about the pool and version of a stream, from
+//! which fact, and how long that fact holds.
+//!
 //! What two versions write doesn't fit together, and servers don't check this. Each instance remembers
 //! the streams that it began. For streams that other instances began, or this one before it restarted,
 //! the store tells:
