--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -33,13 +33,18 @@
 //! assert_eq!(resolve(None, Some(&base), 1), None);
 //! ```
 
+mod memory;
+mod pool;
 mod sweep;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+pub use memory::KnownStream;
+use memory::StreamMemory;
+use pool::{Listed, PoolVersions};
 pub use sweep::RecordSweep;
 
 use super::config::{Name, Server};
@@ -94,76 +99,6 @@
     pub version: Option<Name>,
 }
 
-/// Listed servers of one version.
-#[derive(Debug)]
-struct Listed {
-    count: usize,
-    /// Since when there has been one at least.
-    since: Instant,
-}
-
-/// Software versions of the servers of one pool.
-#[derive(Debug)]
-struct PoolVersions {
-    /// Listed servers of each version; `None` for those that name none.
-    listed: BTreeMap<Option<Name>, Listed>,
-    /// When the last server of a version was dropped from the list.
-    gone_at: HashMap<Option<Name>, Instant>,
-    /// Time from which on no server can have been listed unseen.
-    seen_since: Instant,
-    /// Time from which on no server can have begun a stream unseen whose record isn't in the store. Not
-    /// later than `seen_since`.
-    followed_since: Instant,
-}
-
-impl PoolVersions {
-    /// The version that most servers have.
-    fn most_common(&self) -> Option<&Name> {
-        let named = self.listed.iter();
-        let named = named.filter_map(|(version, listed)| Some((version.as_ref()?, listed.count)));
-        let (version, _) = named.max_by_key(|(_, count)| *count)?;
-        Some(version)
-    }
-
-    /// The version that all listed servers have.
-    fn only_listed(&self) -> Option<&Name> {
-        let mut versions = self.listed.keys();
-        let version = versions.next().filter(|_| versions.next().is_none())?;
-        version.as_ref()
-    }
-
-    /// Since when servers of a version have been listed; `None` if none is.
-    fn listed_since(&self, version: &Name) -> Option<Instant> {
-        let listed = self.listed.get(&Some(version.clone()))?;
-        Some(listed.since.max(self.seen_since))
-    }
-
-    /// Since when no server of a version has been listed; `None` if one is.
-    fn absent_since(&self, version: &Name) -> Option<Instant> {
-        let version = Some(version.clone());
-        if self.listed.contains_key(&version) {
-            return None;
-        }
-        let gone_at = self.gone_at.get(&version).copied();
-        Some(gone_at.map_or(self.seen_since, |at| at.max(self.seen_since)))
-    }
-}
-
-/// A stream whose version an instance remembers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct KnownStream {
-    /// Version at which it began; `None` if its server named none.
-    pub version: Option<Name>,
-    /// Number of its record, if it has one; the highest one counts.
-    pub record: u32,
-    /// Whether records with lower numbers may name other versions.
-    has_misleading_records: bool,
-    /// When it was remembered.
-    at: Instant,
-    /// Whether it has ended, so that it needs no record.
-    has_ended: bool,
-}
-
 /// What an instance knows about the versions at which streams began.
 #[derive(Debug)]
 pub struct StreamVersions {
@@ -185,10 +120,7 @@
     is_followed_from_first_start: bool,
     /// When the list was last read without the changes before it, as the store was restored.
     reread_at: Option<Instant>,
-    /// Streams by their ids.
-    begun: HashMap<Name, KnownStream>,
-    /// Ids of `begun` in the order in which they were remembered, some more than once.
-    by_age: VecDeque<(Instant, Name)>,
+    begun: StreamMemory,
 }
 
 impl Default for StreamVersions {
@@ -204,8 +136,7 @@
             is_first_start: false,
             is_followed_from_first_start: false,
             reread_at: None,
-            begun: HashMap::new(),
-            by_age: VecDeque::new(),
+            begun: StreamMemory::default(),
         }
     }
 }
@@ -421,36 +352,12 @@
 
     /// Remembers at which version a stream may begin; `record` is the number of its record.
     pub fn remember(&mut self, id: &Name, version: Option<Name>, record: u32, now: Instant) {
-        while let Some((at, _)) = self.by_age.front()
-            && now.saturating_duration_since(*at) > self.lifetime
-        {
-            let at = *at;
-            if let Some((_, old)) = self.by_age.pop_front()
-                && self.begun.get(&old).is_some_and(|latest| latest.at == at)
-            {
-                self.begun.remove(&old);
-            }
-        }
-        let has_misleading_records = self
-            .begun
-            .get(id)
-            .is_some_and(|earlier| earlier.has_misleading_records || earlier.version != version);
-        let stream = KnownStream {
-            version,
-            record,
-            has_misleading_records,
-            at: now,
-            has_ended: false,
-        };
-        self.begun.insert(id.clone(), stream);
-        self.by_age.push_back((now, id.clone()));
+        self.begun.insert(id, version, record, self.lifetime, now);
     }
 
     /// Records that a stream has ended, or that none has begun. Its version stays known.
     pub fn record_end(&mut self, id: &str) {
-        if let Some(stream) = self.begun.get_mut(id) {
-            stream.has_ended = true;
-        }
+        self.begun.record_end(id);
     }
 
     /// Version at which a stream began that this instance remembers; holds `None` if the server named
