fix(stream-versions): the longest life of streams is stated in the store

Cause: each process took the longest timeout that it had seen for a bound of every stream's life. One that starts after the timeout was shortened takes 10 s where 26 s are right, and concludes that the only version listed since then began all streams.

Change: one row of the store states the longest life. It is raised before a stream with a longer one begins, never lowered, and written again by instances that know more than a restored store. Base versions are written on condition that the row is the known one, and the list tells a version only if the row was read after the take-up as well. Without the row nothing counts as old. Instances are ready once it covers their routes: streams would wait for it.

Why it works: a stream can't begin before the bound that all later conclusions use is in the store, where restarts don't reach it.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -33,6 +33,7 @@
 //! assert_eq!(resolve(None, Some(&base), 1), None);
 //! ```
 
+mod life;
 mod memory;
 mod pool;
 mod sweep;
@@ -42,6 +43,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use life::{LIFE_MARGIN, StatedLife};
 pub use memory::KnownStream;
 use memory::StreamMemory;
 use pool::{Listed, PoolVersions};
@@ -49,8 +51,6 @@
 
 use super::config::{Name, Server};
 
-/// Longest life of a stream unless the configuration sets another one.
-pub const DEFAULT_STREAM_LIFETIME: Duration = Duration::from_secs(30);
 /// Time without a server of the base version after which it is withdrawn. Entries of servers may lapse
 /// for moments.
 const WITHDRAWAL_DELAY: Duration = Duration::from_secs(5);
@@ -100,9 +100,9 @@
 }
 
 /// What an instance knows about the versions at which streams began.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct StreamVersions {
-    lifetime: Duration,
+    life: StatedLife,
     pools: HashMap<Name, PoolVersions>,
     /// When the call was sent whose response last confirmed the list of servers.
     list_confirmed_at: Option<Instant>,
@@ -123,24 +123,6 @@
     begun: StreamMemory,
 }
 
-impl Default for StreamVersions {
-    fn default() -> Self {
-        Self {
-            lifetime: DEFAULT_STREAM_LIFETIME,
-            pools: HashMap::new(),
-            list_confirmed_at: None,
-            bases: HashMap::new(),
-            open_since: HashMap::new(),
-            era: None,
-            bases_read_in: None,
-            is_first_start: false,
-            is_followed_from_first_start: false,
-            reread_at: None,
-            begun: StreamMemory::default(),
-        }
-    }
-}
-
 impl StreamVersions {
     /// What an instance knows at its start; `is_first_start` tells whether the whole system starts for
     /// the first time.
@@ -159,9 +141,21 @@
         self.is_first_start
     }
 
-    /// Sets how long a stream can last, from its first event to the last time that it is taken up.
-    pub fn set_lifetime(&mut self, lifetime: Duration) {
-        self.lifetime = lifetime;
+    /// How long streams may be taken up, as the store states it.
+    #[must_use]
+    pub fn life(&self) -> &StatedLife {
+        &self.life
+    }
+
+    /// The same, to record what is read and needed.
+    pub fn life_mut(&mut self) -> &mut StatedLife {
+        &mut self.life
+    }
+
+    /// Time after which all streams have ended that had begun; without end if that is not known.
+    #[must_use]
+    pub fn time_to_end(&self) -> Duration {
+        self.life.time_to_end().unwrap_or(Duration::MAX)
     }
 
     /// Records the listed servers, draining ones included.
@@ -246,6 +240,12 @@
         self.is_followed_from_first_start = false;
     }
 
+    /// Era in which base versions were read last; `None` before that.
+    #[must_use]
+    pub fn bases_read_in(&self) -> Option<u64> {
+        self.bases_read_in
+    }
+
     /// Records that all base versions were read, in this era.
     pub fn record_bases_read(&mut self, era: u64) {
         self.bases_read_in = Some(era);
@@ -352,7 +352,8 @@
 
     /// Remembers at which version a stream may begin; `record` is the number of its record.
     pub fn remember(&mut self, id: &Name, version: Option<Name>, record: u32, now: Instant) {
-        self.begun.insert(id, version, record, self.lifetime, now);
+        let lifetime = self.time_to_end();
+        self.begun.insert(id, version, record, lifetime, now);
     }
 
     /// Records that a stream has ended, or that none has begun. Its version stays known.
@@ -506,6 +507,6 @@
 
     /// Whether all streams that had begun at a time have ended.
     fn is_old(&self, at: Instant, now: Instant) -> bool {
-        now.saturating_duration_since(at) >= self.lifetime
+        now.saturating_duration_since(at) >= self.time_to_end()
     }
 }
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -4,9 +4,12 @@
 
 use sardineshore_core::flow::config::{Name, Server};
 use sardineshore_core::flow::stream_versions::{
-    BaseVersion, NEW_VERSION_DELAY, RecordSweep, StreamVersions, resolve,
+    BaseVersion, LIFE_MARGIN, NEW_VERSION_DELAY, RecordSweep, StatedLife, StreamVersions, resolve,
 };
 
+/// Longest life of a stream, as the store states it.
+const LIFE: Duration = Duration::from_secs(14);
+/// Time after which all streams have ended that had begun.
 const LIFETIME: Duration = Duration::from_secs(20);
 const MOMENT: Duration = Duration::from_millis(1);
 /// A moment less than the life of a stream.
@@ -57,7 +60,7 @@
     base: Option<BaseVersion>,
     now: Instant,
 ) -> StreamVersions {
-    known.set_lifetime(LIFETIME);
+    known.life_mut().set_row(Some(LIFE));
     known.set_era(era, None, now);
     if base.is_some() {
         known.set_base(&"engine".into(), base, now);
@@ -515,3 +518,52 @@
     assert!(update("0", &["a/0001", "d/0001"], later).is_empty());
     assert_eq!(update("1", &["c/0001"], later), ["c/0001".into()]);
 }
+
+/// Guards against conclusions from a life that one process has seen: an instance that starts after the timeouts
+/// were shortened doesn't know those under which streams began.
+#[test]
+fn stated_life_bounds_streams_that_began_before_the_instance() {
+    let now = Instant::now();
+    let mut known = started(&["v1"], now);
+    known.life_mut().set_row(Some(LIFE * 2));
+    known.life_mut().want(LIFE / 2);
+    known.record_list_confirmation(now + LIFETIME * 4);
+    let ended_at = now + LIFE * 2 + LIFE_MARGIN;
+    let sole = |at| known.sole_version("engine", at, at);
+    assert_eq!(sole(ended_at.checked_sub(MOMENT).unwrap()), None);
+    assert_eq!(sole(ended_at).as_deref(), Some("v1"));
+    // Without a stated life nothing has ended.
+    let mut known = StreamVersions::new(false);
+    known.set_era(1, None, now);
+    known.record_bases_read(1);
+    list(&mut known, &["v1"], now);
+    let later = now + LIFETIME * 1000;
+    known.record_list_confirmation(later);
+    assert_eq!(known.sole_version("engine", later, later), None);
+    assert_eq!(known.base_change("engine", later), None);
+}
+
+#[test]
+fn stated_life_is_raised_and_never_lowered() {
+    let second = Duration::from_secs(1);
+    let mut life = StatedLife::default();
+    assert_eq!((life.change(), life.time_to_end()), (None, None));
+    life.want(second * 9);
+    assert!(!life.covers(second));
+    assert_eq!(life.change(), Some(second * 10));
+    life.set_row(Some(second * 10));
+    assert!(life.covers(second * 10) && !life.covers(second * 11));
+    assert_eq!(life.change(), None);
+    assert_eq!(life.time_to_end(), Some(second * 10 + LIFE_MARGIN));
+    life.want(second * 11);
+    assert_eq!(life.change(), Some(second * 15));
+    life.set_row(Some(second * 20));
+    assert_eq!(life.change(), None);
+    // A restored store may lack the row, or hold an earlier one.
+    for row in [None, Some(second * 10)] {
+        life.set_row(row);
+        assert!(!life.covers(second * 11));
+        assert_eq!(life.change(), Some(second * 20));
+        assert_eq!(life.time_to_end(), Some(second * 20 + LIFE_MARGIN));
+    }
+}
--- a/crates/sardineshore-core/tests/stream_versions_search.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search.rs
@@ -23,7 +23,6 @@
 const END: Ms = 150_000;
 /// Longest time from a request to the last event of its stream.
 const TIMEOUT: Ms = 8_000;
-const LIFETIME: Ms = TIMEOUT + 6_000;
 /// Age of the newest confirmation from which on instances record streams at any version, and from which
 /// on they begin none.
 const RECORD_ALL_AGE: Ms = 4_000;
@@ -116,7 +115,9 @@
 impl Instance {
     fn start(is_first_start: bool, now: Ms) -> Self {
         let mut known = StreamVersions::new(is_first_start);
-        known.set_lifetime(Duration::from_millis(LIFETIME));
+        known
+            .life_mut()
+            .set_row(Some(Duration::from_millis(TIMEOUT)));
         Self {
             known,
             frozen_until: 0,
--- a/crates/sardineshore-serve/src/crashes.rs
+++ b/crates/sardineshore-serve/src/crashes.rs
@@ -192,7 +192,7 @@
         trials.push(trial.clone());
         let row: Vec<Evidence> = trials.into_iter().map(Evidence::Trial).collect();
         let value = postcard::to_stdvec(&row).map_err(StoreError::Encode)?;
-        let call = dialect.replace_row_call(Table::Crashes, TRIALS_KEY, &value, version);
+        let call = dialect.replace_row_call(Table::Crashes, TRIALS_KEY, &value, version, &[]);
         self.store.write(call).await?;
         info!(self.log, "trial of quarantined requests"; "request" => request, "features" => ?trial.tested);
         let news = self.apply(vec![Evidence::Trial(trial)]);
--- a/crates/sardineshore-serve/src/dialect.rs
+++ b/crates/sardineshore-serve/src/dialect.rs
@@ -138,8 +138,16 @@
     fn decode_rows(&self, bytes: &[u8], era: u64) -> anyhow::Result<RowPage>;
     /// Call that writes a row.
     fn put_row_call(&self, table: Table, key: &str, value: &[u8]) -> HttpCall;
-    /// Call that writes a row if its version is still `version`; 0 if there must be no row.
-    fn replace_row_call(&self, table: Table, key: &str, value: &[u8], version: u64) -> HttpCall;
+    /// Call that writes a row if its version is still `version`; 0 if there must be no row. The rows of the
+    /// table in `unchanged` must still have their versions as well.
+    fn replace_row_call(
+        &self,
+        table: Table,
+        key: &str,
+        value: &[u8],
+        version: u64,
+        unchanged: &[(&str, u64)],
+    ) -> HttpCall;
     /// Call that reads one row.
     fn read_row_call(&self, table: Table, key: &str) -> HttpCall;
     /// Call that writes records of streams with their keys, which begin with the stream's id and a
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -205,6 +205,7 @@
     tokio::task::spawn_local(components.speeds.clone().report());
     let versions = components.dispatcher.versions();
     tokio::task::spawn_local(versions.clone().write_records());
+    tokio::task::spawn_local(versions.clone().state_life());
     tokio::task::spawn_local(versions.clone().maintain());
     tokio::task::spawn_local(versions.clone().sweep());
     spawn_listener(&log, "peers", components.peers.clone().accept());
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -347,7 +347,8 @@
             let (id, number) = (attempts.request.id, attempts.records);
             let (pool, version) = (&attempts.selection.pool, server.version.as_ref());
             let versions = self.dispatcher.versions();
-            attempts.record = versions.begin(id, number, pool, version);
+            let life = attempts.request.limit.duration;
+            attempts.record = Some(versions.begin(id, number, pool, version, life));
         }
     }
 
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -5,23 +5,23 @@
 //! any more. They are read when a caller takes up a stream that this instance doesn't remember.
 
 mod base_rows;
-mod list_check;
 mod lookup;
 mod records;
+mod table_check;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use base_rows::decode_base;
-pub use list_check::{ListCheck, ListCheckEnd};
+use base_rows::{LIFE_KEY, decode_base, decode_life};
 pub use records::PendingRecord;
 use records::{QueuedRecord, RecordKey};
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::replica::TableChanges;
 use sardineshore_core::flow::stream_versions::{KnownStream, StreamVersions};
 use slog::{Logger, info};
+pub use table_check::{TableCheck, TableCheckEnd};
 use tokio::sync::Notify;
 
 use crate::peers::Peers;
@@ -35,11 +35,9 @@
 /// How often base versions are compared with the listed servers, and expired records removed.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Age of the store's newest confirmation from which on streams get records at any version: another
-/// instance may have withdrawn the base version. Shorter than [`LIFETIME_MARGIN`].
+/// instance may have withdrawn the base version. Shorter than
+/// [`sardineshore_core::flow::stream_versions::LIFE_MARGIN`].
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(4);
-/// Time that a stream's life may exceed the longest timeout of a route, for the delays until all
-/// instances know of a change.
-const LIFETIME_MARGIN: Duration = Duration::from_secs(6);
 
 /// Writes and reads at which versions streams began.
 #[derive(Debug)]
@@ -49,12 +47,18 @@
     store: Rc<Store>,
     log: Logger,
     known: RefCell<StreamVersions>,
-    /// Versions of the rows that hold base versions.
+    /// Versions of the rows that hold base versions and the stated life.
     base_rows: RefCell<HashMap<Name, u64>>,
-    lifetime: Cell<Duration>,
+    /// Notified when the stated life has changed.
+    life_changed: Notify,
+    /// Notified when the stated life is too short.
+    life_due: Notify,
+    /// Whether a stream waits for a longer one.
+    is_life_awaited: Cell<bool>,
     queue: RefCell<VecDeque<QueuedRecord>>,
     to_write: Notify,
-    list_check: ListCheck,
+    list_check: TableCheck,
+    rows_check: TableCheck,
     /// When the list of servers was last known to hold all changes, by the clock that also runs while the
     /// machine is suspended. `None` if that is not known in the present era of the store.
     list_complete_at: Cell<Option<Duration>>,
@@ -82,10 +86,13 @@
             log,
             known: RefCell::new(StreamVersions::new(is_first_start)),
             base_rows: RefCell::default(),
-            lifetime: Cell::default(),
+            life_changed: Notify::new(),
+            life_due: Notify::new(),
+            is_life_awaited: Cell::new(false),
             queue: RefCell::default(),
             to_write: Notify::new(),
-            list_check: ListCheck::default(),
+            list_check: TableCheck::default(),
+            rows_check: TableCheck::default(),
             list_complete_at: Cell::new(None),
             written: RefCell::default(),
             is_failing: Cell::new(false),
@@ -95,12 +102,9 @@
     /// Records a change of the listed servers or of the configuration.
     pub fn update(&self) {
         let mut known = self.known.borrow_mut();
-        let timeout = self.state.config().map(|config| config.longest_stream());
-        if let Some(timeout) = timeout {
-            // Streams that began under longer timeouts may still run.
-            let lifetime = self.lifetime.get().max(timeout + LIFETIME_MARGIN);
-            self.lifetime.set(lifetime);
-            known.set_lifetime(lifetime);
+        if let Some(config) = self.state.config() {
+            known.life_mut().want(config.longest_stream());
+            self.check_life(&known);
         }
         known.set_servers(self.state.selector.borrow().servers(), Instant::now());
     }
@@ -173,13 +177,19 @@
 
     /// Checks of the list of servers that streams wait for.
     #[must_use]
-    pub fn list_check(&self) -> &ListCheck {
+    pub fn list_check(&self) -> &TableCheck {
         &self.list_check
     }
 
+    /// Checks of the rows with base versions and the stated life that streams wait for.
+    #[must_use]
+    pub fn rows_check(&self) -> &TableCheck {
+        &self.rows_check
+    }
+
     /// Records the end of a check of the list of servers that began at `began_at`.
-    pub fn record_list_check(&self, began_at: Instant, end: ListCheckEnd) {
-        if end == ListCheckEnd::Confirmed {
+    pub fn record_list_check(&self, began_at: Instant, end: TableCheckEnd) {
+        if end == TableCheckEnd::Confirmed {
             self.known.borrow_mut().record_list_confirmation(began_at);
         }
         self.list_check.finish(began_at, end);
@@ -190,7 +200,20 @@
         let mut known = self.known.borrow_mut();
         let mut rows = self.base_rows.borrow_mut();
         let now = Instant::now();
-        for row in &changes.rows {
+        let is_life = |key: &Name| **key == *LIFE_KEY;
+        let (life_rows, base_rows): (Vec<_>, Vec<_>) =
+            changes.rows.iter().partition(|row| is_life(&row.key));
+        for row in life_rows {
+            let life = row.value.as_deref().and_then(decode_life);
+            info!(self.log, "stated life of streams"; "ms" => life.map(whole_ms), "row" => row.version.number);
+            known.life_mut().set_row(life);
+            rows.insert(row.key.clone(), row.version.number);
+        }
+        if changes.missing.iter().any(is_life) {
+            known.life_mut().set_row(None);
+            rows.remove(LIFE_KEY);
+        }
+        for row in base_rows {
             let base = row.value.as_deref().and_then(decode_base);
             info!(self.log, "base version"; "pool" => &*row.key, "row" => row.version.number,
                 "version" => base.as_ref().map(|base| &*base.version),
@@ -198,11 +221,22 @@
             known.set_base(&row.key, base, now);
             rows.insert(row.key.clone(), row.version.number);
         }
-        for pool in &changes.missing {
+        for pool in changes.missing.iter().filter(|key| !is_life(key)) {
             known.set_base(pool, None, now);
             rows.remove(pool);
         }
         known.record_bases_read(changes.version.era);
+        self.check_life(&known);
+        self.life_changed.notify_waiters();
+    }
+
+    /// Compares the stated life with the streams of the configuration, and has it raised if it is too short.
+    fn check_life(&self, known: &StreamVersions) {
+        if known.life().change().is_some() {
+            self.life_due.notify_one();
+        } else if known.bases_read_in().is_some() && self.state.config().is_some() {
+            self.state.life_stated.set(true);
+        }
     }
 
     /// Version at whose servers streams of a pool need no record, or don't wait for it, and the cost of
@@ -220,7 +254,8 @@
     }
 
     /// Remembers that a stream may begin at a server of this version, and queues its record if it needs
-    /// one. `number` counts the calls for one stream from 1 on; the latest one tells the version.
+    /// one. `number` counts the calls for one stream from 1 on; the latest one tells the version. `life` is the
+    /// time for which the stream may be taken up.
     #[must_use]
     pub fn begin(
         &self,
@@ -228,10 +263,16 @@
         number: u32,
         pool: &Name,
         version: Option<&Name>,
-    ) -> Option<PendingRecord> {
+        life: Duration,
+    ) -> PendingRecord {
         let now = Instant::now();
         let stream = Name::from(stream);
         let mut known = self.known.borrow_mut();
+        known.life_mut().want(life);
+        if !known.life().covers(life) {
+            self.is_life_awaited.set(true);
+            self.life_due.notify_one();
+        }
         // A record of a server that rejected the request must not count.
         let has_record = number > 1 && known.remembered(&stream).is_some();
         let freshness = self.state.freshness.borrow();
@@ -241,23 +282,25 @@
         known.remember(&stream, version.cloned(), number, now);
         let delay = known.record_delay(pool, version, now);
         drop(known);
+        let mut record = PendingRecord {
+            pool: pool.clone(),
+            stream: stream.clone(),
+            life,
+            written: None,
+        };
         if !needs_record && !has_record {
-            return None;
+            return record;
         }
         if has_record && !delay.is_zero() {
             // A copy of the store must not hold the record of the rejected request alone for so long.
             let _not_awaited = self.queue_record(&stream, number, None, Duration::ZERO);
         }
-        let written = self.queue_record(&stream, number, version.cloned(), delay)?;
+        record.written = self.queue_record(&stream, number, version.cloned(), delay);
         if !delay.is_zero() {
             info!(self.log, "stream waits to be recorded at a version that was listed lately"; "stream" => &*stream,
                 "pool" => &**pool, "version" => version.map(|version| &**version), "ms" => whole_ms(delay));
         }
-        Some(PendingRecord {
-            pool: pool.clone(),
-            stream,
-            written,
-        })
+        record
     }
 
     /// Records that a stream has ended, or that its request began none. Its record is not written any more.
--- a/crates/sardineshore-serve/src/stream_versions/base_rows.rs
+++ b/crates/sardineshore-serve/src/stream_versions/base_rows.rs
@@ -1,7 +1,7 @@
-//! Keeps the base versions in the store up to date.
+//! Keeps the base versions and the stated life of streams in the store up to date.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::cells::rank_owners;
 use sardineshore_core::flow::config::Name;
@@ -10,8 +10,69 @@
 
 use super::{CHECK_INTERVAL, VersionRecords};
 use crate::dialect::Table;
+use crate::state::whole_ms;
+use crate::store::StoreError;
+
+/// Key of the row in [`Table::BaseVersions`] that states how long streams may be taken up. Pools have other
+/// names.
+pub(super) const LIFE_KEY: &str = "/stream-life";
+/// Time after which the next instance in rank states the life of streams if none before it has.
+const LIFE_RANK_DELAY: Duration = Duration::from_millis(250);
+/// Rank from which on instances wait equally long.
+const MAX_LIFE_RANK: u32 = 8;
+/// Delay before the stated life is checked again after a write.
+const LIFE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 impl VersionRecords {
+    /// Raises the stated life in the store whenever it is too short, forever. One instance does so for all, unless
+    /// it takes too long or a stream waits.
+    pub async fn state_life(self: Rc<Self>) {
+        loop {
+            self.life_due.notified().await;
+            if !self.is_life_awaited.get() {
+                let owners = rank_owners(LIFE_KEY, &self.peers.candidates());
+                let own = &self.peers.this_instance().name;
+                let rank = owners.iter().position(|owner| owner == own);
+                let rank = rank.and_then(|rank| u32::try_from(rank).ok());
+                let delay = LIFE_RANK_DELAY.saturating_mul(rank.unwrap_or(MAX_LIFE_RANK));
+                let delay = delay.min(LIFE_RANK_DELAY * MAX_LIFE_RANK);
+                let _awaited = tokio::time::timeout(delay, self.life_due.notified()).await;
+            }
+            let Some(life) = self.life_change() else {
+                self.is_life_awaited.set(false);
+                continue;
+            };
+            if let Err(error) = self.write_life(life).await {
+                info!(self.log, "can't state a longer life of streams; retrying"; "ms" => whole_ms(life), "fault" => error.to_string());
+            }
+            tokio::time::sleep(LIFE_RETRY_DELAY).await;
+            if self.life_change().is_some() {
+                self.life_due.notify_one();
+            }
+        }
+    }
+
+    /// What the row with the stated life must name instead; `None` if it needs no change.
+    fn life_change(&self) -> Option<Duration> {
+        let known = self.known.borrow();
+        let is_read = known.era().is_some() && known.era() == known.bases_read_in();
+        known.life().change().filter(|_| is_read)
+    }
+
+    async fn write_life(&self, life: Duration) -> Result<(), StoreError> {
+        let value = postcard::to_stdvec(&whole_ms(life)).unwrap_or_default();
+        let row = self.base_row(LIFE_KEY);
+        let dialect = self.store.dialect();
+        let call = dialect.replace_row_call(Table::BaseVersions, LIFE_KEY, &value, row, &[]);
+        info!(self.log, "stating a longer life of streams"; "ms" => whole_ms(life), "row" => row);
+        self.store.write(call).await
+    }
+
+    /// Version of a row as it was read last; 0 if there was none.
+    fn base_row(&self, key: &str) -> u64 {
+        self.base_rows.borrow().get(key).copied().unwrap_or(0)
+    }
+
     /// Keeps the base versions in the store up to date and removes expired records, forever.
     pub async fn maintain(self: Rc<Self>) {
         loop {
@@ -28,9 +89,12 @@
                 let Ok(value) = postcard::to_stdvec(&base) else {
                     continue;
                 };
-                let row = self.base_rows.borrow().get(&pool).copied().unwrap_or(0);
+                let row = self.base_row(&pool);
                 let dialect = self.store.dialect();
-                let call = dialect.replace_row_call(Table::BaseVersions, &pool, &value, row);
+                // Streams with a longer life may have begun since it was stated.
+                let unchanged = [(LIFE_KEY, self.base_row(LIFE_KEY))];
+                let call =
+                    dialect.replace_row_call(Table::BaseVersions, &pool, &value, row, &unchanged);
                 if let Err(error) = self.store.write(call).await {
                     info!(self.log, "can't change a base version; retrying"; "pool" => &*pool, "fault" => error.to_string());
                 }
@@ -63,3 +127,8 @@
 pub(super) fn decode_base(value: &[u8]) -> Option<BaseVersion> {
     postcard::from_bytes(value).ok()
 }
+
+pub(super) fn decode_life(value: &[u8]) -> Option<Duration> {
+    let ms: u64 = postcard::from_bytes(value).ok()?;
+    Some(Duration::from_millis(ms))
+}
--- a/crates/sardineshore-serve/src/stream_versions/lookup.rs
+++ b/crates/sardineshore-serve/src/stream_versions/lookup.rs
@@ -7,7 +7,7 @@
 use slog::info;
 
 use super::records::partition;
-use super::{ListCheckEnd, VersionRecords, decode_base};
+use super::{TableCheckEnd, VersionRecords, decode_base};
 use crate::dialect::Table;
 use crate::store::StoreError;
 
@@ -26,12 +26,15 @@
         };
         let mut sole = None;
         if is_sole_likely {
-            let end = self.list_check.run().await;
+            let (end, rows) = futures::join!(self.list_check.run(), self.rows_check.run());
             let known = self.known.borrow();
-            sole = known.sole_version(pool, taken_up, Instant::now());
+            // A longer life may have been stated than was known.
+            if rows == TableCheckEnd::Confirmed {
+                sole = known.sole_version(pool, taken_up, Instant::now());
+            }
             info!(self.log, "checked the list of servers for a stream's version"; "stream" => stream,
-                "end" => ?end, "version" => sole.as_deref());
-            if end == ListCheckEnd::Unreachable {
+                "end" => ?end, "rows" => ?rows, "version" => sole.as_deref());
+            if end == TableCheckEnd::Unreachable {
                 return None;
             }
         }
@@ -108,11 +111,12 @@
         era: u64,
         taken_up: Instant,
     ) -> Option<Name> {
-        let end = self.list_check.run().await;
+        let (end, rows) = futures::join!(self.list_check.run(), self.rows_check.run());
         let known = self.known.borrow();
         // A restore since the record was looked for would make the list say less.
-        let is_known =
-            known.era() == Some(era) && known.began_at_base(pool, base, taken_up, Instant::now());
+        let is_known = rows == TableCheckEnd::Confirmed
+            && known.era() == Some(era)
+            && known.began_at_base(pool, base, taken_up, Instant::now());
         info!(self.log, "checked which versions can have begun a stream"; "stream" => stream, "end" => ?end,
             "version" => is_known.then_some(&*base.version));
         is_known.then(|| base.version.clone())
--- a/crates/sardineshore-serve/src/stream_versions/records.rs
+++ b/crates/sardineshore-serve/src/stream_versions/records.rs
@@ -26,12 +26,15 @@
 /// How often a stream whose record is not written checks whether it has to wait for it any longer.
 const WAIT_STEP: Duration = Duration::from_millis(200);
 
-/// A record that is being written.
+/// What the first event of a stream waits for.
 #[derive(Debug)]
 pub struct PendingRecord {
     pub(super) pool: Name,
     pub(super) stream: Name,
-    pub(super) written: oneshot::Receiver<()>,
+    /// Time for which the stream may be taken up.
+    pub(super) life: Duration,
+    /// Told when its record is written; `None` if it needs none.
+    pub(super) written: Option<oneshot::Receiver<()>>,
 }
 
 /// A record in the store.
@@ -82,16 +85,28 @@
         Some(written)
     }
 
-    /// Waits until a record is written, if the stream might be taken for one of another version without it.
+    /// Waits until a stream's record is written, if the stream might be taken for one of another version
+    /// without it, and until the stated life covers the stream.
     pub async fn wait_written(&self, record: &mut PendingRecord) {
-        let must_wait = || {
-            let known = self.known.borrow();
-            known.must_await_record(&record.pool, &record.stream, Instant::now())
-        };
-        while must_wait() {
-            let written = tokio::time::timeout(WAIT_STEP, &mut record.written).await;
-            if written.is_ok() {
-                return;
+        loop {
+            let life_changed = self.life_changed.notified();
+            let (awaits_record, awaits_life) = {
+                let known = self.known.borrow();
+                let must_await =
+                    known.must_await_record(&record.pool, &record.stream, Instant::now());
+                let awaits_life = !known.life().covers(record.life);
+                (record.written.is_some() && must_await, awaits_life)
+            };
+            match &mut record.written {
+                Some(written) if awaits_record => {
+                    if tokio::time::timeout(WAIT_STEP, written).await.is_ok() {
+                        record.written = None;
+                    }
+                }
+                _ if awaits_life => {
+                    let _unchanged = tokio::time::timeout(WAIT_STEP, life_changed).await;
+                }
+                _ => return,
             }
         }
     }
@@ -134,8 +149,8 @@
     /// due. Streams that have ended need none, nor do requests that others have taken the place of.
     fn next_batch(&self) -> Result<(String, Vec<QueuedRecord>), Option<Instant>> {
         let mut queue = self.queue.borrow_mut();
-        let lifetime = self.lifetime.get();
         let known = self.known.borrow();
+        let lifetime = known.time_to_end();
         queue.retain(|record| {
             let is_current = known.is_current_record(&record.stream, record.number);
             record.queued_at.elapsed() < lifetime && is_current
@@ -163,7 +178,7 @@
         }
         let mut written = self.written.borrow_mut();
         for key in expired {
-            let expired_at = Instant::now().checked_sub(self.lifetime.get());
+            let expired_at = Instant::now().checked_sub(self.known.borrow().time_to_end());
             written.push_front((expired_at.unwrap_or_else(Instant::now), key));
         }
     }
@@ -171,7 +186,7 @@
     /// Takes records whose streams can't be taken up any more, of one partition.
     pub(super) fn take_expired(&self, part: Option<&str>) -> Vec<RecordKey> {
         let mut written = self.written.borrow_mut();
-        let lifetime = self.lifetime.get();
+        let lifetime = self.known.borrow().time_to_end();
         let oldest = written.front().filter(|(at, _)| at.elapsed() >= lifetime);
         let Some((_, first)) = oldest else {
             return Vec::new();
@@ -228,7 +243,8 @@
         let call = dialect.read_stream_records_call(part, None);
         let page = self.store.read_page(call).await?;
         let keys = page.rows.into_iter().map(|row| row.key);
-        let old = seen.update(part, keys, self.lifetime.get(), Instant::now());
+        let lifetime = self.known.borrow().time_to_end();
+        let old = seen.update(part, keys, lifetime, Instant::now());
         let old: Vec<&str> = old.iter().map(|key| &**key).collect();
         for keys in old.chunks(MAX_BATCH) {
             let call = dialect.put_stream_records_call(part, &[], keys);
--- a/crates/sardineshore-serve/src/stream_versions/table_check.rs
+++ b/crates/sardineshore-serve/src/stream_versions/table_check.rs
@@ -1,14 +1,14 @@
-//! Checks whether the list of servers is complete, shared by the streams that wait for one.
+//! Checks whether an instance's copy of a table is complete, shared by the streams that wait for one.
 
 use std::cell::Cell;
 use std::time::Instant;
 
 use tokio::sync::Notify;
 
-/// End of a check of the list of servers.
+/// End of a check of a table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ListCheckEnd {
-    /// The list holds all changes until the check began.
+pub enum TableCheckEnd {
+    /// The copy holds all changes until the check began.
     Confirmed,
     /// The store responded, but the changes are not known.
     Incomplete,
@@ -16,23 +16,23 @@
     Unreachable,
 }
 
-/// Checks whether the list of servers is complete. A check serves all streams that wait when it begins.
+/// Checks whether the copy of a table is complete. A check serves all streams that wait when it begins.
 #[derive(Debug, Default)]
-pub struct ListCheck {
+pub struct TableCheck {
     asked: Notify,
     ended: Notify,
     /// When the latest check began, and how it ended.
-    latest: Cell<Option<(Instant, ListCheckEnd)>>,
+    latest: Cell<Option<(Instant, TableCheckEnd)>>,
 }
 
-impl ListCheck {
-    /// Has the list checked soon.
+impl TableCheck {
+    /// Has the copy checked soon.
     pub fn request(&self) {
         self.asked.notify_one();
     }
 
     /// Waits for a check that begins from now on.
-    pub async fn run(&self) -> ListCheckEnd {
+    pub async fn run(&self) -> TableCheckEnd {
         let asked_at = Instant::now();
         self.request();
         loop {
@@ -45,7 +45,7 @@
     }
 
     /// Records the end of the check that began at `began_at`.
-    pub(super) fn finish(&self, began_at: Instant, end: ListCheckEnd) {
+    pub fn finish(&self, began_at: Instant, end: TableCheckEnd) {
         self.latest.set(Some((began_at, end)));
         self.ended.notify_waiters();
     }
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -34,7 +34,7 @@
 use crate::settings::Bounds;
 use crate::state::{SharedState, boot_time};
 use crate::store::{Store, StoreError, TimedPage};
-use crate::stream_versions::{ListCheckEnd, VersionRecords};
+use crate::stream_versions::{TableCheckEnd, VersionRecords};
 
 /// Delay before the registration of the instance is checked or tried again.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(400);
@@ -199,6 +199,8 @@
         let watcher = self.clone();
         tokio::task::spawn_local(async move { watcher.check_servers().await });
         let watcher = self.clone();
+        tokio::task::spawn_local(async move { watcher.check_base_rows().await });
+        let watcher = self.clone();
         tokio::task::spawn_local(async move { watcher.keep_list_complete().await });
         let watcher = self.clone();
         tokio::task::spawn_local(async move { watcher.write_settled_era().await });
@@ -475,34 +477,41 @@
         loop {
             self.versions.list_check().wait_asked().await;
             let began_at = Instant::now();
-            let end = self.check_servers_once().await;
+            let end = self.check_table(Table::Servers).await;
             self.versions.record_list_check(began_at, end);
         }
     }
 
-    async fn check_servers_once(&self) -> ListCheckEnd {
-        let Some(after) = self.version(Table::Servers) else {
-            return ListCheckEnd::Incomplete;
+    /// The same for base versions and the stated life of streams.
+    async fn check_base_rows(&self) {
+        loop {
+            self.versions.rows_check().wait_asked().await;
+            let began_at = Instant::now();
+            let end = self.check_table(Table::BaseVersions).await;
+            self.versions.rows_check().finish(began_at, end);
+        }
+    }
+
+    async fn check_table(&self, table: Table) -> TableCheckEnd {
+        let Some(after) = self.version(table) else {
+            return TableCheckEnd::Incomplete;
         };
-        let checked = self
-            .store
-            .watch(Table::Servers, after, Duration::ZERO)
-            .await;
-        let applied = checked.map(|timed| self.apply_page(Table::Servers, timed, Some(after)));
+        let checked = self.store.watch(table, after, Duration::ZERO).await;
+        let applied = checked.map(|timed| self.apply_page(table, timed, Some(after)));
         match applied {
             // A replica that is ahead of the response holds what the response brings.
             Ok(Ok(()) | Err(PageError::NotApplicable(ApplyError::Stale))) => {
-                ListCheckEnd::Confirmed
+                TableCheckEnd::Confirmed
             }
             Ok(Err(error)) => {
-                info!(self.log, "check of the servers not applied"; "fault" => error.to_string());
-                ListCheckEnd::Incomplete
+                info!(self.log, "check of a table not applied"; "table" => ?table, "fault" => error.to_string());
+                TableCheckEnd::Incomplete
             }
             Err(error) => {
-                info!(self.log, "can't check the servers"; "fault" => error.to_string());
+                info!(self.log, "can't check a table"; "table" => ?table, "fault" => error.to_string());
                 match error {
-                    StoreError::HistoryGone | StoreError::Restored => ListCheckEnd::Incomplete,
-                    _ => ListCheckEnd::Unreachable,
+                    StoreError::HistoryGone | StoreError::Restored => TableCheckEnd::Incomplete,
+                    _ => TableCheckEnd::Unreachable,
                 }
             }
         }
--- a/crates/sardineshore-serve/src/watcher/restore.rs
+++ b/crates/sardineshore-serve/src/watcher/restore.rs
@@ -137,9 +137,13 @@
                 continue;
             };
             let row = self.settled_era_row();
-            let call =
-                self.dialect
-                    .replace_row_call(Table::BaseVersions, SETTLED_ERA_KEY, &value, row);
+            let call = self.dialect.replace_row_call(
+                Table::BaseVersions,
+                SETTLED_ERA_KEY,
+                &value,
+                row,
+                &[],
+            );
             info!(self.log, "writing the settled era of the store"; "era" => era, "row" => row, "rank" => rank);
             if let Err(error) = self.store.write(call).await {
                 info!(self.log, "can't write the settled era of the store; retrying"; "era" => era, "fault" => error.to_string());
