fix(stream-versions): a stream's version is kept together with its pool

Cause: what was found out about the versions of one pool was remembered for the stream, whose next request may be sent to another pool: both were chosen by the id of the request, which is new each time.

Evidence: each such stream was sent to the other service first, whose only version was remembered, was turned away there, and then went on at that version in its own service.

Change: memory and records hold the origin of a stream, its pool and version. A stream that is taken up goes on at the pool of its origin; what lists and base versions tell is asked about that pool only. A pool that the route doesn't lead to any more is refused as not run: the configuration forbids it. The record is looked for first, then the rows are checked by one call that all waiting streams share.

--- a/crates/sardineshore-core/src/flow/config.rs
+++ b/crates/sardineshore-core/src/flow/config.rs
@@ -100,6 +100,15 @@
     pub anonymous: bool,
 }
 
+impl Route {
+    /// Whether requests of the route may go to a pool.
+    #[must_use]
+    pub fn leads_to(&self, pool: &str) -> bool {
+        let mut used = self.pools.iter().filter(|(_, weight)| *weight > 0);
+        used.any(|(name, _)| **name == *pool)
+    }
+}
+
 /// Capacity and timing of one server in a pool that runs stage pieces in batches.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct BatchSpec {
--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -44,8 +44,8 @@
 use serde::{Deserialize, Serialize};
 
 pub use life::{LIFE_MARGIN, StatedLife};
-pub use memory::KnownStream;
 use memory::StreamMemory;
+pub use memory::{KnownStream, StreamOrigin};
 use pool::{Listed, PoolVersions};
 pub use sweep::RecordSweep;
 
@@ -95,8 +95,8 @@
 /// The record of a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamRecord {
-    /// Version at which it began; `None` if its server named none.
-    pub version: Option<Name>,
+    /// Where it began; `None` in a record that only takes the place of earlier ones.
+    pub origin: Option<StreamOrigin>,
 }
 
 /// What an instance knows about the versions at which streams began.
@@ -284,6 +284,12 @@
         self.bases.get(pool).map(|base| &base.version)
     }
 
+    /// What the store has as the base version of a pool, whether it holds or not.
+    #[must_use]
+    pub fn base_version(&self, pool: &str) -> Option<&BaseVersion> {
+        self.bases.get(pool)
+    }
+
     /// Version at which all streams of a pool began that have no record, as far as this instance knows;
     /// `None` if they may have begun at several.
     #[must_use]
@@ -316,7 +322,7 @@
     #[must_use]
     pub fn must_await_record(&self, pool: &str, id: &str, now: Instant) -> bool {
         let stream = self.begun.get(id).filter(|s| !s.has_misleading_records);
-        let version = stream.and_then(|stream| stream.version.as_ref());
+        let version = stream.and_then(|stream| stream.origin.version.as_ref());
         let (Some(version), Some(servers)) = (version, self.pools.get(pool)) else {
             return true;
         };
@@ -350,10 +356,10 @@
         })
     }
 
-    /// Remembers at which version a stream may begin; `record` is the number of its record.
-    pub fn remember(&mut self, id: &Name, version: Option<Name>, record: u32, now: Instant) {
+    /// Remembers where a stream may begin; `record` is the number of its record.
+    pub fn remember(&mut self, id: &Name, origin: StreamOrigin, record: u32, now: Instant) {
         let lifetime = self.time_to_end();
-        self.begun.insert(id, version, record, lifetime, now);
+        self.begun.insert(id, origin, record, lifetime, now);
     }
 
     /// Records that a stream has ended, or that none has begun. Its version stays known.
@@ -361,11 +367,10 @@
         self.begun.record_end(id);
     }
 
-    /// Version at which a stream began that this instance remembers; holds `None` if the server named
-    /// none.
+    /// Where a stream began that this instance remembers.
     #[must_use]
-    pub fn remembered(&self, id: &str) -> Option<Option<Name>> {
-        self.begun.get(id).map(|stream| stream.version.clone())
+    pub fn remembered(&self, id: &str) -> Option<&StreamOrigin> {
+        self.begun.get(id).map(|stream| &stream.origin)
     }
 
     /// Whether a stream that this instance remembers may still run.
--- a/crates/sardineshore-core/src/flow/stream_versions/memory.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions/memory.rs
@@ -3,16 +3,28 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::flow::config::Name;
 
-/// A stream whose version an instance remembers.
+/// The servers at which a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// Their pool.
+    pub pool: Name,
+    /// Their software version; `None` if the server named none. Versions of different pools have nothing in
+    /// common.
+    pub version: Option<Name>,
+}
+
+/// A stream whose origin an instance remembers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownStream {
-    /// Version at which it began; `None` if its server named none.
-    pub version: Option<Name>,
+    /// Where it began.
+    pub origin: StreamOrigin,
     /// Number of its record, if it has one; the highest one counts.
     pub record: u32,
-    /// Whether records with lower numbers may name other versions.
+    /// Whether records with lower numbers may name other origins.
     pub(super) has_misleading_records: bool,
     /// When it was remembered.
     pub(super) at: Instant,
@@ -41,7 +53,7 @@
     pub(super) fn insert(
         &mut self,
         id: &Name,
-        version: Option<Name>,
+        origin: StreamOrigin,
         record: u32,
         lifetime: Duration,
         now: Instant,
@@ -59,9 +71,9 @@
         let has_misleading_records = self
             .streams
             .get(id)
-            .is_some_and(|earlier| earlier.has_misleading_records || earlier.version != version);
+            .is_some_and(|earlier| earlier.has_misleading_records || earlier.origin != origin);
         let stream = KnownStream {
-            version,
+            origin,
             record,
             has_misleading_records,
             at: now,
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -4,7 +4,8 @@
 
 use sardineshore_core::flow::config::{Name, Server};
 use sardineshore_core::flow::stream_versions::{
-    BaseVersion, LIFE_MARGIN, NEW_VERSION_DELAY, RecordSweep, StatedLife, StreamVersions, resolve,
+    BaseVersion, LIFE_MARGIN, NEW_VERSION_DELAY, RecordSweep, StatedLife, StreamOrigin,
+    StreamVersions, resolve,
 };
 
 /// Longest life of a stream, as the store states it.
@@ -29,6 +30,14 @@
     }
 }
 
+/// Servers of the pool with a version, or without one.
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        pool: "engine".into(),
+        version: (!version.is_empty()).then(|| version.into()),
+    }
+}
+
 fn base(version: &str, era: u64) -> BaseVersion {
     BaseVersion {
         version: version.into(),
@@ -231,11 +240,11 @@
     let now = Instant::now();
     let mut known = started_with_base(&["v1"], base("v1", 1), now);
     for (id, version) in [("base", "v1"), ("other", "v2"), ("ended", "v1")] {
-        known.remember(&id.into(), Some(version.into()), 1, now);
+        known.remember(&id.into(), origin(version), 1, now);
     }
     known.record_end("ended");
     assert!(known.is_running("base") && !known.is_running("ended"));
-    assert_eq!(known.remembered("ended"), Some(Some("v1".into())));
+    assert_eq!(known.remembered("ended"), Some(&origin("v1")));
     let mut running: Vec<&str> = known.running(now).map(|(id, _)| &**id).collect();
     running.sort_unstable();
     assert_eq!(running, ["base", "other"]);
@@ -249,22 +258,22 @@
     assert!(unread.must_await_record("engine", "r1", now));
     // Either version may become the base version, also if the other one has left since.
     let mut known = started(&["v1", "v2"], now);
-    known.remember(&"r1".into(), Some("v1".into()), 1, now);
+    known.remember(&"r1".into(), origin("v1"), 1, now);
     assert!(known.must_await_record("engine", "r1", now));
     list(&mut known, &["v1"], now);
     assert!(known.must_await_record("engine", "r1", now));
     let mut known = restarted(1, &["v1"], None, now);
-    known.remember(&"r1".into(), Some("v1".into()), 1, now);
+    known.remember(&"r1".into(), origin("v1"), 1, now);
     assert!(known.must_await_record("engine", "r1", now));
     let mut known = started(&["v1"], now);
-    known.remember(&"r1".into(), Some("v1".into()), 1, now);
+    known.remember(&"r1".into(), origin("v1"), 1, now);
     assert!(!known.must_await_record("engine", "r1", now));
     known.set_base(&"engine".into(), Some(base("v1", 1)), now);
-    known.remember(&"r2".into(), Some("v2".into()), 1, now);
-    known.remember(&"r3".into(), None, 1, now);
+    known.remember(&"r2".into(), origin("v2"), 1, now);
+    known.remember(&"r3".into(), origin(""), 1, now);
     // Its first record names another version.
-    known.remember(&"r4".into(), Some("v2".into()), 1, now);
-    known.remember(&"r4".into(), Some("v1".into()), 2, now);
+    known.remember(&"r4".into(), origin("v2"), 1, now);
+    known.remember(&"r4".into(), origin("v1"), 2, now);
     let awaited = |known: &StreamVersions, at| {
         ["r1", "r2", "r3", "r4"].map(|id| known.must_await_record("engine", id, at))
     };
@@ -470,14 +479,14 @@
 fn remembered_versions_are_dropped_after_the_life_of_a_stream() {
     let now = Instant::now();
     let mut known = started(&["v1"], now);
-    known.remember(&"r1".into(), Some("v1".into()), 1, now);
-    known.remember(&"r2".into(), None, 1, now);
-    known.remember(&"r2".into(), Some("v2".into()), 2, now + LIFETIME);
-    assert_eq!(known.remembered("r1"), Some(Some("v1".into())));
-    known.remember(&"r3".into(), None, 1, now + LIFETIME + MOMENT);
+    known.remember(&"r1".into(), origin("v1"), 1, now);
+    known.remember(&"r2".into(), origin(""), 1, now);
+    known.remember(&"r2".into(), origin("v2"), 2, now + LIFETIME);
+    assert_eq!(known.remembered("r1"), Some(&origin("v1")));
+    known.remember(&"r3".into(), origin(""), 1, now + LIFETIME + MOMENT);
     assert_eq!(known.remembered("r1"), None);
-    assert_eq!(known.remembered("r2"), Some(Some("v2".into())));
-    assert_eq!(known.remembered("r3"), Some(None));
+    assert_eq!(known.remembered("r2"), Some(&origin("v2")));
+    assert_eq!(known.remembered("r3"), Some(&origin("")));
 }
 
 #[test]
--- a/crates/sardineshore-core/tests/stream_versions_search.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search.rs
@@ -9,7 +9,9 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use sardineshore_core::flow::config::{Name, Server};
-use sardineshore_core::flow::stream_versions::{BaseVersion, StreamVersions, resolve};
+use sardineshore_core::flow::stream_versions::{
+    BaseVersion, StreamOrigin, StreamVersions, resolve,
+};
 
 const POOL: &str = "engine";
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
@@ -177,6 +179,13 @@
     seed: u64,
 }
 
+fn origin(version: &Name) -> StreamOrigin {
+    StreamOrigin {
+        pool: POOL.into(),
+        version: Some(version.clone()),
+    }
+}
+
 fn stream_name(stream: usize) -> Name {
     stream.to_string().into()
 }
@@ -429,7 +438,7 @@
         let list_age = list_age.map(Duration::from_millis);
         if instance.known.set_era(store.era, list_age, now) {
             for (stream, known) in instance.known.running(now) {
-                let version = known.version.clone();
+                let version = known.origin.version.clone();
                 let stream = stream.parse().unwrap();
                 instance
                     .queue
@@ -532,7 +541,7 @@
             let name = stream_name(stream);
             instance
                 .known
-                .remember(&name, Some(version.clone()), record, now);
+                .remember(&name, origin(&version), record, now);
             let delay = instance.known.record_delay(POOL, Some(&version), now);
             let due_at = self.now + u64::try_from(delay.as_millis()).unwrap();
             if record > 1 && due_at > self.now {
@@ -635,7 +644,7 @@
         let now = self.instant();
         let name = stream_name(stream);
         if let Some(remembered) = self.instances[id].known.remembered(&name) {
-            return remembered;
+            return remembered.version.clone();
         }
         let is_in_touch = self.is_in_touch(id);
         if is_in_touch && self.instances[id].known.is_sole_version_likely(POOL, now) {
@@ -664,9 +673,9 @@
         } else {
             (None, 0)
         };
-        if version.is_some() {
+        if let Some(version) = &version {
             let known = &mut self.instances[id].known;
-            known.remember(&name, version.clone(), record, now);
+            known.remember(&name, origin(version), record, now);
         }
         version
     }
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -131,7 +131,7 @@
         keep_alive: bool,
         stats: &mut RequestStats,
     ) -> Outcome {
-        let Some(pool) = select_pool(request.route, request.id) else {
+        let Some(mut pool) = select_pool(request.route, request.id) else {
             return not_run(request, RETRY_AFTER_NO_SERVER, "route without pool");
         };
         let headers = &request.head.headers;
@@ -146,12 +146,21 @@
         let is_taken_up = taken_up.is_some() || resume_after.is_some();
         let versions = self.dispatcher.versions();
         let is_resumable = request.route.kind.is_retryable();
+        stats.takes_up = taken_up.map(Name::from);
         let version = match (is_taken_up, is_resumable) {
             (false, _) => RequiredVersion::Any,
-            (true, true) => RequiredVersion::of_stream(versions.find(&pool, taken_up).await),
+            (true, true) => match versions.find(&pool, taken_up).await {
+                Some(origin) if !request.route.leads_to(&origin.pool) => {
+                    return not_run_finally(request, "service of the stream not on the route");
+                }
+                Some(origin) => {
+                    pool = origin.pool;
+                    RequiredVersion::of_stream(origin.version)
+                }
+                None => RequiredVersion::Unknown,
+            },
             (true, false) => RequiredVersion::Unknown,
         };
-        stats.takes_up = taken_up.map(Name::from);
         if let RequiredVersion::Exactly(version) = &version {
             stats.version = Some(version.clone());
         }
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -19,7 +19,7 @@
 use records::{QueuedRecord, RecordKey};
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::replica::TableChanges;
-use sardineshore_core::flow::stream_versions::{KnownStream, StreamVersions};
+use sardineshore_core::flow::stream_versions::{KnownStream, StreamOrigin, StreamVersions};
 use slog::{Logger, info};
 pub use table_check::{TableCheck, TableCheckEnd};
 use tokio::sync::Notify;
@@ -128,7 +128,7 @@
             "streams" => running.len(), "list_age_ms" => list_age.map(whole_ms));
         for (id, stream) in running {
             let _not_awaited =
-                self.queue_record(&id, stream.record, stream.version, Duration::ZERO);
+                self.queue_record(&id, stream.record, Some(stream.origin), Duration::ZERO);
         }
     }
 
@@ -279,7 +279,11 @@
         let is_confirmed = freshness.within(boot_time(), MAX_CONFIRMATION_AGE);
         drop(freshness);
         let needs_record = known.needs_record(pool, version, is_confirmed);
-        known.remember(&stream, version.cloned(), number, now);
+        let origin = StreamOrigin {
+            pool: pool.clone(),
+            version: version.cloned(),
+        };
+        known.remember(&stream, origin.clone(), number, now);
         let delay = known.record_delay(pool, version, now);
         drop(known);
         let mut record = PendingRecord {
@@ -295,7 +299,7 @@
             // A copy of the store must not hold the record of the rejected request alone for so long.
             let _not_awaited = self.queue_record(&stream, number, None, Duration::ZERO);
         }
-        record.written = self.queue_record(&stream, number, version.cloned(), delay);
+        record.written = self.queue_record(&stream, number, Some(origin), delay);
         if !delay.is_zero() {
             info!(self.log, "stream waits to be recorded at a version that was listed lately"; "stream" => &*stream,
                 "pool" => &**pool, "version" => version.map(|version| &**version), "ms" => whole_ms(delay));
--- a/crates/sardineshore-serve/src/stream_versions/lookup.rs
+++ b/crates/sardineshore-serve/src/stream_versions/lookup.rs
@@ -1,124 +1,140 @@
-//! Finds out at which version a stream began that a caller takes up.
+//! Finds out where a stream began that a caller takes up.
 
 use std::time::Instant;
 
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::stream_versions::{BaseVersion, StreamRecord, resolve};
+use sardineshore_core::flow::stream_versions::{StreamOrigin, StreamRecord, resolve};
 use slog::info;
 
 use super::records::partition;
-use super::{TableCheckEnd, VersionRecords, decode_base};
-use crate::dialect::Table;
+use super::{TableCheckEnd, VersionRecords};
 use crate::store::StoreError;
 
+/// What the store holds about one stream.
+struct ReadRecord {
+    /// Its latest record; `None` if it has none.
+    record: Option<StreamRecord>,
+    /// Number of that record; 0 without one.
+    number: u32,
+    /// Era of the store.
+    era: u64,
+}
+
 impl VersionRecords {
-    /// Version at which a stream began that a caller takes up; `None` if it can't be found out.
-    /// `stream` is the id of the request that brought its first event, if the caller names it.
-    pub async fn find(&self, pool: &str, stream: Option<&str>) -> Option<Name> {
+    /// Where a stream began that a caller takes up; `None` if it can't be found out. `stream` is the id of the
+    /// request that brought its first event, if the caller names it; `pool` the one where it began unless
+    /// memory or a record names another one.
+    pub async fn find(&self, pool: &Name, stream: Option<&str>) -> Option<StreamOrigin> {
         let taken_up = Instant::now();
-        let remembered = stream.and_then(|id| self.known.borrow().remembered(id));
-        if let Some(version) = remembered {
-            return version;
-        }
-        let is_sole_likely = {
-            let known = self.known.borrow();
-            known.is_sole_version_likely(pool, taken_up)
+        let Some(stream) = stream else {
+            let version = self.sole_version(pool, taken_up).await;
+            return version.map(|version| origin(pool, version));
         };
-        let mut sole = None;
-        if is_sole_likely {
-            let (end, rows) = futures::join!(self.list_check.run(), self.rows_check.run());
-            let known = self.known.borrow();
-            // A longer life may have been stated than was known.
-            if rows == TableCheckEnd::Confirmed {
-                sole = known.sole_version(pool, taken_up, Instant::now());
-            }
-            info!(self.log, "checked the list of servers for a stream's version"; "stream" => stream,
-                "end" => ?end, "rows" => ?rows, "version" => sole.as_deref());
-            if end == TableCheckEnd::Unreachable {
+        let remembered = self.known.borrow().remembered(stream).cloned();
+        if remembered.is_some() {
+            return remembered;
+        }
+        let ReadRecord {
+            record,
+            number,
+            era,
+        } = match self.read(stream).await {
+            Ok(read) => read,
+            Err(error) => {
+                info!(self.log, "can't read where a stream began"; "stream" => stream, "fault" => error.to_string());
                 return None;
             }
-        }
-        let Some(stream) = stream else {
-            return sole;
         };
-        let (version, number) = match sole {
-            Some(version) => (Some(version), 0),
-            None => match self.read(pool, stream, taken_up).await {
-                Ok(found) => found,
-                Err(error) => {
-                    info!(self.log, "can't read at which version a stream began"; "stream" => stream, "fault" => error.to_string());
-                    return None;
-                }
-            },
+        let is_recorded = record.is_some();
+        let found = if let Some(record) = record {
+            record.origin
+        } else {
+            let version = self.unrecorded_version(pool, era, taken_up).await;
+            version.map(|version| origin(pool, version))
         };
-        if version.is_some() {
+        info!(self.log, "read where a stream began"; "stream" => stream, "recorded" => is_recorded,
+            "pool" => found.as_ref().map(|origin| &*origin.pool),
+            "version" => found.as_ref().and_then(|origin| origin.version.as_deref()), "era" => era);
+        if let Some(origin) = &found {
             let mut known = self.known.borrow_mut();
-            known.remember(&stream.into(), version.clone(), number, Instant::now());
+            known.remember(&stream.into(), origin.clone(), number, Instant::now());
         }
-        version
+        found
     }
 
-    /// Reads at which version a stream began that was taken up at `taken_up`, and the number of its record;
-    /// 0 if it has none.
-    async fn read(
-        &self,
-        pool: &str,
-        stream: &str,
-        taken_up: Instant,
-    ) -> Result<(Option<Name>, u32), StoreError> {
+    /// Reads the latest record of a stream.
+    async fn read(&self, stream: &str) -> Result<ReadRecord, StoreError> {
         let dialect = self.store.dialect();
         let call = dialect.read_stream_records_call(&partition(stream), Some(stream));
-        let records = self.store.read_page(call).await?;
-        // The base version is read later, as it changes only when all streams without a record have
-        // ended.
-        let call = dialect.read_row_call(Table::BaseVersions, pool);
-        let bases = self.store.read_page(call).await?;
-        let latest = records.rows.iter().max_by_key(|row| &row.key);
+        let page = self.store.read_page(call).await?;
+        let latest = page.rows.iter().max_by_key(|row| &row.key);
         let number = latest.and_then(|row| row.key.rsplit_once('/')?.1.parse().ok());
+        // Nothing is known of a stream whose record can't be decoded.
+        let undecodable = StreamRecord { origin: None };
         let record = latest.and_then(|row| row.value.as_deref());
-        let record = match record.map(postcard::from_bytes::<StreamRecord>) {
-            Some(Ok(record)) => Some(record.version),
-            // Nothing is known of the stream.
-            Some(Err(_)) => Some(None),
-            None => None,
-        };
-        let base = bases.rows.iter().find(|row| *row.key == *pool);
-        let base = base.and_then(|row| row.value.as_deref().and_then(decode_base));
-        let era = bases.version.era;
-        if records.version.era != era {
-            return Err(StoreError::Restored);
+        let record = record.map(|value| postcard::from_bytes(value).unwrap_or(undecodable));
+        Ok(ReadRecord {
+            record,
+            number: number.unwrap_or_default(),
+            era: page.version.era,
+        })
+    }
+
+    /// Version at which a stream of a pool began that had no record in this era of the store, when the record
+    /// was looked for after `taken_up`; `None` if it isn't known.
+    async fn unrecorded_version(&self, pool: &Name, era: u64, taken_up: Instant) -> Option<Name> {
+        // The base version is read later than the record, as it changes only when all streams without a
+        // record have ended.
+        if self.rows_check.run().await != TableCheckEnd::Confirmed {
+            return None;
         }
-        let version = resolve(record.clone(), base.as_ref(), era);
-        info!(self.log, "read at which version a stream began"; "stream" => stream,
-            "version" => version.as_deref(), "recorded" => record.is_some(), "era" => era,
-            "base" => base.as_ref().map(|base| &*base.version), "base_holds_in" => base.as_ref().and_then(|base| base.era));
-        if let (None, None, Some(base)) = (&version, &record, base) {
-            let version = self
-                .unrecorded_version(pool, stream, &base, era, taken_up)
-                .await;
-            return Ok((version, 0));
+        {
+            let known = self.known.borrow();
+            if known.era() != Some(era) {
+                return None;
+            }
+            let version = resolve(None, known.base_version(pool), era);
+            if version.is_some() {
+                return version;
+            }
+        }
+        let end = self.list_check.run().await;
+        let known = self.known.borrow();
+        // A restore since the record was looked for would make the list say less.
+        if known.era() != Some(era) {
+            return None;
         }
-        Ok((version, number.unwrap_or_default()))
+        let now = Instant::now();
+        let base = known.base_version(pool);
+        let version = known.sole_version(pool, taken_up, now).or_else(|| {
+            let began_at_base = |base: &&_| known.began_at_base(pool, base, taken_up, now);
+            base.filter(began_at_base).map(|base| base.version.clone())
+        });
+        info!(self.log, "checked which versions can have begun a stream"; "pool" => &**pool, "end" => ?end,
+            "version" => version.as_deref(), "base" => base.map(|base| &*base.version));
+        version
     }
 
-    /// Version at which a stream began that has no record in this era, though the base version doesn't hold;
-    /// `None` if it isn't known.
-    async fn unrecorded_version(
-        &self,
-        pool: &str,
-        stream: &str,
-        base: &BaseVersion,
-        era: u64,
-        taken_up: Instant,
-    ) -> Option<Name> {
+    /// The only version that servers of a pool have had for a stream's life.
+    async fn sole_version(&self, pool: &Name, taken_up: Instant) -> Option<Name> {
+        let is_likely = self.known.borrow().is_sole_version_likely(pool, taken_up);
+        if !is_likely {
+            return None;
+        }
         let (end, rows) = futures::join!(self.list_check.run(), self.rows_check.run());
         let known = self.known.borrow();
-        // A restore since the record was looked for would make the list say less.
-        let is_known = rows == TableCheckEnd::Confirmed
-            && known.era() == Some(era)
-            && known.began_at_base(pool, base, taken_up, Instant::now());
-        info!(self.log, "checked which versions can have begun a stream"; "stream" => stream, "end" => ?end,
-            "version" => is_known.then_some(&*base.version));
-        is_known.then(|| base.version.clone())
+        let sole = known.sole_version(pool, taken_up, Instant::now());
+        // A longer life may have been stated than was known.
+        let sole = sole.filter(|_| rows == TableCheckEnd::Confirmed);
+        info!(self.log, "checked the list of servers for a stream's version"; "pool" => &**pool, "end" => ?end,
+            "rows" => ?rows, "version" => sole.as_deref());
+        sole
+    }
+}
+
+fn origin(pool: &Name, version: Name) -> StreamOrigin {
+    StreamOrigin {
+        pool: pool.clone(),
+        version: Some(version),
     }
 }
--- a/crates/sardineshore-serve/src/stream_versions/records.rs
+++ b/crates/sardineshore-serve/src/stream_versions/records.rs
@@ -5,7 +5,7 @@
 
 use sardineshore_core::flow::cells::rank_owners;
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::stream_versions::{RecordSweep, StreamRecord};
+use sardineshore_core::flow::stream_versions::{RecordSweep, StreamOrigin, StreamRecord};
 use slog::{info, warn};
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
@@ -63,10 +63,10 @@
         &self,
         stream: &Name,
         number: u32,
-        version: Option<Name>,
+        origin: Option<StreamOrigin>,
         delay: Duration,
     ) -> Option<oneshot::Receiver<()>> {
-        let value = postcard::to_stdvec(&StreamRecord { version }).ok()?;
+        let value = postcard::to_stdvec(&StreamRecord { origin }).ok()?;
         let (tx, written) = oneshot::channel();
         let key = RecordKey {
             part: partition(stream),
--- a/crates/sardineshore-serve/src/watcher.rs
+++ b/crates/sardineshore-serve/src/watcher.rs
@@ -482,12 +482,24 @@
         }
     }
 
-    /// The same for base versions and the stated life of streams.
+    /// The same for base versions and the stated life of streams. They change seldom, so that the store may
+    /// not have all changes since they were read last.
     async fn check_base_rows(&self) {
         loop {
             self.versions.rows_check().wait_asked().await;
             let began_at = Instant::now();
-            let end = self.check_table(Table::BaseVersions).await;
+            let mut end = self.check_table(Table::BaseVersions).await;
+            if end == TableCheckEnd::Incomplete {
+                let read = self.store.read(Table::BaseVersions).await;
+                let applied = read.map(|timed| self.apply_page(Table::BaseVersions, timed, None));
+                end = match applied {
+                    Ok(Ok(()) | Err(PageError::NotApplicable(ApplyError::Stale))) => {
+                        TableCheckEnd::Confirmed
+                    }
+                    Ok(Err(_)) => TableCheckEnd::Incomplete,
+                    Err(_) => TableCheckEnd::Unreachable,
+                };
+            }
             self.versions.rows_check().finish(began_at, end);
         }
     }
