fix(stream-versions): a stream lasts as long as its caller waits

Cause: the longest timeout of a route was taken for a stream's life. Records were removed, and streams forgotten, while their callers still waited. The timeout ends one answer; the caller goes on until the deadline that it states with each request.

Evidence: the third instance found no record ("recorded":false) and took the base version; the rows had been removed 15 s after the begin.

Change: memory, record and stated life rest on the caller's deadline. A record names the time for which it is kept. A deadline beyond 2 min, or none, has no bound that conclusions could use: such a stream always has a record. A request that takes a stream up states a deadline again, and where the instance doesn't remember the stream for so long, it writes a further record.

Why it works: what is kept, and what conclusions wait for, now follow from what the caller says of the stream, not from what ends an answer.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -43,7 +43,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use life::{LIFE_MARGIN, StatedLife};
+pub use life::{LIFE_MARGIN, StatedLife, StreamLife};
 use memory::StreamMemory;
 pub use memory::{KnownStream, StreamOrigin};
 use pool::{Listed, PoolVersions};
@@ -97,6 +97,8 @@
 pub struct StreamRecord {
     /// Where it began; `None` in a record that only takes the place of earlier ones.
     pub origin: Option<StreamOrigin>,
+    /// For how long it may be taken up, from when the record was written.
+    pub life: StreamLife,
 }
 
 /// What an instance knows about the versions at which streams began.
@@ -308,11 +310,18 @@
             .any(|pool| self.holding_base(pool).is_none())
     }
 
-    /// Whether a stream that begins at this version needs a record. `is_confirmed` tells whether the
+    /// Whether a stream that begins at this origin needs a record. `is_confirmed` tells whether the
     /// store confirmed recently what this instance knows.
     #[must_use]
-    pub fn needs_record(&self, pool: &str, version: Option<&Name>, is_confirmed: bool) -> bool {
-        !is_confirmed || version.is_none() || self.holding_base(pool) != version
+    pub fn needs_record(
+        &self,
+        origin: &StreamOrigin,
+        life: StreamLife,
+        is_confirmed: bool,
+    ) -> bool {
+        let StreamOrigin { pool, version } = origin;
+        let is_at_base = version.is_some() && self.holding_base(pool) == version.as_ref();
+        !is_confirmed || !is_at_base || life.bounded().is_none()
     }
 
     /// Whether the record of a stream must be written before its first event is forwarded: without it, the
@@ -321,7 +330,8 @@
     /// long. If the store names none, the first one may be any, unless no server has ever had another.
     #[must_use]
     pub fn must_await_record(&self, pool: &str, id: &str, now: Instant) -> bool {
-        let stream = self.begun.get(id).filter(|s| !s.has_misleading_records);
+        let stream = self.begun.get(id);
+        let stream = stream.filter(|s| !s.has_misleading_records && s.life.bounded().is_some());
         let version = stream.and_then(|stream| stream.origin.version.as_ref());
         let (Some(version), Some(servers)) = (version, self.pools.get(pool)) else {
             return true;
@@ -356,10 +366,17 @@
         })
     }
 
-    /// Remembers where a stream may begin; `record` is the number of its record.
-    pub fn remember(&mut self, id: &Name, origin: StreamOrigin, record: u32, now: Instant) {
-        let lifetime = self.time_to_end();
-        self.begun.insert(id, origin, record, lifetime, now);
+    /// Remembers where a stream may begin, or where one began that is taken up; `record` is the number of its
+    /// record, and `life` the time for which it may be taken up from now on.
+    pub fn remember(
+        &mut self,
+        id: &Name,
+        origin: StreamOrigin,
+        record: u32,
+        life: StreamLife,
+        now: Instant,
+    ) {
+        self.begun.insert(id, origin, record, life, now);
     }
 
     /// Records that a stream has ended, or that none has begun. Its version stays known.
@@ -367,10 +384,10 @@
         self.begun.record_end(id);
     }
 
-    /// Where a stream began that this instance remembers.
+    /// A stream that this instance remembers.
     #[must_use]
-    pub fn remembered(&self, id: &str) -> Option<&StreamOrigin> {
-        self.begun.get(id).map(|stream| &stream.origin)
+    pub fn remembered(&self, id: &str) -> Option<&KnownStream> {
+        self.begun.get(id)
     }
 
     /// Whether a stream that this instance remembers may still run.
@@ -391,7 +408,7 @@
     /// written, and the base version doesn't hold.
     pub fn running(&self, now: Instant) -> impl Iterator<Item = (&Name, &KnownStream)> {
         let running = self.begun.iter();
-        running.filter(move |(_, stream)| !stream.has_ended && !self.is_old(stream.at, now))
+        running.filter(move |(_, stream)| !stream.has_ended && stream.expires_at > now)
     }
 
     /// Whether one version alone may have served for as long as a stream can last, so that a confirmation
--- a/crates/sardineshore-core/src/flow/stream_versions/life.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions/life.rs
@@ -2,12 +2,47 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Time by which conclusions about streams that have ended wait longer than the longest life, for the
 /// delays until all instances know of a change.
 pub const LIFE_MARGIN: Duration = Duration::from_secs(6);
 /// Lives are stated in multiples of this, so that few changes are written.
 const LIFE_STEP: Duration = Duration::from_secs(5);
 
+/// Longest life that the stated life covers. Streams with a longer one, or an unknown one, always have a record.
+const MAX_STATED_LIFE: Duration = Duration::from_secs(120);
+/// Time for which a stream is remembered whose caller doesn't tell how long it waits.
+const UNKNOWN_LIFE: Duration = Duration::from_secs(3600);
+/// Longest time for which any stream is remembered.
+const MAX_RETENTION: Duration = Duration::from_secs(24 * 3600);
+
+/// Time from a request on for which its caller may take the stream up: as long as it waits. A route's timeout
+/// ends one answer only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamLife(Option<Duration>);
+
+impl StreamLife {
+    /// Life of a stream whose caller waits so long; `None` if it doesn't tell.
+    #[must_use]
+    pub fn new(caller_waits: Option<Duration>) -> Self {
+        Self(caller_waits)
+    }
+
+    /// The life, if the stated life can cover it. Nothing is concluded from the absence of a record of a
+    /// stream without.
+    #[must_use]
+    pub fn bounded(self) -> Option<Duration> {
+        self.0.filter(|life| *life <= MAX_STATED_LIFE)
+    }
+
+    /// Time for which the stream's origin is remembered and its record kept.
+    #[must_use]
+    pub fn retention(self) -> Duration {
+        self.0.unwrap_or(UNKNOWN_LIFE).min(MAX_RETENTION) + LIFE_MARGIN
+    }
+}
+
 /// The *stated life*: the longest time for which a stream may be taken up, counted from the request that
 /// began it.
 ///
@@ -36,10 +71,11 @@
         self.wanted = self.wanted.max(life);
     }
 
-    /// Whether a stream with this life may begin.
+    /// Whether a stream with this life may begin: it is covered, or has a record in any case.
     #[must_use]
-    pub fn covers(&self, life: Duration) -> bool {
-        self.row.is_some_and(|row| life <= row)
+    pub fn covers(&self, life: StreamLife) -> bool {
+        let bounded = life.bounded();
+        bounded.is_none_or(|life| self.row.is_some_and(|row| life <= row))
     }
 
     /// What the row must name instead; `None` if it needs no change.
--- a/crates/sardineshore-core/src/flow/stream_versions/memory.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions/memory.rs
@@ -1,10 +1,11 @@
 //! The streams that an instance remembers.
 
-use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::collections::{BTreeSet, HashMap};
+use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 
+use super::StreamLife;
 use crate::flow::config::Name;
 
 /// The servers at which a stream began.
@@ -26,18 +27,28 @@
     pub record: u32,
     /// Whether records with lower numbers may name other origins.
     pub(super) has_misleading_records: bool,
-    /// When it was remembered.
-    pub(super) at: Instant,
+    /// For how long it may be taken up, as its latest request states.
+    pub life: StreamLife,
+    /// When it can't be taken up any more.
+    pub(super) expires_at: Instant,
     /// Whether it has ended, so that it needs no record.
     pub(super) has_ended: bool,
 }
 
+impl KnownStream {
+    /// Whether the stream is remembered for as long as a caller needs that takes it up now.
+    #[must_use]
+    pub fn lasts_for(&self, life: StreamLife, now: Instant) -> bool {
+        self.expires_at >= now + life.retention()
+    }
+}
+
 /// Streams by their ids, until they can't be taken up any more.
 #[derive(Debug, Default)]
 pub(super) struct StreamMemory {
     streams: HashMap<Name, KnownStream>,
-    /// Ids of the streams in the order in which they were remembered, some more than once.
-    by_age: VecDeque<(Instant, Name)>,
+    /// Times at which they expire.
+    expiries: BTreeSet<(Instant, Name)>,
 }
 
 impl StreamMemory {
@@ -49,38 +60,39 @@
         self.streams.iter()
     }
 
-    /// Remembers a stream, and forgets those that were remembered more than `lifetime` ago.
+    /// Remembers a stream, not for a shorter time than before, and forgets those that have expired.
     pub(super) fn insert(
         &mut self,
         id: &Name,
         origin: StreamOrigin,
         record: u32,
-        lifetime: Duration,
+        life: StreamLife,
         now: Instant,
     ) {
-        while let Some((at, _)) = self.by_age.front()
-            && now.saturating_duration_since(*at) > lifetime
+        while let Some((at, _)) = self.expiries.first()
+            && *at < now
         {
-            let at = *at;
-            if let Some((_, old)) = self.by_age.pop_front()
-                && self.streams.get(&old).is_some_and(|latest| latest.at == at)
-            {
-                self.streams.remove(&old);
+            if let Some((_, expired)) = self.expiries.pop_first() {
+                self.streams.remove(&expired);
             }
         }
-        let has_misleading_records = self
-            .streams
-            .get(id)
-            .is_some_and(|earlier| earlier.has_misleading_records || earlier.origin != origin);
+        let mut expires_at = now + life.retention();
+        let mut has_misleading_records = false;
+        if let Some(earlier) = self.streams.remove(id) {
+            self.expiries.remove(&(earlier.expires_at, id.clone()));
+            expires_at = expires_at.max(earlier.expires_at);
+            has_misleading_records = earlier.has_misleading_records || earlier.origin != origin;
+        }
         let stream = KnownStream {
             origin,
             record,
             has_misleading_records,
-            at: now,
+            life,
+            expires_at,
             has_ended: false,
         };
         self.streams.insert(id.clone(), stream);
-        self.by_age.push_back((now, id.clone()));
+        self.expiries.insert((expires_at, id.clone()));
     }
 
     /// Records that a stream has ended, or that none has begun.
--- a/crates/sardineshore-core/src/flow/stream_versions/sweep.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions/sweep.rs
@@ -16,23 +16,24 @@
 }
 
 impl RecordSweep {
-    /// Takes the keys that a partition has now, and returns those whose streams have ended.
+    /// Takes the keys that a partition has now, each with the time for which the record is kept, and returns
+    /// those whose streams have ended.
     pub fn update(
         &mut self,
         partition: &str,
-        keys: impl Iterator<Item = Name>,
-        lifetime: Duration,
+        records: impl Iterator<Item = (Name, Duration)>,
         now: Instant,
     ) -> Vec<Name> {
         let before = self.first_seen.remove(partition).unwrap_or_default();
-        let known = keys.map(|key| {
+        let mut known = HashMap::new();
+        let mut old = Vec::new();
+        for (key, retention) in records {
             let first_seen = before.get(&key).copied().unwrap_or(now);
-            (key, first_seen)
-        });
-        let known: HashMap<Name, Instant> = known.collect();
-        let is_old = |at: Instant| now.saturating_duration_since(at) >= lifetime * 2;
-        let old = known.iter().filter(|(_, at)| is_old(**at));
-        let old = old.map(|(key, _)| key.clone()).collect();
+            if now.saturating_duration_since(first_seen) >= retention * 2 {
+                old.push(key.clone());
+            }
+            known.insert(key, first_seen);
+        }
         self.first_seen.insert(partition.to_owned(), known);
         old
     }
--- a/crates/sardineshore-core/tests/stream_versions.rs
+++ b/crates/sardineshore-core/tests/stream_versions.rs
@@ -4,7 +4,7 @@
 
 use sardineshore_core::flow::config::{Name, Server};
 use sardineshore_core::flow::stream_versions::{
-    BaseVersion, LIFE_MARGIN, NEW_VERSION_DELAY, RecordSweep, StatedLife, StreamOrigin,
+    BaseVersion, LIFE_MARGIN, NEW_VERSION_DELAY, RecordSweep, StatedLife, StreamLife, StreamOrigin,
     StreamVersions, resolve,
 };
 
@@ -38,6 +38,18 @@
     }
 }
 
+fn at(version: &Name) -> StreamOrigin {
+    origin(version)
+}
+
+fn life() -> StreamLife {
+    StreamLife::new(Some(LIFE))
+}
+
+fn remembered<'a>(known: &'a StreamVersions, id: &str) -> Option<&'a StreamOrigin> {
+    known.remembered(id).map(|stream| &stream.origin)
+}
+
 fn base(version: &str, era: u64) -> BaseVersion {
     BaseVersion {
         version: version.into(),
@@ -197,13 +209,13 @@
     let known = started(&["v1"], now);
     let (v1, v2): (Name, Name) = ("v1".into(), "v2".into());
     assert!(
-        known.needs_record("engine", Some(&v1), true),
+        known.needs_record(&at(&v1), life(), true),
         "base not known yet"
     );
     let known = started_with_base(&["v1"], base("v1", 1), now);
-    assert!(!known.needs_record("engine", Some(&v1), true));
-    assert!(known.needs_record("engine", Some(&v2), true));
-    assert!(known.needs_record("engine", None, true));
+    assert!(!known.needs_record(&at(&v1), life(), true));
+    assert!(known.needs_record(&at(&v2), life(), true));
+    assert!(known.needs_record(&origin(""), life(), true));
 }
 
 /// Guards against streams that can't be taken up although others begin: their base version doesn't
@@ -214,13 +226,13 @@
     let v1: Name = "v1".into();
     let mut known = started_with_base(&["v1"], base("v1", 1), now);
     known.set_era(2, None, now);
-    assert!(known.needs_record("engine", Some(&v1), true));
+    assert!(known.needs_record(&at(&v1), life(), true));
     known.set_base(&"engine".into(), Some(base("v1", 2)), now);
-    assert!(!known.needs_record("engine", Some(&v1), true));
+    assert!(!known.needs_record(&at(&v1), life(), true));
     // Another instance may have withdrawn it.
-    assert!(known.needs_record("engine", Some(&v1), false));
+    assert!(known.needs_record(&at(&v1), life(), false));
     known.set_base(&"engine".into(), Some(withdrawn("v1")), now);
-    assert!(known.needs_record("engine", Some(&v1), true));
+    assert!(known.needs_record(&at(&v1), life(), true));
 }
 
 /// Guards against an instance that starts beside a restore and takes the copy's configuration for confirmed.
@@ -240,11 +252,11 @@
     let now = Instant::now();
     let mut known = started_with_base(&["v1"], base("v1", 1), now);
     for (id, version) in [("base", "v1"), ("other", "v2"), ("ended", "v1")] {
-        known.remember(&id.into(), origin(version), 1, now);
+        known.remember(&id.into(), origin(version), 1, life(), now);
     }
     known.record_end("ended");
     assert!(known.is_running("base") && !known.is_running("ended"));
-    assert_eq!(known.remembered("ended"), Some(&origin("v1")));
+    assert_eq!(remembered(&known, "ended"), Some(&origin("v1")));
     let mut running: Vec<&str> = known.running(now).map(|(id, _)| &**id).collect();
     running.sort_unstable();
     assert_eq!(running, ["base", "other"]);
@@ -258,22 +270,22 @@
     assert!(unread.must_await_record("engine", "r1", now));
     // Either version may become the base version, also if the other one has left since.
     let mut known = started(&["v1", "v2"], now);
-    known.remember(&"r1".into(), origin("v1"), 1, now);
+    known.remember(&"r1".into(), origin("v1"), 1, life(), now);
     assert!(known.must_await_record("engine", "r1", now));
     list(&mut known, &["v1"], now);
     assert!(known.must_await_record("engine", "r1", now));
     let mut known = restarted(1, &["v1"], None, now);
-    known.remember(&"r1".into(), origin("v1"), 1, now);
+    known.remember(&"r1".into(), origin("v1"), 1, life(), now);
     assert!(known.must_await_record("engine", "r1", now));
     let mut known = started(&["v1"], now);
-    known.remember(&"r1".into(), origin("v1"), 1, now);
+    known.remember(&"r1".into(), origin("v1"), 1, life(), now);
     assert!(!known.must_await_record("engine", "r1", now));
     known.set_base(&"engine".into(), Some(base("v1", 1)), now);
-    known.remember(&"r2".into(), origin("v2"), 1, now);
-    known.remember(&"r3".into(), origin(""), 1, now);
+    known.remember(&"r2".into(), origin("v2"), 1, life(), now);
+    known.remember(&"r3".into(), origin(""), 1, life(), now);
     // Its first record names another version.
-    known.remember(&"r4".into(), origin("v2"), 1, now);
-    known.remember(&"r4".into(), origin("v1"), 2, now);
+    known.remember(&"r4".into(), origin("v2"), 1, life(), now);
+    known.remember(&"r4".into(), origin("v1"), 2, life(), now);
     let awaited = |known: &StreamVersions, at| {
         ["r1", "r2", "r3", "r4"].map(|id| known.must_await_record("engine", id, at))
     };
@@ -479,14 +491,14 @@
 fn remembered_versions_are_dropped_after_the_life_of_a_stream() {
     let now = Instant::now();
     let mut known = started(&["v1"], now);
-    known.remember(&"r1".into(), origin("v1"), 1, now);
-    known.remember(&"r2".into(), origin(""), 1, now);
-    known.remember(&"r2".into(), origin("v2"), 2, now + LIFETIME);
-    assert_eq!(known.remembered("r1"), Some(&origin("v1")));
-    known.remember(&"r3".into(), origin(""), 1, now + LIFETIME + MOMENT);
-    assert_eq!(known.remembered("r1"), None);
-    assert_eq!(known.remembered("r2"), Some(&origin("v2")));
-    assert_eq!(known.remembered("r3"), Some(&origin("")));
+    known.remember(&"r1".into(), origin("v1"), 1, life(), now);
+    known.remember(&"r2".into(), origin(""), 1, life(), now);
+    known.remember(&"r2".into(), origin("v2"), 2, life(), now + LIFETIME);
+    assert_eq!(remembered(&known, "r1"), Some(&origin("v1")));
+    known.remember(&"r3".into(), origin(""), 1, life(), now + LIFETIME + MOMENT);
+    assert_eq!(remembered(&known, "r1"), None);
+    assert_eq!(remembered(&known, "r2"), Some(&origin("v2")));
+    assert_eq!(remembered(&known, "r3"), Some(&origin("")));
 }
 
 #[test]
@@ -512,8 +524,8 @@
     let now = Instant::now();
     let mut sweep = RecordSweep::default();
     let mut update = |partition: &str, keys: &[&str], at| {
-        let keys = keys.iter().map(|key| Name::from(*key));
-        let mut old = sweep.update(partition, keys, LIFETIME, at);
+        let records = keys.iter().map(|key| (Name::from(*key), LIFETIME));
+        let mut old = sweep.update(partition, records, at);
         old.sort_unstable();
         old
     };
@@ -555,13 +567,14 @@
 #[test]
 fn stated_life_is_raised_and_never_lowered() {
     let second = Duration::from_secs(1);
+    let lives = |seconds| StreamLife::new(Some(second * seconds));
     let mut life = StatedLife::default();
     assert_eq!((life.change(), life.time_to_end()), (None, None));
     life.want(second * 9);
-    assert!(!life.covers(second));
+    assert!(!life.covers(lives(1)));
     assert_eq!(life.change(), Some(second * 10));
     life.set_row(Some(second * 10));
-    assert!(life.covers(second * 10) && !life.covers(second * 11));
+    assert!(life.covers(lives(10)) && !life.covers(lives(11)));
     assert_eq!(life.change(), None);
     assert_eq!(life.time_to_end(), Some(second * 10 + LIFE_MARGIN));
     life.want(second * 11);
@@ -571,8 +584,53 @@
     // A restored store may lack the row, or hold an earlier one.
     for row in [None, Some(second * 10)] {
         life.set_row(row);
-        assert!(!life.covers(second * 11));
+        assert!(!life.covers(lives(11)));
         assert_eq!(life.change(), Some(second * 20));
         assert_eq!(life.time_to_end(), Some(second * 20 + LIFE_MARGIN));
     }
 }
+
+/// Guards against streams that are forgotten, or whose record is removed, while their callers wait: they may be
+/// taken up for longer than any request may last.
+#[test]
+fn remembered_streams_last_as_long_as_their_callers_wait() {
+    let now = Instant::now();
+    let mut known = started(&["v1"], now);
+    let waits = |seconds| StreamLife::new(Some(Duration::from_secs(seconds)));
+    known.remember(&"short".into(), origin("v2"), 1, waits(9), now);
+    known.remember(&"long".into(), origin("v2"), 1, waits(100), now);
+    known.remember(
+        &"unknown".into(),
+        origin("v2"),
+        1,
+        StreamLife::new(None),
+        now,
+    );
+    // Taking a stream up with less time left doesn't shorten its life.
+    known.remember(&"long".into(), origin("v2"), 1, waits(1), now);
+    let later = now + Duration::from_secs(106);
+    known.remember(&"new".into(), origin("v2"), 1, waits(1), later);
+    let ids = ["short", "long", "unknown"];
+    let is_known = ids.map(|id| known.remembered(id).is_some());
+    assert_eq!(is_known, [false, true, true]);
+    // Taking it up with more time extends it.
+    known.remember(&"long".into(), origin("v2"), 2, waits(100), later);
+    let end = later + Duration::from_secs(106);
+    known.remember(&"new".into(), origin("v2"), 1, waits(1), end);
+    assert!(known.remembered("long").is_some());
+    known.remember(&"new".into(), origin("v2"), 1, waits(1), end + MOMENT);
+    assert!(known.remembered("long").is_none());
+    assert!(known.remembered("unknown").is_some());
+}
+
+#[test]
+fn needs_record_of_stream_whose_life_is_not_bounded() {
+    let now = Instant::now();
+    let mut known = started_with_base(&["v1"], base("v1", 1), now);
+    for (caller_waits, is_needed) in [(Some(120), false), (Some(121), true), (None, true)] {
+        let life = StreamLife::new(caller_waits.map(Duration::from_secs));
+        assert_eq!(known.needs_record(&origin("v1"), life, true), is_needed);
+        known.remember(&"r1".into(), origin("v1"), 1, life, now);
+        assert_eq!(known.must_await_record("engine", "r1", now), is_needed);
+    }
+}
--- a/crates/sardineshore-core/tests/stream_versions_search.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use sardineshore_core::flow::config::{Name, Server};
 use sardineshore_core::flow::stream_versions::{
-    BaseVersion, StreamOrigin, StreamVersions, resolve,
+    BaseVersion, StreamLife, StreamOrigin, StreamVersions, resolve,
 };
 
 const POOL: &str = "engine";
@@ -186,6 +186,10 @@
     }
 }
 
+fn life() -> StreamLife {
+    StreamLife::new(Some(Duration::from_millis(TIMEOUT)))
+}
+
 fn stream_name(stream: usize) -> Name {
     stream.to_string().into()
 }
@@ -537,11 +541,11 @@
             let is_confirmed = age < RECORD_ALL_AGE;
             let needed = instance
                 .known
-                .needs_record(POOL, Some(&version), is_confirmed);
+                .needs_record(&origin(&version), life(), is_confirmed);
             let name = stream_name(stream);
             instance
                 .known
-                .remember(&name, origin(&version), record, now);
+                .remember(&name, origin(&version), record, life(), now);
             let delay = instance.known.record_delay(POOL, Some(&version), now);
             let due_at = self.now + u64::try_from(delay.as_millis()).unwrap();
             if record > 1 && due_at > self.now {
@@ -644,7 +648,7 @@
         let now = self.instant();
         let name = stream_name(stream);
         if let Some(remembered) = self.instances[id].known.remembered(&name) {
-            return remembered.version.clone();
+            return remembered.origin.version.clone();
         }
         let is_in_touch = self.is_in_touch(id);
         if is_in_touch && self.instances[id].known.is_sole_version_likely(POOL, now) {
@@ -675,7 +679,7 @@
         };
         if let Some(version) = &version {
             let known = &mut self.instances[id].known;
-            known.remember(&name, origin(version), record, now);
+            known.remember(&name, origin(version), record, life(), now);
         }
         version
     }
--- a/crates/sardineshore-serve/src/attempt.rs
+++ b/crates/sardineshore-serve/src/attempt.rs
@@ -73,6 +73,8 @@
     pub caller: Option<&'a Caller>,
     /// Longest time from the arrival to the complete response.
     pub limit: TimeLimit,
+    /// How long the caller waits, over all its requests for the same; `None` if it doesn't tell.
+    pub caller_waits: Option<Duration>,
     /// Version of the configuration under which the request was admitted.
     pub config_version: u64,
     /// When the response must be complete.
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -485,6 +485,7 @@
             route: &matched.route,
             caller: matched.caller.as_ref(),
             limit,
+            caller_waits: caller_timeout,
             config_version: matched.config.version(),
             deadline: incoming.arrived_at + limit.duration,
             arrived_at: incoming.arrived_at,
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -6,6 +6,7 @@
 //! silent may only pause: it is given up once another one can take over.
 
 mod forward;
+mod start;
 
 use std::pin::pin;
 use std::rc::Rc;
@@ -15,14 +16,16 @@
 use sardineshore_core::flow::batching::{Job, JobStage};
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::selection::{RequiredVersion, SelectedServer, SelectionRequest};
+use sardineshore_core::flow::stream_versions::{StreamLife, StreamOrigin};
 use sardineshore_core::flow::time_limit::time_to_first_event;
 use slog::info;
+use start::StreamStart;
 use tokio::io::AsyncWrite;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     Outcome, QUARANTINED, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, deadline_exceeded,
-    not_run, not_run_finally, select_pool,
+    not_run, not_run_finally,
 };
 use crate::attempt::{
     AdmittedRequest, Attempt, ConnectedServer, Dispatcher, RETRY_AFTER_NO_SERVER,
@@ -93,8 +96,8 @@
     is_taken_up: bool,
     /// Number of records of the version at which the stream may begin.
     records: u32,
-    /// Record of the version at which the stream begins, which must be written before its first event
-    /// is forwarded.
+    /// What the first event that is forwarded waits for: the record of the stream's origin must be written, and
+    /// the stated life must cover the stream.
     record: Option<PendingRecord>,
 }
 
@@ -131,9 +134,6 @@
         keep_alive: bool,
         stats: &mut RequestStats,
     ) -> Outcome {
-        let Some(mut pool) = select_pool(request.route, request.id) else {
-            return not_run(request, RETRY_AFTER_NO_SERVER, "route without pool");
-        };
         let headers = &request.head.headers;
         let fields = self.dialect.header_names();
         let prompt = headers
@@ -144,26 +144,16 @@
             .and_then(|text| text.trim().parse().ok());
         let taken_up = headers.get(fields.resumes).map(str::trim);
         let is_taken_up = taken_up.is_some() || resume_after.is_some();
-        let versions = self.dispatcher.versions();
         let is_resumable = request.route.kind.is_retryable();
-        stats.takes_up = taken_up.map(Name::from);
-        let version = match (is_taken_up, is_resumable) {
-            (false, _) => RequiredVersion::Any,
-            (true, true) => match versions.find(&pool, taken_up).await {
-                Some(origin) if !request.route.leads_to(&origin.pool) => {
-                    return not_run_finally(request, "service of the stream not on the route");
-                }
-                Some(origin) => {
-                    pool = origin.pool;
-                    RequiredVersion::of_stream(origin.version)
-                }
-                None => RequiredVersion::Unknown,
-            },
-            (true, false) => RequiredVersion::Unknown,
+        let StreamStart {
+            pool,
+            version,
+            record,
+        } = match self.find_start(request, taken_up, is_taken_up, stats).await {
+            Ok(start) => start,
+            Err(outcome) => return outcome,
         };
-        if let RequiredVersion::Exactly(version) = &version {
-            stats.version = Some(version.clone());
-        }
+        let versions = self.dispatcher.versions();
         let selection = SelectionRequest {
             favored_version: versions.favored(&pool).filter(|_| is_resumable),
             pool,
@@ -217,7 +207,7 @@
             started: false,
             is_taken_up,
             records: 0,
-            record: None,
+            record,
         };
         let outcome = self.run_attempts(&mut attempts, &mut sink).await;
         if !sink.started {
@@ -354,10 +344,13 @@
         if is_resumable && attempts.selection.version == RequiredVersion::Any {
             attempts.records += 1;
             let (id, number) = (attempts.request.id, attempts.records);
-            let (pool, version) = (&attempts.selection.pool, server.version.as_ref());
+            let origin = StreamOrigin {
+                pool: attempts.selection.pool.clone(),
+                version: server.version.clone(),
+            };
+            let life = StreamLife::new(attempts.request.caller_waits);
             let versions = self.dispatcher.versions();
-            let life = attempts.request.limit.duration;
-            attempts.record = Some(versions.begin(id, number, pool, version, life));
+            attempts.record = Some(versions.begin(id, number, origin, life));
         }
     }
 
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -10,7 +10,7 @@
 mod table_check;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +19,9 @@
 use records::{QueuedRecord, RecordKey};
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::replica::TableChanges;
-use sardineshore_core::flow::stream_versions::{KnownStream, StreamOrigin, StreamVersions};
+use sardineshore_core::flow::stream_versions::{
+    KnownStream, StreamLife, StreamOrigin, StreamVersions,
+};
 use slog::{Logger, info};
 pub use table_check::{TableCheck, TableCheckEnd};
 use tokio::sync::Notify;
@@ -62,8 +64,8 @@
     /// When the list of servers was last known to hold all changes, by the clock that also runs while the
     /// machine is suspended. `None` if that is not known in the present era of the store.
     list_complete_at: Cell<Option<Duration>>,
-    /// Records of this instance in the store, oldest first, and when each was queued.
-    written: RefCell<VecDeque<(Instant, RecordKey)>>,
+    /// Records of this instance in the store, and when each is to be removed.
+    written: RefCell<BTreeSet<(Instant, RecordKey)>>,
     /// Whether the latest write failed.
     is_failing: Cell<bool>,
 }
@@ -127,8 +129,9 @@
         info!(self.log, "recording versions of running streams again"; "era" => era,
             "streams" => running.len(), "list_age_ms" => list_age.map(whole_ms));
         for (id, stream) in running {
+            let (record, life) = (stream.record, stream.life);
             let _not_awaited =
-                self.queue_record(&id, stream.record, Some(stream.origin), Duration::ZERO);
+                self.queue_record(&id, record, Some(stream.origin), life, Duration::ZERO);
         }
     }
 
@@ -253,41 +256,32 @@
         known.base(pool).map(|base| (base.clone(), cost))
     }
 
-    /// Remembers that a stream may begin at a server of this version, and queues its record if it needs
-    /// one. `number` counts the calls for one stream from 1 on; the latest one tells the version. `life` is the
+    /// Remembers that a stream may begin at a server of this origin, and queues its record if it needs
+    /// one. `number` counts the calls for one stream from 1 on; the latest one tells the origin. `life` is the
     /// time for which the stream may be taken up.
     #[must_use]
     pub fn begin(
         &self,
         stream: &str,
         number: u32,
-        pool: &Name,
-        version: Option<&Name>,
-        life: Duration,
+        origin: StreamOrigin,
+        life: StreamLife,
     ) -> PendingRecord {
         let now = Instant::now();
         let stream = Name::from(stream);
+        self.need_life(life);
         let mut known = self.known.borrow_mut();
-        known.life_mut().want(life);
-        if !known.life().covers(life) {
-            self.is_life_awaited.set(true);
-            self.life_due.notify_one();
-        }
         // A record of a server that rejected the request must not count.
         let has_record = number > 1 && known.remembered(&stream).is_some();
         let freshness = self.state.freshness.borrow();
         let is_confirmed = freshness.within(boot_time(), MAX_CONFIRMATION_AGE);
         drop(freshness);
-        let needs_record = known.needs_record(pool, version, is_confirmed);
-        let origin = StreamOrigin {
-            pool: pool.clone(),
-            version: version.cloned(),
-        };
-        known.remember(&stream, origin.clone(), number, now);
-        let delay = known.record_delay(pool, version, now);
+        let needs_record = known.needs_record(&origin, life, is_confirmed);
+        known.remember(&stream, origin.clone(), number, life, now);
+        let delay = known.record_delay(&origin.pool, origin.version.as_ref(), now);
         drop(known);
         let mut record = PendingRecord {
-            pool: pool.clone(),
+            pool: origin.pool.clone(),
             stream: stream.clone(),
             life,
             written: None,
@@ -297,16 +291,56 @@
         }
         if has_record && !delay.is_zero() {
             // A copy of the store must not hold the record of the rejected request alone for so long.
-            let _not_awaited = self.queue_record(&stream, number, None, Duration::ZERO);
+            let _not_awaited = self.queue_record(&stream, number, None, life, Duration::ZERO);
         }
-        record.written = self.queue_record(&stream, number, Some(origin), delay);
         if !delay.is_zero() {
             info!(self.log, "stream waits to be recorded at a version that was listed lately"; "stream" => &*stream,
-                "pool" => &**pool, "version" => version.map(|version| &**version), "ms" => whole_ms(delay));
+                "pool" => &*origin.pool, "version" => origin.version.as_deref(), "ms" => whole_ms(delay));
         }
+        record.written = self.queue_record(&stream, number, Some(origin), life, delay);
         record
     }
 
+    /// Extends the time for which a stream is remembered and its record kept: a request takes it up whose caller
+    /// waits for `life`. `number` is that of its latest record; 0 if it has none.
+    fn extend(
+        &self,
+        stream: &str,
+        number: u32,
+        origin: &StreamOrigin,
+        life: StreamLife,
+    ) -> PendingRecord {
+        let stream = Name::from(stream);
+        self.need_life(life);
+        let number = number + 1;
+        let now = Instant::now();
+        let mut known = self.known.borrow_mut();
+        known.remember(&stream, origin.clone(), number, life, now);
+        drop(known);
+        let origin = origin.clone();
+        let pool = origin.pool.clone();
+        let written = self.queue_record(&stream, number, Some(origin), life, Duration::ZERO);
+        PendingRecord {
+            pool,
+            stream,
+            life,
+            // The record that it has, or the base version, tells its origin meanwhile.
+            written: written.filter(|_| life.bounded().is_none()),
+        }
+    }
+
+    /// Has the stated life raised if it doesn't cover a stream.
+    fn need_life(&self, life: StreamLife) {
+        let mut known = self.known.borrow_mut();
+        if let Some(bounded) = life.bounded() {
+            known.life_mut().want(bounded);
+        }
+        if !known.life().covers(life) {
+            self.is_life_awaited.set(true);
+            self.life_due.notify_one();
+        }
+    }
+
     /// Records that a stream has ended, or that its request began none. Its record is not written any more.
     pub fn end(&self, stream: &str) {
         self.known.borrow_mut().record_end(stream);
--- a/crates/sardineshore-serve/src/stream_versions/lookup.rs
+++ b/crates/sardineshore-serve/src/stream_versions/lookup.rs
@@ -3,10 +3,10 @@
 use std::time::Instant;
 
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::stream_versions::{StreamOrigin, StreamRecord, resolve};
+use sardineshore_core::flow::stream_versions::{StreamLife, StreamOrigin, StreamRecord, resolve};
 use slog::info;
 
-use super::records::partition;
+use super::records::{PendingRecord, partition};
 use super::{TableCheckEnd, VersionRecords};
 use crate::store::StoreError;
 
@@ -20,20 +20,59 @@
     era: u64,
 }
 
+/// A stream that a caller takes up.
+#[derive(Debug)]
+pub struct TakenUp {
+    /// Where it began.
+    pub origin: StreamOrigin,
+    /// What its next event waits for, if the caller names the stream.
+    pub record: Option<PendingRecord>,
+}
+
 impl VersionRecords {
-    /// Where a stream began that a caller takes up; `None` if it can't be found out. `stream` is the id of the
-    /// request that brought its first event, if the caller names it; `pool` the one where it began unless
-    /// memory or a record names another one.
-    pub async fn find(&self, pool: &Name, stream: Option<&str>) -> Option<StreamOrigin> {
+    /// Finds out where a stream began that a caller takes up; `None` if that isn't known. `stream` is the id of
+    /// the request that brought its first event, if the caller names it; `pool` the one where it began unless
+    /// memory or a record names another one. The caller waits for `life`, so that the stream may be taken up
+    /// again for so long.
+    pub async fn take_up(
+        &self,
+        pool: &Name,
+        stream: Option<&str>,
+        life: StreamLife,
+    ) -> Option<TakenUp> {
         let taken_up = Instant::now();
         let Some(stream) = stream else {
-            let version = self.sole_version(pool, taken_up).await;
-            return version.map(|version| origin(pool, version));
+            let version = self.sole_version(pool, life, taken_up).await;
+            return version.map(|version| TakenUp {
+                origin: origin(pool, version),
+                record: None,
+            });
         };
         let remembered = self.known.borrow().remembered(stream).cloned();
-        if remembered.is_some() {
-            return remembered;
-        }
+        let (origin, number, is_covered) = if let Some(known) = remembered {
+            let is_covered = known.lasts_for(life, taken_up);
+            (known.origin, known.record, is_covered)
+        } else {
+            let (origin, number) = self.look_up(pool, stream, life, taken_up).await?;
+            (origin, number, false)
+        };
+        let record = if is_covered {
+            None
+        } else {
+            Some(self.extend(stream, number, &origin, life))
+        };
+        Some(TakenUp { origin, record })
+    }
+
+    /// Finds out where a stream began that this instance doesn't remember, and the number of its record; 0
+    /// without one.
+    async fn look_up(
+        &self,
+        pool: &Name,
+        stream: &str,
+        life: StreamLife,
+        taken_up: Instant,
+    ) -> Option<(StreamOrigin, u32)> {
         let ReadRecord {
             record,
             number,
@@ -49,17 +88,13 @@
         let found = if let Some(record) = record {
             record.origin
         } else {
-            let version = self.unrecorded_version(pool, era, taken_up).await;
+            let version = self.unrecorded_version(pool, life, era, taken_up).await;
             version.map(|version| origin(pool, version))
         };
         info!(self.log, "read where a stream began"; "stream" => stream, "recorded" => is_recorded,
             "pool" => found.as_ref().map(|origin| &*origin.pool),
             "version" => found.as_ref().and_then(|origin| origin.version.as_deref()), "era" => era);
-        if let Some(origin) = &found {
-            let mut known = self.known.borrow_mut();
-            known.remember(&stream.into(), origin.clone(), number, Instant::now());
-        }
-        found
+        found.map(|origin| (origin, number))
     }
 
     /// Reads the latest record of a stream.
@@ -70,7 +105,10 @@
         let latest = page.rows.iter().max_by_key(|row| &row.key);
         let number = latest.and_then(|row| row.key.rsplit_once('/')?.1.parse().ok());
         // Nothing is known of a stream whose record can't be decoded.
-        let undecodable = StreamRecord { origin: None };
+        let undecodable = StreamRecord {
+            origin: None,
+            life: StreamLife::new(None),
+        };
         let record = latest.and_then(|row| row.value.as_deref());
         let record = record.map(|value| postcard::from_bytes(value).unwrap_or(undecodable));
         Ok(ReadRecord {
@@ -82,7 +120,15 @@
 
     /// Version at which a stream of a pool began that had no record in this era of the store, when the record
     /// was looked for after `taken_up`; `None` if it isn't known.
-    async fn unrecorded_version(&self, pool: &Name, era: u64, taken_up: Instant) -> Option<Name> {
+    async fn unrecorded_version(
+        &self,
+        pool: &Name,
+        life: StreamLife,
+        era: u64,
+        taken_up: Instant,
+    ) -> Option<Name> {
+        // A stream whose life isn't bounded has a record that may have been lost or removed.
+        life.bounded()?;
         // The base version is read later than the record, as it changes only when all streams without a
         // record have ended.
         if self.rows_check.run().await != TableCheckEnd::Confirmed {
@@ -116,7 +162,8 @@
     }
 
     /// The only version that servers of a pool have had for a stream's life.
-    async fn sole_version(&self, pool: &Name, taken_up: Instant) -> Option<Name> {
+    async fn sole_version(&self, pool: &Name, life: StreamLife, taken_up: Instant) -> Option<Name> {
+        life.bounded()?;
         let is_likely = self.known.borrow().is_sole_version_likely(pool, taken_up);
         if !is_likely {
             return None;
--- a/crates/sardineshore-serve/src/stream_versions/records.rs
+++ b/crates/sardineshore-serve/src/stream_versions/records.rs
@@ -5,7 +5,9 @@
 
 use sardineshore_core::flow::cells::rank_owners;
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::stream_versions::{RecordSweep, StreamOrigin, StreamRecord};
+use sardineshore_core::flow::stream_versions::{
+    RecordSweep, StreamLife, StreamOrigin, StreamRecord,
+};
 use slog::{info, warn};
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
@@ -32,13 +34,13 @@
     pub(super) pool: Name,
     pub(super) stream: Name,
     /// Time for which the stream may be taken up.
-    pub(super) life: Duration,
+    pub(super) life: StreamLife,
     /// Told when its record is written; `None` if it needs none.
     pub(super) written: Option<oneshot::Receiver<()>>,
 }
 
 /// A record in the store.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct RecordKey {
     pub(super) part: String,
     key: String,
@@ -50,7 +52,8 @@
     number: u32,
     key: RecordKey,
     value: Vec<u8>,
-    queued_at: Instant,
+    /// When the stream can't be taken up any more.
+    expires_at: Instant,
     /// It is not written before this time.
     due_at: Instant,
     /// Told when it is written, if someone waits for it.
@@ -64,9 +67,10 @@
         stream: &Name,
         number: u32,
         origin: Option<StreamOrigin>,
+        life: StreamLife,
         delay: Duration,
     ) -> Option<oneshot::Receiver<()>> {
-        let value = postcard::to_stdvec(&StreamRecord { origin }).ok()?;
+        let value = postcard::to_stdvec(&StreamRecord { origin, life }).ok()?;
         let (tx, written) = oneshot::channel();
         let key = RecordKey {
             part: partition(stream),
@@ -77,7 +81,7 @@
             number,
             key,
             value,
-            queued_at: Instant::now(),
+            expires_at: Instant::now() + life.retention(),
             due_at: Instant::now() + delay,
             written: Some(tx),
         });
@@ -129,7 +133,7 @@
                     self.is_failing.set(false);
                     let mut written = self.written.borrow_mut();
                     for record in batch {
-                        written.push_back((record.queued_at, record.key));
+                        written.insert((record.expires_at, record.key));
                         // The stream may have ended.
                         let _ended = record.written.map(|written| written.send(()));
                     }
@@ -150,13 +154,12 @@
     fn next_batch(&self) -> Result<(String, Vec<QueuedRecord>), Option<Instant>> {
         let mut queue = self.queue.borrow_mut();
         let known = self.known.borrow();
-        let lifetime = known.time_to_end();
+        let now = Instant::now();
         queue.retain(|record| {
             let is_current = known.is_current_record(&record.stream, record.number);
-            record.queued_at.elapsed() < lifetime && is_current
+            record.expires_at > now && is_current
         });
         drop(known);
-        let now = Instant::now();
         let Some(first) = queue.iter().find(|record| record.due_at <= now) else {
             return Err(queue.iter().map(|record| record.due_at).min());
         };
@@ -176,31 +179,26 @@
         for record in batch.into_iter().rev() {
             queue.push_front(record);
         }
-        let mut written = self.written.borrow_mut();
-        for key in expired {
-            let expired_at = Instant::now().checked_sub(self.known.borrow().time_to_end());
-            written.push_front((expired_at.unwrap_or_else(Instant::now), key));
-        }
+        let now = Instant::now();
+        let expired = expired.into_iter().map(|key| (now, key));
+        self.written.borrow_mut().extend(expired);
     }
 
     /// Takes records whose streams can't be taken up any more, of one partition.
     pub(super) fn take_expired(&self, part: Option<&str>) -> Vec<RecordKey> {
+        let now = Instant::now();
         let mut written = self.written.borrow_mut();
-        let lifetime = self.known.borrow().time_to_end();
-        let oldest = written.front().filter(|(at, _)| at.elapsed() >= lifetime);
-        let Some((_, first)) = oldest else {
+        let due = || written.iter().take_while(|(at, _)| *at <= now);
+        let Some((_, first)) = due().next() else {
             return Vec::new();
         };
-        let part = part.unwrap_or(&first.part).to_owned();
-        let mut expired = Vec::new();
-        written.retain(|(at, key)| {
-            let taken = at.elapsed() >= lifetime && key.part == part && expired.len() < MAX_BATCH;
-            if taken {
-                expired.push(key.clone());
-            }
-            !taken
-        });
-        expired
+        let part = part.unwrap_or(&first.part);
+        let expired = due().filter(|(_, key)| key.part == part);
+        let expired: Vec<_> = expired.take(MAX_BATCH).cloned().collect();
+        for record in &expired {
+            written.remove(record);
+        }
+        expired.into_iter().map(|(_, key)| key).collect()
     }
 
     pub(super) async fn write_batch(
@@ -242,9 +240,18 @@
         let dialect = self.store.dialect();
         let call = dialect.read_stream_records_call(part, None);
         let page = self.store.read_page(call).await?;
-        let keys = page.rows.into_iter().map(|row| row.key);
-        let lifetime = self.known.borrow().time_to_end();
-        let old = seen.update(part, keys, lifetime, Instant::now());
+        let records = page.rows.into_iter().map(|row| {
+            let record = row
+                .value
+                .as_deref()
+                .map(postcard::from_bytes::<StreamRecord>);
+            let life = match record {
+                Some(Ok(record)) => record.life,
+                Some(Err(_)) | None => StreamLife::new(None),
+            };
+            (row.key, life.retention())
+        });
+        let old = seen.update(part, records, Instant::now());
         let old: Vec<&str> = old.iter().map(|key| &**key).collect();
         for keys in old.chunks(MAX_BATCH) {
             let call = dialect.put_stream_records_call(part, &[], keys);
