fix(stream-versions): the pool of a stream follows from its own id and a stated split

Cause: the service was chosen by the id of the request, which is new when a stream is taken up.

Evidence: the refused requests name versions of another service than the one that they were sent to; a quarter went on, as four equal weights predict.

Change: a stream without a record goes to the pool that the base split of its route assigns to its own id. The base split is a row of the store: a stream that the configured split sends elsewhere gets a record, so that changed weights and moved routes contradict nothing. A split that stays is written in its place a stream's life after it was withdrawn; until then the old one still tells of streams without a record. A pool that the route doesn't lead to any more is refused.

Why it works: whoever begins a stream compares with the stated split, not with the configurations that another instance may have missed.

--- a/crates/sardineshore-core/src/flow/config.rs
+++ b/crates/sardineshore-core/src/flow/config.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::cold::ColdSpec;
 
 /// A name or identifier, spelled as in the operators' documents. Cloning it is cheap.
@@ -101,6 +103,12 @@
 }
 
 impl Route {
+    /// Pool to which a request with this id goes; `None` if the route has none.
+    #[must_use]
+    pub fn pool_of(&self, id: &str) -> Option<&Name> {
+        assigned_pool(&self.pools, id)
+    }
+
     /// Whether requests of the route may go to a pool.
     #[must_use]
     pub fn leads_to(&self, pool: &str) -> bool {
@@ -109,6 +117,22 @@
     }
 }
 
+/// Pool that an id is assigned to, by pools with relative weights. The choice depends on the id and the weights
+/// only.
+#[must_use]
+pub fn assigned_pool<'a>(pools: &'a [(Name, u32)], id: &str) -> Option<&'a Name> {
+    let total: u64 = pools.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    let mut point = xxh3_64(id.as_bytes()) % total.max(1);
+    for (pool, weight) in pools {
+        let weight = u64::from(*weight);
+        if point < weight {
+            return Some(pool);
+        }
+        point -= weight;
+    }
+    pools.first().map(|(pool, _)| pool)
+}
+
 /// Capacity and timing of one server in a pool that runs stage pieces in batches.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct BatchSpec {
@@ -334,11 +358,16 @@
         streams.map(|route| route.timeout).max().unwrap_or_default()
     }
 
+    /// Routes with streams that another server can resume.
+    pub fn resumable_routes(&self) -> impl Iterator<Item = &Route> {
+        let routes = self.config.routes.iter();
+        routes.filter(|route| route.kind == RouteKind::ResumableStream)
+    }
+
     /// Whether a route with streams that another server can resume leads to a pool.
     #[must_use]
     pub fn serves_streams(&self, pool: &str) -> bool {
-        let resumable = |route: &&Route| route.kind == RouteKind::ResumableStream;
-        let mut streams = self.config.routes.iter().filter(resumable);
+        let mut streams = self.resumable_routes();
         streams.any(|route| route.pools.iter().any(|(name, _)| **name == *pool))
     }
 
--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -36,6 +36,7 @@
 mod life;
 mod memory;
 mod pool;
+mod split;
 mod sweep;
 
 use std::collections::{BTreeMap, HashMap};
@@ -47,6 +48,8 @@
 use memory::StreamMemory;
 pub use memory::{KnownStream, StreamOrigin};
 use pool::{Listed, PoolVersions};
+use split::RouteSplits;
+pub use split::{BaseSplit, SPLIT_KEY_PREFIX, split_key};
 pub use sweep::RecordSweep;
 
 use super::config::{Name, Server};
@@ -112,6 +115,7 @@
     bases: HashMap<Name, BaseVersion>,
     /// Since when a pool's base version is known not to hold.
     open_since: HashMap<Name, Instant>,
+    splits: RouteSplits,
     /// Era of the store, and since when it is known; `None` before the first response.
     era: Option<(u64, Instant)>,
     /// Era in which base versions were read.
@@ -269,6 +273,7 @@
             return false;
         }
         self.open_since.clear();
+        self.splits.record_restore();
         self.list_confirmed_at = None;
         let is_followed = list_age.is_some_and(|age| age <= NEW_VERSION_DELAY)
             && self.reread_at.is_none_or(|at| self.is_old(at, now));
--- a/crates/sardineshore-serve/src/request.rs
+++ b/crates/sardineshore-serve/src/request.rs
@@ -511,25 +511,6 @@
     }
 }
 
-/// Selects a pool of the route according to the pools' weights. The choice depends on the request
-/// id only, so that the same id always goes to the same pool.
-fn select_pool(route: &Route, id: &str) -> Option<Name> {
-    let total: u64 = route
-        .pools
-        .iter()
-        .map(|(_, weight)| u64::from(*weight))
-        .sum();
-    let mut point = xxh3_64(id.as_bytes()) % total.max(1);
-    for (pool, weight) in &route.pools {
-        let weight = u64::from(*weight);
-        if point < weight {
-            return Some(pool.clone());
-        }
-        point -= weight;
-    }
-    route.pools.first().map(|(pool, _)| pool.clone())
-}
-
 /// Error response to a request that may have run and whose deadline has passed.
 fn deadline_exceeded(request: &AdmittedRequest<'_>) -> ErrorResponse {
     let is_shortened = request.limit.source == LimitSource::ShortenedRoute;
--- a/crates/sardineshore-serve/src/request/plain.rs
+++ b/crates/sardineshore-serve/src/request/plain.rs
@@ -11,7 +11,6 @@
 
 use super::{
     Outcome, RETRY_AFTER_REJECTED, RequestHandler, RequestStats, deadline_exceeded, not_run,
-    select_pool,
 };
 use crate::attempt::{AdmittedRequest, ConnectedServer, ExtraHeaders, RETRY_AFTER_NO_SERVER};
 use crate::reply::{ErrorResponse, response_head};
@@ -55,7 +54,7 @@
         keep_alive: bool,
         stats: &mut RequestStats,
     ) -> Outcome {
-        let Some(pool) = select_pool(request.route, request.id) else {
+        let Some(pool) = request.route.pool_of(request.id).cloned() else {
             return not_run(request, RETRY_AFTER_NO_SERVER, "route without pool");
         };
         let mut selection = SelectionRequest {
--- a/crates/sardineshore-serve/src/request/streaming.rs
+++ b/crates/sardineshore-serve/src/request/streaming.rs
@@ -343,14 +343,14 @@
         let is_resumable = attempts.request.route.kind.is_retryable();
         if is_resumable && attempts.selection.version == RequiredVersion::Any {
             attempts.records += 1;
-            let (id, number) = (attempts.request.id, attempts.records);
+            let (request, number) = (attempts.request, attempts.records);
             let origin = StreamOrigin {
                 pool: attempts.selection.pool.clone(),
                 version: server.version.clone(),
             };
-            let life = StreamLife::new(attempts.request.caller_waits);
+            let life = StreamLife::new(request.caller_waits);
             let versions = self.dispatcher.versions();
-            attempts.record = Some(versions.begin(id, number, origin, life));
+            attempts.record = Some(versions.begin(request.route, request.id, number, origin, life));
         }
     }
 
--- a/crates/sardineshore-serve/src/request/streaming/start.rs
+++ b/crates/sardineshore-serve/src/request/streaming/start.rs
@@ -5,9 +5,7 @@
 use sardineshore_core::flow::stream_versions::StreamLife;
 
 use crate::attempt::{AdmittedRequest, RETRY_AFTER_NO_SERVER};
-use crate::request::{
-    Outcome, RequestHandler, RequestStats, not_run, not_run_finally, select_pool,
-};
+use crate::request::{Outcome, RequestHandler, RequestStats, not_run, not_run_finally};
 use crate::stream_versions::PendingRecord;
 
 /// The servers that may run a request for a stream.
@@ -28,7 +26,8 @@
         is_taken_up: bool,
         stats: &mut RequestStats,
     ) -> Result<StreamStart, Outcome> {
-        let Some(pool) = select_pool(request.route, request.id) else {
+        // The id of a request that takes a stream up tells nothing about the stream.
+        let Some(pool) = request.route.pool_of(request.id).cloned() else {
             let reason = "route without pool";
             return Err(not_run(request, RETRY_AFTER_NO_SERVER, reason));
         };
@@ -47,7 +46,7 @@
         }
         let life = StreamLife::new(request.caller_waits);
         let versions = self.dispatcher.versions();
-        let Some(found) = versions.take_up(&start.pool, taken_up, life).await else {
+        let Some(found) = versions.take_up(request.route, taken_up, life).await else {
             return Ok(start);
         };
         if !request.route.leads_to(&found.origin.pool) {
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -14,13 +14,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use base_rows::{LIFE_KEY, decode_base, decode_life};
+use base_rows::{LIFE_KEY, decode_base, decode_life, decode_split};
 pub use records::PendingRecord;
 use records::{QueuedRecord, RecordKey};
-use sardineshore_core::flow::config::Name;
+use sardineshore_core::flow::config::{Name, Route};
 use sardineshore_core::flow::replica::TableChanges;
 use sardineshore_core::flow::stream_versions::{
-    KnownStream, StreamLife, StreamOrigin, StreamVersions,
+    KnownStream, SPLIT_KEY_PREFIX, StreamLife, StreamOrigin, StreamVersions, split_key,
 };
 use slog::{Logger, info};
 pub use table_check::{TableCheck, TableCheckEnd};
@@ -106,6 +106,7 @@
         let mut known = self.known.borrow_mut();
         if let Some(config) = self.state.config() {
             known.life_mut().want(config.longest_stream());
+            known.set_routes(config.resumable_routes(), Instant::now());
             self.check_life(&known);
         }
         known.set_servers(self.state.selector.borrow().servers(), Instant::now());
@@ -203,30 +204,37 @@
         let mut known = self.known.borrow_mut();
         let mut rows = self.base_rows.borrow_mut();
         let now = Instant::now();
-        let is_life = |key: &Name| **key == *LIFE_KEY;
-        let (life_rows, base_rows): (Vec<_>, Vec<_>) =
-            changes.rows.iter().partition(|row| is_life(&row.key));
-        for row in life_rows {
-            let life = row.value.as_deref().and_then(decode_life);
-            info!(self.log, "stated life of streams"; "ms" => life.map(whole_ms), "row" => row.version.number);
-            known.life_mut().set_row(life);
+        for row in &changes.rows {
             rows.insert(row.key.clone(), row.version.number);
+            let value = row.value.as_deref();
+            if *row.key == *LIFE_KEY {
+                let life = value.and_then(decode_life);
+                info!(self.log, "stated life of streams"; "ms" => life.map(whole_ms), "row" => row.version.number);
+                known.life_mut().set_row(life);
+            } else if row.key.starts_with(SPLIT_KEY_PREFIX) {
+                let base = value.and_then(decode_split);
+                info!(self.log, "base split"; "route" => &*row.key, "row" => row.version.number,
+                    "pools" => base.as_ref().map(|base| format!("{:?}", base.pools)),
+                    "withdrawn" => base.as_ref().map(|base| base.is_withdrawn),
+                    "holds_in" => base.as_ref().map(|base| base.era), "era" => changes.version.era);
+                known.set_base_split(&row.key, base, now);
+            } else {
+                let base = value.and_then(decode_base);
+                info!(self.log, "base version"; "pool" => &*row.key, "row" => row.version.number,
+                    "version" => base.as_ref().map(|base| &*base.version),
+                    "holds_in" => base.as_ref().and_then(|base| base.era), "era" => changes.version.era);
+                known.set_base(&row.key, base, now);
+            }
         }
-        if changes.missing.iter().any(is_life) {
-            known.life_mut().set_row(None);
-            rows.remove(LIFE_KEY);
-        }
-        for row in base_rows {
-            let base = row.value.as_deref().and_then(decode_base);
-            info!(self.log, "base version"; "pool" => &*row.key, "row" => row.version.number,
-                "version" => base.as_ref().map(|base| &*base.version),
-                "holds_in" => base.as_ref().and_then(|base| base.era), "era" => changes.version.era);
-            known.set_base(&row.key, base, now);
-            rows.insert(row.key.clone(), row.version.number);
-        }
-        for pool in changes.missing.iter().filter(|key| !is_life(key)) {
-            known.set_base(pool, None, now);
-            rows.remove(pool);
+        for key in &changes.missing {
+            rows.remove(key);
+            if **key == *LIFE_KEY {
+                known.life_mut().set_row(None);
+            } else if key.starts_with(SPLIT_KEY_PREFIX) {
+                known.set_base_split(key, None, now);
+            } else {
+                known.set_base(key, None, now);
+            }
         }
         known.record_bases_read(changes.version.era);
         self.check_life(&known);
@@ -262,6 +270,7 @@
     #[must_use]
     pub fn begin(
         &self,
+        route: &Route,
         stream: &str,
         number: u32,
         origin: StreamOrigin,
@@ -273,14 +282,15 @@
         let mut known = self.known.borrow_mut();
         // A record of a server that rejected the request must not count.
         let has_record = number > 1 && known.remembered(&stream).is_some();
-        let freshness = self.state.freshness.borrow();
-        let is_confirmed = freshness.within(boot_time(), MAX_CONFIRMATION_AGE);
-        drop(freshness);
-        let needs_record = known.needs_record(&origin, life, is_confirmed);
+        let is_confirmed = self.is_configuration_confirmed();
+        let route = split_key(route);
+        let needs_record = known.needs_record(&origin, life, is_confirmed)
+            || known.needs_split_record(&route, &origin.pool, &stream);
         known.remember(&stream, origin.clone(), number, life, now);
         let delay = known.record_delay(&origin.pool, origin.version.as_ref(), now);
         drop(known);
         let mut record = PendingRecord {
+            route,
             pool: origin.pool.clone(),
             stream: stream.clone(),
             life,
@@ -305,6 +315,7 @@
     /// waits for `life`. `number` is that of its latest record; 0 if it has none.
     fn extend(
         &self,
+        route: &Route,
         stream: &str,
         number: u32,
         origin: &StreamOrigin,
@@ -321,6 +332,7 @@
         let pool = origin.pool.clone();
         let written = self.queue_record(&stream, number, Some(origin), life, Duration::ZERO);
         PendingRecord {
+            route: split_key(route),
             pool,
             stream,
             life,
@@ -329,6 +341,12 @@
         }
     }
 
+    /// Whether the store confirmed lately what this instance knows.
+    fn is_configuration_confirmed(&self) -> bool {
+        let freshness = self.state.freshness.borrow();
+        freshness.within(boot_time(), MAX_CONFIRMATION_AGE)
+    }
+
     /// Has the stated life raised if it doesn't cover a stream.
     fn need_life(&self, life: StreamLife) {
         let mut known = self.known.borrow_mut();
--- a/crates/sardineshore-serve/src/stream_versions/base_rows.rs
+++ b/crates/sardineshore-serve/src/stream_versions/base_rows.rs
@@ -1,11 +1,11 @@
-//! Keeps the base versions and the stated life of streams in the store up to date.
+//! Keeps the base versions, the base splits and the stated life of streams in the store up to date.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::cells::rank_owners;
 use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::stream_versions::BaseVersion;
+use sardineshore_core::flow::stream_versions::{BaseSplit, BaseVersion};
 use slog::info;
 
 use super::{CHECK_INTERVAL, VersionRecords};
@@ -84,46 +84,78 @@
                     self.requeue(Vec::new(), expired);
                 }
             }
-            for (pool, base) in self.base_changes() {
-                info!(self.log, "changing a base version"; "pool" => &*pool, "version" => &*base.version, "holds_in" => base.era);
-                let Ok(value) = postcard::to_stdvec(&base) else {
+            for change in self.base_changes() {
+                let key = change.key();
+                info!(self.log, "changing a base version or split"; "change" => ?change);
+                let Ok(value) = change.encode() else {
                     continue;
                 };
-                let row = self.base_row(&pool);
+                let row = self.base_row(key);
                 let dialect = self.store.dialect();
                 // Streams with a longer life may have begun since it was stated.
                 let unchanged = [(LIFE_KEY, self.base_row(LIFE_KEY))];
                 let call =
-                    dialect.replace_row_call(Table::BaseVersions, &pool, &value, row, &unchanged);
+                    dialect.replace_row_call(Table::BaseVersions, key, &value, row, &unchanged);
                 if let Err(error) = self.store.write(call).await {
-                    info!(self.log, "can't change a base version; retrying"; "pool" => &*pool, "fault" => error.to_string());
+                    info!(self.log, "can't change a base version or split; retrying"; "row" => &**key, "fault" => error.to_string());
                 }
             }
         }
     }
 
-    /// Base versions that this instance has to write: each pool's are written by one instance.
-    fn base_changes(&self) -> Vec<(Name, BaseVersion)> {
+    /// Base splits and versions that this instance has to write: each row is written by one instance.
+    fn base_changes(&self) -> Vec<BaseChange> {
         let known = self.known.borrow();
         let candidates = self.peers.candidates();
         let own = &self.peers.this_instance().name;
+        let is_own = |key: &&Name| rank_owners(key, &candidates).first() == Some(own);
         let config = self.state.config();
         let streams = |pool: &&Name| {
             let config = config.as_ref();
             config.is_some_and(|config| config.serves_streams(pool))
         };
-        let mine = known
-            .pools()
-            .filter(streams)
-            .filter(|pool| rank_owners(pool, &candidates).first() == Some(own));
-        mine.filter_map(|pool| {
-            let change = known.base_change(pool, Instant::now())?;
-            Some((pool.clone(), change))
-        })
-        .collect()
+        let now = Instant::now();
+        let splits = known.routes().filter(is_own).filter_map(|route| {
+            let base = known.split_change(route, now)?;
+            Some(BaseChange::Split(route.clone(), base))
+        });
+        let pools = known.pools().filter(streams).filter(is_own);
+        let versions = pools.filter_map(|pool| {
+            let base = known.base_change(pool, now)?;
+            Some(BaseChange::Version(pool.clone(), base))
+        });
+        splits.chain(versions).collect()
     }
 }
 
+/// A row to write.
+#[derive(Debug)]
+enum BaseChange {
+    /// Base split of a route.
+    Split(Name, BaseSplit),
+    /// Base version of a pool.
+    Version(Name, BaseVersion),
+}
+
+impl BaseChange {
+    fn key(&self) -> &Name {
+        match self {
+            Self::Split(key, _) | Self::Version(key, _) => key,
+        }
+    }
+
+    fn encode(&self) -> postcard::Result<Vec<u8>> {
+        match self {
+            Self::Split(_, base) => postcard::to_stdvec(base),
+            Self::Version(_, base) => postcard::to_stdvec(base),
+        }
+    }
+}
+
+pub(super) fn decode_split(value: &[u8]) -> Option<BaseSplit> {
+    postcard::from_bytes(value).ok()
+}
+
 pub(super) fn decode_base(value: &[u8]) -> Option<BaseVersion> {
     postcard::from_bytes(value).ok()
 }
--- a/crates/sardineshore-serve/src/stream_versions/lookup.rs
+++ b/crates/sardineshore-serve/src/stream_versions/lookup.rs
@@ -2,8 +2,10 @@
 
 use std::time::Instant;
 
-use sardineshore_core::flow::config::Name;
-use sardineshore_core::flow::stream_versions::{StreamLife, StreamOrigin, StreamRecord, resolve};
+use sardineshore_core::flow::config::{Name, Route};
+use sardineshore_core::flow::stream_versions::{
+    StreamLife, StreamOrigin, StreamRecord, StreamVersions, resolve, split_key,
+};
 use slog::info;
 
 use super::records::{PendingRecord, partition};
@@ -31,35 +33,33 @@
 
 impl VersionRecords {
     /// Finds out where a stream began that a caller takes up; `None` if that isn't known. `stream` is the id of
-    /// the request that brought its first event, if the caller names it; `pool` the one where it began unless
-    /// memory or a record names another one. The caller waits for `life`, so that the stream may be taken up
+    /// the request that brought its first event, if the caller names it, and `route` the one on which it is taken
+    /// up. The caller waits for `life`, so that the stream may be taken up
     /// again for so long.
     pub async fn take_up(
         &self,
-        pool: &Name,
+        route: &Route,
         stream: Option<&str>,
         life: StreamLife,
     ) -> Option<TakenUp> {
         let taken_up = Instant::now();
         let Some(stream) = stream else {
-            let version = self.sole_version(pool, life, taken_up).await;
-            return version.map(|version| TakenUp {
-                origin: origin(pool, version),
-                record: None,
-            });
+            let origin = self.sole_origin(route, life, taken_up).await?;
+            let record = None;
+            return Some(TakenUp { origin, record });
         };
         let remembered = self.known.borrow().remembered(stream).cloned();
         let (origin, number, is_covered) = if let Some(known) = remembered {
             let is_covered = known.lasts_for(life, taken_up);
             (known.origin, known.record, is_covered)
         } else {
-            let (origin, number) = self.look_up(pool, stream, life, taken_up).await?;
+            let (origin, number) = self.look_up(route, stream, life, taken_up).await?;
             (origin, number, false)
         };
         let record = if is_covered {
             None
         } else {
-            Some(self.extend(stream, number, &origin, life))
+            Some(self.extend(route, stream, number, &origin, life))
         };
         Some(TakenUp { origin, record })
     }
@@ -68,7 +68,7 @@
     /// without one.
     async fn look_up(
         &self,
-        pool: &Name,
+        route: &Route,
         stream: &str,
         life: StreamLife,
         taken_up: Instant,
@@ -88,8 +88,8 @@
         let found = if let Some(record) = record {
             record.origin
         } else {
-            let version = self.unrecorded_version(pool, life, era, taken_up).await;
-            version.map(|version| origin(pool, version))
+            self.unrecorded_origin(route, stream, life, era, taken_up)
+                .await
         };
         info!(self.log, "read where a stream began"; "stream" => stream, "recorded" => is_recorded,
             "pool" => found.as_ref().map(|origin| &*origin.pool),
@@ -118,32 +118,35 @@
         })
     }
 
-    /// Version at which a stream of a pool began that had no record in this era of the store, when the record
-    /// was looked for after `taken_up`; `None` if it isn't known.
-    async fn unrecorded_version(
+    /// Where a stream began that had no record in this era of the store, when that was looked for after
+    /// `taken_up`; `None` if it isn't known.
+    async fn unrecorded_origin(
         &self,
-        pool: &Name,
+        route: &Route,
+        stream: &str,
         life: StreamLife,
         era: u64,
         taken_up: Instant,
-    ) -> Option<Name> {
+    ) -> Option<StreamOrigin> {
         // A stream whose life isn't bounded has a record that may have been lost or removed.
         life.bounded()?;
-        // The base version is read later than the record, as it changes only when all streams without a
-        // record have ended.
+        // The base split and version are read later than the record, as they change only when all streams
+        // without a record have ended.
         if self.rows_check.run().await != TableCheckEnd::Confirmed {
             return None;
         }
-        {
+        let pool = {
             let known = self.known.borrow();
             if known.era() != Some(era) {
                 return None;
             }
-            let version = resolve(None, known.base_version(pool), era);
-            if version.is_some() {
-                return version;
+            let pool = self.unrecorded_pool(&known, route, Some(stream))?;
+            let version = resolve(None, known.base_version(&pool), era);
+            if let Some(version) = version {
+                return Some(origin(pool, version));
             }
-        }
+            pool
+        };
         let end = self.list_check.run().await;
         let known = self.known.borrow();
         // A restore since the record was looked for would make the list say less.
@@ -151,37 +154,58 @@
             return None;
         }
         let now = Instant::now();
-        let base = known.base_version(pool);
-        let version = known.sole_version(pool, taken_up, now).or_else(|| {
-            let began_at_base = |base: &&_| known.began_at_base(pool, base, taken_up, now);
+        let base = known.base_version(&pool);
+        let version = known.sole_version(&pool, taken_up, now).or_else(|| {
+            let began_at_base = |base: &&_| known.began_at_base(&pool, base, taken_up, now);
             base.filter(began_at_base).map(|base| base.version.clone())
         });
-        info!(self.log, "checked which versions can have begun a stream"; "pool" => &**pool, "end" => ?end,
+        info!(self.log, "checked which versions can have begun a stream"; "pool" => &*pool, "end" => ?end,
             "version" => version.as_deref(), "base" => base.map(|base| &*base.version));
-        version
+        version.map(|version| origin(pool, version))
     }
 
-    /// The only version that servers of a pool have had for a stream's life.
-    async fn sole_version(&self, pool: &Name, life: StreamLife, taken_up: Instant) -> Option<Name> {
+    /// Where all streams of a route began, if that is one pool whose servers have had one version for a
+    /// stream's life.
+    async fn sole_origin(
+        &self,
+        route: &Route,
+        life: StreamLife,
+        taken_up: Instant,
+    ) -> Option<StreamOrigin> {
         life.bounded()?;
-        let is_likely = self.known.borrow().is_sole_version_likely(pool, taken_up);
+        let pool = self.unrecorded_pool(&self.known.borrow(), route, None)?;
+        let is_likely = self.known.borrow().is_sole_version_likely(&pool, taken_up);
         if !is_likely {
             return None;
         }
         let (end, rows) = futures::join!(self.list_check.run(), self.rows_check.run());
         let known = self.known.borrow();
-        let sole = known.sole_version(pool, taken_up, Instant::now());
-        // A longer life may have been stated than was known.
-        let sole = sole.filter(|_| rows == TableCheckEnd::Confirmed);
-        info!(self.log, "checked the list of servers for a stream's version"; "pool" => &**pool, "end" => ?end,
+        let is_pool_known = self.unrecorded_pool(&known, route, None).as_ref() == Some(&pool);
+        let sole = known.sole_version(&pool, taken_up, Instant::now());
+        // Another split or a longer life may have been stated than was known.
+        let sole = sole.filter(|_| rows == TableCheckEnd::Confirmed && is_pool_known);
+        info!(self.log, "checked the list of servers for a stream's version"; "pool" => &*pool, "end" => ?end,
             "rows" => ?rows, "version" => sole.as_deref());
-        sole
+        sole.map(|version| origin(pool, version))
+    }
+
+    /// Pool at which a stream of a route began that has no record; without an id, the pool of all.
+    fn unrecorded_pool(
+        &self,
+        known: &StreamVersions,
+        route: &Route,
+        stream: Option<&str>,
+    ) -> Option<Name> {
+        let is_confirmed = self.is_configuration_confirmed();
+        let key = split_key(route);
+        let pool = known.unrecorded_pool(&key, stream, is_confirmed, Instant::now());
+        pool.cloned()
     }
 }
 
-fn origin(pool: &Name, version: Name) -> StreamOrigin {
+fn origin(pool: Name, version: Name) -> StreamOrigin {
     StreamOrigin {
-        pool: pool.clone(),
+        pool,
         version: Some(version),
     }
 }
--- a/crates/sardineshore-serve/src/stream_versions/records.rs
+++ b/crates/sardineshore-serve/src/stream_versions/records.rs
@@ -31,6 +31,8 @@
 /// What the first event of a stream waits for.
 #[derive(Debug)]
 pub struct PendingRecord {
+    /// Key of its route.
+    pub(super) route: Name,
     pub(super) pool: Name,
     pub(super) stream: Name,
     /// Time for which the stream may be taken up.
@@ -96,8 +98,9 @@
             let life_changed = self.life_changed.notified();
             let (awaits_record, awaits_life) = {
                 let known = self.known.borrow();
-                let must_await =
-                    known.must_await_record(&record.pool, &record.stream, Instant::now());
+                let (route, pool, stream) = (&record.route, &record.pool, &record.stream);
+                let must_await = known.must_await_record(pool, stream, Instant::now())
+                    || known.must_await_split_record(route, pool, stream);
                 let awaits_life = !known.life().covers(record.life);
                 (record.written.is_some() && must_await, awaits_life)
             };
