fix(stream-versions): other instances hold what a restored store may lack

Cause: the origin of a stream was known to its instance and to the store's record only; a drill with a loss takes both.

Evidence: for each stream the other instance found no record, and its list shows two versions, from which nothing follows.

Change: three other instances, across failure domains, hold copies of streams whose origin isn't evident from the list and the base rows. They are sent when the first event is forwarded, in batches, and all of them over a new link; when a second version or split appears, those of running streams follow. An instance that can't find out an origin by the store asks the holders. Nothing is concluded from a missing copy.

Why it works: copies are positive facts that are final when they are sent, so that neither a restore nor a late message can contradict them.

--- a/crates/sardineshore-core/src/flow/cells.rs
+++ b/crates/sardineshore-core/src/flow/cells.rs
@@ -9,7 +9,7 @@
 //! disagree on which of them are live, a cell may have two owners. That makes batches smaller but
 //! never a result wrong.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -115,6 +115,21 @@
     ranked.into_iter().map(|(_, c)| c.name.clone()).collect()
 }
 
+/// The first `count` candidates in the order of [`rank_owners`], of as many failure domains as possible: the first
+/// of each domain come before the others.
+#[must_use]
+pub fn rank_across_domains(key: &str, candidates: &[OwnerCandidate], count: usize) -> Vec<Name> {
+    let domains: HashMap<&Name, &Name> = candidates.iter().map(|c| (&c.name, &c.domain)).collect();
+    let mut used = BTreeSet::new();
+    let ranked = rank_owners(key, candidates);
+    let (mut chosen, others): (Vec<Name>, Vec<Name>) = ranked
+        .into_iter()
+        .partition(|name| used.insert(domains.get(name)));
+    chosen.extend(others);
+    chosen.truncate(count);
+    chosen
+}
+
 /// Score of a candidate in weighted rendezvous hashing; the highest score owns the cell.
 fn score(cell: &str, candidate: &OwnerCandidate) -> f64 {
     let hash = xxh3_64(format!("{cell}/{}", candidate.name).as_bytes());
--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -46,7 +46,7 @@
 
 pub use life::{LIFE_MARGIN, StatedLife, StreamLife};
 use memory::StreamMemory;
-pub use memory::{KnownStream, StreamOrigin};
+pub use memory::{KnownStream, StreamCopy, StreamOrigin};
 use pool::{Listed, PoolVersions};
 use split::RouteSplits;
 pub use split::{BaseSplit, SPLIT_KEY_PREFIX, split_key};
@@ -127,6 +127,8 @@
     /// When the list was last read without the changes before it, as the store was restored.
     reread_at: Option<Instant>,
     begun: StreamMemory,
+    /// Streams of other instances.
+    held: StreamMemory,
 }
 
 impl StreamVersions {
@@ -395,6 +397,71 @@
         self.begun.get(id)
     }
 
+    /// Records that the first event of a stream is about to be forwarded, so that its origin is certain. Returns
+    /// what other instances are to be told, unless any of them finds out the origin even if a restored store lacks
+    /// the stream's record: it is where all streams of the route began.
+    pub fn record_first_event(
+        &mut self,
+        route: &Name,
+        id: &Name,
+        now: Instant,
+    ) -> Option<StreamCopy> {
+        let is_evident = self.is_evident(route, id, &self.begun.get(id)?.origin, now);
+        let stream = self.begun.get_mut(id)?;
+        stream.begun_on = Some(route.clone());
+        stream.is_copied |= !is_evident;
+        (!is_evident).then(|| stream.copy(id))
+    }
+
+    /// Streams that may still run and whose origin was evident, but is no longer: other instances are to be told.
+    pub fn take_copies_due(&mut self, now: Instant) -> Vec<StreamCopy> {
+        let due = self.running(now).filter(|(id, stream)| {
+            let route = stream.begun_on.as_ref().filter(|_| !stream.is_copied);
+            route.is_some_and(|route| !self.is_evident(route, id, &stream.origin, now))
+        });
+        let due: Vec<StreamCopy> = due.map(|(id, stream)| stream.copy(id)).collect();
+        for copy in &due {
+            if let Some(stream) = self.begun.get_mut(&copy.id) {
+                stream.is_copied = true;
+            }
+        }
+        due
+    }
+
+    /// Whether a stream began where all streams of its route have begun that may still run.
+    fn is_evident(&self, route: &str, id: &str, origin: &StreamOrigin, now: Instant) -> bool {
+        let version = origin.version.as_ref();
+        let Some(servers) = self.pools.get(&origin.pool) else {
+            return false;
+        };
+        !self.needs_split_record(route, &origin.pool, id)
+            && version.is_some()
+            && self.holding_base(&origin.pool) == version
+            && servers.only_listed() == version
+            && self.have_others_ended(servers, now)
+    }
+
+    /// The streams that others were told of and that may still run, for one that doesn't hold them yet. Their
+    /// lives count from now on.
+    pub fn copies(&self, now: Instant) -> impl Iterator<Item = StreamCopy> {
+        let copied = self.running(now).filter(|(_, stream)| stream.is_copied);
+        copied.map(|(id, stream)| stream.copy(id))
+    }
+
+    /// Holds a stream for another instance.
+    pub fn hold(&mut self, copy: StreamCopy, now: Instant) {
+        let StreamCopy { id, origin, life } = copy;
+        self.held.insert(&id, origin, 0, life, now);
+    }
+
+    /// A stream that began here or that is held for another instance.
+    #[must_use]
+    pub fn find_copy(&self, id: &str) -> Option<StreamCopy> {
+        let stream = self.begun.get(id).filter(|stream| stream.is_copied);
+        let stream = stream.or_else(|| self.held.get(id))?;
+        Some(stream.copy(&id.into()))
+    }
+
     /// Whether a stream that this instance remembers may still run.
     #[must_use]
     pub fn is_running(&self, id: &str) -> bool {
--- a/crates/sardineshore-core/src/flow/stream_versions/memory.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions/memory.rs
@@ -33,9 +33,32 @@
     pub(super) expires_at: Instant,
     /// Whether it has ended, so that it needs no record.
     pub(super) has_ended: bool,
+    /// Key of its route, once its first event has made the origin certain.
+    pub(super) begun_on: Option<Name>,
+    /// Whether other instances are told of it.
+    pub(super) is_copied: bool,
+}
+
+/// What one instance tells others about a stream that has begun.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamCopy {
+    /// Id of the stream.
+    pub id: Name,
+    /// Where it began.
+    pub origin: StreamOrigin,
+    /// For how long it may be taken up from now on.
+    pub life: StreamLife,
 }
 
 impl KnownStream {
+    pub(super) fn copy(&self, id: &Name) -> StreamCopy {
+        StreamCopy {
+            id: id.clone(),
+            origin: self.origin.clone(),
+            life: self.life,
+        }
+    }
+
     /// Whether the stream is remembered for as long as a caller needs that takes it up now.
     #[must_use]
     pub fn lasts_for(&self, life: StreamLife, now: Instant) -> bool {
@@ -78,10 +101,12 @@
         }
         let mut expires_at = now + life.retention();
         let mut has_misleading_records = false;
+        let (mut begun_on, mut is_copied) = (None, false);
         if let Some(earlier) = self.streams.remove(id) {
             self.expiries.remove(&(earlier.expires_at, id.clone()));
             expires_at = expires_at.max(earlier.expires_at);
             has_misleading_records = earlier.has_misleading_records || earlier.origin != origin;
+            (begun_on, is_copied) = (earlier.begun_on, earlier.is_copied);
         }
         let stream = KnownStream {
             origin,
@@ -90,11 +115,17 @@
             life,
             expires_at,
             has_ended: false,
+            begun_on,
+            is_copied,
         };
         self.streams.insert(id.clone(), stream);
         self.expiries.insert((expires_at, id.clone()));
     }
 
+    pub(super) fn get_mut(&mut self, id: &str) -> Option<&mut KnownStream> {
+        self.streams.get_mut(id)
+    }
+
     /// Records that a stream has ended, or that none has begun.
     pub(super) fn record_end(&mut self, id: &str) {
         if let Some(stream) = self.streams.get_mut(id) {
--- a/crates/sardineshore-core/tests/flow.rs
+++ b/crates/sardineshore-core/tests/flow.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use sardineshore_core::flow::cells::{
-    GLOBAL_CELL, OwnerCandidate, choose_cell, domain_cells, home_cell, rank_owners,
+    GLOBAL_CELL, OwnerCandidate, choose_cell, domain_cells, home_cell, rank_across_domains,
+    rank_owners,
 };
 use sardineshore_core::flow::config::{
     ConfigIndex, CustomerSpec, MAX_RANK, Name, Route, Server, ServingConfig, request_rank,
@@ -468,3 +469,24 @@
         assert_eq!(&*choose_cell(&request, &"y".into(), &cells, backlog), "y");
     }
 }
+
+/// Guards against copies that are all lost with one failure domain.
+#[test]
+fn rank_across_domains_uses_each_domain_first() {
+    let candidate = |name: &str, domain: &str| OwnerCandidate {
+        name: name.into(),
+        domain: domain.into(),
+        weight: 1.0,
+    };
+    let candidates: Vec<_> = (0..8)
+        .map(|n| candidate(&format!("x{n}"), "x"))
+        .chain([candidate("y", "y"), candidate("z", "z")])
+        .collect();
+    let chosen = rank_across_domains("key", &candidates, 3);
+    let in_x = chosen.iter().filter(|name| name.starts_with('x')).count();
+    assert_eq!((chosen.len(), in_x), (3, 1));
+    let all = rank_across_domains("key", &candidates, 20);
+    assert_eq!(all.len(), 10);
+    assert_eq!(rank_across_domains("key", &candidates[..2], 3).len(), 2);
+    assert!(rank_across_domains("key", &[], 3).is_empty());
+}
--- a/crates/sardineshore-core/tests/stream_splits.rs
+++ b/crates/sardineshore-core/tests/stream_splits.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use sardineshore_core::flow::config::{Name, Route};
-use sardineshore_core::flow::stream_versions::{BaseSplit, LIFE_MARGIN, StreamVersions, split_key};
+use sardineshore_core::flow::config::{Name, Route, Server};
+use sardineshore_core::flow::stream_versions::{
+    BaseSplit, BaseVersion, LIFE_MARGIN, StreamLife, StreamOrigin, StreamVersions, split_key,
+};
 
 const LIFE: Duration = Duration::from_secs(14);
 const MOMENT: Duration = Duration::from_millis(1);
@@ -173,3 +175,125 @@
     assert_eq!(pool_with(BOTH), None);
     assert_eq!(pool_with(&[]), None);
 }
+
+fn list(known: &mut StreamVersions, versions: &[&str], now: Instant) {
+    let servers = versions.iter().map(|version| Server {
+        id: (*version).into(),
+        pool: "a".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: "d".into(),
+        version: Some((*version).into()),
+        slots: 8,
+        ready: true,
+        started_ms: 1,
+        cold_remaining: None,
+    });
+    let servers: Vec<Server> = servers.collect();
+    known.set_servers(servers.iter(), now);
+}
+
+/// Guards against streams whose origin nobody knows once their instance is lost and the store lacks their records, and
+/// against messages for each stream where it is evident.
+#[test]
+fn copies_are_needed_unless_all_streams_began_at_one_origin() {
+    let now = Instant::now();
+    let life = StreamLife::new(Some(LIFE));
+    let mut known = read(true, A, now);
+    list(&mut known, &["v1"], now);
+    let origin = |version: &str| StreamOrigin {
+        pool: "a".into(),
+        version: Some(version.into()),
+    };
+    let base_version = |era| BaseVersion {
+        version: "v1".into(),
+        era: Some(era),
+    };
+    let id = Name::from("r1");
+    let is_copied = |known: &mut StreamVersions, version, at| {
+        known.remember(&id, origin(version), 1, life, at);
+        let copy = known.record_first_event(&key(), &id, at);
+        assert!(copy.iter().all(|copy| copy.origin == origin(version)));
+        copy.is_some()
+    };
+    assert!(is_copied(&mut known, "v1", now), "no base version");
+    known.set_base(&"a".into(), Some(base_version(1)), now);
+    assert!(is_copied(&mut known, "v1", now), "no base split");
+    known.set_base_split(&key(), Some(base(A, 1)), now);
+    assert!(!is_copied(&mut known, "v1", now));
+    list(&mut known, &["v1", "v2"], now);
+    assert!(is_copied(&mut known, "v1", now) && is_copied(&mut known, "v2", now));
+    list(&mut known, &["v1"], now);
+    let almost = now + lifetime().saturating_sub(MOMENT);
+    assert!(is_copied(&mut known, "v1", almost));
+    assert!(!is_copied(&mut known, "v1", now + lifetime()));
+    known.set_base_split(&key(), Some(withdrawn(A, 1)), now);
+    assert!(is_copied(&mut known, "v1", now + lifetime()));
+    known.set_base_split(&key(), Some(base(A, 1)), now);
+    known.set_era(2, Some(MOMENT), now + lifetime());
+    assert!(is_copied(&mut known, "v1", now + lifetime()));
+    // A stream that was copied once is told again to a holder that doesn't know it, while it runs.
+    assert_eq!(known.copies(now + lifetime()).count(), 1);
+    assert!(known.find_copy("r1").is_some() && known.find_copy("r2").is_none());
+    known.record_end("r1");
+    assert_eq!(known.copies(now + lifetime()).count(), 0);
+}
+
+#[test]
+fn held_streams_last_as_long_as_their_callers_wait() {
+    let now = Instant::now();
+    let mut known = StreamVersions::new(false);
+    let mut began = read(true, A, now);
+    let origin = StreamOrigin {
+        pool: "a".into(),
+        version: Some("v2".into()),
+    };
+    for id in ["r1", "r2"] {
+        let life = StreamLife::new(Some(LIFE));
+        began.remember(&id.into(), origin.clone(), 1, life, now);
+        let copy = began.record_first_event(&key(), &id.into(), now).unwrap();
+        known.hold(copy, now);
+    }
+    let held = known.find_copy("r1").unwrap();
+    assert_eq!(held.origin, origin);
+    // It isn't one of its own: it writes no record for it.
+    assert!(known.remembered("r1").is_none());
+    assert_eq!(known.running(now).count(), 0);
+    known.hold(held.clone(), now + lifetime());
+    known.hold(held, now + lifetime() + MOMENT);
+    assert!(known.find_copy("r1").is_some() && known.find_copy("r2").is_none());
+}
+
+/// Guards against streams that began where one version served, and whose origin isn't evident any more when their
+/// instance is lost: another version has been listed since.
+#[test]
+fn copies_are_due_once_the_origin_is_not_evident_any_more() {
+    let now = Instant::now();
+    let life = StreamLife::new(Some(LIFE));
+    let mut known = read(true, A, now);
+    list(&mut known, &["v1"], now);
+    let v1 = BaseVersion {
+        version: "v1".into(),
+        era: Some(1),
+    };
+    known.set_base(&"a".into(), Some(v1), now);
+    known.set_base_split(&key(), Some(base(A, 1)), now);
+    let origin = StreamOrigin {
+        pool: "a".into(),
+        version: Some("v1".into()),
+    };
+    for id in ["begun", "ended", "waiting"] {
+        let id = Name::from(id);
+        known.remember(&id, origin.clone(), 1, life, now);
+        if *id != *"waiting" {
+            assert_eq!(known.record_first_event(&key(), &id, now), None);
+        }
+    }
+    known.record_end("ended");
+    assert!(known.take_copies_due(now).is_empty());
+    list(&mut known, &["v1", "v2"], now);
+    let due = known.take_copies_due(now);
+    let due: Vec<&str> = due.iter().map(|copy| &*copy.id).collect();
+    assert_eq!(due, ["begun"]);
+    assert!(known.take_copies_due(now).is_empty());
+    assert_eq!(known.copies(now).count(), 1);
+}
--- a/crates/sardineshore-serve/src/instance.rs
+++ b/crates/sardineshore-serve/src/instance.rs
@@ -129,6 +129,7 @@
         store.clone(),
         log.clone(),
     );
+    peers.set_stream_holder(&versions);
     let dispatcher = Rc::new(Dispatcher::new(
         state.clone(),
         connections.clone(),
@@ -208,6 +209,7 @@
     tokio::task::spawn_local(versions.clone().state_life());
     tokio::task::spawn_local(versions.clone().maintain());
     tokio::task::spawn_local(versions.clone().sweep());
+    tokio::task::spawn_local(versions.clone().send_copies());
     spawn_listener(&log, "peers", components.peers.clone().accept());
     spawn_listener(
         &log,
--- a/crates/sardineshore-serve/src/peers.rs
+++ b/crates/sardineshore-serve/src/peers.rs
@@ -32,6 +32,7 @@
 use crate::relay::{LinkEvent, StoreRelay};
 use crate::speeds::{LinkSpeeds, SpeedExchange};
 use crate::state::boot_time;
+use crate::stream_versions::VersionRecords;
 use crate::upstream::detect_dead_peer;
 use crate::zones::{SentFigures, ZoneExchange};
 
@@ -179,6 +180,8 @@
     relay: Rc<StoreRelay>,
     /// Exchange of the servers' speeds; none unless it was set.
     speeds: OnceCell<Rc<SpeedExchange>>,
+    /// What holds streams for other instances; nothing unless it was set.
+    stream_holder: OnceCell<Weak<VersionRecords>>,
     /// Links that other instances opened, by number.
     served: RefCell<HashMap<u64, mpsc::UnboundedSender<Bytes>>>,
     next_served: Cell<u64>,
@@ -213,6 +216,7 @@
             changed: Notify::new(),
             relay,
             speeds: OnceCell::new(),
+            stream_holder: OnceCell::new(),
             log,
             weak: weak.clone(),
         })
@@ -235,6 +239,15 @@
         let _set_before = self.speeds.set(speeds);
     }
 
+    /// Sets what holds streams for other instances and receives their answers.
+    pub fn set_stream_holder(&self, holder: &Rc<VersionRecords>) {
+        let _set_before = self.stream_holder.set(Rc::downgrade(holder));
+    }
+
+    fn stream_holder(&self) -> Option<Rc<VersionRecords>> {
+        self.stream_holder.get()?.upgrade()
+    }
+
     fn receive_speeds(&self, digest: &SpeedDigest) {
         if let Some(speeds) = self.speeds.get() {
             speeds.receive(digest);
@@ -418,6 +431,11 @@
             }
             Message::Speeds(digest) => self.receive_speeds(&digest),
             Message::Figures(figures) => self.cells.zones().record(figures),
+            Message::FoundStream { question, copy } => {
+                if let Some(holder) = self.stream_holder() {
+                    holder.record_answer(question, copy);
+                }
+            }
             Message::Pong => {
                 if let Some(time) = link.end_heartbeat() {
                     self.cells.zones().record_round_trip(&info.domain, time);
@@ -623,6 +641,17 @@
                 let _stopped = self.evidence_tx.send(evidence);
             }
             Message::Speeds(digest) => self.receive_speeds(&digest),
+            Message::HoldStreams(copies) => {
+                if let Some(holder) = self.stream_holder() {
+                    holder.hold(copies);
+                }
+            }
+            Message::FindStream { question, stream } => {
+                let copy = self
+                    .stream_holder()
+                    .and_then(|holder| holder.find_copy(&stream));
+                served.send(&Message::FoundStream { question, copy });
+            }
             Message::StageFinished { .. }
             | Message::Finished { .. }
             | Message::Aborted { .. }
@@ -630,6 +659,7 @@
             | Message::Redirected { .. }
             | Message::Withdrawn { .. }
             | Message::Store(_)
+            | Message::FoundStream { .. }
             | Message::Pong => {}
         }
     }
--- a/crates/sardineshore-serve/src/peers/message.rs
+++ b/crates/sardineshore-serve/src/peers/message.rs
@@ -13,6 +13,7 @@
 use sardineshore_core::flow::config::Name;
 use sardineshore_core::flow::quarantine::Evidence;
 use sardineshore_core::flow::speed::SpeedDigest;
+use sardineshore_core::flow::stream_versions::StreamCopy;
 use sardineshore_core::flow::zones::CellFigures;
 use serde::{Deserialize, Serialize};
 
@@ -130,6 +131,22 @@
     Speeds(SpeedDigest),
     /// Loads of the cells that the sender knows. Sent only in front of another message.
     Figures(Vec<CellFigures>),
+    /// To a holder: streams that began at the sender, or were taken up there.
+    HoldStreams(Vec<StreamCopy>),
+    /// To a holder: asks where a stream began.
+    FindStream {
+        /// Number of the question, unique for the sender.
+        question: u64,
+        /// Id of the stream.
+        stream: Name,
+    },
+    /// From a holder: the answer.
+    FoundStream {
+        /// Number of the question.
+        question: u64,
+        /// The stream; `None` if the holder doesn't know it.
+        copy: Option<StreamCopy>,
+    },
 }
 
 impl Message {
--- a/crates/sardineshore-serve/src/request/streaming/forward.rs
+++ b/crates/sardineshore-serve/src/request/streaming/forward.rs
@@ -174,6 +174,9 @@
         }
         // No other version may go on with what this server has begun.
         if attempts.selection.version == RequiredVersion::Any {
+            if let Some(record) = &attempts.record {
+                self.dispatcher.versions().record_first_event(record);
+            }
             let version = connected.server.version.clone();
             attempts.selection.version = RequiredVersion::of_stream(version);
         }
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -5,13 +5,14 @@
 //! any more. They are read when a caller takes up a stream that this instance doesn't remember.
 
 mod base_rows;
+mod holders;
 mod lookup;
 mod records;
 mod table_check;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, VecDeque};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use base_rows::{LIFE_KEY, decode_base, decode_life, decode_split};
@@ -20,13 +21,13 @@
 use sardineshore_core::flow::config::{Name, Route};
 use sardineshore_core::flow::replica::TableChanges;
 use sardineshore_core::flow::stream_versions::{
-    KnownStream, SPLIT_KEY_PREFIX, StreamLife, StreamOrigin, StreamVersions, split_key,
+    KnownStream, SPLIT_KEY_PREFIX, StreamCopy, StreamLife, StreamOrigin, StreamVersions, split_key,
 };
 use slog::{Logger, info};
 pub use table_check::{TableCheck, TableCheckEnd};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
-use crate::peers::Peers;
+use crate::peers::{Link, Peers};
 use crate::state::{SharedState, boot_time, whole_ms};
 use crate::store::Store;
 
@@ -68,6 +69,16 @@
     written: RefCell<BTreeSet<(Instant, RecordKey)>>,
     /// Whether the latest write failed.
     is_failing: Cell<bool>,
+    /// Copies of streams that holders are to be sent.
+    copies: RefCell<Vec<StreamCopy>>,
+    /// Whether the origins of other streams may not be evident any more.
+    may_need_copies: Cell<bool>,
+    to_copy: Notify,
+    /// Links over which holders got copies.
+    links: RefCell<HashMap<Name, Weak<Link>>>,
+    /// Where the answers to questions go, by the question's number.
+    questions: RefCell<HashMap<u64, mpsc::UnboundedSender<Option<StreamCopy>>>>,
+    next_question: Cell<u64>,
 }
 
 impl VersionRecords {
@@ -98,6 +109,12 @@
             list_complete_at: Cell::new(None),
             written: RefCell::default(),
             is_failing: Cell::new(false),
+            copies: RefCell::default(),
+            may_need_copies: Cell::new(false),
+            to_copy: Notify::new(),
+            links: RefCell::default(),
+            questions: RefCell::default(),
+            next_question: Cell::new(0),
         })
     }
 
@@ -110,6 +127,7 @@
             self.check_life(&known);
         }
         known.set_servers(self.state.selector.borrow().servers(), Instant::now());
+        self.check_copies();
     }
 
     /// Records the era of the store in a response. If the store was restored from a copy, the records of
@@ -122,6 +140,7 @@
             return;
         }
         self.list_complete_at.set(None);
+        self.check_copies();
         let running: Vec<(Name, KnownStream)> = known
             .running(Instant::now())
             .map(|(id, stream)| (id.clone(), stream.clone()))
@@ -239,6 +258,7 @@
         known.record_bases_read(changes.version.era);
         self.check_life(&known);
         self.life_changed.notify_waiters();
+        self.check_copies();
     }
 
     /// Compares the stated life with the streams of the configuration, and has it raised if it is too short.
--- a/crates/sardineshore-serve/src/stream_versions/lookup.rs
+++ b/crates/sardineshore-serve/src/stream_versions/lookup.rs
@@ -48,18 +48,24 @@
             let record = None;
             return Some(TakenUp { origin, record });
         };
-        let remembered = self.known.borrow().remembered(stream).cloned();
-        let (origin, number, is_covered) = if let Some(known) = remembered {
+        let known = self.known.borrow().remembered(stream).cloned();
+        let held = self.find_copy(stream);
+        let (origin, number, is_covered) = if let Some(known) = known {
             let is_covered = known.lasts_for(life, taken_up);
             (known.origin, known.record, is_covered)
-        } else {
-            let (origin, number) = self.look_up(route, stream, life, taken_up).await?;
+        } else if let Some(held) = held {
+            (held.origin, 0, false)
+        } else if let Some((origin, number)) = self.look_up(route, stream, life, taken_up).await {
             (origin, number, false)
+        } else {
+            (self.ask_holders(stream).await?, 0, false)
         };
         let record = if is_covered {
             None
         } else {
-            Some(self.extend(route, stream, number, &origin, life))
+            let record = self.extend(route, stream, number, &origin, life);
+            self.record_first_event(&record);
+            Some(record)
         };
         Some(TakenUp { origin, record })
     }
--- a/crates/sardineshore-serve/tests/messages.rs
+++ b/crates/sardineshore-serve/tests/messages.rs
@@ -1,8 +1,11 @@
 //! Messages between instances: long ones are compressed, and no bytes make the decoder fail badly.
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 use sardineshore_core::flow::replica::{StoreRow, StoreVersion, TableChanges};
 use sardineshore_core::flow::speed::{DigestKind, SpeedDigest, SpeedEntry};
+use sardineshore_core::flow::stream_versions::{StreamCopy, StreamLife, StreamOrigin};
 use sardineshore_core::flow::zones::CellFigures;
 use sardineshore_serve::dialect::Table;
 use sardineshore_serve::peers::Message;
@@ -80,6 +83,23 @@
     assert_eq!(Message::decode(&encoded).unwrap(), message);
 }
 
+/// Every stream is copied to some instances while several versions serve.
+#[test]
+fn encode_copies_of_streams_stay_small() {
+    let copies = (0..100_u64).map(|n| StreamCopy {
+        id: format!("{:016x}", n.wrapping_mul(0x9e37_79b9_7f4a_7c15)).into(),
+        origin: StreamOrigin {
+            pool: "sardina-llm".into(),
+            version: Some("2026.12.1".into()),
+        },
+        life: StreamLife::new(Some(Duration::from_millis(15_000 - n))),
+    });
+    let message = Message::HoldStreams(copies.collect());
+    let encoded = message.encode();
+    assert!(encoded.len() <= 100 * 60, "{} bytes", encoded.len());
+    assert_eq!(Message::decode(&encoded).unwrap(), message);
+}
+
 #[test]
 fn decode_claimed_size_without_limit_is_refused() {
     let mut frame = vec![1];
