fix(stream-versions): instances that extend a stream write records of their own

Callers would have seen: a stream that is taken up several times goes on at another version once the first instance removes its record.

Cause: an instance that found the origin by a copy wrote the extended record under the number 1, as the first instance had; that one removed the row when the first caller's deadline had passed.

Change: the key of a record names its writer. Ids that would make keys longer than the store allows are hashed: the store would refuse such a record, and the writes behind it would wait for it. Base rows are compared before their owner is worked out, which costs more.

--- a/crates/sardineshore-core/tests/stream_versions_search/instance.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search/instance.rs
@@ -8,7 +8,7 @@
     StreamCopy, StreamLife, StreamOrigin, StreamVersions,
 };
 
-use crate::store::BaseRow;
+use crate::store::{BaseRow, RecordKey};
 use crate::{BASE_CHECK_INTERVAL, Ms};
 
 /// A record that is to be written.
@@ -44,7 +44,7 @@
     pub config: Option<(usize, Ms)>,
     pub queue: Vec<QueuedRecord>,
     /// Records in the store, and when they are removed.
-    pub written: Vec<(Ms, (usize, u32))>,
+    pub written: Vec<(Ms, RecordKey)>,
     pub copies: Vec<StreamCopy>,
     /// Number of starts of each other instance at which it got all copies.
     pub told: BTreeMap<usize, u32>,
--- a/crates/sardineshore-core/tests/stream_versions_search/main.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search/main.rs
@@ -555,7 +555,7 @@
             .partition(|record| record.due_at <= now);
         instance.queue = later;
         for record in due {
-            let key = (record.stream, record.number);
+            let key = (record.stream, record.number, id);
             let name = stream_name(record.stream);
             if instance.known.is_current_record(&name, record.number) {
                 store.put_record(key, record.origin);
@@ -774,12 +774,13 @@
     fn begin_if_recorded(&mut self, id: usize) {
         let now = self.instant();
         let stream = &self.streams[id];
-        let instance = &mut self.instances[stream.owner.unwrap()];
+        let owner = stream.owner.unwrap();
+        let instance = &mut self.instances[owner];
         if self.now < instance.frozen_until {
             return;
         }
         let is_queued = instance.queue.iter().any(|record| record.stream == id);
-        let key = (id, stream.record);
+        let key = (id, stream.record, owner);
         let is_written = !is_queued && self.store.rows.records.contains_key(&key);
         let (route, name) = (split_key(&route(0)), stream_name(id));
         let pool = &stream.origin.pool;
@@ -902,9 +903,9 @@
                 .store
                 .rows
                 .records
-                .range((stream, 0)..=(stream, u32::MAX));
+                .range((stream, 0, 0)..=(stream, u32::MAX, 0));
             let record = records.next_back();
-            let record = record.map(|((_, number), origin)| (origin.clone(), *number));
+            let record = record.map(|((_, number, _), origin)| (origin.clone(), *number));
             let era = self.store.era;
             let found = if let Some((origin, number)) = record {
                 origin.map(|origin| (origin, number))
--- a/crates/sardineshore-core/tests/stream_versions_search/store.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search/store.rs
@@ -16,8 +16,8 @@
     &[("engine", 1), ("other", 4)],
 ];
 
-/// Number of a stream's request, and of its record.
-pub type RecordKey = (usize, u32);
+/// Number of a stream's request, of its record, and of the instance that wrote it.
+pub type RecordKey = (usize, u32, usize);
 
 /// The route as the operator configures it.
 pub fn route(split: usize) -> Route {
--- a/crates/sardineshore-serve/src/stream_versions/base_rows.rs
+++ b/crates/sardineshore-serve/src/stream_versions/base_rows.rs
@@ -108,23 +108,24 @@
         let known = self.known.borrow();
         let candidates = self.peers.candidates();
         let own = &self.peers.this_instance().name;
-        let is_own = |key: &&Name| rank_owners(key, &candidates).first() == Some(own);
         let config = self.state.config();
         let streams = |pool: &&Name| {
             let config = config.as_ref();
             config.is_some_and(|config| config.serves_streams(pool))
         };
         let now = Instant::now();
-        let splits = known.routes().filter(is_own).filter_map(|route| {
+        let splits = known.routes().filter_map(|route| {
             let base = known.split_change(route, now)?;
             Some(BaseChange::Split(route.clone(), base))
         });
-        let pools = known.pools().filter(streams).filter(is_own);
-        let versions = pools.filter_map(|pool| {
+        let versions = known.pools().filter(streams).filter_map(|pool| {
             let base = known.base_change(pool, now)?;
             Some(BaseChange::Version(pool.clone(), base))
         });
-        splits.chain(versions).collect()
+        let changes = splits.chain(versions);
+        let is_own =
+            |change: &BaseChange| rank_owners(change.key(), &candidates).first() == Some(own);
+        changes.filter(is_own).collect()
     }
 }
 
--- a/crates/sardineshore-serve/src/stream_versions/lookup.rs
+++ b/crates/sardineshore-serve/src/stream_versions/lookup.rs
@@ -8,7 +8,7 @@
 };
 use slog::info;
 
-use super::records::{PendingRecord, partition};
+use super::records::{PendingRecord, partition, row_id};
 use super::{TableCheckEnd, VersionRecords};
 use crate::store::StoreError;
 
@@ -106,10 +106,11 @@
     /// Reads the latest record of a stream.
     async fn read(&self, stream: &str) -> Result<ReadRecord, StoreError> {
         let dialect = self.store.dialect();
-        let call = dialect.read_stream_records_call(&partition(stream), Some(stream));
+        let id = row_id(stream);
+        let call = dialect.read_stream_records_call(&partition(stream), Some(&id));
         let page = self.store.read_page(call).await?;
         let latest = page.rows.iter().max_by_key(|row| &row.key);
-        let number = latest.and_then(|row| row.key.rsplit_once('/')?.1.parse().ok());
+        let number = latest.and_then(|row| record_number(&row.key, &id));
         // Nothing is known of a stream whose record can't be decoded.
         let undecodable = StreamRecord {
             origin: None,
@@ -209,6 +210,12 @@
     }
 }
 
+/// Number of a stream's record; its key is `ID/NUMBER-INSTANCE`.
+fn record_number(key: &str, id: &str) -> Option<u32> {
+    let written = key.strip_prefix(id)?.strip_prefix('/')?;
+    written.split('-').next()?.parse().ok()
+}
+
 fn origin(pool: Name, version: Name) -> StreamOrigin {
     StreamOrigin {
         pool,
--- a/crates/sardineshore-serve/src/stream_versions/records.rs
+++ b/crates/sardineshore-serve/src/stream_versions/records.rs
@@ -1,5 +1,6 @@
 //! Writes the records of streams and removes those that are needed no more.
 
+use std::borrow::Cow;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 };
 use slog::{info, warn};
 use tokio::sync::oneshot;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
 
 use super::{CHECK_INTERVAL, VersionRecords};
 use crate::store::StoreError;
@@ -76,7 +77,12 @@
         let (tx, written) = oneshot::channel();
         let key = RecordKey {
             part: partition(stream),
-            key: format!("{stream}/{number:04}"),
+            // Instances that take a stream up write records of their own, which last longer.
+            key: format!(
+                "{}/{number:04}-{}",
+                row_id(stream),
+                self.peers.this_instance().name
+            ),
         };
         self.queue.borrow_mut().push_back(QueuedRecord {
             stream: stream.clone(),
@@ -264,6 +270,17 @@
     }
 }
 
+/// Longest id of a stream that is part of its records' keys as it is, in bytes: the store bounds keys.
+const MAX_ID_BYTES: usize = 100;
+
+/// What stands for a stream in the keys of its records.
+pub(super) fn row_id(stream: &str) -> Cow<'_, str> {
+    if stream.len() <= MAX_ID_BYTES {
+        return stream.into();
+    }
+    format!("#{:032x}", xxh3_128(stream.as_bytes())).into()
+}
+
 /// Partition of the store that holds the records of a stream.
 pub(super) fn partition(stream: &str) -> String {
     partition_name(xxh3_64(stream.as_bytes()) % PARTITIONS)
