fix(stream-versions): streams wait for their record unless no other split can follow

Callers would have seen: a stream goes on at another pool of its route after an instance that was cut off, and thus knew an outdated split, wrote that one as base split; and one that began under the first of two configurations at the start of the system, while the other was stated.

Cause: a record wasn't awaited at the pool that the named split assigns, on the ground that another split follows only after a stream's life. It may be one that was configured before, or at the first start any.

Change: the record is awaited unless the base split is in force, or of an older era of the store and still the configured one. At the first start instances are ready once the base splits are stated; if their owner is not there, the next instance writes them.

--- a/crates/sardineshore-core/src/flow/stream_versions/split.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions/split.rs
@@ -117,16 +117,25 @@
     }
 
     /// Whether that record must be written before the first event is forwarded: without it, the stream might be
-    /// taken for one of another pool. Not so at the pool that the store's split names, which another one
-    /// replaces only after a stream's life.
+    /// taken for one of another pool. Not so at the pool of a base split that is in force, or that holds no more as
+    /// the store was restored and is still configured: only itself takes its place then.
     #[must_use]
     pub fn must_await_split_record(&self, route: &str, pool: &Name, id: &str) -> bool {
-        if let Some(base) = self.splits.bases.get(route) {
-            return base.pool_of(id) != Some(pool);
-        }
+        let Some(base) = self.splits.bases.get(route) else {
+            return true;
+        };
         let configured = self.splits.configured.get(route);
-        let is_first = configured.is_some_and(|split| !split.has_changed);
-        self.bases_read_in.is_none() || !self.is_first_start || !is_first
+        let is_configured = configured.is_some_and(|split| split.pools == base.pools);
+        let stays = self.split_in_force(route).is_some() || (!base.is_withdrawn && is_configured);
+        !stays || base.pool_of(id) != Some(pool)
+    }
+
+    /// Whether the store names a base split for each route, as far as it can at once: at the first start of the
+    /// system.
+    #[must_use]
+    pub fn are_first_splits_stated(&self) -> bool {
+        let mut routes = self.splits.configured.keys();
+        !self.is_first_start || routes.all(|route| self.splits.bases.contains_key(route))
     }
 
     /// Pool at which a stream began that has no record; `None` if it isn't known. The record, and then the base
--- a/crates/sardineshore-core/tests/stream_splits.rs
+++ b/crates/sardineshore-core/tests/stream_splits.rs
@@ -77,7 +77,9 @@
     let now = Instant::now();
     let mut known = read(true, BOTH, now);
     assert_eq!(known.split_change(&key(), now), Some(base(BOTH, 1)));
-    assert!(!known.must_await_split_record(&key(), &"a".into(), "r1"));
+    // Another instance may state another one that is configured just now.
+    assert!(known.must_await_split_record(&key(), &"a".into(), "r1"));
+    assert!(!known.are_first_splits_stated());
     // Streams may have begun under the split before.
     configure(&mut known, A, now + MOMENT);
     assert_eq!(known.split_change(&key(), now + MOMENT), None);
@@ -100,6 +102,8 @@
     let now = Instant::now();
     let mut known = read(true, A, now);
     known.set_base_split(&key(), Some(base(A, 1)), now);
+    assert!(known.are_first_splits_stated() && read(false, A, now).are_first_splits_stated());
+    assert!(!known.must_await_split_record(&key(), &"a".into(), "r1"));
     assert!(!known.needs_split_record(&key(), &"a".into(), "r1"));
     assert!(known.needs_split_record(&key(), &"b".into(), "r1"));
     assert!(known.must_await_split_record(&key(), &"b".into(), "r1"));
@@ -116,7 +120,10 @@
     // Streams without a record began before; those that begin from now on have one, wherever they begin.
     assert_eq!(pool_of(&known, "r1", withdrawn_at), Some("a"));
     assert!(known.needs_split_record(&key(), &"a".into(), "r1"));
-    assert!(known.must_await_split_record(&key(), &"b".into(), "r1"));
+    // Any split that was configured meanwhile may take its place.
+    for pool in ["a", "b"] {
+        assert!(known.must_await_split_record(&key(), &pool.into(), "r1"));
+    }
     let ended_at = withdrawn_at + lifetime();
     let before = ended_at.checked_sub(MOMENT).unwrap();
     assert_eq!(known.split_change(&key(), before), None);
@@ -151,6 +158,11 @@
     configure(&mut known, A, now + MOMENT);
     assert_eq!(pool_of(&known, "r1", now + MOMENT), None);
     assert_eq!(pool_of(&known, "r1", now + MOMENT + lifetime()), Some("a"));
+    // The configured split takes its own place only.
+    let mut known = followed(true);
+    assert!(!known.must_await_split_record(&key(), &"a".into(), "r1"));
+    configure(&mut known, BOTH, now + MOMENT);
+    assert!(known.must_await_split_record(&key(), &"a".into(), "r1"));
     // The split holds again a stream's life after the restore.
     assert!(known.needs_split_record(&key(), &"a".into(), "r1"));
     let known = followed(true);
--- a/crates/sardineshore-core/tests/stream_versions_search/main.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search/main.rs
@@ -616,6 +616,10 @@
             }
         }
         let key = split_key(&route(0));
+        let age = self.instances[id].confirmed_at.map(|at| self.now - at);
+        if age.is_none_or(|age| age > RECORD_ALL_AGE) {
+            return;
+        }
         if let Some(base) = self.instances[id].known.split_change(&key, now) {
             self.write_base(id, key, BaseRow::Split(base));
         }
--- a/crates/sardineshore-serve/src/state.rs
+++ b/crates/sardineshore-serve/src/state.rs
@@ -37,8 +37,9 @@
     pub instances_known: Cell<bool>,
     /// Whether the evidence about crashes has been read.
     pub crashes_known: Cell<bool>,
-    /// Whether the store states a life of streams that covered those of the configuration.
-    pub life_stated: Cell<bool>,
+    /// Whether the store states what the streams of the configuration need: a life that covers them and, at the
+    /// first start, their base splits.
+    pub streams_stated: Cell<bool>,
     /// When the store last confirmed that the configuration is the newest one.
     pub freshness: RefCell<Freshness>,
     /// Budget for sending a request to a further server.
@@ -65,7 +66,7 @@
             servers_known: Cell::new(false),
             instances_known: Cell::new(false),
             crashes_known: Cell::new(false),
-            life_stated: Cell::new(false),
+            streams_stated: Cell::new(false),
             freshness: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.bounds.repeats)),
             activity: Rc::default(),
@@ -130,7 +131,7 @@
         self.config.borrow().is_some()
             && self.servers_known.get()
             && self.crashes_known.get()
-            && self.life_stated.get()
+            && self.streams_stated.get()
             && (!self.fail_closed
                 || self.confirmed_within(self.revocation_bound.mul_f64(READY_FRACTION)))
     }
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -49,6 +49,7 @@
     peers: Rc<Peers>,
     store: Rc<Store>,
     log: Logger,
+    created_at: Instant,
     known: RefCell<StreamVersions>,
     /// Versions of the rows that hold base versions and the stated life.
     base_rows: RefCell<HashMap<Name, u64>>,
@@ -97,6 +98,7 @@
             peers,
             store,
             log,
+            created_at: Instant::now(),
             known: RefCell::new(StreamVersions::new(is_first_start)),
             base_rows: RefCell::default(),
             life_changed: Notify::new(),
@@ -265,8 +267,11 @@
     fn check_life(&self, known: &StreamVersions) {
         if known.life().change().is_some() {
             self.life_due.notify_one();
-        } else if known.bases_read_in().is_some() && self.state.config().is_some() {
-            self.state.life_stated.set(true);
+        } else if known.bases_read_in().is_some()
+            && self.state.config().is_some()
+            && known.are_first_splits_stated()
+        {
+            self.state.streams_stated.set(true);
         }
     }
 
--- a/crates/sardineshore-serve/src/stream_versions/base_rows.rs
+++ b/crates/sardineshore-serve/src/stream_versions/base_rows.rs
@@ -19,7 +19,9 @@
 /// Time after which the next instance in rank states the life of streams if none before it has.
 const LIFE_RANK_DELAY: Duration = Duration::from_millis(250);
 /// Rank from which on instances wait equally long.
-const MAX_LIFE_RANK: u32 = 8;
+const MAX_RANK: u32 = 8;
+/// How often base rows are compared with what is known while the first ones are missing.
+const FIRST_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Delay before the stated life is checked again after a write.
 const LIFE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -34,8 +36,8 @@
                 let own = &self.peers.this_instance().name;
                 let rank = owners.iter().position(|owner| owner == own);
                 let rank = rank.and_then(|rank| u32::try_from(rank).ok());
-                let delay = LIFE_RANK_DELAY.saturating_mul(rank.unwrap_or(MAX_LIFE_RANK));
-                let delay = delay.min(LIFE_RANK_DELAY * MAX_LIFE_RANK);
+                let delay = LIFE_RANK_DELAY.saturating_mul(rank.unwrap_or(MAX_RANK));
+                let delay = delay.min(LIFE_RANK_DELAY * MAX_RANK);
                 let _awaited = tokio::time::timeout(delay, self.life_due.notified()).await;
             }
             let Some(life) = self.life_change() else {
@@ -76,7 +78,14 @@
     /// Keeps the base versions in the store up to date and removes expired records, forever.
     pub async fn maintain(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(CHECK_INTERVAL).await;
+            // Instances get ready once the first base splits are stated.
+            let is_stated = self.state.streams_stated.get();
+            let interval = if is_stated {
+                CHECK_INTERVAL
+            } else {
+                FIRST_CHECK_INTERVAL
+            };
+            tokio::time::sleep(interval).await;
             let expired = self.take_expired(None);
             if let Some(first) = expired.first() {
                 let removed = self.write_batch(&first.part.clone(), &[], &expired).await;
@@ -114,7 +123,10 @@
             config.is_some_and(|config| config.serves_streams(pool))
         };
         let now = Instant::now();
-        let splits = known.routes().filter_map(|route| {
+        // An instance that was cut off may know an outdated split.
+        let is_confirmed = self.is_configuration_confirmed();
+        let routes = known.routes().filter(|_| is_confirmed);
+        let splits = routes.filter_map(|route| {
             let base = known.split_change(route, now)?;
             Some(BaseChange::Split(route.clone(), base))
         });
@@ -123,8 +135,18 @@
             Some(BaseChange::Version(pool.clone(), base))
         });
         let changes = splits.chain(versions);
-        let is_own =
-            |change: &BaseChange| rank_owners(change.key(), &candidates).first() == Some(own);
+        // The first rows must not depend on one instance.
+        let patience = if self.state.streams_stated.get() {
+            Duration::ZERO
+        } else {
+            self.created_at.elapsed()
+        };
+        let is_own = |change: &BaseChange| {
+            let owners = rank_owners(change.key(), &candidates);
+            let rank = owners.iter().position(|owner| owner == own);
+            let rank = rank.and_then(|rank| u32::try_from(rank).ok());
+            rank.is_some_and(|rank| FIRST_CHECK_INTERVAL * rank.min(MAX_RANK) <= patience)
+        };
         changes.filter(is_own).collect()
     }
 }
