docs(stream-versions): module pages name origins, base splits, stated life and copies

The pages of both modules still spoke of versions and records alone. They now say what each part keeps and which file does it.

--- a/crates/sardineshore-core/src/flow/stream_versions.rs
+++ b/crates/sardineshore-core/src/flow/stream_versions.rs
@@ -1,16 +1,23 @@
-//! Which software version of a pool's servers began a stream, so that no other version continues it.
+//! Where a stream began: at which pool of servers, and at which software version of them, so that nothing else
+//! continues it.
 //!
-//! `docs/design/stream-versions.md` lists what may be concluded about the pool and version of a stream, from
-//! which fact, and how long that fact holds.
+//! `docs/design/stream-versions.md` lists what may be concluded about that *origin*, from which fact, and how long
+//! the fact holds.
 //!
 //! What two versions write doesn't fit together, and servers don't check this. Each instance remembers
 //! the streams that it began. For streams that other instances began, or this one before it restarted,
 //! the store tells:
 //!
-//! - A stream gets a *record* with its version.
-//! - A pool may have a *base version*: all its streams without a record began at that version. Streams
-//!   at the base version need no record then, so nothing is written for single streams while one
-//!   version serves.
+//! - A stream gets a *record* with its origin.
+//! - A route has a *base split*, and a pool may have a *base version*: streams without a record began at the
+//!   pool that the split assigns to their id, and at the base version of that pool. Streams that do need no
+//!   record then, so nothing is written for single streams while one version and one split are in use. See
+//!   [`BaseSplit`] and [`BaseVersion`].
+//! - The *stated life* bounds how long streams may be taken up, and so after which time all have ended
+//!   that had begun. See [`StatedLife`].
+//!
+//! Where a restored store may lack the record, and the list of servers doesn't tell, other instances hold
+//! copies; see [`StreamCopy`].
 //!
 //! A base version holds for one era of the store. After a restore from a copy, records and changes of
 //! the base version may be missing, so it doesn't hold, and every stream gets a record. It holds again,
--- a/crates/sardineshore-serve/src/stream_versions.rs
+++ b/crates/sardineshore-serve/src/stream_versions.rs
@@ -1,8 +1,10 @@
-//! Records in the store that tell at which software version streams began; see
+//! Finds out where streams began that callers take up, and keeps what that needs; see
 //! [`sardineshore_core::flow::stream_versions`].
 //!
-//! Records are written in batches, one call at a time, and removed once their stream can't be taken up
-//! any more. They are read when a caller takes up a stream that this instance doesn't remember.
+//! `records` writes the records of single streams in batches, one call at a time, and removes them once their
+//! stream can't be taken up any more. `base_rows` keeps base versions, base splits and the stated life up to date.
+//! `holders` copies origins to other instances. `lookup` uses all of them when a caller takes up a stream that
+//! this instance doesn't remember.
 
 mod base_rows;
 mod holders;
@@ -51,7 +53,7 @@
     log: Logger,
     created_at: Instant,
     known: RefCell<StreamVersions>,
-    /// Versions of the rows that hold base versions and the stated life.
+    /// Versions of the rows that hold base versions, base splits and the stated life.
     base_rows: RefCell<HashMap<Name, u64>>,
     /// Notified when the stated life has changed.
     life_changed: Notify,
--- a/crates/sardineshore-serve/src/stream_versions/holders.rs
+++ b/crates/sardineshore-serve/src/stream_versions/holders.rs
@@ -98,7 +98,7 @@
         self.known.borrow().find_copy(stream)
     }
 
-    /// Records a holder's answer to a question of [`Self::ask_holders`].
+    /// Records a holder's answer to a question.
     pub fn record_answer(&self, question: u64, copy: Option<StreamCopy>) {
         if let Some(answers) = self.questions.borrow().get(&question) {
             let _given_up = answers.send(copy);
