--- a/crates/sardineshore-core/tests/stream_versions_search/main.rs
+++ b/crates/sardineshore-core/tests/stream_versions_search/main.rs
@@ -1039,7 +1039,7 @@
         assert!(found.is_some(), "{fault:?} is not found");
     }
     let refused_share = |fault| {
-        let runs = (0..SEEDS / 4).map(|seed| Simulation::new(seed, fault).run().0);
+        let runs = (0..SEEDS).map(|seed| Simulation::new(seed, fault).run().0);
         let (lost, gone_on) = runs.fold((0, 0), |(lost, gone_on), of_seed| {
             (lost + of_seed.lost, gone_on + of_seed.lost_gone_on)
         });
